Lay out the workspace: shared types, configuration model, message envelope

Cause: nothing stood yet; every issue needs the clock interface, names, digests, cancellation and the configuration model to be the same. Before: an empty tree. Conclusion: the parts can now be written side by side against these interfaces.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Seeded scenarios with results, bounds and reports.
--- /dev/null
+++ b/crates/core/src/digest.rs
@@ -0,0 +1,89 @@
+//! SHA-256 digests of keys and of request bodies.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// The prefix of a key digest in a configuration file.
+pub const DIGEST_PREFIX: &str = "sha256:";
+
+const DIGEST_LEN: usize = 32;
+
+/// The digest of a caller's key. The key itself is never stored.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KeyDigest([u8; DIGEST_LEN]);
+
+/// A text is not a key digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("a key digest is `sha256:` and 64 hexadecimal digits")]
+pub struct ParseDigestError;
+
+impl KeyDigest {
+    /// Returns the digest of a key.
+    #[must_use]
+    pub fn of_key(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+
+    /// Compares two digests in constant time.
+    #[must_use]
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+
+    /// Parses the form that [`fmt::Display`] writes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error unless the text is the prefix and 64 hexadecimal digits.
+    pub fn parse(text: &str) -> Result<Self, ParseDigestError> {
+        let hex = text.strip_prefix(DIGEST_PREFIX).ok_or(ParseDigestError)?;
+        if hex.len() != 2 * DIGEST_LEN || !hex.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(ParseDigestError);
+        }
+        let mut bytes = [0; DIGEST_LEN];
+        for (i, byte) in bytes.iter_mut().enumerate() {
+            let digits = &hex[2 * i..2 * i + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| ParseDigestError)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(DIGEST_PREFIX)?;
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyDigest({:02x}{:02x}..)", self.0[0], self.0[1])
+    }
+}
+
+/// A digest that identifies what a request asks for: method, target and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct BodyDigest([u8; 16]);
+
+impl BodyDigest {
+    /// Returns the digest of a request's method, target and body.
+    #[must_use]
+    pub fn of_request(method: &str, target: &str, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in [method.as_bytes(), target.as_bytes(), body] {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let full: [u8; DIGEST_LEN] = hasher.finalize().into();
+        let mut short = [0; 16];
+        short.copy_from_slice(&full[..16]);
+        Self(short)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,15 @@
+//! Types that every part of waxwingusher shares: the clock interface, names,
+//! key digests, the host list, cancellation tokens and stable hashing.
+
+pub mod cancel;
+pub mod clock;
+pub mod digest;
+pub mod hosts;
+pub mod names;
+pub mod rendezvous;
+
+pub use cancel::CancelToken;
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use digest::{BodyDigest, KeyDigest};
+pub use hosts::{HostEntry, HostList, HostState};
+pub use names::{FailureDomain, HostId, InstanceId, RouteName, ServiceName, WorkspaceName};
--- /dev/null
+++ b/crates/core/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the shared types, by concern.
+
+mod cancel;
+mod digest;
+mod rendezvous;
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,2 @@
+//! Membership: liveness of peers, and distribution of the configuration among
+//! hosts.
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,13 @@
+//! The inner protocol: the messages that hosts of the fleet exchange, their
+//! codec with authentication and limits, and the transports that carry them.
+//!
+//! Small frequent messages travel as datagrams; transfers that are larger than
+//! a datagram use JSON-RPC over TCP.
+
+pub mod attempt;
+pub mod gossip;
+pub mod health;
+pub mod loan;
+pub mod message;
+
+pub use message::{Envelope, Message};
--- /dev/null
+++ b/crates/upstreams/src/lib.rs
@@ -0,0 +1,2 @@
+//! Upstream instances: detection of sick ones, the capacity floor, recovery,
+//! balance and subsets.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `waxwingusher` binary: parses the command line and dispatches.
+
+fn main() {}
