Add links in virtual time and the form of a scenario

Cause: four parts need the same fake network and the same form of results. Before: each would write its own. After: one of each, used by tests and scenarios. Conclusion: shared before the parts are begun.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,8 @@
 //! Seeded scenarios with results, bounds and reports.
+//!
+//! Scenarios drive the decision logic in virtual time through small fakes and
+//! are exactly repeatable. Each topic contributes its own list.
+
+pub mod scenario;
+
+pub use scenario::{Bound, Measurement, Scenario, ScenarioResult};
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,4 +10,4 @@
 pub mod loan;
 pub mod message;
 
-pub use message::{Envelope, Message};
+pub use message::{Envelope, Message, Outgoing};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -32,3 +32,12 @@
     /// Liveness and configuration versions.
     Gossip(GossipMessage),
 }
+
+/// A message that the decision logic wants sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outgoing<M> {
+    /// The receiver.
+    pub to: HostId,
+    /// The content.
+    pub message: M,
+}
