--- /dev/null
+++ b/crates/limits/src/bucket.rs
@@ -0,0 +1,107 @@
+//! A token bucket whose rate and room change as parts of them are lent.
+
+use std::time::Instant;
+
+/// Billionths of a token in a token.
+const NANOS_PER_TOKEN: u64 = 1_000_000_000;
+/// Billionths of a token in a thousandth of a token.
+const NANOS_PER_MILLI: u64 = 1_000_000;
+/// Divides thousandths a second times nanoseconds into billionths of a token.
+const NANOS_PER_RATE_NANO: u128 = 1000;
+
+/// A token bucket.
+#[derive(Debug, Clone, Copy)]
+pub struct Bucket {
+    tokens_nanos: u64,
+    room_nanos: u64,
+    rate_millis_per_s: u64,
+    settled_at: Instant,
+}
+
+impl Bucket {
+    /// Creates an empty bucket without room or rate.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            tokens_nanos: 0,
+            room_nanos: 0,
+            rate_millis_per_s: 0,
+            settled_at: now,
+        }
+    }
+
+    /// Adds what has been refilled until `now`.
+    pub fn settle(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.settled_at);
+        self.settled_at = self.settled_at.max(now);
+        let refill = u128::from(self.rate_millis_per_s) * elapsed.as_nanos() / NANOS_PER_RATE_NANO;
+        let refill = u64::try_from(refill).unwrap_or(u64::MAX);
+        self.tokens_nanos = self
+            .tokens_nanos
+            .saturating_add(refill)
+            .min(self.room_nanos);
+    }
+
+    /// Restarts the refilling at `now`; the time before adds nothing.
+    pub fn skip_to(&mut self, now: Instant) {
+        self.settled_at = self.settled_at.max(now);
+    }
+
+    /// Changes the rate from `now` on.
+    pub fn set_rate(&mut self, now: Instant, rate_millis_per_s: u64) {
+        self.settle(now);
+        self.rate_millis_per_s = rate_millis_per_s;
+    }
+
+    /// Changes the room from `now` on; tokens beyond it are lost.
+    pub fn set_room(&mut self, now: Instant, room_millis: u64) {
+        self.settle(now);
+        self.room_nanos = room_millis.saturating_mul(NANOS_PER_MILLI);
+        self.tokens_nanos = self.tokens_nanos.min(self.room_nanos);
+    }
+
+    /// Adds tokens, as far as there is room.
+    pub fn add(&mut self, tokens_millis: u64) {
+        let added = tokens_millis.saturating_mul(NANOS_PER_MILLI);
+        self.tokens_nanos = self.tokens_nanos.saturating_add(added).min(self.room_nanos);
+    }
+
+    /// Removes up to this many tokens and returns how many were there.
+    pub fn remove(&mut self, tokens_millis: u64) -> u64 {
+        let removed = tokens_millis.min(self.tokens_millis());
+        self.tokens_nanos -= removed * NANOS_PER_MILLI;
+        removed
+    }
+
+    /// Takes the token of one request.
+    pub fn take(&mut self) -> bool {
+        if self.tokens_nanos < NANOS_PER_TOKEN {
+            return false;
+        }
+        self.tokens_nanos -= NANOS_PER_TOKEN;
+        true
+    }
+
+    /// Empties the bucket and takes its room and rate.
+    pub fn clear(&mut self, now: Instant) {
+        *self = Self::new(self.settled_at.max(now));
+    }
+
+    /// Returns the tokens as of the last settlement, rounded down.
+    #[must_use]
+    pub fn tokens_millis(&self) -> u64 {
+        self.tokens_nanos / NANOS_PER_MILLI
+    }
+
+    /// Returns the room.
+    #[must_use]
+    pub fn room_millis(&self) -> u64 {
+        self.room_nanos / NANOS_PER_MILLI
+    }
+
+    /// Returns the rate.
+    #[must_use]
+    pub fn rate_millis_per_s(&self) -> u64 {
+        self.rate_millis_per_s
+    }
+}
--- a/crates/protocol/src/loan.rs
+++ b/crates/protocol/src/loan.rs
@@ -1,7 +1,101 @@
 //! Messages for lending of rate and burst.
+//!
+//! Quantities are thousandths of a request (`_millis`). Entries for several
+//! keys share one datagram.
 
 use serde::{Deserialize, Serialize};
 
-/// A message for lending of rate and burst.
+/// The most entries that one message carries, so that it fits a datagram.
+pub const MAX_LOAN_ENTRIES: usize = 32;
+
+/// A short stable hash of the name of a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LimitId(pub [u8; 6]);
+
+/// A borrower's request for a loan, or for the renewal of the one it holds.
+///
+/// It states all that the borrower holds, and that the borrower accepts only
+/// the grant with this number from now on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanRequest {
+    /// The limit.
+    pub limit: LimitId,
+    /// A fingerprint of the configured rate and burst.
+    pub terms: u16,
+    /// A number that only grows during the life of the borrower's process.
+    pub seq: u32,
+    /// The room that the borrower still holds.
+    pub held_room_millis: u32,
+    /// The tokens that the borrower still holds.
+    pub held_tokens_millis: u32,
+    /// The rate that the borrower still holds.
+    pub held_rate_millis_per_s: u32,
+    /// Tokens that the borrower has given up with this message.
+    pub returned_tokens_millis: u32,
+    /// The tokens that the borrower would like to hold, and the room for them.
+    pub wanted_tokens_millis: u32,
+    /// The rate that the borrower would like to hold.
+    pub wanted_rate_millis_per_s: u32,
+}
+
+/// A lender's answer to a [`LoanRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanGrant {
+    /// The limit.
+    pub limit: LimitId,
+    /// A fingerprint of the configured rate and burst.
+    pub terms: u16,
+    /// The number of the request.
+    pub seq: u32,
+    /// All the room that the borrower may hold from now on.
+    pub room_millis: u32,
+    /// The tokens that are added to those that the borrower holds.
+    pub added_tokens_millis: u32,
+    /// The whole rate that the borrower may refill at from now on.
+    pub rate_millis_per_s: u32,
+    /// The term, which the borrower counts from the moment of its request.
+    pub term_ms: u32,
+    /// How long the borrower should wait before it asks again; zero unless
+    /// the lender had too little.
+    pub retry_after_ms: u32,
+}
+
+/// A holder's share, given to the holder that follows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareTransfer {
+    /// The limit.
+    pub limit: LimitId,
+    /// The version of the host list under which the receiver is the holder.
+    pub list_version: u64,
+    /// Unspent tokens.
+    pub tokens_millis: u32,
+    /// Room that is still lent.
+    pub lent_room_millis: u32,
+    /// Rate that is still lent.
+    pub lent_rate_millis_per_s: u32,
+    /// How long the last of the loans may still last.
+    pub lent_for_ms: u32,
+}
+
+/// A message for lending of rate and burst. Variants are only ever appended.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum LoanMessage {}
+pub enum LoanMessage {
+    /// Requests of a borrower to one lender.
+    Requests(Vec<LoanRequest>),
+    /// Grants of a lender to one borrower.
+    Grants(Vec<LoanGrant>),
+    /// Shares that change their holder.
+    Transfers(Vec<ShareTransfer>),
+    /// Asks a host of the same failure domain for its host list version.
+    ListQuery {
+        /// A number that only grows during the life of the sender's process.
+        seq: u32,
+    },
+    /// Answers a [`LoanMessage::ListQuery`].
+    ListWord {
+        /// The number of the query.
+        seq: u32,
+        /// The newest version of the host list that the sender has seen.
+        version: u64,
+    },
+}
