--- /dev/null
+++ b/crates/limits/src/authority.rs
@@ -0,0 +1,284 @@
+//! Tells whether this host's view of the host list is current enough to act on.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{FailureDomain, HostId, HostList};
+use waxwingusher_protocol::Outgoing;
+use waxwingusher_protocol::loan::{ListWord, LoanMessage};
+
+use crate::settings::LimiterSettings;
+
+/// How many times a holder asks its peers during one fence time.
+const QUERIES_PER_FENCE: u32 = 4;
+
+/// What a peer said of its host list.
+#[derive(Debug, Clone, Copy)]
+struct Word {
+    version: u64,
+    asked_at: Instant,
+    adopted_at: Instant,
+    vouched: bool,
+    read_at: Option<Instant>,
+}
+
+/// The host list with the evidence that it is current.
+///
+/// Evidence is a read of the list that was started recently, or recent word
+/// from a majority of the listed hosts of this host's failure domain that none
+/// has seen a newer one.
+#[derive(Debug)]
+pub struct Authority {
+    self_id: HostId,
+    started_at: Instant,
+    list: Arc<HostList>,
+    domain: Option<FailureDomain>,
+    peers: Vec<HostId>,
+    adopted_at: Instant,
+    read_at: Option<Instant>,
+    vouches: bool,
+    words: HashMap<HostId, Word>,
+    query_seq: u32,
+    query_at: Option<Instant>,
+    valid_until: Option<Instant>,
+}
+
+impl Authority {
+    /// Creates the view of a host that knows no list yet.
+    #[must_use]
+    pub fn new(self_id: HostId, now: Instant) -> Self {
+        Self {
+            self_id,
+            started_at: now,
+            list: Arc::new(HostList::default()),
+            domain: None,
+            peers: Vec::new(),
+            adopted_at: now,
+            read_at: None,
+            vouches: false,
+            words: HashMap::new(),
+            query_seq: 0,
+            query_at: None,
+            valid_until: None,
+        }
+    }
+
+    /// Returns the host list.
+    #[must_use]
+    pub fn list(&self) -> &Arc<HostList> {
+        &self.list
+    }
+
+    /// Returns this host's failure domain, if the list names the host.
+    #[must_use]
+    pub fn domain(&self) -> Option<&FailureDomain> {
+        self.domain.as_ref()
+    }
+
+    /// Takes a newer list and reports whether it is newer.
+    pub fn adopt(&mut self, list: &HostList, now: Instant) -> bool {
+        if list.version <= self.list.version {
+            return false;
+        }
+        self.list = Arc::new(list.clone());
+        self.domain = list
+            .get(&self.self_id)
+            .map(|entry| entry.failure_domain.clone());
+        let in_domain = |domain: &FailureDomain| self.domain.as_ref() == Some(domain);
+        self.peers = list
+            .hosts
+            .iter()
+            .filter(|entry| entry.id != self.self_id && in_domain(&entry.failure_domain))
+            .map(|entry| entry.id.clone())
+            .collect();
+        let peers = &self.peers;
+        self.words.retain(|host, _| peers.contains(host));
+        self.adopted_at = now;
+        self.read_at = None;
+        true
+    }
+
+    /// Records a read of the list that was started at an instant.
+    pub fn confirm(&mut self, version: u64, started_at: Instant, settings: &LimiterSettings) {
+        if version == 0 || version != self.list.version {
+            return;
+        }
+        self.read_at = self.read_at.max(Some(started_at));
+        if started_at >= self.started_at + settings.with_drift(settings.list_lag) {
+            self.vouches = true;
+        }
+        self.renew(settings);
+    }
+
+    /// Forgets all evidence, as after a suspension of the machine.
+    pub fn revoke(&mut self) {
+        self.read_at = None;
+        self.words.clear();
+        self.valid_until = None;
+    }
+
+    /// Reports whether a holder may act at `now`.
+    #[must_use]
+    pub fn is_valid(&self, now: Instant) -> bool {
+        self.valid_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns when the holder's rights end unless new evidence comes.
+    #[must_use]
+    pub fn valid_until(&self) -> Option<Instant> {
+        self.valid_until
+    }
+
+    /// Reports whether a host that is newly named a holder may start without a
+    /// transfer: all former holders and their borrowers have stopped.
+    #[must_use]
+    pub fn may_take_over(&self, now: Instant, settings: &LimiterSettings) -> bool {
+        if !self.vouches || !self.is_valid(now) {
+            return false;
+        }
+        let Some(since) = self.majority_since() else {
+            return false;
+        };
+        let fenced = settings.with_drift(settings.list_fence + settings.list_lag * 2);
+        now >= since + settings.take_over_wait() && self.evidence() >= Some(since + fenced)
+    }
+
+    /// Returns the answer to a peer's query.
+    #[must_use]
+    pub fn answer(&self, seq: u32, now: Instant) -> LoanMessage {
+        let age = |at: Instant| to_millis(now.saturating_duration_since(at));
+        LoanMessage::ListWord(ListWord {
+            seq,
+            version: self.list.version,
+            adopted_age_ms: age(self.adopted_at),
+            read_age_ms: self.read_at.map(|at| age(at).saturating_add(1)),
+            vouches: self.vouches,
+        })
+    }
+
+    /// Records a peer's answer to the latest query.
+    pub fn on_word(&mut self, from: &HostId, said: ListWord, settings: &LimiterSettings) {
+        let Some(asked_at) = self.query_at else {
+            return;
+        };
+        if said.seq != self.query_seq || !self.peers.contains(from) {
+            return;
+        }
+        let before = |age: Duration| asked_at.checked_sub(age);
+        let adopted_age = Duration::from_millis(said.adopted_age_ms.into());
+        let read_age = said.read_age_ms.map(|ms| Duration::from_millis(ms.into()));
+        let read_at = read_age.and_then(|age| before(settings.with_drift(age)));
+        let word = Word {
+            version: said.version,
+            asked_at,
+            adopted_at: before(shorten(adopted_age, settings)).unwrap_or(asked_at),
+            vouched: said.vouches,
+            read_at: read_at.filter(|_| said.version == self.list.version),
+        };
+        self.words.insert(from.clone(), word);
+        if let Some(read_at) = word.read_at {
+            self.confirm(said.version, read_at, settings);
+        }
+        self.renew(settings);
+    }
+
+    /// Returns the queries to peers that are due. `taking_over` tells whether
+    /// this host waits to become a holder.
+    pub fn queries(
+        &mut self,
+        now: Instant,
+        taking_over: bool,
+        settings: &LimiterSettings,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<Outgoing<LoanMessage>> {
+        let interval = settings.list_fence / QUERIES_PER_FENCE;
+        let fresh = |age: Duration| self.read_at.is_some_and(|at| now < at + age);
+        let due = self.query_at.is_none_or(|at| now >= at + interval);
+        if !due || (fresh(interval) && !taking_over) {
+            return Vec::new();
+        }
+        let targets = if fresh(interval * 2) && !taking_over {
+            self.recent_readers(now, interval * 2, rng)
+        } else {
+            self.peers.clone()
+        };
+        self.query_at = Some(now);
+        self.query_seq += 1;
+        let seq = self.query_seq;
+        let query = |to| Outgoing {
+            to,
+            message: LoanMessage::ListQuery { seq },
+        };
+        targets.into_iter().map(query).collect()
+    }
+
+    /// Returns a peer that knew of a recent read, if any, and a random one.
+    fn recent_readers(
+        &self,
+        now: Instant,
+        max_age: Duration,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<HostId> {
+        let recent = |word: &Word| word.read_at.is_some_and(|at| now < at + max_age);
+        let known = self.words.iter().filter(|(_, word)| recent(word));
+        let known: Vec<_> = known.map(|(host, _)| host.clone()).collect();
+        let mut targets: Vec<_> = rng.choice(known).into_iter().collect();
+        targets.extend(rng.choice(&self.peers).cloned());
+        targets.sort();
+        targets.dedup();
+        targets
+    }
+
+    fn renew(&mut self, settings: &LimiterSettings) {
+        let until = self.evidence().map(|at| at + settings.list_fence);
+        self.valid_until = self.valid_until.max(until);
+    }
+
+    fn evidence(&self) -> Option<Instant> {
+        self.read_at.max(self.majority_word())
+    }
+
+    /// Returns the time up to which a majority has seen no newer list.
+    fn majority_word(&self) -> Option<Instant> {
+        if !self.vouches {
+            return None;
+        }
+        let version = self.list.version;
+        let current = self.words.values();
+        let current = current.filter(|word| word.vouched && word.version <= version);
+        let mut times: Vec<_> = current.map(|word| word.asked_at).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        let others = self.majority() - 1;
+        match others {
+            0 => None,
+            count => times.get(count - 1).copied(),
+        }
+    }
+
+    /// Returns the time since which a majority has known the current list.
+    fn majority_since(&self) -> Option<Instant> {
+        let version = self.list.version;
+        let moved = self.words.values();
+        let moved = moved.filter(|word| word.vouched && word.version >= version);
+        let mut times: Vec<_> = moved.map(|word| word.adopted_at).collect();
+        times.push(self.adopted_at);
+        times.sort_unstable();
+        times.get(self.majority() - 1).copied()
+    }
+
+    fn majority(&self) -> usize {
+        let hosts = self.peers.len() + 1;
+        hosts / 2 + 1
+    }
+}
+
+fn to_millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Returns an age on a fast clock as it was at least in real time.
+fn shorten(age: Duration, settings: &LimiterSettings) -> Duration {
+    age * (1000 - settings.clock_drift_per_mille.min(1000))
+        / (1000 + settings.clock_drift_per_mille)
+}
--- a/crates/limits/src/bucket.rs
+++ b/crates/limits/src/bucket.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 /// Billionths of a token in a token.
-const NANOS_PER_TOKEN: u64 = 1_000_000_000;
+pub const NANOS_PER_TOKEN: u64 = 1_000_000_000;
 /// Billionths of a token in a thousandth of a token.
 const NANOS_PER_MILLI: u64 = 1_000_000;
 /// Divides thousandths a second times nanoseconds into billionths of a token.
@@ -73,13 +73,12 @@
         removed
     }
 
-    /// Takes the token of one request.
-    pub fn take(&mut self) -> bool {
-        if self.tokens_nanos < NANOS_PER_TOKEN {
-            return false;
-        }
-        self.tokens_nanos -= NANOS_PER_TOKEN;
-        true
+    /// Takes up to `needed_nanos` billionths of a token and returns how many
+    /// are still needed.
+    pub fn take_part(&mut self, needed_nanos: u64) -> u64 {
+        let taken = needed_nanos.min(self.tokens_nanos);
+        self.tokens_nanos -= taken;
+        needed_nanos - taken
     }
 
     /// Empties the bucket and takes its room and rate.
@@ -93,6 +92,12 @@
         self.tokens_nanos / NANOS_PER_MILLI
     }
 
+    /// Returns the tokens as of the last settlement, in billionths.
+    #[must_use]
+    pub fn tokens_nanos(&self) -> u64 {
+        self.tokens_nanos
+    }
+
     /// Returns the room.
     #[must_use]
     pub fn room_millis(&self) -> u64 {
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,11 +1,25 @@
 //! Rights of workspaces: keys, rates and bursts that hold over the whole fleet,
 //! and fair shares of a loaded host.
 
-pub mod bucket;
+mod authority;
+mod bucket;
+mod demand;
+mod holders;
+mod limit_table;
+mod loan_part;
+mod role;
+mod share;
+mod shares;
+mod stock;
+
+pub mod decision;
 pub mod keys;
 pub mod limit_key;
+pub mod limiter;
 pub mod settings;
 
+pub use decision::{LimitReport, LimiterReport, RefusalCounts, RefusalReason, SpendDecision};
 pub use keys::KeyIndex;
 pub use limit_key::LimitKey;
+pub use limiter::Limiter;
 pub use settings::LimiterSettings;
--- /dev/null
+++ b/crates/limits/src/loan_part.rs
@@ -0,0 +1,246 @@
+//! What a borrower holds from one lender.
+
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::HostId;
+use waxwingusher_protocol::loan::{LimitId, LoanGrant, LoanRequest};
+
+use crate::bucket::Bucket;
+use crate::settings::LimiterSettings;
+use crate::share::narrow;
+use crate::shares::ShareLimit;
+
+/// The most times that the wait for an unanswering lender is doubled.
+const MAX_DOUBLINGS: u32 = 6;
+/// The part of a term after which a loan is renewed, in percent.
+const RENEW_PERCENT: u32 = 65;
+
+/// What a borrower would like to hold from one lender.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Wanted {
+    /// Tokens, and the room for them.
+    pub tokens_millis: u64,
+    /// The rate.
+    pub rate_millis_per_s: u64,
+}
+
+/// Names the limit of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestHeader {
+    /// The limit.
+    pub limit: LimitId,
+    /// The fingerprint of the rate and burst.
+    pub terms: u16,
+    /// The number of the request.
+    pub seq: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    seq: u32,
+    asked_at: Instant,
+    wanted: Wanted,
+}
+
+/// A loan, or the absence of one, from the holder of one share.
+#[derive(Debug)]
+pub struct LoanPart {
+    lender: Option<HostId>,
+    bucket: Bucket,
+    until: Instant,
+    renew_at: Instant,
+    term: Duration,
+    pending: Option<Pending>,
+    unanswered: u32,
+    retry_at: Instant,
+    short_until: Instant,
+}
+
+impl LoanPart {
+    /// Creates a part that holds nothing.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            lender: None,
+            bucket: Bucket::new(now),
+            until: now,
+            renew_at: now,
+            term: Duration::ZERO,
+            pending: None,
+            unanswered: 0,
+            retry_at: now,
+            short_until: now,
+        }
+    }
+
+    /// Sets the host to borrow from. What another one lent is given up.
+    pub fn set_lender(&mut self, lender: Option<&HostId>, now: Instant) {
+        if self.lender.as_ref() == lender {
+            return;
+        }
+        *self = Self::new(now);
+        self.lender = lender.cloned();
+    }
+
+    /// Returns the host to borrow from.
+    #[must_use]
+    pub fn lender(&self) -> Option<&HostId> {
+        self.lender.as_ref()
+    }
+
+    /// Refills until `now`, or empties the bucket if the term is over.
+    pub fn settle(&mut self, now: Instant) {
+        if now < self.until {
+            self.bucket.settle(now);
+        } else if self.holds_anything() {
+            self.bucket.clear(now);
+        }
+    }
+
+    /// Returns the bucket, as of the last settlement.
+    #[must_use]
+    pub fn bucket(&self) -> &Bucket {
+        &self.bucket
+    }
+
+    /// Returns the bucket to spend from; settle it first.
+    pub fn bucket_mut(&mut self) -> &mut Bucket {
+        &mut self.bucket
+    }
+
+    /// Reports whether there is a loan.
+    #[must_use]
+    pub fn holds_anything(&self) -> bool {
+        self.bucket.room_millis() > 0 || self.bucket.rate_millis_per_s() > 0
+    }
+
+    /// Reports whether an answer is awaited.
+    #[must_use]
+    pub fn is_awaited(&self, now: Instant, settings: &LimiterSettings) -> bool {
+        let in_time = |pending: &Pending| now < pending.asked_at + settings.answer_timeout;
+        self.pending.as_ref().is_some_and(in_time)
+    }
+
+    /// Returns when the lender may be asked again, if there is one.
+    #[must_use]
+    pub fn retry_at(&self) -> Option<Instant> {
+        self.lender.as_ref().map(|_| self.retry_at)
+    }
+
+    /// Reports whether the lender has answered the latest request.
+    #[must_use]
+    pub fn has_answered(&self) -> bool {
+        self.lender.is_some() && self.pending.is_none() && self.unanswered == 0
+    }
+
+    /// Reports whether the lender lately gave less rate than was asked for.
+    #[must_use]
+    pub fn is_short(&self, now: Instant) -> bool {
+        now < self.short_until
+    }
+
+    /// Reports whether the loan should be renewed.
+    #[must_use]
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.holds_anything() && now >= self.renew_at
+    }
+
+    /// Reports whether a short loan is spent, so that its room should go back.
+    #[must_use]
+    pub fn is_spent(&self, settings: &LimiterSettings) -> bool {
+        let short = self.term < settings.loan_term;
+        short
+            && self.holds_anything()
+            && self.bucket.tokens_nanos() < crate::bucket::NANOS_PER_TOKEN
+    }
+
+    /// Reduces the loan after the share it comes from has shrunk.
+    pub fn rescale(&mut self, former: ShareLimit, limit: ShareLimit, now: Instant) {
+        self.settle(now);
+        let rate = self.bucket.rate_millis_per_s();
+        let room = self.bucket.room_millis();
+        let rate = scale(rate, limit.rate_millis_per_s, former.rate_millis_per_s);
+        let room = scale(room, limit.room_millis, former.room_millis);
+        self.bucket.set_rate(now, rate);
+        self.bucket.set_room(now, room);
+        self.pending = None;
+    }
+
+    /// Builds the request to hold what is wanted; what exceeds it is given up.
+    pub fn request(
+        &mut self,
+        header: RequestHeader,
+        wanted: Wanted,
+        now: Instant,
+        settings: &LimiterSettings,
+    ) -> LoanRequest {
+        self.settle(now);
+        let rate = self
+            .bucket
+            .rate_millis_per_s()
+            .min(wanted.rate_millis_per_s);
+        let room = self.bucket.room_millis().min(wanted.tokens_millis);
+        let excess = self.bucket.tokens_millis().saturating_sub(room);
+        let returned = self.bucket.remove(excess);
+        self.bucket.set_rate(now, rate);
+        self.bucket.set_room(now, room);
+        let pending = Pending {
+            seq: header.seq,
+            asked_at: now,
+            wanted,
+        };
+        self.pending = (wanted != Wanted::default()).then_some(pending);
+        let wait = settings.answer_timeout * (1 << self.unanswered.min(MAX_DOUBLINGS));
+        self.unanswered += u32::from(self.pending.is_some());
+        self.retry_at = now + wait;
+        LoanRequest {
+            limit: header.limit,
+            terms: header.terms,
+            seq: header.seq,
+            held_room_millis: narrow(room),
+            held_tokens_millis: narrow(self.bucket.tokens_millis()),
+            held_rate_millis_per_s: narrow(rate),
+            returned_tokens_millis: narrow(returned),
+            wanted_tokens_millis: narrow(wanted.tokens_millis),
+            wanted_rate_millis_per_s: narrow(wanted.rate_millis_per_s),
+        }
+    }
+
+    /// Takes the grant that answers the latest request. Its term counts from
+    /// the request.
+    pub fn accept(&mut self, grant: &LoanGrant, now: Instant) {
+        let Some(pending) = self.pending else {
+            return;
+        };
+        if pending.seq != grant.seq {
+            return;
+        }
+        self.pending = None;
+        self.unanswered = 0;
+        self.settle(now);
+        let term = Duration::from_millis(grant.term_ms.into());
+        let until = pending.asked_at + term;
+        self.retry_at = now + Duration::from_millis(grant.retry_after_ms.into());
+        if u64::from(grant.rate_millis_per_s) < pending.wanted.rate_millis_per_s {
+            self.short_until = now + Duration::from_secs(1);
+        }
+        if now >= until {
+            return;
+        }
+        self.until = until;
+        self.term = term;
+        self.renew_at = pending.asked_at + term * RENEW_PERCENT / 100;
+        self.bucket.skip_to(now);
+        self.bucket.set_rate(now, grant.rate_millis_per_s.into());
+        self.bucket.set_room(now, grant.room_millis.into());
+        self.bucket.add(grant.added_tokens_millis.into());
+    }
+}
+
+fn scale(value: u64, numerator: u64, denominator: u64) -> u64 {
+    if numerator >= denominator {
+        return value;
+    }
+    let scaled = u128::from(value) * u128::from(numerator) / u128::from(denominator);
+    u64::try_from(scaled).unwrap_or(value)
+}
--- /dev/null
+++ b/crates/limits/src/share.rs
@@ -0,0 +1,362 @@
+//! A holder's share of one limit, from which it spends and lends.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::HostId;
+use waxwingusher_protocol::loan::{LoanGrant, LoanRequest};
+
+use crate::bucket::Bucket;
+use crate::settings::LimiterSettings;
+use crate::shares::{MILLIS_PER_TOKEN, ShareLimit};
+
+/// The term of a loan while a share has too little room for all borrowers.
+const SCARCE_TERM: Duration = Duration::from_millis(100);
+/// The part of the free tokens and room that one borrower may get.
+const LEND_DIVISOR: u64 = 2;
+/// The shortest time after which a borrower should ask a dry lender again.
+const MIN_RETRY: Duration = Duration::from_millis(20);
+/// The time after which a borrower should ask a lender that is overrun again.
+const OVERRUN_RETRY: Duration = Duration::from_millis(250);
+/// Stands for a time that does not come.
+const NEVER: Duration = Duration::from_secs(3600);
+/// How far demand may exceed the rate before a lender counts as overrun, in
+/// percent of the rate.
+const OVERRUN_PERCENT: u64 = 110;
+
+/// What one process of a host has borrowed.
+#[derive(Debug, Clone, Copy)]
+struct Loan {
+    seq: u32,
+    room_millis: u64,
+    rate_millis_per_s: u64,
+    asked_millis_per_s: u64,
+    until: Instant,
+    forget_at: Instant,
+}
+
+impl Loan {
+    /// Ends the loan at its term; the record stays for a while.
+    fn end(&mut self, now: Instant) {
+        if self.until > now {
+            return;
+        }
+        self.room_millis = 0;
+        self.rate_millis_per_s = 0;
+    }
+
+    fn next_change(&self, now: Instant) -> Instant {
+        if self.until > now {
+            self.until
+        } else {
+            self.forget_at
+        }
+    }
+}
+
+/// The lender's side of one limit.
+#[derive(Debug)]
+pub struct Share {
+    limit: ShareLimit,
+    bucket: Bucket,
+    loans: HashMap<(HostId, u64), Loan>,
+    lent_room_millis: u64,
+    lent_rate_millis_per_s: u64,
+    asked_millis_per_s: u64,
+    next_expiry: Option<Instant>,
+}
+
+/// Who asks for a loan, and when.
+#[derive(Debug, Clone, Copy)]
+pub struct Borrower<'a> {
+    /// The borrowing host.
+    pub host: &'a HostId,
+    /// The incarnation of its process.
+    pub incarnation: u64,
+    /// The demand of the lender's own callers.
+    pub lender_demand_millis_per_s: u64,
+    /// The time on the lender's clock.
+    pub now: Instant,
+}
+
+/// What a former holder had lent when it gave up a share.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Outstanding {
+    /// Room that is lent.
+    pub room_millis: u64,
+    /// Rate that is lent.
+    pub rate_millis_per_s: u64,
+    /// How long the last of the loans may last.
+    pub lasts: Duration,
+}
+
+impl Share {
+    /// Creates an empty share that starts to refill at `now`.
+    #[must_use]
+    pub fn new(limit: ShareLimit, now: Instant) -> Self {
+        let mut share = Self {
+            limit,
+            bucket: Bucket::new(now),
+            loans: HashMap::new(),
+            lent_room_millis: 0,
+            lent_rate_millis_per_s: 0,
+            asked_millis_per_s: 0,
+            next_expiry: None,
+        };
+        share.rebalance(now);
+        share
+    }
+
+    /// Creates a share from what its former holder passed on.
+    #[must_use]
+    pub fn transferred(
+        limit: ShareLimit,
+        tokens_millis: u64,
+        outstanding: Outstanding,
+        former: &HostId,
+        now: Instant,
+    ) -> Self {
+        let mut share = Self::new(limit, now);
+        if outstanding.lasts > Duration::ZERO {
+            let loan = Loan {
+                seq: u32::MAX,
+                room_millis: outstanding.room_millis,
+                rate_millis_per_s: outstanding.rate_millis_per_s,
+                asked_millis_per_s: 0,
+                until: now + outstanding.lasts,
+                forget_at: now + outstanding.lasts,
+            };
+            share.loans.insert((former.clone(), 0), loan);
+            share.sum_up(now);
+        }
+        share.bucket.add(tokens_millis);
+        share
+    }
+
+    /// Refills until `now` and ends loans whose term is over.
+    pub fn settle(&mut self, now: Instant) {
+        self.bucket.settle(now);
+        if self.next_expiry.is_some_and(|at| at <= now) {
+            self.loans.values_mut().for_each(|loan| loan.end(now));
+            self.loans.retain(|_, loan| loan.forget_at > now);
+            self.sum_up(now);
+        }
+    }
+
+    /// Takes the share of a changed limit. Loans go on until they end.
+    pub fn set_limit(&mut self, limit: ShareLimit, now: Instant) {
+        self.settle(now);
+        self.limit = limit;
+        self.rebalance(now);
+    }
+
+    /// Returns how long the next token of an empty bucket takes.
+    #[must_use]
+    pub fn next_token(&self) -> Duration {
+        let lacking = MILLIS_PER_TOKEN.saturating_sub(self.bucket.tokens_millis());
+        let rate = self.bucket.rate_millis_per_s();
+        if rate == 0 || self.bucket.room_millis() < MILLIS_PER_TOKEN {
+            return NEVER;
+        }
+        Duration::from_millis(lacking * 1000 / rate)
+    }
+
+    /// Returns the bucket that the holder's own callers spend from.
+    pub fn bucket_mut(&mut self) -> &mut Bucket {
+        &mut self.bucket
+    }
+
+    /// Returns the bucket.
+    #[must_use]
+    pub fn bucket(&self) -> &Bucket {
+        &self.bucket
+    }
+
+    /// Returns the number of hosts that have borrowed.
+    #[must_use]
+    pub fn borrowers(&self) -> usize {
+        self.loans.len()
+    }
+
+    /// Returns what is lent at `now`.
+    #[must_use]
+    pub fn outstanding(&self, now: Instant) -> Outstanding {
+        let ends = self.loans.values().map(|loan| loan.until).max();
+        Outstanding {
+            room_millis: self.lent_room_millis,
+            rate_millis_per_s: self.lent_rate_millis_per_s,
+            lasts: ends.map_or(Duration::ZERO, |at| at.saturating_duration_since(now)),
+        }
+    }
+
+    /// Records what a borrower states that it still holds, and reports whether
+    /// the request is the newest one and consistent.
+    pub fn reconcile(&mut self, request: &LoanRequest, borrower: Borrower<'_>) -> bool {
+        self.settle(borrower.now);
+        let key = (borrower.host.clone(), borrower.incarnation);
+        let held_room = u64::from(request.held_room_millis);
+        let held_rate = u64::from(request.held_rate_millis_per_s);
+        let Some(loan) = self.loans.get_mut(&key) else {
+            return held_room == 0 && held_rate == 0;
+        };
+        if request.seq <= loan.seq || held_room > loan.room_millis {
+            return false;
+        }
+        if held_rate > loan.rate_millis_per_s {
+            return false;
+        }
+        loan.seq = request.seq;
+        self.lent_room_millis -= loan.room_millis - held_room;
+        self.lent_rate_millis_per_s -= loan.rate_millis_per_s - held_rate;
+        loan.room_millis = held_room;
+        loan.rate_millis_per_s = held_rate;
+        self.rebalance(borrower.now);
+        self.bucket.add(request.returned_tokens_millis.into());
+        true
+    }
+
+    /// Lends to a borrower whose request has been reconciled.
+    pub fn lend(
+        &mut self,
+        request: &LoanRequest,
+        borrower: Borrower<'_>,
+        settings: &LimiterSettings,
+    ) -> LoanGrant {
+        let wanted_rate = u64::from(request.wanted_rate_millis_per_s);
+        let key = (borrower.host.clone(), borrower.incarnation);
+        let former = self.loans.get(&key).copied();
+        let asked_before = former.map_or(0, |loan| loan.asked_millis_per_s);
+        self.asked_millis_per_s = self.asked_millis_per_s - asked_before + wanted_rate;
+        let demand = self.asked_millis_per_s + borrower.lender_demand_millis_per_s;
+        let scarce = self.is_scarce(former.is_some());
+        let rate = if scarce {
+            0
+        } else {
+            self.rate_for(request, demand)
+        };
+        let room = self.room_for(request, scarce);
+        let tokens = self.tokens_for(request, room);
+        let term = if scarce {
+            SCARCE_TERM
+        } else {
+            settings.loan_term
+        };
+        let loan = Loan {
+            seq: request.seq,
+            room_millis: room.max(request.held_room_millis.into()),
+            rate_millis_per_s: rate.max(request.held_rate_millis_per_s.into()),
+            asked_millis_per_s: wanted_rate,
+            until: loan_end(former, request, borrower.now + settings.with_drift(term)),
+            forget_at: borrower.now + settings.with_drift(settings.loan_term),
+        };
+        self.loans.insert(key, loan);
+        self.lent_room_millis += loan.room_millis - u64::from(request.held_room_millis);
+        self.lent_rate_millis_per_s +=
+            loan.rate_millis_per_s - u64::from(request.held_rate_millis_per_s);
+        self.next_expiry = self
+            .next_expiry
+            .map(|at| at.min(loan.until))
+            .or(Some(loan.until));
+        self.rebalance(borrower.now);
+        LoanGrant {
+            limit: request.limit,
+            terms: request.terms,
+            seq: request.seq,
+            room_millis: narrow(room),
+            added_tokens_millis: narrow(tokens),
+            rate_millis_per_s: narrow(rate),
+            term_ms: u32::try_from(term.as_millis()).unwrap_or(u32::MAX),
+            retry_after_ms: self.retry_after_ms(request, tokens, demand),
+        }
+    }
+
+    /// Reports whether the room does not suffice for a token for each borrower
+    /// and one for the lender.
+    fn is_scarce(&self, known: bool) -> bool {
+        let borrowers = self.loans.len() + usize::from(!known);
+        self.limit.room_millis < (borrowers as u64 + 1) * MILLIS_PER_TOKEN
+    }
+
+    fn rate_for(&self, request: &LoanRequest, demand: u64) -> u64 {
+        let wanted = u64::from(request.wanted_rate_millis_per_s);
+        let share = self.limit.rate_millis_per_s;
+        let free = share.saturating_sub(self.lent_rate_millis_per_s);
+        let most = free + u64::from(request.held_rate_millis_per_s);
+        if demand <= share {
+            return wanted.min(most);
+        }
+        let fair = u128::from(wanted) * u128::from(share) / u128::from(demand.max(1));
+        u64::try_from(fair).unwrap_or(u64::MAX).min(most)
+    }
+
+    fn room_for(&self, request: &LoanRequest, scarce: bool) -> u64 {
+        let wanted = u64::from(request.wanted_tokens_millis);
+        let held = u64::from(request.held_room_millis);
+        let free = self.limit.room_millis.saturating_sub(self.lent_room_millis);
+        if scarce {
+            return wanted.min(MILLIS_PER_TOKEN).min(held + free);
+        }
+        let most = (free / LEND_DIVISOR).max(free.min(MILLIS_PER_TOKEN));
+        wanted.min(held + most)
+    }
+
+    /// Takes the tokens of a loan out of the bucket.
+    fn tokens_for(&mut self, request: &LoanRequest, room: u64) -> u64 {
+        let vacant = room.saturating_sub(request.held_tokens_millis.into());
+        let present = self.bucket.tokens_millis();
+        let most = (present / LEND_DIVISOR).max(present.min(MILLIS_PER_TOKEN));
+        self.bucket.remove(vacant.min(most))
+    }
+
+    fn retry_after_ms(&self, request: &LoanRequest, tokens: u64, demand: u64) -> u32 {
+        let held = u64::from(request.held_tokens_millis);
+        if held + tokens >= MILLIS_PER_TOKEN.min(request.wanted_tokens_millis.into()) {
+            return 0;
+        }
+        let share = self.limit.rate_millis_per_s;
+        if demand * 100 > share * OVERRUN_PERCENT {
+            return OVERRUN_RETRY.as_millis() as u32;
+        }
+        let lacking = MILLIS_PER_TOKEN.saturating_sub(self.bucket.tokens_millis());
+        let wait_ms = lacking * 1000 / share.max(1);
+        narrow(wait_ms.max(MIN_RETRY.as_millis() as u64))
+    }
+
+    fn sum_up(&mut self, now: Instant) {
+        self.lent_room_millis = self.loans.values().map(|loan| loan.room_millis).sum();
+        self.lent_rate_millis_per_s = self.loans.values().map(|loan| loan.rate_millis_per_s).sum();
+        self.asked_millis_per_s = self
+            .loans
+            .values()
+            .map(|loan| loan.asked_millis_per_s)
+            .sum();
+        self.next_expiry = self.loans.values().map(|loan| loan.next_change(now)).min();
+        self.rebalance(now);
+    }
+
+    /// Leaves the bucket what is not lent.
+    fn rebalance(&mut self, now: Instant) {
+        let limit = self.limit;
+        let rate = limit
+            .rate_millis_per_s
+            .saturating_sub(self.lent_rate_millis_per_s);
+        let room = limit.room_millis.saturating_sub(self.lent_room_millis);
+        self.bucket.set_rate(now, rate);
+        self.bucket.set_room(now, room);
+    }
+}
+
+/// Returns when a loan ends for the lender. A borrower that still holds something
+/// may miss this grant and go on until the end of an earlier one.
+fn loan_end(former: Option<Loan>, request: &LoanRequest, end: Instant) -> Instant {
+    if request.held_room_millis == 0 && request.held_rate_millis_per_s == 0 {
+        return end;
+    }
+    former.map_or(end, |loan| loan.until.max(end))
+}
+
+/// Narrows a quantity to what a message carries.
+#[must_use]
+pub fn narrow(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/limits/tests/testsuite/main.rs
@@ -0,0 +1,7 @@
+//! Tests of keys, limits and fair shares.
+
+mod bound;
+mod fleet;
+mod keys;
+mod oracle;
+mod schedule;
--- /dev/null
+++ b/crates/limits/tests/testsuite/schedule.rs
@@ -0,0 +1,221 @@
+//! Random schedules of faults.
+
+use std::time::Duration;
+
+use waxwingusher_config::RateLimit;
+use waxwingusher_core::HostState;
+use waxwingusher_limits::{LimitKey, LimiterSettings};
+use waxwingusher_standins::LinkFaults;
+
+use crate::fleet::{Fleet, FleetPlan, STEP, domains, key, snapshot};
+
+/// How many times faster than by default things happen.
+const SPEED_UP: u32 = 10;
+/// The probabilities of a fault in one step; each schedule has one of them.
+const FAULT_PROBABILITIES: [f64; 4] = [0.002, 0.005, 0.01, 0.03];
+/// How long a change of the configuration takes to be in force everywhere.
+const CONFIG_SPREAD: Duration = Duration::from_millis(600);
+
+/// Limits that a schedule switches between: burst below, and above, the
+/// number of hosts.
+const LIMITS: [(u64, u32); 4] = [(40, 5), (10, 5), (80, 60), (25, 20)];
+
+/// The default settings with all times shortened.
+pub fn quick_settings(share_domains: usize) -> LimiterSettings {
+    let mut settings = LimiterSettings::new(domains(share_domains));
+    settings.loan_term /= SPEED_UP;
+    settings.list_fence /= SPEED_UP;
+    settings.list_lag /= SPEED_UP;
+    settings
+}
+
+/// Faults of every kind at once.
+fn bad_links(rng: &mut fastrand::Rng) -> LinkFaults {
+    let late = if rng.bool() { 20 } else { 1500 };
+    LinkFaults {
+        min_delay: Duration::from_micros(500),
+        max_delay: Duration::from_millis(late),
+        loss: rng.f64() * 0.2,
+        duplication: rng.f64() * 0.3,
+    }
+}
+
+/// One random schedule.
+pub struct Schedule {
+    pub fleet: Fleet,
+    key: LimitKey,
+    states: Vec<Option<HostState>>,
+    limit: (u64, u32),
+    former: Option<((u64, u32), Duration)>,
+    version: u64,
+    fault_probability: f64,
+}
+
+impl Schedule {
+    /// Prepares a schedule.
+    pub fn new(seed: u64, domain_count: usize, hosts_per_domain: usize) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let plan = FleetPlan {
+            seed,
+            domains: domain_count,
+            hosts_per_domain,
+            settings: quick_settings(domain_count),
+            faults: bad_links(&mut rng),
+        };
+        let limit = LIMITS[rng.usize(..LIMITS.len())];
+        let mut fleet = Fleet::new(&plan, snapshot(1, &[("w", limit.0, limit.1)]));
+        for host in &mut fleet.hosts {
+            host.drift = (rng.f64() - 0.5) * 0.02;
+            host.list_lag = Duration::from_millis(rng.u64(0..280));
+            host.config_lag = Duration::from_millis(rng.u64(0..500));
+        }
+        let states = vec![Some(HostState::Live); fleet.hosts.len()];
+        let key = key("w");
+        let mut schedule = Self {
+            fleet,
+            key,
+            states,
+            limit,
+            former: None,
+            version: 1,
+            fault_probability: rng.choice(FAULT_PROBABILITIES).unwrap_or_default(),
+        };
+        schedule.set_oracle(limit);
+        schedule
+    }
+
+    /// Runs for some time under full load and returns the excess requests.
+    pub fn run(&mut self, duration: Duration) -> u64 {
+        let end = self.fleet.elapsed() + duration;
+        while self.fleet.elapsed() < end {
+            if self.fleet.rng.f64() < self.fault_probability {
+                self.fault();
+            }
+            self.settle_limit();
+            let requests = self.requests();
+            self.fleet.step(&requests);
+            if self.fleet.violations > 0 {
+                break;
+            }
+        }
+        self.fleet.violations
+    }
+
+    /// Returns how many requests were admitted.
+    pub fn admitted(&self) -> u64 {
+        self.fleet.oracle.admitted(&self.key)
+    }
+
+    fn requests(&mut self) -> Vec<(usize, LimitKey)> {
+        let per_step = self.limit.0 as f64 * 2.0 * STEP.as_secs_f64();
+        let mut requests = Vec::new();
+        for _ in 0..4 {
+            if self.fleet.rng.f64() < per_step / 4.0 {
+                let host = self.fleet.rng.usize(..self.fleet.hosts.len());
+                requests.push((host, self.key.clone()));
+            }
+        }
+        requests
+    }
+
+    fn fault(&mut self) {
+        let i = self.fleet.rng.usize(..self.fleet.hosts.len());
+        match self.fleet.rng.u32(..11) {
+            0 => self.fleet.start(i),
+            1 => self.fleet.kill(i),
+            2 => {
+                let pause = Duration::from_millis(self.fleet.rng.u64(100..4000));
+                self.fleet.hosts[i].paused_until = self.fleet.elapsed() + pause;
+            }
+            3 => self.cut_hosts(),
+            4 => self.fleet.links.mend_all(),
+            5 => self.change_list(i),
+            6 => self.fleet.hosts[i].reads_list ^= true,
+            7 => {
+                let reads = self.fleet.rng.bool();
+                self.fleet
+                    .hosts
+                    .iter_mut()
+                    .for_each(|host| host.reads_list = reads);
+            }
+            8 => self.change_limit(),
+            9 => {
+                let from = self.fleet.rng.usize(..self.fleet.hosts.len());
+                self.fleet.hosts[i].list_source = Some(from);
+            }
+            _ => {
+                if self.fleet.hosts[i].limiter.is_none() {
+                    self.fleet.start(i);
+                }
+            }
+        }
+    }
+
+    /// Cuts a random set of hosts or a failure domain off, in one or in both
+    /// directions.
+    fn cut_hosts(&mut self) {
+        let rng = &mut self.fleet.rng;
+        let count = self.states.len();
+        let inside: Vec<_> = (0..count).filter(|_| rng.bool()).collect();
+        let outside: Vec<_> = (0..count).filter(|i| !inside.contains(i)).collect();
+        let both = rng.bool();
+        self.fleet.cut(&inside, &outside);
+        if both {
+            self.fleet.cut(&outside, &inside);
+        }
+    }
+
+    fn change_list(&mut self, i: usize) {
+        self.states[i] = match self.states[i] {
+            Some(HostState::Live) if self.fleet.rng.bool() => Some(HostState::Leaving),
+            Some(HostState::Live) => None,
+            _ => Some(HostState::Live),
+        };
+        if self.states[i] == Some(HostState::Leaving) && self.fleet.rng.bool() {
+            if let Some(limiter) = &mut self.fleet.hosts[i].limiter {
+                let out = limiter.hand_over();
+                self.fleet.send(i, out);
+            }
+        }
+        let states = self.states.clone();
+        self.fleet.publish_list(&states);
+    }
+
+    fn change_limit(&mut self) {
+        if self.former.is_some() {
+            return;
+        }
+        let limit = LIMITS[self.fleet.rng.usize(..LIMITS.len())];
+        self.former = Some((self.limit, self.fleet.elapsed()));
+        self.set_oracle((limit.0.max(self.limit.0), limit.1.max(self.limit.1)));
+        self.limit = limit;
+        self.version += 1;
+        self.fleet
+            .publish(snapshot(self.version, &[("w", limit.0, limit.1)]));
+    }
+
+    /// Tightens the oracle once a change is in force everywhere.
+    fn settle_limit(&mut self) {
+        let Some((_, since)) = self.former else {
+            return;
+        };
+        let now = self.fleet.elapsed();
+        let late = |host: &crate::fleet::Host| host.paused_until > since;
+        if now < since + CONFIG_SPREAD
+            || self.fleet.hosts.iter().any(late) && now < since + CONFIG_SPREAD * 8
+        {
+            return;
+        }
+        self.former = None;
+        self.set_oracle(self.limit);
+    }
+
+    fn set_oracle(&mut self, limit: (u64, u32)) {
+        let limit = RateLimit {
+            rate_millis_per_s: limit.0 * 1000,
+            burst: limit.1,
+        };
+        let now = self.fleet.elapsed();
+        self.fleet.oracle.set_limit(&self.key, limit, now);
+    }
+}
--- a/crates/protocol/src/loan.rs
+++ b/crates/protocol/src/loan.rs
@@ -67,6 +67,8 @@
     pub limit: LimitId,
     /// The version of the host list under which the receiver is the holder.
     pub list_version: u64,
+    /// The incarnation of the receiver that the share is given to.
+    pub to_incarnation: u64,
     /// Unspent tokens.
     pub tokens_millis: u32,
     /// Room that is still lent.
@@ -77,6 +79,22 @@
     pub lent_for_ms: u32,
 }
 
+/// What a host knows of the host list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListWord {
+    /// The number of the query.
+    pub seq: u32,
+    /// The newest version that the host has seen.
+    pub version: u64,
+    /// How long ago the host adopted this version.
+    pub adopted_age_ms: u32,
+    /// How long ago the newest known read that returned this version started.
+    pub read_age_ms: Option<u32>,
+    /// Whether the host has known of a current read since it started, and so
+    /// knows at least what its former self knew.
+    pub vouches: bool,
+}
+
 /// A message for lending of rate and burst. Variants are only ever appended.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum LoanMessage {
@@ -92,10 +110,5 @@
         seq: u32,
     },
     /// Answers a [`LoanMessage::ListQuery`].
-    ListWord {
-        /// The number of the query.
-        seq: u32,
-        /// The newest version of the host list that the sender has seen.
-        version: u64,
-    },
+    ListWord(ListWord),
 }
