--- a/crates/limits/src/decision.rs
+++ b/crates/limits/src/decision.rs
@@ -72,15 +72,17 @@
     pub key: LimitKey,
     /// Whether this host holds its failure domain's share.
     pub is_holder: bool,
-    /// Tokens in the share, if this host is its holder.
+    /// Tokens in the share that this host may spend now, if it is the holder.
     pub share_tokens_millis: u64,
+    /// The part of the share's rate that is not lent.
+    pub share_rate_millis_per_s: u64,
     /// Room that this host has lent.
     pub lent_room_millis: u64,
     /// Rate that this host has lent.
     pub lent_rate_millis_per_s: u64,
     /// Hosts that have borrowed from this one lately.
     pub borrowers: usize,
-    /// Tokens that this host has borrowed.
+    /// Tokens that this host has borrowed and may spend now.
     pub borrowed_tokens_millis: u64,
     /// Rate that this host has borrowed.
     pub borrowed_rate_millis_per_s: u64,
--- a/crates/limits/src/limiter.rs
+++ b/crates/limits/src/limiter.rs
@@ -16,12 +16,12 @@
 use crate::holders::Holders;
 use crate::limit_key::LimitKey;
 use crate::limit_table::{LimitIndex, LimitState, LimitTable};
-use crate::loan_part::Wanted;
+use crate::loan_part::LoanPart;
 use crate::role::Role;
 use crate::settings::LimiterSettings;
 use crate::share::{Borrower, Outstanding, Share, narrow};
 use crate::shares::ShareLimit;
-use crate::stock::{PlanContext, Stock};
+use crate::stock::{Holding, PlanContext, Stock};
 
 /// How far the wall clock may run ahead of the monotonic one between two
 /// calls before the machine counts as having been suspended.
@@ -229,7 +229,7 @@
                 .table
                 .iter()
                 .filter(used)
-                .map(|state| report_limit(state, now))
+                .map(|state| report_limit(state, now, self.authority.valid_until()))
                 .collect(),
         }
     }
@@ -393,7 +393,7 @@
             let (true, Some(stock)) = (state.terms == grant.terms, &mut state.stock) else {
                 continue;
             };
-            let lender = |part: &&mut crate::loan_part::LoanPart| part.lender() == Some(from);
+            let lender = |part: &&mut LoanPart| part.lender() == Some(from);
             let Some(part) = stock.parts_mut().iter_mut().find(lender) else {
                 continue;
             };
@@ -555,10 +555,9 @@
 ) -> PlanContext<'a> {
     let own = state.role.spendable(now, valid_until).map(|share| {
         share.settle(now);
-        Wanted {
-            tokens_millis: share.bucket().tokens_millis(),
-            rate_millis_per_s: share.bucket().rate_millis_per_s(),
-        }
+        let mut own = Holding::default();
+        own.add(share.bucket());
+        own
     });
     PlanContext {
         limit: state.id,
@@ -589,31 +588,25 @@
     }
 }
 
-fn report_limit(state: &LimitState, now: Instant) -> LimitReport {
+fn report_limit(state: &LimitState, now: Instant, valid_until: Option<Instant>) -> LimitReport {
     let share = state.role.share();
     let lent = share
         .map(|share| share.outstanding(now))
         .unwrap_or_default();
-    let parts = state.stock.iter().flat_map(|stock| stock.parts());
-    let mut borrowed = Wanted::default();
-    for part in parts {
-        borrowed.tokens_millis += part.bucket().tokens_millis();
-        borrowed.rate_millis_per_s += part.bucket().rate_millis_per_s();
-    }
-    let demand = state
-        .stock
-        .as_ref()
-        .map(|stock| stock.demand_millis_per_s(now));
+    let spendable = share.filter(|_| state.role.is_spendable(now, valid_until));
+    let stock = state.stock.as_ref();
+    let borrowed = stock.map(|stock| stock.borrowed(now)).unwrap_or_default();
     LimitReport {
         key: state.key.clone(),
         is_holder: matches!(state.role, Role::Holder(_)),
-        share_tokens_millis: share.map_or(0, |share| share.bucket().tokens_millis()),
+        share_tokens_millis: spendable.map_or(0, |share| share.bucket().tokens_millis()),
+        share_rate_millis_per_s: spendable.map_or(0, |share| share.bucket().rate_millis_per_s()),
         lent_room_millis: lent.room_millis,
         lent_rate_millis_per_s: lent.rate_millis_per_s,
         borrowers: share.map_or(0, Share::borrowers),
         borrowed_tokens_millis: borrowed.tokens_millis,
         borrowed_rate_millis_per_s: borrowed.rate_millis_per_s,
-        demand_millis_per_s: demand.unwrap_or_default(),
+        demand_millis_per_s: stock.map_or(0, |stock| stock.demand_millis_per_s(now)),
     }
 }
 
--- a/crates/limits/src/loan_part.rs
+++ b/crates/limits/src/loan_part.rs
@@ -18,8 +18,8 @@
 /// What a borrower would like to hold from one lender.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Wanted {
-    /// Tokens, and the room for them.
-    pub tokens_millis: u64,
+    /// Room, which the lender fills with tokens as far as it can.
+    pub room_millis: u64,
     /// The rate.
     pub rate_millis_per_s: u64,
 }
@@ -114,6 +114,12 @@
         self.bucket.room_millis() > 0 || self.bucket.rate_millis_per_s() > 0
     }
 
+    /// Reports whether the loan may be used at `now`.
+    #[must_use]
+    pub fn is_in_force(&self, now: Instant) -> bool {
+        now < self.until
+    }
+
     /// Reports whether an answer is awaited.
     #[must_use]
     pub fn is_awaited(&self, now: Instant, settings: &LimiterSettings) -> bool {
@@ -179,7 +185,7 @@
             .bucket
             .rate_millis_per_s()
             .min(wanted.rate_millis_per_s);
-        let room = self.bucket.room_millis().min(wanted.tokens_millis);
+        let room = self.bucket.room_millis().min(wanted.room_millis);
         let excess = self.bucket.tokens_millis().saturating_sub(room);
         let returned = self.bucket.remove(excess);
         self.bucket.set_rate(now, rate);
@@ -201,7 +207,7 @@
             held_tokens_millis: narrow(self.bucket.tokens_millis()),
             held_rate_millis_per_s: narrow(rate),
             returned_tokens_millis: narrow(returned),
-            wanted_tokens_millis: narrow(wanted.tokens_millis),
+            wanted_tokens_millis: narrow(wanted.room_millis),
             wanted_rate_millis_per_s: narrow(wanted.rate_millis_per_s),
         }
     }
--- a/crates/limits/src/role.rs
+++ b/crates/limits/src/role.rs
@@ -61,10 +61,20 @@
 
     /// Returns the share that this host may spend from.
     pub fn spendable(&mut self, now: Instant, valid_until: Option<Instant>) -> Option<&mut Share> {
+        if self.is_spendable(now, valid_until) {
+            self.share_mut()
+        } else {
+            None
+        }
+    }
+
+    /// Reports whether this host may spend from a share.
+    #[must_use]
+    pub fn is_spendable(&self, now: Instant, valid_until: Option<Instant>) -> bool {
         match self {
-            Self::Holder(share) if valid_until.is_some_and(|until| now < until) => Some(share),
-            Self::Leaving(leaving) if now < leaving.until => Some(&mut leaving.share),
-            _ => None,
+            Self::Holder(_) => valid_until.is_some_and(|until| now < until),
+            Self::Leaving(leaving) => now < leaving.until,
+            Self::Borrower | Self::Waiting => false,
         }
     }
 
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -12,7 +12,7 @@
 
 /// The term of a loan while a share has too little room for all borrowers.
 const SCARCE_TERM: Duration = Duration::from_millis(100);
-/// The part of the free tokens and room that one borrower may get.
+/// The part of the tokens that one borrower may get.
 const LEND_DIVISOR: u64 = 2;
 /// The shortest time after which a borrower should ask a dry lender again.
 const MIN_RETRY: Duration = Duration::from_millis(20);
@@ -22,7 +22,7 @@
 const NEVER: Duration = Duration::from_secs(3600);
 /// How far demand may exceed the rate before a lender counts as overrun, in
 /// percent of the rate.
-const OVERRUN_PERCENT: u64 = 110;
+const OVERRUN_PERCENT: u64 = 130;
 
 /// What one process of a host has borrowed.
 #[derive(Debug, Clone, Copy)]
@@ -234,7 +234,11 @@
         } else {
             self.rate_for(request, demand)
         };
-        let room = self.room_for(request, scarce);
+        let room = if scarce {
+            self.scarce_room_for(request)
+        } else {
+            self.room_for(request, former.is_some())
+        };
         let tokens = self.tokens_for(request, room);
         let term = if scarce {
             SCARCE_TERM
@@ -273,8 +277,11 @@
     /// Reports whether the room does not suffice for a token for each borrower
     /// and one for the lender.
     fn is_scarce(&self, known: bool) -> bool {
-        let borrowers = self.loans.len() + usize::from(!known);
-        self.limit.room_millis < (borrowers as u64 + 1) * MILLIS_PER_TOKEN
+        self.limit.room_millis < (self.borrowers_with(known) + 1) * MILLIS_PER_TOKEN
+    }
+
+    fn borrowers_with(&self, known: bool) -> u64 {
+        self.loans.len() as u64 + u64::from(!known)
     }
 
     fn rate_for(&self, request: &LoanRequest, demand: u64) -> u64 {
@@ -289,15 +296,32 @@
         u64::try_from(fair).unwrap_or(u64::MAX).min(most)
     }
 
-    fn room_for(&self, request: &LoanRequest, scarce: bool) -> u64 {
-        let wanted = u64::from(request.wanted_tokens_millis);
-        let held = u64::from(request.held_room_millis);
-        let free = self.limit.room_millis.saturating_sub(self.lent_room_millis);
-        if scarce {
-            return wanted.min(MILLIS_PER_TOKEN).min(held + free);
+    /// Returns the room for a borrower, who gets as much as the others and the
+    /// lender itself at most.
+    fn room_for(&self, request: &LoanRequest, known: bool) -> u64 {
+        let most = u64::from(request.held_room_millis) + self.free_room();
+        let fair = self.limit.room_millis / (self.borrowers_with(known) + 1);
+        u64::from(request.wanted_tokens_millis).min(most).min(fair)
+    }
+
+    /// Returns the room for one whole token, or none if there is no such token.
+    fn scarce_room_for(&self, request: &LoanRequest) -> u64 {
+        let held = u64::from(request.held_tokens_millis);
+        let wanted = u64::from(request.wanted_tokens_millis).min(MILLIS_PER_TOKEN);
+        let present = self.bucket.tokens_millis();
+        let least = wanted.min(self.limit.room_millis);
+        if held >= wanted {
+            return held.min(request.held_room_millis.into());
+        }
+        if held + present < least {
+            return 0;
         }
-        let most = (free / LEND_DIVISOR).max(free.min(MILLIS_PER_TOKEN));
-        wanted.min(held + most)
+        wanted.min(held + present)
+    }
+
+    fn free_room(&self) -> u64 {
+        let lent = self.lent_room_millis;
+        self.limit.room_millis.saturating_sub(lent)
     }
 
     /// Takes the tokens of a loan out of the bucket.
--- a/crates/limits/src/stock.rs
+++ b/crates/limits/src/stock.rs
@@ -5,7 +5,7 @@
 use waxwingusher_core::HostId;
 use waxwingusher_protocol::loan::{LimitId, LoanRequest};
 
-use crate::bucket::NANOS_PER_TOKEN;
+use crate::bucket::{Bucket, NANOS_PER_TOKEN};
 use crate::demand::Demand;
 use crate::loan_part::{LoanPart, RequestHeader, Wanted};
 use crate::settings::LimiterSettings;
@@ -15,7 +15,7 @@
 /// Demand below which tokens are borrowed but no rate, in requests a second.
 const MIN_RATE_DEMAND_PER_S: f64 = 0.3;
 /// The rate that a borrower wants, in percent of its demand.
-const RATE_PERCENT: f64 = 125.0;
+const RATE_PERCENT: f64 = 105.0;
 /// The part of the wanted tokens below which a borrower asks for more.
 const LOW_WATER_PERCENT: u64 = 40;
 /// The part of the demand below which the rate is too low, in percent.
@@ -34,14 +34,34 @@
     pub terms: u16,
     /// The index of the share of this host's failure domain.
     pub near_share: usize,
-    /// Tokens in this host's own share, if it is a holder.
-    pub own: Wanted,
+    /// What is left in this host's own share, if it is a holder.
+    pub own: Holding,
     /// The time.
     pub now: Instant,
     /// The settings.
     pub settings: &'a LimiterSettings,
 }
 
+/// Tokens, room and rate that a host holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Holding {
+    /// Tokens.
+    pub tokens_millis: u64,
+    /// Room for tokens.
+    pub room_millis: u64,
+    /// The rate.
+    pub rate_millis_per_s: u64,
+}
+
+impl Holding {
+    /// Adds what a bucket holds.
+    pub fn add(&mut self, bucket: &Bucket) {
+        self.tokens_millis += bucket.tokens_millis();
+        self.room_millis += bucket.room_millis();
+        self.rate_millis_per_s += bucket.rate_millis_per_s();
+    }
+}
+
 /// The borrowed stock of one limit.
 #[derive(Debug)]
 pub struct Stock {
@@ -88,6 +108,16 @@
         (self.demand.per_s(now) * RATE_PERCENT * 10.0) as u64
     }
 
+    /// Returns what is borrowed and may be used at `now`.
+    #[must_use]
+    pub fn borrowed(&self, now: Instant) -> Holding {
+        let mut borrowed = Holding::default();
+        for part in self.parts.iter().filter(|part| part.is_in_force(now)) {
+            borrowed.add(part.bucket());
+        }
+        borrowed
+    }
+
     /// Counts a request that waits for a loan.
     pub fn add_waiting(&mut self) {
         self.waiting += 1;
@@ -225,7 +255,9 @@
         if self.demand.idle(ctx.now) > IDLE_TIME {
             return Some(Wanted::default());
         }
-        Some(self.wanted(index, ctx))
+        let wanted = self.wanted(index, ctx);
+        let useful = wanted.rate_millis_per_s > 0 || wanted.room_millis >= MILLIS_PER_TOKEN;
+        Some(if useful { wanted } else { Wanted::default() })
     }
 
     fn is_low(&self, ctx: PlanContext<'_>) -> bool {
@@ -234,7 +266,7 @@
         }
         let target = self.target(ctx);
         let held = self.held(ctx);
-        let low_tokens = held.tokens_millis * 100 < target.tokens_millis * LOW_WATER_PERCENT;
+        let low_tokens = held.tokens_millis * 100 < target.room_millis * LOW_WATER_PERCENT;
         let needed_rate = target.rate_millis_per_s * LOW_RATE_PERCENT / RATE_PERCENT as u64;
         low_tokens || held.rate_millis_per_s < needed_rate
     }
@@ -264,40 +296,35 @@
         let target = self.target(ctx);
         let held = self.held(ctx);
         let part = self.parts[index].bucket();
-        let others = Wanted {
-            tokens_millis: held.tokens_millis - part.tokens_millis(),
-            rate_millis_per_s: held.rate_millis_per_s - part.rate_millis_per_s(),
-        };
-        let tokens = target.tokens_millis.saturating_sub(others.tokens_millis);
-        let rate = target
-            .rate_millis_per_s
-            .saturating_sub(others.rate_millis_per_s);
+        let other_room = held.room_millis - part.room_millis();
+        let other_rate = held.rate_millis_per_s - part.rate_millis_per_s();
+        let mut room = target.room_millis.saturating_sub(other_room);
+        if self.waiting > 0 {
+            let waiting = u64::from(self.waiting) * MILLIS_PER_TOKEN;
+            room = room.max(part.tokens_millis() + waiting);
+        }
         Wanted {
-            tokens_millis: tokens.max(MILLIS_PER_TOKEN),
-            rate_millis_per_s: rate,
+            room_millis: room,
+            rate_millis_per_s: target.rate_millis_per_s.saturating_sub(other_rate),
         }
     }
 
+    /// Returns what to hold from all lenders together.
     fn target(&self, ctx: PlanContext<'_>) -> Wanted {
         let per_s = self.demand.per_s(ctx.now);
         let horizon = per_s * ctx.settings.stock_horizon.as_secs_f64();
-        let tokens = (horizon * 1000.0) as u64 + (u64::from(self.waiting) + 1) * MILLIS_PER_TOKEN;
-        let rate = if per_s < MIN_RATE_DEMAND_PER_S {
-            0
-        } else {
-            self.demand_millis_per_s(ctx.now)
-        };
+        let has_rate = per_s >= MIN_RATE_DEMAND_PER_S;
+        let rate = self.demand_millis_per_s(ctx.now);
         Wanted {
-            tokens_millis: tokens,
-            rate_millis_per_s: rate,
+            room_millis: (horizon * 1000.0) as u64 + MILLIS_PER_TOKEN,
+            rate_millis_per_s: if has_rate { rate } else { 0 },
         }
     }
 
-    fn held(&self, ctx: PlanContext<'_>) -> Wanted {
+    fn held(&self, ctx: PlanContext<'_>) -> Holding {
         let mut held = ctx.own;
         for part in &self.parts {
-            held.tokens_millis += part.bucket().tokens_millis();
-            held.rate_millis_per_s += part.bucket().rate_millis_per_s();
+            held.add(part.bucket());
         }
         held
     }
--- a/crates/limits/tests/testsuite/fleet.rs
+++ b/crates/limits/tests/testsuite/fleet.rs
@@ -18,6 +18,9 @@
 /// The time between two steps of the fleet.
 pub const STEP: Duration = Duration::from_millis(10);
 
+/// The steps between two reads of the platform by one host.
+const READ_STEPS: u64 = 5;
+
 /// A message with its sender's incarnation.
 type Letter = (u64, LoanMessage);
 
@@ -63,6 +66,7 @@
     lists: Vec<(Duration, HostList)>,
     snapshots: Vec<(Duration, Snapshot)>,
     real: ManualClock,
+    steps: u64,
 }
 
 /// Returns the names of failure domains.
@@ -121,12 +125,14 @@
             lists: Vec::new(),
             snapshots: Vec::new(),
             real,
+            steps: 0,
         };
         let states = vec![Some(HostState::Live); fleet.hosts.len()];
         fleet.publish_list(&states);
         fleet.publish(first);
         for i in 0..fleet.hosts.len() {
             fleet.start(i);
+            fleet.read_platform(i);
         }
         fleet
     }
@@ -190,6 +196,7 @@
 
     /// Lets one step pass, then sends the given requests (host, limit).
     pub fn step(&mut self, requests: &[(usize, LimitKey)]) {
+        self.steps += 1;
         self.real.advance(STEP);
         for host in &mut self.hosts {
             host.clock.advance(STEP.mul_f64(1.0 + host.drift));
@@ -207,6 +214,20 @@
         }
     }
 
+    /// Returns the tokens (in thousandths) and the rate (in thousandths a second)
+    /// that all running hosts together may use now.
+    pub fn rights(&self) -> (u64, u64) {
+        let mut rights = (0, 0);
+        let running = (0..self.hosts.len()).filter(|i| self.runs(*i));
+        for limiter in running.filter_map(|i| self.hosts[i].limiter.as_ref()) {
+            for limit in limiter.report().limits {
+                rights.0 += limit.share_tokens_millis + limit.borrowed_tokens_millis;
+                rights.1 += limit.share_rate_millis_per_s + limit.borrowed_rate_millis_per_s;
+            }
+        }
+        rights
+    }
+
     fn runs(&self, i: usize) -> bool {
         let host = &self.hosts[i];
         host.limiter.is_some() && host.paused_until <= self.elapsed()
@@ -223,7 +244,9 @@
     }
 
     fn step_host(&mut self, i: usize) {
-        self.read_platform(i);
+        if (self.steps + i as u64) % READ_STEPS == 0 {
+            self.read_platform(i);
+        }
         for (key, until) in std::mem::take(&mut self.hosts[i].waiting) {
             self.retry(i, &key, until);
         }
--- a/crates/limits/tests/testsuite/main.rs
+++ b/crates/limits/tests/testsuite/main.rs
@@ -5,3 +5,4 @@
 mod keys;
 mod oracle;
 mod schedule;
+mod service;
--- a/crates/limits/tests/testsuite/schedule.rs
+++ b/crates/limits/tests/testsuite/schedule.rs
@@ -94,6 +94,7 @@
             self.settle_limit();
             let requests = self.requests();
             self.fleet.step(&requests);
+            self.check_rights();
             if self.fleet.violations > 0 {
                 break;
             }
@@ -106,6 +107,22 @@
         self.fleet.oracle.admitted(&self.key)
     }
 
+    /// Checks that no more tokens and rate exist than the limit allows. This
+    /// finds a second holder before its tokens are spent.
+    fn check_rights(&mut self) {
+        let (rate, burst) = self.allowed();
+        let (tokens_millis, rate_millis_per_s) = self.fleet.rights();
+        let exceeds = tokens_millis > u64::from(burst) * 1000 || rate_millis_per_s > rate * 1000;
+        self.fleet.violations += u64::from(exceeds);
+    }
+
+    /// Returns the limit, or the larger values while a change spreads.
+    fn allowed(&self) -> (u64, u32) {
+        let (rate, burst) = self.limit;
+        let former = self.former.map_or((0, 0), |(former, _)| former);
+        (rate.max(former.0), burst.max(former.1))
+    }
+
     fn requests(&mut self) -> Vec<(usize, LimitKey)> {
         let per_step = self.limit.0 as f64 * 2.0 * STEP.as_secs_f64();
         let mut requests = Vec::new();
@@ -119,8 +136,8 @@
     }
 
     fn fault(&mut self) {
-        let i = self.fleet.rng.usize(..self.fleet.hosts.len());
-        match self.fleet.rng.u32(..11) {
+        let i = self.victim();
+        match self.fleet.rng.u32(..13) {
             0 => self.fleet.start(i),
             1 => self.fleet.kill(i),
             2 => {
@@ -143,6 +160,12 @@
                 let from = self.fleet.rng.usize(..self.fleet.hosts.len());
                 self.fleet.hosts[i].list_source = Some(from);
             }
+            10 => self.isolate(i),
+            11 => {
+                let pause = Duration::from_millis(self.fleet.rng.u64(3000..6000));
+                self.fleet.hosts[i].paused_until = self.fleet.elapsed() + pause;
+                self.change_list(i);
+            }
             _ => {
                 if self.fleet.hosts[i].limiter.is_none() {
                     self.fleet.start(i);
@@ -151,6 +174,29 @@
         }
     }
 
+    /// Returns the host of the next fault; some hosts suffer many.
+    fn victim(&mut self) -> usize {
+        let count = self.fleet.hosts.len();
+        let rng = &mut self.fleet.rng;
+        if rng.bool() {
+            rng.usize(..count.min(2))
+        } else {
+            rng.usize(..count)
+        }
+    }
+
+    /// Cuts a host off from its peers and the platform, which drops it.
+    fn isolate(&mut self, i: usize) {
+        let others: Vec<_> = (0..self.states.len()).filter(|other| *other != i).collect();
+        self.fleet.cut(&[i], &others);
+        self.fleet.cut(&others, &[i]);
+        self.fleet.hosts[i].reads_list = false;
+        self.fleet.hosts[i].list_source = None;
+        self.states[i] = None;
+        let states = self.states.clone();
+        self.fleet.publish_list(&states);
+    }
+
     /// Cuts a random set of hosts or a failure domain off, in one or in both
     /// directions.
     fn cut_hosts(&mut self) {
@@ -171,11 +217,10 @@
             Some(HostState::Live) => None,
             _ => Some(HostState::Live),
         };
-        if self.states[i] == Some(HostState::Leaving) && self.fleet.rng.bool() {
-            if let Some(limiter) = &mut self.fleet.hosts[i].limiter {
-                let out = limiter.hand_over();
-                self.fleet.send(i, out);
-            }
+        let planned = self.states[i] == Some(HostState::Leaving) && self.fleet.rng.bool();
+        if let Some(limiter) = self.fleet.hosts[i].limiter.as_mut().filter(|_| planned) {
+            let out = limiter.hand_over();
+            self.fleet.send(i, out);
         }
         let states = self.states.clone();
         self.fleet.publish_list(&states);
@@ -187,8 +232,8 @@
         }
         let limit = LIMITS[self.fleet.rng.usize(..LIMITS.len())];
         self.former = Some((self.limit, self.fleet.elapsed()));
-        self.set_oracle((limit.0.max(self.limit.0), limit.1.max(self.limit.1)));
         self.limit = limit;
+        self.set_oracle(self.allowed());
         self.version += 1;
         self.fleet
             .publish(snapshot(self.version, &[("w", limit.0, limit.1)]));
