--- a/crates/limits/src/authority.rs
+++ b/crates/limits/src/authority.rs
@@ -194,7 +194,9 @@
     ) -> Vec<Outgoing<LoanMessage>> {
         let interval = settings.list_fence / QUERIES_PER_FENCE;
         let fresh = |age: Duration| self.read_at.is_some_and(|at| now < at + age);
-        let due = self.query_at.is_none_or(|at| now >= at + interval);
+        let due = self
+            .query_at
+            .is_none_or(|at| now >= at + interval || at < self.adopted_at);
         if !due || (fresh(interval) && !taking_over) {
             return Vec::new();
         }
--- a/crates/limits/src/demand.rs
+++ b/crates/limits/src/demand.rs
@@ -2,13 +2,20 @@
 
 use std::time::{Duration, Instant};
 
-/// The time constant of the estimate.
-const TIME_CONSTANT: Duration = Duration::from_secs(4);
+/// The time constant of the estimate that follows a surge.
+const FAST: Duration = Duration::from_secs(3);
+/// The time constant of the estimate that loans are sized by.
+const SLOW: Duration = Duration::from_secs(20);
+/// How far the fast estimate departs from the slow one in a surge or a lull.
+const SURGE_FACTOR: f64 = 1.5;
+/// Requests a second by which the estimates may differ by chance.
+const SURGE_OFFSET_PER_S: f64 = 1.0;
 
-/// An exponentially weighted rate of arrivals.
+/// Exponentially weighted rates of arrivals.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand {
-    per_s: f64,
+    fast_per_s: f64,
+    slow_per_s: f64,
     estimated_at: Instant,
     last_arrival: Instant,
 }
@@ -18,7 +25,8 @@
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
-            per_s: 0.0,
+            fast_per_s: 0.0,
+            slow_per_s: 0.0,
             estimated_at: now,
             last_arrival: now,
         }
@@ -26,16 +34,23 @@
 
     /// Counts one arrival.
     pub fn record(&mut self, now: Instant) {
-        self.per_s = self.per_s(now) + 1.0 / TIME_CONSTANT.as_secs_f64();
+        let elapsed = now.saturating_duration_since(self.estimated_at);
+        self.fast_per_s = decayed(self.fast_per_s, elapsed, FAST) + 1.0 / FAST.as_secs_f64();
+        self.slow_per_s = decayed(self.slow_per_s, elapsed, SLOW) + 1.0 / SLOW.as_secs_f64();
         self.estimated_at = now;
         self.last_arrival = now;
     }
 
-    /// Returns the estimate in requests a second.
+    /// Returns the estimate in requests a second: the steady one, or in a surge
+    /// or a lull the one that follows it.
     #[must_use]
     pub fn per_s(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.estimated_at);
-        self.per_s * (-elapsed.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp()
+        let fast = decayed(self.fast_per_s, elapsed, FAST);
+        let slow = decayed(self.slow_per_s, elapsed, SLOW);
+        let surges = fast > slow * SURGE_FACTOR + SURGE_OFFSET_PER_S;
+        let lulls = slow > fast * SURGE_FACTOR + SURGE_OFFSET_PER_S;
+        if surges || lulls { fast } else { slow }
     }
 
     /// Returns the time since the last arrival.
@@ -44,3 +59,7 @@
         now.saturating_duration_since(self.last_arrival)
     }
 }
+
+fn decayed(per_s: f64, elapsed: Duration, time_constant: Duration) -> f64 {
+    per_s * (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp()
+}
--- a/crates/limits/src/limiter.rs
+++ b/crates/limits/src/limiter.rs
@@ -1,6 +1,6 @@
 //! One host's limiter: spends, borrows and lends tokens.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -19,16 +19,27 @@
 use crate::loan_part::LoanPart;
 use crate::role::Role;
 use crate::settings::LimiterSettings;
-use crate::share::{Borrower, Outstanding, Share, narrow};
+use crate::share::{Borrower, Share, is_return};
 use crate::shares::ShareLimit;
 use crate::stock::{Holding, PlanContext, Stock};
 
 /// How far the wall clock may run ahead of the monotonic one between two
 /// calls before the machine counts as having been suspended.
 const SUSPENSION_SLACK: Duration = Duration::from_secs(1);
+/// The shortest time between two offers of a share.
+const OFFER_INTERVAL: Duration = Duration::from_millis(100);
+/// The number of a query whose answer is no evidence on the host list.
+const OFFER_SEQ: u32 = 0;
 /// The shortest time that a refused caller is told to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// What was last heard of another host.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    incarnation: u64,
+    heard_at: Instant,
+}
+
 /// One host's share of the work that keeps every rate and burst over the
 /// whole fleet. It neither reads sockets nor starts threads.
 pub struct Limiter {
@@ -46,7 +57,8 @@
     active: Vec<LimitIndex>,
     waiting: Vec<LimitIndex>,
     leaving: Vec<LimitIndex>,
-    incarnations: HashMap<HostId, u64>,
+    peers: HashMap<HostId, Peer>,
+    offered_at: Instant,
     early_transfers: Vec<(HostId, ShareTransfer)>,
     snapshot_version: u64,
     seq: u32,
@@ -78,7 +90,8 @@
             active: Vec::new(),
             waiting: Vec::new(),
             leaving: Vec::new(),
-            incarnations: HashMap::new(),
+            peers: HashMap::new(),
+            offered_at: now,
             early_transfers: Vec::new(),
             snapshot_version: 0,
             seq: 0,
@@ -156,7 +169,11 @@
         message: LoanMessage,
     ) -> Vec<Outgoing<LoanMessage>> {
         let now = self.now();
-        self.incarnations.insert(from.clone(), incarnation);
+        let peer = Peer {
+            incarnation,
+            heard_at: now,
+        };
+        self.peers.insert(from.clone(), peer);
         match message {
             LoanMessage::Requests(requests) => self.lend(from, incarnation, &requests, now),
             LoanMessage::Grants(grants) => {
@@ -165,7 +182,7 @@
             }
             LoanMessage::Transfers(transfers) => {
                 for transfer in transfers {
-                    self.accept_transfer(from, transfer, now);
+                    self.accept_transfer(from, &transfer, now);
                 }
                 Vec::new()
             }
@@ -355,11 +372,9 @@
         request: &LoanRequest,
         now: Instant,
     ) -> Option<LoanGrant> {
-        let valid = self.authority.is_valid(now);
+        let valid_until = self.authority.valid_until();
         let state = self.table.get_mut(self.table.by_id(request.limit)?);
-        let Role::Holder(share) = &mut state.role else {
-            return None;
-        };
+        let share = state.role.spendable(now, valid_until)?;
         let stock = state.stock.as_ref();
         let borrower = Borrower {
             host: from,
@@ -367,12 +382,10 @@
             lender_demand_millis_per_s: stock.map_or(0, |stock| stock.demand_millis_per_s(now)),
             now,
         };
-        if !valid || !share.reconcile(request, borrower) {
+        if !share.reconcile(request, borrower) {
             return None;
         }
-        let wants_nothing =
-            request.wanted_tokens_millis == 0 && request.wanted_rate_millis_per_s == 0;
-        if request.terms != state.terms || wants_nothing {
+        if request.terms != state.terms || is_return(request) {
             return None;
         }
         let grant = share.lend(request, borrower, &self.settings);
@@ -402,13 +415,13 @@
         }
     }
 
-    fn accept_transfer(&mut self, from: &HostId, transfer: ShareTransfer, now: Instant) {
+    fn accept_transfer(&mut self, from: &HostId, transfer: &ShareTransfer, now: Instant) {
         if transfer.to_incarnation != self.incarnation {
             return;
         }
         let version = self.authority.list().version;
         if transfer.list_version > version && self.early_transfers.len() < u16::MAX.into() {
-            self.early_transfers.push((from.clone(), transfer));
+            self.early_transfers.push((from.clone(), transfer.clone()));
             return;
         }
         let (Some(index), Some(near)) = (self.table.by_id(transfer.limit), self.near_share) else {
@@ -418,16 +431,8 @@
         if transfer.list_version != version || !matches!(state.role, Role::Waiting) {
             return;
         }
-        let outstanding = Outstanding {
-            room_millis: transfer.lent_room_millis.into(),
-            rate_millis_per_s: transfer.lent_rate_millis_per_s.into(),
-            lasts: self
-                .settings
-                .with_drift(Duration::from_millis(transfer.lent_for_ms.into())),
-        };
         let limit = ShareLimit::of(state.limit, near, &self.settings);
-        let tokens = transfer.tokens_millis.into();
-        let share = Share::transferred(limit, tokens, outstanding, from, now);
+        let share = Share::transferred(limit, transfer, from, now, &self.settings);
         log::info!("limits: {} is held here, given by {from}", state.key);
         state.role = Role::Holder(Box::new(share));
         self.waiting.retain(|other| *other != index);
@@ -435,7 +440,7 @@
 
     fn accept_early_transfers(&mut self, now: Instant) {
         for (from, transfer) in std::mem::take(&mut self.early_transfers) {
-            self.accept_transfer(&from, transfer, now);
+            self.accept_transfer(&from, &transfer, now);
         }
     }
 
@@ -493,32 +498,61 @@
         }
     }
 
-    /// Gives shares to their next holders.
+    /// Gives shares to their next holders, as soon as these have been heard of
+    /// and so their present incarnation is known.
     fn give_shares(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
         let list_version = self.authority.list().version;
-        let mut transfers = BTreeMap::new();
+        let mut out = Vec::new();
         for index in std::mem::take(&mut self.leaving) {
             let state = self.table.get_mut(index);
             let Role::Leaving(leaving) = &mut state.role else {
                 continue;
             };
-            let to = leaving.to.clone();
-            let to = to.and_then(|to| Some((self.incarnations.get(&to).copied()?, to)));
-            if let (Some((to_incarnation, to)), true) = (to.clone(), now < leaving.until) {
-                let share = &mut leaving.share;
-                share.settle(now);
-                let transfer = transfer(state.id, share, list_version, to_incarnation, now);
-                log::info!("limits: {} is given to {to}", state.key);
-                collect(&mut transfers, vec![(to, transfer)]);
-                state.role = Role::Borrower;
-            } else if now >= leaving.until {
+            if now >= leaving.until {
                 log::info!("limits: {} is no longer held here", state.key);
                 state.role = Role::Borrower;
-            } else {
+                continue;
+            }
+            let to = leaving.to.as_ref();
+            let Some((to, peer)) = to.and_then(|to| self.peers.get_key_value(to)) else {
+                self.leaving.push(index);
+                continue;
+            };
+            if peer.heard_at <= leaving.since {
                 self.leaving.push(index);
+                continue;
             }
+            log::info!("limits: {} is given to {to}", state.key);
+            let share = &mut leaving.share;
+            let transfer = share.transfer(state.id, list_version, peer.incarnation, now);
+            out.push(Outgoing {
+                to: to.clone(),
+                message: LoanMessage::Transfers(vec![transfer]),
+            });
+            state.role = Role::Borrower;
         }
-        into_messages(transfers, LoanMessage::Transfers)
+        out.extend(self.offers(now));
+        out
+    }
+
+    /// Makes the next holders of shares send their present incarnation.
+    fn offers(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
+        if self.leaving.is_empty() || now < self.offered_at + OFFER_INTERVAL {
+            return Vec::new();
+        }
+        self.offered_at = now;
+        let mut receivers = BTreeSet::new();
+        for index in &self.leaving {
+            let Role::Leaving(leaving) = &self.table.get(*index).role else {
+                continue;
+            };
+            receivers.extend(leaving.to.clone());
+        }
+        let query = |to| Outgoing {
+            to,
+            message: LoanMessage::ListQuery { seq: OFFER_SEQ },
+        };
+        receivers.into_iter().map(query).collect()
     }
 
     fn borrow_ahead(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
@@ -557,42 +591,23 @@
         share.settle(now);
         let mut own = Holding::default();
         own.add(share.bucket());
+        own.room_millis = own.tokens_millis;
         own
     });
+    let share_room_millis = ShareLimit::of(state.limit, 0, settings).room_millis;
     PlanContext {
         limit: state.id,
         terms: state.terms,
         near_share: near_share.unwrap_or_default(),
+        share_room_millis,
         own: own.unwrap_or_default(),
         now,
         settings,
     }
 }
 
-fn transfer(
-    limit: waxwingusher_protocol::loan::LimitId,
-    share: &Share,
-    list_version: u64,
-    to_incarnation: u64,
-    now: Instant,
-) -> ShareTransfer {
-    let outstanding = share.outstanding(now);
-    ShareTransfer {
-        limit,
-        list_version,
-        to_incarnation,
-        tokens_millis: narrow(share.bucket().tokens_millis()),
-        lent_room_millis: narrow(outstanding.room_millis),
-        lent_rate_millis_per_s: narrow(outstanding.rate_millis_per_s),
-        lent_for_ms: u32::try_from(outstanding.lasts.as_millis() + 1).unwrap_or(u32::MAX),
-    }
-}
-
 fn report_limit(state: &LimitState, now: Instant, valid_until: Option<Instant>) -> LimitReport {
     let share = state.role.share();
-    let lent = share
-        .map(|share| share.outstanding(now))
-        .unwrap_or_default();
     let spendable = share.filter(|_| state.role.is_spendable(now, valid_until));
     let stock = state.stock.as_ref();
     let borrowed = stock.map(|stock| stock.borrowed(now)).unwrap_or_default();
@@ -601,8 +616,8 @@
         is_holder: matches!(state.role, Role::Holder(_)),
         share_tokens_millis: spendable.map_or(0, |share| share.bucket().tokens_millis()),
         share_rate_millis_per_s: spendable.map_or(0, |share| share.bucket().rate_millis_per_s()),
-        lent_room_millis: lent.room_millis,
-        lent_rate_millis_per_s: lent.rate_millis_per_s,
+        lent_room_millis: share.map_or(0, Share::lent_room_millis),
+        lent_rate_millis_per_s: share.map_or(0, Share::lent_rate_millis_per_s),
         borrowers: share.map_or(0, Share::borrowers),
         borrowed_tokens_millis: borrowed.tokens_millis,
         borrowed_rate_millis_per_s: borrowed.rate_millis_per_s,
@@ -617,19 +632,12 @@
 }
 
 fn into_requests(by_host: BTreeMap<HostId, Vec<LoanRequest>>) -> Vec<Outgoing<LoanMessage>> {
-    into_messages(by_host, LoanMessage::Requests)
-}
-
-fn into_messages<E: Clone>(
-    by_host: BTreeMap<HostId, Vec<E>>,
-    message: impl Fn(Vec<E>) -> LoanMessage,
-) -> Vec<Outgoing<LoanMessage>> {
     let mut out = Vec::new();
-    for (to, entries) in by_host {
-        for chunk in entries.chunks(MAX_LOAN_ENTRIES) {
+    for (to, requests) in by_host {
+        for chunk in requests.chunks(MAX_LOAN_ENTRIES) {
             out.push(Outgoing {
                 to: to.clone(),
-                message: message(chunk.to_vec()),
+                message: LoanMessage::Requests(chunk.to_vec()),
             });
         }
     }
--- a/crates/limits/src/loan_part.rs
+++ b/crates/limits/src/loan_part.rs
@@ -73,13 +73,17 @@
         }
     }
 
-    /// Sets the host to borrow from. What another one lent is given up.
+    /// Sets the host to borrow from. A loan goes on when its lender passes the
+    /// share on.
     pub fn set_lender(&mut self, lender: Option<&HostId>, now: Instant) {
         if self.lender.as_ref() == lender {
             return;
         }
-        *self = Self::new(now);
         self.lender = lender.cloned();
+        self.pending = None;
+        self.unanswered = 0;
+        self.retry_at = now;
+        self.short_until = now;
     }
 
     /// Returns the host to borrow from.
@@ -151,13 +155,11 @@
         self.holds_anything() && now >= self.renew_at
     }
 
-    /// Reports whether a short loan is spent, so that its room should go back.
+    /// Reports whether the lender lends for short terms only, because it has
+    /// too little room for all borrowers.
     #[must_use]
-    pub fn is_spent(&self, settings: &LimiterSettings) -> bool {
-        let short = self.term < settings.loan_term;
-        short
-            && self.holds_anything()
-            && self.bucket.tokens_nanos() < crate::bucket::NANOS_PER_TOKEN
+    pub fn is_scarce(&self, settings: &LimiterSettings) -> bool {
+        self.term > Duration::ZERO && self.term < settings.loan_term
     }
 
     /// Reduces the loan after the share it comes from has shrunk.
--- a/crates/limits/src/role.rs
+++ b/crates/limits/src/role.rs
@@ -27,6 +27,8 @@
     pub share: Box<Share>,
     /// The next holder.
     pub to: Option<HostId>,
+    /// Since when the host list names the next holder.
+    pub since: Instant,
     /// When this host's right ends.
     pub until: Instant,
 }
@@ -49,6 +51,9 @@
     pub fn not_named(self, now: Instant, until: Option<Instant>, to: Option<&HostId>) -> Self {
         let (share, until) = match (self, until) {
             (Self::Holder(share), Some(until)) => (share, until),
+            (Self::Leaving(leaving), _) if leaving.to.as_ref() == to => {
+                return Self::Leaving(leaving);
+            }
             (Self::Leaving(leaving), _) => (leaving.share, leaving.until),
             _ => return Self::Borrower,
         };
@@ -56,7 +61,12 @@
             return Self::Borrower;
         }
         let to = to.cloned();
-        Self::Leaving(Leaving { share, to, until })
+        Self::Leaving(Leaving {
+            share,
+            to,
+            since: now,
+            until,
+        })
     }
 
     /// Returns the share that this host may spend from.
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -41,7 +41,7 @@
             list_fence: Duration::from_secs(12),
             list_lag: Duration::from_secs(3),
             clock_drift_per_mille: 10,
-            loan_wait: Duration::from_millis(150),
+            loan_wait: Duration::from_millis(300),
             answer_timeout: Duration::from_millis(40),
             stock_horizon: Duration::from_millis(1500),
         }
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::HostId;
-use waxwingusher_protocol::loan::{LoanGrant, LoanRequest};
+use waxwingusher_protocol::loan::{
+    LimitId, LoanGrant, LoanRequest, MAX_LOAN_ENTRIES, ShareTransfer, TransferredLoan,
+};
 
 use crate::bucket::Bucket;
 use crate::settings::LimiterSettings;
@@ -18,6 +20,10 @@
 const MIN_RETRY: Duration = Duration::from_millis(20);
 /// The time after which a borrower should ask a lender that is overrun again.
 const OVERRUN_RETRY: Duration = Duration::from_millis(250);
+/// The part of the room that is lent; the rest buffers what refills here.
+const LENDABLE_PERCENT: u64 = 70;
+/// How long a borrower counts as one after it has given everything back.
+const BORROWER_MEMORY: Duration = Duration::from_secs(2);
 /// Stands for a time that does not come.
 const NEVER: Duration = Duration::from_secs(3600);
 /// How far demand may exceed the rate before a lender counts as overrun, in
@@ -79,17 +85,6 @@
     pub now: Instant,
 }
 
-/// What a former holder had lent when it gave up a share.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Outstanding {
-    /// Room that is lent.
-    pub room_millis: u64,
-    /// Rate that is lent.
-    pub rate_millis_per_s: u64,
-    /// How long the last of the loans may last.
-    pub lasts: Duration,
-}
-
 impl Share {
     /// Creates an empty share that starts to refill at `now`.
     #[must_use]
@@ -111,28 +106,61 @@
     #[must_use]
     pub fn transferred(
         limit: ShareLimit,
-        tokens_millis: u64,
-        outstanding: Outstanding,
+        transfer: &ShareTransfer,
         former: &HostId,
         now: Instant,
+        settings: &LimiterSettings,
     ) -> Self {
         let mut share = Self::new(limit, now);
-        if outstanding.lasts > Duration::ZERO {
-            let loan = Loan {
-                seq: u32::MAX,
-                room_millis: outstanding.room_millis,
-                rate_millis_per_s: outstanding.rate_millis_per_s,
-                asked_millis_per_s: 0,
-                until: now + outstanding.lasts,
-                forget_at: now + outstanding.lasts,
+        for loan in unlisted_loan(transfer, former)
+            .iter()
+            .chain(&transfer.loans)
+        {
+            let lasts = Duration::from_millis(loan.lasts_ms.into());
+            let until = now + settings.with_drift(lasts);
+            let record = Loan {
+                seq: loan.seq,
+                room_millis: loan.room_millis.into(),
+                rate_millis_per_s: loan.rate_millis_per_s.into(),
+                asked_millis_per_s: loan.rate_millis_per_s.into(),
+                until,
+                forget_at: until + BORROWER_MEMORY,
             };
-            share.loans.insert((former.clone(), 0), loan);
-            share.sum_up(now);
+            let borrower = (loan.borrower.clone(), loan.incarnation);
+            share.loans.insert(borrower, record);
         }
-        share.bucket.add(tokens_millis);
+        share.sum_up(now);
+        share.bucket.add(transfer.tokens_millis.into());
         share
     }
 
+    /// Passes the share on: the most important loans one by one, the others
+    /// as a sum. This share must not be used any more.
+    #[must_use]
+    pub fn transfer(
+        &mut self,
+        limit: LimitId,
+        list_version: u64,
+        to_incarnation: u64,
+        now: Instant,
+    ) -> ShareTransfer {
+        self.settle(now);
+        let mut loans: Vec<_> = self.loans.iter().map(|loan| listed(loan, now)).collect();
+        loans.retain(|loan| loan.room_millis > 0 || loan.rate_millis_per_s > 0);
+        loans.sort_by_key(|loan| std::cmp::Reverse((loan.rate_millis_per_s, loan.room_millis)));
+        let rest = loans.split_off(loans.len().min(MAX_LOAN_ENTRIES / 2));
+        ShareTransfer {
+            limit,
+            list_version,
+            to_incarnation,
+            tokens_millis: narrow(self.bucket.tokens_millis()),
+            lent_room_millis: rest.iter().map(|loan| loan.room_millis).sum(),
+            lent_rate_millis_per_s: rest.iter().map(|loan| loan.rate_millis_per_s).sum(),
+            lent_for_ms: rest.iter().map(|loan| loan.lasts_ms).max().unwrap_or(0),
+            loans,
+        }
+    }
+
     /// Refills until `now` and ends loans whose term is over.
     pub fn settle(&mut self, now: Instant) {
         self.bucket.settle(now);
@@ -178,15 +206,16 @@
         self.loans.len()
     }
 
-    /// Returns what is lent at `now`.
+    /// Returns the room that is lent.
     #[must_use]
-    pub fn outstanding(&self, now: Instant) -> Outstanding {
-        let ends = self.loans.values().map(|loan| loan.until).max();
-        Outstanding {
-            room_millis: self.lent_room_millis,
-            rate_millis_per_s: self.lent_rate_millis_per_s,
-            lasts: ends.map_or(Duration::ZERO, |at| at.saturating_duration_since(now)),
-        }
+    pub fn lent_room_millis(&self) -> u64 {
+        self.lent_room_millis
+    }
+
+    /// Returns the rate that is lent.
+    #[must_use]
+    pub fn lent_rate_millis_per_s(&self) -> u64 {
+        self.lent_rate_millis_per_s
     }
 
     /// Records what a borrower states that it still holds, and reports whether
@@ -210,6 +239,13 @@
         self.lent_rate_millis_per_s -= loan.rate_millis_per_s - held_rate;
         loan.room_millis = held_room;
         loan.rate_millis_per_s = held_rate;
+        if is_return(request) {
+            loan.forget_at = borrower.now + BORROWER_MEMORY;
+            loan.until = borrower.now;
+            self.next_expiry = self.next_expiry.min(Some(loan.forget_at));
+            self.asked_millis_per_s -= loan.asked_millis_per_s;
+            loan.asked_millis_per_s = 0;
+        }
         self.rebalance(borrower.now);
         self.bucket.add(request.returned_tokens_millis.into());
         true
@@ -239,7 +275,12 @@
         } else {
             self.room_for(request, former.is_some())
         };
-        let tokens = self.tokens_for(request, room);
+        let reserve = if scarce {
+            0
+        } else {
+            self.reserve_for(borrower)
+        };
+        let tokens = self.tokens_for(request, room, reserve);
         let term = if scarce {
             SCARCE_TERM
         } else {
@@ -296,27 +337,23 @@
         u64::try_from(fair).unwrap_or(u64::MAX).min(most)
     }
 
-    /// Returns the room for a borrower, who gets as much as the others and the
-    /// lender itself at most.
+    /// Returns the room for a borrower, who gets as much as the others at most.
     fn room_for(&self, request: &LoanRequest, known: bool) -> u64 {
         let most = u64::from(request.held_room_millis) + self.free_room();
-        let fair = self.limit.room_millis / (self.borrowers_with(known) + 1);
+        let lendable = self.limit.room_millis * LENDABLE_PERCENT / 100;
+        let fair = (lendable / self.borrowers_with(known)).max(MILLIS_PER_TOKEN);
         u64::from(request.wanted_tokens_millis).min(most).min(fair)
     }
 
-    /// Returns the room for one whole token, or none if there is no such token.
+    /// Returns the room for one token, or for the part of it that there is.
     fn scarce_room_for(&self, request: &LoanRequest) -> u64 {
-        let held = u64::from(request.held_tokens_millis);
-        let wanted = u64::from(request.wanted_tokens_millis).min(MILLIS_PER_TOKEN);
         let present = self.bucket.tokens_millis();
-        let least = wanted.min(self.limit.room_millis);
-        if held >= wanted {
-            return held.min(request.held_room_millis.into());
-        }
-        if held + present < least {
-            return 0;
-        }
-        wanted.min(held + present)
+        let held_tokens = u64::from(request.held_tokens_millis);
+        let held_room = u64::from(request.held_room_millis);
+        let wanted = u64::from(request.wanted_tokens_millis).min(MILLIS_PER_TOKEN);
+        wanted
+            .min(held_tokens + present)
+            .min(held_room + self.free_room())
     }
 
     fn free_room(&self) -> u64 {
@@ -324,10 +361,16 @@
         self.limit.room_millis.saturating_sub(lent)
     }
 
+    /// Returns the tokens that are kept for the lender's own callers.
+    fn reserve_for(&self, borrower: Borrower<'_>) -> u64 {
+        let demand = borrower.lender_demand_millis_per_s;
+        demand.min(self.bucket.room_millis() / LEND_DIVISOR)
+    }
+
     /// Takes the tokens of a loan out of the bucket.
-    fn tokens_for(&mut self, request: &LoanRequest, room: u64) -> u64 {
+    fn tokens_for(&mut self, request: &LoanRequest, room: u64, reserve: u64) -> u64 {
         let vacant = room.saturating_sub(request.held_tokens_millis.into());
-        let present = self.bucket.tokens_millis();
+        let present = self.bucket.tokens_millis().saturating_sub(reserve);
         let most = (present / LEND_DIVISOR).max(present.min(MILLIS_PER_TOKEN));
         self.bucket.remove(vacant.min(most))
     }
@@ -341,8 +384,8 @@
         if demand * 100 > share * OVERRUN_PERCENT {
             return OVERRUN_RETRY.as_millis() as u32;
         }
-        let lacking = MILLIS_PER_TOKEN.saturating_sub(self.bucket.tokens_millis());
-        let wait_ms = lacking * 1000 / share.max(1);
+        let wanted = MILLIS_PER_TOKEN.min(request.wanted_tokens_millis.into());
+        let wait_ms = wanted.saturating_sub(held + tokens) * 1000 / share.max(1);
         narrow(wait_ms.max(MIN_RETRY.as_millis() as u64))
     }
 
@@ -370,6 +413,41 @@
     }
 }
 
+fn listed(
+    ((borrower, incarnation), loan): (&(HostId, u64), &Loan),
+    now: Instant,
+) -> TransferredLoan {
+    let lasts = loan.until.saturating_duration_since(now);
+    TransferredLoan {
+        borrower: borrower.clone(),
+        incarnation: *incarnation,
+        seq: loan.seq,
+        room_millis: narrow(loan.room_millis),
+        rate_millis_per_s: narrow(loan.rate_millis_per_s),
+        lasts_ms: u32::try_from(lasts.as_millis() + 1).unwrap_or(u32::MAX),
+    }
+}
+
+/// Returns one loan that stands for all that a transfer does not list.
+fn unlisted_loan(transfer: &ShareTransfer, former: &HostId) -> Option<TransferredLoan> {
+    (transfer.lent_for_ms > 0).then(|| TransferredLoan {
+        borrower: former.clone(),
+        incarnation: 0,
+        seq: u32::MAX,
+        room_millis: transfer.lent_room_millis,
+        rate_millis_per_s: transfer.lent_rate_millis_per_s,
+        lasts_ms: transfer.lent_for_ms,
+    })
+}
+
+/// Reports whether a borrower gives everything back and wants nothing.
+#[must_use]
+pub fn is_return(request: &LoanRequest) -> bool {
+    let held = request.held_room_millis > 0 || request.held_rate_millis_per_s > 0;
+    let wants = request.wanted_tokens_millis > 0 || request.wanted_rate_millis_per_s > 0;
+    !held && !wants
+}
+
 /// Returns when a loan ends for the lender. A borrower that still holds something
 /// may miss this grant and go on until the end of an earlier one.
 fn loan_end(former: Option<Loan>, request: &LoanRequest, end: Instant) -> Instant {
--- a/crates/limits/src/stock.rs
+++ b/crates/limits/src/stock.rs
@@ -15,11 +15,14 @@
 /// Demand below which tokens are borrowed but no rate, in requests a second.
 const MIN_RATE_DEMAND_PER_S: f64 = 0.3;
 /// The rate that a borrower wants, in percent of its demand.
-const RATE_PERCENT: f64 = 105.0;
+const RATE_PERCENT: f64 = 100.0;
 /// The part of the wanted tokens below which a borrower asks for more.
 const LOW_WATER_PERCENT: u64 = 40;
-/// The part of the demand below which the rate is too low, in percent.
-const LOW_RATE_PERCENT: u64 = 95;
+/// The part of the wanted rate below which a borrower asks for more.
+const LOW_RATE_PERCENT: u64 = 75;
+/// The room of a share below which tokens are gathered from all lenders in
+/// equal parts, so that no share overflows while another is empty.
+const TINY_SHARE_MILLIS: u64 = 2 * MILLIS_PER_TOKEN;
 /// The shortest time between requests to a lender while no request waits.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// The time without requests after which a loan is given back.
@@ -34,6 +37,8 @@
     pub terms: u16,
     /// The index of the share of this host's failure domain.
     pub near_share: usize,
+    /// The room of one share.
+    pub share_room_millis: u64,
     /// What is left in this host's own share, if it is a holder.
     pub own: Holding,
     /// The time.
@@ -196,9 +201,9 @@
                 self.ask(index, wanted, ctx, seq, &mut requests);
             }
         }
-        let asked_long_ago = ctx.now >= self.asked_at + REQUEST_INTERVAL;
-        let needs_more = self.waiting > 0 || (asked_long_ago && self.is_low(ctx));
-        if let Some(index) = self.next_lender(ctx).filter(|_| needs_more) {
+        if ctx.share_room_millis < TINY_SHARE_MILLIS {
+            self.ask_all(ctx, seq, &mut requests);
+        } else if let Some(index) = self.next_lender(ctx).filter(|_| self.needs_more(ctx)) {
             let wanted = self.wanted(index, ctx);
             self.asked_at = ctx.now;
             self.ask(index, wanted, ctx, seq, &mut requests);
@@ -240,14 +245,43 @@
         requests.push((lender, request));
     }
 
+    /// Asks all lenders for equal parts of the tokens that requests wait for.
+    fn ask_all(
+        &mut self,
+        ctx: PlanContext<'_>,
+        seq: &mut u32,
+        requests: &mut Vec<(HostId, LoanRequest)>,
+    ) {
+        let waiting = u64::from(self.waiting) * MILLIS_PER_TOKEN;
+        let lacking = waiting.saturating_sub(self.held(ctx).tokens_millis);
+        let awaited = |part: &LoanPart| part.is_awaited(ctx.now, ctx.settings);
+        if lacking == 0 || self.parts.iter().any(awaited) {
+            return;
+        }
+        let askable = |part: &LoanPart| part.retry_at().is_some_and(|at| at <= ctx.now);
+        let indexes: Vec<_> = (0..self.parts.len())
+            .filter(|index| askable(&self.parts[*index]))
+            .collect();
+        for index in &indexes {
+            let held = self.parts[*index].bucket().tokens_millis();
+            let wanted = Wanted {
+                room_millis: held + lacking.div_ceil(indexes.len() as u64),
+                rate_millis_per_s: 0,
+            };
+            self.ask(*index, wanted, ctx, seq, requests);
+        }
+    }
+
     /// Returns what to ask for at the renewal of a loan, if it is due.
     fn renewal(&self, index: usize, ctx: PlanContext<'_>) -> Option<Wanted> {
         let part = &self.parts[index];
         if part.is_awaited(ctx.now, ctx.settings) || part.retry_at()? > ctx.now {
             return None;
         }
-        if part.is_spent(ctx.settings) && self.waiting == 0 {
-            return Some(Wanted::default());
+        if part.is_scarce(ctx.settings) && part.holds_anything() {
+            let unused = self.waiting == 0 && part.bucket().tokens_millis() > 0;
+            let blocks_room = self.waiting == 0 && ctx.share_room_millis >= TINY_SHARE_MILLIS;
+            return (unused || blocks_room).then_some(Wanted::default());
         }
         if !part.is_due(ctx.now) {
             return None;
@@ -260,15 +294,21 @@
         Some(if useful { wanted } else { Wanted::default() })
     }
 
-    fn is_low(&self, ctx: PlanContext<'_>) -> bool {
-        if self.demand.idle(ctx.now) > IDLE_TIME {
+    /// Reports whether another lender should be asked.
+    fn needs_more(&self, ctx: PlanContext<'_>) -> bool {
+        if self.waiting > 0 {
+            let awaited = |part: &&LoanPart| part.is_awaited(ctx.now, ctx.settings);
+            return self.waiting as usize > self.parts.iter().filter(awaited).count();
+        }
+        let scarce = |part: &LoanPart| part.is_scarce(ctx.settings);
+        let asked_lately = ctx.now < self.asked_at + REQUEST_INTERVAL;
+        if asked_lately || self.demand.idle(ctx.now) > IDLE_TIME || self.parts.iter().any(scarce) {
             return false;
         }
         let target = self.target(ctx);
         let held = self.held(ctx);
         let low_tokens = held.tokens_millis * 100 < target.room_millis * LOW_WATER_PERCENT;
-        let needed_rate = target.rate_millis_per_s * LOW_RATE_PERCENT / RATE_PERCENT as u64;
-        low_tokens || held.rate_millis_per_s < needed_rate
+        low_tokens || held.rate_millis_per_s * 100 < target.rate_millis_per_s * LOW_RATE_PERCENT
     }
 
     /// Returns the nearest lender that may be asked now.
--- a/crates/limits/tests/testsuite/service.rs
+++ b/crates/limits/tests/testsuite/service.rs
@@ -109,13 +109,76 @@
 fn debug_dump() {
     let mut fleet = fleet(200, 200);
     let all: Vec<_> = (0..36).collect();
-    for i in 0..12 {
-        let (a, r) = run(&mut fleet, Duration::from_secs(5), 160.0, &all);
+    for i in 0..5 {
+        let (a, r) = run(&mut fleet, Duration::from_secs(1), 160.0, &all[0..9]);
         eprintln!("{i} {a} {r}");
     }
-    for h in &fleet.hosts {
-        let l = h.limiter.as_ref().unwrap();
-        let rep = l.report();
-        eprintln!("{} {:?} {:?}", h.id, rep.refusals, rep.limits);
+    let mut fleet = self::fleet(200, 200);
+    run(&mut fleet, Duration::from_secs(10), 160.0, &all[9..]);
+    let mut states = vec![Some(HostState::Live); 36];
+    for i in 0..9 {
+        states[i] = Some(HostState::Leaving);
+        fleet.publish_list(&states);
+        for k in 0..4 {
+            let (a, r) = run(&mut fleet, Duration::from_millis(500), 160.0, &all[9..]);
+            let h: Vec<_> = (0..9)
+                .filter(|h| {
+                    fleet.hosts[*h]
+                        .limiter
+                        .as_ref()
+                        .unwrap()
+                        .report()
+                        .limits
+                        .iter()
+                        .any(|l| l.is_holder)
+                })
+                .collect();
+            let w: Vec<_> = (0..9)
+                .filter(|h| {
+                    fleet.hosts[*h]
+                        .limiter
+                        .as_ref()
+                        .unwrap()
+                        .report()
+                        .waiting_shares
+                        > 0
+                })
+                .collect();
+            eprintln!("{i} leaving {k} {a} {r} holders {h:?} waiting {w:?}");
+        }
+        if let Some(limiter) = &mut fleet.hosts[i].limiter {
+            let out = limiter.hand_over();
+            fleet.send(i, out);
+        }
+        fleet.start(i);
+        states[i] = Some(HostState::Live);
+        fleet.publish_list(&states);
+        for k in 0..4 {
+            let (a, r) = run(&mut fleet, Duration::from_millis(500), 160.0, &all[9..]);
+            let h: Vec<_> = (0..9)
+                .filter(|h| {
+                    fleet.hosts[*h]
+                        .limiter
+                        .as_ref()
+                        .unwrap()
+                        .report()
+                        .limits
+                        .iter()
+                        .any(|l| l.is_holder)
+                })
+                .collect();
+            let w: Vec<_> = (0..9)
+                .filter(|h| {
+                    fleet.hosts[*h]
+                        .limiter
+                        .as_ref()
+                        .unwrap()
+                        .report()
+                        .waiting_shares
+                        > 0
+                })
+                .collect();
+            eprintln!("{i} back {k} {a} {r} holders {h:?} waiting {w:?}");
+        }
     }
 }
--- a/crates/protocol/src/loan.rs
+++ b/crates/protocol/src/loan.rs
@@ -4,6 +4,7 @@
 //! keys share one datagram.
 
 use serde::{Deserialize, Serialize};
+use waxwingusher_core::HostId;
 
 /// The most entries that one message carries, so that it fits a datagram.
 pub const MAX_LOAN_ENTRIES: usize = 32;
@@ -60,8 +61,25 @@
     pub retry_after_ms: u32,
 }
 
+/// A loan that goes on under the next holder.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TransferredLoan {
+    /// The borrowing host.
+    pub borrower: HostId,
+    /// The incarnation of its process.
+    pub incarnation: u64,
+    /// The number of its newest request.
+    pub seq: u32,
+    /// The room that is lent.
+    pub room_millis: u32,
+    /// The rate that is lent.
+    pub rate_millis_per_s: u32,
+    /// How long the loan may still last.
+    pub lasts_ms: u32,
+}
+
 /// A holder's share, given to the holder that follows it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareTransfer {
     /// The limit.
     pub limit: LimitId,
@@ -71,11 +89,13 @@
     pub to_incarnation: u64,
     /// Unspent tokens.
     pub tokens_millis: u32,
-    /// Room that is still lent.
+    /// Loans that go on; the receiver may renew them.
+    pub loans: Vec<TransferredLoan>,
+    /// Room of loans that are not listed.
     pub lent_room_millis: u32,
-    /// Rate that is still lent.
+    /// Rate of loans that are not listed.
     pub lent_rate_millis_per_s: u32,
-    /// How long the last of the loans may still last.
+    /// How long the last of the loans that are not listed may still last.
     pub lent_for_ms: u32,
 }
 
