--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -16,6 +16,9 @@
 const SCARCE_TERM: Duration = Duration::from_millis(100);
 /// The part of the tokens that one borrower may get.
 const LEND_DIVISOR: u64 = 2;
+/// The part of the lender's demand, and of its room, that even a borrower that
+/// has run dry does not get.
+const DRY_RESERVE_DIVISOR: u64 = 8;
 /// The shortest time after which a borrower should ask a dry lender again.
 const MIN_RETRY: Duration = Duration::from_millis(20);
 /// The time after which a borrower should ask a lender that is overrun again.
@@ -265,20 +268,20 @@
         self.asked_millis_per_s = self.asked_millis_per_s - asked_before + wanted_rate;
         let demand = self.asked_millis_per_s + borrower.lender_demand_millis_per_s;
         let scarce = self.is_scarce(former.is_some());
-        let rate = if scarce {
-            0
-        } else {
-            self.rate_for(request, demand)
-        };
         let room = if scarce {
             self.scarce_room_for(request)
         } else {
             self.room_for(request, former.is_some())
         };
+        let rate = if scarce || room < MILLIS_PER_TOKEN {
+            0
+        } else {
+            self.rate_for(request, demand)
+        };
         let reserve = if scarce {
             0
         } else {
-            self.reserve_for(borrower)
+            self.reserve_for(request, borrower)
         };
         let tokens = self.tokens_for(request, room, reserve);
         let term = if scarce {
@@ -339,9 +342,10 @@
 
     /// Returns the room for a borrower, who gets as much as the others at most.
     fn room_for(&self, request: &LoanRequest, known: bool) -> u64 {
-        let most = u64::from(request.held_room_millis) + self.free_room();
         let lendable = self.limit.room_millis * LENDABLE_PERCENT / 100;
-        let fair = (lendable / self.borrowers_with(known)).max(MILLIS_PER_TOKEN);
+        let free = lendable.saturating_sub(self.lent_room_millis);
+        let most = u64::from(request.held_room_millis) + free;
+        let fair = (lendable / (self.borrowers_with(known) + 1)).max(MILLIS_PER_TOKEN);
         u64::from(request.wanted_tokens_millis).min(most).min(fair)
     }
 
@@ -361,10 +365,18 @@
         self.limit.room_millis.saturating_sub(lent)
     }
 
-    /// Returns the tokens that are kept for the lender's own callers.
-    fn reserve_for(&self, borrower: Borrower<'_>) -> u64 {
-        let demand = borrower.lender_demand_millis_per_s;
-        demand.min(self.bucket.room_millis() / LEND_DIVISOR)
+    /// Returns the tokens that are kept back: some for the lender's own callers,
+    /// and more for borrowers that have run dry if this one has not.
+    fn reserve_for(&self, request: &LoanRequest, borrower: Borrower<'_>) -> u64 {
+        let room = self.bucket.room_millis();
+        if u64::from(request.held_tokens_millis) < MILLIS_PER_TOKEN {
+            let demand = borrower.lender_demand_millis_per_s;
+            return (demand / DRY_RESERVE_DIVISOR).min(room / DRY_RESERVE_DIVISOR);
+        }
+        borrower
+            .lender_demand_millis_per_s
+            .max(room / LEND_DIVISOR)
+            .min(room)
     }
 
     /// Takes the tokens of a loan out of the bucket.
--- a/crates/limits/src/stock.rs
+++ b/crates/limits/src/stock.rs
@@ -15,7 +15,7 @@
 /// Demand below which tokens are borrowed but no rate, in requests a second.
 const MIN_RATE_DEMAND_PER_S: f64 = 0.3;
 /// The rate that a borrower wants, in percent of its demand.
-const RATE_PERCENT: f64 = 100.0;
+const RATE_PERCENT: f64 = 95.0;
 /// The part of the wanted tokens below which a borrower asks for more.
 const LOW_WATER_PERCENT: u64 = 40;
 /// The part of the wanted rate below which a borrower asks for more.
@@ -91,12 +91,6 @@
         }
     }
 
-    /// Returns the loans, by share.
-    #[must_use]
-    pub fn parts(&self) -> &[LoanPart] {
-        &self.parts
-    }
-
     /// Returns the loans, by share.
     pub fn parts_mut(&mut self) -> &mut [LoanPart] {
         &mut self.parts
@@ -334,18 +328,24 @@
     /// Returns what to hold from one lender, given what the others lend.
     fn wanted(&self, index: usize, ctx: PlanContext<'_>) -> Wanted {
         let target = self.target(ctx);
-        let held = self.held(ctx);
         let part = self.parts[index].bucket();
-        let other_room = held.room_millis - part.room_millis();
-        let other_rate = held.rate_millis_per_s - part.rate_millis_per_s();
-        let mut room = target.room_millis.saturating_sub(other_room);
+        let mut others = self.held(ctx);
+        others.room_millis -= part.room_millis();
+        others.rate_millis_per_s -= part.rate_millis_per_s();
+        let rate = target
+            .rate_millis_per_s
+            .saturating_sub(others.rate_millis_per_s);
+        let mut room = target.room_millis.saturating_sub(others.room_millis);
+        if rate > 0 {
+            room = room.max(MILLIS_PER_TOKEN);
+        }
         if self.waiting > 0 {
             let waiting = u64::from(self.waiting) * MILLIS_PER_TOKEN;
             room = room.max(part.tokens_millis() + waiting);
         }
         Wanted {
             room_millis: room,
-            rate_millis_per_s: target.rate_millis_per_s.saturating_sub(other_rate),
+            rate_millis_per_s: rate,
         }
     }
 
--- a/crates/limits/tests/testsuite/bound.rs
+++ b/crates/limits/tests/testsuite/bound.rs
@@ -42,7 +42,15 @@
 
 #[test]
 fn thirty_six_hosts_keep_the_bound_of_a_small_burst() {
-    let (failing, admitted) = run(3000..3006, 4, 9);
+    let mut failing = Vec::new();
+    let mut admitted = 0;
+    for seed in 3000..3006 {
+        let mut schedule = Schedule::new(seed, 4, 9).with_faults(0.001);
+        if schedule.run(Duration::from_secs(30)) > 0 {
+            failing.push(seed);
+        }
+        admitted += schedule.admitted();
+    }
     assert_eq!(failing, Vec::<u64>::new(), "seeds that exceed the limit");
-    assert!(admitted > 6 * 20, "only {admitted} requests were admitted");
+    assert!(admitted > 6 * 40, "only {admitted} requests were admitted");
 }
--- a/crates/limits/tests/testsuite/schedule.rs
+++ b/crates/limits/tests/testsuite/schedule.rs
@@ -84,6 +84,12 @@
         schedule
     }
 
+    /// Sets how often faults happen, as a probability in one step.
+    pub fn with_faults(mut self, probability: f64) -> Self {
+        self.fault_probability = probability;
+        self
+    }
+
     /// Runs for some time under full load and returns the excess requests.
     pub fn run(&mut self, duration: Duration) -> u64 {
         let end = self.fleet.elapsed() + duration;
