Add fair queues per workspace

Weighted deficit round robin over bounded queues; what cannot meet its deadline is refused on arrival. While one of three workspaces sends 25 times the others' load, the others lose nothing and wait for at most four service times (cargo test -p waxwingusher-limits queue).

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -16,10 +16,12 @@
 pub mod keys;
 pub mod limit_key;
 pub mod limiter;
+pub mod queue;
 pub mod settings;
 
 pub use decision::{LimitReport, LimiterReport, RefusalCounts, RefusalReason, SpendDecision};
 pub use keys::KeyIndex;
 pub use limit_key::LimitKey;
 pub use limiter::Limiter;
+pub use queue::{FairQueue, FairQueueSettings, Next, QueueRefusal};
 pub use settings::LimiterSettings;
--- a/crates/limits/tests/testsuite/fleet.rs
+++ b/crates/limits/tests/testsuite/fleet.rs
@@ -244,7 +244,7 @@
     }
 
     fn step_host(&mut self, i: usize) {
-        if (self.steps + i as u64) % READ_STEPS == 0 {
+        if (self.steps + i as u64).is_multiple_of(READ_STEPS) {
             self.read_platform(i);
         }
         for (key, until) in std::mem::take(&mut self.hosts[i].waiting) {
--- a/crates/limits/tests/testsuite/main.rs
+++ b/crates/limits/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 mod fleet;
 mod keys;
 mod oracle;
+mod queue;
 mod schedule;
 mod service;
--- /dev/null
+++ b/crates/limits/tests/testsuite/queue.rs
@@ -0,0 +1,124 @@
+//! A loaded host is shared by weight, whatever one workspace sends.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use waxwingusher_core::{Clock, ManualClock, WorkspaceName};
+use waxwingusher_limits::{FairQueue, FairQueueSettings, Next, QueueRefusal};
+
+/// The time that the host takes for one request.
+const SERVICE: Duration = Duration::from_millis(5);
+/// How long a request may wait.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+type Queue = FairQueue<(&'static str, Duration)>;
+
+fn queue(clock: &ManualClock) -> Queue {
+    let settings = FairQueueSettings {
+        service_interval: SERVICE,
+        ..FairQueueSettings::default()
+    };
+    FairQueue::new(Arc::new(clock.clone()), settings)
+}
+
+#[derive(Debug, Default, Clone, PartialEq)]
+struct Served {
+    count: u64,
+    longest_wait: Duration,
+    refused: u64,
+    expired: u64,
+}
+
+/// Offers loads (name, weight, requests per service time) for 20 s.
+fn run(loads: &[(&'static str, u32, f64)]) -> HashMap<&'static str, Served> {
+    let clock = ManualClock::new();
+    let mut queue = queue(&clock);
+    let mut served: HashMap<_, Served> = HashMap::new();
+    let mut due = vec![0.0; loads.len()];
+    for _ in 0..4000 {
+        for ((name, weight, load), due) in loads.iter().zip(&mut due) {
+            *due += load;
+            while *due >= 1.0 {
+                *due -= 1.0;
+                let deadline = clock.now() + PATIENCE;
+                let item = (*name, clock.elapsed());
+                let pushed = queue.push(&WorkspaceName::new(name), *weight, deadline, item);
+                served.entry(*name).or_default().refused += u64::from(pushed.is_err());
+            }
+        }
+        while let Some(next) = queue.pop() {
+            let (name, since) = match next {
+                Next::Run(item) => item,
+                Next::Expired((name, _)) => {
+                    served.entry(name).or_default().expired += 1;
+                    continue;
+                }
+            };
+            let entry = served.entry(name).or_default();
+            entry.count += 1;
+            entry.longest_wait = entry.longest_wait.max(clock.elapsed() - since);
+            break;
+        }
+        clock.advance(SERVICE);
+    }
+    served
+}
+
+#[test]
+fn a_flood_leaves_the_others_their_shares() {
+    let calm = run(&[("a", 1, 0.2), ("b", 1, 0.2), ("c", 1, 0.2)]);
+    let flooded = run(&[("a", 1, 0.2), ("b", 1, 0.2), ("c", 1, 5.0)]);
+    for name in ["a", "b"] {
+        let (calm, flooded) = (&calm[name], &flooded[name]);
+        assert_eq!((flooded.refused, flooded.expired), (0, 0), "{name}");
+        assert!(flooded.count + 1 >= calm.count, "{name}: {flooded:?}");
+        assert!(flooded.longest_wait <= SERVICE * 4, "{name}: {flooded:?}");
+    }
+    assert!(flooded["c"].refused > 10_000);
+    let late = &flooded["c"].expired;
+    assert!(*late * 100 <= flooded["c"].count, "{late} waited in vain");
+}
+
+#[test]
+fn full_queues_are_served_by_weight() {
+    let served = run(&[("a", 1, 3.0), ("b", 2, 3.0), ("c", 5, 3.0)]);
+    let share = |name| served[name].count as f64 / 4000.0;
+    assert!((share("a") - 0.125).abs() < 0.01, "{served:?}");
+    assert!((share("b") - 0.25).abs() < 0.01, "{served:?}");
+    assert!((share("c") - 0.625).abs() < 0.01, "{served:?}");
+}
+
+#[test]
+fn what_cannot_meet_its_deadline_is_refused_at_once() {
+    let clock = ManualClock::new();
+    let mut queue = queue(&clock);
+    let name = WorkspaceName::new("a");
+    let soon = clock.now() + SERVICE * 3;
+    for _ in 0..3 {
+        assert_matches!(queue.push(&name, 1, soon, ("a", SERVICE)), Ok(()));
+    }
+    assert_matches!(
+        queue.push(&name, 1, soon, ("a", SERVICE)),
+        Err((_, QueueRefusal::TooLate))
+    );
+    clock.advance(SERVICE * 4);
+    assert_matches!(queue.pop(), Some(Next::Expired(_)));
+    queue.remove_if(|_| true);
+    assert!(queue.is_empty());
+    assert_eq!(queue.len(), 0);
+}
+
+#[test]
+fn a_queue_is_bounded() {
+    let clock = ManualClock::new();
+    let mut queue = queue(&clock);
+    let name = WorkspaceName::new("a");
+    let late = clock.now() + Duration::from_secs(60);
+    for _ in 0..FairQueueSettings::default().per_workspace {
+        assert_matches!(queue.push(&name, 1, late, ("a", SERVICE)), Ok(()));
+    }
+    let refused = queue.push(&name, 1, late, ("a", SERVICE));
+    assert_matches!(refused, Err((_, QueueRefusal::Full)));
+}
