--- a/crates/limits/src/queue.rs
+++ b/crates/limits/src/queue.rs
@@ -17,6 +17,9 @@
 /// The part of a new observation in the estimate of the service interval.
 const SMOOTHING: f64 = 0.05;
 
+/// How much longer than expected a request may have to wait.
+const WAIT_MARGIN: f64 = 1.1;
+
 /// Settings of a [`FairQueue`].
 #[derive(Debug, Clone, Copy)]
 pub struct FairQueueSettings {
@@ -68,6 +71,8 @@
     weight: u64,
     deficit: u64,
     has_turn: bool,
+    interval_s: f64,
+    last_served: Instant,
 }
 
 /// Bounded queues of all workspaces, served by weighted deficit round robin.
@@ -117,7 +122,8 @@
         if ahead >= self.settings.per_workspace {
             return Err((item, QueueRefusal::Full));
         }
-        if self.clock.now() + self.expected_wait(ahead, weight) > deadline {
+        let now = self.clock.now();
+        if now + self.expected_wait(workspace, ahead, weight) > deadline {
             return Err((item, QueueRefusal::TooLate));
         }
         let lane = self.lanes.entry(workspace.clone()).or_insert_with(|| {
@@ -128,6 +134,8 @@
                 weight,
                 deficit: 0,
                 has_turn: false,
+                interval_s: 0.0,
+                last_served: now,
             }
         });
         lane.entries.push_back(Entry { item, deadline });
@@ -186,16 +194,19 @@
     }
 
     /// Returns how long a request is expected to wait behind `ahead` requests
-    /// of its own workspace, while all other waiting workspaces get their
-    /// shares.
-    fn expected_wait(&self, ahead: usize, weight: u64) -> Duration {
+    /// of its own workspace: as long as these lately took, and at least as long
+    /// as they take while all waiting workspaces get their shares.
+    fn expected_wait(&self, workspace: &WorkspaceName, ahead: usize, weight: u64) -> Duration {
         if self.is_empty() {
             return Duration::ZERO;
         }
-        let own = if ahead > 0 { weight } else { 0 };
+        let lane = self.lanes.get(workspace);
+        let own = lane.map_or(0, |lane| lane.weight);
         let round = self.waiting_weight - own + weight;
         let turns = ahead as f64 / weight as f64 + 1.0;
-        Duration::from_secs_f64(self.interval_s * turns * round as f64)
+        let by_share = self.interval_s * turns * round as f64;
+        let observed = lane.map_or(0.0, |lane| lane.interval_s) * (ahead + 1) as f64;
+        Duration::from_secs_f64(by_share.max(observed) * WAIT_MARGIN)
     }
 
     /// Takes the first request of the workspace whose turn it is.
@@ -205,6 +216,11 @@
         let expired = now > entry.deadline;
         if !expired {
             lane.deficit -= REQUEST_COST;
+            let interval = now
+                .saturating_duration_since(lane.last_served)
+                .as_secs_f64();
+            lane.interval_s += (interval - lane.interval_s) * SMOOTHING;
+            lane.last_served = now;
         }
         if lane.entries.is_empty() {
             self.waiting_weight -= lane.weight;
