Add the callers' edge and the upstream client

Cause: callers need an edge that starves nobody and refuses ambiguous framing, and workers need to know whether the first byte of a request may have left. Before: nothing served. After: hyper on one event loop behind a bounded ring, ureq over a transport of our own that asks before the first byte.

--- /dev/null
+++ b/crates/edge/src/answer.rs
@@ -0,0 +1,95 @@
+//! Answers to callers, whole or as a stream.
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use tokio::sync::mpsc;
+
+/// Chunks that may wait between the worker and the event loop.
+const STREAM_CHUNKS: usize = 4;
+
+/// The upstream stopped before the end of its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the upstream's answer ended early")]
+pub struct BodyCut;
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All bytes are known.
+    Whole(Bytes),
+    /// Bytes follow; an error or a missing end breaks the caller's connection.
+    Stream(BodyReceiver),
+}
+
+/// The receiving end of a streamed body.
+#[derive(Debug)]
+pub struct BodyReceiver(pub(crate) mpsc::Receiver<BodyEvent>);
+
+/// One step of a streamed body.
+#[derive(Debug)]
+pub(crate) enum BodyEvent {
+    Chunk(Bytes),
+    End,
+}
+
+/// The sending end of a streamed body. Dropping it before [`BodySender::finish`]
+/// breaks the caller's connection, so that a cut answer never looks whole.
+#[derive(Debug)]
+pub struct BodySender(mpsc::Sender<BodyEvent>);
+
+/// The caller no longer reads the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the caller is gone")]
+pub struct CallerGone;
+
+impl BodySender {
+    /// Creates both ends of a streamed body.
+    #[must_use]
+    pub fn channel() -> (Self, AnswerBody) {
+        let (sender, receiver) = mpsc::channel(STREAM_CHUNKS);
+        (Self(sender), AnswerBody::Stream(BodyReceiver(receiver)))
+    }
+
+    /// Sends a chunk and waits while the ring is full.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller no longer reads.
+    pub fn send(&self, chunk: Bytes) -> Result<(), CallerGone> {
+        self.0
+            .blocking_send(BodyEvent::Chunk(chunk))
+            .map_err(|_| CallerGone)
+    }
+
+    /// Marks the body as whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller no longer reads.
+    pub fn finish(self) -> Result<(), CallerGone> {
+        self.0.blocking_send(BodyEvent::End).map_err(|_| CallerGone)
+    }
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: AnswerBody,
+}
+
+impl Answer {
+    /// Creates an answer of which all bytes are known.
+    #[must_use]
+    pub fn whole(status: StatusCode, headers: HeaderMap, body: impl Into<Bytes>) -> Self {
+        Self {
+            status,
+            headers,
+            body: AnswerBody::Whole(body.into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/call.rs
@@ -0,0 +1,127 @@
+//! Control over one call to an upstream: the mark of the first byte, the last
+//! check before it, and cancellation.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+type Check = Box<dyn Fn() -> bool + Send + Sync>;
+
+thread_local! {
+    static CURRENT: RefCell<Option<Arc<CallControl>>> = const { RefCell::new(None) };
+}
+
+/// Follows one call from before its first byte to the end of its answer.
+pub struct CallControl {
+    may_send: Check,
+    sent: AtomicBool,
+    withdrawn: AtomicBool,
+    link: Mutex<Link>,
+}
+
+#[derive(Default)]
+struct Link {
+    stream: Option<Arc<TcpStream>>,
+    cancelled: bool,
+    finished: bool,
+}
+
+impl CallControl {
+    /// Creates the control of one call. `may_send` is asked once, right before
+    /// the first byte; if it says no, nothing is sent.
+    #[must_use]
+    pub fn new(may_send: impl Fn() -> bool + Send + Sync + 'static) -> Arc<Self> {
+        Arc::new(Self {
+            may_send: Box::new(may_send),
+            sent: AtomicBool::new(false),
+            withdrawn: AtomicBool::new(false),
+            link: Mutex::new(Link::default()),
+        })
+    }
+
+    /// Reports whether a byte may have left.
+    #[must_use]
+    pub fn was_sent(&self) -> bool {
+        self.sent.load(Ordering::SeqCst)
+    }
+
+    /// Reports whether the last check stopped the call.
+    #[must_use]
+    pub fn was_withdrawn(&self) -> bool {
+        self.withdrawn.load(Ordering::SeqCst)
+    }
+
+    /// Reports whether the call was cancelled before its end.
+    #[must_use]
+    pub fn was_cancelled(&self) -> bool {
+        self.lock().cancelled
+    }
+
+    /// Breaks the connection of the call, unless the call has ended.
+    pub fn cancel(&self) {
+        let mut link = self.lock();
+        if link.finished {
+            return;
+        }
+        link.cancelled = true;
+        if let Some(stream) = link.stream.take() {
+            // An error means that the connection is closed already.
+            drop(stream.shutdown(Shutdown::Both));
+        }
+    }
+
+    /// Ends the call: from now on cancelling it touches no connection, which
+    /// may already carry another call.
+    pub fn finish(&self) {
+        let mut link = self.lock();
+        link.finished = true;
+        link.stream = None;
+    }
+
+    /// Makes this the current call of the thread while `work` runs.
+    pub(crate) fn enter<T>(self: &Arc<Self>, work: impl FnOnce() -> T) -> T {
+        CURRENT.with(|slot| *slot.borrow_mut() = Some(self.clone()));
+        let result = work();
+        CURRENT.with(|slot| *slot.borrow_mut() = None);
+        result
+    }
+
+    /// Returns the current call of the thread.
+    pub(crate) fn current() -> Option<Arc<Self>> {
+        CURRENT.with(|slot| slot.borrow().clone())
+    }
+
+    /// Marks the first byte of the call, and reports whether it may leave on
+    /// this connection.
+    pub(crate) fn begin_send(&self, stream: &Arc<TcpStream>) -> bool {
+        let mut link = self.lock();
+        if link.cancelled {
+            return false;
+        }
+        link.stream = Some(stream.clone());
+        drop(link);
+        if self.was_sent() {
+            return true;
+        }
+        if !(self.may_send)() {
+            self.withdrawn.store(true, Ordering::SeqCst);
+            return false;
+        }
+        self.sent.store(true, Ordering::SeqCst);
+        true
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Link> {
+        self.link.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl fmt::Debug for CallControl {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallControl")
+            .field("sent", &self.was_sent())
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/head_guard.rs
@@ -0,0 +1,116 @@
+//! Finds requests that carry both a length and chunks.
+//!
+//! The HTTP library resolves that ambiguity silently, by dropping the length.
+//! The guard keeps the bytes that arrived since the last answer, so that the
+//! head of a chunked request can be looked at as it was sent.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Bytes that arrived on a connection since its last answer.
+#[derive(Debug, Clone)]
+pub(crate) struct ArrivedBytes {
+    bytes: Arc<Mutex<Vec<u8>>>,
+    max_bytes: usize,
+}
+
+impl ArrivedBytes {
+    pub(crate) fn new(max_bytes: usize) -> Self {
+        Self {
+            bytes: Arc::new(Mutex::new(Vec::new())),
+            max_bytes,
+        }
+    }
+
+    /// Forgets what has arrived; called when a request has been answered.
+    pub(crate) fn clear(&self) {
+        self.lock().clear();
+    }
+
+    /// Reports whether the head of the current request surely has no length.
+    pub(crate) fn head_has_no_length(&self) -> bool {
+        let bytes = self.lock();
+        let Some(end) = bytes.windows(HEAD_END.len()).position(|w| w == HEAD_END) else {
+            return false;
+        };
+        let head = bytes[..end].to_ascii_lowercase();
+        !head
+            .split(|byte| *byte == b'\n')
+            .any(|line| line.starts_with(b"content-length"))
+    }
+
+    fn push(&self, new: &[u8]) {
+        let mut bytes = self.lock();
+        let room = self.max_bytes.saturating_sub(bytes.len());
+        bytes.extend_from_slice(&new[..new.len().min(room)]);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<u8>> {
+        self.bytes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A connection that records what arrives.
+#[derive(Debug)]
+pub(crate) struct GuardedStream {
+    inner: TcpStream,
+    arrived: ArrivedBytes,
+}
+
+impl GuardedStream {
+    pub(crate) fn new(inner: TcpStream, arrived: ArrivedBytes) -> Self {
+        Self { inner, arrived }
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.arrived.push(&buf.filled()[before..]);
+        }
+        result
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/server/connection.rs
@@ -0,0 +1,162 @@
+//! One caller's connection.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use waxwingusher_core::CancelToken;
+
+use super::{Phase, RejectReason, Shared, intake};
+use crate::answer::{Answer, AnswerBody, BodyCut, BodyEvent, BodyReceiver};
+use crate::exchange::{Exchange, Reply};
+use crate::head_guard::{ArrivedBytes, GuardedStream};
+
+type ResponseBody = BoxBody<Bytes, BodyCut>;
+
+/// Serves one connection until it closes.
+pub(super) async fn serve(
+    stream: TcpStream,
+    caller: SocketAddr,
+    shared: &Arc<Shared>,
+    mut phases: watch::Receiver<Phase>,
+) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!("edge: No-delay cannot be set for {caller}: {e}.");
+    }
+    let arrived = ArrivedBytes::new(shared.settings.max_head_bytes);
+    let io = TokioIo::new(GuardedStream::new(stream, arrived.clone()));
+    let notice = phases.clone();
+    let service = service_fn(|request| {
+        let shared = shared.clone();
+        let arrived = arrived.clone();
+        let closing = *notice.borrow() != Phase::Serving;
+        async move {
+            let mut response = answer(request, caller, &shared, &arrived).await;
+            if closing {
+                response
+                    .headers_mut()
+                    .insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .auto_date_header(false)
+        .header_read_timeout(shared.settings.head_timeout)
+        .max_buf_size(shared.settings.max_head_bytes.max(MIN_BUFFER_BYTES));
+    let mut connection = pin!(builder.serve_connection(io, service));
+    let closing = async move {
+        // An error means that the edge is gone, which closes as well.
+        drop(phases.wait_for(|phase| *phase == Phase::Closing).await);
+    };
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = closing => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = result {
+        log::debug!("edge: Connection of {caller} ended: {e}.");
+    }
+}
+
+/// The least buffer that the HTTP library accepts.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
+async fn answer(
+    request: Request<Incoming>,
+    caller: SocketAddr,
+    shared: &Arc<Shared>,
+    arrived: &ArrivedBytes,
+) -> Response<ResponseBody> {
+    let hang_up = HangUp(CancelToken::new());
+    let request = intake::read(request, caller, shared, arrived, hang_up.0.clone()).await;
+    arrived.clear();
+    let answer = match request {
+        Ok(request) => {
+            let (reply, answer) = Reply::new();
+            match shared.submit(Exchange { request, reply }) {
+                Ok(()) => answer
+                    .await
+                    .unwrap_or_else(|_| intake::rejection(RejectReason::Lost)),
+                Err(reason) => intake::rejection(reason),
+            }
+        }
+        Err(reason) => intake::rejection(reason),
+    };
+    into_response(answer, hang_up)
+}
+
+/// Cancels a request's work unless its answer was handed over whole.
+struct HangUp(CancelToken);
+
+impl Drop for HangUp {
+    fn drop(&mut self) {
+        self.0.cancel();
+    }
+}
+
+fn into_response(answer: Answer, hang_up: HangUp) -> Response<ResponseBody> {
+    let body = match answer.body {
+        AnswerBody::Whole(bytes) => Full::new(bytes).map_err(|never| match never {}).boxed(),
+        AnswerBody::Stream(receiver) => StreamBody {
+            receiver,
+            done: false,
+            _hang_up: hang_up,
+        }
+        .boxed(),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+/// A body that breaks the connection unless its end was announced.
+struct StreamBody {
+    receiver: BodyReceiver,
+    done: bool,
+    _hang_up: HangUp,
+}
+
+impl Body for StreamBody {
+    type Data = Bytes;
+    type Error = BodyCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyCut>>> {
+        if self.done {
+            return Poll::Ready(None);
+        }
+        match self.receiver.0.poll_recv(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(BodyEvent::Chunk(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Poll::Ready(Some(BodyEvent::End)) => {
+                self.done = true;
+                Poll::Ready(None)
+            }
+            Poll::Ready(None) => {
+                self.done = true;
+                Poll::Ready(Some(Err(BodyCut)))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/upstream.rs
@@ -0,0 +1,322 @@
+//! The client that forwards one request to one instance of an upstream.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, Version};
+use ureq::config::AutoHeaderValue;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::{Agent, AsSendBody, Body, SendBody};
+use waxwingusher_core::CancelToken;
+
+use crate::call::CallControl;
+use crate::headers;
+use crate::transport::UpstreamConnector;
+
+/// Idle connections that are kept for one instance.
+const MAX_IDLE_PER_INSTANCE: usize = 4;
+/// Idle connections that are kept in all.
+const MAX_IDLE: usize = 256;
+/// How long a connection may be idle before it is closed.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(10);
+/// The longest head of an answer.
+const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
+/// How much of an answer is read at once.
+const CHUNK_BYTES: usize = 64 * 1024;
+/// The longest time for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// One request to one instance.
+#[derive(Debug)]
+pub struct UpstreamCall {
+    /// The instance's address.
+    pub addr: SocketAddr,
+    /// The method.
+    pub method: Method,
+    /// The path and the query.
+    pub target: PathAndQuery,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The time left for the whole answer.
+    pub timeout: Duration,
+    /// Whether the request may go out on a pooled connection. One that may not
+    /// be repeated goes out on a connection of its own.
+    pub pooled: bool,
+    /// Cancelled when the caller hangs up.
+    pub cancel: CancelToken,
+}
+
+/// Why a call gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum UpstreamError {
+    /// No connection could be opened; nothing was sent.
+    #[error("no connection: {0}")]
+    Connect(Arc<str>),
+    /// The last check before the first byte said no; nothing was sent.
+    #[error("withdrawn before the first byte")]
+    Withdrawn,
+    /// The caller hung up.
+    #[error("cancelled by the caller")]
+    Cancelled {
+        /// Whether a byte may have left.
+        sent: bool,
+    },
+    /// The time was over.
+    #[error("no answer in time")]
+    Timeout {
+        /// Whether a byte may have left.
+        sent: bool,
+    },
+    /// The connection ended without a whole answer.
+    #[error("connection ended: {cause}")]
+    Died {
+        /// Whether a byte may have left.
+        sent: bool,
+        /// What the transport reported.
+        cause: Arc<str>,
+    },
+    /// The answer's end cannot be told from a cut.
+    #[error("the answer has neither a length nor chunks")]
+    Unframed,
+}
+
+impl UpstreamError {
+    /// Reports whether a byte of the request may have reached the upstream.
+    #[must_use]
+    pub fn was_sent(&self) -> bool {
+        match self {
+            Self::Connect(_) | Self::Withdrawn => false,
+            Self::Cancelled { sent } | Self::Timeout { sent } | Self::Died { sent, .. } => *sent,
+            Self::Unframed => true,
+        }
+    }
+}
+
+/// The head of an answer and the rest of it.
+#[derive(Debug)]
+pub struct UpstreamAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// The unread body.
+    pub body: UpstreamBody,
+}
+
+/// The unread body of an answer.
+pub struct UpstreamBody {
+    reader: ureq::BodyReader<'static>,
+    control: Arc<CallControl>,
+}
+
+/// Forwards requests to instances.
+#[derive(Debug, Clone)]
+pub struct UpstreamClient {
+    pooled: Agent,
+    unpooled: Agent,
+}
+
+impl Default for UpstreamClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl UpstreamClient {
+    /// Creates a client without open connections.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            pooled: new_agent(MAX_IDLE, MAX_IDLE_PER_INSTANCE),
+            unpooled: new_agent(0, 0),
+        }
+    }
+
+    /// Sends the request and reads the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether a byte may have left.
+    pub fn send(
+        &self,
+        call: UpstreamCall,
+        control: &Arc<CallControl>,
+    ) -> Result<UpstreamAnswer, UpstreamError> {
+        let remote = control.clone();
+        call.cancel.on_cancel(move || remote.cancel());
+        let result = self.exchange(call, control);
+        if result.is_err() {
+            control.finish();
+        }
+        result
+    }
+
+    fn exchange(
+        &self,
+        call: UpstreamCall,
+        control: &Arc<CallControl>,
+    ) -> Result<UpstreamAnswer, UpstreamError> {
+        let agent = if call.pooled {
+            &self.pooled
+        } else {
+            &self.unpooled
+        };
+        let head_only = call.method == Method::HEAD;
+        let timeout = call.timeout;
+        let (parts, body) = new_request(call)?;
+        let response = control.enter(|| {
+            if body.is_empty() {
+                run(agent, Request::from_parts(parts, ()), timeout)
+            } else {
+                run(
+                    agent,
+                    Request::from_parts(
+                        parts,
+                        SendBody::from_owned_reader(std::io::Cursor::new(body)),
+                    ),
+                    timeout,
+                )
+            }
+        });
+        let response = response.map_err(|e| classify(&e, control))?;
+        let (mut parts, body) = response.into_parts();
+        let framed = head_only
+            || has_no_body(parts.status)
+            || parts.headers.contains_key(CONTENT_LENGTH)
+            || parts.headers.contains_key(TRANSFER_ENCODING);
+        if !framed {
+            control.cancel();
+            return Err(UpstreamError::Unframed);
+        }
+        headers::strip_hop_by_hop(&mut parts.headers);
+        Ok(UpstreamAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body: UpstreamBody {
+                reader: body.into_with_config().limit(u64::MAX).reader(),
+                control: control.clone(),
+            },
+        })
+    }
+}
+
+impl UpstreamBody {
+    /// Reads the next chunk, or `None` at the end of a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the answer ended early.
+    pub fn next_chunk(&mut self) -> Result<Option<Bytes>, UpstreamError> {
+        let mut chunk = vec![0; CHUNK_BYTES];
+        let reader = &mut self.reader;
+        let read = self.control.enter(|| reader.read(&mut chunk));
+        match read {
+            Ok(_) if self.control.was_cancelled() => Err(UpstreamError::Cancelled { sent: true }),
+            Ok(0) => {
+                self.control.finish();
+                Ok(None)
+            }
+            Ok(amount) => {
+                chunk.truncate(amount);
+                Ok(Some(Bytes::from(chunk)))
+            }
+            Err(e) => Err(classify(&ureq::Error::from(e), &self.control)),
+        }
+    }
+}
+
+impl std::fmt::Debug for UpstreamBody {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("UpstreamBody").finish_non_exhaustive()
+    }
+}
+
+impl Drop for UpstreamBody {
+    fn drop(&mut self) {
+        // A body that was not read whole must not leave its connection behind.
+        self.control.cancel();
+    }
+}
+
+fn run<B: AsSendBody>(
+    agent: &Agent,
+    request: Request<B>,
+    timeout: Duration,
+) -> Result<http::Response<Body>, ureq::Error> {
+    let request = agent
+        .configure_request(request)
+        .timeout_global(Some(timeout))
+        .timeout_connect(Some(timeout.min(CONNECT_TIMEOUT)))
+        .build();
+    agent.run(request)
+}
+
+fn new_agent(max_idle: usize, max_idle_per_instance: usize) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .user_agent(AutoHeaderValue::None)
+        .accept(AutoHeaderValue::None)
+        .accept_encoding(AutoHeaderValue::None)
+        .allow_non_standard_methods(true)
+        .max_response_header_size(MAX_ANSWER_HEAD_BYTES)
+        .max_idle_connections(max_idle)
+        .max_idle_connections_per_host(max_idle_per_instance)
+        .max_idle_age(MAX_IDLE_AGE)
+        .build();
+    Agent::with_parts(config, UpstreamConnector, DefaultResolver::default())
+}
+
+fn new_request(call: UpstreamCall) -> Result<(http::request::Parts, Bytes), UpstreamError> {
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(call.addr.to_string())
+        .path_and_query(call.target)
+        .build()
+        .map_err(|e| UpstreamError::Connect(Arc::from(e.to_string())))?;
+    let mut request = Request::new(());
+    *request.method_mut() = call.method;
+    *request.uri_mut() = uri;
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = call.headers;
+    let headers = request.headers_mut();
+    headers.remove(CONTENT_LENGTH);
+    if !call.body.is_empty() {
+        headers.insert(CONTENT_LENGTH, call.body.len().into());
+    }
+    Ok((request.into_parts().0, call.body))
+}
+
+fn has_no_body(status: StatusCode) -> bool {
+    status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED
+        || status.is_informational()
+}
+
+fn classify(error: &ureq::Error, control: &CallControl) -> UpstreamError {
+    let sent = control.was_sent();
+    if control.was_withdrawn() {
+        return UpstreamError::Withdrawn;
+    }
+    if control.was_cancelled() {
+        return UpstreamError::Cancelled { sent };
+    }
+    if matches!(error, ureq::Error::Timeout(_)) {
+        return UpstreamError::Timeout { sent };
+    }
+    let cause = Arc::from(error.to_string());
+    if sent {
+        UpstreamError::Died { sent, cause }
+    } else {
+        UpstreamError::Connect(cause)
+    }
+}
--- /dev/null
+++ b/crates/host/src/route_table.rs
@@ -0,0 +1,67 @@
+//! Finds the route of a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use waxwingusher_config::{Route, Snapshot};
+
+/// Routes by path prefix; the longest prefix wins.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    by_prefix: HashMap<Arc<str>, Vec<Arc<Route>>>,
+}
+
+/// What the table knows of a request.
+#[derive(Debug, Clone)]
+pub enum RouteMatch {
+    /// The route of the request.
+    Found(Arc<Route>),
+    /// A route has the path but does not take the method.
+    MethodNotAllowed,
+    /// No route has the path.
+    NotFound,
+}
+
+impl RouteTable {
+    /// Builds the table of a configuration.
+    #[must_use]
+    pub fn new(snapshot: &Snapshot) -> Self {
+        let mut by_prefix: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        for route in snapshot.routes.values() {
+            let prefix = trimmed(&route.path_prefix);
+            by_prefix
+                .entry(Arc::from(prefix))
+                .or_default()
+                .push(route.clone());
+        }
+        Self { by_prefix }
+    }
+
+    /// Returns the route with the longest prefix that takes the request.
+    #[must_use]
+    pub fn find(&self, method: &str, path: &str) -> RouteMatch {
+        let mut path_known = false;
+        let mut prefix = trimmed(path);
+        loop {
+            for route in self.by_prefix.get(prefix).into_iter().flatten() {
+                if route.matches(method, path) {
+                    return RouteMatch::Found(route.clone());
+                }
+                path_known = true;
+            }
+            let Some(cut) = prefix.rfind('/') else {
+                break;
+            };
+            prefix = &prefix[..cut];
+        }
+        if path_known {
+            RouteMatch::MethodNotAllowed
+        } else {
+            RouteMatch::NotFound
+        }
+    }
+}
+
+fn trimmed(path: &str) -> &str {
+    path.strip_suffix('/').unwrap_or(path)
+}
