--- /dev/null
+++ b/crates/edge/tests/testsuite/callers.rs
@@ -0,0 +1,172 @@
+//! Callers get their own whole answer; slow ones hold up nobody.
+
+use std::io::{Read, Write};
+use std::sync::mpsc::sync_channel;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use waxwingusher_edge::{Answer, BodySender, EdgeSettings, Exchange};
+
+use crate::rig::{HANG, connect, converse, read_answer, start_edge};
+
+fn echo(exchange: Exchange) {
+    let target = exchange.request.target.to_string();
+    let answer = Answer::whole(StatusCode::OK, HeaderMap::new(), target);
+    exchange.reply.send(answer);
+}
+
+#[test]
+fn keep_alive_callers_are_all_answered_at_once() {
+    const CALLERS: usize = 32;
+    const ROUNDS: usize = 60;
+    let (edge, _worker) = start_edge(EdgeSettings::default(), echo);
+    let addr = edge.local_addr();
+    std::thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            scope.spawn(move || {
+                let mut stream = connect(addr);
+                for round in 0..ROUNDS {
+                    let target = format!("/{caller}/{round}");
+                    let request = format!("GET {target} HTTP/1.1\r\nhost: a\r\n\r\n");
+                    stream
+                        .write_all(request.as_bytes())
+                        .expect("a request is sent");
+                    assert!(read_answer(&mut stream).ends_with(&target));
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn slow_bodies_hold_neither_a_thread_nor_another_caller() {
+    const SLOW_CALLERS: usize = 300;
+    let (edge, _worker) = start_edge(EdgeSettings::default(), echo);
+    let addr = edge.local_addr();
+    let threads_before = thread_count();
+    let slow: Vec<_> = (0..SLOW_CALLERS)
+        .map(|_| {
+            let mut stream = connect(addr);
+            let half = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nhalf";
+            stream.write_all(half).expect("half a request is sent");
+            stream
+        })
+        .collect();
+    let answer = converse(
+        addr,
+        b"GET /quick HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+    );
+    assert!(answer.ends_with("/quick"), "{answer}");
+    // Other tests of this process run threads of their own, far fewer than 300.
+    assert!(thread_count() < threads_before + SLOW_CALLERS / 2);
+    drop(slow);
+}
+
+#[test]
+fn a_caller_that_never_finishes_its_body_is_refused() {
+    let settings = EdgeSettings {
+        body_timeout: Duration::from_millis(50),
+        ..EdgeSettings::default()
+    };
+    let (edge, _worker) = start_edge(settings, echo);
+    let answer = converse(
+        edge.local_addr(),
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nhalf",
+    );
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(
+        answer.contains("x-waxwingusher-outcome: not-run"),
+        "{answer}"
+    );
+}
+
+#[test]
+fn a_body_over_the_limit_is_refused_declared_or_not() {
+    let settings = EdgeSettings {
+        max_body_bytes: 8,
+        ..EdgeSettings::default()
+    };
+    let (edge, _worker) = start_edge(settings, echo);
+    let declared =
+        b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 9\r\n\r\n123456789"
+            .as_slice();
+    let chunked =
+        b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n9\r\n123456789\r\n0\r\n\r\n";
+    for request in [declared, chunked] {
+        let answer = converse(edge.local_addr(), request);
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    }
+}
+
+#[test]
+fn a_stream_that_is_cut_breaks_the_connection() {
+    for length in [None, Some("10")] {
+        let (edge, _worker) = start_edge(EdgeSettings::default(), move |exchange| {
+            let (sender, body) = BodySender::channel();
+            let mut headers = HeaderMap::new();
+            if let Some(length) = length {
+                headers.insert("content-length", length.parse().expect("a number"));
+            }
+            exchange.reply.send(Answer {
+                status: StatusCode::OK,
+                headers,
+                body,
+            });
+            sender
+                .send(Bytes::from_static(b"half"))
+                .expect("the caller reads");
+            drop(sender);
+        });
+        let answer = converse(edge.local_addr(), b"GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        let whole = answer.ends_with("0\r\n\r\n") || answer.ends_with("halfhalfha");
+        assert!(!whole, "{answer}");
+    }
+}
+
+#[test]
+fn a_caller_that_hangs_up_cancels_its_request() {
+    let (cancelled, seen) = sync_channel(1);
+    let (edge, _worker) = start_edge(EdgeSettings::default(), move |exchange| {
+        let was_cancelled = exchange.request.cancel.wait(HANG);
+        cancelled.send(was_cancelled).expect("the test waits");
+    });
+    let mut stream = connect(edge.local_addr());
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .expect("a request is sent");
+    drop(stream);
+    assert!(seen.recv().expect("the worker reports"));
+}
+
+#[test]
+fn a_graceful_shutdown_answers_what_was_sent() {
+    let (started, starts) = sync_channel(1);
+    let (release, released) = sync_channel::<()>(1);
+    let settings = EdgeSettings {
+        drain_notice: Duration::from_millis(10),
+        ..EdgeSettings::default()
+    };
+    let (edge, _worker) = start_edge(settings, move |exchange| {
+        started.send(()).expect("the test waits");
+        released.recv().expect("the test releases");
+        echo(exchange);
+    });
+    let mut stream = connect(edge.local_addr());
+    stream
+        .write_all(b"GET /last HTTP/1.1\r\nhost: a\r\n\r\n")
+        .expect("a request is sent");
+    starts.recv().expect("the request reaches the worker");
+    let stopping = std::thread::spawn(move || edge.shut_down());
+    release.send(()).expect("the worker waits");
+    let mut answer = String::new();
+    stream
+        .read_to_string(&mut answer)
+        .expect("an answer and then the end");
+    assert!(answer.ends_with("/last"), "{answer}");
+    stopping.join().expect("the edge stops");
+}
+
+fn thread_count() -> usize {
+    std::fs::read_dir("/proc/self/task").map_or(0, Iterator::count)
+}
