Add stand-ins for the configuration service, the host list and upstreams

Tests of the fleet need a platform and upstreams whose failures can be caused on command; so far nothing listened at all. The servers use real sockets on free loopback ports and speak HTTP/1.1 by hand: rouille keeps a connection waiting until another one closes, which a long poll turns into minutes, and it hides the bytes that a cut answer must control. A reserved socket holds the port while an instance refuses connections, so that it comes back where its callers expect it.

--- /dev/null
+++ b/crates/standins/src/config_service.rs
@@ -0,0 +1,310 @@
+//! The configuration service: values that can be read and watched over HTTP.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{CancelToken, HostList};
+
+use crate::error::StandinError;
+use crate::http::{HttpRequest, HttpResponse, RequestReader};
+use crate::server::{Server, ServerControl};
+
+/// The largest value that the service holds.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// The key of the host list, whose value is JSON of [`HostList`].
+pub const HOSTS_KEY: &str = "hosts";
+
+/// The header with a value's revision.
+pub const REVISION_HEADER: &str = "x-revision";
+
+const VALUES_PREFIX: &str = "/v1/values/";
+const MAX_CONNECTIONS: usize = 1_024;
+const MAX_WAIT: Duration = Duration::from_secs(120);
+
+/// How the service serves its values.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ServiceMode {
+    /// Serves the newest values.
+    #[default]
+    Current,
+    /// Serves the values of the moment in which the mode was set.
+    Stale,
+    /// Closes all connections and refuses new ones.
+    Away,
+}
+
+/// How the host list follows what was published.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum HostListLag {
+    /// The list is served at once.
+    #[default]
+    None,
+    /// The last list stays until the lag is set to none.
+    Held,
+}
+
+/// Calls that the service has answered or is answering.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CallCounts {
+    /// Reads that do not wait.
+    pub reads: u64,
+    /// Watches, each counted once when it arrives.
+    pub watches: u64,
+}
+
+impl CallCounts {
+    /// Returns the number of calls of all kinds.
+    #[must_use]
+    pub fn total(self) -> u64 {
+        self.reads + self.watches
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Value {
+    revision: u64,
+    content: Arc<[u8]>,
+}
+
+type Values = BTreeMap<Arc<str>, Value>;
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    current: Values,
+    frozen: Option<Values>,
+    mode: ServiceMode,
+    lag: HostListLag,
+    held_hosts: Option<Arc<[u8]>>,
+    calls: CallCounts,
+}
+
+impl State {
+    fn get(&self, key: &str) -> Option<&Value> {
+        self.frozen.as_ref().unwrap_or(&self.current).get(key)
+    }
+
+    fn put(&mut self, key: &str, content: Arc<[u8]>) -> u64 {
+        self.revision += 1;
+        let value = Value {
+            revision: self.revision,
+            content,
+        };
+        self.current.insert(Arc::from(key), value);
+        self.revision
+    }
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// The stand-in for the platform's configuration service.
+///
+/// `GET /v1/values/<key>` answers 200 with the value and its revision, or 404.
+/// With `?after=N&wait-ms=M` it waits until the revision is above `N`, and
+/// answers 304 once the time is over. Nothing can be written over HTTP.
+#[derive(Debug)]
+pub struct ConfigService {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl ConfigService {
+    /// Starts the service on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port or thread can be had.
+    pub fn start(token: &CancelToken) -> Result<Self, StandinError> {
+        let shared = Arc::new(Shared::default());
+        let values = shared.clone();
+        let server = Server::start(token, MAX_CONNECTIONS, |control| {
+            Arc::new(move |stream| serve_connection(&values, &control, stream))
+        })?;
+        let waiting = shared.clone();
+        server
+            .control()
+            .token()
+            .on_cancel(move || waiting.changed.notify_all());
+        Ok(Self { shared, server })
+    }
+
+    /// Returns where the service listens.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.control().addr()
+    }
+
+    /// Returns the base URL, without a slash at its end.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!("http://{}", self.addr())
+    }
+
+    /// Sets a value and returns its revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is above [`MAX_VALUE_BYTES`].
+    pub fn put(&self, key: &str, content: &[u8]) -> Result<u64, StandinError> {
+        if content.len() > MAX_VALUE_BYTES {
+            return Err(StandinError::TooLarge {
+                len_bytes: content.len(),
+                limit_bytes: MAX_VALUE_BYTES,
+            });
+        }
+        let revision = self.shared.lock().put(key, Arc::from(content));
+        self.shared.changed.notify_all();
+        Ok(revision)
+    }
+
+    /// Removes a value.
+    pub fn remove(&self, key: &str) {
+        self.shared.lock().current.remove(key);
+    }
+
+    /// Publishes a host list, which a held lag keeps back.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the list is too large.
+    pub fn put_hosts(&self, list: &HostList) -> Result<(), StandinError> {
+        let content = serde_json::to_vec(list)?;
+        let mut state = self.shared.lock();
+        if state.lag == HostListLag::Held {
+            state.held_hosts = Some(Arc::from(content));
+            return Ok(());
+        }
+        drop(state);
+        self.put(HOSTS_KEY, &content)?;
+        Ok(())
+    }
+
+    /// Sets whether the host list lags; ending the lag serves the newest list.
+    pub fn set_host_list_lag(&self, lag: HostListLag) {
+        let mut state = self.shared.lock();
+        state.lag = lag;
+        if lag == HostListLag::Held {
+            return;
+        }
+        if let Some(content) = state.held_hosts.take() {
+            state.put(HOSTS_KEY, content);
+            self.shared.changed.notify_all();
+        }
+    }
+
+    /// Sets how values are served.
+    pub fn set_mode(&self, mode: ServiceMode) {
+        let mut state = self.shared.lock();
+        state.mode = mode;
+        match mode {
+            ServiceMode::Current => state.frozen = None,
+            ServiceMode::Stale if state.frozen.is_none() => {
+                state.frozen = Some(state.current.clone());
+            }
+            ServiceMode::Stale | ServiceMode::Away => {}
+        }
+        drop(state);
+        self.shared.changed.notify_all();
+        match mode {
+            ServiceMode::Away => self.server.control().refuse(),
+            ServiceMode::Current | ServiceMode::Stale => self.server.control().open(),
+        }
+    }
+
+    /// Returns the calls since the start.
+    #[must_use]
+    pub fn calls(&self) -> CallCounts {
+        self.shared.lock().calls
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn read(&self, key: &str) -> HttpResponse {
+        let mut state = self.lock();
+        state.calls.reads += 1;
+        match state.get(key) {
+            Some(value) => found(value),
+            None => HttpResponse::new(404, Vec::new()),
+        }
+    }
+
+    // Returns nothing if the service went away meanwhile.
+    fn watch(&self, key: &str, after: u64, wait: Duration, control: &ServerControl) -> Watched {
+        let limit = Instant::now() + wait.min(MAX_WAIT);
+        let mut state = self.lock();
+        state.calls.watches += 1;
+        loop {
+            if state.mode == ServiceMode::Away || control.token().is_cancelled() {
+                return Watched::Interrupted;
+            }
+            let value = state.get(key);
+            if let Some(newer) = value.filter(|value| value.revision > after) {
+                return Watched::Answer(found(newer));
+            }
+            let left = limit.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                let status = if value.is_some() { 304 } else { 404 };
+                return Watched::Answer(HttpResponse::new(status, Vec::new()));
+            }
+            state = self
+                .changed
+                .wait_timeout(state, left)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+    }
+}
+
+enum Watched {
+    Answer(HttpResponse),
+    Interrupted,
+}
+
+fn found(value: &Value) -> HttpResponse {
+    HttpResponse::new(200, value.content.to_vec())
+        .with_header(REVISION_HEADER, &value.revision.to_string())
+}
+
+fn serve_connection(shared: &Shared, control: &ServerControl, stream: TcpStream) {
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
+    let mut reader = RequestReader::new(stream);
+    while let Ok(Some(request)) = reader.next_request() {
+        let Watched::Answer(response) = answer(shared, control, &request) else {
+            return;
+        };
+        let (head, body) = response.encode(&request.method);
+        let sent = crate::http::write_parts(&mut writer, &head, &body);
+        if sent.is_err() || request.wants_close() {
+            return;
+        }
+    }
+}
+
+fn answer(shared: &Shared, control: &ServerControl, request: &HttpRequest) -> Watched {
+    let Some(key) = request.path().strip_prefix(VALUES_PREFIX) else {
+        return Watched::Answer(HttpResponse::new(404, Vec::new()));
+    };
+    if request.method != "GET" {
+        return Watched::Answer(HttpResponse::new(405, Vec::new()));
+    }
+    let after = request.query("after").and_then(|text| text.parse().ok());
+    let Some(after) = after else {
+        return Watched::Answer(shared.read(key));
+    };
+    let wait_ms = request.query("wait-ms").and_then(|text| text.parse().ok());
+    let wait = Duration::from_millis(wait_ms.unwrap_or(0));
+    shared.watch(key, after, wait, control)
+}
--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,303 @@
+//! HTTP/1.1 by hand, so that a stand-in controls each byte of an answer.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+const MAX_HEAD_BYTES: u64 = 64 * 1024;
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// One request as it was read from the wire.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HttpRequest {
+    /// The method, as sent.
+    pub method: String,
+    /// The request target, as sent.
+    pub target: String,
+    /// Header names and values in their order, as sent.
+    pub headers: Vec<(String, String)>,
+    /// The decoded body.
+    pub body: Vec<u8>,
+    /// All bytes up to the body.
+    pub raw_head: Vec<u8>,
+}
+
+impl HttpRequest {
+    /// Returns the first value of a header, whose name is compared without case.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut matching = self
+            .headers
+            .iter()
+            .filter(|(header, _)| header.eq_ignore_ascii_case(name));
+        matching.next().map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the target's path.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// Returns a parameter of the query, undecoded.
+    #[must_use]
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.target.split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+
+    /// Reports whether the client wants the connection closed after the answer.
+    #[must_use]
+    pub fn wants_close(&self) -> bool {
+        self.header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+}
+
+/// How the length of a body is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    ContentLength,
+    Chunked,
+    UntilClose,
+}
+
+/// One answer before it is encoded.
+#[derive(Debug, Clone)]
+pub(crate) struct HttpResponse {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+    pub(crate) framing: Framing,
+}
+
+impl HttpResponse {
+    pub(crate) fn new(status: u16, body: Vec<u8>) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            body,
+            framing: Framing::ContentLength,
+        }
+    }
+
+    pub(crate) fn with_header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    pub(crate) fn with_framing(mut self, framing: Framing) -> Self {
+        self.framing = framing;
+        self
+    }
+
+    /// Encodes the answer; returns the head and the framed body.
+    pub(crate) fn encode(&self, method: &str) -> (Vec<u8>, Vec<u8>) {
+        let bodiless = self.status < 200 || self.status == 204 || self.status == 304;
+        let mut head = format!("HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        match self.framing {
+            _ if bodiless => {}
+            Framing::ContentLength => {
+                head.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
+            }
+            Framing::Chunked => head.push_str("Transfer-Encoding: chunked\r\n"),
+            Framing::UntilClose => head.push_str("Connection: close\r\n"),
+        }
+        head.push_str("\r\n");
+        if bodiless || method.eq_ignore_ascii_case("HEAD") {
+            return (head.into_bytes(), Vec::new());
+        }
+        let body = match self.framing {
+            Framing::Chunked => chunked(&self.body),
+            Framing::ContentLength | Framing::UntilClose => self.body.clone(),
+        };
+        (head.into_bytes(), body)
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        204 => "No Content",
+        304 => "Not Modified",
+        404 => "Not Found",
+        500 => "Internal Server Error",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Other",
+    }
+}
+
+fn chunked(body: &[u8]) -> Vec<u8> {
+    let mut framed = Vec::with_capacity(body.len() + 64);
+    for chunk in body.chunks(CHUNK_BYTES) {
+        framed.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+        framed.extend_from_slice(chunk);
+        framed.extend_from_slice(b"\r\n");
+    }
+    framed.extend_from_slice(b"0\r\n\r\n");
+    framed
+}
+
+/// Whether the client of a connection is still there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ClientState {
+    Waiting,
+    Gone,
+}
+
+/// The reading half of a server's connection.
+#[derive(Debug)]
+pub(crate) struct RequestReader {
+    reader: BufReader<TcpStream>,
+}
+
+impl RequestReader {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            reader: BufReader::new(stream),
+        }
+    }
+
+    /// Reads the next request; `None` once the client has closed.
+    pub(crate) fn next_request(&mut self) -> io::Result<Option<HttpRequest>> {
+        let raw_head = self.read_head()?;
+        if raw_head.is_empty() {
+            return Ok(None);
+        }
+        let mut request = parse_head(raw_head)?;
+        request.body = self.read_body(&request)?;
+        Ok(Some(request))
+    }
+
+    /// Waits up to `timeout` for the client to close.
+    pub(crate) fn wait_for_close(&self, timeout: Duration) -> ClientState {
+        std::thread::sleep(timeout);
+        if !self.reader.buffer().is_empty() {
+            return ClientState::Waiting;
+        }
+        let stream = self.reader.get_ref();
+        if stream.set_nonblocking(true).is_err() {
+            return ClientState::Gone;
+        }
+        let peeked = stream.peek(&mut [0]);
+        if stream.set_nonblocking(false).is_err() {
+            return ClientState::Gone;
+        }
+        match peeked {
+            Ok(0) => ClientState::Gone,
+            Ok(_) => ClientState::Waiting,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => ClientState::Waiting,
+            Err(_) => ClientState::Gone,
+        }
+    }
+
+    fn read_head(&mut self) -> io::Result<Vec<u8>> {
+        let mut head = Vec::new();
+        let mut limited = (&mut self.reader).take(MAX_HEAD_BYTES);
+        loop {
+            let line_start = head.len();
+            limited.read_until(b'\n', &mut head)?;
+            let line = &head[line_start..];
+            if line.is_empty() && line_start == 0 {
+                return Ok(head);
+            }
+            if !line.ends_with(b"\n") {
+                return Err(invalid("the head is cut or too long"));
+            }
+            if line == b"\r\n" || line == b"\n" {
+                return Ok(head);
+            }
+        }
+    }
+
+    fn read_body(&mut self, request: &HttpRequest) -> io::Result<Vec<u8>> {
+        if request.header("transfer-encoding").is_some() {
+            return self.read_chunks();
+        }
+        let Some(length) = request.header("content-length") else {
+            return Ok(Vec::new());
+        };
+        let length: u64 = length.parse().map_err(|_| invalid("content-length"))?;
+        if length > MAX_BODY_BYTES {
+            return Err(invalid("the body is too long"));
+        }
+        self.read_exactly(length)
+    }
+
+    fn read_chunks(&mut self) -> io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            let line = self.read_line()?;
+            let digits = line.split(';').next().unwrap_or_default().trim();
+            let length = u64::from_str_radix(digits, 16).map_err(|_| invalid("chunk size"))?;
+            if body.len() as u64 + length > MAX_BODY_BYTES {
+                return Err(invalid("the body is too long"));
+            }
+            if length == 0 {
+                while !self.read_line()?.trim().is_empty() {}
+                return Ok(body);
+            }
+            body.extend(self.read_exactly(length)?);
+            self.read_line()?;
+        }
+    }
+
+    fn read_exactly(&mut self, length: u64) -> io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        (&mut self.reader).take(length).read_to_end(&mut body)?;
+        if body.len() as u64 != length {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(body)
+    }
+
+    fn read_line(&mut self) -> io::Result<String> {
+        let mut line = Vec::new();
+        (&mut self.reader)
+            .take(MAX_HEAD_BYTES)
+            .read_until(b'\n', &mut line)?;
+        if line.is_empty() {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        String::from_utf8(line).map_err(|_| invalid("text"))
+    }
+}
+
+fn parse_head(raw_head: Vec<u8>) -> io::Result<HttpRequest> {
+    let text = String::from_utf8_lossy(&raw_head).into_owned();
+    let mut lines = text.lines();
+    let mut parts = lines.next().unwrap_or_default().split(' ');
+    let (Some(method), Some(target), Some(_)) = (parts.next(), parts.next(), parts.next()) else {
+        return Err(invalid("request line"));
+    };
+    let mut headers = Vec::new();
+    for line in lines {
+        let Some((name, value)) = line.split_once(':') else {
+            continue;
+        };
+        headers.push((name.to_owned(), value.trim().to_owned()));
+    }
+    Ok(HttpRequest {
+        method: method.to_owned(),
+        target: target.to_owned(),
+        headers,
+        body: Vec::new(),
+        raw_head,
+    })
+}
+
+fn invalid(what: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+/// Writes the head and the body of an answer.
+pub(crate) fn write_parts(writer: &mut TcpStream, head: &[u8], body: &[u8]) -> io::Result<()> {
+    writer.write_all(head)?;
+    writer.write_all(body)
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,22 @@
 //! Small stand-ins for what surrounds the fleet: the configuration service, the
 //! host list, upstream instances, and the links between hosts in virtual time.
+//!
+//! The servers listen on free loopback ports as threads of one process. They
+//! speak HTTP/1.1 by hand: a server library would hide the failures that they
+//! have to cause. Each stops when it is dropped or its token is cancelled.
 
+pub mod config_service;
+pub mod error;
+pub mod http;
 pub mod links;
+mod server;
+pub mod upstream;
 
+pub use config_service::{CallCounts, ConfigService, HostListLag, ServiceMode};
+pub use error::StandinError;
+pub use http::HttpRequest;
 pub use links::{Delivery, LinkFaults, Links};
+pub use upstream::{
+    Cut, Faults, GrayFailure, GrayKind, Phase, RequestOutcome, RequestRecord, UpstreamServer,
+    UpstreamSettings,
+};
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,295 @@
+//! A TCP server that can refuse connections and come back on the same port.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Socket, Type};
+use waxwingusher_core::CancelToken;
+
+const BACKLOG: i32 = 1024;
+const REOPEN_RETRY: Duration = Duration::from_millis(5);
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+
+type Handler = Arc<dyn Fn(TcpStream) + Send + Sync>;
+
+/// Whether new connections are taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Gate {
+    Open,
+    Refusing,
+    RefusingUntil(Instant),
+}
+
+#[derive(Debug)]
+struct State {
+    gate: Gate,
+    is_listening: bool,
+    next_id: u64,
+    streams: HashMap<u64, TcpStream>,
+}
+
+/// The part of a server that its connections reach.
+#[derive(Debug)]
+pub(crate) struct ServerControl {
+    addr: SocketAddr,
+    token: CancelToken,
+    max_connections: usize,
+    state: Mutex<State>,
+    changed: Condvar,
+    // Holds the port while nothing listens on it.
+    _reservation: Socket,
+}
+
+/// A running server with a thread for each connection.
+#[derive(Debug)]
+pub(crate) struct Server {
+    control: Arc<ServerControl>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Opens a free loopback port. The handler gets each connection on a
+    /// thread of its own.
+    pub(crate) fn start(
+        parent: &CancelToken,
+        max_connections: usize,
+        make_handler: impl FnOnce(Arc<ServerControl>) -> Handler,
+    ) -> io::Result<Self> {
+        let reservation = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let addr = reservation
+            .local_addr()?
+            .as_socket()
+            .ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let control = Arc::new(ServerControl {
+            addr,
+            token: parent.child(),
+            max_connections,
+            state: Mutex::new(State {
+                gate: Gate::Open,
+                is_listening: true,
+                next_id: 0,
+                streams: HashMap::new(),
+            }),
+            changed: Condvar::new(),
+            _reservation: reservation,
+        });
+        let listener = listen(addr)?;
+        let handler = make_handler(control.clone());
+        let accepting = control.clone();
+        let thread = std::thread::Builder::new()
+            .name("standin-accept".to_owned())
+            .spawn(move || accept_loop(&accepting, listener, &handler))?;
+        let weak = Arc::downgrade(&control);
+        control.token.on_cancel(move || {
+            let Some(control) = weak.upgrade() else {
+                return;
+            };
+            control.close_all();
+            control.changed.notify_all();
+            control.wake();
+        });
+        Ok(Self {
+            control,
+            thread: Some(thread),
+        })
+    }
+
+    pub(crate) fn control(&self) -> &Arc<ServerControl> {
+        &self.control
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.control.token.cancel();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+        self.control.wait_for_connections();
+    }
+}
+
+impl ServerControl {
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    pub(crate) fn token(&self) -> &CancelToken {
+        &self.token
+    }
+
+    /// Refuses connections until [`Self::open`], and closes those that are open.
+    pub(crate) fn refuse(&self) {
+        self.shut(Gate::Refusing);
+    }
+
+    /// Refuses connections for a while, and closes those that are open.
+    pub(crate) fn refuse_for(&self, down_time: Duration) {
+        self.shut(Gate::RefusingUntil(Instant::now() + down_time));
+    }
+
+    /// Takes connections again; returns when the port is open.
+    pub(crate) fn open(&self) {
+        let mut state = self.lock();
+        state.gate = Gate::Open;
+        self.changed.notify_all();
+        while !state.is_listening && !self.token.is_cancelled() {
+            state = self.wait(state, REOPEN_RETRY);
+        }
+    }
+
+    /// Closes all connections.
+    pub(crate) fn close_all(&self) {
+        for stream in self.lock().streams.values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn connections(&self) -> usize {
+        self.lock().streams.len()
+    }
+
+    fn shut(&self, gate: Gate) {
+        let mut state = self.lock();
+        state.gate = gate;
+        drop(state);
+        self.wake();
+        state = self.lock();
+        while state.is_listening && state.gate != Gate::Open && !self.token.is_cancelled() {
+            state = self.wait(state, REOPEN_RETRY);
+        }
+        drop(state);
+        self.close_all();
+    }
+
+    // Ends a blocked `accept`.
+    fn wake(&self) {
+        let _ = TcpStream::connect(self.addr);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wait<'a>(&self, state: MutexGuard<'a, State>, timeout: Duration) -> MutexGuard<'a, State> {
+        self.changed
+            .wait_timeout(state, timeout)
+            .unwrap_or_else(PoisonError::into_inner)
+            .0
+    }
+
+    fn wait_for_connections(&self) {
+        let limit = Instant::now() + STOP_TIMEOUT;
+        let mut state = self.lock();
+        while !state.streams.is_empty() && Instant::now() < limit {
+            state = self.wait(state, REOPEN_RETRY);
+        }
+    }
+
+    // Waits until the gate is open; false once the server stops.
+    fn wait_until_open(&self) -> bool {
+        let mut state = self.lock();
+        state.is_listening = false;
+        self.changed.notify_all();
+        loop {
+            if self.token.is_cancelled() {
+                return false;
+            }
+            match state.gate {
+                Gate::Open => return true,
+                Gate::RefusingUntil(at) if at <= Instant::now() => {
+                    state.gate = Gate::Open;
+                    return true;
+                }
+                Gate::Refusing | Gate::RefusingUntil(_) => {}
+            }
+            state = self.wait(state, REOPEN_RETRY);
+        }
+    }
+
+    fn is_open(&self) -> bool {
+        self.lock().gate == Gate::Open && !self.token.is_cancelled()
+    }
+
+    fn register(&self, stream: &TcpStream) -> Option<u64> {
+        let copy = stream.try_clone().ok()?;
+        let mut state = self.lock();
+        let is_refused = state.gate != Gate::Open || self.token.is_cancelled();
+        if is_refused || state.streams.len() >= self.max_connections {
+            return None;
+        }
+        state.next_id += 1;
+        let id = state.next_id;
+        state.streams.insert(id, copy);
+        Some(id)
+    }
+
+    fn unregister(&self, id: u64) {
+        self.lock().streams.remove(&id);
+        self.changed.notify_all();
+    }
+}
+
+fn accept_loop(control: &Arc<ServerControl>, first: TcpListener, handler: &Handler) {
+    let mut listener = Some(first);
+    loop {
+        if let Some(open) = listener.take() {
+            accept_while_open(control, &open, handler);
+        }
+        if !control.wait_until_open() {
+            return;
+        }
+        match listen(control.addr) {
+            Ok(open) => {
+                control.lock().is_listening = true;
+                control.changed.notify_all();
+                listener = Some(open);
+            }
+            Err(error) => {
+                log::warn!("standins: reopening {} failed: {error}", control.addr);
+                std::thread::sleep(REOPEN_RETRY);
+            }
+        }
+    }
+}
+
+fn accept_while_open(control: &Arc<ServerControl>, listener: &TcpListener, handler: &Handler) {
+    while control.is_open() {
+        let Ok((stream, _)) = listener.accept() else {
+            continue;
+        };
+        let Some(id) = control.register(&stream) else {
+            continue;
+        };
+        let handler = handler.clone();
+        let owner = control.clone();
+        let spawned = std::thread::Builder::new()
+            .name("standin-connection".to_owned())
+            .spawn(move || {
+                let _ = stream.set_nodelay(true);
+                handler(stream);
+                owner.unregister(id);
+            });
+        if spawned.is_err() {
+            control.unregister(id);
+        }
+    }
+}
+
+fn bind(addr: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())?;
+    Ok(socket)
+}
+
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = bind(addr)?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
--- /dev/null
+++ b/crates/standins/src/upstream/answers.rs
@@ -0,0 +1,99 @@
+//! The answer that a path asks for.
+
+use crate::http::{Framing, HttpRequest, HttpResponse};
+
+use super::settings::{Faults, Phase};
+
+const PATTERN_PERIOD: usize = 251;
+
+/// Returns the body that the paths with a size answer with.
+#[must_use]
+pub fn body_pattern(len_bytes: usize) -> Vec<u8> {
+    (0..len_bytes).map(|i| (i % PATTERN_PERIOD) as u8).collect()
+}
+
+/// An answer and the byte of its framed body before which it ends.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) response: HttpResponse,
+    pub(super) die_at_bytes: Option<usize>,
+}
+
+impl Answer {
+    pub(super) fn whole(response: HttpResponse) -> Self {
+        Self {
+            response,
+            die_at_bytes: None,
+        }
+    }
+}
+
+/// Builds the answer that the path asks for.
+pub(super) fn for_request(request: &HttpRequest) -> Answer {
+    let segments: Vec<_> = request.path().split('/').collect();
+    for (i, segment) in segments.iter().enumerate() {
+        let first = number(segments.get(i + 1));
+        let second = number(segments.get(i + 2));
+        let Some(answer) = for_segment(segment, first, second) else {
+            continue;
+        };
+        return answer;
+    }
+    Answer::whole(echo(request))
+}
+
+/// Builds the answer of the health endpoint, which knows nothing of failures.
+pub(super) fn health(faults: &Faults) -> HttpResponse {
+    match faults.phase {
+        Phase::Live => json(200, "{\"state\":\"live\"}".to_owned()),
+        Phase::Draining => json(503, "{\"state\":\"draining\"}".to_owned()),
+    }
+}
+
+/// Builds the answer of the load endpoint.
+pub(super) fn load(faults: &Faults, in_flight: usize, slots: usize) -> HttpResponse {
+    let in_flight = faults.reported_in_flight.unwrap_or(in_flight);
+    let body = format!("{{\"in-flight\":{in_flight},\"slots\":{slots}}}");
+    json(200, body)
+}
+
+fn json(status: u16, body: String) -> HttpResponse {
+    HttpResponse::new(status, body.into_bytes()).with_header("Content-Type", "application/json")
+}
+
+fn number(segment: Option<&&str>) -> Option<usize> {
+    segment.and_then(|text| text.parse().ok())
+}
+
+fn for_segment(segment: &str, first: Option<usize>, second: Option<usize>) -> Option<Answer> {
+    let framing = match segment {
+        "empty" => return Some(Answer::whole(HttpResponse::new(200, Vec::new()))),
+        "status" => return first.map(status),
+        "bytes" | "die" => Framing::ContentLength,
+        "chunked" | "die-chunked" => Framing::Chunked,
+        "until-close" => Framing::UntilClose,
+        _ => return None,
+    };
+    let response = HttpResponse::new(200, body_pattern(first?)).with_framing(framing);
+    let dies = segment.starts_with("die");
+    Some(Answer {
+        response,
+        die_at_bytes: if dies { Some(second?) } else { None },
+    })
+}
+
+fn status(code: usize) -> Answer {
+    let code = u16::try_from(code).unwrap_or(500);
+    let body = format!("status {code}\n").into_bytes();
+    let response = HttpResponse::new(code, body);
+    if (300..400).contains(&code) && code != 304 {
+        return Answer::whole(response.with_header("Location", "/echo"));
+    }
+    Answer::whole(response)
+}
+
+fn echo(request: &HttpRequest) -> HttpResponse {
+    HttpResponse::new(200, request.body.clone())
+        .with_header("X-Echo-Method", &request.method)
+        .with_header("X-Echo-Target", &request.target)
+}
--- /dev/null
+++ b/crates/standins/src/upstream/mod.rs
@@ -0,0 +1,181 @@
+//! An upstream instance whose failures are set on command.
+
+mod answers;
+mod records;
+mod settings;
+mod work;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::CancelToken;
+
+use crate::error::StandinError;
+use crate::server::Server;
+use records::Records;
+
+pub use answers::body_pattern;
+pub use records::{RequestOutcome, RequestRecord};
+pub use settings::{Cut, Faults, GrayFailure, GrayKind, Phase, UpstreamSettings};
+
+/// The header that names the operation which a request belongs to.
+pub const OPERATION_HEADER: &str = "x-operation-id";
+/// The header with the time left, in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// The header of an answer that says the request was not run.
+pub const SHED_HEADER: &str = "x-waxwingusher-shed";
+/// The value of [`SHED_HEADER`].
+pub const SHED_VALUE: &str = "not-run";
+/// A request whose target or body has this text crashes the instance.
+pub const CRASH_MARKER: &str = "crash-the-instance";
+
+/// The stand-in for one upstream instance.
+///
+/// A path segment selects the answer: `echo`, `status/<n>`, `bytes/<n>`,
+/// `chunked/<n>`, `until-close/<n>`, `empty`, `die/<n>/<offset>` and
+/// `die-chunked/<n>/<offset>`. `/health` and `/load` are the endpoints for
+/// hints. Everything else answers like `echo`.
+#[derive(Debug)]
+pub struct UpstreamServer {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl UpstreamServer {
+    /// Starts an instance on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port or thread can be had.
+    pub fn start(settings: UpstreamSettings, token: &CancelToken) -> Result<Self, StandinError> {
+        let max_connections = settings.max_connections;
+        let shared = Arc::new(Shared::new(settings));
+        let instance = shared.clone();
+        let server = Server::start(token, max_connections, |control| {
+            Arc::new(move |stream| work::serve_connection(&instance, &control, stream))
+        })?;
+        Ok(Self { shared, server })
+    }
+
+    /// Returns where the instance listens.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.control().addr()
+    }
+
+    /// Returns the faults that are set.
+    #[must_use]
+    pub fn faults(&self) -> Faults {
+        self.shared.faults()
+    }
+
+    /// Sets all faults; `Faults::default()` makes the instance healthy.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.lock().faults = faults;
+    }
+
+    /// Starts or ends the drain; a draining instance runs no new work.
+    pub fn set_phase(&self, phase: Phase) {
+        self.shared.lock().faults.phase = phase;
+    }
+
+    /// Closes all connections at once and refuses new ones for a while. The
+    /// instance is cold when it is back.
+    pub fn crash(&self, down_time: Duration) {
+        self.shared.restart_at(Instant::now() + down_time);
+        self.server.control().refuse_for(down_time);
+    }
+
+    /// Ends the down time after a crash; returns when the port is open.
+    pub fn recover(&self) {
+        self.shared.restart_at(Instant::now());
+        self.server.control().open();
+    }
+
+    /// Returns all requests for work that have arrived, in their order.
+    #[must_use]
+    pub fn requests(&self) -> Vec<RequestRecord> {
+        self.shared.lock().records.all()
+    }
+
+    /// Returns how often the work of an operation was begun.
+    #[must_use]
+    pub fn runs_of(&self, operation: &str) -> u64 {
+        self.shared.lock().records.runs_of(operation)
+    }
+
+    /// Returns how many requests were run.
+    #[must_use]
+    pub fn runs(&self) -> u64 {
+        self.shared.lock().records.runs()
+    }
+
+    /// Returns how many requests were refused with [`SHED_HEADER`].
+    #[must_use]
+    pub fn sheds(&self) -> u64 {
+        self.shared.lock().records.sheds()
+    }
+
+    /// Reports whether the bytes were in any request, for any path.
+    #[must_use]
+    pub fn has_seen(&self, needle: &[u8]) -> bool {
+        self.shared.lock().records.has_seen(needle)
+    }
+
+    /// Returns the number of requests that are worked on.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.shared.lock().in_flight
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.server.control().connections()
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    faults: Faults,
+    in_flight: usize,
+    warm_at: Instant,
+    rng: fastrand::Rng,
+    records: Records,
+}
+
+/// The part of an instance that its connections reach.
+#[derive(Debug)]
+struct Shared {
+    settings: UpstreamSettings,
+    state: Mutex<State>,
+}
+
+impl Shared {
+    fn new(settings: UpstreamSettings) -> Self {
+        let state = State {
+            faults: Faults::default(),
+            in_flight: 0,
+            warm_at: Instant::now() + settings.cold_start,
+            rng: fastrand::Rng::with_seed(settings.seed),
+            records: Records::default(),
+        };
+        Self {
+            settings,
+            state: Mutex::new(state),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn faults(&self) -> Faults {
+        self.lock().faults
+    }
+
+    fn restart_at(&self, at: Instant) {
+        self.lock().warm_at = at + self.settings.cold_start;
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/testsuite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the stand-ins over real sockets, by concern.
+
+mod client;
+mod config_service;
+mod upstream;
+mod upstream_faults;
