--- /dev/null
+++ b/crates/host/src/decisions.rs
@@ -0,0 +1,79 @@
+//! The latest decisions of a host, for operators who ask why.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::SystemTime;
+
+use serde::Serialize;
+
+/// Requests whose decisions are kept.
+const MAX_REQUESTS: usize = 4_096;
+/// Decisions that are kept of one request.
+const MAX_STEPS: usize = 16;
+
+/// One decision on a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct DecisionStep {
+    /// When it was taken, in milliseconds since the epoch.
+    pub at_epoch_ms: u64,
+    /// What was decided, as in the log.
+    pub text: Arc<str>,
+}
+
+/// Decisions by request, the oldest request dropped first.
+#[derive(Debug, Default)]
+pub struct DecisionLog {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    steps: HashMap<Arc<str>, Vec<DecisionStep>>,
+    order: VecDeque<Arc<str>>,
+}
+
+impl DecisionLog {
+    /// Logs a decision and keeps it for a while.
+    pub fn record(&self, request: &str, wall: SystemTime, text: &str) {
+        log::info!("route: Request {request}: {text}.");
+        let step = DecisionStep {
+            at_epoch_ms: epoch_ms(wall),
+            text: Arc::from(text),
+        };
+        let mut inner = self.lock();
+        if let Some(steps) = inner.steps.get_mut(request) {
+            if steps.len() < MAX_STEPS {
+                steps.push(step);
+            }
+            return;
+        }
+        inner.add(Arc::from(request), step);
+    }
+
+    /// Returns the decisions on a request, in order.
+    #[must_use]
+    pub fn of_request(&self, request: &str) -> Vec<DecisionStep> {
+        self.lock().steps.get(request).cloned().unwrap_or_default()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn add(&mut self, request: Arc<str>, step: DecisionStep) {
+        if self.order.len() >= MAX_REQUESTS {
+            let oldest = self.order.pop_front();
+            oldest.and_then(|request| self.steps.remove(&request));
+        }
+        self.order.push_back(request.clone());
+        self.steps.insert(request, vec![step]);
+    }
+}
+
+fn epoch_ms(wall: SystemTime) -> u64 {
+    let since_epoch = wall.duration_since(SystemTime::UNIX_EPOCH);
+    since_epoch.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/host/src/settings.rs
@@ -0,0 +1,436 @@
+//! Settings of a host, read from flags and environment variables.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use waxwingusher_core::{FailureDomain, HostId};
+use waxwingusher_edge::EdgeSettings;
+
+/// The least length of the fleet's secret.
+pub const MIN_SECRET_BYTES: usize = 16;
+
+/// All settings of one host.
+#[derive(Debug, Clone)]
+pub struct HostSettings {
+    /// The host's name.
+    pub host_id: HostId,
+    /// The host's failure domain.
+    pub failure_domain: FailureDomain,
+    /// All failure domains of the fleet, in the same order on all hosts.
+    pub failure_domains: Vec<FailureDomain>,
+    /// The callers' edge.
+    pub edge: EdgeSettings,
+    /// Where operators connect.
+    pub operator_addr: SocketAddr,
+    /// Where peers send datagrams and open connections.
+    pub peer_addr: SocketAddr,
+    /// The configuration service.
+    pub config_service: SocketAddr,
+    /// The secret by which hosts of the fleet know each other.
+    pub fleet_secret: FleetSecret,
+    /// The token of operators; without one only health endpoints answer.
+    pub operator_token: Option<Arc<str>>,
+    /// Where metrics are sent.
+    pub statsd_addr: Option<SocketAddr>,
+    /// Threads that forward requests.
+    pub workers: usize,
+    /// Requests of one workspace that may wait.
+    pub queue_per_workspace: usize,
+    /// How long a keyed operation runs at most once.
+    pub attempt_window: Duration,
+    /// How the first host of a new fleet gets ready.
+    pub bootstrap: Bootstrap,
+}
+
+/// Whether a host may become ready without hearing from a peer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Bootstrap {
+    /// The host asks its peers first.
+    #[default]
+    AskPeers,
+    /// The host belongs to a fleet that starts for the first time.
+    NewFleet,
+}
+
+/// A secret that is never printed.
+#[derive(Clone, PartialEq, Eq)]
+pub struct FleetSecret(Arc<[u8]>);
+
+impl FleetSecret {
+    /// Creates a secret from its bytes.
+    #[must_use]
+    pub fn new(bytes: &[u8]) -> Self {
+        Self(Arc::from(bytes))
+    }
+
+    /// Returns the secret's bytes.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for FleetSecret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("FleetSecret(..)")
+    }
+}
+
+/// A setting is missing or cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("--{flag} ({variable}): {problem}; allowed: {allowed}")]
+pub struct SettingError {
+    /// The flag.
+    pub flag: &'static str,
+    /// The environment variable.
+    pub variable: &'static str,
+    /// What is wrong with the value.
+    pub problem: SettingProblem,
+    /// What is allowed.
+    pub allowed: &'static str,
+}
+
+/// What is wrong with a setting.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SettingProblem {
+    /// There is no value and no default.
+    #[error("no value is given")]
+    Missing,
+    /// The value is not allowed.
+    #[error("`{0}` is not allowed")]
+    Invalid(Arc<str>),
+    /// The value is not allowed and not shown, as it may be a secret.
+    #[error("the value is not allowed")]
+    InvalidSecret,
+}
+
+/// One setting: its names, its default and what is allowed.
+#[derive(Debug, Clone, Copy)]
+pub struct Setting {
+    /// The flag, without dashes.
+    pub flag: &'static str,
+    /// The environment variable.
+    pub variable: &'static str,
+    /// The value if none is given.
+    pub default: Option<&'static str>,
+    /// What is allowed, for messages.
+    pub allowed: &'static str,
+}
+
+const fn setting(
+    flag: &'static str,
+    variable: &'static str,
+    default: Option<&'static str>,
+    allowed: &'static str,
+) -> Setting {
+    Setting {
+        flag,
+        variable,
+        default,
+        allowed,
+    }
+}
+
+const HOST_ID: Setting = setting("host-id", "WAXWINGUSHER_HOST_ID", None, "a name");
+const FAILURE_DOMAIN: Setting = setting(
+    "failure-domain",
+    "WAXWINGUSHER_FAILURE_DOMAIN",
+    None,
+    "one of the names in --failure-domains",
+);
+const FAILURE_DOMAINS: Setting = setting(
+    "failure-domains",
+    "WAXWINGUSHER_FAILURE_DOMAINS",
+    None,
+    "names of all failure domains, separated by commas, alike on all hosts",
+);
+const CALLER_ADDR: Setting = setting(
+    "caller-addr",
+    "WAXWINGUSHER_CALLER_ADDR",
+    Some("0.0.0.0:8080"),
+    "an IP number and a port",
+);
+const OPERATOR_ADDR: Setting = setting(
+    "operator-addr",
+    "WAXWINGUSHER_OPERATOR_ADDR",
+    Some("127.0.0.1:8081"),
+    "an IP number and a port",
+);
+const PEER_ADDR: Setting = setting(
+    "peer-addr",
+    "WAXWINGUSHER_PEER_ADDR",
+    Some("0.0.0.0:8082"),
+    "an IP number and a port",
+);
+const CONFIG_SERVICE: Setting = setting(
+    "config-service",
+    "WAXWINGUSHER_CONFIG_SERVICE",
+    None,
+    "an IP number and a port",
+);
+const STATSD_ADDR: Setting = setting(
+    "statsd-addr",
+    "WAXWINGUSHER_STATSD_ADDR",
+    Some("none"),
+    "an IP number and a port, or `none`",
+);
+const FLEET_SECRET: Setting = setting(
+    "fleet-secret",
+    "WAXWINGUSHER_FLEET_SECRET",
+    None,
+    "at least 16 bytes, in the environment only",
+);
+const OPERATOR_TOKEN: Setting = setting(
+    "operator-token",
+    "WAXWINGUSHER_OPERATOR_TOKEN",
+    Some("none"),
+    "at least 16 bytes, in the environment only, or `none`",
+);
+const WORKERS: Setting = setting("workers", "WAXWINGUSHER_WORKERS", Some("128"), "1 to 2048");
+const QUEUE: Setting = setting(
+    "queue-per-workspace",
+    "WAXWINGUSHER_QUEUE_PER_WORKSPACE",
+    Some("64"),
+    "1 to 65536",
+);
+const MAX_CONNECTIONS: Setting = setting(
+    "max-connections",
+    "WAXWINGUSHER_MAX_CONNECTIONS",
+    Some("4096"),
+    "1 to 65536",
+);
+const MAX_BODY_BYTES: Setting = setting(
+    "max-body-bytes",
+    "WAXWINGUSHER_MAX_BODY_BYTES",
+    Some("16777216"),
+    "0 to 1073741824",
+);
+const DRAIN_TIMEOUT_MS: Setting = setting(
+    "drain-timeout-ms",
+    "WAXWINGUSHER_DRAIN_TIMEOUT_MS",
+    Some("30000"),
+    "0 to 600000",
+);
+const ATTEMPT_WINDOW_MS: Setting = setting(
+    "attempt-window-ms",
+    "WAXWINGUSHER_ATTEMPT_WINDOW_MS",
+    Some("600000"),
+    "1000 to 86400000, alike on all hosts",
+);
+const BOOTSTRAP: Setting = setting(
+    "bootstrap",
+    "WAXWINGUSHER_BOOTSTRAP",
+    Some("ask-peers"),
+    "`ask-peers` or `new-fleet`",
+);
+
+/// Returns all settings, for the manual.
+#[must_use]
+pub fn all_settings() -> Vec<Setting> {
+    vec![
+        HOST_ID,
+        FAILURE_DOMAIN,
+        FAILURE_DOMAINS,
+        CALLER_ADDR,
+        OPERATOR_ADDR,
+        PEER_ADDR,
+        CONFIG_SERVICE,
+        STATSD_ADDR,
+        FLEET_SECRET,
+        OPERATOR_TOKEN,
+        WORKERS,
+        QUEUE,
+        MAX_CONNECTIONS,
+        MAX_BODY_BYTES,
+        DRAIN_TIMEOUT_MS,
+        ATTEMPT_WINDOW_MS,
+        BOOTSTRAP,
+    ]
+}
+
+/// Where settings come from.
+pub trait SettingSource {
+    /// Returns the value of a flag, if it was given.
+    fn flag(&self, flag: &str) -> Option<String>;
+
+    /// Returns the value of an environment variable, if it is set.
+    fn variable(&self, variable: &str) -> Option<String>;
+}
+
+impl HostSettings {
+    /// Reads all settings; a flag goes before its environment variable.
+    ///
+    /// # Errors
+    ///
+    /// Returns every setting that is missing or not allowed.
+    pub fn read(source: &dyn SettingSource) -> Result<Self, Vec<SettingError>> {
+        let mut reader = Reader {
+            source,
+            errors: Vec::new(),
+        };
+        let settings = reader.read_all();
+        match settings {
+            Some(settings) if reader.errors.is_empty() => Ok(settings),
+            _ => Err(reader.errors),
+        }
+    }
+}
+
+struct Reader<'a> {
+    source: &'a dyn SettingSource,
+    errors: Vec<SettingError>,
+}
+
+impl Reader<'_> {
+    /// Reads every setting before it gives up, so that all errors are found.
+    fn read_all(&mut self) -> Option<HostSettings> {
+        let host_id = self.parse(HOST_ID, name);
+        let failure_domains = self.parse(FAILURE_DOMAINS, names);
+        let failure_domain = self.failure_domain(failure_domains.as_deref());
+        let edge = self.edge();
+        let operator_addr = self.parse(OPERATOR_ADDR, from_str);
+        let peer_addr = self.parse(PEER_ADDR, from_str);
+        let config_service = self.parse(CONFIG_SERVICE, from_str);
+        let statsd_addr = self.parse(STATSD_ADDR, optional);
+        let fleet_secret = self.secret(FLEET_SECRET);
+        let operator_token = self.optional_secret(OPERATOR_TOKEN);
+        let workers = self.parse(WORKERS, |text| in_range(text, 1, 2_048));
+        let queue_per_workspace = self.parse(QUEUE, |text| in_range(text, 1, 65_536));
+        let attempt_window =
+            self.parse(ATTEMPT_WINDOW_MS, |text| millis(text, 1_000, 86_400_000));
+        let bootstrap = self.parse(BOOTSTRAP, bootstrap);
+        Some(HostSettings {
+            host_id: HostId::new(&host_id?),
+            failure_domain: failure_domain?,
+            failure_domains: failure_domains?,
+            edge: edge?,
+            operator_addr: operator_addr?,
+            peer_addr: peer_addr?,
+            config_service: config_service?,
+            fleet_secret: FleetSecret::new(fleet_secret?.as_bytes()),
+            operator_token: operator_token?.map(Arc::from),
+            statsd_addr: statsd_addr?,
+            workers: workers?,
+            queue_per_workspace: queue_per_workspace?,
+            attempt_window: attempt_window?,
+            bootstrap: bootstrap?,
+        })
+    }
+
+    fn edge(&mut self) -> Option<EdgeSettings> {
+        let listen = self.parse(CALLER_ADDR, from_str);
+        let max_connections = self.parse(MAX_CONNECTIONS, |text| in_range(text, 1, 65_536));
+        let max_body_bytes = self.parse(MAX_BODY_BYTES, |text| in_range(text, 0, 1 << 30));
+        let drain_timeout = self.parse(DRAIN_TIMEOUT_MS, |text| millis(text, 0, 600_000));
+        Some(EdgeSettings {
+            listen: listen?,
+            max_connections: max_connections?,
+            max_body_bytes: max_body_bytes?,
+            drain_timeout: drain_timeout?,
+            ..EdgeSettings::default()
+        })
+    }
+
+    fn failure_domain(&mut self, known: Option<&[FailureDomain]>) -> Option<FailureDomain> {
+        self.parse(FAILURE_DOMAIN, |text| {
+            let domain = FailureDomain::new(text);
+            let is_known = known.is_none_or(|known| known.contains(&domain));
+            (is_known && !text.is_empty()).then_some(domain)
+        })
+    }
+
+    fn parse<T>(&mut self, setting: Setting, parse: impl Fn(&str) -> Option<T>) -> Option<T> {
+        let text = self.text(setting)?;
+        let value = parse(text.trim());
+        if value.is_none() {
+            let problem = SettingProblem::Invalid(Arc::from(text));
+            self.refuse(setting, problem);
+        }
+        value
+    }
+
+    fn text(&mut self, setting: Setting) -> Option<String> {
+        let given = self.source.flag(setting.flag);
+        let given = given.or_else(|| self.source.variable(setting.variable));
+        let text = given.or_else(|| setting.default.map(str::to_owned));
+        if text.is_none() {
+            self.refuse(setting, SettingProblem::Missing);
+        }
+        text
+    }
+
+    /// Reads a secret, which is taken from the environment only so that it
+    /// does not show in a list of processes.
+    fn secret(&mut self, setting: Setting) -> Option<String> {
+        let Some(text) = self.source.variable(setting.variable) else {
+            self.refuse(setting, SettingProblem::Missing);
+            return None;
+        };
+        if text.len() < MIN_SECRET_BYTES {
+            self.refuse(setting, SettingProblem::InvalidSecret);
+            return None;
+        }
+        Some(text)
+    }
+
+    fn optional_secret(&mut self, setting: Setting) -> Option<Option<String>> {
+        match self.source.variable(setting.variable).as_deref() {
+            None | Some("none") => Some(None),
+            Some(_) => self.secret(setting).map(Some),
+        }
+    }
+
+    fn refuse(&mut self, setting: Setting, problem: SettingProblem) {
+        self.errors.push(SettingError {
+            flag: setting.flag,
+            variable: setting.variable,
+            problem,
+            allowed: setting.allowed,
+        });
+    }
+}
+
+fn from_str<T: FromStr>(text: &str) -> Option<T> {
+    text.parse().ok()
+}
+
+fn optional<T: FromStr>(text: &str) -> Option<Option<T>> {
+    if text == "none" {
+        return Some(None);
+    }
+    text.parse().ok().map(Some)
+}
+
+fn in_range(text: &str, min: usize, max: usize) -> Option<usize> {
+    text.parse().ok().filter(|n| (min..=max).contains(n))
+}
+
+fn millis(text: &str, min_ms: usize, max_ms: usize) -> Option<Duration> {
+    let millis = in_range(text, min_ms, max_ms)?;
+    Some(Duration::from_millis(u64::try_from(millis).ok()?))
+}
+
+fn name(text: &str) -> Option<String> {
+    let fits = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    (!text.is_empty() && text.chars().all(fits)).then(|| text.to_owned())
+}
+
+fn names(text: &str) -> Option<Vec<FailureDomain>> {
+    let mut domains = Vec::new();
+    for part in text.split(',') {
+        domains.push(FailureDomain::new(&name(part.trim())?));
+    }
+    domains.sort();
+    domains.dedup();
+    Some(domains)
+}
+
+fn bootstrap(text: &str) -> Option<Bootstrap> {
+    match text {
+        "ask-peers" => Some(Bootstrap::AskPeers),
+        "new-fleet" => Some(Bootstrap::NewFleet),
+        _ => None,
+    }
+}
