Add the life cycle of requests and attempt records with witnesses

Cause: a repeat of a non-idempotent request could run twice, and nothing said whether a refused request had run. Before: no outcome, no records.

--- /dev/null
+++ b/crates/attempts/src/claimant.rs
@@ -0,0 +1,193 @@
+//! The claimant's part: collects the verdicts of witnesses on one attempt.
+
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{BodyDigest, Clock, HostId};
+use waxwingusher_protocol::attempt::{AttemptKey, Claim, ClaimId, NoVouch, StoredAnswer, Verdict};
+
+use crate::attempt::UnknownCause;
+use crate::lease::Stamp;
+use crate::witnesses::WitnessSet;
+
+/// One witness as the claimant sees it.
+#[derive(Debug)]
+struct Asked {
+    host: HostId,
+    verdict: Option<Verdict>,
+}
+
+/// One claim with the verdicts on it.
+#[derive(Debug)]
+pub(crate) struct ClaimRound {
+    pub(crate) claim: ClaimId,
+    pub(crate) first_sent: Stamp,
+    pub(crate) resend_at: Instant,
+    resend_after: Duration,
+    witnesses: WitnessSet,
+    asked: Vec<Asked>,
+}
+
+/// What follows from the verdicts so far.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// Verdicts are outstanding.
+    Wait,
+    /// Another witness must be asked.
+    AskNext,
+    /// Enough witnesses granted.
+    Permit,
+    /// The claim failed.
+    Conclude(Conclusion),
+}
+
+/// Why a claim failed.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Conclusion {
+    /// An earlier attempt was answered.
+    FirstAnswer(StoredAnswer),
+    /// An earlier attempt may have run, or nobody can tell.
+    Unknown(UnknownCause),
+    /// The key belongs to another request.
+    Misuse,
+    /// Another claim holds the key for now.
+    Contended,
+    /// The hosts' lists differ for now.
+    Unsettled,
+}
+
+impl ClaimRound {
+    pub(crate) fn new(
+        claim: ClaimId,
+        witnesses: WitnessSet,
+        verdict_timeout: Duration,
+        clock: &dyn Clock,
+    ) -> Self {
+        let first_sent = Stamp::now(clock);
+        Self {
+            claim,
+            first_sent,
+            resend_at: first_sent.monotonic() + verdict_timeout,
+            resend_after: verdict_timeout,
+            witnesses,
+            asked: Vec::new(),
+        }
+    }
+
+    /// Returns the message for the witnesses.
+    pub(crate) fn message(&self, key: AttemptKey, body: BodyDigest, time_left: Duration) -> Claim {
+        Claim {
+            key,
+            claim: self.claim,
+            body,
+            witness_set: self.witnesses.fingerprint(),
+            time_left_ms: u32::try_from(time_left.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Asks the first witnesses: as many as must grant.
+    pub(crate) fn ask_quorum(&mut self) -> Vec<HostId> {
+        let mut hosts = Vec::with_capacity(self.witnesses.quorum());
+        for _ in 0..self.witnesses.quorum() {
+            hosts.extend(self.ask_next());
+        }
+        hosts
+    }
+
+    /// Asks one more witness, if any is left.
+    pub(crate) fn ask_next(&mut self) -> Option<HostId> {
+        let host = self.witnesses.hosts().get(self.asked.len())?.clone();
+        self.asked.push(Asked {
+            host: host.clone(),
+            verdict: None,
+        });
+        Some(host)
+    }
+
+    /// Returns whom to send the claim again, and everyone who is still unasked.
+    pub(crate) fn resend(&mut self, now: Instant) -> Vec<HostId> {
+        self.resend_after *= 2;
+        self.resend_at = now + self.resend_after;
+        while self.ask_next().is_some() {}
+        let silent = self.asked.iter().filter(|asked| asked.verdict.is_none());
+        silent.map(|asked| asked.host.clone()).collect()
+    }
+
+    /// Returns all witnesses that may have recorded the claim.
+    pub(crate) fn asked(&self) -> impl Iterator<Item = &HostId> {
+        self.asked.iter().map(|asked| &asked.host)
+    }
+
+    /// Takes a verdict. The first one of a witness that grants stands.
+    pub(crate) fn on_verdict(&mut self, from: &HostId, verdict: Verdict) {
+        let Some(asked) = self.asked.iter_mut().find(|asked| &asked.host == from) else {
+            return;
+        };
+        if asked.verdict != Some(Verdict::Granted) {
+            asked.verdict = Some(verdict);
+        }
+    }
+
+    /// Evaluates the verdicts. After the time is up silence is an answer.
+    pub(crate) fn evaluate(&self, is_time_up: bool) -> Step {
+        if self.count(|verdict| *verdict == Verdict::Granted) >= self.witnesses.quorum() {
+            return Step::Permit;
+        }
+        if let Some(answer) = self.first_answer() {
+            return Step::Conclude(Conclusion::FirstAnswer(answer));
+        }
+        let outstanding = self.asked.iter().any(|asked| asked.verdict.is_none());
+        let unasked = self.asked.len() < self.witnesses.len();
+        if !is_time_up {
+            let refused = self.count(|verdict| *verdict != Verdict::Granted);
+            if unasked && self.asked.len() < self.witnesses.quorum() + refused {
+                return Step::AskNext;
+            }
+            if outstanding {
+                return Step::Wait;
+            }
+        }
+        Step::Conclude(self.conclude(outstanding || unasked))
+    }
+
+    fn conclude(&self, is_silent: bool) -> Conclusion {
+        let misuses = self.count(|verdict| *verdict == Verdict::OtherBody);
+        if misuses >= self.witnesses.quorum() {
+            return Conclusion::Misuse;
+        }
+        if self.count(|verdict| *verdict == Verdict::Unknown) > 0 {
+            return Conclusion::Unknown(UnknownCause::EarlierAttempt);
+        }
+        if self.count(|verdict| *verdict == Verdict::Held) > 0 || misuses > 0 {
+            return Conclusion::Contended;
+        }
+        if self.count(is_transient) > 0 {
+            return Conclusion::Unsettled;
+        }
+        if is_silent {
+            return Conclusion::Unknown(UnknownCause::Unreachable);
+        }
+        Conclusion::Unknown(UnknownCause::NotCovered)
+    }
+
+    fn first_answer(&self) -> Option<StoredAnswer> {
+        for asked in &self.asked {
+            let Some(Verdict::Answered(answer)) = &asked.verdict else {
+                continue;
+            };
+            return Some(answer.clone());
+        }
+        None
+    }
+
+    fn count(&self, fits: impl Fn(&Verdict) -> bool) -> usize {
+        let verdicts = self.asked.iter().filter_map(|asked| asked.verdict.as_ref());
+        verdicts.filter(|verdict| fits(verdict)).count()
+    }
+}
+
+fn is_transient(verdict: &Verdict) -> bool {
+    matches!(
+        verdict,
+        Verdict::CannotVouch(NoVouch::OtherWitnesses | NoVouch::ListStale)
+    )
+}
--- /dev/null
+++ b/crates/attempts/src/lists.rs
@@ -0,0 +1,161 @@
+//! The host lists that a host has used, and whether the current one may still
+//! be trusted.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Instant;
+
+use waxwingusher_core::{Clock, HostList};
+
+use crate::lease::Stamp;
+use crate::settings::AttemptSettings;
+use crate::witnesses::Topology;
+
+struct Pending {
+    topology: Arc<Topology>,
+    seen: Stamp,
+}
+
+struct Past {
+    topology: Arc<Topology>,
+    superseded: Instant,
+}
+
+/// Follows the host list. A list comes into use only after it has stood for
+/// the settle time, so that every reader has seen each list that anyone used.
+pub(crate) struct ListTracker {
+    settings: AttemptSettings,
+    newest_version: u64,
+    active: Option<Arc<Topology>>,
+    pending: Option<Pending>,
+    past: VecDeque<Past>,
+    seen: Option<Stamp>,
+    confirmed: Option<Stamp>,
+    unbroken_since: Option<Instant>,
+}
+
+impl ListTracker {
+    pub(crate) fn new(settings: AttemptSettings) -> Self {
+        Self {
+            settings,
+            newest_version: 0,
+            active: None,
+            pending: None,
+            past: VecDeque::new(),
+            seen: None,
+            confirmed: None,
+            unbroken_since: None,
+        }
+    }
+
+    /// Takes a list; older ones than the newest are ignored.
+    pub(crate) fn apply(&mut self, list: &HostList, clock: &dyn Clock) {
+        self.refresh(clock);
+        if self.seen.is_some() && list.version <= self.newest_version {
+            return;
+        }
+        self.note_gap(list.version, clock);
+        self.newest_version = list.version;
+        self.seen = Some(Stamp::now(clock));
+        let topology = Topology::new(list);
+        if let Some(pending) = &self.pending {
+            if *pending.topology == topology {
+                return;
+            }
+        } else if self.active.as_deref() == Some(&topology) {
+            return;
+        }
+        self.pending = Some(Pending {
+            topology: Arc::new(topology),
+            seen: Stamp::now(clock),
+        });
+    }
+
+    /// Notes that the list of this version was the newest one no longer than
+    /// the list lag ago.
+    pub(crate) fn confirm(&mut self, version: u64, clock: &dyn Clock) {
+        if self.seen.is_none() || version != self.newest_version {
+            return;
+        }
+        self.confirmed = Some(Stamp::now(clock));
+        self.refresh(clock);
+    }
+
+    /// Brings a settled list into use and forgets lists beyond the coverage.
+    pub(crate) fn refresh(&mut self, clock: &dyn Clock) {
+        let coverage = self.settings.coverage();
+        let now = clock.now();
+        while let Some(past) = self.past.front() {
+            if now.saturating_duration_since(past.superseded) < coverage {
+                break;
+            }
+            self.past.pop_front();
+        }
+        let Some(pending) = &self.pending else {
+            return;
+        };
+        let settled_at = pending.seen.monotonic() + self.settings.list_settle;
+        let confirmed = self.confirmed.map(|stamp| stamp.monotonic());
+        if confirmed.is_none_or(|at| at < settled_at) {
+            return;
+        }
+        let former = self.active.replace(Arc::clone(&pending.topology));
+        self.pending = None;
+        if let Some(topology) = former {
+            self.past.push_back(Past {
+                topology,
+                superseded: now,
+            });
+        }
+    }
+
+    /// Returns the list in use if it may still be trusted.
+    pub(crate) fn trusted(&self, clock: &dyn Clock) -> Option<&Arc<Topology>> {
+        let confirmed = self.confirmed?;
+        if confirmed.longest_age(clock) > self.settings.list_fence {
+            return None;
+        }
+        self.active.as_ref()
+    }
+
+    /// Returns the list in use, even if it may no longer be trusted.
+    pub(crate) fn active(&self) -> Option<&Arc<Topology>> {
+        self.active.as_ref()
+    }
+
+    /// Returns all lists that hosts may have used within the coverage.
+    pub(crate) fn in_coverage(&self) -> impl Iterator<Item = &Arc<Topology>> {
+        let past = self.past.iter().map(|past| &past.topology);
+        past.chain(&self.active)
+    }
+
+    /// Returns all lists that a claimant may use now or soon.
+    pub(crate) fn known(&self) -> impl Iterator<Item = &Arc<Topology>> {
+        let pending = self.pending.iter().map(|pending| &pending.topology);
+        self.in_coverage().chain(pending)
+    }
+
+    /// Returns since when no list can have come into use unseen, if any may
+    /// have before.
+    pub(crate) const fn unbroken_since(&self) -> Option<Instant> {
+        self.unbroken_since
+    }
+
+    fn note_gap(&mut self, version: u64, clock: &dyn Clock) {
+        let Some(seen) = self.seen else {
+            return;
+        };
+        let last = self.confirmed.map_or(seen, |confirmed| {
+            if confirmed.monotonic() > seen.monotonic() {
+                confirmed
+            } else {
+                seen
+            }
+        });
+        let skipped = version > self.newest_version + 1;
+        if skipped && last.longest_age(clock) > self.settings.longest_unseen() {
+            log::warn!("attempts: host lists were missed before version {version}, covering anew");
+            self.unbroken_since = Some(clock.now());
+        }
+    }
+}
--- /dev/null
+++ b/crates/attempts/src/records.rs
@@ -0,0 +1,281 @@
+//! What one witness remembers of idempotency keys, in bounded memory.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::BodyDigest;
+use waxwingusher_protocol::attempt::{
+    AttemptKey, Claim, ClaimEnd, ClaimId, HandedRecord, NoVouch, StoredAnswer, Verdict,
+};
+
+use crate::settings::AttemptSettings;
+
+/// The bytes of a stored answer beside its headers and body.
+const ANSWER_OVERHEAD_BYTES: usize = 64;
+
+#[derive(Debug, Clone)]
+enum State {
+    Claimed { running_until_s: u32 },
+    Answered(Arc<StoredAnswer>),
+    Unknown,
+    Free,
+}
+
+#[derive(Debug, Clone)]
+struct Record {
+    body: BodyDigest,
+    claim: ClaimId,
+    state: State,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    key: AttemptKey,
+    claim: ClaimId,
+    expires_s: u32,
+}
+
+/// The records of one witness.
+pub(crate) struct RecordStore {
+    settings: AttemptSettings,
+    epoch: Instant,
+    records: HashMap<AttemptKey, Record>,
+    expiry: VecDeque<Entry>,
+    answers: VecDeque<(AttemptKey, ClaimId)>,
+    answer_bytes: usize,
+}
+
+impl RecordStore {
+    pub(crate) fn new(settings: AttemptSettings, epoch: Instant) -> Self {
+        Self {
+            settings,
+            epoch,
+            records: HashMap::new(),
+            expiry: VecDeque::new(),
+            answers: VecDeque::new(),
+            answer_bytes: 0,
+        }
+    }
+
+    /// Returns what is recorded against a claim, if anything is.
+    pub(crate) fn look_up(&self, claim: &Claim, now: Instant) -> Option<Verdict> {
+        let record = self.records.get(&claim.key)?;
+        if record.claim == claim.claim {
+            return match record.state {
+                State::Claimed { .. } => Some(Verdict::Granted),
+                _ => Some(Verdict::Held),
+            };
+        }
+        if matches!(record.state, State::Free) {
+            return None;
+        }
+        if record.body != claim.body {
+            return Some(Verdict::OtherBody);
+        }
+        Some(match &record.state {
+            State::Claimed { running_until_s } if self.seconds(now) <= *running_until_s => {
+                Verdict::Held
+            }
+            State::Answered(answer) => Verdict::Answered(StoredAnswer::clone(answer)),
+            _ => Verdict::Unknown,
+        })
+    }
+
+    /// Records a claim for which nothing else is recorded.
+    pub(crate) fn record(&mut self, claim: &Claim, now: Instant) -> Verdict {
+        if self.expiry.len() >= self.settings.max_records {
+            return Verdict::CannotVouch(NoVouch::Full);
+        }
+        let time_left = Duration::from_millis(u64::from(claim.time_left_ms));
+        let running_until_s = self.seconds(now + self.settings.permit_term + time_left) + 1;
+        let state = State::Claimed { running_until_s };
+        self.insert(claim.key, claim.claim, claim.body, state, now);
+        Verdict::Granted
+    }
+
+    /// Notes how a claim ended.
+    pub(crate) fn finish(&mut self, key: AttemptKey, claim: ClaimId, end: ClaimEnd, now: Instant) {
+        let Some(record) = self.records.get_mut(&key) else {
+            self.insert_tombstone(key, claim, &end, now);
+            return;
+        };
+        let open = matches!(record.state, State::Claimed { .. } | State::Unknown);
+        if record.claim != claim || !open {
+            return;
+        }
+        match end {
+            ClaimEnd::NotRun => record.state = State::Free,
+            ClaimEnd::Unknown => record.state = State::Unknown,
+            ClaimEnd::Answered(answer) => {
+                record.state = State::Unknown;
+                self.store_answer(key, claim, answer);
+            }
+        }
+    }
+
+    /// Takes a record from another witness.
+    pub(crate) fn absorb(&mut self, handed: HandedRecord, now: Instant) {
+        let HandedRecord {
+            key, claim, body, ..
+        } = handed;
+        let is_newer = self
+            .records
+            .get(&key)
+            .is_none_or(|record| matches!(record.state, State::Free));
+        if !is_newer {
+            return;
+        }
+        self.insert(key, claim, body, State::Unknown, now);
+        if let Some(answer) = handed.answer {
+            self.store_answer(key, claim, answer);
+        }
+    }
+
+    /// Returns all records that still bind, in a stable order.
+    pub(crate) fn export(&self) -> Vec<HandedRecord> {
+        let mut keys: Vec<_> = self.records.keys().copied().collect();
+        keys.sort_unstable();
+        self.export_of(&keys)
+    }
+
+    /// Returns the records of these keys that still bind.
+    pub(crate) fn export_of(&self, keys: &[AttemptKey]) -> Vec<HandedRecord> {
+        let mut handed = Vec::with_capacity(keys.len());
+        for key in keys {
+            let Some(record) = self.records.get(key) else {
+                continue;
+            };
+            let answer = match &record.state {
+                State::Free => continue,
+                State::Answered(answer) => Some(StoredAnswer::clone(answer)),
+                State::Claimed { .. } | State::Unknown => None,
+            };
+            handed.push(HandedRecord {
+                key: *key,
+                claim: record.claim,
+                body: record.body,
+                answer,
+            });
+        }
+        handed
+    }
+
+    /// Forgets records whose retention is over.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        let now_s = self.seconds(now);
+        while let Some(entry) = self.expiry.front().copied() {
+            if entry.expires_s >= now_s {
+                break;
+            }
+            self.expiry.pop_front();
+            let binds = |record: &Record| record.claim == entry.claim;
+            if self.records.get(&entry.key).is_some_and(binds) {
+                self.drop_answer(entry.key, entry.claim);
+                self.records.remove(&entry.key);
+            }
+        }
+        self.shrink();
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    pub(crate) const fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    /// Returns an estimate of all memory in bytes, from the capacities.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        let slot = size_of::<AttemptKey>() + size_of::<Record>() + 1;
+        let table = self.records.capacity() * 8 / 7 * slot;
+        let queues = self.expiry.capacity() * size_of::<Entry>()
+            + self.answers.capacity() * size_of::<(AttemptKey, ClaimId)>();
+        table + queues + self.answer_bytes
+    }
+
+    fn insert(
+        &mut self,
+        key: AttemptKey,
+        claim: ClaimId,
+        body: BodyDigest,
+        state: State,
+        now: Instant,
+    ) {
+        self.expiry.push_back(Entry {
+            key,
+            claim,
+            expires_s: self.seconds(now + self.settings.retention()) + 1,
+        });
+        let record = Record { body, claim, state };
+        self.records.insert(key, record);
+    }
+
+    /// Remembers a release that overtook its claim.
+    fn insert_tombstone(&mut self, key: AttemptKey, claim: ClaimId, end: &ClaimEnd, now: Instant) {
+        if *end != ClaimEnd::NotRun || self.expiry.len() >= self.settings.max_records {
+            return;
+        }
+        let body = BodyDigest::of_request("", "", b"");
+        self.insert(key, claim, body, State::Free, now);
+    }
+
+    fn store_answer(&mut self, key: AttemptKey, claim: ClaimId, answer: StoredAnswer) {
+        let bytes = answer_bytes(&answer);
+        if !answer.fits() || bytes > self.settings.max_answer_bytes {
+            return;
+        }
+        while self.answer_bytes + bytes > self.settings.max_answer_bytes {
+            let Some((key, claim)) = self.answers.pop_front() else {
+                break;
+            };
+            self.drop_answer(key, claim);
+        }
+        let Some(record) = self.records.get_mut(&key) else {
+            return;
+        };
+        record.state = State::Answered(Arc::new(answer));
+        self.answer_bytes += bytes;
+        self.answers.push_back((key, claim));
+    }
+
+    fn drop_answer(&mut self, key: AttemptKey, claim: ClaimId) {
+        let Some(record) = self.records.get_mut(&key) else {
+            return;
+        };
+        if record.claim != claim {
+            return;
+        }
+        if let State::Answered(answer) = &record.state {
+            self.answer_bytes -= answer_bytes(answer);
+            record.state = State::Unknown;
+        }
+    }
+
+    fn shrink(&mut self) {
+        while let Some((key, claim)) = self.answers.front() {
+            let answered = |record: &Record| {
+                record.claim == *claim && matches!(record.state, State::Answered(_))
+            };
+            if self.records.get(key).is_some_and(answered) {
+                break;
+            }
+            self.answers.pop_front();
+        }
+    }
+
+    fn seconds(&self, at: Instant) -> u32 {
+        let elapsed = at.saturating_duration_since(self.epoch).as_secs();
+        u32::try_from(elapsed).unwrap_or(u32::MAX)
+    }
+}
+
+fn answer_bytes(answer: &StoredAnswer) -> usize {
+    let headers = answer
+        .headers
+        .iter()
+        .map(|header| header.name.len() + header.value.len() + ANSWER_OVERHEAD_BYTES)
+        .sum::<usize>();
+    ANSWER_OVERHEAD_BYTES + headers + answer.body.len()
+}
--- /dev/null
+++ b/crates/attempts/src/transfer.rs
@@ -0,0 +1,155 @@
+//! The two ends of one transfer of records.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{Clock, HostId};
+use waxwingusher_protocol::attempt::{AttemptKey, HandOver};
+
+use crate::hand_over::RESEND_AFTER;
+use crate::lease::Stamp;
+
+/// The most parts without a receipt.
+const MAX_PARTS_IN_FLIGHT: usize = 4;
+
+/// How often a receiver repeats its last receipt while no commit arrives.
+const MAX_REPEATED_ACKS: u32 = 20;
+
+/// The sending end.
+pub(crate) struct Transfer {
+    parts: Vec<HandOver>,
+    acked: BTreeSet<usize>,
+    next: usize,
+    last_sent: Option<Instant>,
+}
+
+impl Transfer {
+    pub(crate) fn new(mut parts: Vec<HandOver>) -> Self {
+        let total = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+        for (number, part) in parts.iter_mut().enumerate() {
+            part.part = u32::try_from(number).unwrap_or(u32::MAX);
+            part.parts = total;
+        }
+        Self {
+            parts,
+            acked: BTreeSet::new(),
+            next: 0,
+            last_sent: None,
+        }
+    }
+
+    pub(crate) fn on_ack(&mut self, part: u32) {
+        let number = part as usize;
+        if number < self.next {
+            self.acked.insert(number);
+        }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.acked.len() == self.parts.len()
+    }
+
+    /// Returns the parts to send now: new ones, and those without a receipt
+    /// if `repeat` is set and their time is over.
+    pub(crate) fn due(&mut self, now: Instant, repeat: bool) -> Vec<HandOver> {
+        let mut due = Vec::new();
+        let is_late = self.last_sent.is_some_and(|at| now >= at + RESEND_AFTER);
+        if repeat && is_late {
+            let unacked = (0..self.next).filter(|number| !self.acked.contains(number));
+            due.extend(unacked.map(|number| self.parts[number].clone()));
+        }
+        while self.next < self.parts.len() && self.next - self.acked.len() < MAX_PARTS_IN_FLIGHT {
+            due.push(self.parts[self.next].clone());
+            self.next += 1;
+        }
+        if !due.is_empty() {
+            self.last_sent = Some(now);
+        }
+        due
+    }
+}
+
+/// The receiving end.
+pub(crate) struct Incoming {
+    pub(crate) of: HostId,
+    pub(crate) source: u64,
+    pub(crate) topology: u64,
+    pub(crate) receivers: u32,
+    pub(crate) is_complete: bool,
+    parts: u32,
+    got: BTreeSet<u32>,
+    keys: Vec<AttemptKey>,
+    last_part: u32,
+    completed: Option<Stamp>,
+    is_committed: bool,
+    acked_at: Option<Instant>,
+    repeated_acks: u32,
+}
+
+impl Incoming {
+    pub(crate) fn new(first: &HandOver) -> Self {
+        Self {
+            of: first.of.clone(),
+            source: first.source,
+            topology: first.topology,
+            receivers: first.receivers,
+            is_complete: first.is_complete,
+            parts: first.parts,
+            got: BTreeSet::new(),
+            keys: Vec::new(),
+            last_part: 0,
+            completed: None,
+            is_committed: false,
+            acked_at: None,
+            repeated_acks: 0,
+        }
+    }
+
+    /// Takes a part, and reports whether it is new.
+    pub(crate) fn take(&mut self, part: &HandOver, now: Stamp) -> bool {
+        if part.part >= self.parts || !self.got.insert(part.part) {
+            return false;
+        }
+        self.keys
+            .extend(part.records.iter().map(|record| record.key));
+        if self.got.len() == self.parts as usize {
+            self.completed = Some(now);
+            self.last_part = part.part;
+            self.acked_at = Some(now.monotonic());
+        }
+        true
+    }
+
+    /// Notes the sender's confirmation, and returns when the last part was
+    /// taken if this is the first one.
+    pub(crate) fn commit(&mut self) -> Option<Stamp> {
+        if self.is_committed {
+            return None;
+        }
+        let completed = self.completed?;
+        self.is_committed = true;
+        Some(completed)
+    }
+
+    pub(crate) fn keys(&self) -> &[AttemptKey] {
+        &self.keys
+    }
+
+    /// Returns the part whose receipt must be repeated.
+    pub(crate) fn ack_again(&mut self, now: Instant) -> Option<u32> {
+        if self.is_committed || self.repeated_acks >= MAX_REPEATED_ACKS {
+            return None;
+        }
+        if now < self.acked_at? + RESEND_AFTER {
+            return None;
+        }
+        self.acked_at = Some(now);
+        self.repeated_acks += 1;
+        Some(self.last_part)
+    }
+
+    pub(crate) fn is_older_than(&self, term: Duration, clock: &dyn Clock) -> bool {
+        let completed = self.completed;
+        completed.is_some_and(|completed| completed.shortest_age(clock) > term)
+    }
+}
--- /dev/null
+++ b/crates/attempts/src/witness.rs
@@ -0,0 +1,127 @@
+//! The witness's part: vouches for keys and remembers claims.
+
+use std::time::Instant;
+
+use waxwingusher_core::{Clock, HostId};
+use waxwingusher_protocol::attempt::{AttemptKey, Claim, ClaimEnd, ClaimId, NoVouch, Verdict};
+
+use crate::inheritance::Inheritances;
+use crate::lists::ListTracker;
+use crate::records::RecordStore;
+use crate::settings::AttemptSettings;
+use crate::witnesses::{HashKey, WitnessSet};
+
+/// Whether the witness still takes claims.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    Serving,
+    Draining,
+}
+
+/// One host as a witness.
+pub(crate) struct Witness {
+    self_id: HostId,
+    settings: AttemptSettings,
+    pub(crate) store: RecordStore,
+    pub(crate) inherited: Inheritances,
+    pub(crate) phase: Phase,
+    memory_since: Option<Instant>,
+}
+
+impl Witness {
+    pub(crate) fn new(self_id: HostId, settings: AttemptSettings, clock: &dyn Clock) -> Self {
+        let now = clock.now();
+        let opens_later = settings.opened_at.is_some_and(|at| clock.wall() < at);
+        Self {
+            self_id,
+            settings,
+            store: RecordStore::new(settings, now),
+            inherited: Inheritances::default(),
+            phase: Phase::Serving,
+            memory_since: (!opens_later).then_some(now),
+        }
+    }
+
+    /// Answers a claim, and records it before it is granted.
+    pub(crate) fn on_claim(
+        &mut self,
+        claim: &Claim,
+        lists: &ListTracker,
+        clock: &dyn Clock,
+    ) -> Verdict {
+        let now = clock.now();
+        self.store.expire(now);
+        self.inherited
+            .expire(self.settings.inheritance_term(), clock);
+        let known = self.store.look_up(claim, now);
+        match known {
+            None | Some(Verdict::OtherBody) => {}
+            Some(verdict) => return verdict,
+        }
+        if self.phase == Phase::Draining {
+            return Verdict::CannotVouch(NoVouch::Draining);
+        }
+        if let Err(reason) = self.vouch(claim, lists, clock) {
+            return Verdict::CannotVouch(reason);
+        }
+        known.unwrap_or_else(|| self.store.record(claim, now))
+    }
+
+    pub(crate) fn on_finish(
+        &mut self,
+        key: AttemptKey,
+        claim: ClaimId,
+        end: ClaimEnd,
+        clock: &dyn Clock,
+    ) {
+        self.store.finish(key, claim, end, clock.now());
+    }
+
+    /// Reports whether the memory reaches back over the whole coverage.
+    pub(crate) fn is_covered(&self, lists: &ListTracker, now: Instant) -> bool {
+        let coverage = self.settings.coverage();
+        let since = self.memory_since.max(lists.unbroken_since());
+        since.is_none_or(|since| now.saturating_duration_since(since) >= coverage)
+    }
+
+    /// Takes back the memory of a former process of this host.
+    pub(crate) fn recover_memory(&mut self) {
+        self.memory_since = None;
+    }
+
+    /// Checks that each grant which any claimant may have had for the key
+    /// within the window shares this witness or is in its memory.
+    fn vouch(&self, claim: &Claim, lists: &ListTracker, clock: &dyn Clock) -> Result<(), NoVouch> {
+        if lists.trusted(clock).is_none() {
+            return Err(NoVouch::ListStale);
+        }
+        if !self.is_covered(lists, clock.now()) {
+            return Err(NoVouch::NotCovered);
+        }
+        let key = HashKey::new(&claim.key);
+        let Some(asked) = self.claimed_set(claim, &key, lists) else {
+            return Err(NoVouch::OtherWitnesses);
+        };
+        let count = self.settings.plan.witnesses();
+        for topology in lists.in_coverage() {
+            let used = topology.witnesses(&key, count);
+            if asked.quorum() + used.quorum() <= used.len() {
+                return Err(NoVouch::NotCovered);
+            }
+            let in_set = used.contains(&self.self_id);
+            if !in_set && !self.inherited.represents(&self.self_id, &used, &key, count) {
+                return Err(NoVouch::NotCovered);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the claimant's witnesses if some known list yields them.
+    fn claimed_set(&self, claim: &Claim, key: &HashKey, lists: &ListTracker) -> Option<WitnessSet> {
+        let count = self.settings.plan.witnesses();
+        let sets = lists.known().map(|topology| topology.witnesses(key, count));
+        sets.into_iter()
+            .filter(|set| set.contains(&self.self_id))
+            .find(|set| set.fingerprint() == claim.witness_set)
+    }
+}
--- /dev/null
+++ b/crates/attempts/src/witnesses.rs
@@ -0,0 +1,163 @@
+//! Which hosts remember an idempotency key.
+//!
+//! Witnesses stand in distinct failure domains where there are enough of them,
+//! and are distinct hosts in any case.
+
+use std::collections::BTreeMap;
+
+use waxwingusher_core::rendezvous;
+use waxwingusher_core::{FailureDomain, HostId, HostList};
+use waxwingusher_protocol::attempt::AttemptKey;
+
+/// A key in the form that stable hashing takes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct HashKey(String);
+
+impl HashKey {
+    pub(crate) fn new(key: &AttemptKey) -> Self {
+        Self(key.to_hex())
+    }
+
+    pub(crate) fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// The hosts of one list by failure domain. Leaving hosts count until the list
+/// drops them, so that a restart does not move keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Topology {
+    domains: BTreeMap<FailureDomain, Vec<HostId>>,
+}
+
+/// The witnesses of one key in the order in which they are asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct WitnessSet {
+    hosts: Vec<HostId>,
+}
+
+impl Topology {
+    pub(crate) fn new(list: &HostList) -> Self {
+        let mut domains: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for entry in &list.hosts {
+            let hosts = domains.entry(entry.failure_domain.clone()).or_default();
+            hosts.push(entry.id.clone());
+        }
+        Self { domains }
+    }
+
+    /// Returns up to `count` witnesses of a key.
+    pub(crate) fn witnesses(&self, key: &HashKey, count: usize) -> WitnessSet {
+        self.witnesses_without(key, count, None)
+    }
+
+    /// Returns the host that becomes a witness of the key once `leaving` is
+    /// dropped from the list.
+    pub(crate) fn successor(
+        &self,
+        key: &HashKey,
+        count: usize,
+        leaving: &HostId,
+    ) -> Option<HostId> {
+        let before = self.witnesses(key, count);
+        let after = self.witnesses_without(key, count, Some(leaving));
+        after.hosts.into_iter().find(|host| !before.contains(host))
+    }
+
+    /// Returns every host that may become a witness in place of `leaving`.
+    pub(crate) fn successors(&self, count: usize, leaving: &HostId) -> Vec<HostId> {
+        let has_spares = |hosts: &&Vec<HostId>| hosts.contains(leaving) && hosts.len() > 1;
+        let domain = self.domains.values().find(has_spares);
+        let candidates: Vec<_> = match domain {
+            Some(hosts) if self.domains.len() >= count => hosts.iter().collect(),
+            _ => self.hosts().collect(),
+        };
+        let others = candidates.into_iter().filter(|host| *host != leaving);
+        others.cloned().collect()
+    }
+
+    /// Returns a hash of all hosts and their failure domains.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        let mut text = String::new();
+        for (domain, hosts) in &self.domains {
+            text.push_str(domain.as_str());
+            for host in hosts {
+                text.push('\t');
+                text.push_str(host.as_str());
+            }
+            text.push('\n');
+        }
+        rendezvous::weight("topology", &text)
+    }
+
+    /// Returns all hosts.
+    pub(crate) fn hosts(&self) -> impl Iterator<Item = &HostId> {
+        self.domains.values().flatten()
+    }
+
+    fn witnesses_without(
+        &self,
+        key: &HashKey,
+        count: usize,
+        excluded: Option<&HostId>,
+    ) -> WitnessSet {
+        let ranked = rendezvous::rank(key.as_str(), self.domains.keys(), |domain| domain.as_str());
+        let mut hosts: Vec<HostId> = Vec::with_capacity(count);
+        for domain in ranked {
+            if hosts.len() == count {
+                break;
+            }
+            let candidates = self.domains[domain]
+                .iter()
+                .filter(|host| Some(*host) != excluded);
+            hosts.extend(rendezvous::pick(key.as_str(), candidates, |host| host.as_str()).cloned());
+        }
+        if hosts.len() < count {
+            self.fill(key, count, excluded, &mut hosts);
+        }
+        WitnessSet { hosts }
+    }
+
+    fn fill(
+        &self,
+        key: &HashKey,
+        count: usize,
+        excluded: Option<&HostId>,
+        hosts: &mut Vec<HostId>,
+    ) {
+        let others = self
+            .hosts()
+            .filter(|host| Some(*host) != excluded && !hosts.contains(host));
+        let ranked = rendezvous::rank(key.as_str(), others, |host| host.as_str());
+        let missing = count - hosts.len();
+        let added: Vec<_> = ranked.into_iter().take(missing).cloned().collect();
+        hosts.extend(added);
+    }
+}
+
+impl WitnessSet {
+    /// Returns how many witnesses must grant: two such groups always share one.
+    pub(crate) fn quorum(&self) -> usize {
+        self.hosts.len() / 2 + 1
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    pub(crate) fn contains(&self, host: &HostId) -> bool {
+        self.hosts.contains(host)
+    }
+
+    pub(crate) fn hosts(&self) -> &[HostId] {
+        &self.hosts
+    }
+
+    /// Returns a hash by which a claimant and a witness compare their sets.
+    pub(crate) fn fingerprint(&self) -> u32 {
+        let mut names: Vec<_> = self.hosts.iter().map(HostId::as_str).collect();
+        names.sort_unstable();
+        let weight = rendezvous::weight("witnesses", &names.join("\n"));
+        u32::try_from(weight >> 32).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/attempts/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of request outcomes.
+
+mod lifecycle;
--- a/crates/protocol/src/attempt.rs
+++ b/crates/protocol/src/attempt.rs
@@ -1,7 +1,246 @@
 //! Messages for attempt records and quarantine.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use waxwingusher_core::{BodyDigest, HostId, WorkspaceName};
+
+/// The largest body of an answer that is stored for repeats, in bytes.
+pub const MAX_STORED_BODY_BYTES: usize = 768;
+
+/// The largest sum of header names and values of a stored answer, in bytes.
+pub const MAX_STORED_HEADER_BYTES: usize = 256;
+
+/// The size at which a hand-over part is closed, in bytes of its records.
+pub const HAND_OVER_PART_BYTES: usize = 900;
+
+/// The size of a record without its answer in a hand-over, in bytes.
+pub const HANDED_RECORD_BYTES: usize = 46;
+
+/// A digest that identifies one idempotency key of one workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AttemptKey([u8; 16]);
+
+impl AttemptKey {
+    /// Returns the digest of a workspace's idempotency key.
+    #[must_use]
+    pub fn new(workspace: &WorkspaceName, idempotency_key: &str) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update((workspace.as_str().len() as u64).to_le_bytes());
+        hasher.update(workspace.as_str());
+        hasher.update(idempotency_key);
+        Self::from_digest(&hasher.finalize().into())
+    }
+
+    /// Returns the fingerprint of a request for quarantine.
+    #[must_use]
+    pub fn fingerprint(workspace: &WorkspaceName, route: &str, body: &BodyDigest) -> Self {
+        let mut hasher = Sha256::new();
+        for part in [workspace.as_str(), route] {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        hasher.update(format!("{body:?}"));
+        Self::from_digest(&hasher.finalize().into())
+    }
+
+    /// Returns the digest as hexadecimal text, for stable hashing.
+    #[must_use]
+    pub fn to_hex(&self) -> String {
+        format!("{:032x}", u128::from_be_bytes(self.0))
+    }
+
+    fn from_digest(digest: &[u8; 32]) -> Self {
+        let mut short = [0; 16];
+        short.copy_from_slice(&digest[..16]);
+        Self(short)
+    }
+}
+
+/// A random number that identifies one claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ClaimId(pub [u8; 8]);
+
+/// A header of a stored answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredHeader {
+    /// The name in lower case.
+    pub name: Arc<str>,
+    /// The value.
+    pub value: Arc<str>,
+}
+
+/// An answer that is kept for repeats of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers that a repeat needs.
+    pub headers: Vec<StoredHeader>,
+    /// The whole body.
+    pub body: Arc<[u8]>,
+}
+
+impl StoredAnswer {
+    /// Reports whether the answer is small enough to be stored.
+    #[must_use]
+    pub fn fits(&self) -> bool {
+        self.body.len() <= MAX_STORED_BODY_BYTES && self.header_bytes() <= MAX_STORED_HEADER_BYTES
+    }
+
+    /// Returns the sum of header names and values, in bytes.
+    #[must_use]
+    pub fn header_bytes(&self) -> usize {
+        let sizes = self
+            .headers
+            .iter()
+            .map(|header| header.name.len() + header.value.len());
+        sizes.sum()
+    }
+}
+
+/// Asks a witness for its grant to run a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The idempotency key.
+    pub key: AttemptKey,
+    /// The claim's identity; a repeated message carries the same.
+    pub claim: ClaimId,
+    /// What the request asks for.
+    pub body: BodyDigest,
+    /// A hash of the witnesses that the claimant knows for the key.
+    pub witness_set: u32,
+    /// The time in which the request ends, in milliseconds.
+    pub time_left_ms: u32,
+}
+
+/// A witness's word on a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// The claim is recorded, and no other attempt is known.
+    Granted,
+    /// Another claim is recorded and may be running.
+    Held,
+    /// An earlier attempt was answered.
+    Answered(StoredAnswer),
+    /// An earlier attempt may have run; its answer is not known.
+    Unknown,
+    /// The key is recorded with another body.
+    OtherBody,
+    /// The witness cannot vouch for the key.
+    CannotVouch(NoVouch),
+}
+
+/// Why a witness cannot vouch for a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum NoVouch {
+    /// The witness has not covered the key for the whole window.
+    NotCovered,
+    /// The claimant's witnesses are not those that the witness knows.
+    OtherWitnesses,
+    /// The witness does not know whether its host list is current.
+    ListStale,
+    /// The witness has no room for a record.
+    Full,
+    /// The witness is about to stop.
+    Draining,
+}
+
+/// A claim's end as its witnesses keep it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimEnd {
+    /// The request surely never ran; the key is free again.
+    NotRun,
+    /// The request was answered.
+    Answered(StoredAnswer),
+    /// The request may have run.
+    Unknown,
+}
+
+/// A record that passes to another witness.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedRecord {
+    /// The idempotency key.
+    pub key: AttemptKey,
+    /// The recorded claim.
+    pub claim: ClaimId,
+    /// What the request asks for.
+    pub body: BodyDigest,
+    /// The answer, if one is stored.
+    pub answer: Option<StoredAnswer>,
+}
+
+impl HandedRecord {
+    /// Returns the record's size in a message, in bytes.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        let answer_bytes = self
+            .answer
+            .as_ref()
+            .map_or(0, |answer| answer.body.len() + answer.header_bytes());
+        HANDED_RECORD_BYTES + answer_bytes
+    }
+}
+
+/// A part of the records of one witness, on their way to another host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandOver {
+    /// The witness whose records these are.
+    pub of: HostId,
+    /// A random number that identifies the hand-over by that witness.
+    pub source: u64,
+    /// A random number that identifies the transfer to this receiver.
+    pub id: u64,
+    /// The number of this part, from zero.
+    pub part: u32,
+    /// How many parts the receiver gets.
+    pub parts: u32,
+    /// A hash of the host list by which records were assigned.
+    pub topology: u64,
+    /// How many hosts share the witness's records.
+    pub receivers: u32,
+    /// Whether the records are all that the witness granted in the window.
+    pub is_complete: bool,
+    /// The records.
+    pub records: Vec<HandedRecord>,
+}
 
 /// A message for attempt records and quarantine.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum AttemptMessage {}
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AttemptMessage {
+    /// Asks a witness for its grant.
+    Claim(Claim),
+    /// A witness's word on a claim.
+    Verdict {
+        /// The claim.
+        claim: ClaimId,
+        /// The witness's word.
+        verdict: Verdict,
+    },
+    /// A claimant reports how its claim ended.
+    Finish {
+        /// The idempotency key.
+        key: AttemptKey,
+        /// The claim.
+        claim: ClaimId,
+        /// How the claim ended.
+        end: ClaimEnd,
+    },
+    /// A part of a witness's records.
+    HandOver(HandOver),
+    /// A part has arrived.
+    HandOverAck {
+        /// The hand-over.
+        id: u64,
+        /// The part.
+        part: u32,
+    },
+    /// The sender is still alive, and has seen the receipts of all parts.
+    HandOverCommit {
+        /// The hand-over.
+        id: u64,
+    },
+    /// A process that has just started asks for the records of its host.
+    Recover,
+}
