Check team files together and publish them as content-addressed packs

TeamFile is gone: serde stops at the first error, so tables are read with spans instead.

waxwingusher-config: 26 tests pass. Pack sizing is not measured yet.

--- /dev/null
+++ b/crates/config/src/directory.rs
@@ -0,0 +1,199 @@
+//! Publications in a directory, as the publishing step leaves them.
+//!
+//! The directory holds the values under the configuration service's keys:
+//! `config/manifest` and `config/pack/<digest>`.
+
+use std::collections::BTreeSet;
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use waxwingusher_core::ContentDigest;
+
+use crate::model::Snapshot;
+use crate::publication::{
+    MANIFEST_KEY, Manifest, PACK_KEY_PREFIX, Pack, Publication, PublicationError, assemble, publish,
+};
+
+/// The version of the first publication.
+const FIRST_VERSION: u64 = 1;
+
+/// A directory cannot be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum DirectoryError {
+    /// A file cannot be read or written.
+    #[error("{}: {source}", path.display())]
+    Io {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The values cannot be used or made.
+    #[error("{}: {source}", path.display())]
+    Publication {
+        /// The directory.
+        path: PathBuf,
+        /// The cause.
+        source: PublicationError,
+    },
+}
+
+/// What a publishing step wrote.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Collected {
+    /// The version in the directory now.
+    pub version: u64,
+    /// Whether it is a new one.
+    pub is_new: bool,
+    /// All packs of the version.
+    pub packs: usize,
+    /// Packs that were not there before.
+    pub packs_written: usize,
+    /// The size of the packs that were not there before.
+    pub bytes_written: usize,
+}
+
+/// Reads the publication in a directory, if there is one.
+///
+/// # Errors
+///
+/// Returns an error if a file cannot be read or the publication cannot be used.
+pub fn read_publication(dir: &Path) -> Result<Option<Snapshot>, DirectoryError> {
+    let path = dir.join(MANIFEST_KEY);
+    let bytes = match fs::read(&path) {
+        Ok(bytes) => bytes,
+        Err(source) if source.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(source) => return Err(DirectoryError::Io { path, source }),
+    };
+    let manifest = Manifest::parse(&bytes).map_err(|source| in_dir(dir, source))?;
+    let mut packs = Vec::with_capacity(manifest.packs.len());
+    for digest in &manifest.packs {
+        let path = dir.join(Pack::service_key(digest));
+        let bytes = fs::read(&path).map_err(|source| DirectoryError::Io { path, source })?;
+        packs.push(Pack {
+            digest: *digest,
+            bytes: bytes.into(),
+        });
+    }
+    let snapshot = assemble(&manifest, &packs).map_err(|source| in_dir(dir, source))?;
+    Ok(Some(snapshot))
+}
+
+/// Writes a configuration with the next version, unless it is the one that is
+/// there already.
+///
+/// Packs are written before the manifest, and each file appears whole or not at
+/// all. Packs of the version before the new one stay for hosts that still read
+/// them; older ones are removed.
+///
+/// # Errors
+///
+/// Returns an error if the earlier publication cannot be used or a file cannot
+/// be written. The earlier publication is then still in place.
+pub fn write_publication(dir: &Path, snapshot: &Snapshot) -> Result<Collected, DirectoryError> {
+    let previous = read_publication(dir)?;
+    let version = previous.as_ref().map_or(FIRST_VERSION, |old| old.version);
+    let mut next = snapshot.clone();
+    next.version = version;
+    if previous.as_ref() == Some(&next) {
+        return Ok(Collected {
+            version,
+            is_new: false,
+            packs: manifest_in(dir)?.map_or(0, |manifest| manifest.packs.len()),
+            packs_written: 0,
+            bytes_written: 0,
+        });
+    }
+    if previous.is_some() {
+        next.version += 1;
+    }
+    let publication = publish(&next).map_err(|source| in_dir(dir, source))?;
+    write_values(dir, &publication, next.version)
+}
+
+fn write_values(
+    dir: &Path,
+    publication: &Publication,
+    version: u64,
+) -> Result<Collected, DirectoryError> {
+    let mut collected = Collected {
+        version,
+        is_new: true,
+        packs: publication.packs.len(),
+        packs_written: 0,
+        bytes_written: 0,
+    };
+    let mut kept: BTreeSet<ContentDigest> = publication.packs.iter().map(|p| p.digest).collect();
+    if let Some(previous) = manifest_in(dir)? {
+        kept.extend(previous.packs);
+    }
+    for pack in &publication.packs {
+        let path = dir.join(Pack::service_key(&pack.digest));
+        if fs::read(&path).is_ok_and(|bytes| *bytes == *pack.bytes) {
+            continue;
+        }
+        write_whole(&path, &pack.bytes)?;
+        collected.packs_written += 1;
+        collected.bytes_written += pack.bytes.len();
+    }
+    write_whole(&dir.join(MANIFEST_KEY), &publication.manifest)?;
+    remove_other_packs(dir, &kept)?;
+    Ok(collected)
+}
+
+fn manifest_in(dir: &Path) -> Result<Option<Manifest>, DirectoryError> {
+    let path = dir.join(MANIFEST_KEY);
+    match fs::read(&path) {
+        Ok(bytes) => Manifest::parse(&bytes)
+            .map(Some)
+            .map_err(|source| in_dir(dir, source)),
+        Err(source) if source.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(source) => Err(DirectoryError::Io { path, source }),
+    }
+}
+
+/// Writes a file under another name first, and renames it when it is on disk.
+fn write_whole(path: &Path, bytes: &[u8]) -> Result<(), DirectoryError> {
+    let temporary = path.with_extension("tmp");
+    let write = || {
+        if let Some(parent) = path.parent() {
+            fs::create_dir_all(parent)?;
+        }
+        let mut file = File::create(&temporary)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&temporary, path)
+    };
+    write().map_err(|source| DirectoryError::Io {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn remove_other_packs(dir: &Path, kept: &BTreeSet<ContentDigest>) -> Result<(), DirectoryError> {
+    let packs = dir.join(PACK_KEY_PREFIX);
+    let io_error = |source| DirectoryError::Io {
+        path: packs.clone(),
+        source,
+    };
+    if !packs.exists() {
+        return Ok(());
+    }
+    for entry in fs::read_dir(&packs).map_err(io_error)? {
+        let entry = entry.map_err(io_error)?;
+        let digest = entry.file_name().to_str().and_then(|n| n.parse().ok());
+        if digest.is_none_or(|digest| kept.contains(&digest)) {
+            continue;
+        }
+        fs::remove_file(entry.path()).map_err(io_error)?;
+    }
+    Ok(())
+}
+
+fn in_dir(path: &Path, source: PublicationError) -> DirectoryError {
+    DirectoryError::Publication {
+        path: path.to_owned(),
+        source,
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,10 +1,27 @@
 //! The configuration of the fleet: the teams' files, the checks that they must
-//! pass, and the model that every host works from.
+//! pass, the published form, and the model that every host works from.
 
-pub mod file;
+pub mod diff;
+pub mod directory;
 pub mod model;
+pub mod problem;
+pub mod publication;
+pub mod resolve;
 
-pub use file::{FileError, TeamFile};
+mod location;
+mod near;
+mod rows;
+mod table;
+mod team;
+mod validate;
+
+pub use diff::{Change, ChangeKind, Diff, FieldChange};
+pub use directory::{Collected, DirectoryError, read_publication, write_publication};
 pub use model::{
     Access, Detection, Instance, InstanceState, RateLimit, Route, Service, Snapshot, Workspace,
 };
+pub use problem::{CheckErrors, Finding, Location, Problem, Severity};
+pub use publication::{
+    BlobDigest, Manifest, Pack, Publication, PublicationError, assemble, publish,
+};
+pub use resolve::{CheckReport, TeamText, check, resolve};
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -103,6 +103,7 @@
     /// The workspace's name.
     pub name: WorkspaceName,
     /// Digests of the keys that are valid now.
+    #[serde(with = "crate::rows::digest_texts")]
     pub key_digests: Vec<KeyDigest>,
     /// The rate and burst over all hosts together.
     pub limit: RateLimit,
--- /dev/null
+++ b/crates/config/src/near.rs
@@ -0,0 +1,32 @@
+//! The nearest allowed name to a misspelt one.
+
+/// Edits that a suggestion may be away.
+const MAX_EDITS: usize = 3;
+
+/// Returns the candidate with the fewest edits, if it is near enough.
+pub fn nearest<'a>(name: &str, candidates: impl Iterator<Item = &'a str>) -> Option<String> {
+    candidates
+        .map(|candidate| (edits(name, candidate), candidate))
+        .filter(|(distance, candidate)| *distance <= MAX_EDITS.min(candidate.len() / 2))
+        .min()
+        .map(|(_, candidate)| candidate.to_owned())
+}
+
+/// Returns the Levenshtein distance of two texts.
+fn edits(a: &str, b: &str) -> usize {
+    if a.len().abs_diff(b.len()) > MAX_EDITS {
+        return usize::MAX;
+    }
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, left) in a.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, right) in b.iter().enumerate() {
+            let substitution = diagonal + usize::from(left != *right);
+            diagonal = row[j + 1];
+            row[j + 1] = substitution.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/crates/config/src/team.rs
@@ -0,0 +1,254 @@
+//! One team's file: services, routes and workspaces by name.
+
+mod route;
+mod service;
+mod workspace;
+
+use std::path::Path;
+use std::sync::Arc;
+
+use toml::de::DeTable;
+use waxwingusher_core::{RouteName, ServiceName, WorkspaceName};
+
+use crate::location::{Item, Locations, Subject};
+use crate::model::{RateLimit, Route, Service, Workspace};
+use crate::problem::{Finding, Location, Problem};
+use crate::table::{Located, NamedTable, Source, Table};
+
+const KEYS: &[&str] = &["owner", "service", "route", "workspace"];
+
+/// The longest name, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// The largest rate, in requests a second.
+const MAX_RATE_PER_S: f64 = 1e9;
+
+/// Something that a file declares, with its line.
+pub struct Declared<T> {
+    /// What is declared.
+    pub content: T,
+    /// The line.
+    pub location: Location,
+}
+
+/// The content of one file and the problems found in it.
+#[derive(Default)]
+pub struct Team {
+    /// The team that owns what the file declares.
+    pub owner: Arc<str>,
+    /// All services.
+    pub services: Vec<Declared<Service>>,
+    /// All routes.
+    pub routes: Vec<Declared<Route>>,
+    /// All workspaces.
+    pub workspaces: Vec<Declared<Workspace>>,
+    /// Where everything stands.
+    pub locations: Locations,
+    /// The problems.
+    pub findings: Vec<Finding>,
+}
+
+impl Team {
+    /// Reads a file as far as possible and notes all problems.
+    pub fn parse(path: &Path, text: &str) -> Self {
+        let mut source = Source::new(path, text);
+        let (root, errors) = DeTable::parse_recoverable(text);
+        for error in errors {
+            let offset = error.span().map_or(0, |span| span.start);
+            let message = error.message().to_owned();
+            source.error(offset, Problem::Syntax { message });
+        }
+        let mut team = Self::default();
+        team.read(&mut source, root.get_ref());
+        team.findings = source.findings;
+        team
+    }
+
+    fn read(&mut self, source: &mut Source<'_>, root: &DeTable<'_>) {
+        let table = Table::new(source, root, 0, KEYS);
+        self.owner = read_owner(source, &table);
+        for named in table.tables(source, "service") {
+            let item = Item::Service(ServiceName::new(&named.name));
+            let location = self.declare(source, &named, item);
+            if let Some(content) = self.read_service(source, &named) {
+                self.services.push(Declared { content, location });
+            }
+        }
+        for named in table.tables(source, "route") {
+            let item = Item::Route(RouteName::new(&named.name));
+            let location = self.declare(source, &named, item);
+            if let Some(content) = self.read_route(source, &named) {
+                self.routes.push(Declared { content, location });
+            }
+        }
+        for named in table.tables(source, "workspace") {
+            let item = Item::Workspace(WorkspaceName::new(&named.name));
+            let location = self.declare(source, &named, item);
+            if let Some(content) = self.read_workspace(source, &named) {
+                self.workspaces.push(Declared { content, location });
+            }
+        }
+    }
+
+    /// Checks an item's name and records its line and those of its keys.
+    fn declare(
+        &mut self,
+        source: &mut Source<'_>,
+        named: &NamedTable<'_, '_>,
+        item: Item,
+    ) -> Location {
+        if !is_name(&named.name) {
+            let name = named.name.to_string();
+            source.error(named.offset, Problem::BadName { name });
+        }
+        let location = source.location(named.offset);
+        self.locations
+            .record(Subject::whole(item), location.clone());
+        location
+    }
+
+    fn record_keys(
+        &mut self,
+        source: &Source<'_>,
+        table: &Table<'_, '_>,
+        item: &Item,
+        keys: &[&'static str],
+    ) {
+        for key in keys {
+            let Some(offset) = table.offset_of(key) else {
+                continue;
+            };
+            let location = source.location(offset);
+            self.locations
+                .record(Subject::key(item.clone(), key), location);
+        }
+    }
+}
+
+fn read_owner(source: &mut Source<'_>, table: &Table<'_, '_>) -> Arc<str> {
+    const ALLOWED: &str = "the name of the team that owns the file";
+    match table.string(source, "owner") {
+        Some(owner) if !owner.value.trim().is_empty() => owner.value,
+        Some(owner) => {
+            let problem = Problem::OutOfRange {
+                key: "owner",
+                value: "empty".to_owned(),
+                allowed: ALLOWED,
+            };
+            source.error(owner.offset, problem);
+            Arc::from("")
+        }
+        None => {
+            if table.offset_of("owner").is_none() {
+                table.missing(source, "owner", ALLOWED);
+            }
+            Arc::from("")
+        }
+    }
+}
+
+fn is_name(name: &str) -> bool {
+    let fits = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b"-_.".contains(&b);
+    !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.bytes().all(fits)
+}
+
+/// Notes that a number is out of range.
+fn out_of_range(
+    source: &mut Source<'_>,
+    offset: usize,
+    key: &'static str,
+    value: &(impl ToString + ?Sized),
+    allowed: &'static str,
+) {
+    let value = value.to_string();
+    let problem = Problem::OutOfRange {
+        key,
+        value,
+        allowed,
+    };
+    source.error(offset, problem);
+}
+
+/// Converts an integer to its type, or notes that it is out of range.
+fn narrow<T: TryFrom<i128>>(
+    source: &mut Source<'_>,
+    number: &Located<i128>,
+    key: &'static str,
+    allowed: &'static str,
+) -> Option<T> {
+    let narrowed = T::try_from(number.value).ok();
+    if narrowed.is_none() {
+        out_of_range(source, number.offset, key, &number.value, allowed);
+    }
+    narrowed
+}
+
+/// Reads an integer that has a default, or notes that it is out of range.
+fn read_or_default<T: TryFrom<i128>>(
+    source: &mut Source<'_>,
+    table: &Table<'_, '_>,
+    key: &'static str,
+    allowed: &'static str,
+    default: T,
+) -> Option<T> {
+    if table.offset_of(key).is_none() {
+        return Some(default);
+    }
+    let written = table.integer(source, key)?;
+    narrow(source, &written, key, allowed)
+}
+
+/// Reads a rate in requests a second as thousandths.
+fn read_rate(source: &mut Source<'_>, table: &Table<'_, '_>, key: &'static str) -> Option<u64> {
+    let rate = table.number(source, key)?;
+    let millis = (rate.value * 1_000.0).round();
+    let exact = (rate.value * 1_000.0 - millis).abs() < 1e-6 * millis.max(1.0);
+    if !(0.0..=MAX_RATE_PER_S).contains(&rate.value) || !exact {
+        const ALLOWED: &str = "0 to 1000000000 requests a second, in steps of 0.001";
+        out_of_range(source, rate.offset, key, &rate.value, ALLOWED);
+        return None;
+    }
+    Some(millis as u64)
+}
+
+/// Reads a burst in requests.
+fn read_burst(source: &mut Source<'_>, table: &Table<'_, '_>, key: &'static str) -> Option<u32> {
+    let burst = table.integer(source, key)?;
+    narrow(source, &burst, key, "1 to 4294967295 requests")
+}
+
+/// Reads a rate and a burst, both of which must be written.
+fn read_limit(
+    source: &mut Source<'_>,
+    table: &Table<'_, '_>,
+    rate_key: &'static str,
+    burst_key: &'static str,
+) -> Option<RateLimit> {
+    let rate = read_rate(source, table, rate_key);
+    let burst = read_burst(source, table, burst_key);
+    Some(RateLimit {
+        rate_millis_per_s: rate?,
+        burst: burst?,
+    })
+}
+
+/// Reads one of a few words.
+fn read_word<T: Copy>(
+    source: &mut Source<'_>,
+    table: &Table<'_, '_>,
+    key: &'static str,
+    words: &[(&'static str, T)],
+) -> Option<T> {
+    let written = table.string(source, key)?;
+    let found = words.iter().find(|(word, _)| **word == *written.value);
+    if let Some((_, value)) = found {
+        return Some(*value);
+    }
+    let problem = Problem::UnknownWord {
+        key,
+        value: written.value.to_string(),
+        allowed: words.iter().map(|(word, _)| *word).collect(),
+    };
+    source.error(written.offset, problem);
+    None
+}
--- /dev/null
+++ b/crates/config/src/validate/services.rs
@@ -0,0 +1,85 @@
+//! Checks of services and their instances.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::Fault;
+use crate::location::{Item, Subject};
+use crate::model::{InstanceState, Service, Snapshot};
+use crate::problem::Problem;
+
+pub fn validate(snapshot: &Snapshot, faults: &mut Vec<Fault>) {
+    for service in snapshot.services.values() {
+        check_floor(service, faults);
+        check_instances(service, faults);
+        if let Some(problem) = bad_path("health-path", &service.health_path) {
+            let subject = Subject::key(Item::Service(service.name.clone()), "health-path");
+            faults.push(Fault::error(subject, problem));
+        }
+    }
+}
+
+/// Returns the problem of a path, if it has one.
+pub fn bad_path(key: &'static str, path: &Arc<str>) -> Option<Problem> {
+    let is_bad = !path.starts_with('/')
+        || path.contains(['?', '#'])
+        || path.contains(|c: char| c.is_whitespace() || c.is_control());
+    is_bad.then(|| Problem::BadPath {
+        key,
+        path: path.clone(),
+    })
+}
+
+fn check_floor(service: &Service, faults: &mut Vec<Fault>) {
+    let item = Item::Service(service.name.clone());
+    let subject = Subject::key(item, "floor-percent");
+    let floor_percent = service.floor_percent;
+    if floor_percent > 100 {
+        let problem = Problem::OutOfRange {
+            key: "floor-percent",
+            value: floor_percent.to_string(),
+            allowed: "0 to 100 percent",
+        };
+        faults.push(Fault::error(subject, problem));
+        return;
+    }
+    let live = service
+        .instances
+        .iter()
+        .filter(|instance| instance.state == InstanceState::Live);
+    let live_slots: Vec<u32> = live.map(|instance| instance.slots).collect();
+    let Some(&smallest) = live_slots.iter().min() else {
+        let service = service.name.to_string();
+        faults.push(Fault::warning(subject, Problem::NoInstance { service }));
+        return;
+    };
+    let slots: u64 = live_slots.iter().map(|slots| u64::from(*slots)).sum();
+    let after_ejection = (slots - u64::from(smallest)) * 100;
+    if after_ejection < slots * u64::from(floor_percent) {
+        let problem = Problem::FloorAllowsNoEjection {
+            floor_percent,
+            slots,
+            smallest,
+        };
+        faults.push(Fault::warning(subject, problem));
+    }
+}
+
+fn check_instances(service: &Service, faults: &mut Vec<Fault>) {
+    let mut addresses: HashMap<SocketAddr, &str> = HashMap::new();
+    for instance in &service.instances {
+        let item = Item::Instance(service.name.clone(), instance.id.clone());
+        if instance.slots == 0 {
+            let problem = Problem::zero("slots", "1 to 4294967295 requests at once");
+            faults.push(Fault::error(Subject::key(item.clone(), "slots"), problem));
+        }
+        if let Some(other) = addresses.insert(instance.addr, instance.id.as_str()) {
+            let problem = Problem::SharedAddress {
+                instance: instance.id.to_string(),
+                other: other.to_owned(),
+            };
+            faults.push(Fault::error(Subject::key(item, "addr"), problem));
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/tests/testsuite/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the configuration, by concern.
+
+mod directory;
+mod files;
+mod findings;
+mod packs;
+mod publication;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod cancel;
 pub mod clock;
+pub mod content;
 pub mod digest;
 pub mod hosts;
 pub mod names;
@@ -10,6 +11,7 @@
 
 pub use cancel::CancelToken;
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use content::ContentDigest;
 pub use digest::{BodyDigest, KeyDigest};
 pub use hosts::{HostEntry, HostList, HostState};
 pub use names::{FailureDomain, HostId, InstanceId, RouteName, ServiceName, WorkspaceName};
