--- a/crates/config/src/directory.rs
+++ b/crates/config/src/directory.rs
@@ -8,6 +8,7 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
+use serde::Serialize;
 use waxwingusher_core::ContentDigest;
 
 use crate::model::Snapshot;
@@ -40,7 +41,8 @@
 }
 
 /// What a publishing step wrote.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct Collected {
     /// The version in the directory now.
     pub version: u64,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod diff;
 pub mod directory;
+pub mod key;
 pub mod model;
 pub mod problem;
 pub mod publication;
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,88 @@
+//! The subcommands. Each module holds its arguments and `run`.
+
+pub mod check;
+pub mod collect;
+pub mod diff;
+pub mod key;
+
+mod sources;
+
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use serde::Serialize;
+use waxwingusher_config::DirectoryError;
+
+/// The exit code for findings or differences, and for failures.
+pub const EXIT_FINDINGS: u8 = 1;
+
+/// The exit code for a wrong command line.
+pub const EXIT_USAGE: u8 = 2;
+
+/// What a subcommand found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// All is good.
+    Clean,
+    /// There are errors or differences, which are printed.
+    Findings,
+}
+
+impl From<Outcome> for ExitCode {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Clean => Self::SUCCESS,
+            Outcome::Findings => Self::from(EXIT_FINDINGS),
+        }
+    }
+}
+
+/// A subcommand cannot do its work.
+#[derive(Debug, thiserror::Error)]
+pub enum CmdError {
+    /// A file cannot be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The output cannot be written.
+    #[error("the output cannot be written: {0}")]
+    Output(#[from] io::Error),
+    /// A publication cannot be read or written.
+    #[error(transparent)]
+    Directory(#[from] DirectoryError),
+    /// A directory holds no publication.
+    #[error("{}: there is no publication", dir.display())]
+    NoPublication {
+        /// The directory.
+        dir: PathBuf,
+    },
+    /// The operating system gives no random numbers.
+    #[error("no random numbers: {0}")]
+    Random(getrandom::Error),
+    /// The arguments do not fit together.
+    #[error("{0}")]
+    Usage(&'static str),
+}
+
+impl CmdError {
+    /// Returns the exit code.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Usage(_) | Self::Read { .. } => ExitCode::from(EXIT_USAGE),
+            _ => ExitCode::from(EXIT_FINDINGS),
+        }
+    }
+}
+
+/// Writes a value as one line of JSON to the standard output.
+fn print_json<T: Serialize>(value: &T) -> Result<(), CmdError> {
+    let mut out = io::stdout().lock();
+    serde_json::to_writer(&mut out, value).map_err(io::Error::from)?;
+    writeln!(out)?;
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/sources.rs
@@ -0,0 +1,102 @@
+//! The teams' files on disk.
+
+use std::ffi::OsStr;
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_config::{CheckReport, TeamText, check};
+use waxwingusher_core::{Clock, SystemClock};
+
+use super::CmdError;
+
+/// The name of a team's file, alone or after a dot.
+const FILE_NAME: &str = "waxwingusher.toml";
+
+/// The time between two lines of progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Lines of progress on the standard error, once a second at most.
+pub struct Progress {
+    clock: Arc<dyn Clock>,
+    last: Instant,
+}
+
+impl Progress {
+    /// Starts to count time.
+    pub fn new() -> Self {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let last = clock.now();
+        Self { clock, last }
+    }
+
+    /// Prints a line if the last one is long ago.
+    pub fn report(&mut self, line: &str) {
+        let now = self.clock.now();
+        if now.duration_since(self.last) < PROGRESS_INTERVAL {
+            return;
+        }
+        self.last = now;
+        let _ = writeln!(io::stderr(), "{line}");
+    }
+}
+
+/// Reads all team files of a list of files and directories, and checks them.
+pub fn check_paths(paths: &[PathBuf]) -> Result<(usize, CheckReport), CmdError> {
+    let mut progress = Progress::new();
+    let mut files = Vec::new();
+    for path in paths {
+        find(path, &mut files)?;
+    }
+    files.sort();
+    files.dedup();
+    let mut texts = Vec::with_capacity(files.len());
+    for path in &files {
+        texts.push(read(path)?);
+        progress.report(&format!("read {} of {} files", texts.len(), files.len()));
+    }
+    progress.report(&format!("checking {} files", texts.len()));
+    Ok((texts.len(), check(&texts, 1)))
+}
+
+fn read(path: &Path) -> Result<TeamText, CmdError> {
+    let text = fs::read_to_string(path).map_err(|source| CmdError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    Ok(TeamText {
+        path: path.to_owned(),
+        text,
+    })
+}
+
+/// Adds a file, or all team files below a directory without hidden ones.
+fn find(path: &Path, files: &mut Vec<PathBuf>) -> Result<(), CmdError> {
+    if !path.is_dir() {
+        files.push(path.to_owned());
+        return Ok(());
+    }
+    let read_error = |source| CmdError::Read {
+        path: path.to_owned(),
+        source,
+    };
+    for entry in fs::read_dir(path).map_err(read_error)? {
+        let entry = entry.map_err(read_error)?;
+        let name = entry.file_name();
+        let kind = entry.file_type().map_err(read_error)?;
+        if kind.is_dir() && !name.as_encoded_bytes().starts_with(b".") {
+            find(&entry.path(), files)?;
+        } else if kind.is_file() && is_team_file(&name) {
+            files.push(entry.path());
+        }
+    }
+    Ok(())
+}
+
+fn is_team_file(name: &OsStr) -> bool {
+    let name = name.to_string_lossy();
+    name.strip_suffix(FILE_NAME)
+        .is_some_and(|before| before.is_empty() || before.ends_with('.'))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,69 @@
 //! The `waxwingusher` binary: parses the command line and dispatches.
 
-fn main() {}
+mod cmd;
+
+use std::io::Write;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::cmd::{CmdError, Outcome, check, collect, diff, key};
+
+/// A proxy fleet for upstreams with gray failures.
+#[derive(Debug, FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(check::CheckArgs),
+    Collect(collect::CollectArgs),
+    Diff(diff::DiffArgs),
+    Key(key::KeyArgs),
+}
+
+impl Command {
+    fn run(&self) -> Result<Outcome, CmdError> {
+        match self {
+            Self::Check(args) => args.run(),
+            Self::Collect(args) => args.run(),
+            Self::Diff(args) => args.run(),
+            Self::Key(args) => args.run(),
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let args = match parse_args() {
+        Ok(args) => args,
+        Err(exit) => return exit,
+    };
+    match args.command.run() {
+        Ok(outcome) => outcome.into(),
+        Err(error) => {
+            let _ = writeln!(std::io::stderr(), "waxwingusher: {error}");
+            error.exit_code()
+        }
+    }
+}
+
+fn parse_args() -> Result<Args, ExitCode> {
+    let args: Vec<String> = std::env::args_os()
+        .map(|arg| arg.to_string_lossy().into_owned())
+        .collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let (command, rest) = args.split_first().unwrap_or((&"waxwingusher", &[]));
+    Args::from_args(&[command], rest).map_err(|early| match early.status {
+        Ok(()) => {
+            let _ = writeln!(std::io::stdout(), "{}", early.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            let _ = writeln!(std::io::stderr(), "{}", early.output);
+            ExitCode::from(cmd::EXIT_USAGE)
+        }
+    })
+}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the binary, by concern.
+
+mod commands;
