--- /dev/null
+++ b/crates/protocol/src/codec/decoder.rs
@@ -0,0 +1,190 @@
+//! The receiving half of the codec.
+
+use std::collections::{HashMap, VecDeque};
+
+use serde::Deserialize;
+use waxwingusher_core::HostId;
+
+use super::layout::VersionByte;
+use super::replay::{Freshness, ReplayWindow};
+use super::{
+    DOMAIN, HEADER_BYTES, Layout, MAX_DATAGRAM_BYTES, MAX_PEERS, PeerLayouts, VERSION_BYTES,
+};
+use crate::message::{Envelope, Message};
+use crate::secret::FleetSecret;
+
+// A late datagram of a former process is judged by that process's window.
+const INCARNATIONS_PER_PEER: usize = 4;
+
+/// Why a datagram is dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum DecodeError {
+    /// It is longer than any datagram of the fleet.
+    #[error("the datagram is too large")]
+    TooLarge,
+    /// It is too short for a header.
+    #[error("the datagram is too short")]
+    TooShort,
+    /// Its layout is unknown to this release.
+    #[error("the datagram's version is unknown")]
+    UnknownVersion,
+    /// It was not made with the fleet secret for this host.
+    #[error("the datagram's code is wrong")]
+    BadTag,
+    /// It was received before.
+    #[error("the datagram was received before")]
+    Replayed,
+    /// It says that it comes from this host.
+    #[error("the datagram carries this host's own name")]
+    FromSelf,
+    /// Its message is of a kind that only newer releases know.
+    #[error("the message is unknown to this release")]
+    UnknownMessage,
+    /// Its body does not follow the layout.
+    #[error("the datagram's body is malformed")]
+    Malformed,
+}
+
+impl DecodeError {
+    /// All causes, in a fixed order.
+    pub const ALL: [Self; 8] = [
+        Self::TooLarge,
+        Self::TooShort,
+        Self::UnknownVersion,
+        Self::BadTag,
+        Self::Replayed,
+        Self::FromSelf,
+        Self::UnknownMessage,
+        Self::Malformed,
+    ];
+}
+
+#[derive(Debug)]
+struct ProcessWindow {
+    incarnation: u64,
+    window: ReplayWindow,
+}
+
+/// Decodes the datagrams for one host. No input makes it panic.
+#[derive(Debug)]
+pub struct Decoder {
+    self_id: HostId,
+    secret: FleetSecret,
+    newest: Layout,
+    layouts: PeerLayouts,
+    windows: HashMap<HostId, VecDeque<ProcessWindow>>,
+}
+
+#[derive(Deserialize)]
+struct Origin {
+    from: HostId,
+    incarnation: u64,
+}
+
+impl Decoder {
+    pub(super) fn new(
+        self_id: &HostId,
+        secret: &FleetSecret,
+        newest: Layout,
+        layouts: PeerLayouts,
+    ) -> Self {
+        Self {
+            self_id: self_id.clone(),
+            secret: secret.clone(),
+            newest,
+            layouts,
+            windows: HashMap::new(),
+        }
+    }
+
+    /// Authenticates and decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause for which the datagram has to be dropped.
+    pub fn decode(&mut self, datagram: &[u8]) -> Result<Envelope, DecodeError> {
+        let (version, body) = self.authenticate(datagram)?;
+        let (origin, rest) = take::<Origin>(body)?;
+        if origin.from == self.self_id {
+            return Err(DecodeError::FromSelf);
+        }
+        let rest = match version.layout {
+            Layout::V1 => rest,
+            Layout::V2 => {
+                let (sequence, rest) = take::<u64>(rest)?;
+                self.check_replay(&origin, sequence)?;
+                rest
+            }
+        };
+        self.layouts.learn(&origin.from, version.senders_newest);
+        let message = decode_message(rest)?;
+        Ok(Envelope {
+            from: origin.from,
+            incarnation: origin.incarnation,
+            message,
+        })
+    }
+
+    fn authenticate<'a>(&self, datagram: &'a [u8]) -> Result<(VersionByte, &'a [u8]), DecodeError> {
+        if datagram.len() > MAX_DATAGRAM_BYTES {
+            return Err(DecodeError::TooLarge);
+        }
+        if datagram.len() <= HEADER_BYTES {
+            return Err(DecodeError::TooShort);
+        }
+        let (header, body) = datagram.split_at(HEADER_BYTES);
+        let (version_byte, tag) = header.split_at(VERSION_BYTES);
+        let version = VersionByte::decode(version_byte[0])
+            .filter(|version| version.layout <= self.newest)
+            .ok_or(DecodeError::UnknownVersion)?;
+        let receiver = self.self_id.as_str().as_bytes();
+        let parts = [DOMAIN, version_byte, receiver, body];
+        if !self.secret.verifies(&parts, tag) {
+            return Err(DecodeError::BadTag);
+        }
+        Ok((version, body))
+    }
+
+    fn check_replay(&mut self, origin: &Origin, sequence: u64) -> Result<(), DecodeError> {
+        if self.windows.len() >= MAX_PEERS && !self.windows.contains_key(&origin.from) {
+            self.windows.clear();
+        }
+        let processes = self.windows.entry(origin.from.clone()).or_default();
+        let known = processes
+            .iter_mut()
+            .find(|process| process.incarnation == origin.incarnation);
+        let freshness = match known {
+            Some(process) => process.window.accept(sequence),
+            None => {
+                let mut window = ReplayWindow::default();
+                let freshness = window.accept(sequence);
+                if processes.len() >= INCARNATIONS_PER_PEER {
+                    processes.pop_front();
+                }
+                processes.push_back(ProcessWindow {
+                    incarnation: origin.incarnation,
+                    window,
+                });
+                freshness
+            }
+        };
+        match freshness {
+            Freshness::Fresh => Ok(()),
+            Freshness::Replayed => Err(DecodeError::Replayed),
+        }
+    }
+}
+
+fn take<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<(T, &'a [u8]), DecodeError> {
+    postcard::take_from_bytes(bytes).map_err(|_| DecodeError::Malformed)
+}
+
+fn decode_message(bytes: &[u8]) -> Result<Message, DecodeError> {
+    match postcard::take_from_bytes::<Message>(bytes) {
+        Ok((message, [])) => Ok(message),
+        Ok(_) => Err(DecodeError::Malformed),
+        // An enum refuses a variant that it does not know in this way.
+        Err(postcard::Error::SerdeDeCustom) => Err(DecodeError::UnknownMessage),
+        Err(_) => Err(DecodeError::Malformed),
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/codec/replay.rs
@@ -0,0 +1,47 @@
+//! A sliding window over sequence numbers, which accepts each number once.
+
+const WINDOW: u64 = 64;
+
+/// Whether a sequence number is seen for the first time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// The number was not seen before.
+    Fresh,
+    /// The number was seen, or is too old to tell.
+    Replayed,
+}
+
+/// The sequence numbers that were accepted from one sender's process.
+#[derive(Debug, Clone, Default)]
+pub struct ReplayWindow {
+    highest: u64,
+    // Bit `i` stands for `highest - i`.
+    seen: u64,
+}
+
+impl ReplayWindow {
+    /// Accepts a number, which must be above zero, at most once. Numbers may
+    /// overtake each other by less than 64.
+    pub fn accept(&mut self, sequence: u64) -> Freshness {
+        if sequence == 0 {
+            return Freshness::Replayed;
+        }
+        if sequence > self.highest {
+            let shift = sequence - self.highest;
+            self.seen = if shift < WINDOW {
+                self.seen << shift
+            } else {
+                0
+            };
+            self.seen |= 1;
+            self.highest = sequence;
+            return Freshness::Fresh;
+        }
+        let age = self.highest - sequence;
+        if age >= WINDOW || self.seen & (1 << age) != 0 {
+            return Freshness::Replayed;
+        }
+        self.seen |= 1 << age;
+        Freshness::Fresh
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,9 +5,15 @@
 //! a datagram use JSON-RPC over TCP.
 
 pub mod attempt;
+pub mod codec;
 pub mod gossip;
 pub mod health;
 pub mod loan;
 pub mod message;
+pub mod secret;
+pub mod socket;
 
-pub use message::{Envelope, Message, Outgoing};
+pub use codec::{MAX_DATAGRAM_BYTES, wire_len_bytes};
+pub use message::{Envelope, Message, MessageKind, Outgoing};
+pub use secret::FleetSecret;
+pub use socket::{PeerSocket, SocketSettings};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -41,3 +41,45 @@
     /// The content.
     pub message: M,
 }
+
+/// The part of the system that a message belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MessageKind {
+    /// Rates and bursts.
+    Loan,
+    /// Attempt records and quarantine.
+    Attempt,
+    /// Evidence on instances.
+    Health,
+    /// Liveness and configuration versions.
+    Gossip,
+}
+
+impl MessageKind {
+    /// All kinds, in a fixed order.
+    pub const ALL: [Self; 4] = [Self::Loan, Self::Attempt, Self::Health, Self::Gossip];
+
+    /// Returns the kind's name for metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Loan => "loan",
+            Self::Attempt => "attempt",
+            Self::Health => "health",
+            Self::Gossip => "gossip",
+        }
+    }
+}
+
+impl Message {
+    /// Returns the part of the system that the message belongs to.
+    #[must_use]
+    pub fn kind(&self) -> MessageKind {
+        match self {
+            Self::Loan(_) => MessageKind::Loan,
+            Self::Attempt(_) => MessageKind::Attempt,
+            Self::Health(_) => MessageKind::Health,
+            Self::Gossip(_) => MessageKind::Gossip,
+        }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/secret.rs
@@ -0,0 +1,76 @@
+//! The fleet secret and the authentication codes made with it.
+
+use std::fmt;
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::{Digest, Sha256};
+
+/// The shortest secret, in bytes.
+pub const MIN_SECRET_BYTES: usize = 32;
+
+/// The length of an authentication code, in bytes.
+pub const TAG_BYTES: usize = 16;
+
+// The block of SHA-256. A shorter key is the same key with zeros at its end.
+const KEY_BYTES: usize = 64;
+
+/// A secret that all hosts of the fleet share. It is never printed.
+#[derive(Clone)]
+pub struct FleetSecret {
+    key: [u8; KEY_BYTES],
+}
+
+/// A fleet secret is too short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("a fleet secret has at least {MIN_SECRET_BYTES} bytes, this one has {len_bytes}")]
+pub struct SecretTooShort {
+    /// The length that was given.
+    pub len_bytes: usize,
+}
+
+impl FleetSecret {
+    /// Takes the secret from the text of a setting.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text is shorter than [`MIN_SECRET_BYTES`].
+    pub fn new(text: &str) -> Result<Self, SecretTooShort> {
+        if text.len() < MIN_SECRET_BYTES {
+            return Err(SecretTooShort {
+                len_bytes: text.len(),
+            });
+        }
+        let digest = Sha256::digest(text.as_bytes());
+        let mut key = [0; KEY_BYTES];
+        key[..digest.len()].copy_from_slice(&digest);
+        Ok(Self { key })
+    }
+
+    /// Returns the code of several parts, each bound with its length.
+    pub(crate) fn tag(&self, parts: &[&[u8]]) -> [u8; TAG_BYTES] {
+        let full = self.mac(parts).finalize().into_bytes();
+        let mut tag = [0; TAG_BYTES];
+        tag.copy_from_slice(&full[..TAG_BYTES]);
+        tag
+    }
+
+    /// Compares a code in constant time.
+    pub(crate) fn verifies(&self, parts: &[&[u8]], tag: &[u8]) -> bool {
+        tag.len() == TAG_BYTES && self.mac(parts).verify_truncated_left(tag).is_ok()
+    }
+
+    fn mac(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
+        let mut mac = <Hmac<Sha256> as KeyInit>::new(&self.key.into());
+        for part in parts {
+            mac.update(&(part.len() as u64).to_le_bytes());
+            mac.update(part);
+        }
+        mac
+    }
+}
+
+impl fmt::Debug for FleetSecret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FleetSecret(..)")
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/socket/budget.rs
@@ -0,0 +1,73 @@
+//! The cap on bytes that one host sends to its peers.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use waxwingusher_core::Clock;
+
+use crate::message::MessageKind;
+
+// Less urgent messages leave this part of the burst to the urgent ones.
+const RESERVE_PERCENT: f64 = 25.0;
+const FULL_PERCENT: f64 = 100.0;
+
+/// A token bucket of bytes.
+pub struct ByteBudget {
+    clock: Arc<dyn Clock>,
+    bytes_per_s: f64,
+    burst_bytes: f64,
+    available_bytes: f64,
+    refilled_at: Instant,
+}
+
+/// Whether a datagram may be sent now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The bytes have been spent.
+    Granted,
+    /// The cap is reached; nothing was spent.
+    Capped,
+}
+
+impl ByteBudget {
+    /// Creates a budget that is full.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>, bytes_per_s: u32, burst_bytes: u32) -> Self {
+        let refilled_at = clock.now();
+        Self {
+            clock,
+            bytes_per_s: f64::from(bytes_per_s),
+            burst_bytes: f64::from(burst_bytes),
+            available_bytes: f64::from(burst_bytes),
+            refilled_at,
+        }
+    }
+
+    /// Spends the bytes of a datagram if the cap allows it.
+    pub fn take(&mut self, kind: MessageKind, len_bytes: usize) -> Verdict {
+        self.refill();
+        let wanted_bytes = len_bytes as f64;
+        if self.available_bytes - wanted_bytes < self.reserve_bytes(kind) {
+            return Verdict::Capped;
+        }
+        self.available_bytes -= wanted_bytes;
+        Verdict::Granted
+    }
+
+    fn refill(&mut self) {
+        let now = self.clock.now();
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        self.refilled_at = now;
+        let refilled = self.available_bytes + elapsed.as_secs_f64() * self.bytes_per_s;
+        self.available_bytes = refilled.min(self.burst_bytes);
+    }
+
+    fn reserve_bytes(&self, kind: MessageKind) -> f64 {
+        match kind {
+            MessageKind::Loan | MessageKind::Attempt => 0.0,
+            MessageKind::Health | MessageKind::Gossip => {
+                self.burst_bytes * RESERVE_PERCENT / FULL_PERCENT
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/socket/mod.rs
@@ -0,0 +1,272 @@
+//! The UDP socket over which hosts exchange datagrams.
+
+mod addresses;
+mod budget;
+mod counters;
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use waxwingusher_core::{CancelToken, Clock, HostId, HostList};
+
+use crate::codec::{self, Decoder, EncodeError, Encoder, MAX_DATAGRAM_BYTES, UDP_OVERHEAD_BYTES};
+use crate::message::{Envelope, Message, MessageKind};
+use crate::secret::FleetSecret;
+use addresses::Addresses;
+use counters::SharedCounters;
+
+pub use budget::{ByteBudget, Verdict};
+pub use counters::{DropCause, SocketCounters, Traffic};
+
+const DEFAULT_RING_DATAGRAMS: usize = 4_096;
+const DEFAULT_BYTES_PER_S: u32 = 3 * 1_024;
+const DEFAULT_BURST_BYTES: u32 = 64 * 1_024;
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+const ERROR_PAUSE: Duration = Duration::from_millis(10);
+
+/// The settings of a peer socket.
+#[derive(Debug, Clone)]
+pub struct SocketSettings {
+    /// This host's name.
+    pub self_id: HostId,
+    /// The random number of this process.
+    pub incarnation: u64,
+    /// The address to listen on; port 0 takes a free one.
+    pub listen_addr: SocketAddr,
+    /// The secret of the fleet.
+    pub secret: FleetSecret,
+    /// Received datagrams that wait for the consumer; more are dropped.
+    pub ring_datagrams: usize,
+    /// The cap on sent bytes, over a longer time.
+    pub bytes_per_s: u32,
+    /// Bytes that may be sent at once after a quiet time.
+    pub burst_bytes: u32,
+}
+
+impl SocketSettings {
+    /// Creates settings with the default ring and cap.
+    #[must_use]
+    pub fn new(
+        self_id: HostId,
+        incarnation: u64,
+        listen_addr: SocketAddr,
+        secret: FleetSecret,
+    ) -> Self {
+        Self {
+            self_id,
+            incarnation,
+            listen_addr,
+            secret,
+            ring_datagrams: DEFAULT_RING_DATAGRAMS,
+            bytes_per_s: DEFAULT_BYTES_PER_S,
+            burst_bytes: DEFAULT_BURST_BYTES,
+        }
+    }
+}
+
+/// Why a message was not sent.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// The receiver is in no list and was never heard.
+    #[error("the address of host {0} is unknown")]
+    UnknownHost(HostId),
+    /// The cap on sent bytes is reached.
+    #[error("the cap on sent bytes is reached")]
+    RateCap,
+    /// The message cannot be encoded.
+    #[error(transparent)]
+    Encode(#[from] EncodeError),
+    /// The operating system refused the datagram.
+    #[error("datagram: {0}")]
+    Io(#[from] io::Error),
+}
+
+impl SendError {
+    fn cause(&self) -> DropCause {
+        match self {
+            Self::UnknownHost(_) => DropCause::UnknownHost,
+            Self::RateCap => DropCause::RateCap,
+            Self::Encode(_) => DropCause::TooLarge,
+            Self::Io(_) => DropCause::SendFailed,
+        }
+    }
+}
+
+struct Sending {
+    encoder: Encoder,
+    budget: ByteBudget,
+}
+
+struct Shared {
+    socket: UdpSocket,
+    sending: Mutex<Sending>,
+    addresses: Mutex<Addresses>,
+    counters: SharedCounters,
+    token: CancelToken,
+}
+
+/// The socket for datagrams, with a thread that receives.
+///
+/// It stops when it is dropped or its token is cancelled.
+pub struct PeerSocket {
+    shared: Arc<Shared>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl PeerSocket {
+    /// Opens the socket. Received messages arrive in the returned ring.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound or no thread started.
+    pub fn open(
+        settings: &SocketSettings,
+        clock: Arc<dyn Clock>,
+        token: &CancelToken,
+    ) -> io::Result<(Self, Receiver<Envelope>)> {
+        let socket = UdpSocket::bind(settings.listen_addr)?;
+        socket.set_read_timeout(Some(STOP_CHECK_INTERVAL))?;
+        let (encoder, decoder) =
+            codec::pair(&settings.self_id, settings.incarnation, &settings.secret);
+        let budget = ByteBudget::new(clock, settings.bytes_per_s, settings.burst_bytes);
+        let shared = Arc::new(Shared {
+            socket,
+            sending: Mutex::new(Sending { encoder, budget }),
+            addresses: Mutex::new(Addresses::default()),
+            counters: SharedCounters::default(),
+            token: token.child(),
+        });
+        let (ring, received) = sync_channel(settings.ring_datagrams);
+        let receiving = shared.clone();
+        let thread = std::thread::Builder::new()
+            .name("peer-receive".to_owned())
+            .spawn(move || receiving.receive_loop(decoder, &ring))?;
+        let socket = Self {
+            shared,
+            thread: Some(thread),
+        };
+        Ok((socket, received))
+    }
+
+    /// Returns where the socket listens.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operating system does not tell.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.shared.socket.local_addr()
+    }
+
+    /// Takes the addresses of all hosts from the list.
+    pub fn set_hosts(&self, list: &HostList) {
+        let mut addresses = lock(&self.shared.addresses);
+        addresses.set_listed(list);
+    }
+
+    /// Sends a message, once and without a guarantee.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause for which nothing was sent; it is counted as well.
+    pub fn send(&self, to: &HostId, message: &Message) -> Result<(), SendError> {
+        let sent = self.shared.send(to, message);
+        match &sent {
+            Ok(len_bytes) => self.shared.counters.sent(message.kind(), *len_bytes),
+            Err(error) => self.shared.counters.dropped(error.cause()),
+        }
+        sent.map(|_| ())
+    }
+
+    /// Returns the counters since the start.
+    #[must_use]
+    pub fn counters(&self) -> SocketCounters {
+        self.shared.counters.snapshot()
+    }
+
+    /// Returns the bytes sent for one kind of message since the start.
+    #[must_use]
+    pub fn sent_bytes(&self, kind: MessageKind) -> u64 {
+        self.counters().sent(kind).bytes
+    }
+}
+
+impl Drop for PeerSocket {
+    fn drop(&mut self) {
+        self.shared.token.cancel();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Shared {
+    // Returns the bytes on the wire.
+    fn send(&self, to: &HostId, message: &Message) -> Result<usize, SendError> {
+        let addr = lock(&self.addresses).get(to);
+        let addr = addr.ok_or_else(|| SendError::UnknownHost(to.clone()))?;
+        let mut sending = lock(&self.sending);
+        let datagram = sending.encoder.encode(to, message)?;
+        let len_bytes = datagram.len() + UDP_OVERHEAD_BYTES;
+        if sending.budget.take(message.kind(), len_bytes) == Verdict::Capped {
+            return Err(SendError::RateCap);
+        }
+        drop(sending);
+        self.socket.send_to(&datagram, addr)?;
+        Ok(len_bytes)
+    }
+
+    fn receive_loop(&self, mut decoder: Decoder, ring: &SyncSender<Envelope>) {
+        // One byte more shows that a datagram was too large.
+        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+        while !self.token.is_cancelled() {
+            let (len_bytes, addr) = match self.socket.recv_from(&mut buffer) {
+                Ok(received) => received,
+                Err(error) => {
+                    pause_after(&error);
+                    continue;
+                }
+            };
+            match decoder.decode(&buffer[..len_bytes]) {
+                Ok(envelope) => self.pass_on(envelope, len_bytes, addr, ring),
+                Err(cause) => self.counters.dropped(DropCause::Decode(cause)),
+            }
+        }
+    }
+
+    fn pass_on(
+        &self,
+        envelope: Envelope,
+        len_bytes: usize,
+        addr: SocketAddr,
+        ring: &SyncSender<Envelope>,
+    ) {
+        lock(&self.addresses).learn(&envelope.from, addr);
+        let kind = envelope.message.kind();
+        match ring.try_send(envelope) {
+            Ok(()) => self.counters.received(kind, len_bytes + UDP_OVERHEAD_BYTES),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                self.counters.dropped(DropCause::RingFull);
+            }
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn pause_after(error: &io::Error) {
+    let is_timeout = matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    );
+    if is_timeout {
+        return;
+    }
+    log::debug!("peers: receiving failed: {error}");
+    std::thread::sleep(ERROR_PAUSE);
+}
--- a/crates/standins/tests/testsuite/client.rs
+++ b/crates/standins/tests/testsuite/client.rs
@@ -2,6 +2,10 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+// Only ends a test that would hang; it bounds nothing that is measured.
+const HANG_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// An answer, split at the end of its head.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,6 +31,9 @@
 /// Sends the head and body of a request without waiting for the answer.
 pub fn send(addr: SocketAddr, method: &str, target: &str, headers: &str, body: &[u8]) -> TcpStream {
     let mut stream = TcpStream::connect(addr).expect("the stand-in listens");
+    stream
+        .set_read_timeout(Some(HANG_TIMEOUT))
+        .expect("a timeout");
     let head = format!(
         "{method} {target} HTTP/1.1\r\nHost: test\r\nConnection: close\r\nContent-Length: {}\r\n{headers}\r\n",
         body.len()
