--- /dev/null
+++ b/crates/upstreams/src/balance.rs
@@ -0,0 +1,175 @@
+//! The choice among instances that may take a request.
+
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{FailureDomain, InstanceId};
+use waxwingusher_protocol::health::{EjectionPhase, EjectionRow};
+
+use crate::choice::{ChoiceReason, ChooseError, ChooseRequest};
+use crate::member::{Availability, Member};
+
+const BUSY_RETRY: Duration = Duration::from_millis(5);
+const NEAR_LOAD: f64 = 0.5;
+const MIN_LATENCY_S: f64 = 0.000_1;
+
+/// How an instance is chosen among those with room.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub enum BalancePolicy {
+    /// One after the other.
+    RoundRobin,
+    /// The better of two by this host's own requests under way.
+    LocalInFlight,
+    /// The better of two by the load that answers carry, and by own requests.
+    #[default]
+    AnsweredLoad,
+}
+
+/// What a choice goes by.
+#[derive(Debug, Clone, Copy)]
+pub struct BalanceContext<'a> {
+    /// The time.
+    pub now: Instant,
+    /// The host's failure domain.
+    pub near: &'a FailureDomain,
+    /// The ejections that the floor allows.
+    pub ejections: &'a [EjectionRow],
+    /// The pool's median latency in seconds.
+    pub median_latency_s: Option<f64>,
+    /// How to choose.
+    pub policy: BalancePolicy,
+    /// The number of choices so far.
+    pub turn: usize,
+}
+
+#[derive(Debug, Default)]
+struct Candidates {
+    near: Vec<usize>,
+    far: Vec<usize>,
+    last_resort: Vec<usize>,
+    trial: Option<usize>,
+    busy: Option<Duration>,
+}
+
+/// Chooses among the members with the given indices.
+///
+/// # Errors
+///
+/// Returns [`ChooseError`] if no member may take the request now.
+pub fn choose(
+    context: &BalanceContext<'_>,
+    members: &[Member],
+    indices: impl Iterator<Item = usize>,
+    request: &ChooseRequest<'_>,
+    rng: &mut fastrand::Rng,
+) -> Result<(usize, ChoiceReason), ChooseError> {
+    let mut found = Candidates::default();
+    for index in indices {
+        sort_in(context, &members[index], index, request, &mut found);
+    }
+    if let Some(index) = found.trial {
+        return Ok((index, ChoiceReason::Trial));
+    }
+    let near = pick(context, members, &found.near, rng);
+    if let Some(index) = near
+        && load(context, &members[index]) < NEAR_LOAD
+    {
+        return Ok((index, ChoiceReason::Near));
+    }
+    let far = pick(context, members, &found.far, rng);
+    match (near, far) {
+        (Some(near), Some(far)) => {
+            let prefers_near = cost(context, &members[near]) <= cost(context, &members[far]);
+            return Ok(if prefers_near {
+                (near, ChoiceReason::Near)
+            } else {
+                (far, ChoiceReason::Far)
+            });
+        }
+        (Some(near), None) => return Ok((near, ChoiceReason::Near)),
+        (None, Some(far)) => return Ok((far, ChoiceReason::Far)),
+        (None, None) => {}
+    }
+    if let Some(index) = pick(context, members, &found.last_resort, rng) {
+        return Ok((index, ChoiceReason::LastResort));
+    }
+    Err(match found.busy {
+        Some(retry_after) => ChooseError::AllBusy { retry_after },
+        None => ChooseError::NoInstance,
+    })
+}
+
+fn sort_in(
+    context: &BalanceContext<'_>,
+    member: &Member,
+    index: usize,
+    request: &ChooseRequest<'_>,
+    found: &mut Candidates,
+) {
+    let now = context.now;
+    let availability = member.availability(now);
+    if is_excluded(member.id(), request) || availability == Availability::Closed {
+        return;
+    }
+    let ejected = context.ejections.iter().find(|e| e.instance == member.key);
+    if let Some(row) = ejected {
+        let due = row.phase == EjectionPhase::Trial && now >= member.next_trial_at;
+        if due && request.idempotent && member.has_room(now) {
+            found.trial = Some(index);
+        }
+        return;
+    }
+    if member.is_backing_off(now) || !member.has_room(now) {
+        let wait = member.backoff_left(now).max(BUSY_RETRY);
+        found.busy = Some(found.busy.map_or(wait, |known| known.min(wait)));
+        return;
+    }
+    let cross_check = member.cross_check_until.is_some_and(|until| now < until);
+    if cross_check && request.idempotent {
+        found.trial = Some(index);
+    }
+    if availability == Availability::Closing || member.is_avoided(now) {
+        found.last_resort.push(index);
+    } else if &member.instance.failure_domain == context.near {
+        found.near.push(index);
+    } else {
+        found.far.push(index);
+    }
+}
+
+fn is_excluded(id: &InstanceId, request: &ChooseRequest<'_>) -> bool {
+    request.exclude.contains(id)
+}
+
+fn pick(
+    context: &BalanceContext<'_>,
+    members: &[Member],
+    indices: &[usize],
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    if indices.is_empty() {
+        return None;
+    }
+    if context.policy == BalancePolicy::RoundRobin {
+        return Some(indices[context.turn % indices.len()]);
+    }
+    let first = indices[rng.usize(..indices.len())];
+    let second = indices[rng.usize(..indices.len())];
+    if cost(context, &members[second]) < cost(context, &members[first]) {
+        return Some(second);
+    }
+    Some(first)
+}
+
+fn load(context: &BalanceContext<'_>, member: &Member) -> f64 {
+    member.load(context.now, context.policy == BalancePolicy::AnsweredLoad)
+}
+
+/// The expected wait: the load, stretched by how slow the instance is.
+fn cost(context: &BalanceContext<'_>, member: &Member) -> f64 {
+    let slots = f64::from(member.instance.slots.max(1));
+    let stretch = match (member.latency_s(), context.median_latency_s) {
+        (Some(own), Some(median)) => (own / median.max(MIN_LATENCY_S)).max(1.0),
+        _ => 1.0,
+    };
+    (load(context, member) + 1.0 / slots) * stretch
+}
--- /dev/null
+++ b/crates/upstreams/src/casebook.rs
@@ -0,0 +1,227 @@
+//! The pooled evidence that a judge holds on one pool.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_protocol::health::{Evidence, FailureKind, InstanceKey, OriginKey, OutcomeCounts};
+
+use crate::window::Generations;
+
+const CASE_WINDOW: Duration = Duration::from_secs(20);
+const ORIGIN_SPAN: Duration = Duration::from_secs(10);
+const MERGE_SPAN: Duration = Duration::from_millis(200);
+const MAX_ENTRIES: usize = 512;
+const MAX_ORIGINS: usize = 512;
+
+/// From where a report looks at the pool: a failure domain, or one host where
+/// the fleet has a single failure domain.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Vantage(pub Arc<str>);
+
+/// One failure as a judge remembers it.
+#[derive(Debug, Clone, Copy)]
+pub struct Failure {
+    /// How the request failed.
+    pub kind: FailureKind,
+    /// The workspace of the request.
+    pub workspace: OriginKey,
+    /// The route of the request.
+    pub route: OriginKey,
+}
+
+/// What one report said of one instance.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// When the report arrived.
+    pub at: Instant,
+    /// From where the requests were sent.
+    pub vantage: Vantage,
+    /// Successful requests, slow ones among them.
+    pub ok: u32,
+    /// Slow requests.
+    pub slow: u32,
+    /// Failed requests.
+    pub failures: Vec<Failure>,
+}
+
+/// All evidence on one instance.
+#[derive(Debug, Default)]
+pub struct Case {
+    /// The reports in the order of arrival.
+    pub entries: VecDeque<Entry>,
+    /// Since when all hosts report the instance in full, and until when.
+    pub watch: Option<(Instant, Instant)>,
+}
+
+impl Case {
+    /// Returns the sums over all entries.
+    #[must_use]
+    pub fn totals(&self) -> OutcomeCounts {
+        let mut sum = OutcomeCounts::default();
+        for entry in &self.entries {
+            sum.ok += entry.ok;
+            sum.slow += entry.slow;
+            sum.failed += entry.failures.len() as u32;
+        }
+        sum
+    }
+
+    /// Reports whether all hosts have had `settle` to answer the watch.
+    #[must_use]
+    pub fn is_watched(&self, now: Instant, settle: Duration) -> bool {
+        self.watch
+            .is_some_and(|(since, until)| now >= since + settle && now < until)
+    }
+
+    /// Adds an entry in the order of time, or to one that is close by.
+    fn insert(&mut self, entry: Entry) {
+        let position = self.entries.partition_point(|known| known.at <= entry.at);
+        let before = position
+            .checked_sub(1)
+            .map(|index| &mut self.entries[index]);
+        if let Some(known) = before
+            && known.vantage == entry.vantage
+            && entry.at.saturating_duration_since(known.at) < MERGE_SPAN
+        {
+            known.ok += entry.ok;
+            known.slow += entry.slow;
+            known.failures.extend(entry.failures);
+            return;
+        }
+        self.entries.insert(position, entry);
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some(first) = self.entries.front() {
+            let old = now.saturating_duration_since(first.at) > CASE_WINDOW;
+            if !old && self.entries.len() <= MAX_ENTRIES {
+                break;
+            }
+            self.entries.pop_front();
+        }
+    }
+}
+
+/// The evidence on all instances of one pool.
+#[derive(Debug)]
+pub struct Casebook {
+    cases: HashMap<InstanceKey, Case>,
+    origins: HashMap<OriginKey, Generations<u32>>,
+    others: Generations<OutcomeCounts>,
+}
+
+impl Casebook {
+    /// Creates an empty casebook.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            cases: HashMap::new(),
+            origins: HashMap::new(),
+            others: Generations::new(now, ORIGIN_SPAN),
+        }
+    }
+
+    /// Takes a report.
+    pub fn add(&mut self, now: Instant, vantage: &Vantage, evidence: &Evidence) {
+        for (index, row) in evidence.instances.iter().enumerate() {
+            let next = evidence.instances.get(index + 1);
+            let newest = next.is_none_or(|next| next.instance != row.instance);
+            let failures = if newest {
+                failures_of(row.instance, evidence)
+            } else {
+                Vec::new()
+            };
+            let age = Duration::from_millis(100 * u64::from(row.age_ds));
+            let case = self.cases.entry(row.instance).or_default();
+            case.insert(Entry {
+                at: now.checked_sub(age).unwrap_or(now),
+                vantage: vantage.clone(),
+                ok: row.counts.ok,
+                slow: row.counts.slow,
+                failures,
+            });
+            case.expire(now);
+        }
+        let others = self.others.current(now);
+        others.ok += evidence.others.ok;
+        others.slow += evidence.others.slow;
+        others.failed += evidence.others.failed;
+        for row in &evidence.origins {
+            if self.origins.len() >= MAX_ORIGINS && !self.origins.contains_key(&row.origin) {
+                continue;
+            }
+            *self
+                .origins
+                .entry(row.origin)
+                .or_insert_with(|| Generations::new(now, ORIGIN_SPAN))
+                .current(now) += row.ok;
+        }
+    }
+
+    /// Forgets what is too old.
+    pub fn expire(&mut self, now: Instant) {
+        self.cases.retain(|_, case| {
+            case.expire(now);
+            !case.entries.is_empty()
+        });
+        self.origins.retain(|_, ok| {
+            let (old, new) = ok.both(now);
+            old + new > 0
+        });
+    }
+
+    /// Forgets all evidence on one instance.
+    pub fn clear(&mut self, instance: InstanceKey) {
+        self.cases.remove(&instance);
+    }
+
+    /// Returns the cases in a fixed order.
+    #[must_use]
+    pub fn cases(&self) -> Vec<(InstanceKey, &Case)> {
+        let mut cases: Vec<_> = self.cases.iter().map(|(key, case)| (*key, case)).collect();
+        cases.sort_by_key(|(key, _)| *key);
+        cases
+    }
+
+    /// Returns one case for change.
+    pub fn case_mut(&mut self, instance: InstanceKey) -> Option<&mut Case> {
+        self.cases.get_mut(&instance)
+    }
+
+    /// Reports whether there is any evidence.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.cases.is_empty()
+    }
+
+    /// Returns the successes of an origin at all instances.
+    pub fn origin_ok(&mut self, now: Instant, origin: OriginKey) -> u32 {
+        self.origins.get_mut(&origin).map_or(0, |ok| {
+            let (old, new) = ok.both(now);
+            old + new
+        })
+    }
+
+    /// Returns the outcomes of the instances that nobody suspects.
+    pub fn others(&mut self, now: Instant) -> OutcomeCounts {
+        let (old, new) = self.others.both(now);
+        OutcomeCounts {
+            ok: old.ok + new.ok,
+            slow: old.slow + new.slow,
+            failed: old.failed + new.failed,
+        }
+    }
+}
+
+fn failures_of(instance: InstanceKey, evidence: &Evidence) -> Vec<Failure> {
+    let failures = evidence.failures.iter();
+    failures
+        .filter(|failure| failure.instance == instance)
+        .map(|failure| Failure {
+            kind: failure.kind,
+            workspace: failure.workspace,
+            route: failure.route,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/upstreams/src/judge.rs
@@ -0,0 +1,389 @@
+//! One host's part as the judge of a service.
+//!
+//! A judge pools the evidence, asks all hosts for their votes once it has a
+//! reason to, and grants ejections only while a quorum is bound to it.
+
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use log::info;
+use waxwingusher_core::{HostId, ServiceName};
+use waxwingusher_protocol::health::{
+    EjectionRow, Evidence, Grant, HealthMessage, InstanceKey, ServiceKey, Vote, Watch,
+};
+
+use crate::casebook::{Casebook, Vantage};
+use crate::ejection::{EjectionBook, PoolCapacity};
+use crate::score::{Score, Verdict, score_all};
+use crate::settings::{
+    EJECTION_TERM, RENEWAL_INTERVAL, TestThresholds, UpstreamSettings, VOTE_TERM,
+};
+
+const WATCH_SETTLE: Duration = Duration::from_millis(150);
+const WATCH_SHARE: f64 = 0.55;
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
+const CAMPAIGN_TERM: Duration = Duration::from_millis(1_500);
+const REMEMBERED_ROUNDS: usize = 8;
+const MAX_WATCH_ORIGINS: usize = 16;
+
+/// Whether a host is the first or a later choice as a service's judge.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum JudgeRank {
+    /// The host that the list names first.
+    First,
+    /// Any other host.
+    Deputy,
+}
+
+/// What a judge knows of its surroundings as it acts.
+#[derive(Debug, Clone, Copy)]
+pub struct JudgeContext<'a> {
+    /// The time.
+    pub now: Instant,
+    /// The judge itself.
+    pub self_id: &'a HostId,
+    /// All listed hosts.
+    pub hosts: &'a [HostId],
+    /// The pool's slots, and what is out of use in the judge's own view.
+    pub capacity: &'a PoolCapacity,
+    /// The host's rank.
+    pub rank: JudgeRank,
+    /// Whether the host's own vote may go to itself.
+    pub may_vote_for_self: bool,
+    /// The ejections that the host applies as a voter, and their end.
+    pub applied: (&'a [EjectionRow], Instant),
+    /// The settings.
+    pub settings: &'a UpstreamSettings,
+    /// The thresholds of the service.
+    pub thresholds: TestThresholds,
+}
+
+/// A message and its receiver.
+pub type Addressed = (HostId, HealthMessage);
+
+#[derive(Debug, Clone, Copy)]
+struct VoteSeen {
+    ballot: u64,
+    asked_at: Instant,
+}
+
+/// The judge of one service.
+#[derive(Debug)]
+pub struct Judge {
+    service: ServiceKey,
+    name: ServiceName,
+    book: Casebook,
+    ejections: EjectionBook,
+    votes: HashMap<HostId, VoteSeen>,
+    /// Hosts that the current round has shown a vote of theirs.
+    shown: HashSet<HostId>,
+    unavailable: HashMap<InstanceKey, Instant>,
+    round: u64,
+    rounds: VecDeque<(u64, Instant)>,
+    last_evaluation: Instant,
+    campaign_since: Option<Instant>,
+    quiet_until: Instant,
+    wanted_since: Option<Instant>,
+    scores: Vec<Score>,
+    rng: fastrand::Rng,
+}
+
+impl Judge {
+    /// Creates a judge without evidence.
+    #[must_use]
+    pub fn new(name: &ServiceName, now: Instant, rng: fastrand::Rng) -> Self {
+        Self {
+            service: ServiceKey::of(name),
+            name: name.clone(),
+            book: Casebook::new(now),
+            ejections: EjectionBook::new(name),
+            votes: HashMap::new(),
+            shown: HashSet::new(),
+            unavailable: HashMap::new(),
+            round: 0,
+            rounds: VecDeque::new(),
+            last_evaluation: now,
+            campaign_since: None,
+            quiet_until: now,
+            wanted_since: None,
+            scores: Vec::new(),
+            rng,
+        }
+    }
+
+    /// Takes a report.
+    pub fn on_evidence(&mut self, now: Instant, vantage: &Vantage, evidence: &Evidence) {
+        self.ejections.on_evidence(evidence);
+        self.book.add(now, vantage, evidence);
+    }
+
+    /// Takes a vote, and acts on it if it completes a quorum.
+    pub fn on_vote(
+        &mut self,
+        context: &JudgeContext<'_>,
+        from: &HostId,
+        vote: &Vote,
+    ) -> Vec<Addressed> {
+        for instance in &vote.unavailable {
+            self.unavailable.insert(*instance, context.now + VOTE_TERM);
+        }
+        let asked = self.rounds.iter().find(|(round, _)| *round == vote.round);
+        let Some((_, asked_at)) = asked else {
+            return Vec::new();
+        };
+        let had_quorum = self.has_quorum(context);
+        let seen = VoteSeen {
+            ballot: vote.ballot,
+            asked_at: *asked_at,
+        };
+        let newer = self
+            .votes
+            .get(from)
+            .is_none_or(|known| known.asked_at <= seen.asked_at);
+        if newer {
+            self.votes.insert(from.clone(), seen);
+        }
+        if had_quorum {
+            return self.grant_late(context, from, vote);
+        }
+        if !self.has_quorum(context) {
+            return Vec::new();
+        }
+        self.campaign_since = Some(context.now);
+        self.decide(context);
+        self.grant_round(context)
+    }
+
+    /// Weighs the evidence and renews votes and ejections that are due.
+    pub fn tick(&mut self, context: &JudgeContext<'_>) -> Vec<Addressed> {
+        if !self.is_due(context) {
+            return Vec::new();
+        }
+        self.last_evaluation = context.now;
+        self.book.expire(context.now);
+        self.unavailable.retain(|_, until| context.now < *until);
+        self.scores = score_all(&mut self.book, context.now, context.capacity.len());
+        let mut out = self.watch_suspects(context);
+        if !self.wants_to_act(context) {
+            self.campaign_since = None;
+            return out;
+        }
+        if self.gives_up(context) {
+            return out;
+        }
+        let changed = self.has_quorum(context) && self.decide(context);
+        if changed || self.renewal_is_due(context) {
+            out.extend(self.grant_round(context));
+        }
+        out
+    }
+
+    /// Returns the scores of the latest evaluation.
+    #[must_use]
+    pub fn scores(&self) -> &[Score] {
+        &self.scores
+    }
+
+    /// Reports whether a quorum is bound to this judge now.
+    #[must_use]
+    pub fn has_quorum(&self, context: &JudgeContext<'_>) -> bool {
+        let valid = context
+            .hosts
+            .iter()
+            .filter_map(|host| self.votes.get(host))
+            .filter(|vote| context.now < vote.asked_at + EJECTION_TERM)
+            .count();
+        valid >= quorum(context.hosts.len())
+    }
+
+    fn is_due(&self, context: &JudgeContext<'_>) -> bool {
+        let age = context.now.saturating_duration_since(self.last_evaluation);
+        let idle = self.book.is_empty()
+            && self.ejections.is_idle()
+            && self.scores.is_empty()
+            && context.applied.0.is_empty();
+        !idle && age >= EVALUATION_INTERVAL
+    }
+
+    fn watch_suspects(&mut self, context: &JudgeContext<'_>) -> Vec<Addressed> {
+        let mut instances = Vec::new();
+        let mut origins = BTreeSet::new();
+        let mut cross_check = false;
+        for score in &self.scores {
+            let suspicious = score.suspicion >= context.thresholds.failure * WATCH_SHARE
+                || score.slow >= context.thresholds.slow * WATCH_SHARE;
+            let Some(case) = self.book.case_mut(score.instance) else {
+                continue;
+            };
+            let ends_soon = case
+                .watch
+                .is_none_or(|(_, until)| context.now + Duration::from_secs(1) >= until);
+            if !suspicious || !ends_soon {
+                continue;
+            }
+            let since = case
+                .watch
+                .filter(|(_, until)| context.now < *until)
+                .map_or(context.now, |(since, _)| since);
+            case.watch = Some((since, context.now + context.settings.watch_term));
+            instances.push(score.instance);
+            cross_check |= score.verdict == Verdict::Unclear;
+            for failure in case.entries.iter().flat_map(|entry| &entry.failures) {
+                origins.insert(failure.workspace);
+                origins.insert(failure.route);
+            }
+        }
+        if instances.is_empty() {
+            return Vec::new();
+        }
+        let watch = HealthMessage::Watch(Watch {
+            service: self.service,
+            instances,
+            origins: origins.into_iter().take(MAX_WATCH_ORIGINS).collect(),
+            cross_check,
+        });
+        let hosts = context.hosts.iter();
+        hosts.map(|host| (host.clone(), watch.clone())).collect()
+    }
+
+    fn wants_to_act(&mut self, context: &JudgeContext<'_>) -> bool {
+        if !context.may_vote_for_self || context.now < self.quiet_until {
+            return false;
+        }
+        let wanted = self.candidates(context).next().is_some() || self.can_inherit(context);
+        if !wanted {
+            self.wanted_since = None;
+            return !self.ejections.is_idle();
+        }
+        let since = *self.wanted_since.get_or_insert(context.now);
+        let delay = match context.rank {
+            JudgeRank::First => Duration::ZERO,
+            JudgeRank::Deputy => context.settings.deputy_delay,
+        };
+        !self.ejections.is_idle() || context.now >= since + delay
+    }
+
+    fn candidates<'a>(&'a self, context: &JudgeContext<'a>) -> impl Iterator<Item = &'a Score> {
+        let thresholds = context.thresholds;
+        let now = context.now;
+        self.scores.iter().filter(move |score| {
+            let high = score.failure >= thresholds.failure || score.slow >= thresholds.slow;
+            let watched =
+                self.book.cases().iter().any(|(key, case)| {
+                    *key == score.instance && case.is_watched(now, WATCH_SETTLE)
+                });
+            high && watched
+                && score.verdict == Verdict::Sick
+                && !self.ejections.contains(score.instance)
+        })
+    }
+
+    fn can_inherit(&self, context: &JudgeContext<'_>) -> bool {
+        let (rows, until) = context.applied;
+        let recent = context.now < until + 2 * VOTE_TERM;
+        self.ejections.is_idle() && !rows.is_empty() && recent
+    }
+
+    /// Gives up for a while if no quorum can be had, so that two judges that
+    /// split the votes do not renew them for ever.
+    fn gives_up(&mut self, context: &JudgeContext<'_>) -> bool {
+        let since = *self.campaign_since.get_or_insert(context.now);
+        if self.has_quorum(context) {
+            self.campaign_since = Some(context.now);
+            return false;
+        }
+        if context.now < since + CAMPAIGN_TERM {
+            return false;
+        }
+        let jitter = VOTE_TERM.mul_f64(self.rng.f64() / 2.0);
+        self.quiet_until = context.now + VOTE_TERM + jitter;
+        self.campaign_since = None;
+        info!("health: service {} has no quorum to eject", self.name);
+        true
+    }
+
+    /// Brings the ejections in line with evidence, capacity and time. Reports
+    /// whether the set changed.
+    fn decide(&mut self, context: &JudgeContext<'_>) -> bool {
+        let inherited = if self.can_inherit(context) {
+            self.ejections.inherit(context.now, context.applied.0)
+        } else {
+            false
+        };
+        let lost: Vec<InstanceKey> = self.unavailable.keys().copied().collect();
+        let mut wanted: Vec<Score> = self.candidates(context).copied().collect();
+        wanted.sort_by(|a, b| b.bad_share.total_cmp(&a.bad_share));
+        let changes = self.ejections.update(
+            context.now,
+            context.settings,
+            context.capacity,
+            &lost,
+            &wanted,
+        );
+        for instance in &changes.settled {
+            self.book.clear(*instance);
+        }
+        inherited || changes.any
+    }
+
+    fn renewal_is_due(&self, context: &JudgeContext<'_>) -> bool {
+        self.rounds
+            .back()
+            .is_none_or(|(_, sent)| context.now >= *sent + RENEWAL_INTERVAL)
+    }
+
+    /// Grants the ejections to a host whose first vote came after the round
+    /// that carried them.
+    fn grant_late(
+        &mut self,
+        context: &JudgeContext<'_>,
+        host: &HostId,
+        vote: &Vote,
+    ) -> Vec<Addressed> {
+        if vote.round != self.round || !self.shown.insert(host.clone()) {
+            return Vec::new();
+        }
+        let rows = self.ejections.grant(context.now);
+        vec![self.grant_to(host, rows)]
+    }
+
+    fn grant_to(&self, host: &HostId, ejections: Vec<EjectionRow>) -> Addressed {
+        let grant = Grant {
+            service: self.service,
+            round: self.round,
+            ballot: self.votes.get(host).map(|vote| vote.ballot),
+            ejections,
+        };
+        (host.clone(), HealthMessage::Grant(grant))
+    }
+
+    fn grant_round(&mut self, context: &JudgeContext<'_>) -> Vec<Addressed> {
+        self.round += 1;
+        self.rounds.push_back((self.round, context.now));
+        if self.rounds.len() > REMEMBERED_ROUNDS {
+            self.rounds.pop_front();
+        }
+        let rows = if self.has_quorum(context) {
+            self.ejections.grant(context.now)
+        } else {
+            Vec::new()
+        };
+        self.shown.clear();
+        let mut out = Vec::with_capacity(context.hosts.len());
+        for host in context.hosts {
+            if self.votes.contains_key(host) {
+                self.shown.insert(host.clone());
+            }
+            out.push(self.grant_to(host, rows.clone()));
+        }
+        out
+    }
+}
+
+/// Returns the number of votes of which any two sets share a host, also when
+/// they are counted over lists that differ by a tenth of the hosts.
+#[must_use]
+pub fn quorum(hosts: usize) -> usize {
+    let margin = (hosts / 5).max(1);
+    hosts.min((hosts + margin) / 2 + 1)
+}
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -1,2 +1,33 @@
 //! Upstream instances: detection of sick ones, the capacity floor, recovery,
 //! balance and subsets.
+//!
+//! [`UpstreamSet`] is one host's view. Hosts report suspicious outcomes to the
+//! judges of a service; a judge ejects an instance only while a quorum of hosts
+//! is bound to it by votes, so that the capacity floor holds over the fleet.
+
+pub mod balance;
+pub mod casebook;
+pub mod choice;
+pub mod ejection;
+pub mod floor;
+pub mod judge;
+pub mod latency;
+pub mod member;
+pub mod pool;
+pub mod reporter;
+pub mod score;
+pub mod set;
+pub mod settings;
+pub mod subset;
+pub mod view;
+pub mod voter;
+pub mod window;
+
+pub use balance::BalancePolicy;
+pub use choice::{
+    Blame, Choice, ChoiceReason, ChooseError, ChooseRequest, HealthHint, PickId, RequestOrigin,
+    UpstreamResult,
+};
+pub use set::UpstreamSet;
+pub use settings::UpstreamSettings;
+pub use view::{InstanceStatus, InstanceView, ServiceView};
--- /dev/null
+++ b/crates/upstreams/src/member.rs
@@ -0,0 +1,267 @@
+//! What one host knows of one instance from its own requests.
+
+use std::time::{Duration, Instant};
+
+use waxwingusher_config::{Instance, InstanceState};
+use waxwingusher_core::InstanceId;
+use waxwingusher_protocol::health::InstanceKey;
+
+use crate::settings::DRAIN_DEFERRAL;
+
+const LIMIT_DECREASE: f64 = 0.7;
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
+const FAILURES_TO_AVOID: u32 = 3;
+const FIRST_AVOIDANCE: Duration = Duration::from_secs(2);
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(30);
+const LOAD_MEMORY: Duration = Duration::from_millis(500);
+const HINT_MEMORY: Duration = Duration::from_secs(10);
+const LATENCY_WEIGHT: f64 = 0.1;
+const COLD_SHARE: f64 = 0.2;
+
+/// Why an instance takes less or no work beside an ejection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Availability {
+    /// The instance takes work.
+    Ready,
+    /// The instance is new or has just returned.
+    Cold,
+    /// The instance leaves or drains; it is a last resort for a moment.
+    Closing,
+    /// The instance leaves or drains, and takes no new work.
+    Closed,
+}
+
+/// One instance as one host sees it.
+#[derive(Debug)]
+pub struct Member {
+    /// The configured instance.
+    pub instance: Instance,
+    /// The short hash of its name.
+    pub key: InstanceKey,
+    /// This host's requests under way.
+    pub in_flight: u32,
+    /// When the next trial may start.
+    pub next_trial_at: Instant,
+    /// Until when one request is wanted there as a second opinion.
+    pub cross_check_until: Option<Instant>,
+    limit: f64,
+    backoff_until: Instant,
+    backoff: Duration,
+    failures_in_row: u32,
+    avoid_until: Instant,
+    avoidance: Duration,
+    leaving_since: Option<Instant>,
+    draining: Option<(Instant, Instant)>,
+    cold: Option<(Instant, Instant)>,
+    load: Option<(u32, Instant)>,
+    unhealthy_until: Instant,
+    latency_s: Option<f64>,
+}
+
+impl Member {
+    /// Creates the state of a configured instance.
+    #[must_use]
+    pub fn new(instance: Instance, now: Instant, cold_term: Option<Duration>) -> Self {
+        let mut member = Self {
+            key: InstanceKey::of(&instance.id),
+            in_flight: 0,
+            next_trial_at: now,
+            cross_check_until: None,
+            limit: f64::from(instance.slots.max(1)),
+            backoff_until: now,
+            backoff: FIRST_BACKOFF,
+            failures_in_row: 0,
+            avoid_until: now,
+            avoidance: FIRST_AVOIDANCE,
+            leaving_since: None,
+            draining: None,
+            cold: cold_term.map(|term| (now, now + term)),
+            load: None,
+            unhealthy_until: now,
+            latency_s: None,
+            instance: instance.clone(),
+        };
+        member.configure(instance, now);
+        member
+    }
+
+    /// Takes a new configuration of the same instance.
+    pub fn configure(&mut self, instance: Instance, now: Instant) {
+        self.leaving_since = match instance.state {
+            InstanceState::Live => None,
+            InstanceState::Leaving => self.leaving_since.or(Some(now)),
+        };
+        if instance.slots != self.instance.slots {
+            self.limit = f64::from(instance.slots.max(1));
+        }
+        self.instance = instance;
+    }
+
+    /// Starts to close an instance that the configuration no longer has.
+    pub fn remove(&mut self, now: Instant) {
+        self.instance.state = InstanceState::Leaving;
+        self.leaving_since = self.leaving_since.or(Some(now));
+    }
+
+    /// Returns the name.
+    #[must_use]
+    pub fn id(&self) -> &InstanceId {
+        &self.instance.id
+    }
+
+    /// Returns whether the instance takes work, apart from ejections.
+    #[must_use]
+    pub fn availability(&self, now: Instant) -> Availability {
+        let draining = self.draining.filter(|(_, until)| now < *until);
+        let closing_since = match (self.leaving_since, draining.map(|(since, _)| since)) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+        if let Some(since) = closing_since {
+            return if now >= since + DRAIN_DEFERRAL {
+                Availability::Closed
+            } else {
+                Availability::Closing
+            };
+        }
+        if self.cold.is_some_and(|(_, until)| now < until) {
+            return Availability::Cold;
+        }
+        Availability::Ready
+    }
+
+    /// Starts the slow start of a returned instance.
+    pub fn warm_up(&mut self, now: Instant, term: Duration) {
+        self.cold = Some((now, now + term));
+        self.failures_in_row = 0;
+        self.avoid_until = now;
+        self.avoidance = FIRST_AVOIDANCE;
+    }
+
+    /// Reports whether the instance backs off now.
+    #[must_use]
+    pub fn is_backing_off(&self, now: Instant) -> bool {
+        now < self.backoff_until
+    }
+
+    /// Returns how long the instance still backs off.
+    #[must_use]
+    pub fn backoff_left(&self, now: Instant) -> Duration {
+        self.backoff_until.saturating_duration_since(now)
+    }
+
+    /// Reports whether this host's own requests failed there in a row, or the
+    /// instance calls itself unhealthy.
+    #[must_use]
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        now < self.avoid_until || now < self.unhealthy_until
+    }
+
+    /// Reports whether one more request fits under the limit.
+    #[must_use]
+    pub fn has_room(&self, now: Instant) -> bool {
+        f64::from(self.in_flight + 1) <= (self.limit * self.warmth(now)).max(1.0)
+    }
+
+    /// Returns the concurrency limit of this host at the instance.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Returns the load in slots: this host's own requests, or what the
+    /// instance's latest answer said if that is higher and fresh.
+    #[must_use]
+    pub fn load(&self, now: Instant, trust_answers: bool) -> f64 {
+        let own = f64::from(self.in_flight);
+        let told = self
+            .load
+            .filter(|(_, at)| trust_answers && now.saturating_duration_since(*at) < LOAD_MEMORY)
+            .map_or(0.0, |(load, at)| {
+                let age = now.saturating_duration_since(at).as_secs_f64();
+                f64::from(load) * (1.0 - age / LOAD_MEMORY.as_secs_f64())
+            });
+        let load = own.max(told) / self.warmth(now);
+        load / f64::from(self.instance.slots.max(1))
+    }
+
+    /// Returns the smoothed latency in seconds.
+    #[must_use]
+    pub fn latency_s(&self) -> Option<f64> {
+        self.latency_s
+    }
+
+    /// Notes a successful request.
+    pub fn on_success(&mut self, latency: Duration, load: Option<u32>, now: Instant) {
+        self.failures_in_row = 0;
+        self.avoidance = FIRST_AVOIDANCE;
+        self.avoid_until = now;
+        self.backoff = FIRST_BACKOFF;
+        let slots = f64::from(self.instance.slots.max(1));
+        self.limit = (self.limit + 1.0 / self.limit).min(slots);
+        let sample = latency.as_secs_f64();
+        let known = self.latency_s.unwrap_or(sample);
+        self.latency_s = Some(known + LATENCY_WEIGHT * (sample - known));
+        if let Some(load) = load {
+            self.hint_load(load, now);
+        }
+    }
+
+    /// Notes a failed request, and reports whether the host begins to avoid
+    /// the instance.
+    pub fn on_failure(&mut self, now: Instant) -> bool {
+        self.failures_in_row += 1;
+        if self.failures_in_row < FAILURES_TO_AVOID || now < self.avoid_until {
+            return false;
+        }
+        self.avoid_until = now + self.avoidance;
+        self.avoidance = (self.avoidance * 2).min(LONGEST_AVOIDANCE);
+        true
+    }
+
+    /// Lowers the concurrency limit.
+    pub fn on_overload(&mut self) {
+        self.limit = (self.limit * LIMIT_DECREASE).max(1.0);
+    }
+
+    /// Backs off after a shed request.
+    pub fn on_shed(&mut self, retry_after: Option<Duration>, jitter: f64, now: Instant) {
+        self.on_overload();
+        let term = retry_after
+            .unwrap_or(self.backoff)
+            .min(LONGEST_BACKOFF)
+            .mul_f64(1.0 + jitter / 2.0);
+        self.backoff = (self.backoff * 2).min(LONGEST_BACKOFF);
+        self.backoff_until = self.backoff_until.max(now + term);
+    }
+
+    /// Notes that the instance says that it drains.
+    pub fn on_draining(&mut self, now: Instant, memory: Duration) {
+        let since = self
+            .draining
+            .filter(|(_, until)| now < *until)
+            .map_or(now, |(since, _)| since);
+        self.draining = Some((since, now + memory));
+    }
+
+    /// Takes what the load endpoint or an answer says, never more than the
+    /// slots.
+    pub fn hint_load(&mut self, load: u32, now: Instant) {
+        self.load = Some((load.min(self.instance.slots), now));
+    }
+
+    /// Takes what the health endpoint says.
+    pub fn hint_health(&mut self, healthy: bool, now: Instant) {
+        self.unhealthy_until = if healthy { now } else { now + HINT_MEMORY };
+    }
+
+    fn warmth(&self, now: Instant) -> f64 {
+        let Some((since, until)) = self.cold.filter(|(_, until)| now < *until) else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(since).as_secs_f64();
+        let term = until.saturating_duration_since(since).as_secs_f64();
+        COLD_SHARE + (1.0 - COLD_SHARE) * (age / term).min(1.0)
+    }
+}
--- /dev/null
+++ b/crates/upstreams/src/pool.rs
@@ -0,0 +1,423 @@
+//! One host's view of one service's instances.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use log::{debug, info};
+use waxwingusher_config::Service;
+use waxwingusher_core::{FailureDomain, HostId, InstanceId};
+use waxwingusher_protocol::health::{
+    EjectionPhase, EjectionRow, FailureKind, Grant, InstanceKey, OriginKey, ServiceKey, Watch,
+};
+
+use crate::balance::{self, BalanceContext};
+use crate::choice::{
+    Blame, ChoiceReason, ChooseError, ChooseRequest, HealthHint, RequestOrigin, UpstreamResult,
+};
+use crate::ejection::PoolCapacity;
+use crate::member::{Availability, Member};
+use crate::reporter::{Outcome, Reporter};
+use crate::score::Score;
+use crate::settings::UpstreamSettings;
+use crate::subset;
+use crate::view::{InstanceStatus, InstanceView, ServiceView, millis};
+use crate::voter::Voter;
+
+const CROSS_CHECKS: usize = 16;
+
+/// The instances of one service.
+#[derive(Debug)]
+pub struct Pool {
+    /// The configured service.
+    pub service: Arc<Service>,
+    /// The vote for a judge, and the ejections.
+    pub voter: Voter,
+    /// Outcomes that the judges do not know yet.
+    pub reporter: Reporter,
+    members: Vec<Member>,
+    by_key: HashMap<InstanceKey, usize>,
+    subset: Vec<usize>,
+    turn: usize,
+}
+
+impl Pool {
+    /// Creates a pool whose instances are warm.
+    #[must_use]
+    pub fn new(
+        service: &Arc<Service>,
+        now: Instant,
+        voter: Voter,
+        settings: &UpstreamSettings,
+    ) -> Self {
+        let key = ServiceKey::of(&service.name);
+        let mut pool = Self {
+            service: Arc::clone(service),
+            voter,
+            reporter: Reporter::new(key, now, settings.report_interval),
+            members: Vec::new(),
+            by_key: HashMap::new(),
+            subset: Vec::new(),
+            turn: 0,
+        };
+        pool.set_members(service, now, None);
+        pool
+    }
+
+    /// Takes a new configuration; new instances start cold.
+    pub fn configure(&mut self, service: &Arc<Service>, now: Instant, cold_term: Duration) {
+        self.service = Arc::clone(service);
+        self.set_members(service, now, Some(cold_term));
+    }
+
+    /// Works out which instances this host uses.
+    pub fn update_subset(&mut self, host: &HostId, hosts: &[HostId], preferred: usize) {
+        self.subset = subset::subset(host, hosts, &self.service.instances, preferred);
+    }
+
+    /// Returns the instances that this host uses by preference.
+    pub fn subset(&self) -> impl Iterator<Item = &InstanceId> {
+        self.subset.iter().map(|index| self.members[*index].id())
+    }
+
+    /// Returns the members in the order of the configuration.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns the slots and what is out of use beside ejections.
+    #[must_use]
+    pub fn capacity(&self, now: Instant) -> PoolCapacity {
+        let mut capacity = PoolCapacity {
+            floor_percent: self.service.floor_percent,
+            ..PoolCapacity::default()
+        };
+        for member in &self.members {
+            capacity.slots.insert(member.key, member.instance.slots);
+            if member.availability(now) != Availability::Ready {
+                capacity.unavailable.push(member.key);
+            }
+        }
+        capacity
+    }
+
+    /// Returns the ejections that hold now, as far as the floor allows them.
+    #[must_use]
+    pub fn effective_ejections(&self, now: Instant) -> Vec<EjectionRow> {
+        let rows = self.voter.ejections(now);
+        if rows.is_empty() {
+            return Vec::new();
+        }
+        self.capacity(now).allowed(rows)
+    }
+
+    /// Chooses a member and counts the request there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChooseError`] if no instance may take the request now.
+    pub fn choose(
+        &mut self,
+        context: &PoolContext<'_>,
+        request: &ChooseRequest<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> Result<(&Member, ChoiceReason), ChooseError> {
+        let ejections = self.effective_ejections(context.now);
+        let median = self.reporter.median_latency();
+        let balance = BalanceContext {
+            now: context.now,
+            near: context.near,
+            ejections: &ejections,
+            median_latency_s: median.map(|median| median.as_secs_f64()),
+            policy: context.settings.balance,
+            turn: self.turn,
+        };
+        self.turn = self.turn.wrapping_add(1);
+        let preferred = self.subset.iter().copied();
+        let mut chosen = balance::choose(&balance, &self.members, preferred, request, rng);
+        if needs_more(&chosen) {
+            let all = 0..self.members.len();
+            chosen = balance::choose(&balance, &self.members, all, request, rng);
+        }
+        let (index, reason) = chosen?;
+        let member = &mut self.members[index];
+        member.in_flight += 1;
+        member.cross_check_until = None;
+        if reason == ChoiceReason::Trial {
+            let spacing = context.hosts as f64 / context.settings.trials_per_s;
+            let wait = spacing * (0.5 + rng.f64());
+            member.next_trial_at = context.now + Duration::from_secs_f64(wait);
+        }
+        Ok((member, reason))
+    }
+
+    /// Takes the result of a choice.
+    pub fn report(
+        &mut self,
+        context: &PoolContext<'_>,
+        instance: InstanceKey,
+        origin: &RequestOrigin,
+        result: UpstreamResult,
+        rng: &mut fastrand::Rng,
+    ) {
+        let now = context.now;
+        let Some(index) = self.by_key.get(&instance) else {
+            return;
+        };
+        let member = &mut self.members[*index];
+        member.in_flight = member.in_flight.saturating_sub(1);
+        let outcome = match result {
+            UpstreamResult::Success { latency, load } => {
+                member.on_success(latency, load, now);
+                Some(Ok(latency))
+            }
+            UpstreamResult::ErrorStatus => Some(Err(FailureKind::Instance)),
+            UpstreamResult::Timeout => {
+                member.on_overload();
+                Some(Err(FailureKind::Path))
+            }
+            UpstreamResult::ConnectFailure => Some(Err(FailureKind::Path)),
+            UpstreamResult::Died { blame } => {
+                (blame == Blame::Instance).then_some(Err(FailureKind::Instance))
+            }
+            UpstreamResult::Shed { retry_after } => {
+                member.on_shed(retry_after, rng.f64(), now);
+                None
+            }
+            UpstreamResult::Draining => {
+                member.on_draining(now, context.settings.drain_memory);
+                info!(
+                    "health: service {} instance {} drains",
+                    self.service.name,
+                    member.id()
+                );
+                None
+            }
+            UpstreamResult::Cancelled => None,
+        };
+        let Some(result) = outcome else {
+            return;
+        };
+        if result.is_err() && member.on_failure(now) {
+            info!(
+                "health: service {} instance {} is avoided by this host",
+                self.service.name,
+                member.id()
+            );
+        }
+        self.reporter.record(
+            now,
+            &Outcome {
+                instance,
+                workspace: OriginKey::of_workspace(&origin.workspace),
+                route: OriginKey::of_route(&origin.route),
+                result,
+            },
+        );
+    }
+
+    /// Takes a judge's grant and returns the ballot to answer with.
+    pub fn on_grant(
+        &mut self,
+        context: &PoolContext<'_>,
+        from: &HostId,
+        incarnation: u64,
+        grant: &Grant,
+    ) -> Option<u64> {
+        let now = context.now;
+        let before = self.voter.ejections(now).to_vec();
+        let ballot = self.voter.on_grant(now, from, incarnation, grant);
+        let after = self.voter.ejections(now).to_vec();
+        for row in &after {
+            if !before.iter().any(|known| known == row) {
+                self.log_ejection(row);
+            }
+        }
+        for row in before {
+            let still_out = after.iter().any(|known| {
+                known.instance == row.instance && known.phase != EjectionPhase::Released
+            });
+            if still_out || row.phase == EjectionPhase::Released {
+                continue;
+            }
+            let Some(index) = self.by_key.get(&row.instance) else {
+                continue;
+            };
+            let member = &mut self.members[*index];
+            if row.phase == EjectionPhase::Trial {
+                member.warm_up(now, context.settings.cold_term);
+            }
+            info!(
+                "health: service {} takes {} back",
+                self.service.name,
+                member.id()
+            );
+        }
+        ballot
+    }
+
+    /// Takes a judge's request for full reports and for second opinions.
+    pub fn on_watch(&mut self, context: &PoolContext<'_>, watch: &Watch, rng: &mut fastrand::Rng) {
+        let now = context.now;
+        let until = now + context.settings.watch_term;
+        self.reporter
+            .on_watch(now, watch, context.settings.watch_term);
+        if !watch.cross_check || rng.usize(..context.hosts.max(1)) >= CROSS_CHECKS {
+            return;
+        }
+        for instance in &watch.instances {
+            let Some(index) = self.by_key.get(instance) else {
+                continue;
+            };
+            let member = &mut self.members[*index];
+            if &member.instance.failure_domain != context.near {
+                member.cross_check_until = Some(until);
+            }
+        }
+    }
+
+    /// Takes what a health or load endpoint says.
+    pub fn hint(&mut self, now: Instant, instance: InstanceKey, hint: HealthHint) {
+        let Some(index) = self.by_key.get(&instance) else {
+            return;
+        };
+        let member = &mut self.members[*index];
+        match hint {
+            HealthHint::Healthy => member.hint_health(true, now),
+            HealthHint::Unhealthy => member.hint_health(false, now),
+            HealthHint::Load(load) => member.hint_load(load, now),
+        }
+    }
+
+    /// Returns a view for operators, with the scores of the host's judge.
+    #[must_use]
+    pub fn view(&self, now: Instant, scores: &[Score]) -> ServiceView {
+        let ejections = self.effective_ejections(now);
+        let capacity = self.capacity(now);
+        let ejected = ejections.iter().map(|row| row.instance);
+        let floor = capacity.floor_without(ejected);
+        let members = self.members.iter();
+        ServiceView {
+            service: self.service.name.clone(),
+            required_slots: floor.required_slots(),
+            in_use_slots: floor.in_use_slots(),
+            median_latency_ms: self.reporter.median_latency().map(millis),
+            instances: members
+                .map(|member| {
+                    let row = ejections.iter().find(|row| row.instance == member.key);
+                    let score = scores.iter().find(|score| score.instance == member.key);
+                    view_member(member, now, row, score)
+                })
+                .collect(),
+        }
+    }
+
+    fn log_ejection(&self, row: &EjectionRow) {
+        let Some(index) = self.by_key.get(&row.instance) else {
+            return;
+        };
+        debug!(
+            "health: service {} instance {} ejected ({:?}, strike {})",
+            self.service.name,
+            self.members[*index].id(),
+            row.phase,
+            row.strikes
+        );
+    }
+
+    /// Drops removed instances once they are closed. Until then they count as
+    /// leaving, so that the floor stays with hosts that learn of it later.
+    pub fn drop_removed(&mut self, now: Instant) {
+        let configured = &self.service.instances;
+        let before = self.members.len();
+        self.members.retain(|member| {
+            member.availability(now) != Availability::Closed
+                || configured
+                    .iter()
+                    .any(|instance| &instance.id == member.id())
+        });
+        if self.members.len() != before {
+            self.index();
+        }
+    }
+
+    fn set_members(&mut self, service: &Arc<Service>, now: Instant, cold_term: Option<Duration>) {
+        let mut old: HashMap<InstanceId, Member> = std::mem::take(&mut self.members)
+            .into_iter()
+            .map(|member| (member.id().clone(), member))
+            .collect();
+        for instance in &service.instances {
+            let member = match old.remove(&instance.id) {
+                Some(mut member) => {
+                    member.configure(instance.clone(), now);
+                    member
+                }
+                None => Member::new(instance.clone(), now, cold_term),
+            };
+            self.members.push(member);
+        }
+        for mut member in old.into_values() {
+            member.remove(now);
+            self.members.push(member);
+        }
+        self.index();
+    }
+
+    fn index(&mut self) {
+        self.by_key = self
+            .members
+            .iter()
+            .enumerate()
+            .map(|(index, member)| (member.key, index))
+            .collect();
+        let configured = self.service.instances.len().min(self.members.len());
+        self.subset.retain(|index| *index < configured);
+    }
+}
+
+/// What a pool needs of its host.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolContext<'a> {
+    /// The time.
+    pub now: Instant,
+    /// The host's failure domain.
+    pub near: &'a FailureDomain,
+    /// The number of listed hosts.
+    pub hosts: usize,
+    /// The settings.
+    pub settings: &'a UpstreamSettings,
+}
+
+fn view_member(
+    member: &Member,
+    now: Instant,
+    row: Option<&EjectionRow>,
+    score: Option<&Score>,
+) -> InstanceView {
+    let status = match (row.map(|row| row.phase), member.availability(now)) {
+        (Some(EjectionPhase::Held), _) => InstanceStatus::Ejected,
+        (Some(EjectionPhase::Trial), _) => InstanceStatus::Trial,
+        (_, Availability::Ready) => InstanceStatus::InUse,
+        (_, Availability::Cold) => InstanceStatus::Cold,
+        (_, Availability::Closing) => InstanceStatus::Closing,
+        (_, Availability::Closed) => InstanceStatus::Closed,
+    };
+    InstanceView {
+        instance: member.id().clone(),
+        slots: member.instance.slots,
+        status,
+        avoided: member.is_avoided(now),
+        in_flight: member.in_flight,
+        limit: member.limit(),
+        backoff_ms: member.backoff_left(now).as_millis() as u64,
+        strikes: row.map_or(0, |row| row.strikes),
+        failure_score: score.map(|score| score.failure),
+        slow_score: score.map(|score| score.slow),
+        bad_share: score.map(|score| score.bad_share),
+    }
+}
+
+fn needs_more(chosen: &Result<(usize, ChoiceReason), ChooseError>) -> bool {
+    matches!(chosen, Err(_) | Ok((_, ChoiceReason::LastResort)))
+}
--- /dev/null
+++ b/crates/upstreams/src/reporter.rs
@@ -0,0 +1,286 @@
+//! What one host has seen of one pool and not yet told the judges.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use waxwingusher_protocol::health::{
+    Evidence, FailureKind, FailureRow, InstanceKey, InstanceRow, OriginKey, OriginRow,
+    OutcomeCounts, ServiceKey, Watch,
+};
+
+use crate::latency::LatencyWindow;
+use crate::window::Generations;
+
+const HISTORY_SPAN: Duration = Duration::from_secs(8);
+const BUCKET_SPAN: Duration = Duration::from_millis(500);
+const ORIGIN_SPAN: Duration = Duration::from_secs(5);
+const SUSPICION_TERM: Duration = Duration::from_secs(15);
+const MAX_FAILURES_PER_REPORT: usize = 16;
+const MAX_ORIGINS_PER_REPORT: usize = 16;
+const MAX_ORIGINS: usize = 512;
+
+/// One outcome that tells of an instance.
+#[derive(Debug, Clone, Copy)]
+pub struct Outcome {
+    /// The instance.
+    pub instance: InstanceKey,
+    /// The workspace of the request.
+    pub workspace: OriginKey,
+    /// The route of the request.
+    pub route: OriginKey,
+    /// The latency, or how the request failed.
+    pub result: Result<Duration, FailureKind>,
+}
+
+#[derive(Debug, Default)]
+struct History {
+    buckets: VecDeque<(Instant, OutcomeCounts)>,
+}
+
+impl History {
+    fn current(&mut self, now: Instant) -> &mut OutcomeCounts {
+        self.expire(now);
+        let fresh = self
+            .buckets
+            .back()
+            .is_some_and(|(at, _)| now.saturating_duration_since(*at) < BUCKET_SPAN);
+        if !fresh {
+            self.buckets.push_back((now, OutcomeCounts::default()));
+        }
+        let last = self.buckets.len() - 1;
+        &mut self.buckets[last].1
+    }
+
+    fn sum(&mut self, now: Instant) -> OutcomeCounts {
+        self.expire(now);
+        let counts = self.buckets.iter().map(|(_, counts)| *counts);
+        counts.fold(OutcomeCounts::default(), add)
+    }
+
+    fn take(&mut self, now: Instant, instance: InstanceKey) -> Vec<InstanceRow> {
+        self.buckets
+            .drain(..)
+            .map(|(at, counts)| InstanceRow {
+                instance,
+                age_ds: age_ds(now.saturating_duration_since(at)),
+                counts,
+            })
+            .collect()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some((at, _)) = self.buckets.front() {
+            if now.saturating_duration_since(*at) <= HISTORY_SPAN {
+                break;
+            }
+            self.buckets.pop_front();
+        }
+    }
+}
+
+#[derive(Debug)]
+struct OriginMemory {
+    ok: Generations<u32>,
+    suspect_until: Option<Instant>,
+}
+
+/// Collects outcomes and turns the suspicious ones into evidence.
+#[derive(Debug)]
+pub struct Reporter {
+    service: ServiceKey,
+    interval: Duration,
+    last_flush: Instant,
+    rows: HashMap<InstanceKey, History>,
+    failures: Vec<FailureRow>,
+    origins: HashMap<OriginKey, OriginMemory>,
+    watched: HashMap<InstanceKey, Instant>,
+    latencies: LatencyWindow,
+    urgent: bool,
+    answers_watch: bool,
+}
+
+impl Reporter {
+    /// Creates a reporter that has seen nothing.
+    #[must_use]
+    pub fn new(service: ServiceKey, now: Instant, interval: Duration) -> Self {
+        Self {
+            service,
+            interval,
+            last_flush: now,
+            rows: HashMap::new(),
+            failures: Vec::new(),
+            origins: HashMap::new(),
+            watched: HashMap::new(),
+            latencies: LatencyWindow::default(),
+            urgent: false,
+            answers_watch: false,
+        }
+    }
+
+    /// Takes an outcome.
+    pub fn record(&mut self, now: Instant, outcome: &Outcome) {
+        let counts = self.rows.entry(outcome.instance).or_default().current(now);
+        match outcome.result {
+            Ok(latency) => {
+                counts.ok += 1;
+                if self.latencies.is_slow(latency) {
+                    counts.slow += 1;
+                    self.urgent = true;
+                }
+                self.latencies.push(latency);
+                self.record_origin_success(now, outcome);
+            }
+            Err(kind) => {
+                counts.failed += 1;
+                self.record_failure(now, outcome, kind);
+            }
+        }
+    }
+
+    /// Takes a judge's request for full reports.
+    pub fn on_watch(&mut self, now: Instant, watch: &Watch, term: Duration) {
+        for instance in &watch.instances {
+            self.watched.insert(*instance, now + term);
+        }
+        for origin in &watch.origins {
+            self.suspect(now, *origin);
+        }
+        self.urgent = true;
+        self.answers_watch = true;
+    }
+
+    /// Returns the evidence that is due; `ejected` instances are always
+    /// reported in full.
+    #[must_use]
+    pub fn flush(&mut self, now: Instant, ejected: &[InstanceKey]) -> Option<Evidence> {
+        let age = now.saturating_duration_since(self.last_flush);
+        if age < self.interval && !self.answers_watch {
+            return None;
+        }
+        self.watched.retain(|_, until| now < *until);
+        if !self.urgent && self.watched.is_empty() && ejected.is_empty() {
+            return None;
+        }
+        let (instances, others) = self.take_rows(now, ejected);
+        let origins = self.take_origins(now);
+        self.urgent = false;
+        self.answers_watch = false;
+        if instances.is_empty() && self.failures.is_empty() && origins.is_empty() {
+            return None;
+        }
+        self.last_flush = now;
+        Some(Evidence {
+            service: self.service,
+            instances,
+            failures: std::mem::take(&mut self.failures),
+            origins,
+            others,
+        })
+    }
+
+    /// Returns the median latency of the pool, once enough is known.
+    #[must_use]
+    pub fn median_latency(&self) -> Option<Duration> {
+        self.latencies.median()
+    }
+
+    fn record_failure(&mut self, now: Instant, outcome: &Outcome, kind: FailureKind) {
+        self.urgent = true;
+        self.suspect(now, outcome.workspace);
+        self.suspect(now, outcome.route);
+        if self.failures.len() == MAX_FAILURES_PER_REPORT {
+            return;
+        }
+        self.failures.push(FailureRow {
+            instance: outcome.instance,
+            kind,
+            workspace: outcome.workspace,
+            route: outcome.route,
+        });
+    }
+
+    fn record_origin_success(&mut self, now: Instant, outcome: &Outcome) {
+        for origin in [outcome.workspace, outcome.route] {
+            if let Some(memory) = self.origin(now, origin) {
+                *memory.ok.current(now) += 1;
+            }
+        }
+    }
+
+    fn suspect(&mut self, now: Instant, origin: OriginKey) {
+        if let Some(memory) = self.origin(now, origin) {
+            memory.suspect_until = Some(now + SUSPICION_TERM);
+        }
+    }
+
+    fn origin(&mut self, now: Instant, origin: OriginKey) -> Option<&mut OriginMemory> {
+        if self.origins.len() >= MAX_ORIGINS && !self.origins.contains_key(&origin) {
+            self.origins
+                .retain(|_, memory| *memory.ok.current(now) > 0 || memory.suspect_until.is_some());
+            if self.origins.len() >= MAX_ORIGINS {
+                return None;
+            }
+        }
+        Some(self.origins.entry(origin).or_insert_with(|| OriginMemory {
+            ok: Generations::new(now, ORIGIN_SPAN),
+            suspect_until: None,
+        }))
+    }
+
+    fn take_rows(
+        &mut self,
+        now: Instant,
+        ejected: &[InstanceKey],
+    ) -> (Vec<InstanceRow>, OutcomeCounts) {
+        let mut taken = Vec::new();
+        let mut others = OutcomeCounts::default();
+        for (instance, row) in &mut self.rows {
+            let sum = row.sum(now);
+            let wanted = self.watched.contains_key(instance) || ejected.contains(instance);
+            if !wanted && sum.failed + sum.slow == 0 {
+                others = add(others, sum);
+                continue;
+            }
+            taken.extend(row.take(now, *instance));
+        }
+        taken.sort_by_key(|row| (row.instance, std::cmp::Reverse(row.age_ds)));
+        (taken, others)
+    }
+
+    fn take_origins(&mut self, now: Instant) -> Vec<OriginRow> {
+        let mut taken = Vec::new();
+        for (origin, memory) in &mut self.origins {
+            let Some(until) = memory.suspect_until else {
+                continue;
+            };
+            if now >= until {
+                memory.suspect_until = None;
+                continue;
+            }
+            let (old, new) = memory.ok.both(now);
+            let ok = old + new;
+            if ok == 0 || taken.len() == MAX_ORIGINS_PER_REPORT {
+                continue;
+            }
+            memory.ok.take(now);
+            taken.push(OriginRow {
+                origin: *origin,
+                ok,
+            });
+        }
+        taken.sort_by_key(|row| row.origin);
+        taken
+    }
+}
+
+fn age_ds(age: Duration) -> u8 {
+    u8::try_from(age.as_millis() / 100).unwrap_or(u8::MAX)
+}
+
+fn add(a: OutcomeCounts, b: OutcomeCounts) -> OutcomeCounts {
+    OutcomeCounts {
+        ok: a.ok + b.ok,
+        slow: a.slow + b.slow,
+        failed: a.failed + b.failed,
+    }
+}
--- /dev/null
+++ b/crates/upstreams/src/set.rs
@@ -0,0 +1,450 @@
+//! One host's view of all services.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Instant;
+
+use log::debug;
+use waxwingusher_config::{Service, Snapshot};
+use waxwingusher_core::{
+    Clock, FailureDomain, HostId, HostList, InstanceId, ServiceName, rendezvous,
+};
+use waxwingusher_protocol::Outgoing;
+use waxwingusher_protocol::health::{
+    Evidence, Grant, HealthMessage, InstanceKey, ServiceKey, Vote, Watch,
+};
+
+use crate::casebook::Vantage;
+use crate::choice::{
+    Choice, ChooseError, ChooseRequest, HealthHint, PickId, RequestOrigin, UpstreamResult,
+};
+use crate::judge::{Addressed, Judge, JudgeContext, JudgeRank};
+use crate::member::Availability;
+use crate::pool::{Pool, PoolContext};
+use crate::settings::{TestThresholds, UpstreamSettings};
+use crate::view::ServiceView;
+use crate::voter::Voter;
+
+const JUDGES: usize = 2;
+
+#[derive(Debug)]
+struct ServiceState {
+    pool: Pool,
+    judge: Judge,
+    judges: Vec<HostId>,
+}
+
+#[derive(Debug)]
+struct Pick {
+    service: ServiceKey,
+    instance: InstanceKey,
+}
+
+/// Detection, ejection, recovery and balance of all upstreams at one host.
+///
+/// The object does no input or output: the caller reports results, delivers
+/// messages, and calls [`UpstreamSet::tick`] a few times a second.
+pub struct UpstreamSet {
+    self_id: HostId,
+    failure_domain: FailureDomain,
+    incarnation: u64,
+    clock: Arc<dyn Clock>,
+    rng: fastrand::Rng,
+    settings: UpstreamSettings,
+    started: Instant,
+    hosts: Vec<HostId>,
+    vantages: HashMap<HostId, Vantage>,
+    services: HashMap<ServiceKey, ServiceState>,
+    picks: HashMap<PickId, Pick>,
+    next_pick: u64,
+}
+
+impl UpstreamSet {
+    /// Creates the view of a host that knows no services yet.
+    #[must_use]
+    pub fn new(
+        self_id: HostId,
+        failure_domain: FailureDomain,
+        incarnation: u64,
+        clock: Arc<dyn Clock>,
+        seed: u64,
+        settings: UpstreamSettings,
+    ) -> Self {
+        let started = clock.now();
+        Self {
+            hosts: vec![self_id.clone()],
+            self_id,
+            failure_domain,
+            incarnation,
+            clock,
+            rng: fastrand::Rng::with_seed(seed),
+            settings,
+            started,
+            vantages: HashMap::new(),
+            services: HashMap::new(),
+            picks: HashMap::new(),
+            next_pick: 0,
+        }
+    }
+
+    /// Takes the accepted configuration. Instances that it adds start cold.
+    pub fn apply_snapshot(&mut self, snapshot: &Snapshot) {
+        let now = self.clock.now();
+        let mut old = std::mem::take(&mut self.services);
+        for (name, service) in &snapshot.services {
+            let key = ServiceKey::of(name);
+            let mut state = match old.remove(&key) {
+                Some(mut state) => {
+                    let cold_term = self.settings.cold_term;
+                    if !Arc::ptr_eq(&state.pool.service, service) && state.pool.service != *service
+                    {
+                        state.pool.configure(service, now, cold_term);
+                    }
+                    state
+                }
+                None => self.new_service(service, now),
+            };
+            self.place(&mut state);
+            self.services.insert(key, state);
+        }
+    }
+
+    /// Takes the platform's list of hosts.
+    pub fn apply_host_list(&mut self, list: &HostList) {
+        let mut hosts: Vec<HostId> = list.hosts.iter().map(|entry| entry.id.clone()).collect();
+        hosts.sort();
+        hosts.dedup();
+        let single_domain = list.failure_domains().len() < 2;
+        self.vantages = list
+            .hosts
+            .iter()
+            .map(|entry| {
+                let name = if single_domain {
+                    entry.id.as_str()
+                } else {
+                    entry.failure_domain.as_str()
+                };
+                (entry.id.clone(), Vantage(Arc::from(name)))
+            })
+            .collect();
+        if hosts == self.hosts {
+            return;
+        }
+        self.hosts = hosts;
+        let mut services = std::mem::take(&mut self.services);
+        for state in services.values_mut() {
+            self.place(state);
+        }
+        self.services = services;
+    }
+
+    /// Chooses an instance and holds a place there until the report.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChooseError`] if no instance may take the request now.
+    pub fn choose(
+        &mut self,
+        service: &ServiceName,
+        request: &ChooseRequest<'_>,
+    ) -> Result<Choice, ChooseError> {
+        let key = ServiceKey::of(service);
+        let now = self.clock.now();
+        let context = PoolContext {
+            now,
+            near: &self.failure_domain,
+            hosts: self.hosts.len(),
+            settings: &self.settings,
+        };
+        let state = self.services.get_mut(&key).ok_or(ChooseError::NoInstance)?;
+        let (member, reason) = state.pool.choose(&context, request, &mut self.rng)?;
+        let pick = PickId(self.next_pick);
+        let choice = Choice {
+            pick,
+            service: service.clone(),
+            instance: member.id().clone(),
+            addr: member.instance.addr,
+            reason,
+            in_flight: member.in_flight,
+        };
+        let instance = member.key;
+        self.next_pick += 1;
+        let held = Pick {
+            service: key,
+            instance,
+        };
+        self.picks.insert(pick, held);
+        debug!(
+            "health: service {service} request to {} ({reason}, {} in flight)",
+            choice.instance, choice.in_flight
+        );
+        Ok(choice)
+    }
+
+    /// Takes the result of a choice. A second report of it is ignored.
+    pub fn report(&mut self, pick: PickId, origin: &RequestOrigin, result: UpstreamResult) {
+        let Some(held) = self.picks.remove(&pick) else {
+            return;
+        };
+        let context = PoolContext {
+            now: self.clock.now(),
+            near: &self.failure_domain,
+            hosts: self.hosts.len(),
+            settings: &self.settings,
+        };
+        let Some(state) = self.services.get_mut(&held.service) else {
+            return;
+        };
+        state
+            .pool
+            .report(&context, held.instance, origin, result, &mut self.rng);
+    }
+
+    /// Takes a message of a peer.
+    #[must_use]
+    pub fn on_message(
+        &mut self,
+        from: &HostId,
+        incarnation: u64,
+        message: &HealthMessage,
+    ) -> Vec<Outgoing<HealthMessage>> {
+        let replies = self.handle(from, incarnation, message);
+        self.deliver(replies)
+    }
+
+    /// Sends evidence and renews votes and ejections that are due.
+    #[must_use]
+    pub fn tick(&mut self) -> Vec<Outgoing<HealthMessage>> {
+        let now = self.clock.now();
+        let mut out = Vec::new();
+        let mut services = std::mem::take(&mut self.services);
+        for state in services.values_mut() {
+            state.pool.drop_removed(now);
+            out.extend(flush(state, now));
+            let capacity = state.pool.capacity(now);
+            let (judge, context) = self.judge_parts(state, now, &capacity);
+            out.extend(judge.tick(&context));
+        }
+        self.services = services;
+        self.deliver(out)
+    }
+
+    /// Takes what a health or load endpoint says of an instance.
+    pub fn health_hint(&mut self, service: &ServiceName, instance: &InstanceId, hint: HealthHint) {
+        let now = self.clock.now();
+        if let Some(state) = self.services.get_mut(&ServiceKey::of(service)) {
+            state.pool.hint(now, InstanceKey::of(instance), hint);
+        }
+    }
+
+    /// Returns the instances that the fleet has ejected in this host's view.
+    #[must_use]
+    pub fn ejected(&self, service: &ServiceName) -> Vec<InstanceId> {
+        let now = self.clock.now();
+        let Some(state) = self.services.get(&ServiceKey::of(service)) else {
+            return Vec::new();
+        };
+        let rows = state.pool.effective_ejections(now);
+        let members = state.pool.members().iter();
+        members
+            .filter(|member| rows.iter().any(|row| row.instance == member.key))
+            .map(|member| member.id().clone())
+            .collect()
+    }
+
+    /// Returns the instances that are cold, or leave or drain for so long that
+    /// they get no work.
+    #[must_use]
+    pub fn unavailable(&self, service: &ServiceName) -> Vec<InstanceId> {
+        let now = self.clock.now();
+        let Some(state) = self.services.get(&ServiceKey::of(service)) else {
+            return Vec::new();
+        };
+        let members = state.pool.members().iter();
+        members
+            .filter(|member| {
+                matches!(
+                    member.availability(now),
+                    Availability::Closed | Availability::Cold
+                )
+            })
+            .map(|member| member.id().clone())
+            .collect()
+    }
+
+    /// Returns the instances that this host uses by preference.
+    #[must_use]
+    pub fn subset(&self, service: &ServiceName) -> Vec<InstanceId> {
+        self.services
+            .get(&ServiceKey::of(service))
+            .map(|state| state.pool.subset().cloned().collect())
+            .unwrap_or_default()
+    }
+
+    /// Returns a view for operators, by service.
+    #[must_use]
+    pub fn report_state(&self) -> Vec<ServiceView> {
+        let now = self.clock.now();
+        let mut views: Vec<_> = self
+            .services
+            .values()
+            .map(|state| state.pool.view(now, state.judge.scores()))
+            .collect();
+        views.sort_by(|a, b| a.service.cmp(&b.service));
+        views
+    }
+
+    fn new_service(&mut self, service: &Arc<Service>, now: Instant) -> ServiceState {
+        let voter = Voter::new(self.started, self.rng.u64(..));
+        ServiceState {
+            pool: Pool::new(service, now, voter, &self.settings),
+            judge: Judge::new(&service.name, now, self.rng.fork()),
+            judges: Vec::new(),
+        }
+    }
+
+    fn place(&self, state: &mut ServiceState) {
+        let name = state.pool.service.name.as_str();
+        let ranked = rendezvous::rank(name, self.hosts.iter(), HostId::as_str);
+        state.judges = ranked.into_iter().take(JUDGES).cloned().collect();
+        state
+            .pool
+            .update_subset(&self.self_id, &self.hosts, self.settings.subset_size);
+    }
+
+    /// Handles messages to the host itself and returns the others.
+    fn deliver(&mut self, messages: Vec<Addressed>) -> Vec<Outgoing<HealthMessage>> {
+        let mut queue = VecDeque::from(messages);
+        let mut out = Vec::with_capacity(queue.len());
+        while let Some((to, message)) = queue.pop_front() {
+            if to != self.self_id {
+                out.push(Outgoing { to, message });
+                continue;
+            }
+            let self_id = self.self_id.clone();
+            queue.extend(self.handle(&self_id, self.incarnation, &message));
+        }
+        out
+    }
+
+    fn handle(
+        &mut self,
+        from: &HostId,
+        incarnation: u64,
+        message: &HealthMessage,
+    ) -> Vec<Addressed> {
+        let now = self.clock.now();
+        match message {
+            HealthMessage::Evidence(evidence) => self.on_evidence(from, evidence, now),
+            HealthMessage::Watch(watch) => self.on_watch(watch, now),
+            HealthMessage::Grant(grant) => self.on_grant(from, incarnation, grant, now),
+            HealthMessage::Vote(vote) => self.on_vote(from, vote, now),
+        }
+    }
+
+    fn on_evidence(&mut self, from: &HostId, evidence: &Evidence, now: Instant) -> Vec<Addressed> {
+        let (Some(state), Some(vantage)) = (
+            self.services.get_mut(&evidence.service),
+            self.vantages.get(from),
+        ) else {
+            return Vec::new();
+        };
+        state.judge.on_evidence(now, vantage, evidence);
+        Vec::new()
+    }
+
+    fn on_watch(&mut self, watch: &Watch, now: Instant) -> Vec<Addressed> {
+        let context = PoolContext {
+            now,
+            near: &self.failure_domain,
+            hosts: self.hosts.len(),
+            settings: &self.settings,
+        };
+        let Some(state) = self.services.get_mut(&watch.service) else {
+            return Vec::new();
+        };
+        state.pool.on_watch(&context, watch, &mut self.rng);
+        flush(state, now)
+    }
+
+    fn on_grant(
+        &mut self,
+        from: &HostId,
+        incarnation: u64,
+        grant: &Grant,
+        now: Instant,
+    ) -> Vec<Addressed> {
+        let context = PoolContext {
+            now,
+            near: &self.failure_domain,
+            hosts: self.hosts.len(),
+            settings: &self.settings,
+        };
+        let Some(state) = self.services.get_mut(&grant.service) else {
+            return Vec::new();
+        };
+        let Some(ballot) = state.pool.on_grant(&context, from, incarnation, grant) else {
+            return Vec::new();
+        };
+        let vote = Vote {
+            service: grant.service,
+            round: grant.round,
+            ballot,
+            unavailable: state.pool.capacity(now).unavailable,
+        };
+        vec![(from.clone(), HealthMessage::Vote(vote))]
+    }
+
+    fn on_vote(&mut self, from: &HostId, vote: &Vote, now: Instant) -> Vec<Addressed> {
+        let Some(mut state) = self.services.remove(&vote.service) else {
+            return Vec::new();
+        };
+        let capacity = state.pool.capacity(now);
+        let (judge, context) = self.judge_parts(&mut state, now, &capacity);
+        let out = judge.on_vote(&context, from, vote);
+        self.services.insert(vote.service, state);
+        out
+    }
+
+    fn judge_parts<'a>(
+        &'a self,
+        state: &'a mut ServiceState,
+        now: Instant,
+        capacity: &'a crate::ejection::PoolCapacity,
+    ) -> (&'a mut Judge, JudgeContext<'a>) {
+        let voter = &state.pool.voter;
+        let rank = if state.judges.first() == Some(&self.self_id) {
+            JudgeRank::First
+        } else {
+            JudgeRank::Deputy
+        };
+        let context = JudgeContext {
+            now,
+            self_id: &self.self_id,
+            hosts: &self.hosts,
+            capacity,
+            rank,
+            may_vote_for_self: voter.may_vote_for(now, &self.self_id, self.incarnation),
+            applied: voter.last_ejections(),
+            settings: &self.settings,
+            thresholds: TestThresholds::of(state.pool.service.detection),
+        };
+        (&mut state.judge, context)
+    }
+}
+
+fn flush(state: &mut ServiceState, now: Instant) -> Vec<Addressed> {
+    let ejected: Vec<InstanceKey> = state
+        .pool
+        .voter
+        .ejections(now)
+        .iter()
+        .map(|row| row.instance)
+        .collect();
+    let Some(evidence) = state.pool.reporter.flush(now, &ejected) else {
+        return Vec::new();
+    };
+    let message = HealthMessage::Evidence(evidence);
+    let judges = state.judges.iter();
+    judges.map(|host| (host.clone(), message.clone())).collect()
+}
--- /dev/null
+++ b/crates/upstreams/src/view.rs
@@ -0,0 +1,72 @@
+//! A read-only view for operators.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use waxwingusher_core::{InstanceId, ServiceName};
+
+/// Why an instance takes no or little work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum InstanceStatus {
+    /// The instance takes its part of the work.
+    InUse,
+    /// The fleet has ejected the instance.
+    Ejected,
+    /// The instance is ejected and gets trials.
+    Trial,
+    /// The instance is new or has just returned.
+    Cold,
+    /// The instance leaves or drains and is a last resort for a moment.
+    Closing,
+    /// The instance leaves or drains and gets no new work.
+    Closed,
+}
+
+/// One instance in this host's view.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct InstanceView {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its slots.
+    pub slots: u32,
+    /// Why it takes no or little work.
+    pub status: InstanceStatus,
+    /// Whether this host alone prefers others.
+    pub avoided: bool,
+    /// This host's requests under way.
+    pub in_flight: u32,
+    /// This host's concurrency limit there.
+    pub limit: u32,
+    /// How long this host backs off after a shed request, in milliseconds.
+    pub backoff_ms: u64,
+    /// Ejections in a row.
+    pub strikes: u8,
+    /// The failure score, if this host judges the service.
+    pub failure_score: Option<f64>,
+    /// The slowness score, if this host judges the service.
+    pub slow_score: Option<f64>,
+    /// The share of failed or slow requests, if this host judges the service.
+    pub bad_share: Option<f64>,
+}
+
+/// One service in this host's view.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ServiceView {
+    /// The service.
+    pub service: ServiceName,
+    /// The slots that must stay in use.
+    pub required_slots: u64,
+    /// The slots that are in use.
+    pub in_use_slots: u64,
+    /// The pool's median latency in milliseconds.
+    pub median_latency_ms: Option<f64>,
+    /// The instances.
+    pub instances: Vec<InstanceView>,
+}
+
+pub(crate) fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/upstreams/src/voter.rs
@@ -0,0 +1,153 @@
+//! One host's vote for a judge, and the ejections that rest on it.
+//!
+//! A host is bound to one judge for [`VOTE_TERM`] from each vote and applies
+//! that judge's ejections for [`EJECTION_TERM`] from the vote that the judge
+//! shows. A judge counts a vote for [`EJECTION_TERM`] from its request. An
+//! ejection is therefore over everywhere before the quorum that carried it can
+//! turn to another judge.
+
+use std::time::Instant;
+
+use waxwingusher_core::HostId;
+use waxwingusher_protocol::health::{EjectionRow, Grant};
+
+use crate::settings::{EJECTION_TERM, VOTE_TERM};
+
+const REMEMBERED_BALLOTS: usize = 4;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct JudgeId {
+    host: HostId,
+    incarnation: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Binding {
+    judge: JudgeId,
+    until: Instant,
+    last_round: u64,
+    last_ballot_round: u64,
+    ballots: Vec<(u64, Instant)>,
+}
+
+/// The vote and the ejections of one service at one host.
+#[derive(Debug)]
+pub struct Voter {
+    votes_from: Instant,
+    next_ballot: u64,
+    binding: Option<Binding>,
+    ejections: Vec<EjectionRow>,
+    ejections_until: Instant,
+}
+
+impl Voter {
+    /// Creates a voter that waits until the votes of a former process with the
+    /// same name no longer bind.
+    #[must_use]
+    pub fn new(started: Instant, first_ballot: u64) -> Self {
+        Self {
+            votes_from: started + VOTE_TERM,
+            next_ballot: first_ballot,
+            binding: None,
+            ejections: Vec::new(),
+            ejections_until: started,
+        }
+    }
+
+    /// Takes a judge's request and returns the ballot to answer with, unless
+    /// the host may not vote for this judge now.
+    pub fn on_grant(
+        &mut self,
+        now: Instant,
+        from: &HostId,
+        incarnation: u64,
+        grant: &Grant,
+    ) -> Option<u64> {
+        let judge = JudgeId {
+            host: from.clone(),
+            incarnation,
+        };
+        if now < self.votes_from || self.is_bound_to_other(now, &judge) {
+            return None;
+        }
+        let mut binding = match self.binding.take() {
+            Some(binding) if binding.judge == judge => binding,
+            _ => Binding {
+                judge,
+                until: now,
+                last_round: 0,
+                last_ballot_round: 0,
+                ballots: Vec::new(),
+            },
+        };
+        let completes_round = grant.round == binding.last_round
+            && grant.ballot.is_some()
+            && binding.last_ballot_round < grant.round;
+        if grant.round <= binding.last_round && !completes_round {
+            self.binding = Some(binding);
+            return None;
+        }
+        self.apply(&binding, grant, now);
+        let ballot = self.next_ballot;
+        self.next_ballot = self.next_ballot.wrapping_add(1);
+        binding.last_round = grant.round;
+        if grant.ballot.is_some() {
+            binding.last_ballot_round = grant.round;
+        }
+        binding.until = now + VOTE_TERM;
+        binding.ballots.push((ballot, now));
+        if binding.ballots.len() > REMEMBERED_BALLOTS {
+            binding.ballots.remove(0);
+        }
+        self.binding = Some(binding);
+        Some(ballot)
+    }
+
+    /// Returns the ejections that hold now, in the order of the judge.
+    #[must_use]
+    pub fn ejections(&self, now: Instant) -> &[EjectionRow] {
+        if now < self.ejections_until {
+            &self.ejections
+        } else {
+            &[]
+        }
+    }
+
+    /// Returns the ejections that were granted last, with their end, whether
+    /// or not they still hold.
+    #[must_use]
+    pub fn last_ejections(&self) -> (&[EjectionRow], Instant) {
+        (&self.ejections, self.ejections_until)
+    }
+
+    /// Reports whether the host may vote for a judge with this identity.
+    #[must_use]
+    pub fn may_vote_for(&self, now: Instant, host: &HostId, incarnation: u64) -> bool {
+        let judge = JudgeId {
+            host: host.clone(),
+            incarnation,
+        };
+        now >= self.votes_from && !self.is_bound_to_other(now, &judge)
+    }
+
+    fn is_bound_to_other(&self, now: Instant, judge: &JudgeId) -> bool {
+        self.binding
+            .as_ref()
+            .is_some_and(|binding| now < binding.until && binding.judge != *judge)
+    }
+
+    fn apply(&mut self, binding: &Binding, grant: &Grant, now: Instant) {
+        let shown = binding
+            .ballots
+            .iter()
+            .find(|(ballot, _)| Some(*ballot) == grant.ballot);
+        let Some((_, voted)) = shown else {
+            return;
+        };
+        if now >= *voted + EJECTION_TERM {
+            return;
+        }
+        self.ejections = grant.ejections.clone();
+        self.ejections_until = *voted + EJECTION_TERM;
+    }
+}
--- /dev/null
+++ b/crates/upstreams/tests/testsuite/floor.rs
@@ -0,0 +1,309 @@
+//! The capacity floor under partitions, pauses, restarts, differing lists,
+//! differing evidence, late messages and changes of the pool.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use waxwingusher_config::{Detection, InstanceState, Service, Snapshot};
+use waxwingusher_core::{HostList, InstanceId};
+use waxwingusher_standins::LinkFaults;
+use waxwingusher_upstreams::{Choice, UpstreamResult};
+
+use crate::fleet::{Fleet, STEP, host_list, instance, service, service_name, snapshot, success};
+
+const HOSTS: usize = 12;
+const RATE_PER_S: f64 = 150.0;
+const CONFIG_LAG: Duration = Duration::from_secs(1);
+const STEPS_BETWEEN_EVENTS: usize = 20;
+
+/// A fleet with a schedule of faults, and what the oracle knows.
+struct Schedule {
+    fleet: Fleet,
+    versions: Vec<(Duration, Service)>,
+    applied: Vec<usize>,
+    failing: HashMap<(usize, InstanceId), f64>,
+    list_version: u64,
+    steps_with_ejection: usize,
+    most_ejected: usize,
+    added: usize,
+}
+
+impl Schedule {
+    fn new(seed: u64) -> Self {
+        let first = service(10, Detection::Fast);
+        let faults = LinkFaults {
+            max_delay: Duration::from_millis(40),
+            ..LinkFaults::default()
+        };
+        Self {
+            fleet: Fleet::new(HOSTS, seed, faults, &snapshot(1, first.clone())),
+            versions: vec![(Duration::ZERO, first)],
+            applied: vec![0; HOSTS],
+            failing: HashMap::new(),
+            list_version: 1,
+            steps_with_ejection: 0,
+            most_ejected: 0,
+            added: 10,
+        }
+    }
+
+    fn snapshot(&self, version: usize) -> Snapshot {
+        snapshot(version as u64 + 1, self.versions[version].1.clone())
+    }
+
+    fn newest(&self) -> usize {
+        self.versions.len() - 1
+    }
+
+    /// Applies the newest configuration to hosts, each within the lag.
+    fn distribute(&mut self) {
+        let newest = self.newest();
+        let age = self
+            .fleet
+            .clock
+            .elapsed()
+            .saturating_sub(self.versions[newest].0);
+        let late = age + 2 * STEP >= CONFIG_LAG;
+        for host in 0..HOSTS {
+            let paused = self.fleet.hosts[host].paused;
+            if paused || self.applied[host] == newest || !(late || self.fleet.rng.f64() < 0.03) {
+                continue;
+            }
+            self.apply(host, newest);
+        }
+    }
+
+    fn apply(&mut self, host: usize, version: usize) {
+        let snapshot = self.snapshot(version);
+        self.fleet.hosts[host].set.apply_snapshot(&snapshot);
+        self.applied[host] = version;
+    }
+
+    fn step(&mut self) {
+        self.distribute();
+        let failing = &self.failing;
+        self.fleet.traffic(RATE_PER_S, |host, choice, rng| {
+            let chance = failing.get(&(host % 3, choice.instance.clone()));
+            if rng.f64() < chance.copied().unwrap_or(0.0) {
+                UpstreamResult::ErrorStatus
+            } else {
+                success()
+            }
+        });
+        self.fleet.step();
+    }
+
+    fn event(&mut self) {
+        match self.fleet.rng.u32(..20) {
+            0..=4 => self.make_sick(),
+            5 => self.failing.clear(),
+            6 => self.partition(),
+            7..=9 => self.fleet.links.mend_all(),
+            10 => self.pause(),
+            11..=12 => self.wake_all(),
+            13 => self.restart(),
+            14 => self.change_lists(),
+            15..=16 => self.change_pool(),
+            17 => self.drain_one(),
+            _ => self.change_links(),
+        }
+    }
+
+    /// Lets a few instances fail, for some hosts more than for others.
+    fn make_sick(&mut self) {
+        let names = self.instance_names();
+        for _ in 0..self.fleet.rng.usize(1..5) {
+            let name = names[self.fleet.rng.usize(..names.len())].clone();
+            for group in 0..3 {
+                let chance = self.fleet.rng.f64();
+                self.failing.insert((group, name.clone()), chance);
+            }
+        }
+    }
+
+    fn instance_names(&self) -> Vec<InstanceId> {
+        let instances = self.versions[self.newest()].1.instances.iter();
+        instances.map(|instance| instance.id.clone()).collect()
+    }
+
+    /// Cuts links between random groups, in one direction or both.
+    fn partition(&mut self) {
+        let sides: Vec<bool> = (0..HOSTS).map(|_| self.fleet.rng.bool()).collect();
+        let both_ways = self.fleet.rng.bool();
+        for a in 0..HOSTS {
+            for b in 0..HOSTS {
+                if sides[a] == sides[b] || !(sides[a] || both_ways) {
+                    continue;
+                }
+                let (from, to) = (&self.fleet.hosts[a].id, &self.fleet.hosts[b].id);
+                self.fleet.links.cut(from, to);
+            }
+        }
+    }
+
+    fn pause(&mut self) {
+        let host = self.fleet.rng.usize(..HOSTS);
+        self.fleet.hosts[host].paused = true;
+    }
+
+    fn wake_all(&mut self) {
+        for host in 0..HOSTS {
+            self.fleet.hosts[host].paused = false;
+            self.apply(host, self.newest());
+        }
+    }
+
+    fn restart(&mut self) {
+        let host = self.fleet.rng.usize(..HOSTS);
+        let list = self.list(HOSTS);
+        let newest = self.newest();
+        let snapshot = self.snapshot(newest);
+        self.fleet.restart(host, &list, &snapshot);
+        self.applied[host] = newest;
+    }
+
+    fn list(&self, hosts: usize) -> HostList {
+        host_list(self.list_version, 0..hosts)
+    }
+
+    /// Gives some hosts a list that lacks one host or has one more.
+    fn change_lists(&mut self) {
+        self.list_version += 1;
+        for host in 0..HOSTS {
+            let size = self.fleet.rng.usize(HOSTS - 1..=HOSTS + 1);
+            let list = self.list(size);
+            self.fleet.hosts[host].set.apply_host_list(&list);
+        }
+    }
+
+    /// Lets an instance leave, removes one or adds one.
+    fn change_pool(&mut self) {
+        let settled = self.versions[self.newest()].0 + 6 * CONFIG_LAG;
+        if self.fleet.clock.elapsed() < settled {
+            return;
+        }
+        let mut next = self.versions[self.newest()].1.clone();
+        let index = self.fleet.rng.usize(..next.instances.len());
+        match self.fleet.rng.u32(..3) {
+            0 => next.instances[index].state = InstanceState::Leaving,
+            1 if next.instances.len() > 6 => drop(next.instances.remove(index)),
+            _ => {
+                next.instances.push(instance(self.added, 6));
+                self.added += 1;
+            }
+        }
+        self.versions.push((self.fleet.clock.elapsed(), next));
+    }
+
+    /// Lets an instance tell every running host that it drains.
+    fn drain_one(&mut self) {
+        let mut others = self.instance_names();
+        let drains = others.swap_remove(self.fleet.rng.usize(..others.len()));
+        for host in 0..HOSTS {
+            if self.fleet.hosts[host].paused {
+                continue;
+            }
+            let answer = |choice: &Choice, _: &mut fastrand::Rng| {
+                if choice.instance == drains {
+                    UpstreamResult::Draining
+                } else {
+                    success()
+                }
+            };
+            self.fleet.request_excluding(host, 0, &others, answer);
+        }
+    }
+
+    fn change_links(&mut self) {
+        let bad = self.fleet.rng.bool();
+        self.fleet.links.set_faults(LinkFaults {
+            min_delay: Duration::from_millis(1),
+            max_delay: Duration::from_millis(if bad { 5_000 } else { 40 }),
+            loss: if bad { 0.3 } else { 0.0 },
+            duplication: if bad { 0.3 } else { 0.0 },
+        });
+    }
+
+    /// The oracle: each host's own view, and the union over all hosts.
+    fn check(&mut self, context: &str) {
+        let elapsed = self.fleet.clock.elapsed();
+        let in_force = self
+            .versions
+            .iter()
+            .rposition(|(at, _)| *at + CONFIG_LAG <= elapsed);
+        let reference = &self.versions[in_force.unwrap_or(0)].1;
+        let mut ejected_union = BTreeSet::new();
+        let mut out_union = BTreeSet::new();
+        for (index, host) in self.fleet.hosts.iter().enumerate() {
+            if host.paused {
+                continue;
+            }
+            let ejected = host.set.ejected(&service_name());
+            let mut out: BTreeSet<_> = host.set.unavailable(&service_name()).into_iter().collect();
+            out.extend(ejected.iter().cloned());
+            let own = &self.versions[self.applied[index]].1;
+            assert_floor(
+                own,
+                !ejected.is_empty(),
+                &out,
+                &format!("{context} host {index}"),
+            );
+            ejected_union.extend(ejected);
+            out_union.extend(out);
+        }
+        self.steps_with_ejection += usize::from(!ejected_union.is_empty());
+        self.most_ejected = self.most_ejected.max(ejected_union.len());
+        assert_floor(
+            reference,
+            !ejected_union.is_empty(),
+            &out_union,
+            &format!("{context} union"),
+        );
+    }
+}
+
+fn assert_floor(service: &Service, any_ejected: bool, out: &BTreeSet<InstanceId>, context: &str) {
+    if !any_ejected {
+        return;
+    }
+    let total: u32 = service.instances.iter().map(|i| i.slots).sum();
+    let in_use: u32 = service
+        .instances
+        .iter()
+        .filter(|i| !out.contains(&i.id))
+        .map(|i| i.slots)
+        .sum();
+    let floor = total * u32::from(service.floor_percent);
+    assert!(
+        in_use * 100 >= floor,
+        "{context}: {in_use} of {total} slots in use, out: {out:?}"
+    );
+}
+
+fn run_schedule(seed: u64, events: usize) -> Schedule {
+    let mut schedule = Schedule::new(seed);
+    for _ in 0..500 {
+        schedule.step();
+    }
+    for event in 0..events {
+        schedule.event();
+        for _ in 0..schedule.fleet.rng.usize(1..2 * STEPS_BETWEEN_EVENTS) {
+            schedule.step();
+            schedule.check(&format!("seed {seed} event {event}"));
+        }
+    }
+    schedule
+}
+
+#[test]
+fn floor_holds_under_random_faults() {
+    let mut steps_with_ejection = 0;
+    let mut most_ejected = 0;
+    for seed in 0..12 {
+        let schedule = run_schedule(seed, 150);
+        steps_with_ejection += schedule.steps_with_ejection;
+        most_ejected = most_ejected.max(schedule.most_ejected);
+    }
+    assert!(steps_with_ejection >= 1_000);
+    assert_eq!(most_ejected, 3, "the floor was never reached");
+}
--- /dev/null
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of detection, the capacity floor, recovery, balance and subsets.
+
+mod detection;
+mod fleet;
+mod floor;
