--- /dev/null
+++ b/crates/membership/src/distribution.rs
@@ -0,0 +1,23 @@
+//! Distribution of the configuration and of the host list.
+//!
+//! A few hosts of each failure domain watch the configuration service. The
+//! others learn of new versions from peers and fetch only the packs that they
+//! lack. A host adopts the highest version that it can get whole, and never an
+//! older one than it has.
+
+mod action;
+mod agent;
+mod document;
+mod freshness;
+mod peers;
+mod pursuit;
+mod replica;
+mod roles;
+mod settings;
+mod survey;
+mod watch;
+
+pub use action::{AgentAction, DocumentKind, Refusal, ServiceRead, Watch};
+pub use agent::{AgentCounters, ConfigAgent};
+pub use freshness::{ListFreshness, PeerWord};
+pub use settings::DistributionSettings;
--- /dev/null
+++ b/crates/membership/src/distribution/agent.rs
@@ -0,0 +1,328 @@
+//! One host's part in the distribution.
+
+mod exchange;
+mod service;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_config::Snapshot;
+use waxwingusher_config::publication::{HOSTS_KEY, MANIFEST_KEY};
+use waxwingusher_core::{Clock, ContentDigest, FailureDomain, HostId, HostList};
+use waxwingusher_protocol::Summary;
+
+use super::action::{AgentAction, DocumentKind, Refusal};
+use super::freshness::{ListFreshness, PeerWord};
+use super::peers::Peers;
+use super::pursuit::Source;
+use super::replica::Replica;
+use super::roles::{Role, candidates, role};
+use super::settings::DistributionSettings;
+use super::survey::Survey;
+use super::watch::ServiceWatch;
+
+/// The time after which a host without a configuration, or without any peer
+/// that answers, reads the service whatever its role is.
+const ALONE_AFTER: Duration = Duration::from_secs(10);
+
+/// How long a fresh host waits for a version that a peer said to have.
+const CLAIM_AGE: Duration = Duration::from_secs(10);
+
+/// The time between two polls of a standby to the hosts ranked above it.
+const OBSERVE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Counts since the process started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AgentCounters {
+    /// Versions that were put in force.
+    pub adopted: u64,
+    /// Versions, manifests and packs that were refused.
+    pub refused: u64,
+    /// Reads of the service that gave an older version than the known one.
+    pub stale_reads: u64,
+    /// Calls to the service.
+    pub service_reads: u64,
+    /// Failed calls to the service.
+    pub service_errors: u64,
+    /// Manifests and packs asked of peers.
+    pub peer_fetches: u64,
+}
+
+/// A call to the service that reads a pack.
+#[derive(Debug)]
+struct PackRead {
+    digest: ContentDigest,
+    deadline: Instant,
+}
+
+/// One host's part in the distribution of the configuration and the host list.
+///
+/// The owner calls [`ConfigAgent::tick`] several times a second, carries out
+/// the actions, and hands in what comes back.
+pub struct ConfigAgent {
+    self_id: HostId,
+    failure_domain: FailureDomain,
+    clock: Arc<dyn Clock>,
+    rng: fastrand::Rng,
+    settings: DistributionSettings,
+    config: Replica<Snapshot>,
+    hosts: Replica<HostList>,
+    config_watch: ServiceWatch,
+    hosts_watch: ServiceWatch,
+    pack_reads: HashMap<u64, PackRead>,
+    peers: Peers,
+    candidates: Vec<HostId>,
+    survey: Option<Survey>,
+    started_at: Instant,
+    next_observation: Instant,
+    next_ticket: u64,
+    counters: AgentCounters,
+}
+
+impl ConfigAgent {
+    /// Creates the agent of a process that has just started.
+    #[must_use]
+    pub fn new(
+        self_id: HostId,
+        failure_domain: FailureDomain,
+        clock: Arc<dyn Clock>,
+        seed: u64,
+        settings: DistributionSettings,
+    ) -> Self {
+        let now = clock.now();
+        let mut agent = Self {
+            self_id,
+            failure_domain,
+            clock,
+            rng: fastrand::Rng::with_seed(seed),
+            config: Replica::new(),
+            hosts: Replica::new(),
+            config_watch: ServiceWatch::new(MANIFEST_KEY, now),
+            hosts_watch: ServiceWatch::new(HOSTS_KEY, now),
+            pack_reads: HashMap::new(),
+            peers: Peers::new(now),
+            candidates: Vec::new(),
+            survey: Some(Survey::new(settings.survey_timeout, now)),
+            started_at: now,
+            next_observation: now,
+            next_ticket: 0,
+            counters: AgentCounters::default(),
+            settings,
+        };
+        let seeds = agent.settings.seeds.clone();
+        agent.set_peers(seeds, Vec::new(), now);
+        agent
+    }
+
+    /// Does what is due now.
+    pub fn tick(&mut self) -> Vec<AgentAction> {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        self.poll_peers(now, &mut actions);
+        self.read_service(now, &mut actions);
+        self.progress(now, &mut actions);
+        actions
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn current(&self) -> Option<Arc<Snapshot>> {
+        self.config.current().cloned()
+    }
+
+    /// Returns the host list in force.
+    #[must_use]
+    pub fn hosts(&self) -> Option<Arc<HostList>> {
+        self.hosts.current().cloned()
+    }
+
+    /// Returns the newest host list that is known, also while a fresh host has
+    /// not put any in force. It tells where peers are; no right follows from it.
+    #[must_use]
+    pub fn known_hosts(&self) -> Option<Arc<HostList>> {
+        self.hosts.newest().cloned()
+    }
+
+    /// Reports whether the host has a configuration and a host list in force.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.config.current().is_some() && self.hosts.current().is_some()
+    }
+
+    /// Returns a manifest or pack of the versions in force, for a peer.
+    #[must_use]
+    pub fn blob(&self, digest: &ContentDigest) -> Option<Arc<[u8]>> {
+        self.config.blob(digest).or_else(|| self.hosts.blob(digest))
+    }
+
+    /// Reports whether the host watches the configuration service.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        self.reads_service(self.clock.now())
+    }
+
+    /// Returns the counts since the process started.
+    #[must_use]
+    pub fn counters(&self) -> AgentCounters {
+        self.counters
+    }
+
+    /// Returns the evidence that the host list in force is current.
+    #[must_use]
+    pub fn list_freshness(&self) -> ListFreshness {
+        let words = self.peers.near().iter().filter_map(|host| {
+            let answered = self.peers.answered(host)?;
+            Some(PeerWord {
+                host: host.clone(),
+                seen_version: answered.summary.seen_hosts_version,
+                asked_at: answered.asked_at,
+            })
+        });
+        let stamp = self.hosts.stamp();
+        ListFreshness {
+            version: stamp.version,
+            seen_version: self.hosts.seen_version(),
+            confirmed_at: self.hosts_watch.confirmed_at(stamp),
+            words: words.collect(),
+        }
+    }
+
+    fn set_peers(&mut self, all: Vec<HostId>, near: Vec<HostId>, now: Instant) {
+        if let Some(survey) = &mut self.survey {
+            let timeout = self.settings.survey_timeout;
+            survey.add(all.iter().cloned(), timeout, now);
+        }
+        self.peers.set(all, near, &mut self.rng);
+    }
+
+    /// Works with the peers of the newest list that is whole here.
+    fn use_newest_list(&mut self, now: Instant) {
+        let Some(list) = self.hosts.newest().cloned() else {
+            return;
+        };
+        let others = || list.hosts.iter().filter(|host| host.id != self.self_id);
+        let all = others().map(|host| host.id.clone()).collect();
+        let near = others().filter(|host| host.failure_domain == self.failure_domain);
+        let near = near.map(|host| host.id.clone()).collect();
+        self.candidates = candidates(&list, &self.failure_domain, &self.settings);
+        self.set_peers(all, near, now);
+    }
+
+    fn role(&self, now: Instant) -> Role {
+        let readers = self.settings.readers_per_domain;
+        role(&self.self_id, &self.candidates, &self.peers, readers, now)
+    }
+
+    fn reads_service(&self, now: Instant) -> bool {
+        if self.role(now) == Role::Reader || self.hosts.newest().is_none() {
+            return true;
+        }
+        let since = self.peers.answered_at().unwrap_or(self.started_at);
+        let is_alone = now >= since + ALONE_AFTER;
+        let is_late = now >= self.started_at + ALONE_AFTER;
+        is_alone || (is_late && self.config.current().is_none())
+    }
+
+    fn summary(&self, now: Instant) -> Summary {
+        let answers = [&self.config_watch, &self.hosts_watch].map(ServiceWatch::answered_at);
+        let oldest = answers.into_iter().min().flatten();
+        let age = oldest.map(|at| now.saturating_duration_since(at).as_millis());
+        Summary {
+            config: self.config.stamp(),
+            hosts: self.hosts.stamp(),
+            seen_hosts_version: self.hosts.seen_version(),
+            service_age_ms: age.map(|age| u32::try_from(age).unwrap_or(u32::MAX)),
+        }
+    }
+
+    fn refuse(&mut self, refusal: Refusal, actions: &mut Vec<AgentAction>) {
+        self.counters.refused += 1;
+        actions.push(AgentAction::Refuse(refusal));
+    }
+
+    /// Builds, adopts and announces what is whole, and asks for what is not.
+    fn progress(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
+        let known = self.hosts.newest().map(|list| list.version);
+        let mut refusals = self.config.settle();
+        refusals.extend(self.hosts.settle());
+        for refusal in refusals {
+            self.refuse(refusal, actions);
+        }
+        if self.hosts.newest().map(|list| list.version) != known {
+            self.use_newest_list(now);
+        }
+        if self.adopt(now, actions) {
+            self.announce(now, actions);
+        }
+        self.fetch(DocumentKind::Config, now, actions);
+        self.fetch(DocumentKind::Hosts, now, actions);
+    }
+
+    /// Puts whole versions in force, and reports whether there was one.
+    fn adopt(&mut self, now: Instant, actions: &mut Vec<AgentAction>) -> bool {
+        if self
+            .survey
+            .as_ref()
+            .is_some_and(|survey| survey.is_over(now))
+        {
+            self.survey = None;
+        }
+        if self.survey.is_some() {
+            return false;
+        }
+        let before = self.counters.adopted;
+        let may_adopt = self.config.current().is_some() || !self.config_is_behind(now);
+        if may_adopt && let Some(snapshot) = self.config.adopt() {
+            let version = snapshot.version;
+            log::info!("config: configuration version {version} is in force");
+            self.counters.adopted += 1;
+            actions.push(AgentAction::Adopt(snapshot));
+        }
+        let may_adopt = self.hosts.current().is_some() || !self.hosts_is_behind(now);
+        if may_adopt && let Some(list) = self.hosts.adopt() {
+            log::info!("config: host list version {} is in force", list.version);
+            self.counters.adopted += 1;
+            actions.push(AgentAction::AdoptHosts(list));
+        }
+        self.counters.adopted > before
+    }
+
+    /// Reports whether a peer has a newer configuration in force, and asks for
+    /// it again. The first configuration waits for it.
+    fn config_is_behind(&mut self, now: Instant) -> bool {
+        let mut is_behind = false;
+        for (host, summary) in self.peers.heard_since(self.claims_since(now)) {
+            if !self.config.wants(&summary.config) {
+                continue;
+            }
+            is_behind = true;
+            self.config
+                .offer(summary.config, Source::Peer(host.clone()), now);
+        }
+        is_behind
+    }
+
+    /// Reports the same of the host list.
+    fn hosts_is_behind(&mut self, now: Instant) -> bool {
+        let mut is_behind = false;
+        for (host, summary) in self.peers.heard_since(self.claims_since(now)) {
+            if !self.hosts.wants(&summary.hosts) {
+                continue;
+            }
+            is_behind = true;
+            self.hosts
+                .offer(summary.hosts, Source::Peer(host.clone()), now);
+        }
+        is_behind
+    }
+
+    fn claims_since(&self, now: Instant) -> Instant {
+        now.checked_sub(CLAIM_AGE).unwrap_or(self.started_at)
+    }
+
+    fn ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+}
--- /dev/null
+++ b/crates/membership/src/distribution/agent/exchange.rs
@@ -0,0 +1,181 @@
+//! Messages and transfers between peers.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use waxwingusher_config::Pack;
+use waxwingusher_core::{ContentDigest, HostId};
+use waxwingusher_protocol::{ConfigMessage, Outgoing, Summary};
+
+use super::{ConfigAgent, OBSERVE_INTERVAL, PackRead};
+use crate::distribution::action::{AgentAction, DocumentKind, ServiceRead};
+use crate::distribution::pursuit::{Need, Source};
+use crate::distribution::roles::Role;
+
+impl ConfigAgent {
+    /// Takes a message of a peer.
+    pub fn on_message(
+        &mut self,
+        from: &HostId,
+        _incarnation: u64,
+        message: &ConfigMessage,
+    ) -> Vec<AgentAction> {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        let summary = *message.summary();
+        self.peers.on_heard(from, summary, now);
+        self.take_summary(from, &summary, now, &mut actions);
+        if let Some(survey) = &mut self.survey {
+            survey.on_answer(from);
+        }
+        match message {
+            ConfigMessage::Poll { nonce, .. } => self.answer(from, *nonce, now, &mut actions),
+            ConfigMessage::Answer { nonce, .. } => {
+                self.peers.on_answer(from, *nonce, summary, now);
+            }
+            ConfigMessage::Announce { .. } if self.is_ahead_of(&summary) => {
+                self.answer(from, 0, now, &mut actions);
+            }
+            ConfigMessage::Announce { .. } => {}
+        }
+        self.progress(now, &mut actions);
+        actions
+    }
+
+    /// Takes a manifest or pack that a peer handed over.
+    pub fn on_pack(
+        &mut self,
+        from: &HostId,
+        digest: ContentDigest,
+        bytes: &Arc<[u8]>,
+    ) -> Vec<AgentAction> {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        let source = Source::Peer(from.clone());
+        self.take_blob(&source, digest, bytes, now, &mut actions);
+        self.progress(now, &mut actions);
+        actions
+    }
+
+    /// Takes note that a peer has not handed over a manifest or pack.
+    pub fn on_pack_missing(&mut self, from: &HostId, digest: ContentDigest) -> Vec<AgentAction> {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        let source = Source::Peer(from.clone());
+        self.config.on_failure(&source, &digest, now);
+        self.hosts.on_failure(&source, &digest, now);
+        self.progress(now, &mut actions);
+        actions
+    }
+
+    pub(super) fn take_blob(
+        &mut self,
+        source: &Source,
+        digest: ContentDigest,
+        bytes: &Arc<[u8]>,
+        now: Instant,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let refusal = self.config.on_blob(source, digest, bytes, now);
+        let refusal = refusal.or_else(|| self.hosts.on_blob(source, digest, bytes, now));
+        if let Some(refusal) = refusal {
+            self.refuse(refusal, actions);
+        }
+    }
+
+    /// Polls the peers that are due.
+    pub(super) fn poll_peers(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
+        let mut targets = match &mut self.survey {
+            Some(survey) => survey.due(now),
+            None => self.peers.due(&self.settings, &mut self.rng, now),
+        };
+        if now >= self.next_observation && self.role(now) != Role::Learner {
+            self.next_observation = now + OBSERVE_INTERVAL;
+            let above = self.candidates.iter();
+            targets.extend(above.take_while(|host| **host != self.self_id).cloned());
+        }
+        for host in targets {
+            let nonce = self.rng.u32(1..);
+            self.peers.on_poll(&host, nonce, now);
+            let summary = self.summary(now);
+            send(&host, ConfigMessage::Poll { nonce, summary }, actions);
+        }
+    }
+
+    /// Tells some peers what is in force.
+    pub(super) fn announce(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
+        let summary = self.summary(now);
+        for host in self.peers.sample(self.settings.fanout, &mut self.rng) {
+            send(&host, ConfigMessage::Announce { summary }, actions);
+        }
+    }
+
+    /// Asks for what is missing of a document.
+    pub(super) fn fetch(
+        &mut self,
+        kind: DocumentKind,
+        now: Instant,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let timeout = self.settings.fetch_timeout;
+        let needs = match kind {
+            DocumentKind::Config => self.config.advance(timeout, now),
+            DocumentKind::Hosts => self.hosts.advance(timeout, now),
+        };
+        for Need { source, digest } in needs {
+            match source {
+                Source::Peer(host) => {
+                    self.counters.peer_fetches += 1;
+                    actions.push(AgentAction::FetchFromPeer { host, digest });
+                }
+                Source::Service => {
+                    let ticket = self.ticket();
+                    let deadline = now + timeout;
+                    self.pack_reads
+                        .insert(ticket, PackRead { digest, deadline });
+                    self.counters.service_reads += 1;
+                    actions.push(AgentAction::ReadService(ServiceRead {
+                        ticket,
+                        key: Arc::from(Pack::service_key(&digest)),
+                        watch: None,
+                    }));
+                }
+            }
+        }
+    }
+
+    fn take_summary(
+        &mut self,
+        from: &HostId,
+        summary: &Summary,
+        now: Instant,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let source = || Source::Peer(from.clone());
+        let offers = [
+            self.config.offer(summary.config, source(), now),
+            self.hosts.offer(summary.hosts, source(), now),
+        ];
+        self.hosts.see(summary.seen_hosts_version);
+        for refusal in offers.into_iter().flatten() {
+            self.refuse(refusal, actions);
+        }
+    }
+
+    fn is_ahead_of(&self, summary: &Summary) -> bool {
+        self.config.stamp().version > summary.config.version
+            || self.hosts.stamp().version > summary.hosts.version
+    }
+
+    fn answer(&self, to: &HostId, nonce: u32, now: Instant, actions: &mut Vec<AgentAction>) {
+        let summary = self.summary(now);
+        send(to, ConfigMessage::Answer { nonce, summary }, actions);
+    }
+}
+
+fn send(to: &HostId, message: ConfigMessage, actions: &mut Vec<AgentAction>) {
+    actions.push(AgentAction::Send(Outgoing {
+        to: to.clone(),
+        message,
+    }));
+}
--- /dev/null
+++ b/crates/membership/src/distribution/freshness.rs
@@ -0,0 +1,30 @@
+//! Evidence that the host list is current.
+
+use std::time::Instant;
+
+use waxwingusher_core::HostId;
+
+/// What a peer last answered to a poll.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerWord {
+    /// The peer.
+    pub host: HostId,
+    /// The highest version of the host list that the peer had heard of.
+    pub seen_version: u64,
+    /// When the poll was sent. The answer is not older.
+    pub asked_at: Instant,
+}
+
+/// Evidence that the host list is current.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListFreshness {
+    /// The version in force; zero if there is none.
+    pub version: u64,
+    /// The highest version that this host has heard of from anyone.
+    pub seen_version: u64,
+    /// An instant at or after which the configuration service still had the
+    /// version in force as its newest.
+    pub confirmed_at: Option<Instant>,
+    /// What listed peers of the same failure domain last answered.
+    pub words: Vec<PeerWord>,
+}
--- /dev/null
+++ b/crates/membership/src/distribution/peers.rs
@@ -0,0 +1,268 @@
+//! The peers of a host: whom to poll, and who answers.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::HostId;
+use waxwingusher_protocol::Summary;
+
+use super::settings::DistributionSettings;
+
+/// Peers that a host without an answer asks next, before it asks all.
+const RETRY_WIDTH: usize = 3;
+
+/// Peers that a host asks at one time while it asks all.
+const SCAN_WIDTH: usize = 128;
+
+/// The time between two parts of a scan.
+const SCAN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The pause after the first scan without an answer.
+const MIN_SCAN_PAUSE: Duration = Duration::from_secs(5);
+
+/// The longest pause between scans.
+const MAX_SCAN_PAUSE: Duration = Duration::from_secs(60);
+
+/// The last message of a peer.
+#[derive(Debug, Clone, Copy)]
+pub struct Heard {
+    /// When it arrived.
+    pub at: Instant,
+    /// What the peer has.
+    pub summary: Summary,
+}
+
+/// A peer's last answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Answered {
+    /// When the poll was sent.
+    pub asked_at: Instant,
+    /// When the answer arrived.
+    pub at: Instant,
+    /// What the peer had.
+    pub summary: Summary,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    heard: Option<Heard>,
+    answered: Option<Answered>,
+    asked: Option<(u32, Instant)>,
+}
+
+/// What a host without an answer does next.
+#[derive(Debug, Clone, Copy)]
+enum Stage {
+    Idle,
+    Asked { retry_at: Instant },
+    Retried { scan_at: Instant },
+    Scanning { next_at: Instant, left: usize },
+}
+
+/// The peers of a host.
+#[derive(Debug)]
+pub struct Peers {
+    peers: BTreeMap<HostId, Peer>,
+    ring: Vec<HostId>,
+    near: Vec<HostId>,
+    cursor: usize,
+    stage: Stage,
+    next_round: Instant,
+    is_near_round: bool,
+    scan_pause: Duration,
+    next_scan: Instant,
+    started_at: Instant,
+    answered_at: Option<Instant>,
+}
+
+impl Peers {
+    /// Creates a host's view without peers.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            peers: BTreeMap::new(),
+            ring: Vec::new(),
+            near: Vec::new(),
+            cursor: 0,
+            stage: Stage::Idle,
+            next_round: now,
+            is_near_round: false,
+            scan_pause: MIN_SCAN_PAUSE,
+            next_scan: now,
+            started_at: now,
+            answered_at: None,
+        }
+    }
+
+    /// Returns when the host started.
+    pub fn started_at(&self) -> Instant {
+        self.started_at
+    }
+
+    /// Replaces the peers; `near` are those of the own failure domain.
+    pub fn set(&mut self, all: Vec<HostId>, near: Vec<HostId>, rng: &mut fastrand::Rng) {
+        self.peers.retain(|host, _| all.contains(host));
+        for host in &all {
+            self.peers.entry(host.clone()).or_default();
+        }
+        self.ring = all;
+        rng.shuffle(&mut self.ring);
+        self.near = near;
+        self.cursor = 0;
+    }
+
+    /// Returns the peers of the own failure domain.
+    pub fn near(&self) -> &[HostId] {
+        &self.near
+    }
+
+    /// Returns a peer's last message.
+    pub fn heard(&self, host: &HostId) -> Option<&Heard> {
+        self.peers.get(host)?.heard.as_ref()
+    }
+
+    /// Returns a peer's last answer to a poll.
+    pub fn answered(&self, host: &HostId) -> Option<&Answered> {
+        self.peers.get(host)?.answered.as_ref()
+    }
+
+    /// Remembers that a peer is polled with a number.
+    pub fn on_poll(&mut self, host: &HostId, nonce: u32, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(host) {
+            peer.asked = Some((nonce, now));
+        }
+    }
+
+    /// Takes a peer's message.
+    pub fn on_heard(&mut self, host: &HostId, summary: Summary, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(host) {
+            peer.heard = Some(Heard { at: now, summary });
+        }
+    }
+
+    /// Takes a peer's answer. An answer to an earlier poll than the last is no
+    /// evidence, as its age is not known.
+    pub fn on_answer(&mut self, host: &HostId, nonce: u32, summary: Summary, now: Instant) {
+        let Some(peer) = self.peers.get_mut(host) else {
+            return;
+        };
+        let Some((_, asked_at)) = peer.asked.filter(|(asked, _)| *asked == nonce) else {
+            return;
+        };
+        peer.answered = Some(Answered {
+            asked_at,
+            at: now,
+            summary,
+        });
+        self.answered_at = Some(now);
+        self.stage = Stage::Idle;
+        self.scan_pause = MIN_SCAN_PAUSE;
+    }
+
+    /// Returns when a peer last answered.
+    pub fn answered_at(&self) -> Option<Instant> {
+        self.answered_at
+    }
+
+    /// Returns the last messages of peers that arrived since an instant.
+    pub fn heard_since(&self, since: Instant) -> impl Iterator<Item = (&HostId, &Summary)> {
+        let peers = self.peers.iter();
+        peers.filter_map(move |(host, peer)| {
+            let heard = peer.heard.as_ref().filter(|heard| heard.at >= since)?;
+            Some((host, &heard.summary))
+        })
+    }
+
+    /// Returns peers drawn at random, each once.
+    pub fn sample(&self, count: usize, rng: &mut fastrand::Rng) -> Vec<HostId> {
+        rng.choose_multiple(self.ring.iter(), count)
+            .into_iter()
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the peers to poll now.
+    pub fn due(
+        &mut self,
+        settings: &DistributionSettings,
+        rng: &mut fastrand::Rng,
+        now: Instant,
+    ) -> Vec<HostId> {
+        match self.stage {
+            Stage::Idle if now >= self.next_round => self.start_round(settings, rng, now),
+            Stage::Asked { retry_at } if now >= retry_at => {
+                let scan_at = now + settings.answer_timeout;
+                self.stage = Stage::Retried { scan_at };
+                self.retry_targets(rng)
+            }
+            Stage::Retried { scan_at } if now >= scan_at => self.start_scan(now),
+            Stage::Scanning { next_at, left } if now >= next_at => self.scan(left, now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn start_round(
+        &mut self,
+        settings: &DistributionSettings,
+        rng: &mut fastrand::Rng,
+        now: Instant,
+    ) -> Vec<HostId> {
+        let jitter = 0.9 + 0.2 * rng.f64();
+        self.next_round = now + settings.poll_interval.mul_f64(jitter);
+        self.is_near_round = !self.is_near_round;
+        let pool = if self.is_near_round && !self.near.is_empty() {
+            &self.near
+        } else {
+            &self.ring
+        };
+        let target = rng.choice(pool).cloned();
+        if target.is_some() {
+            let retry_at = now + settings.answer_timeout;
+            self.stage = Stage::Asked { retry_at };
+        }
+        target.into_iter().collect()
+    }
+
+    /// Returns the peers that answered last, and one at random.
+    fn retry_targets(&self, rng: &mut fastrand::Rng) -> Vec<HostId> {
+        let mut answered: Vec<_> = self
+            .peers
+            .iter()
+            .filter_map(|(host, peer)| Some((peer.answered.as_ref()?.at, host)))
+            .collect();
+        answered.sort_by(|a, b| b.cmp(a));
+        let mut targets: Vec<_> = answered
+            .into_iter()
+            .take(RETRY_WIDTH - 1)
+            .map(|(_, host)| host.clone())
+            .collect();
+        targets.extend(self.sample(1, rng));
+        targets.dedup();
+        targets
+    }
+
+    fn start_scan(&mut self, now: Instant) -> Vec<HostId> {
+        if now < self.next_scan {
+            self.stage = Stage::Idle;
+            return Vec::new();
+        }
+        self.next_scan = now + self.scan_pause;
+        self.scan_pause = (self.scan_pause * 2).min(MAX_SCAN_PAUSE);
+        self.scan(self.ring.len(), now)
+    }
+
+    fn scan(&mut self, left: usize, now: Instant) -> Vec<HostId> {
+        let width = left.min(SCAN_WIDTH);
+        self.stage = if left == 0 {
+            Stage::Idle
+        } else {
+            Stage::Scanning {
+                next_at: now + SCAN_INTERVAL,
+                left: left - width,
+            }
+        };
+        let ring = self.ring.iter().cycle().skip(self.cursor);
+        let targets = ring.take(width).cloned().collect();
+        self.cursor = (self.cursor + width) % self.ring.len().max(1);
+        targets
+    }
+}
--- /dev/null
+++ b/crates/membership/src/distribution/pursuit.rs
@@ -0,0 +1,249 @@
+//! The collection of one version's manifest and packs from several sources.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_config::{Manifest, Pack, PublicationError};
+use waxwingusher_core::{ContentDigest, HostId};
+use waxwingusher_protocol::Stamp;
+
+/// Requests of one pursuit at the same time.
+const MAX_REQUESTS: usize = 4;
+
+/// The first pause after a value was missing at the configuration service.
+const MIN_SERVICE_PAUSE: Duration = Duration::from_secs(1);
+
+/// The longest pause after a value was missing at the configuration service.
+const MAX_SERVICE_PAUSE: Duration = Duration::from_secs(30);
+
+/// Where packs come from.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// The configuration service.
+    Service,
+    /// A peer that has the version in force.
+    Peer(HostId),
+}
+
+/// Something to be fetched.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Need {
+    /// Where to fetch it.
+    pub source: Source,
+    /// What to fetch.
+    pub digest: ContentDigest,
+}
+
+#[derive(Debug)]
+struct Request {
+    source: Source,
+    deadline: Instant,
+}
+
+/// The collection of one version.
+#[derive(Debug)]
+pub struct Pursuit {
+    /// The version and its manifest's digest.
+    pub stamp: Stamp,
+    peers: BTreeSet<HostId>,
+    service: Option<ServiceSource>,
+    manifest: Option<(Manifest, Arc<[u8]>)>,
+    packs: BTreeMap<ContentDigest, Arc<[u8]>>,
+    requests: BTreeMap<ContentDigest, Request>,
+    turn: usize,
+}
+
+#[derive(Debug)]
+struct ServiceSource {
+    not_before: Instant,
+    pause: Duration,
+}
+
+impl Pursuit {
+    /// Starts without a source.
+    pub fn new(stamp: Stamp) -> Self {
+        Self {
+            stamp,
+            peers: BTreeSet::new(),
+            service: None,
+            manifest: None,
+            packs: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// Adds a source.
+    pub fn add_source(&mut self, source: Source, now: Instant) {
+        match source {
+            Source::Peer(host) => {
+                self.peers.insert(host);
+            }
+            Source::Service => {
+                self.service.get_or_insert(ServiceSource {
+                    not_before: now,
+                    pause: MIN_SERVICE_PAUSE,
+                });
+            }
+        }
+    }
+
+    /// Removes the configuration service as a source.
+    pub fn drop_service(&mut self) {
+        self.service = None;
+    }
+
+    /// Reports whether nothing more can be fetched.
+    pub fn is_exhausted(&self) -> bool {
+        self.peers.is_empty() && self.service.is_none() && self.requests.is_empty()
+    }
+
+    /// Returns the manifest with its bytes, once it is there.
+    pub fn manifest(&self) -> Option<&(Manifest, Arc<[u8]>)> {
+        self.manifest.as_ref()
+    }
+
+    /// Takes the manifest's bytes, whose digest has been checked.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are not a manifest of the version.
+    pub fn set_manifest(&mut self, bytes: Arc<[u8]>) -> Result<(), PublicationError> {
+        let manifest = Manifest::parse(&bytes)?;
+        if manifest.version != self.stamp.version {
+            let version = self.stamp.version;
+            return Err(PublicationError::ChangedContent { version });
+        }
+        self.requests.remove(&self.stamp.digest);
+        self.manifest = Some((manifest, bytes));
+        Ok(())
+    }
+
+    /// Takes a pack whose digest has been checked, if it is wanted.
+    pub fn add_pack(&mut self, digest: ContentDigest, bytes: &Arc<[u8]>) {
+        let is_wanted = self
+            .manifest
+            .as_ref()
+            .is_some_and(|(manifest, _)| manifest.packs.contains(&digest));
+        self.requests.remove(&digest);
+        if is_wanted {
+            self.packs.insert(digest, bytes.clone());
+        }
+    }
+
+    /// Notes that a source has not given what was asked for.
+    pub fn fail(&mut self, source: &Source, digest: &ContentDigest, now: Instant) {
+        let is_request = self
+            .requests
+            .get(digest)
+            .is_some_and(|request| request.source == *source);
+        if !is_request {
+            return;
+        }
+        self.requests.remove(digest);
+        self.distrust(source, now);
+    }
+
+    /// Stops asking a peer, and pauses before asking the service again.
+    pub fn distrust(&mut self, source: &Source, now: Instant) {
+        match source {
+            Source::Peer(host) => {
+                self.peers.remove(host);
+            }
+            Source::Service => {
+                if let Some(service) = &mut self.service {
+                    service.not_before = now + service.pause;
+                    service.pause = (service.pause * 2).min(MAX_SERVICE_PAUSE);
+                }
+            }
+        }
+    }
+
+    /// Returns all packs in the manifest's order, or nothing if some are
+    /// missing.
+    pub fn complete(&self, held: &BTreeMap<ContentDigest, Arc<[u8]>>) -> Option<Vec<Pack>> {
+        let (manifest, _) = self.manifest.as_ref()?;
+        let mut packs = Vec::with_capacity(manifest.packs.len());
+        for digest in &manifest.packs {
+            let bytes = self.packs.get(digest).or_else(|| held.get(digest))?;
+            packs.push(Pack {
+                digest: *digest,
+                bytes: bytes.clone(),
+            });
+        }
+        Some(packs)
+    }
+
+    /// Gives up requests that take too long, and returns what to ask for now.
+    pub fn advance(
+        &mut self,
+        held: &BTreeMap<ContentDigest, Arc<[u8]>>,
+        timeout: Duration,
+        now: Instant,
+    ) -> Vec<Need> {
+        self.expire(now);
+        let mut needs = Vec::new();
+        for digest in self.missing(held) {
+            if self.requests.len() >= MAX_REQUESTS {
+                break;
+            }
+            let Some(source) = self.next_source(now) else {
+                break;
+            };
+            let request = Request {
+                source: source.clone(),
+                deadline: now + timeout,
+            };
+            self.requests.insert(digest, request);
+            needs.push(Need { source, digest });
+        }
+        needs
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let late: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.deadline <= now)
+            .map(|(digest, request)| (*digest, request.source.clone()))
+            .collect();
+        for (digest, source) in late {
+            self.fail(&source, &digest, now);
+        }
+    }
+
+    /// Returns what is neither held nor asked for.
+    fn missing(&self, held: &BTreeMap<ContentDigest, Arc<[u8]>>) -> Vec<ContentDigest> {
+        let Some((manifest, _)) = &self.manifest else {
+            let digest = self.stamp.digest;
+            let is_asked = self.requests.contains_key(&digest);
+            return if is_asked { Vec::new() } else { vec![digest] };
+        };
+        let is_missing = |digest: &&ContentDigest| {
+            !self.packs.contains_key(digest)
+                && !held.contains_key(digest)
+                && !self.requests.contains_key(digest)
+        };
+        manifest
+            .packs
+            .iter()
+            .filter(is_missing)
+            .take(MAX_REQUESTS)
+            .copied()
+            .collect()
+    }
+
+    /// Returns the peers in turn, and the service if there is none. The service
+    /// hands out packs only; its manifest may already be another one.
+    fn next_source(&mut self, now: Instant) -> Option<Source> {
+        self.turn += 1;
+        let turn = self.turn % self.peers.len().max(1);
+        if let Some(host) = self.peers.iter().nth(turn) {
+            return Some(Source::Peer(host.clone()));
+        }
+        let service = self.service.as_ref()?;
+        let may_ask = service.not_before <= now && self.manifest.is_some();
+        may_ask.then_some(Source::Service)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/distribution/replica.rs
@@ -0,0 +1,337 @@
+//! One host's copy of a document, and the versions that it is collecting.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_config::{Manifest, Pack, Publication, PublicationError};
+use waxwingusher_core::ContentDigest;
+use waxwingusher_protocol::Stamp;
+
+use super::action::Refusal;
+use super::document::Document;
+use super::pursuit::{Need, Pursuit, Source};
+
+/// Versions that are collected at the same time.
+const MAX_PURSUITS: usize = 4;
+
+/// Refused digests that a host remembers.
+const MAX_REFUSED: usize = 16;
+
+type Blobs = BTreeMap<ContentDigest, Arc<[u8]>>;
+
+/// A whole version with the bytes that peers may ask for.
+#[derive(Debug)]
+struct Held<D> {
+    stamp: Stamp,
+    value: Arc<D>,
+    blobs: Blobs,
+}
+
+/// What a read of the configuration service told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServiceOffer {
+    /// The service has this version, which is not older than the known one.
+    Fresh(Stamp),
+    /// The service has an older version than this host.
+    Stale,
+    /// The service's version cannot be used.
+    Refused(Refusal),
+    /// The service's version has been refused before.
+    RefusedBefore,
+}
+
+/// One host's copy of a document.
+#[derive(Debug)]
+pub struct Replica<D> {
+    adopted: Option<Held<D>>,
+    staged: Option<Held<D>>,
+    pursuits: Vec<Pursuit>,
+    refused: VecDeque<ContentDigest>,
+    seen_version: u64,
+}
+
+impl<D: Document> Replica<D> {
+    /// Creates a copy that holds nothing.
+    pub fn new() -> Self {
+        Self {
+            adopted: None,
+            staged: None,
+            pursuits: Vec::new(),
+            refused: VecDeque::new(),
+            seen_version: 0,
+        }
+    }
+
+    /// Returns the version in force.
+    pub fn current(&self) -> Option<&Arc<D>> {
+        self.adopted.as_ref().map(|held| &held.value)
+    }
+
+    /// Returns the newest whole version, in force or not.
+    pub fn newest(&self) -> Option<&Arc<D>> {
+        let held = self.staged.as_ref().or(self.adopted.as_ref());
+        held.map(|held| &held.value)
+    }
+
+    /// Returns the stamp of the version in force.
+    pub fn stamp(&self) -> Stamp {
+        let adopted = self.adopted.as_ref();
+        adopted.map(|held| held.stamp).unwrap_or_default()
+    }
+
+    /// Returns the highest version heard of.
+    pub fn seen_version(&self) -> u64 {
+        self.seen_version
+    }
+
+    /// Returns the bytes of a manifest or pack of the version in force.
+    pub fn blob(&self, digest: &ContentDigest) -> Option<Arc<[u8]>> {
+        self.adopted.as_ref()?.blobs.get(digest).cloned()
+    }
+
+    /// Takes note of a version that a peer has heard of.
+    pub fn see(&mut self, version: u64) {
+        self.seen_version = self.seen_version.max(version);
+    }
+
+    /// Refuses a value that is not even a manifest, once.
+    pub fn refuse_value(
+        &mut self,
+        digest: ContentDigest,
+        reason: PublicationError,
+    ) -> ServiceOffer {
+        if self.is_refused(&digest) {
+            return ServiceOffer::RefusedBefore;
+        }
+        ServiceOffer::Refused(self.refuse(digest, None, reason))
+    }
+
+    /// Takes note that a peer has a version in force.
+    pub fn offer(&mut self, stamp: Stamp, source: Source, now: Instant) -> Option<Refusal> {
+        let newest = self.newest_stamp();
+        if stamp.version < newest.version || stamp == newest || self.is_refused(&stamp.digest) {
+            return None;
+        }
+        if stamp.version == newest.version {
+            let version = stamp.version;
+            let reason = PublicationError::ChangedContent { version };
+            return Some(self.refuse(stamp.digest, Some(version), reason));
+        }
+        self.seen_version = self.seen_version.max(stamp.version);
+        self.pursue(stamp, source, now);
+        None
+    }
+
+    /// Takes a manifest that the configuration service gave.
+    pub fn offer_manifest(&mut self, bytes: &Arc<[u8]>, now: Instant) -> ServiceOffer {
+        let digest = ContentDigest::of(bytes);
+        if self.is_refused(&digest) {
+            return ServiceOffer::RefusedBefore;
+        }
+        let version = match Manifest::parse(bytes) {
+            Ok(manifest) => manifest.version,
+            Err(reason) => return ServiceOffer::Refused(self.refuse(digest, None, reason)),
+        };
+        let stamp = Stamp { version, digest };
+        if version < self.newest_stamp().version {
+            return ServiceOffer::Stale;
+        }
+        if let Some(refusal) = self.offer(stamp, Source::Service, now) {
+            return ServiceOffer::Refused(refusal);
+        }
+        for pursuit in &mut self.pursuits {
+            if pursuit.stamp != stamp {
+                pursuit.drop_service();
+            } else if pursuit.manifest().is_none()
+                && let Err(reason) = pursuit.set_manifest(bytes.clone())
+            {
+                return ServiceOffer::Refused(self.refuse(digest, Some(version), reason));
+            }
+        }
+        ServiceOffer::Fresh(stamp)
+    }
+
+    /// Takes a whole publication that was made on this host.
+    pub fn offer_publication(&mut self, publication: &Publication, now: Instant) -> ServiceOffer {
+        let offer = self.offer_manifest(&publication.manifest, now);
+        for pack in &publication.packs {
+            for pursuit in &mut self.pursuits {
+                pursuit.add_pack(pack.digest, &pack.bytes);
+            }
+        }
+        offer
+    }
+
+    /// Takes a manifest or pack that a source gave.
+    pub fn on_blob(
+        &mut self,
+        source: &Source,
+        digest: ContentDigest,
+        bytes: &Arc<[u8]>,
+        now: Instant,
+    ) -> Option<Refusal> {
+        if ContentDigest::of(bytes) != digest {
+            return self.on_wrong_digest(source, digest, now);
+        }
+        let mut failure = None;
+        for pursuit in &mut self.pursuits {
+            if pursuit.stamp.digest != digest {
+                pursuit.add_pack(digest, bytes);
+            } else if let Err(reason) = pursuit.set_manifest(bytes.clone()) {
+                failure = Some((pursuit.stamp.version, reason));
+            }
+        }
+        failure.map(|(version, reason)| self.refuse(digest, Some(version), reason))
+    }
+
+    /// Notes that a source has not given what was asked for.
+    pub fn on_failure(&mut self, source: &Source, digest: &ContentDigest, now: Instant) {
+        for pursuit in &mut self.pursuits {
+            pursuit.fail(source, digest, now);
+        }
+    }
+
+    /// Builds versions whose packs are all there, and returns refusals.
+    pub fn settle(&mut self) -> Vec<Refusal> {
+        let mut refusals = Vec::new();
+        loop {
+            let held = self.held_blobs();
+            let pursuits = self.pursuits.iter().enumerate().rev();
+            let complete = pursuits
+                .filter_map(|(i, pursuit)| Some((i, pursuit.complete(held)?)))
+                .next();
+            let Some((i, packs)) = complete else {
+                return refusals;
+            };
+            let pursuit = self.pursuits.remove(i);
+            if let Err(reason) = self.stage(&pursuit, &packs) {
+                let Stamp { version, digest } = pursuit.stamp;
+                refusals.push(self.refuse(digest, Some(version), reason));
+            }
+        }
+    }
+
+    /// Puts the newest whole version in force, if it is not yet.
+    pub fn adopt(&mut self) -> Option<Arc<D>> {
+        let staged = self.staged.take()?;
+        let value = staged.value.clone();
+        self.adopted = Some(staged);
+        Some(value)
+    }
+
+    /// Reports whether a version is newer than what is whole here, and has not
+    /// been refused.
+    pub fn wants(&self, stamp: &Stamp) -> bool {
+        stamp.version > self.newest_stamp().version && !self.is_refused(&stamp.digest)
+    }
+
+    /// Gives up late requests and returns what to ask for now.
+    pub fn advance(&mut self, timeout: Duration, now: Instant) -> Vec<Need> {
+        let mut needs = Vec::new();
+        let held = self
+            .staged
+            .as_ref()
+            .or(self.adopted.as_ref())
+            .map(|held| &held.blobs);
+        let nothing = Blobs::new();
+        for pursuit in self.pursuits.iter_mut().rev() {
+            needs.extend(pursuit.advance(held.unwrap_or(&nothing), timeout, now));
+        }
+        self.pursuits.retain(|pursuit| !pursuit.is_exhausted());
+        needs
+    }
+
+    fn newest_stamp(&self) -> Stamp {
+        let held = self.staged.as_ref().or(self.adopted.as_ref());
+        held.map(|held| held.stamp).unwrap_or_default()
+    }
+
+    fn held_blobs(&self) -> &Blobs {
+        static NOTHING: Blobs = Blobs::new();
+        let held = self.staged.as_ref().or(self.adopted.as_ref());
+        held.map_or(&NOTHING, |held| &held.blobs)
+    }
+
+    fn pursue(&mut self, stamp: Stamp, source: Source, now: Instant) {
+        if let Some(pursuit) = self.pursuits.iter_mut().find(|p| p.stamp == stamp) {
+            pursuit.add_source(source, now);
+            return;
+        }
+        let mut pursuit = Pursuit::new(stamp);
+        pursuit.add_source(source, now);
+        self.pursuits.push(pursuit);
+        self.pursuits.sort_by_key(|pursuit| pursuit.stamp.version);
+        if self.pursuits.len() > MAX_PURSUITS {
+            self.pursuits.remove(0);
+        }
+    }
+
+    fn stage(&mut self, pursuit: &Pursuit, packs: &[Pack]) -> Result<(), PublicationError> {
+        let Some((manifest, bytes)) = pursuit.manifest() else {
+            return Ok(());
+        };
+        let value = D::assemble(manifest, packs)?;
+        let mut blobs: Blobs = packs.iter().map(|p| (p.digest, p.bytes.clone())).collect();
+        blobs.insert(pursuit.stamp.digest, bytes.clone());
+        let stamp = pursuit.stamp;
+        self.staged = Some(Held {
+            stamp,
+            value: Arc::new(value),
+            blobs,
+        });
+        self.pursuits.retain(|p| p.stamp.version > stamp.version);
+        Ok(())
+    }
+
+    fn on_wrong_digest(
+        &mut self,
+        source: &Source,
+        digest: ContentDigest,
+        now: Instant,
+    ) -> Option<Refusal> {
+        let pursuits = self.pursuits.iter_mut();
+        let mut version = None;
+        for pursuit in pursuits {
+            pursuit.fail(source, &digest, now);
+            version = Some(pursuit.stamp.version);
+        }
+        if self.is_refused(&digest) {
+            return None;
+        }
+        Some(self.refuse(digest, version, PublicationError::WrongDigest { digest }))
+    }
+
+    fn is_refused(&self, digest: &ContentDigest) -> bool {
+        self.refused.contains(digest)
+    }
+
+    /// Remembers a digest, so that it is refused and logged once.
+    fn refuse(
+        &mut self,
+        digest: ContentDigest,
+        version: Option<u64>,
+        reason: PublicationError,
+    ) -> Refusal {
+        if self.refused.len() >= MAX_REFUSED {
+            self.refused.pop_front();
+        }
+        self.refused.push_back(digest);
+        self.pursuits
+            .retain(|pursuit| pursuit.stamp.digest != digest);
+        let refusal = Refusal {
+            document: D::KIND,
+            version,
+            reason,
+        };
+        match version {
+            Some(version) => log::warn!(
+                "config: refused {} version {version}: {}",
+                D::KIND,
+                refusal.reason
+            ),
+            None => log::warn!("config: refused a {}: {}", D::KIND, refusal.reason),
+        }
+        refusal
+    }
+}
--- /dev/null
+++ b/crates/membership/src/distribution/roles.rs
@@ -0,0 +1,76 @@
+//! Which hosts of a failure domain watch the configuration service.
+
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{FailureDomain, HostEntry, HostId, HostList, rendezvous};
+
+use super::peers::Peers;
+use super::settings::DistributionSettings;
+
+/// The namespace of the hash that ranks readers.
+const READER_KEY: &str = "config-reader";
+
+/// The silence after which a higher-ranked host no longer counts.
+const SILENT_AFTER: Duration = Duration::from_secs(25);
+
+/// The age of a reader's last answer from the service up to which it counts.
+const MAX_SERVICE_AGE_MS: u32 = 30_000;
+
+/// Whether a host watches the configuration service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// The host watches the service.
+    Reader,
+    /// The host observes the hosts ranked above it, and replaces them.
+    Standby,
+    /// The host learns from peers only.
+    Learner,
+}
+
+/// Returns the hosts of a failure domain that may read, by falling rank.
+pub fn candidates(
+    list: &HostList,
+    domain: &FailureDomain,
+    settings: &DistributionSettings,
+) -> Vec<HostId> {
+    let in_domain = list.live().filter(|host| host.failure_domain == *domain);
+    rendezvous::rank(READER_KEY, in_domain, |host: &HostEntry| host.id.as_str())
+        .into_iter()
+        .take(settings.candidates_per_domain)
+        .map(|host| host.id.clone())
+        .collect()
+}
+
+/// Returns a host's role.
+pub fn role(
+    self_id: &HostId,
+    candidates: &[HostId],
+    peers: &Peers,
+    readers_per_domain: usize,
+    now: Instant,
+) -> Role {
+    let Some(rank) = candidates.iter().position(|host| host == self_id) else {
+        return Role::Learner;
+    };
+    let reading = candidates[..rank]
+        .iter()
+        .filter(|host| is_reading(host, peers, now))
+        .count();
+    if reading < readers_per_domain {
+        return Role::Reader;
+    }
+    Role::Standby
+}
+
+/// Reports whether a host answers and the service answers it.
+fn is_reading(host: &HostId, peers: &Peers, now: Instant) -> bool {
+    let Some(heard) = peers.heard(host) else {
+        return now < peers.started_at() + SILENT_AFTER;
+    };
+    let is_silent = now >= heard.at + SILENT_AFTER;
+    let has_service = heard
+        .summary
+        .service_age_ms
+        .is_some_and(|age| age <= MAX_SERVICE_AGE_MS);
+    !is_silent && has_service
+}
--- /dev/null
+++ b/crates/membership/src/distribution/settings.rs
@@ -0,0 +1,44 @@
+//! Settings of the distribution.
+
+use std::time::Duration;
+
+use waxwingusher_core::HostId;
+
+/// Settings of the distribution.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DistributionSettings {
+    /// Hosts of a failure domain that watch the configuration service.
+    pub readers_per_domain: usize,
+    /// Hosts of a failure domain that may become readers.
+    pub candidates_per_domain: usize,
+    /// The time between two polls of peers.
+    pub poll_interval: Duration,
+    /// How long a host waits for an answer before it polls others.
+    pub answer_timeout: Duration,
+    /// Peers that a host tells of a version that it has adopted.
+    pub fanout: usize,
+    /// How long the configuration service holds a watch.
+    pub watch_wait: Duration,
+    /// How long a peer may take to hand over a pack.
+    pub fetch_timeout: Duration,
+    /// How long a fresh host waits for peers that do not answer.
+    pub survey_timeout: Duration,
+    /// Peers to ask as long as there is no host list.
+    pub seeds: Vec<HostId>,
+}
+
+impl Default for DistributionSettings {
+    fn default() -> Self {
+        Self {
+            readers_per_domain: 2,
+            candidates_per_domain: 4,
+            poll_interval: Duration::from_secs(2),
+            answer_timeout: Duration::from_millis(500),
+            fanout: 8,
+            watch_wait: Duration::from_secs(10),
+            fetch_timeout: Duration::from_secs(2),
+            survey_timeout: Duration::from_secs(3),
+            seeds: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/distribution/survey.rs
@@ -0,0 +1,94 @@
+//! The questions of a fresh host to all its peers.
+//!
+//! A host that has just started may have worked with a newer version before
+//! than the configuration service shows now. It therefore asks all peers before
+//! it puts anything in force.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::HostId;
+
+/// Polls to a peer that does not answer.
+const MAX_ASKED: u32 = 3;
+
+/// The time between two polls to a peer that does not answer.
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Polls at one time.
+const BATCH: usize = 128;
+
+/// The shortest survey; a peer may be about to adopt a version.
+const MIN_SURVEY: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+struct Asked {
+    times: u32,
+    next_at: Instant,
+}
+
+/// The state of the survey.
+#[derive(Debug)]
+pub struct Survey {
+    started_at: Instant,
+    ends_at: Instant,
+    silent: BTreeMap<HostId, Asked>,
+    known: std::collections::BTreeSet<HostId>,
+}
+
+impl Survey {
+    /// Starts without peers.
+    pub fn new(timeout: Duration, now: Instant) -> Self {
+        Self {
+            started_at: now,
+            ends_at: now + timeout,
+            silent: BTreeMap::new(),
+            known: std::collections::BTreeSet::new(),
+        }
+    }
+
+    /// Adds peers that have not been asked. Peers that are listed late are
+    /// waited for as long as the first ones.
+    pub fn add(&mut self, peers: impl Iterator<Item = HostId>, timeout: Duration, now: Instant) {
+        for peer in peers {
+            if !self.known.insert(peer.clone()) {
+                continue;
+            }
+            self.ends_at = self.ends_at.max(now + timeout);
+            let asked = Asked {
+                times: 0,
+                next_at: now,
+            };
+            self.silent.insert(peer, asked);
+        }
+    }
+
+    /// Notes that a peer has answered.
+    pub fn on_answer(&mut self, peer: &HostId) {
+        self.silent.remove(peer);
+    }
+
+    /// Returns the peers to ask now.
+    pub fn due(&mut self, now: Instant) -> Vec<HostId> {
+        let mut due = Vec::new();
+        for (peer, asked) in &mut self.silent {
+            if due.len() >= BATCH {
+                break;
+            }
+            if asked.times >= MAX_ASKED || now < asked.next_at {
+                continue;
+            }
+            asked.times += 1;
+            asked.next_at = now + ASK_INTERVAL;
+            due.push(peer.clone());
+        }
+        due
+    }
+
+    /// Reports whether all peers have answered, or have had the time to.
+    pub fn is_over(&self, now: Instant) -> bool {
+        let all_answered = self.silent.is_empty() && !self.known.is_empty();
+        let all_asked = self.silent.values().all(|asked| asked.times >= MAX_ASKED);
+        (all_answered && now >= self.started_at + MIN_SURVEY) || (all_asked && now >= self.ends_at)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/distribution/watch.rs
@@ -0,0 +1,175 @@
+//! Watching of one value of the configuration service.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_protocol::Stamp;
+
+use super::action::Watch;
+
+/// The first pause after a failed call.
+const MIN_PAUSE: Duration = Duration::from_secs(1);
+
+/// The longest pause after failed calls.
+const MAX_PAUSE: Duration = Duration::from_secs(30);
+
+/// The time after which a plain read replaces a watch. It finds a service
+/// whose revisions have started anew.
+const PLAIN_READ_INTERVAL: Duration = Duration::from_secs(300);
+
+/// The time beyond the wait after which a call counts as failed.
+const CALL_GRACE: Duration = Duration::from_secs(5);
+
+#[derive(Debug)]
+struct Call {
+    ticket: u64,
+    issued_at: Instant,
+    wait: Duration,
+}
+
+/// What the service last confirmed.
+#[derive(Debug, Clone, Copy)]
+struct Confirmation {
+    stamp: Stamp,
+    at: Instant,
+}
+
+/// The state of the watch of one value.
+#[derive(Debug)]
+pub struct ServiceWatch {
+    key: Arc<str>,
+    call: Option<Call>,
+    revision: Option<u64>,
+    next_at: Instant,
+    pause: Duration,
+    plain_at: Instant,
+    confirmation: Option<Confirmation>,
+    answered_at: Option<Instant>,
+}
+
+/// A call to be made now.
+#[derive(Debug)]
+pub struct DueCall {
+    /// The value's key.
+    pub key: Arc<str>,
+    /// How to watch; a plain read if there is none.
+    pub watch: Option<Watch>,
+}
+
+impl ServiceWatch {
+    /// Creates the watch of a key.
+    pub fn new(key: &str, now: Instant) -> Self {
+        Self {
+            key: Arc::from(key),
+            call: None,
+            revision: None,
+            next_at: now,
+            pause: MIN_PAUSE,
+            plain_at: now,
+            confirmation: None,
+            answered_at: None,
+        }
+    }
+
+    /// Returns the call that is due, and remembers it under the ticket.
+    pub fn due(&mut self, ticket: u64, wait: Duration, now: Instant) -> Option<DueCall> {
+        if let Some(call) = &self.call {
+            if now < call.issued_at + call.wait + CALL_GRACE {
+                return None;
+            }
+            self.fail(now);
+        }
+        if now < self.next_at {
+            return None;
+        }
+        let is_plain = self.revision.is_none() || now >= self.plain_at;
+        if is_plain {
+            self.plain_at = now + PLAIN_READ_INTERVAL;
+        }
+        let watch = self
+            .revision
+            .filter(|_| !is_plain)
+            .map(|after_revision| Watch {
+                after_revision,
+                wait,
+            });
+        self.call = Some(Call {
+            ticket,
+            issued_at: now,
+            wait: watch.map_or(Duration::ZERO, |watch| watch.wait),
+        });
+        Some(DueCall {
+            key: self.key.clone(),
+            watch,
+        })
+    }
+
+    /// Takes the value's revision, and returns when the call was issued, if it
+    /// is the call that is waited for.
+    pub fn on_value(&mut self, ticket: u64, revision: u64, now: Instant) -> Option<Instant> {
+        let call = self.take(ticket)?;
+        self.revision = Some(revision);
+        self.succeed(now);
+        Some(call.issued_at)
+    }
+
+    /// Takes the end of a watch without a newer value.
+    pub fn on_unchanged(&mut self, ticket: u64, now: Instant) -> bool {
+        let Some(call) = self.take(ticket) else {
+            return false;
+        };
+        self.succeed(now);
+        if let Some(confirmation) = &mut self.confirmation {
+            // The service began to wait after the call was issued.
+            confirmation.at = call.issued_at + call.wait;
+        }
+        true
+    }
+
+    /// Takes a failed call.
+    pub fn on_error(&mut self, ticket: u64, now: Instant) -> bool {
+        if self.take(ticket).is_none() {
+            return false;
+        }
+        self.fail(now);
+        true
+    }
+
+    /// Records that the service had a version at some time after an instant.
+    pub fn confirm(&mut self, stamp: Stamp, at: Instant) {
+        self.confirmation = Some(Confirmation { stamp, at });
+    }
+
+    /// Forgets what the service confirmed, as its value cannot be used.
+    pub fn unconfirm(&mut self) {
+        self.confirmation = None;
+    }
+
+    /// Returns when the service last confirmed a version.
+    pub fn confirmed_at(&self, stamp: Stamp) -> Option<Instant> {
+        self.confirmation
+            .filter(|confirmation| confirmation.stamp == stamp)
+            .map(|confirmation| confirmation.at)
+    }
+
+    /// Returns when the service last answered.
+    pub fn answered_at(&self) -> Option<Instant> {
+        self.answered_at
+    }
+
+    fn take(&mut self, ticket: u64) -> Option<Call> {
+        self.call.take_if(|call| call.ticket == ticket)
+    }
+
+    fn succeed(&mut self, now: Instant) {
+        self.pause = MIN_PAUSE;
+        self.next_at = now;
+        self.answered_at = Some(now);
+    }
+
+    fn fail(&mut self, now: Instant) {
+        self.call = None;
+        self.next_at = now + self.pause;
+        self.pause = (self.pause * 2).min(MAX_PAUSE);
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,2 +1,4 @@
 //! Membership: liveness of peers, and distribution of the configuration among
 //! hosts.
+
+pub mod distribution;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,9 +5,11 @@
 //! a datagram use JSON-RPC over TCP.
 
 pub mod attempt;
+pub mod config;
 pub mod gossip;
 pub mod health;
 pub mod loan;
 pub mod message;
 
+pub use config::{ConfigMessage, Stamp, Summary};
 pub use message::{Envelope, Message, Outgoing};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -4,6 +4,7 @@
 use waxwingusher_core::HostId;
 
 use crate::attempt::AttemptMessage;
+use crate::config::ConfigMessage;
 use crate::gossip::GossipMessage;
 use crate::health::HealthMessage;
 use crate::loan::LoanMessage;
@@ -31,6 +32,8 @@
     Health(HealthMessage),
     /// Liveness and configuration versions.
     Gossip(GossipMessage),
+    /// Distribution of the configuration.
+    Config(ConfigMessage),
 }
 
 /// A message that the decision logic wants sent.
