--- a/crates/attempts/src/refusal.rs
+++ b/crates/attempts/src/refusal.rs
@@ -54,6 +54,12 @@
     /// The request carries no valid key.
     #[error("the request carries no valid key")]
     Unauthorized,
+    /// The workspace may not use the route.
+    #[error("the workspace may not use the route")]
+    Forbidden,
+    /// The route does not take the method.
+    #[error("the route does not take the method")]
+    MethodNotAllowed,
     /// The workspace has used up its rate and burst.
     #[error("the workspace is over its rate")]
     OverRate {
@@ -108,7 +114,9 @@
         match self {
             Self::Malformed => 400,
             Self::Unauthorized => 401,
+            Self::Forbidden => 403,
             Self::UnknownRoute => 404,
+            Self::MethodNotAllowed => 405,
             Self::AttemptUnknown | Self::AttemptInProgress { .. } => 409,
             Self::BodyTooLarge => 413,
             Self::KeyMisuse => 422,
@@ -129,6 +137,8 @@
         match self {
             Self::UnknownRoute => "unknown-route",
             Self::Unauthorized => "unauthorized",
+            Self::Forbidden => "forbidden",
+            Self::MethodNotAllowed => "method-not-allowed",
             Self::OverRate { .. } => "over-rate",
             Self::Overloaded => "overloaded",
             Self::NoHealthyInstance => "no-healthy-instance",
--- /dev/null
+++ b/crates/host/src/active.rs
@@ -0,0 +1,31 @@
+//! The configuration in force, with the indexes that requests need.
+
+use std::sync::Arc;
+
+use waxwingusher_config::{Snapshot, Workspace};
+use waxwingusher_limits::KeyIndex;
+
+use crate::route_table::RouteTable;
+
+/// A configuration and its indexes, which never change once built.
+#[derive(Debug)]
+pub(crate) struct Active {
+    pub(crate) snapshot: Arc<Snapshot>,
+    pub(crate) routes: RouteTable,
+    pub(crate) keys: KeyIndex,
+}
+
+impl Active {
+    pub(crate) fn new(snapshot: Arc<Snapshot>) -> Self {
+        Self {
+            routes: RouteTable::new(&snapshot),
+            keys: KeyIndex::new(&snapshot),
+            snapshot,
+        }
+    }
+
+    /// Returns the workspace of a key.
+    pub(crate) fn workspace_of(&self, key: &[u8]) -> Option<Arc<Workspace>> {
+        self.keys.lookup(key)
+    }
+}
--- /dev/null
+++ b/crates/host/src/admission.rs
@@ -0,0 +1,179 @@
+//! The admission of requests: route, key, workspace. Nothing waits here.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::HeaderMap;
+use http::uri::PathAndQuery;
+use waxwingusher_attempts::refusal::RefusalReason;
+use waxwingusher_config::{Access, Route};
+use waxwingusher_core::{KeyDigest, WorkspaceName};
+use waxwingusher_edge::{CallerRequest, headers};
+use waxwingusher_limits::LimitKey;
+
+use crate::active::Active;
+use crate::credentials::{self, CredentialError, PresentedKey};
+use crate::route_table::RouteMatch;
+use crate::state::HostState;
+
+/// The name under which requests on open routes are accounted.
+const OPEN_WORKSPACE: &str = "(open)";
+
+/// Whose request it is.
+#[derive(Debug, Clone)]
+pub(crate) struct Party {
+    /// The workspace, or a fixed name on open routes.
+    pub(crate) workspace: WorkspaceName,
+    /// The weight in fair queues.
+    pub(crate) weight: u32,
+    /// What the request's token is taken from.
+    pub(crate) limit: LimitKey,
+    /// The digest of the key, on keyed routes.
+    pub(crate) key: Option<KeyDigest>,
+}
+
+/// A request that may be worked on.
+#[derive(Debug, Clone)]
+pub(crate) struct Admitted {
+    pub(crate) route: Arc<Route>,
+    pub(crate) party: Party,
+    pub(crate) deadline: Instant,
+    /// What goes to the upstream, without the key.
+    pub(crate) target: PathAndQuery,
+    pub(crate) headers: HeaderMap,
+    /// Whether the caller marked the request as another host's retry.
+    pub(crate) idempotency_key: Option<String>,
+}
+
+/// Decides whether a request may be worked on.
+pub(crate) fn admit(
+    state: &HostState,
+    request: &CallerRequest,
+) -> Result<Admitted, RefusalReason> {
+    let active = state.active().ok_or(RefusalReason::Draining)?;
+    let method = request.method.as_str();
+    let route = match active.routes.find(method, request.target.path()) {
+        RouteMatch::Found(route) => route,
+        RouteMatch::MethodNotAllowed => return Err(RefusalReason::MethodNotAllowed),
+        RouteMatch::NotFound => return Err(RefusalReason::UnknownRoute),
+    };
+    let mut forwarded = request.headers.clone();
+    let (party, target) = match route.access {
+        Access::Open => (open_party(&route), open_target(request, &mut forwarded)?),
+        Access::Keyed => keyed_party(&active, &route, request, &mut forwarded)?,
+    };
+    let deadline = request.received_at + allowed_time(&route, request);
+    let idempotency_key = idempotency_key(&request.headers)?;
+    prepare_headers(&mut forwarded, request, &party);
+    Ok(Admitted {
+        route,
+        party,
+        deadline,
+        target,
+        headers: forwarded,
+        idempotency_key,
+    })
+}
+
+/// Reports whether the key that admitted a request is still valid.
+pub(crate) fn is_still_valid(state: &HostState, party: &Party) -> bool {
+    let Some(key) = party.key else {
+        return true;
+    };
+    let Some(active) = state.active() else {
+        return false;
+    };
+    let workspace = active.keys.lookup_digest(&key);
+    workspace.is_some_and(|workspace| workspace.name == party.workspace)
+}
+
+fn open_party(route: &Route) -> Party {
+    Party {
+        workspace: WorkspaceName::new(OPEN_WORKSPACE),
+        weight: 1,
+        limit: LimitKey::OpenRoute(route.name.clone()),
+        key: None,
+    }
+}
+
+/// A caller may show its key on an open route, too; it is removed all the same.
+fn open_target(
+    request: &CallerRequest,
+    forwarded: &mut HeaderMap,
+) -> Result<PathAndQuery, RefusalReason> {
+    match credentials::take_key(forwarded) {
+        Ok(key) => scrub(&key, request, forwarded),
+        Err(_) => Ok(request.target.clone()),
+    }
+}
+
+fn keyed_party(
+    active: &Active,
+    route: &Route,
+    request: &CallerRequest,
+    forwarded: &mut HeaderMap,
+) -> Result<(Party, PathAndQuery), RefusalReason> {
+    let key = credentials::take_key(forwarded).map_err(refusal_of)?;
+    let workspace = active
+        .workspace_of(key.as_bytes())
+        .ok_or(RefusalReason::Unauthorized)?;
+    let is_allowed = route.workspaces.is_empty() || route.workspaces.contains(&workspace.name);
+    if !is_allowed {
+        return Err(RefusalReason::Forbidden);
+    }
+    let target = scrub(&key, request, forwarded)?;
+    let party = Party {
+        workspace: workspace.name.clone(),
+        weight: workspace.weight,
+        limit: LimitKey::Workspace(workspace.name.clone()),
+        key: Some(KeyDigest::of_key(key.as_bytes())),
+    };
+    Ok((party, target))
+}
+
+fn scrub(
+    key: &PresentedKey,
+    request: &CallerRequest,
+    forwarded: &mut HeaderMap,
+) -> Result<PathAndQuery, RefusalReason> {
+    credentials::scrub(key, &request.target, forwarded, &request.body).map_err(refusal_of)
+}
+
+fn refusal_of(error: CredentialError) -> RefusalReason {
+    match error {
+        CredentialError::Missing | CredentialError::Malformed => RefusalReason::Unauthorized,
+        CredentialError::Ambiguous | CredentialError::Leaking => RefusalReason::Malformed,
+    }
+}
+
+fn allowed_time(route: &Route, request: &CallerRequest) -> std::time::Duration {
+    let asked = request.headers.get(headers::DEADLINE_MS);
+    let asked_ms = asked.and_then(|value| value.to_str().ok()?.parse().ok());
+    let asked = asked_ms.map(std::time::Duration::from_millis);
+    asked.map_or(route.deadline, |asked| asked.min(route.deadline))
+}
+
+fn idempotency_key(request_headers: &HeaderMap) -> Result<Option<String>, RefusalReason> {
+    const MAX_KEY_BYTES: usize = 256;
+    let mut values = request_headers.get_all(headers::IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| RefusalReason::Malformed)?;
+    if values.next().is_some() || text.is_empty() || text.len() > MAX_KEY_BYTES {
+        return Err(RefusalReason::Malformed);
+    }
+    Ok(Some(text.to_owned()))
+}
+
+fn prepare_headers(forwarded: &mut HeaderMap, request: &CallerRequest, party: &Party) {
+    headers::strip_hop_by_hop(forwarded);
+    headers::strip_reserved(forwarded);
+    forwarded.remove(http::header::EXPECT);
+    let id = request.id.to_string();
+    forwarded.insert(headers::REQUEST_ID, headers::value(&id));
+    if party.key.is_some() {
+        let name = headers::value(party.workspace.as_str());
+        forwarded.insert(headers::WORKSPACE, name);
+    }
+}
--- /dev/null
+++ b/crates/host/src/duties/admitter.rs
@@ -0,0 +1,44 @@
+//! Takes requests from the edge's ring, admits them and queues them.
+
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+
+use waxwingusher_attempts::lifecycle::{Received, Request};
+use waxwingusher_attempts::refusal::RefusalReason;
+use waxwingusher_edge::Exchange;
+
+use crate::admission;
+use crate::pipeline::{self, Job};
+use crate::refusal;
+use crate::state::HostState;
+use crate::work_queue::WorkQueue;
+
+/// Runs until the edge is gone.
+pub(crate) fn run(state: &Arc<HostState>, ring: &Receiver<Exchange>, queue: &WorkQueue) {
+    for exchange in ring {
+        state.metrics.count("requests");
+        let admitted = match admission::admit(state, &exchange.request) {
+            Ok(admitted) => admitted,
+            Err(reason) => {
+                refuse_unadmitted(state, exchange, reason);
+                continue;
+            }
+        };
+        let Err(job) = queue.push(Job { exchange, admitted }) else {
+            continue;
+        };
+        let refusal = Request::<Received>::new().refuse(RefusalReason::Overloaded);
+        let Exchange { request, reply } = job.exchange;
+        pipeline::refuse(state, &request, &job.admitted, reply, refusal);
+    }
+}
+
+fn refuse_unadmitted(state: &HostState, exchange: Exchange, reason: RefusalReason) {
+    let Exchange { request, reply } = exchange;
+    let code = reason.code();
+    let method = &request.method;
+    pipeline::note(state, &request, &format!("{method} refused: {code}, not-run"));
+    state.metrics.count(&format!("refused.{code}"));
+    let refusal = Request::<Received>::new().refuse(reason);
+    reply.send(refusal::answer(refusal, request.id));
+}
--- /dev/null
+++ b/crates/host/src/duties/mod.rs
@@ -0,0 +1,18 @@
+//! The threads of a host, one for each duty.
+
+pub(crate) mod admitter;
+pub(crate) mod operators;
+pub(crate) mod peer_receiver;
+pub(crate) mod service_reader;
+pub(crate) mod ticker;
+pub(crate) mod worker;
+
+use std::thread::JoinHandle;
+
+/// Starts a named thread.
+pub(crate) fn spawn(
+    name: &str,
+    duty: impl FnOnce() + Send + 'static,
+) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new().name(name.to_owned()).spawn(duty)
+}
--- /dev/null
+++ b/crates/host/src/duties/operators.rs
@@ -0,0 +1,65 @@
+//! Serves operators.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rouille::{Request, Response, Server};
+
+use crate::state::HostState;
+
+/// Threads that answer operators.
+const THREADS: usize = 4;
+/// How long the server waits for a call before it looks whether the host stops.
+const POLL: Duration = Duration::from_millis(100);
+
+/// The operators' address cannot be served.
+#[derive(Debug, thiserror::Error)]
+#[error("cannot listen for operators on {addr}: {cause}")]
+pub struct OperatorsError {
+    addr: SocketAddr,
+    cause: String,
+}
+
+type Handler = Box<dyn Fn(&Request) -> Response + Send + Sync>;
+
+/// A server that listens but does not answer yet.
+pub(crate) struct Operators {
+    server: Server<Handler>,
+}
+
+impl Operators {
+    pub(crate) fn bind(state: &Arc<HostState>) -> Result<Self, OperatorsError> {
+        let addr = state.settings.operator_addr;
+        let state = state.clone();
+        let handler: Handler = Box::new(move |request| answer(&state, request));
+        let server = Server::new(addr, handler).map_err(|cause| OperatorsError {
+            addr,
+            cause: cause.to_string(),
+        })?;
+        Ok(Self {
+            server: server.pool_size(THREADS),
+        })
+    }
+
+    pub(crate) fn local_addr(&self) -> SocketAddr {
+        self.server.server_addr()
+    }
+
+    /// Runs until the host stops.
+    pub(crate) fn run(self, state: &HostState) {
+        while !state.stop.is_cancelled() {
+            self.server.poll_timeout(POLL);
+        }
+    }
+}
+
+fn answer(state: &HostState, request: &Request) -> Response {
+    let response = match request.url().as_str() {
+        "/livez" => Response::text("alive\n"),
+        "/readyz" if state.is_ready() => Response::text("ready\n"),
+        "/readyz" => Response::text("not ready\n").with_status_code(503),
+        _ => Response::text("not found\n").with_status_code(404),
+    };
+    response.with_additional_header("Connection", "close")
+}
--- /dev/null
+++ b/crates/host/src/duties/peer_receiver.rs
@@ -0,0 +1,39 @@
+//! Takes messages of peers from the socket's ring.
+
+use std::sync::mpsc::Receiver;
+
+use waxwingusher_protocol::{Envelope, Message};
+
+use crate::state::HostState;
+
+/// Runs until the socket is closed.
+pub(crate) fn run(state: &HostState, ring: &Receiver<Envelope>) {
+    for envelope in ring {
+        handle(state, envelope);
+    }
+}
+
+fn handle(state: &HostState, envelope: Envelope) {
+    let Envelope {
+        from,
+        incarnation,
+        message,
+    } = envelope;
+    match message {
+        Message::Loan(loan) => {
+            let replies = state.limits.lock().on_message(&from, incarnation, loan);
+            state.limits.notify();
+            state.peers.send_all(replies, Message::Loan);
+        }
+        Message::Attempt(attempt) => {
+            state.attempts.with(&state.peers, |registry| {
+                registry.on_message(&from, incarnation, attempt)
+            });
+        }
+        Message::Health(health) => {
+            let replies = state.lock_upstreams().on_message(&from, incarnation, &health);
+            state.peers.send_all(replies, Message::Health);
+        }
+        Message::Gossip(_) => {}
+    }
+}
--- /dev/null
+++ b/crates/host/src/host.rs
@@ -0,0 +1,262 @@
+//! Starts and stops one host.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::sync_channel;
+use std::sync::{Arc, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use waxwingusher_attempts::{AttemptRegistry, AttemptSettings};
+use waxwingusher_core::{CancelToken, Clock};
+use waxwingusher_edge::{CallerEdge, EdgeError, UpstreamClient};
+use waxwingusher_limits::{Limiter, LimiterSettings};
+use waxwingusher_protocol::Message;
+use waxwingusher_protocol::socket::{PeerSocket, SocketError, SocketSettings};
+use waxwingusher_upstreams::{UpstreamSet, UpstreamSettings};
+
+use crate::attempt_desk::AttemptDesk;
+use crate::duties::operators::{Operators, OperatorsError};
+use crate::duties::{admitter, peer_receiver, service_reader, spawn, ticker, worker};
+use crate::limit_desk::LimitDesk;
+use crate::metrics::{Metrics, MetricsError};
+use crate::peer_link::PeerLink;
+use crate::settings::HostSettings;
+use crate::state::{HostState, Parts};
+use crate::work_queue::WorkQueue;
+
+/// Requests that may wait between the edge and the admitter.
+const EDGE_RING: usize = 1_024;
+/// How long peers may take to confirm a hand-over.
+const HAND_OVER_TIME: Duration = Duration::from_millis(500);
+
+/// A host could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum HostError {
+    /// The callers' edge could not start.
+    #[error(transparent)]
+    Edge(#[from] EdgeError),
+    /// The peers' address could not be opened.
+    #[error(transparent)]
+    Peers(#[from] SocketError),
+    /// The operators' address could not be opened.
+    #[error(transparent)]
+    Operators(#[from] OperatorsError),
+    /// Metrics could not be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+    /// A thread could not be started.
+    #[error("cannot start a thread: {0}")]
+    Thread(#[from] io::Error),
+}
+
+/// A running host.
+pub struct Host {
+    state: Arc<HostState>,
+    edge: CallerEdge,
+    operator_addr: SocketAddr,
+    peer_addr: SocketAddr,
+    work_done: CancelToken,
+    admitter: JoinHandle<()>,
+    workers: Vec<JoinHandle<()>>,
+    duties: Vec<JoinHandle<()>>,
+}
+
+impl Host {
+    /// Starts all threads of a host. `incarnation` must be a number that was
+    /// drawn at random for this process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be opened or a thread not started.
+    pub fn start(
+        settings: HostSettings,
+        clock: Arc<dyn Clock>,
+        incarnation: u64,
+    ) -> Result<Self, HostError> {
+        let stop = CancelToken::new();
+        let (socket, envelopes) = open_socket(&settings, &clock, incarnation, &stop)?;
+        let peer_addr = socket.local_addr()?;
+        let metrics = match settings.statsd_addr {
+            Some(addr) => Metrics::to_statsd(addr)?,
+            None => Metrics::none(),
+        };
+        let parts = Parts {
+            limits: LimitDesk::new(new_limiter(&settings, &clock, incarnation), clock.clone()),
+            attempts: AttemptDesk::new(
+                new_registry(&settings, &clock, incarnation),
+                clock.clone(),
+            ),
+            upstreams: new_upstreams(&settings, &clock, incarnation),
+            peers: PeerLink::new(socket),
+            clock: clock.clone(),
+            metrics,
+            stop: stop.clone(),
+        };
+        let state = Arc::new(HostState::new(settings, parts));
+        let operators = Operators::bind(&state)?;
+        let operator_addr = operators.local_addr();
+        let mut duties = Vec::new();
+        let shared = state.clone();
+        duties.push(spawn("peers", move || peer_receiver::run(&shared, &envelopes))?);
+        let shared = state.clone();
+        duties.push(spawn("ticker", move || ticker::run(&shared))?);
+        let shared = state.clone();
+        duties.push(spawn("hosts", move || service_reader::run_hosts(&shared))?);
+        let shared = state.clone();
+        duties.push(spawn("config", move || service_reader::run_config(&shared))?);
+        let shared = state.clone();
+        duties.push(spawn("operators", move || operators.run(&shared))?);
+
+        let queue = Arc::new(WorkQueue::new(state.settings.queue_per_workspace));
+        let work_done = CancelToken::new();
+        let workers = start_workers(&state, &queue, &work_done)?;
+        let (ring, exchanges) = sync_channel(EDGE_RING);
+        let edge = CallerEdge::start(state.settings.edge.clone(), ring, clock, incarnation)?;
+        let shared = state.clone();
+        let admitter = spawn("admitter", move || admitter::run(&shared, &exchanges, &queue))?;
+        log::info!("host: {} serves callers on {}.", state.settings.host_id, edge.local_addr());
+        Ok(Self {
+            state,
+            edge,
+            operator_addr,
+            peer_addr,
+            work_done,
+            admitter,
+            workers,
+            duties,
+        })
+    }
+
+    /// Returns the address that callers connect to.
+    #[must_use]
+    pub fn caller_addr(&self) -> SocketAddr {
+        self.edge.local_addr()
+    }
+
+    /// Returns the address that operators connect to.
+    #[must_use]
+    pub fn operator_addr(&self) -> SocketAddr {
+        self.operator_addr
+    }
+
+    /// Returns the address that peers send to.
+    #[must_use]
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.peer_addr
+    }
+
+    /// Reports whether callers should be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.state.is_ready()
+    }
+
+    /// Returns the version of the configuration in force.
+    #[must_use]
+    pub fn config_version(&self) -> Option<u64> {
+        let active = self.state.active()?;
+        Some(active.snapshot.version)
+    }
+
+    /// Reports whether an operator has asked the host to stop.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.state.draining.load(Ordering::SeqCst)
+    }
+
+    /// Stops gracefully: callers are sent elsewhere, every request that was
+    /// taken is answered, and rights and records are handed over.
+    pub fn shut_down(self) {
+        let id = self.state.settings.host_id.clone();
+        log::info!("host: {id} drains.");
+        self.state.draining.store(true, Ordering::SeqCst);
+        self.edge.shut_down();
+        join("admitter", self.admitter);
+        self.work_done.cancel();
+        for worker in self.workers {
+            join("worker", worker);
+        }
+        hand_over(&self.state);
+        self.state.stop.cancel();
+        for duty in self.duties {
+            join("duty", duty);
+        }
+        log::info!("host: {id} has stopped.");
+    }
+
+    /// Stops at once, as a crash would: nothing is answered or handed over.
+    pub fn kill(self) {
+        self.state.stop.cancel();
+        self.work_done.cancel();
+        self.state.draining.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Gives rights and records to peers and lets their answers arrive.
+fn hand_over(state: &HostState) {
+    let loans = state.limits.lock().hand_over();
+    state.peers.send_all(loans, Message::Loan);
+    state
+        .attempts
+        .with(&state.peers, AttemptRegistry::hand_over);
+    drop(state.stop.wait(HAND_OVER_TIME));
+}
+
+fn join(name: &str, thread: JoinHandle<()>) {
+    if thread.join().is_err() {
+        log::error!("host: A thread panicked: {name}.");
+    }
+}
+
+fn start_workers(
+    state: &Arc<HostState>,
+    queue: &Arc<WorkQueue>,
+    work_done: &CancelToken,
+) -> Result<Vec<JoinHandle<()>>, HostError> {
+    let client = UpstreamClient::new();
+    let mut workers = Vec::new();
+    for _ in 0..state.settings.workers {
+        let state = state.clone();
+        let queue = queue.clone();
+        let client = client.clone();
+        let stop = work_done.clone();
+        let duty = move || worker::run(&state, &queue, &client, &stop);
+        workers.push(spawn("worker", duty)?);
+    }
+    Ok(workers)
+}
+
+fn new_limiter(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> Limiter {
+    let limiter = LimiterSettings::new(settings.failure_domains.clone());
+    Limiter::new(settings.host_id.clone(), incarnation, clock.clone(), limiter)
+}
+
+fn new_registry(
+    settings: &HostSettings,
+    clock: &Arc<dyn Clock>,
+    incarnation: u64,
+) -> AttemptRegistry {
+    let attempts = AttemptSettings {
+        window: settings.attempt_window,
+        ..AttemptSettings::default()
+    };
+    let id = settings.host_id.clone();
+    AttemptRegistry::new(id, incarnation, clock.clone(), incarnation, attempts)
+}
+
+fn new_upstreams(
+    settings: &HostSettings,
+    clock: &Arc<dyn Clock>,
+    incarnation: u64,
+) -> UpstreamSet {
+    UpstreamSet::new(
+        settings.host_id.clone(),
+        settings.failure_domain.clone(),
+        incarnation,
+        clock.clone(),
+        incarnation,
+        UpstreamSettings::default(),
+    )
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,2 +1,24 @@
 //! One host of the fleet: its threads, the rings that join them, and the wiring
 //! of the decision logic to sockets and clocks.
+
+pub mod credentials;
+pub mod decisions;
+pub mod host;
+pub mod metrics;
+pub mod refusal;
+pub mod route_table;
+pub mod settings;
+
+mod active;
+mod admission;
+mod attempt_desk;
+mod duties;
+mod limit_desk;
+mod peer_link;
+mod pipeline;
+mod service_client;
+mod state;
+mod work_queue;
+
+pub use host::{Host, HostError};
+pub use settings::HostSettings;
--- /dev/null
+++ b/crates/host/src/limit_desk.rs
@@ -0,0 +1,106 @@
+//! The host's limiter, shared by workers and the threads that feed it.
+
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::Clock;
+use waxwingusher_limits::{LimitKey, Limiter, RefusalReason, SpendDecision};
+use waxwingusher_protocol::Message;
+
+use crate::peer_link::PeerLink;
+
+/// A limiter with a way to wait for loans.
+pub(crate) struct LimitDesk {
+    limiter: Mutex<Limiter>,
+    granted: Condvar,
+    clock: Arc<dyn Clock>,
+}
+
+/// A spent token.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SpentToken {
+    pub(crate) spent_at: Instant,
+}
+
+/// A request got no token.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SpendRefusal {
+    pub(crate) retry_after: Duration,
+    pub(crate) reason: RefusalReason,
+}
+
+impl LimitDesk {
+    pub(crate) fn new(limiter: Limiter, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            limiter: Mutex::new(limiter),
+            granted: Condvar::new(),
+            clock,
+        }
+    }
+
+    /// Gives access to the limiter.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Limiter> {
+        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes the requests that wait for a loan.
+    pub(crate) fn notify(&self) {
+        self.granted.notify_all();
+    }
+
+    /// Spends a token, and waits for a loan where the limiter advises it.
+    pub(crate) fn spend(
+        &self,
+        key: &LimitKey,
+        deadline: Instant,
+        peers: &PeerLink,
+    ) -> Result<SpentToken, SpendRefusal> {
+        let mut limiter = self.lock();
+        let mut decision = match key {
+            LimitKey::Workspace(name) => limiter.spend(name),
+            LimitKey::OpenRoute(name) => limiter.spend_open(name),
+        };
+        let mut has_asked = false;
+        loop {
+            let until = match decision {
+                SpendDecision::Spent => {
+                    let spent_at = self.clock.now();
+                    return Ok(SpentToken { spent_at });
+                }
+                SpendDecision::Refused {
+                    retry_after,
+                    reason,
+                } => {
+                    return Err(SpendRefusal {
+                        retry_after,
+                        reason,
+                    });
+                }
+                SpendDecision::Wait(until) => until.min(deadline),
+            };
+            if has_asked {
+                limiter = self.wait_until(limiter, until);
+            } else {
+                has_asked = true;
+                let outgoing = limiter.tick();
+                drop(limiter);
+                peers.send_all(outgoing, Message::Loan);
+                limiter = self.lock();
+            }
+            decision = limiter.spend_waiting(key, until);
+        }
+    }
+
+    fn wait_until<'a>(
+        &self,
+        limiter: MutexGuard<'a, Limiter>,
+        until: Instant,
+    ) -> MutexGuard<'a, Limiter> {
+        let left = until.saturating_duration_since(self.clock.now());
+        let (limiter, _) = self
+            .granted
+            .wait_timeout(limiter, left)
+            .unwrap_or_else(PoisonError::into_inner);
+        limiter
+    }
+}
--- /dev/null
+++ b/crates/host/src/peer_link.rs
@@ -0,0 +1,38 @@
+//! Sends the messages of the decision logic to other hosts.
+
+use std::sync::Arc;
+
+use waxwingusher_core::HostList;
+use waxwingusher_protocol::socket::PeerSocket;
+use waxwingusher_protocol::{Message, Outgoing};
+
+/// A shared way to all peers.
+#[derive(Clone)]
+pub(crate) struct PeerLink {
+    socket: Arc<PeerSocket>,
+}
+
+impl PeerLink {
+    pub(crate) fn new(socket: PeerSocket) -> Self {
+        Self {
+            socket: Arc::new(socket),
+        }
+    }
+
+    pub(crate) fn socket(&self) -> &PeerSocket {
+        &self.socket
+    }
+
+    pub(crate) fn set_hosts(&self, list: &HostList) {
+        self.socket.set_hosts(list);
+    }
+
+    /// Sends all messages, wrapped for the wire.
+    pub(crate) fn send_all<M>(&self, outgoing: Vec<Outgoing<M>>, wrap: fn(M) -> Message) {
+        for Outgoing { to, message } in outgoing {
+            if let Err(e) = self.socket.send(&to, &wrap(message)) {
+                log::debug!("peers: A message to {to} was not sent: {e}.");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/pipeline/dispatch.rs
@@ -0,0 +1,273 @@
+//! Chooses instances and sends the request until one answers or none may.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_attempts::lifecycle::{Admitted as AdmittedState, Request};
+use waxwingusher_attempts::refusal::{Refusal, RefusalReason, is_shed_response};
+use waxwingusher_core::InstanceId;
+use waxwingusher_edge::{
+    CallControl, Reply, UpstreamAnswer, UpstreamCall, UpstreamError, headers,
+};
+use waxwingusher_upstreams::{
+    Blame, Choice, ChooseError, ChooseRequest, RequestOrigin, UpstreamResult,
+};
+
+use super::relay::{self, Relayed};
+use super::{Flow, MAX_TOKEN_AGE, note};
+use crate::admission;
+
+/// Instances that one request is sent to at most.
+const MAX_TRIES: usize = 3;
+/// How long a request waits for a busy pool.
+const MAX_BUSY_WAIT: Duration = Duration::from_millis(500);
+
+/// How a try ended without an answer for the caller.
+struct Failure {
+    /// Whether the request may have run.
+    may_have_run: bool,
+    reason: RefusalReason,
+    error: Option<UpstreamError>,
+}
+
+/// How a try ended.
+enum Try {
+    /// The caller has its answer.
+    Done,
+    /// The place for the answer is still free.
+    Failed(Reply, Failure),
+}
+
+impl Flow<'_> {
+    /// Sends the request to instances until one answers or none may.
+    pub(crate) fn dispatch(&self, mut life: Request<AdmittedState>, mut reply: Reply) {
+        let mut tried: Vec<InstanceId> = Vec::new();
+        let mut may_have_run = false;
+        loop {
+            let choice = match self.choose(&tried) {
+                Ok(choice) => choice,
+                Err(reason) => {
+                    let refusal = end(life, may_have_run, reason);
+                    return self.refuse(reply, refusal);
+                }
+            };
+            let text = format!(
+                "route {}, workspace {}, instance {}, reason {}, try {}",
+                self.admitted.route.name,
+                self.admitted.party.workspace,
+                choice.instance,
+                choice.reason,
+                tried.len() + 1
+            );
+            note(self.state, self.request, &text);
+            tried.push(choice.instance.clone());
+            let failure = match self.send(&choice, reply) {
+                Try::Done => return,
+                Try::Failed(free, failure) => {
+                    reply = free;
+                    failure
+                }
+            };
+            may_have_run |= failure.may_have_run;
+            if !self.may_try_again(&failure, tried.len()) {
+                let refusal = end(life, may_have_run, failure.reason);
+                return self.refuse(reply, refusal);
+            }
+            life = Request::new().admit();
+        }
+    }
+
+    /// Chooses an instance, and waits a while if all are busy.
+    fn choose(&self, tried: &[InstanceId]) -> Result<Choice, RefusalReason> {
+        let clock = &self.state.clock;
+        let give_up_at = (clock.now() + MAX_BUSY_WAIT).min(self.admitted.deadline);
+        let wanted = ChooseRequest {
+            idempotent: self.is_idempotent(),
+            exclude: tried,
+            deadline: self.admitted.deadline,
+        };
+        let mut upstreams = self.state.lock_upstreams();
+        loop {
+            let retry_after = match upstreams.choose(&self.admitted.route.service, &wanted) {
+                Ok(choice) => return Ok(choice),
+                Err(ChooseError::NoInstance) => return Err(RefusalReason::NoHealthyInstance),
+                Err(ChooseError::AllBusy { retry_after }) => retry_after,
+            };
+            let now: Instant = clock.now();
+            if now >= give_up_at {
+                return Err(RefusalReason::Overloaded);
+            }
+            let wait = retry_after.min(give_up_at - now);
+            let waited = self.state.slot_freed.wait_timeout(upstreams, wait);
+            let (guard, _) = waited.unwrap_or_else(std::sync::PoisonError::into_inner);
+            upstreams = guard;
+        }
+    }
+
+    fn send(&self, choice: &Choice, reply: Reply) -> Try {
+        let control = self.new_control();
+        let started: Instant = self.state.clock.now();
+        let sent = self.call(choice, &control);
+        let answer = match sent {
+            Ok(answer) => answer,
+            Err(error) => return self.fail(choice, reply, error),
+        };
+        let latency = self.state.clock.now().saturating_duration_since(started);
+        if is_shed(&answer) {
+            let retry_after = retry_after(&answer);
+            self.report(choice, UpstreamResult::Shed { retry_after });
+            return Try::Failed(
+                reply,
+                Failure {
+                    may_have_run: false,
+                    reason: RefusalReason::UpstreamShed,
+                    error: None,
+                },
+            );
+        }
+        let is_error = answer.status.is_server_error();
+        self.state.metrics.time("upstream.head", latency);
+        match relay::relay(self, answer, reply) {
+            Relayed::Whole | Relayed::CallerGone => {
+                let result = if is_error {
+                    UpstreamResult::ErrorStatus
+                } else {
+                    UpstreamResult::Success {
+                        latency,
+                        load: None,
+                    }
+                };
+                self.report(choice, result);
+                Try::Done
+            }
+            Relayed::Cut => {
+                let blame = Blame::Instance;
+                self.report(choice, UpstreamResult::Died { blame });
+                Try::Done
+            }
+            Relayed::Unanswered(reply, error) => self.fail(choice, reply, error),
+        }
+    }
+
+    fn call(
+        &self,
+        choice: &Choice,
+        control: &Arc<CallControl>,
+    ) -> Result<UpstreamAnswer, UpstreamError> {
+        let timeout = self.time_left();
+        if timeout.is_zero() {
+            return Err(UpstreamError::Timeout { sent: false });
+        }
+        let mut request_headers = self.admitted.headers.clone();
+        let left_ms = headers::value(&timeout.as_millis().to_string());
+        request_headers.insert(headers::DEADLINE_MS, left_ms);
+        let call = UpstreamCall {
+            addr: choice.addr,
+            method: self.request.method.clone(),
+            target: self.admitted.target.clone(),
+            headers: request_headers,
+            body: self.request.body.clone(),
+            timeout,
+            pooled: self.is_idempotent(),
+            cancel: self.request.cancel.clone(),
+        };
+        self.client.send(call, control)
+    }
+
+    /// Creates the control whose last check looks at every right once more.
+    fn new_control(&self) -> Arc<CallControl> {
+        let state = self.state.clone();
+        let party = self.admitted.party.clone();
+        let deadline = self.admitted.deadline;
+        let token = self.token;
+        let ticket = self.ticket;
+        CallControl::new(move || {
+            let now: Instant = state.clock.now();
+            let is_fresh = now.saturating_duration_since(token.spent_at) <= MAX_TOKEN_AGE;
+            let has_rights =
+                now < deadline && is_fresh && admission::is_still_valid(&state, &party);
+            has_rights
+                && ticket.is_none_or(|ticket| state.attempts.check_before_dispatch(ticket).is_ok())
+        })
+    }
+
+    fn fail(&self, choice: &Choice, reply: Reply, error: UpstreamError) -> Try {
+        let (result, reason) = match &error {
+            UpstreamError::Connect(_) => {
+                (UpstreamResult::ConnectFailure, RefusalReason::NoHealthyInstance)
+            }
+            UpstreamError::Withdrawn => (UpstreamResult::Cancelled, RefusalReason::DeadlineExceeded),
+            UpstreamError::Cancelled { .. } => {
+                (UpstreamResult::Cancelled, RefusalReason::UpstreamFailed)
+            }
+            UpstreamError::Timeout { .. } => {
+                (UpstreamResult::Timeout, RefusalReason::DeadlineExceeded)
+            }
+            UpstreamError::Died { .. } | UpstreamError::Unframed => (
+                UpstreamResult::Died {
+                    blame: Blame::Instance,
+                },
+                RefusalReason::UpstreamFailed,
+            ),
+        };
+        self.report(choice, result);
+        let text = format!("instance {} gave no answer: {error}", choice.instance);
+        note(self.state, self.request, &text);
+        let failure = Failure {
+            may_have_run: error.was_sent(),
+            reason,
+            error: Some(error),
+        };
+        Try::Failed(reply, failure)
+    }
+
+    fn may_try_again(&self, failure: &Failure, tries: usize) -> bool {
+        let is_final = matches!(
+            failure.error,
+            Some(UpstreamError::Withdrawn | UpstreamError::Cancelled { .. })
+        );
+        // A permission to run is used up once a byte has left.
+        let was_shed = failure.error.is_none();
+        let is_repeatable = self.is_idempotent()
+            || (!failure.may_have_run && !(was_shed && self.ticket.is_some()));
+        let has_time = !self.time_left().is_zero();
+        !is_final && is_repeatable && has_time && tries < MAX_TRIES
+    }
+
+    fn report(&self, choice: &Choice, result: UpstreamResult) {
+        let origin = RequestOrigin {
+            workspace: self.admitted.party.workspace.clone(),
+            route: self.admitted.route.name.clone(),
+        };
+        let mut upstreams = self.state.lock_upstreams();
+        upstreams.report(choice.pick, &origin, result);
+        drop(upstreams);
+        self.state.slot_freed.notify_all();
+    }
+
+    fn is_idempotent(&self) -> bool {
+        let method = self.request.method.as_str();
+        self.admitted.route.is_idempotent(method)
+    }
+}
+
+/// Ends a request that gets no answer of an upstream.
+fn end(life: Request<AdmittedState>, may_have_run: bool, reason: RefusalReason) -> Refusal {
+    if may_have_run {
+        life.dispatch().fail(reason).refusal()
+    } else {
+        life.refuse(reason)
+    }
+}
+
+fn is_shed(answer: &UpstreamAnswer) -> bool {
+    let header = answer.headers.get(headers::SHED);
+    let header = header.and_then(|value| value.to_str().ok());
+    is_shed_response(answer.status.as_u16(), header)
+}
+
+fn retry_after(answer: &UpstreamAnswer) -> Option<Duration> {
+    let value = answer.headers.get(http::header::RETRY_AFTER)?;
+    let seconds = value.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -7,9 +7,10 @@
 
 use waxwingusher_core::{FailureDomain, HostId};
 use waxwingusher_edge::EdgeSettings;
+use waxwingusher_protocol::secret::FleetSecret;
 
-/// The least length of the fleet's secret.
-pub const MIN_SECRET_BYTES: usize = 16;
+/// The least length of the operators' token, in bytes.
+pub const MIN_TOKEN_BYTES: usize = 16;
 
 /// All settings of one host.
 #[derive(Debug, Clone)]
@@ -54,30 +55,6 @@
     NewFleet,
 }
 
-/// A secret that is never printed.
-#[derive(Clone, PartialEq, Eq)]
-pub struct FleetSecret(Arc<[u8]>);
-
-impl FleetSecret {
-    /// Creates a secret from its bytes.
-    #[must_use]
-    pub fn new(bytes: &[u8]) -> Self {
-        Self(Arc::from(bytes))
-    }
-
-    /// Returns the secret's bytes.
-    #[must_use]
-    pub fn as_bytes(&self) -> &[u8] {
-        &self.0
-    }
-}
-
-impl std::fmt::Debug for FleetSecret {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("FleetSecret(..)")
-    }
-}
-
 /// A setting is missing or cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("--{flag} ({variable}): {problem}; allowed: {allowed}")]
@@ -180,7 +157,7 @@
     "fleet-secret",
     "WAXWINGUSHER_FLEET_SECRET",
     None,
-    "at least 16 bytes, in the environment only",
+    "at least 32 bytes, in the environment only",
 );
 const OPERATOR_TOKEN: Setting = setting(
     "operator-token",
@@ -294,8 +271,8 @@
         let peer_addr = self.parse(PEER_ADDR, from_str);
         let config_service = self.parse(CONFIG_SERVICE, from_str);
         let statsd_addr = self.parse(STATSD_ADDR, optional);
-        let fleet_secret = self.secret(FLEET_SECRET);
-        let operator_token = self.optional_secret(OPERATOR_TOKEN);
+        let fleet_secret = self.fleet_secret();
+        let operator_token = self.operator_token();
         let workers = self.parse(WORKERS, |text| in_range(text, 1, 2_048));
         let queue_per_workspace = self.parse(QUEUE, |text| in_range(text, 1, 65_536));
         let attempt_window =
@@ -309,8 +286,8 @@
             operator_addr: operator_addr?,
             peer_addr: peer_addr?,
             config_service: config_service?,
-            fleet_secret: FleetSecret::new(fleet_secret?.as_bytes()),
-            operator_token: operator_token?.map(Arc::from),
+            fleet_secret: fleet_secret?,
+            operator_token: operator_token?,
             statsd_addr: statsd_addr?,
             workers: workers?,
             queue_per_workspace: queue_per_workspace?,
@@ -361,24 +338,29 @@
         text
     }
 
-    /// Reads a secret, which is taken from the environment only so that it
-    /// does not show in a list of processes.
-    fn secret(&mut self, setting: Setting) -> Option<String> {
-        let Some(text) = self.source.variable(setting.variable) else {
-            self.refuse(setting, SettingProblem::Missing);
+    /// Reads the fleet's secret, which is taken from the environment only so
+    /// that it does not show in a list of processes.
+    fn fleet_secret(&mut self) -> Option<FleetSecret> {
+        let Some(text) = self.source.variable(FLEET_SECRET.variable) else {
+            self.refuse(FLEET_SECRET, SettingProblem::Missing);
             return None;
         };
-        if text.len() < MIN_SECRET_BYTES {
-            self.refuse(setting, SettingProblem::InvalidSecret);
-            return None;
+        let secret = FleetSecret::new(&text);
+        if secret.is_err() {
+            self.refuse(FLEET_SECRET, SettingProblem::InvalidSecret);
         }
-        Some(text)
+        secret.ok()
     }
 
-    fn optional_secret(&mut self, setting: Setting) -> Option<Option<String>> {
-        match self.source.variable(setting.variable).as_deref() {
+    fn operator_token(&mut self) -> Option<Option<Arc<str>>> {
+        let text = self.source.variable(OPERATOR_TOKEN.variable);
+        match text.as_deref() {
             None | Some("none") => Some(None),
-            Some(_) => self.secret(setting).map(Some),
+            Some(token) if token.len() >= MIN_TOKEN_BYTES => Some(Some(Arc::from(token))),
+            Some(_) => {
+                self.refuse(OPERATOR_TOKEN, SettingProblem::InvalidSecret);
+                None
+            }
         }
     }
 
--- /dev/null
+++ b/crates/host/src/state.rs
@@ -0,0 +1,122 @@
+//! What the threads of a host share.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock};
+
+use waxwingusher_config::Snapshot;
+use waxwingusher_core::{CancelToken, Clock, HostList};
+use waxwingusher_upstreams::UpstreamSet;
+
+use crate::active::Active;
+use crate::attempt_desk::AttemptDesk;
+use crate::decisions::DecisionLog;
+use crate::limit_desk::LimitDesk;
+use crate::metrics::Metrics;
+use crate::peer_link::PeerLink;
+use crate::settings::HostSettings;
+
+/// The shared state of one host.
+pub(crate) struct HostState {
+    pub(crate) settings: HostSettings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) metrics: Metrics,
+    pub(crate) decisions: DecisionLog,
+    pub(crate) limits: LimitDesk,
+    pub(crate) attempts: AttemptDesk,
+    pub(crate) upstreams: Mutex<UpstreamSet>,
+    pub(crate) slot_freed: Condvar,
+    pub(crate) peers: PeerLink,
+    pub(crate) stop: CancelToken,
+    pub(crate) draining: AtomicBool,
+    active: RwLock<Option<Arc<Active>>>,
+    host_list: RwLock<Arc<HostList>>,
+}
+
+/// The parts that are built before the state.
+pub(crate) struct Parts {
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) metrics: Metrics,
+    pub(crate) limits: LimitDesk,
+    pub(crate) attempts: AttemptDesk,
+    pub(crate) upstreams: UpstreamSet,
+    pub(crate) peers: PeerLink,
+    pub(crate) stop: CancelToken,
+}
+
+impl HostState {
+    pub(crate) fn new(settings: HostSettings, parts: Parts) -> Self {
+        Self {
+            settings,
+            clock: parts.clock,
+            metrics: parts.metrics,
+            decisions: DecisionLog::default(),
+            limits: parts.limits,
+            attempts: parts.attempts,
+            upstreams: Mutex::new(parts.upstreams),
+            slot_freed: Condvar::new(),
+            peers: parts.peers,
+            stop: parts.stop,
+            draining: AtomicBool::new(false),
+            active: RwLock::new(None),
+            host_list: RwLock::new(Arc::new(HostList::default())),
+        }
+    }
+
+    /// Returns the configuration in force, if there is one.
+    pub(crate) fn active(&self) -> Option<Arc<Active>> {
+        let active = self.active.read().unwrap_or_else(PoisonError::into_inner);
+        active.clone()
+    }
+
+    /// Returns the host list in force.
+    pub(crate) fn host_list(&self) -> Arc<HostList> {
+        let list = self.host_list.read();
+        list.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Gives access to the upstream instances.
+    pub(crate) fn lock_upstreams(&self) -> MutexGuard<'_, UpstreamSet> {
+        self.upstreams
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reports whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.active().is_some() && !self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub(crate) fn adopt(&self, snapshot: Arc<Snapshot>) {
+        let version = snapshot.version;
+        let active = Arc::new(Active::new(snapshot.clone()));
+        let mut current = self.active.write().unwrap_or_else(PoisonError::into_inner);
+        let known = current.as_ref().map(|active| active.snapshot.version);
+        if known.is_some_and(|known| known >= version) {
+            return;
+        }
+        *current = Some(active);
+        drop(current);
+        self.limits.lock().apply_snapshot(&snapshot);
+        self.lock_upstreams().apply_snapshot(&snapshot);
+        self.metrics.gauge("config.version", version);
+        log::info!("config: Version {version} is in force.");
+    }
+
+    /// Takes a newer host list.
+    pub(crate) fn apply_host_list(&self, list: &HostList) {
+        let mut current = self.host_list.write().unwrap_or_else(PoisonError::into_inner);
+        if list.version <= current.version {
+            return;
+        }
+        *current = Arc::new(list.clone());
+        drop(current);
+        self.peers.set_hosts(list);
+        self.limits.lock().apply_host_list(list);
+        self.attempts.lock().registry.apply_host_list(list);
+        self.lock_upstreams().apply_host_list(list);
+        let version = list.version;
+        let count = list.hosts.len();
+        log::info!("members: Host list {version} with {count} hosts is in use.");
+    }
+}
--- a/crates/limits/src/keys.rs
+++ b/crates/limits/src/keys.rs
@@ -42,8 +42,13 @@
     /// in constant time.
     #[must_use]
     pub fn lookup(&self, key: &[u8]) -> Option<Arc<Workspace>> {
-        let digest = KeyDigest::of_key(key);
-        let (found, workspace) = self.by_digest.get_key_value(&digest)?;
-        found.matches(&digest).then(|| Arc::clone(workspace))
+        self.lookup_digest(&KeyDigest::of_key(key))
+    }
+
+    /// Returns the workspace of a key whose digest is known.
+    #[must_use]
+    pub fn lookup_digest(&self, digest: &KeyDigest) -> Option<Arc<Workspace>> {
+        let (found, workspace) = self.by_digest.get_key_value(digest)?;
+        found.matches(digest).then(|| Arc::clone(workspace))
     }
 }
