--- a/crates/host/src/refusal.rs
+++ b/crates/host/src/refusal.rs
@@ -36,7 +36,10 @@
     map.insert(headers::OUTCOME, headers::value(body.outcome));
     map.insert(headers::REQUEST_ID, headers::value(&body.request_id));
     if let Some(wait) = retry_after {
-        map.insert(RETRY_AFTER, HeaderValue::from(wait.as_millis().div_ceil(1_000) as u64));
+        map.insert(
+            RETRY_AFTER,
+            HeaderValue::from(wait.as_millis().div_ceil(1_000) as u64),
+        );
     }
     let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let text = serde_json::to_vec(&body).unwrap_or_default();
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -4,6 +4,7 @@
 use waxwingusher_core::HostId;
 
 use crate::attempt::AttemptMessage;
+use crate::config::ConfigMessage;
 use crate::gossip::GossipMessage;
 use crate::health::HealthMessage;
 use crate::loan::LoanMessage;
@@ -31,6 +32,8 @@
     Health(HealthMessage),
     /// Liveness and configuration versions.
     Gossip(GossipMessage),
+    /// Distribution of the configuration.
+    Config(ConfigMessage),
 }
 
 /// A message that the decision logic wants sent.
@@ -53,11 +56,19 @@
     Health,
     /// Liveness and configuration versions.
     Gossip,
+    /// Distribution of the configuration.
+    Config,
 }
 
 impl MessageKind {
     /// All kinds, in a fixed order.
-    pub const ALL: [Self; 4] = [Self::Loan, Self::Attempt, Self::Health, Self::Gossip];
+    pub const ALL: [Self; 5] = [
+        Self::Loan,
+        Self::Attempt,
+        Self::Health,
+        Self::Gossip,
+        Self::Config,
+    ];
 
     /// Returns the kind's name for metrics.
     #[must_use]
@@ -67,6 +78,7 @@
             Self::Attempt => "attempt",
             Self::Health => "health",
             Self::Gossip => "gossip",
+            Self::Config => "config",
         }
     }
 }
@@ -80,6 +92,7 @@
             Self::Attempt(_) => MessageKind::Attempt,
             Self::Health(_) => MessageKind::Health,
             Self::Gossip(_) => MessageKind::Gossip,
+            Self::Config(_) => MessageKind::Config,
         }
     }
 }
