Join the parts into a host, and show the whole path with `demo`

Before: parts without a process around them. After: `serve` runs one host; `demo` runs 4 hosts, 6 instances and the stand-ins on loopback, with a gray failure, a planned stop, a kill, an outage of the configuration service and a withdrawn key.

--- a/crates/core/src/cancel.rs
+++ b/crates/core/src/cancel.rs
@@ -72,7 +72,6 @@
 
     /// Waits until the token is cancelled or the time is over, and reports
     /// whether it is cancelled.
-    #[must_use]
     pub fn wait(&self, timeout: Duration) -> bool {
         let state = self.shared.lock();
         let (state, _) = self
--- /dev/null
+++ b/crates/emulator/src/fleet.rs
@@ -0,0 +1,328 @@
+//! Starts an emulated fleet and changes it while it runs.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_config::resolve::{TeamText, resolve};
+use waxwingusher_config::{CheckErrors, Pack, PublicationError, publish};
+use waxwingusher_core::{
+    CancelToken, FailureDomain, HostEntry, HostId, HostList, HostState, KeyDigest, SystemClock,
+};
+use waxwingusher_edge::EdgeSettings;
+use waxwingusher_host::settings::Bootstrap;
+use waxwingusher_host::{Host, HostError, HostSettings};
+use waxwingusher_protocol::secret::FleetSecret;
+use waxwingusher_standins::{ConfigService, StandinError, UpstreamServer, UpstreamSettings};
+
+use crate::plan::{FleetPlan, WorkspacePlan};
+
+/// The service of an emulated fleet.
+pub const SERVICE: &str = "desk";
+
+const SECRET: &str = "a secret of an emulated fleet, not of a real one";
+const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const POLL: Duration = Duration::from_millis(10);
+
+/// An emulated fleet could not be started or changed.
+#[derive(Debug, thiserror::Error)]
+pub enum EmulatorError {
+    /// A stand-in failed.
+    #[error(transparent)]
+    Standin(#[from] StandinError),
+    /// A host could not start.
+    #[error(transparent)]
+    Host(#[from] HostError),
+    /// The configuration was refused.
+    #[error("{0}")]
+    Config(#[from] CheckErrors),
+    /// The configuration could not be published.
+    #[error(transparent)]
+    Publication(#[from] PublicationError),
+    /// Something did not happen in time.
+    #[error("{what} took longer than {} s", limit.as_secs())]
+    TooSlow {
+        /// What did not happen.
+        what: &'static str,
+        /// The limit.
+        limit: Duration,
+    },
+}
+
+/// A host of the fleet, or the place of one that was stopped.
+pub struct FleetHost {
+    /// The host's entry in the host list.
+    pub entry: HostEntry,
+    /// The host, while it runs.
+    pub host: Option<Host>,
+}
+
+/// A running fleet with its surroundings.
+pub struct Fleet {
+    /// What the fleet was built from.
+    pub plan: FleetPlan,
+    /// The configuration service.
+    pub service: ConfigService,
+    /// The upstream instances.
+    pub upstreams: Vec<UpstreamServer>,
+    /// The hosts.
+    pub hosts: Vec<FleetHost>,
+    config_version: u64,
+    list_version: u64,
+    next_incarnation: u64,
+    _token: CancelToken,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and all hosts, and publishes the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part cannot be started.
+    pub fn start(plan: FleetPlan, seed: u64) -> Result<Self, EmulatorError> {
+        let token = CancelToken::new();
+        let service = ConfigService::start(&token)?;
+        let mut upstreams = Vec::new();
+        for index in 0..plan.instances_per_domain * plan.failure_domains.len() {
+            let settings = UpstreamSettings {
+                slots: plan.slots as usize,
+                service_time: plan.service_time,
+                seed: seed + index as u64,
+                ..UpstreamSettings::default()
+            };
+            upstreams.push(UpstreamServer::start(settings, &token)?);
+        }
+        let mut fleet = Self {
+            plan,
+            service,
+            upstreams,
+            hosts: Vec::new(),
+            config_version: 0,
+            list_version: 0,
+            next_incarnation: seed.wrapping_mul(1_000_003).wrapping_add(1),
+            _token: token,
+        };
+        fleet.publish_config()?;
+        fleet.start_hosts()?;
+        fleet.publish_hosts()?;
+        Ok(fleet)
+    }
+
+    /// Returns the addresses that callers may use, as the balancer knows them.
+    #[must_use]
+    pub fn caller_addrs(&self) -> Vec<SocketAddr> {
+        let running = self.hosts.iter().filter_map(|host| host.host.as_ref());
+        running
+            .filter(|host| host.is_ready())
+            .map(Host::caller_addr)
+            .collect()
+    }
+
+    /// Publishes the plan as the next version of the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the configuration is refused.
+    pub fn publish_config(&mut self) -> Result<u64, EmulatorError> {
+        self.config_version += 1;
+        let file = TeamText {
+            path: PathBuf::from("emulated.toml"),
+            text: self.team_file(),
+        };
+        let snapshot = resolve(&[file], self.config_version)?;
+        let publication = publish(&snapshot)?;
+        for pack in &publication.packs {
+            self.service
+                .put(&Pack::service_key(&pack.digest), &pack.bytes)?;
+        }
+        self.service.put(
+            waxwingusher_config::publication::MANIFEST_KEY,
+            &publication.manifest,
+        )?;
+        Ok(self.config_version)
+    }
+
+    /// Publishes the list of hosts.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service refuses it.
+    pub fn publish_hosts(&mut self) -> Result<(), EmulatorError> {
+        self.list_version += 1;
+        let mut hosts: Vec<_> = self.hosts.iter().map(|host| host.entry.clone()).collect();
+        hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        let list = HostList {
+            version: self.list_version,
+            hosts,
+        };
+        self.service.put_hosts(&list)?;
+        Ok(())
+    }
+
+    /// Waits until every running host has a version of the configuration, and
+    /// returns how long it took.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it takes longer than the limit.
+    pub fn wait_for_config(
+        &self,
+        version: u64,
+        limit: Duration,
+    ) -> Result<Duration, EmulatorError> {
+        wait_until("a configuration in force everywhere", limit, || {
+            let mut running = self.hosts.iter().filter_map(|host| host.host.as_ref());
+            running.all(|host| host.config_version().is_some_and(|known| known >= version))
+        })
+    }
+
+    /// Stops a host as planned: it is listed as leaving, drains and ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the list cannot be published.
+    pub fn stop_host(&mut self, index: usize) -> Result<(), EmulatorError> {
+        self.hosts[index].entry.state = HostState::Leaving;
+        self.publish_hosts()?;
+        if let Some(host) = self.hosts[index].host.take() {
+            host.shut_down();
+        }
+        Ok(())
+    }
+
+    /// Kills a host without notice; the list goes on naming it.
+    pub fn kill_host(&mut self, index: usize) {
+        if let Some(host) = self.hosts[index].host.take() {
+            host.kill();
+        }
+    }
+
+    /// Starts a host anew, at the place of one that was stopped or killed and
+    /// without its memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host cannot start.
+    pub fn restart_host(&mut self, index: usize) -> Result<(), EmulatorError> {
+        let entry = self.hosts[index].entry.clone();
+        let host = self.start_host(&entry.id, &entry.failure_domain)?;
+        let place = &mut self.hosts[index];
+        place.entry.peer_addr = host.peer_addr();
+        place.entry.state = HostState::Live;
+        place.host = Some(host);
+        self.publish_hosts()
+    }
+
+    fn start_hosts(&mut self) -> Result<(), EmulatorError> {
+        for domain in self.plan.failure_domains.clone() {
+            for index in 0..self.plan.hosts_per_domain {
+                let id = HostId::new(&format!("{domain}-{index}"));
+                let failure_domain = FailureDomain::new(&domain);
+                let host = self.start_host(&id, &failure_domain)?;
+                let entry = HostEntry {
+                    id,
+                    peer_addr: host.peer_addr(),
+                    failure_domain,
+                    state: HostState::Live,
+                };
+                let host = Some(host);
+                self.hosts.push(FleetHost { entry, host });
+            }
+        }
+        Ok(())
+    }
+
+    fn start_host(
+        &mut self,
+        id: &HostId,
+        failure_domain: &FailureDomain,
+    ) -> Result<Host, EmulatorError> {
+        self.next_incarnation = self.next_incarnation.wrapping_add(7_919);
+        let domains = self.plan.failure_domains.iter();
+        let settings = HostSettings {
+            host_id: id.clone(),
+            failure_domain: failure_domain.clone(),
+            failure_domains: domains.map(|name| FailureDomain::new(name)).collect(),
+            edge: EdgeSettings {
+                drain_notice: Duration::from_millis(300),
+                ..EdgeSettings::default()
+            },
+            operator_addr: LOOPBACK,
+            peer_addr: LOOPBACK,
+            config_service: self.service.addr(),
+            fleet_secret: FleetSecret::new(SECRET).map_err(|_| EmulatorError::TooSlow {
+                what: "the secret",
+                limit: Duration::ZERO,
+            })?,
+            operator_token: None,
+            statsd_addr: None,
+            workers: self.plan.workers,
+            queue_per_workspace: 256,
+            loan_term: self.plan.loan_term,
+            attempt_window: self.plan.attempt_window,
+            bootstrap: Bootstrap::NewFleet,
+        };
+        let clock = Arc::new(SystemClock);
+        Ok(Host::start(settings, clock, self.next_incarnation)?)
+    }
+
+    /// Writes the plan as a team's file.
+    fn team_file(&self) -> String {
+        let floor = self.plan.floor_percent;
+        let mut text = format!(
+            "owner = \"emulator\"\n\n[service.{SERVICE}]\nfloor-percent = {floor}\ndetection = \"fast\"\n"
+        );
+        for (index, upstream) in self.upstreams.iter().enumerate() {
+            let domain = &self.plan.failure_domains[index % self.plan.failure_domains.len()];
+            text += &format!(
+                "\n[service.{SERVICE}.instance.desk-{index}]\naddr = \"{}\"\nslots = {}\nfailure-domain = \"{domain}\"\n",
+                upstream.addr(),
+                self.plan.slots,
+            );
+        }
+        text += &format!(
+            "\n[route.desk]\nservice = \"{SERVICE}\"\npath-prefix = \"/desk\"\ndeadline-ms = 5000\n"
+        );
+        text += &format!(
+            "\n[route.holidays]\nservice = \"{SERVICE}\"\npath-prefix = \"/holidays\"\nmethods = [\"GET\"]\naccess = \"open\"\nopen-rate-per-s = 50\nopen-burst = 20\n"
+        );
+        for workspace in &self.plan.workspaces {
+            text += &workspace_table(workspace);
+        }
+        text
+    }
+}
+
+/// Waits until a condition holds, and returns how long it took.
+///
+/// # Errors
+///
+/// Returns an error if it takes longer than the limit.
+pub fn wait_until(
+    what: &'static str,
+    limit: Duration,
+    condition: impl Fn() -> bool,
+) -> Result<Duration, EmulatorError> {
+    let started = Instant::now();
+    while !condition() {
+        if started.elapsed() > limit {
+            return Err(EmulatorError::TooSlow { what, limit });
+        }
+        std::thread::sleep(POLL);
+    }
+    Ok(started.elapsed())
+}
+
+fn workspace_table(workspace: &WorkspacePlan) -> String {
+    let digests = if workspace.key.is_empty() {
+        String::new()
+    } else {
+        format!("\"{}\"", KeyDigest::of_key(workspace.key.as_bytes()))
+    };
+    format!(
+        "\n[workspace.{}]\nkey-digests = [{digests}]\nrate-per-s = {}\nburst = {}\n",
+        workspace.name, workspace.rate_per_s, workspace.burst
+    )
+}
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,12 @@
+//! A small fleet in one process: hosts, stand-ins for the platform and the
+//! upstreams, callers, faults, and checks of what must always hold.
+
+pub mod caller;
+pub mod demo;
+pub mod fleet;
+pub mod plan;
+pub mod promises;
+
+pub use caller::{Caller, CallerAnswer, CallerError, Operation};
+pub use fleet::{EmulatorError, Fleet};
+pub use plan::FleetPlan;
--- /dev/null
+++ b/crates/emulator/src/plan.rs
@@ -0,0 +1,74 @@
+//! What an emulated fleet consists of.
+
+use std::time::Duration;
+
+/// The size and the times of an emulated fleet.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
+    /// Names of the failure domains.
+    pub failure_domains: Vec<String>,
+    /// Hosts in each failure domain.
+    pub hosts_per_domain: usize,
+    /// Instances of the service in each failure domain.
+    pub instances_per_domain: usize,
+    /// Slots of an instance.
+    pub slots: u32,
+    /// How long an instance works on a request.
+    pub service_time: Duration,
+    /// The part of all slots that stays in use, in percent.
+    pub floor_percent: u8,
+    /// Workspaces, by name.
+    pub workspaces: Vec<WorkspacePlan>,
+    /// How long a loan of rate and burst lasts.
+    pub loan_term: Duration,
+    /// How long a keyed operation runs at most once.
+    pub attempt_window: Duration,
+    /// Threads of a host that forward requests.
+    pub workers: usize,
+}
+
+/// A workspace of an emulated fleet.
+#[derive(Debug, Clone)]
+pub struct WorkspacePlan {
+    /// The name.
+    pub name: String,
+    /// The caller's key.
+    pub key: String,
+    /// Requests a second.
+    pub rate_per_s: f64,
+    /// Requests at once.
+    pub burst: u32,
+}
+
+impl WorkspacePlan {
+    /// Creates a workspace whose key follows from its name.
+    #[must_use]
+    pub fn new(name: &str, rate_per_s: f64, burst: u32) -> Self {
+        Self {
+            name: name.to_owned(),
+            key: format!("emulated-key-of-{name}"),
+            rate_per_s,
+            burst,
+        }
+    }
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            failure_domains: vec!["north".to_owned(), "south".to_owned()],
+            hosts_per_domain: 2,
+            instances_per_domain: 3,
+            slots: 6,
+            service_time: Duration::from_millis(2),
+            floor_percent: 50,
+            workspaces: vec![
+                WorkspacePlan::new("lecturers", 400.0, 100),
+                WorkspacePlan::new("payroll", 200.0, 50),
+            ],
+            loan_term: Duration::from_secs(1),
+            attempt_window: Duration::from_secs(3),
+            workers: 16,
+        }
+    }
+}
--- a/crates/host/src/duties/peer_receiver.rs
+++ b/crates/host/src/duties/peer_receiver.rs
@@ -36,6 +36,6 @@
                 .on_message(&from, incarnation, &health);
             state.peers.send_all(replies, Message::Health);
         }
-        Message::Gossip(_) => {}
+        Message::Gossip(_) | Message::Config(_) => {}
     }
 }
--- a/crates/host/src/duties/service_reader.rs
+++ b/crates/host/src/duties/service_reader.rs
@@ -42,7 +42,7 @@
                 if take_manifest(state, &client, &mut packs, &value.bytes) {
                     revision = value.revision;
                 } else {
-                    drop(state.stop.wait(RETRY));
+                    state.stop.wait(RETRY);
                 }
             }
             Ok(None) => {}
@@ -94,7 +94,7 @@
         found.push(pack);
     }
     match assemble(&manifest, &found) {
-        Ok(snapshot) => state.adopt(Arc::new(snapshot)),
+        Ok(snapshot) => state.adopt(&Arc::new(snapshot)),
         Err(e) => {
             log::warn!("config: Version {} was refused: {e}.", manifest.version);
             state.metrics.count("config.refused");
@@ -120,5 +120,5 @@
 
 fn pause(state: &HostState, what: &str, error: &ServiceError) {
     log::warn!("config: The service gave no {what}: {error}.");
-    drop(state.stop.wait(RETRY));
+    state.stop.wait(RETRY);
 }
--- a/crates/host/src/duties/ticker.rs
+++ b/crates/host/src/duties/ticker.rs
@@ -21,7 +21,9 @@
     state.limits.notify();
     state.peers.send_all(loans, Message::Loan);
     let peers = &state.peers;
-    state.attempts.with(peers, |registry| registry.tick());
+    state
+        .attempts
+        .with(peers, waxwingusher_attempts::AttemptRegistry::tick);
     let health = state.lock_upstreams().tick();
     state.peers.send_all(health, Message::Health);
 }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -2,9 +2,9 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::mpsc::sync_channel;
-use std::sync::{Arc, PoisonError};
+use std::sync::mpsc::{Receiver, sync_channel};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -12,8 +12,8 @@
 use waxwingusher_core::{CancelToken, Clock};
 use waxwingusher_edge::{CallerEdge, EdgeError, UpstreamClient};
 use waxwingusher_limits::{Limiter, LimiterSettings};
-use waxwingusher_protocol::Message;
-use waxwingusher_protocol::socket::{PeerSocket, SocketError, SocketSettings};
+use waxwingusher_protocol::socket::{PeerSocket, SocketSettings};
+use waxwingusher_protocol::{Envelope, Message};
 use waxwingusher_upstreams::{UpstreamSet, UpstreamSettings};
 
 use crate::attempt_desk::AttemptDesk;
@@ -38,8 +38,13 @@
     #[error(transparent)]
     Edge(#[from] EdgeError),
     /// The peers' address could not be opened.
-    #[error(transparent)]
-    Peers(#[from] SocketError),
+    #[error("cannot listen for peers on {addr}: {source}")]
+    Peers {
+        /// The address.
+        addr: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
     /// The operators' address could not be opened.
     #[error(transparent)]
     Operators(#[from] OperatorsError),
@@ -97,7 +102,7 @@
         let mut duties = Vec::new();
         let shared = state.clone();
         duties.push(spawn("peers", move || {
-            peer_receiver::run(&shared, &envelopes)
+            peer_receiver::run(&shared, &envelopes);
         })?);
         let shared = state.clone();
         duties.push(spawn("ticker", move || ticker::run(&shared))?);
@@ -105,7 +110,7 @@
         duties.push(spawn("hosts", move || service_reader::run_hosts(&shared))?);
         let shared = state.clone();
         duties.push(spawn("config", move || {
-            service_reader::run_config(&shared)
+            service_reader::run_config(&shared);
         })?);
         let shared = state.clone();
         duties.push(spawn("operators", move || operators.run(&shared))?);
@@ -117,7 +122,7 @@
         let edge = CallerEdge::start(state.settings.edge.clone(), ring, clock, incarnation)?;
         let shared = state.clone();
         let admitter = spawn("admitter", move || {
-            admitter::run(&shared, &exchanges, &queue)
+            admitter::run(&shared, &exchanges, &queue);
         })?;
         log::info!(
             "host: {} serves callers on {}.",
@@ -208,7 +213,7 @@
     state
         .attempts
         .with(&state.peers, AttemptRegistry::hand_over);
-    drop(state.stop.wait(HAND_OVER_TIME));
+    state.stop.wait(HAND_OVER_TIME);
 }
 
 fn join(name: &str, thread: JoinHandle<()>) {
@@ -235,8 +240,25 @@
     Ok(workers)
 }
 
+fn open_socket(
+    settings: &HostSettings,
+    clock: &Arc<dyn Clock>,
+    incarnation: u64,
+    stop: &CancelToken,
+) -> Result<(PeerSocket, Receiver<Envelope>), HostError> {
+    let addr = settings.peer_addr;
+    let secret = settings.fleet_secret.clone();
+    let id = settings.host_id.clone();
+    let socket = SocketSettings::new(id, incarnation, addr, secret);
+    PeerSocket::open(&socket, clock.clone(), stop)
+        .map_err(|source| HostError::Peers { addr, source })
+}
+
 fn new_limiter(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> Limiter {
-    let limiter = LimiterSettings::new(settings.failure_domains.clone());
+    let limiter = LimiterSettings {
+        loan_term: settings.loan_term,
+        ..LimiterSettings::new(settings.failure_domains.clone())
+    };
     Limiter::new(
         settings.host_id.clone(),
         incarnation,
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -11,7 +11,7 @@
 const PREFIX: &str = "waxwingusher";
 
 /// Sends metrics, or drops them if no address is set.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Metrics {
     client: StatsdClient,
 }
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -19,10 +19,6 @@
         }
     }
 
-    pub(crate) fn socket(&self) -> &PeerSocket {
-        &self.socket
-    }
-
     pub(crate) fn set_hosts(&self, list: &HostList) {
         self.socket.set_hosts(list);
     }
--- a/crates/host/src/pipeline/dispatch.rs
+++ b/crates/host/src/pipeline/dispatch.rs
@@ -229,8 +229,8 @@
         );
         // A permission to run is used up once a byte has left.
         let was_shed = failure.error.is_none();
-        let is_repeatable =
-            self.is_idempotent() || (!failure.may_have_run && !(was_shed && self.ticket.is_some()));
+        let permission_left = !was_shed || self.ticket.is_none();
+        let is_repeatable = self.is_idempotent() || (!failure.may_have_run && permission_left);
         let has_time = !self.time_left().is_zero();
         !is_final && is_repeatable && has_time && tries < MAX_TRIES
     }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -39,7 +39,9 @@
     pub workers: usize,
     /// Requests of one workspace that may wait.
     pub queue_per_workspace: usize,
-    /// How long a keyed operation runs at most once.
+    /// How long a loan of rate and burst lasts; alike on all hosts.
+    pub loan_term: Duration,
+    /// How long a keyed operation runs at most once; alike on all hosts.
     pub attempt_window: Duration,
     /// How the first host of a new fleet gets ready.
     pub bootstrap: Bootstrap,
@@ -190,6 +192,12 @@
     Some("30000"),
     "0 to 600000",
 );
+const LOAN_TERM_MS: Setting = setting(
+    "loan-term-ms",
+    "WAXWINGUSHER_LOAN_TERM_MS",
+    Some("10000"),
+    "500 to 600000, alike on all hosts",
+);
 const ATTEMPT_WINDOW_MS: Setting = setting(
     "attempt-window-ms",
     "WAXWINGUSHER_ATTEMPT_WINDOW_MS",
@@ -222,6 +230,7 @@
         MAX_CONNECTIONS,
         MAX_BODY_BYTES,
         DRAIN_TIMEOUT_MS,
+        LOAN_TERM_MS,
         ATTEMPT_WINDOW_MS,
         BOOTSTRAP,
     ]
@@ -275,6 +284,7 @@
         let operator_token = self.operator_token();
         let workers = self.parse(WORKERS, |text| in_range(text, 1, 2_048));
         let queue_per_workspace = self.parse(QUEUE, |text| in_range(text, 1, 65_536));
+        let loan_term = self.parse(LOAN_TERM_MS, |text| millis(text, 500, 600_000));
         let attempt_window = self.parse(ATTEMPT_WINDOW_MS, |text| millis(text, 1_000, 86_400_000));
         let bootstrap = self.parse(BOOTSTRAP, bootstrap);
         Some(HostSettings {
@@ -290,6 +300,7 @@
             statsd_addr: statsd_addr?,
             workers: workers?,
             queue_per_workspace: queue_per_workspace?,
+            loan_term: loan_term?,
             attempt_window: attempt_window?,
             bootstrap: bootstrap?,
         })
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -87,7 +87,7 @@
     }
 
     /// Puts a configuration in force, unless a newer one is.
-    pub(crate) fn adopt(&self, snapshot: Arc<Snapshot>) {
+    pub(crate) fn adopt(&self, snapshot: &Arc<Snapshot>) {
         let version = snapshot.version;
         let active = Arc::new(Active::new(snapshot.clone()));
         let mut current = self.active.write().unwrap_or_else(PoisonError::into_inner);
@@ -97,8 +97,8 @@
         }
         *current = Some(active);
         drop(current);
-        self.limits.lock().apply_snapshot(&snapshot);
-        self.lock_upstreams().apply_snapshot(&snapshot);
+        self.limits.lock().apply_snapshot(snapshot);
+        self.lock_upstreams().apply_snapshot(snapshot);
         self.metrics.gauge("config.version", version);
         log::info!("config: Version {version} is in force.");
     }
--- a/crates/limits/tests/testsuite/schedule.rs
+++ b/crates/limits/tests/testsuite/schedule.rs
@@ -171,11 +171,11 @@
             Some(HostState::Live) => None,
             _ => Some(HostState::Live),
         };
-        if self.states[i] == Some(HostState::Leaving) && self.fleet.rng.bool() {
-            if let Some(limiter) = &mut self.fleet.hosts[i].limiter {
-                let out = limiter.hand_over();
-                self.fleet.send(i, out);
-            }
+        let hands_over = self.states[i] == Some(HostState::Leaving) && self.fleet.rng.bool();
+        let limiter = self.fleet.hosts[i].limiter.as_mut();
+        if let Some(limiter) = limiter.filter(|_| hands_over) {
+            let out = limiter.hand_over();
+            self.fleet.send(i, out);
         }
         let states = self.states.clone();
         self.fleet.publish_list(&states);
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod check;
 pub mod collect;
+pub mod demo;
 pub mod diff;
 pub mod key;
+pub mod serve;
 
 mod sources;
 
@@ -11,8 +13,13 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use log::LevelFilter;
 use serde::Serialize;
+use simplelog::{ConfigBuilder, WriteLogger};
 use waxwingusher_config::DirectoryError;
+use waxwingusher_emulator::demo::DemoError;
+use waxwingusher_host::HostError;
+use waxwingusher_host::settings::SettingError;
 
 /// The exit code for findings or differences, and for failures.
 pub const EXIT_FINDINGS: u8 = 1;
@@ -64,6 +71,15 @@
     /// The operating system gives no random numbers.
     #[error("no random numbers: {0}")]
     Random(getrandom::Error),
+    /// Settings are missing or not allowed.
+    #[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\nwaxwingusher: "))]
+    Settings(Vec<SettingError>),
+    /// The host could not start.
+    #[error(transparent)]
+    Host(#[from] HostError),
+    /// The demonstration could not be run.
+    #[error(transparent)]
+    Demo(#[from] DemoError),
     /// The arguments do not fit together.
     #[error("{0}")]
     Usage(&'static str),
@@ -73,7 +89,7 @@
     /// Returns the exit code.
     pub fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Usage(_) | Self::Read { .. } => ExitCode::from(EXIT_USAGE),
+            Self::Usage(_) | Self::Read { .. } | Self::Settings(_) => ExitCode::from(EXIT_USAGE),
             _ => ExitCode::from(EXIT_FINDINGS),
         }
     }
@@ -86,3 +102,15 @@
     writeln!(out)?;
     Ok(())
 }
+
+/// Sends the log of this project's parts to the standard error.
+fn start_log(level: LevelFilter) {
+    let config = ConfigBuilder::new()
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_time_format_rfc3339()
+        .add_filter_allow_str("waxwingusher")
+        .build();
+    // A logger that is set already stays in use.
+    let _ = WriteLogger::init(level, config, io::stderr());
+}
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,122 @@
+//! Runs one host of the fleet.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use argh::FromArgs;
+use log::LevelFilter;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use waxwingusher_core::SystemClock;
+use waxwingusher_host::settings::SettingSource;
+use waxwingusher_host::{Host, HostSettings};
+
+use super::{CmdError, Outcome, start_log};
+
+/// How often the process looks whether it was asked to stop.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Run one host of the fleet. Each flag also has an environment variable, such
+/// as WAXWINGUSHER_HOST_ID; the two secrets have a variable only.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "serve")]
+pub struct ServeArgs {
+    /// the host's name
+    #[argh(option)]
+    host_id: Option<String>,
+    /// the host's failure domain
+    #[argh(option)]
+    failure_domain: Option<String>,
+    /// all failure domains of the fleet, separated by commas
+    #[argh(option)]
+    failure_domains: Option<String>,
+    /// where callers connect (0.0.0.0:8080)
+    #[argh(option)]
+    caller_addr: Option<String>,
+    /// where operators connect (127.0.0.1:8081)
+    #[argh(option)]
+    operator_addr: Option<String>,
+    /// where peers send (0.0.0.0:8082)
+    #[argh(option)]
+    peer_addr: Option<String>,
+    /// the configuration service
+    #[argh(option)]
+    config_service: Option<String>,
+    /// where metrics are sent (none)
+    #[argh(option)]
+    statsd_addr: Option<String>,
+    /// threads that forward requests (128)
+    #[argh(option)]
+    workers: Option<String>,
+    /// requests of one workspace that may wait (64)
+    #[argh(option)]
+    queue_per_workspace: Option<String>,
+    /// connections of callers that may be open (4096)
+    #[argh(option)]
+    max_connections: Option<String>,
+    /// the longest body of a request (16777216)
+    #[argh(option)]
+    max_body_bytes: Option<String>,
+    /// how long the last requests may take at a stop (30000)
+    #[argh(option)]
+    drain_timeout_ms: Option<String>,
+    /// how long a loan of rate and burst lasts (10000)
+    #[argh(option)]
+    loan_term_ms: Option<String>,
+    /// how long a keyed operation runs at most once (600000)
+    #[argh(option)]
+    attempt_window_ms: Option<String>,
+    /// new-fleet if the fleet starts for the first time (ask-peers)
+    #[argh(option)]
+    bootstrap: Option<String>,
+    /// how much is logged: off, error, warn, info or debug (info)
+    #[argh(option, default = "LevelFilter::Info")]
+    log_level: LevelFilter,
+}
+
+impl SettingSource for ServeArgs {
+    fn flag(&self, flag: &str) -> Option<String> {
+        let value = match flag {
+            "host-id" => &self.host_id,
+            "failure-domain" => &self.failure_domain,
+            "failure-domains" => &self.failure_domains,
+            "caller-addr" => &self.caller_addr,
+            "operator-addr" => &self.operator_addr,
+            "peer-addr" => &self.peer_addr,
+            "config-service" => &self.config_service,
+            "statsd-addr" => &self.statsd_addr,
+            "workers" => &self.workers,
+            "queue-per-workspace" => &self.queue_per_workspace,
+            "max-connections" => &self.max_connections,
+            "max-body-bytes" => &self.max_body_bytes,
+            "drain-timeout-ms" => &self.drain_timeout_ms,
+            "loan-term-ms" => &self.loan_term_ms,
+            "attempt-window-ms" => &self.attempt_window_ms,
+            "bootstrap" => &self.bootstrap,
+            _ => return None,
+        };
+        value.clone()
+    }
+
+    fn variable(&self, variable: &str) -> Option<String> {
+        std::env::var(variable).ok()
+    }
+}
+
+impl ServeArgs {
+    pub fn run(&self) -> Result<Outcome, CmdError> {
+        let settings = HostSettings::read(self).map_err(CmdError::Settings)?;
+        start_log(self.log_level);
+        let stop = Arc::new(AtomicBool::new(false));
+        for signal in [SIGTERM, SIGINT] {
+            signal_hook::flag::register(signal, stop.clone())?;
+        }
+        let incarnation = getrandom::u64().map_err(CmdError::Random)?;
+        let host = Host::start(settings, Arc::new(SystemClock), incarnation)?;
+        while !stop.load(Ordering::SeqCst) && !host.is_draining() {
+            std::thread::sleep(POLL);
+        }
+        host.shut_down();
+        Ok(Outcome::Clean)
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,7 @@
 
 use argh::FromArgs;
 
-use crate::cmd::{CmdError, Outcome, check, collect, diff, key};
+use crate::cmd::{CmdError, Outcome, check, collect, demo, diff, key, serve};
 
 /// A proxy fleet for upstreams with gray failures.
 #[derive(Debug, FromArgs)]
@@ -18,11 +18,17 @@
 
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "there is one value in the process"
+)]
 enum Command {
     Check(check::CheckArgs),
     Collect(collect::CollectArgs),
+    Demo(demo::DemoArgs),
     Diff(diff::DiffArgs),
     Key(key::KeyArgs),
+    Serve(serve::ServeArgs),
 }
 
 impl Command {
@@ -30,8 +36,10 @@
         match self {
             Self::Check(args) => args.run(),
             Self::Collect(args) => args.run(),
+            Self::Demo(args) => args.run(),
             Self::Diff(args) => args.run(),
             Self::Key(args) => args.run(),
+            Self::Serve(args) => args.run(),
         }
     }
 }
