Measure pack sizes and propagation, and retry late packs sooner

The default goes from 64 to 128 rows.

With one message in five lost a version took 20.3 s to be in force on all of 440 hosts, as a host waited 2 s for a lost pack and then gave its peer up.

--- /dev/null
+++ b/crates/bench/src/config.rs
@@ -0,0 +1,22 @@
+//! Scenarios of the configuration: pack sizes, propagation and calls to the
+//! configuration service.
+
+pub mod fleet;
+pub mod sample;
+pub mod service;
+
+mod packs;
+mod propagation;
+
+use crate::Scenario;
+
+/// Returns all scenarios of the configuration.
+#[must_use]
+pub fn scenarios() -> Vec<Box<dyn Scenario>> {
+    vec![
+        Box::new(packs::PackSizes),
+        Box::new(propagation::Propagation::TODAY),
+        Box::new(propagation::Propagation::DESIGN),
+        Box::new(propagation::LossyPropagation),
+    ]
+}
--- /dev/null
+++ b/crates/bench/src/config/propagation.rs
@@ -0,0 +1,247 @@
+//! How fast a version is in force everywhere, and what that costs.
+
+use std::time::Duration;
+
+use waxwingusher_config::publication::publish_hosts;
+use waxwingusher_config::{Publication, Snapshot, publish};
+use waxwingusher_core::{Clock, HostId};
+use waxwingusher_standins::LinkFaults;
+
+use super::fleet::Fleet;
+use super::sample::{Size, change, host_list, snapshot};
+use crate::{Bound, Measurement, Scenario, ScenarioResult};
+
+/// The time in which an accepted configuration must be in force everywhere.
+const TARGET: Duration = Duration::from_secs(6);
+
+/// The bytes a second that a host may spend on distribution.
+const BUDGET_BYTES_PER_S: f64 = 400.0;
+
+/// Changes that are published one after the other.
+const CHANGES: u32 = 12;
+
+/// The longest time that a version is waited for.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Seconds without changes, over which calls and bytes are counted.
+const QUIET: Duration = Duration::from_secs(120);
+
+/// The changes of an ordinary day at the design size.
+const CHANGES_PER_DAY: f64 = 450.0;
+
+/// Changes of the host list on an ordinary day: hosts that fail and come back,
+/// and hosts that are restarted or replaced.
+const LIST_CHANGES_PER_DAY: f64 = 2.0 * (7.0 + 370.0);
+
+const SECONDS_PER_DAY: f64 = 86_400.0;
+
+/// Publishes changes to a healthy fleet.
+pub struct Propagation {
+    name: &'static str,
+    hosts: usize,
+    domains: usize,
+}
+
+impl Propagation {
+    /// The fleet of today.
+    pub const TODAY: Self = Self {
+        name: "config/propagation-40",
+        hosts: 40,
+        domains: 4,
+    };
+
+    /// The fleet of the design size.
+    pub const DESIGN: Self = Self {
+        name: "config/propagation-440",
+        hosts: 440,
+        domains: 7,
+    };
+}
+
+impl Scenario for Propagation {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let mut run = Run::start(self.hosts, self.domains, seed, LinkFaults::default());
+        let mut measurements = run.quiet();
+        measurements.extend(run.changes("all"));
+        run.isolate(0, 1);
+        measurements.extend(run.changes("one-cut-off"));
+        measurements.extend(transfers(self.hosts, self.domains, seed));
+        ScenarioResult {
+            scenario: self.name.into(),
+            seed,
+            measurements,
+        }
+    }
+}
+
+/// Publishes changes while one message in five is lost.
+pub struct LossyPropagation;
+
+impl Scenario for LossyPropagation {
+    fn name(&self) -> &'static str {
+        "config/propagation-440-loss-20"
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let faults = LinkFaults {
+            loss: 0.2,
+            ..LinkFaults::default()
+        };
+        let mut run = Run::start(440, 7, seed, faults);
+        ScenarioResult {
+            scenario: self.name().into(),
+            seed,
+            measurements: run.changes("all"),
+        }
+    }
+}
+
+struct Run {
+    fleet: Fleet,
+    snapshot: Snapshot,
+    rng: fastrand::Rng,
+    hosts: usize,
+}
+
+impl Run {
+    /// Starts a fleet and waits until it has its first configuration.
+    fn start(hosts: usize, domains: usize, seed: u64, faults: LinkFaults) -> Self {
+        let list = host_list(hosts, domains, 1);
+        let mut fleet = Fleet::new(&list, seed, faults);
+        let snapshot = snapshot(Size::SMALL, 1, seed);
+        if let Ok(publication) = publish(&snapshot) {
+            fleet.service.publish(&publication);
+        }
+        fleet.run_until_version(1, LIMIT);
+        fleet.run(Duration::from_secs(30));
+        Self {
+            fleet,
+            snapshot,
+            rng: fastrand::Rng::with_seed(seed),
+            hosts,
+        }
+    }
+
+    /// Cuts a host off from the service and from all peers but one.
+    fn isolate(&mut self, host: usize, only_peer: usize) {
+        let ids: Vec<HostId> = self.fleet.nodes.keys().cloned().collect();
+        self.fleet.service.cut(&ids[host]);
+        for (i, id) in ids.iter().enumerate() {
+            if i != host && i != only_peer {
+                self.fleet.cut(&ids[host], id);
+            }
+        }
+        self.fleet.run(Duration::from_secs(15));
+    }
+
+    /// Measures bytes and calls while nothing changes.
+    fn quiet(&mut self) -> Vec<Measurement> {
+        let bytes_before = self.message_bytes();
+        let calls_before = self.fleet.service.calls();
+        self.fleet.run(QUIET);
+        let seconds = QUIET.as_secs_f64();
+        let bytes = self.message_bytes() - bytes_before;
+        // Each message leaves one host and arrives at another.
+        let per_host = 2.0 * bytes as f64 / seconds / self.hosts as f64;
+        let calls = (self.fleet.service.calls() - calls_before) as f64 / seconds;
+        vec![
+            Measurement::new("message-bytes-per-host", per_host, "bytes/s")
+                .bounded(Bound::AtMost(BUDGET_BYTES_PER_S)),
+            Measurement::new("service-calls", calls, "calls/s").bounded(Bound::AtMost(20.0)),
+        ]
+    }
+
+    /// Publishes changes and measures the time until all hosts have each.
+    fn changes(&mut self, case: &str) -> Vec<Measurement> {
+        let mut times_ms = Vec::new();
+        let mut late = 0;
+        let mut calls = 0;
+        for _ in 0..CHANGES {
+            change(&mut self.snapshot, &mut self.rng);
+            self.snapshot.version += 1;
+            let Ok(publication) = publish(&self.snapshot) else {
+                continue;
+            };
+            let calls_before = self.fleet.service.calls();
+            let start = self.fleet.clock.now();
+            self.fleet.service.publish(&publication);
+            let version = self.snapshot.version;
+            match self.fleet.run_until_version(version, LIMIT) {
+                Some(time) => times_ms.push(time.as_secs_f64() * 1_000.0),
+                None => late += 1,
+            }
+            let left = TARGET.saturating_sub(self.fleet.clock.now() - start);
+            self.fleet
+                .run(left + Duration::from_millis(self.rng.u64(..2_000)));
+            calls += self.fleet.service.calls() - calls_before;
+        }
+        times_ms.sort_by(f64::total_cmp);
+        let median = times_ms
+            .get(times_ms.len() / 2)
+            .copied()
+            .unwrap_or(f64::MAX);
+        let slowest = times_ms.last().copied().unwrap_or(f64::MAX);
+        let label = |what: &str| format!("{case}-{what}");
+        let per_change = calls as f64 / f64::from(CHANGES);
+        vec![
+            Measurement::new(&label("in-force-median"), median, "ms"),
+            Measurement::new(&label("in-force-slowest"), slowest, "ms")
+                .bounded(Bound::AtMost(TARGET.as_secs_f64() * 1_000.0)),
+            Measurement::new(&label("never-in-force"), f64::from(late), "versions")
+                .bounded(Bound::AtMost(0.0)),
+            Measurement::new(&label("calls-per-change"), per_change, "calls"),
+        ]
+    }
+
+    fn message_bytes(&self) -> u64 {
+        self.fleet
+            .nodes
+            .values()
+            .map(|node| node.message_bytes)
+            .sum()
+    }
+}
+
+/// Works out the bytes that a host receives for changes of an ordinary day,
+/// from the bytes of one change at the design size.
+fn transfers(hosts: usize, domains: usize, seed: u64) -> Vec<Measurement> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let old = snapshot(Size::DESIGN, 1, seed);
+    let mut new = old.clone();
+    change(&mut new, &mut rng);
+    new.version += 1;
+    let config = new_bytes(publish(&old).ok(), publish(&new).ok());
+    let old = host_list(hosts, domains, 1);
+    let mut new = host_list(hosts, domains, 2);
+    new.hosts.swap_remove(rng.usize(..hosts));
+    let list = new_bytes(publish_hosts(&old).ok(), publish_hosts(&new).ok());
+    // What a host receives it hands on once, on average.
+    let per_s = |bytes: f64, per_day: f64| 2.0 * bytes * per_day / SECONDS_PER_DAY;
+    vec![
+        Measurement::new("config-bytes-per-change", config, "bytes"),
+        Measurement::new(
+            "config-transfer-per-host",
+            per_s(config, CHANGES_PER_DAY),
+            "bytes/s",
+        ),
+        Measurement::new("list-bytes-per-change", list, "bytes"),
+        Measurement::new(
+            "list-transfer-per-host",
+            per_s(list, LIST_CHANGES_PER_DAY),
+            "bytes/s",
+        ),
+    ]
+}
+
+fn new_bytes(old: Option<Publication>, new: Option<Publication>) -> f64 {
+    let (Some(old), Some(new)) = (old, new) else {
+        return f64::MAX;
+    };
+    let fresh = new.packs.iter().filter(|pack| !old.packs.contains(pack));
+    let bytes = fresh.map(|pack| pack.bytes.len()).sum::<usize>() + new.manifest.len();
+    bytes as f64
+}
--- /dev/null
+++ b/crates/bench/src/config/service.rs
@@ -0,0 +1,207 @@
+//! A configuration service in virtual time.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_config::publication::{HOSTS_KEY, MANIFEST_KEY};
+use waxwingusher_config::{Pack, Publication};
+use waxwingusher_core::{HostId, HostList};
+use waxwingusher_membership::distribution::ServiceRead;
+
+/// The time that a call takes without waiting.
+const CALL_TIME: Duration = Duration::from_millis(4);
+
+/// How the service serves its values.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ServiceMode {
+    /// Serves the newest values.
+    #[default]
+    Current,
+    /// Serves the values of the moment in which the mode was set.
+    Stale,
+    /// Answers nobody.
+    Away,
+}
+
+#[derive(Debug, Clone)]
+struct Value {
+    revision: u64,
+    bytes: Arc<[u8]>,
+}
+
+#[derive(Debug)]
+struct PendingCall {
+    host: HostId,
+    read: ServiceRead,
+    answer_at: Instant,
+    give_up_at: Instant,
+}
+
+/// The outcome of a call.
+#[derive(Debug, Clone)]
+pub enum Answer {
+    /// The value.
+    Value {
+        /// The value's revision.
+        revision: u64,
+        /// The value's bytes.
+        bytes: Arc<[u8]>,
+    },
+    /// The watch ended without a newer value.
+    Unchanged,
+    /// There is no value, or no service.
+    Error,
+}
+
+/// An answered call.
+#[derive(Debug, Clone)]
+pub struct AnsweredCall {
+    /// The host that called.
+    pub host: HostId,
+    /// The call's number.
+    pub ticket: u64,
+    /// The outcome.
+    pub answer: Answer,
+}
+
+/// A configuration service in virtual time.
+#[derive(Debug, Default)]
+pub struct FakeService {
+    values: BTreeMap<String, Value>,
+    stale: Option<BTreeMap<String, Value>>,
+    mode: ServiceMode,
+    revision: u64,
+    cut: HashSet<HostId>,
+    pending: Vec<PendingCall>,
+    calls: u64,
+}
+
+impl FakeService {
+    /// Sets a value.
+    pub fn put(&mut self, key: &str, bytes: Arc<[u8]>) {
+        self.revision += 1;
+        let revision = self.revision;
+        self.values
+            .insert(key.to_owned(), Value { revision, bytes });
+    }
+
+    /// Removes a value.
+    pub fn remove(&mut self, key: &str) {
+        self.values.remove(key);
+    }
+
+    /// Sets the values of a publication, packs first.
+    pub fn publish(&mut self, publication: &Publication) {
+        self.put_packs(&publication.packs);
+        self.put(MANIFEST_KEY, publication.manifest.clone());
+    }
+
+    /// Sets packs.
+    pub fn put_packs(&mut self, packs: &[Pack]) {
+        for pack in packs {
+            let key = Pack::service_key(&pack.digest);
+            if !self.values.contains_key(&key) {
+                self.put(&key, pack.bytes.clone());
+            }
+        }
+    }
+
+    /// Sets the host list.
+    pub fn put_hosts(&mut self, list: &HostList) {
+        let bytes = serde_json::to_vec(list).unwrap_or_default();
+        self.put(HOSTS_KEY, bytes.into());
+    }
+
+    /// Sets how values are served.
+    pub fn set_mode(&mut self, mode: ServiceMode) {
+        self.mode = mode;
+        self.stale = match mode {
+            ServiceMode::Stale => self.stale.take().or_else(|| Some(self.values.clone())),
+            ServiceMode::Current | ServiceMode::Away => None,
+        };
+    }
+
+    /// Cuts a host off.
+    pub fn cut(&mut self, host: &HostId) {
+        self.cut.insert(host.clone());
+    }
+
+    /// Lets a host reach the service again.
+    pub fn mend(&mut self, host: &HostId) {
+        self.cut.remove(host);
+    }
+
+    /// Lets all hosts reach the service again.
+    pub fn mend_all(&mut self) {
+        self.cut.clear();
+    }
+
+    /// Reports whether a host gets current values.
+    #[must_use]
+    pub fn serves(&self, host: &HostId) -> bool {
+        self.mode == ServiceMode::Current && !self.cut.contains(host)
+    }
+
+    /// Returns the calls so far, each watch counted once.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.calls
+    }
+
+    /// Forgets the calls of a host that has stopped.
+    pub fn forget(&mut self, host: &HostId) {
+        self.pending.retain(|call| call.host != *host);
+    }
+
+    /// Takes a call.
+    pub fn call(&mut self, host: &HostId, read: ServiceRead, now: Instant) {
+        self.calls += 1;
+        let wait = read.watch.map_or(Duration::ZERO, |watch| watch.wait);
+        self.pending.push(PendingCall {
+            host: host.clone(),
+            read,
+            answer_at: now + CALL_TIME,
+            give_up_at: now + CALL_TIME + wait,
+        });
+    }
+
+    /// Returns the calls that are answered by now.
+    pub fn answers(&mut self, now: Instant) -> Vec<AnsweredCall> {
+        let mut answered = Vec::new();
+        let mut waiting = Vec::new();
+        for call in std::mem::take(&mut self.pending) {
+            match self.answer(&call, now) {
+                Some(answer) => answered.push(AnsweredCall {
+                    host: call.host,
+                    ticket: call.read.ticket,
+                    answer,
+                }),
+                None => waiting.push(call),
+            }
+        }
+        self.pending = waiting;
+        answered
+    }
+
+    fn answer(&self, call: &PendingCall, now: Instant) -> Option<Answer> {
+        if now < call.answer_at {
+            return None;
+        }
+        if self.mode == ServiceMode::Away || self.cut.contains(&call.host) {
+            return Some(Answer::Error);
+        }
+        let values = self.stale.as_ref().unwrap_or(&self.values);
+        let Some(value) = values.get(&*call.read.key) else {
+            return Some(Answer::Error);
+        };
+        let after = call.read.watch.map_or(0, |watch| watch.after_revision);
+        if value.revision > after {
+            return Some(Answer::Value {
+                revision: value.revision,
+                bytes: value.bytes.clone(),
+            });
+        }
+        (now >= call.give_up_at).then_some(Answer::Unchanged)
+    }
+}
--- a/crates/config/src/publication/packing.rs
+++ b/crates/config/src/publication/packing.rs
@@ -18,7 +18,7 @@
 use super::{BlobDigest, MAX_VALUE_BYTES, Manifest, Pack, Publication, PublicationError};
 
 /// The rows of a pack on average.
-const ROWS_PER_PACK: u64 = 64;
+const ROWS_PER_PACK: u64 = 128;
 
 /// The size at which a pack ends whatever the keys are, in bytes before
 /// compression.
--- a/crates/membership/src/distribution/agent/exchange.rs
+++ b/crates/membership/src/distribution/agent/exchange.rs
@@ -1,7 +1,7 @@
 //! Messages and transfers between peers.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use waxwingusher_config::Pack;
 use waxwingusher_core::{ContentDigest, HostId};
@@ -12,6 +12,9 @@
 use crate::distribution::pursuit::{Need, Source};
 use crate::distribution::roles::Role;
 
+/// The time after which the outcome of a read of a pack is no longer expected.
+const READ_LIMIT: Duration = Duration::from_secs(60);
+
 impl ConfigAgent {
     /// Takes a message of a peer.
     pub fn on_message(
@@ -130,7 +133,7 @@
                 }
                 Source::Service => {
                     let ticket = self.ticket();
-                    let deadline = now + timeout;
+                    let deadline = now + READ_LIMIT;
                     self.pack_reads
                         .insert(ticket, PackRead { digest, deadline });
                     self.counters.service_reads += 1;
--- a/crates/membership/src/distribution/pursuit.rs
+++ b/crates/membership/src/distribution/pursuit.rs
@@ -1,6 +1,6 @@
 //! The collection of one version's manifest and packs from several sources.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,6 +11,12 @@
 /// Requests of one pursuit at the same time.
 const MAX_REQUESTS: usize = 4;
 
+/// Requests in a row that a peer may leave without an answer.
+const MAX_LATE: u32 = 4;
+
+/// How long the configuration service may take to hand over a pack.
+const SERVICE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The first pause after a value was missing at the configuration service.
 const MIN_SERVICE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -46,7 +52,7 @@
 pub struct Pursuit {
     /// The version and its manifest's digest.
     pub stamp: Stamp,
-    peers: BTreeSet<HostId>,
+    peers: BTreeMap<HostId, u32>,
     service: Option<ServiceSource>,
     manifest: Option<(Manifest, Arc<[u8]>)>,
     packs: BTreeMap<ContentDigest, Arc<[u8]>>,
@@ -65,7 +71,7 @@
     pub fn new(stamp: Stamp) -> Self {
         Self {
             stamp,
-            peers: BTreeSet::new(),
+            peers: BTreeMap::new(),
             service: None,
             manifest: None,
             packs: BTreeMap::new(),
@@ -78,7 +84,7 @@
     pub fn add_source(&mut self, source: Source, now: Instant) {
         match source {
             Source::Peer(host) => {
-                self.peers.insert(host);
+                self.peers.entry(host).or_default();
             }
             Source::Service => {
                 self.service.get_or_insert(ServiceSource {
@@ -120,6 +126,16 @@
         Ok(())
     }
 
+    /// Notes that a source answers.
+    pub fn trust(&mut self, source: &Source) {
+        let Source::Peer(host) = source else {
+            return;
+        };
+        if let Some(late) = self.peers.get_mut(host) {
+            *late = 0;
+        }
+    }
+
     /// Takes a pack whose digest has been checked, if it is wanted.
     pub fn add_pack(&mut self, digest: ContentDigest, bytes: &Arc<[u8]>) {
         let is_wanted = self
@@ -146,7 +162,7 @@
     }
 
     /// Stops asking a peer, and pauses before asking the service again.
-    pub fn distrust(&mut self, source: &Source, now: Instant) {
+    fn distrust(&mut self, source: &Source, now: Instant) {
         match source {
             Source::Peer(host) => {
                 self.peers.remove(host);
@@ -160,6 +176,19 @@
         }
     }
 
+    /// Stops asking a peer that is often late; a late pack is still taken.
+    fn suspect(&mut self, source: &Source, now: Instant) {
+        if let Source::Peer(host) = source
+            && let Some(late) = self.peers.get_mut(host)
+        {
+            *late += 1;
+            if *late < MAX_LATE {
+                return;
+            }
+        }
+        self.distrust(source, now);
+    }
+
     /// Returns all packs in the manifest's order, or nothing if some are
     /// missing.
     pub fn complete(&self, held: &BTreeMap<ContentDigest, Arc<[u8]>>) -> Option<Vec<Pack>> {
@@ -191,6 +220,10 @@
             let Some(source) = self.next_source(now) else {
                 break;
             };
+            let timeout = match source {
+                Source::Peer(_) => timeout,
+                Source::Service => SERVICE_TIMEOUT,
+            };
             let request = Request {
                 source: source.clone(),
                 deadline: now + timeout,
@@ -209,7 +242,8 @@
             .map(|(digest, request)| (*digest, request.source.clone()))
             .collect();
         for (digest, source) in late {
-            self.fail(&source, &digest, now);
+            self.requests.remove(&digest);
+            self.suspect(&source, now);
         }
     }
 
@@ -239,7 +273,7 @@
     fn next_source(&mut self, now: Instant) -> Option<Source> {
         self.turn += 1;
         let turn = self.turn % self.peers.len().max(1);
-        if let Some(host) = self.peers.iter().nth(turn) {
+        if let Some(host) = self.peers.keys().nth(turn) {
             return Some(Source::Peer(host.clone()));
         }
         let service = self.service.as_ref()?;
--- a/crates/membership/src/distribution/replica.rs
+++ b/crates/membership/src/distribution/replica.rs
@@ -176,6 +176,7 @@
         }
         let mut failure = None;
         for pursuit in &mut self.pursuits {
+            pursuit.trust(source);
             if pursuit.stamp.digest != digest {
                 pursuit.add_pack(digest, bytes);
             } else if let Err(reason) = pursuit.set_manifest(bytes.clone()) {
--- a/crates/membership/src/distribution/settings.rs
+++ b/crates/membership/src/distribution/settings.rs
@@ -19,7 +19,8 @@
     pub fanout: usize,
     /// How long the configuration service holds a watch.
     pub watch_wait: Duration,
-    /// How long a peer may take to hand over a pack.
+    /// How long a host waits for a pack before it asks the next peer. A pack
+    /// that comes later is still taken.
     pub fetch_timeout: Duration,
     /// How long a fresh host waits for peers that do not answer.
     pub survey_timeout: Duration,
@@ -36,7 +37,7 @@
             answer_timeout: Duration::from_millis(500),
             fanout: 8,
             watch_wait: Duration::from_secs(10),
-            fetch_timeout: Duration::from_secs(2),
+            fetch_timeout: Duration::from_millis(300),
             survey_timeout: Duration::from_secs(3),
             seeds: Vec::new(),
         }
