Add JSON-RPC between hosts for packs and the host list

Packs of up to a megabyte do not fit datagrams. jsonrpsee serves and calls on one thread each, behind a blocking face; calls and answers carry an HMAC with the fleet secret, the answer's over the call's random number. Requests are limited to 4 KiB, answers to 1.5 MB, connections to 64, calls under way to 16, and each call has a timeout.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod health;
 pub mod loan;
 pub mod message;
+pub mod rpc;
 pub mod secret;
 pub mod socket;
 
 pub use codec::{MAX_DATAGRAM_BYTES, wire_len_bytes};
 pub use message::{Envelope, Message, MessageKind, Outgoing};
+pub use rpc::{PeerClient, PeerServer, PeerService, RpcError};
 pub use secret::FleetSecret;
 pub use socket::{PeerSocket, SocketSettings};
--- /dev/null
+++ b/crates/protocol/src/rpc/server.rs
@@ -0,0 +1,180 @@
+//! The serving side, on one thread.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use jsonrpsee::server::{BatchRequestConfig, Server, ServerConfig};
+use jsonrpsee::types::{ErrorObjectOwned, Params};
+use jsonrpsee::{Extensions, RpcModule};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::Notify;
+use waxwingusher_core::{CancelToken, HostId};
+
+use super::auth::{Answer, Call};
+use super::{
+    CODE_NOT_FOUND, CODE_UNAUTHENTICATED, DEFAULT_CONNECTIONS, DEFAULT_TIMEOUT, MAX_PACK_BYTES,
+    MAX_REQUEST_BYTES, MAX_RESPONSE_BYTES, Method, PeerService, StartError,
+};
+use crate::secret::FleetSecret;
+
+/// The settings of the serving side.
+#[derive(Debug, Clone)]
+pub struct ServerSettings {
+    /// This host's name.
+    pub self_id: HostId,
+    /// The address to listen on; port 0 takes a free one.
+    pub listen_addr: SocketAddr,
+    /// The secret of the fleet.
+    pub secret: FleetSecret,
+    /// Connections that are open at once; more are refused.
+    pub max_connections: u32,
+    /// How long a connection may take for its first request.
+    pub first_request_timeout: Duration,
+}
+
+impl ServerSettings {
+    /// Creates settings with the default limits.
+    #[must_use]
+    pub fn new(self_id: HostId, listen_addr: SocketAddr, secret: FleetSecret) -> Self {
+        Self {
+            self_id,
+            listen_addr,
+            secret,
+            max_connections: DEFAULT_CONNECTIONS,
+            first_request_timeout: DEFAULT_TIMEOUT,
+        }
+    }
+}
+
+struct Context {
+    self_id: HostId,
+    secret: FleetSecret,
+    service: Arc<dyn PeerService>,
+}
+
+/// Serves a host's packs and list to its peers.
+///
+/// It stops when it is dropped or its token is cancelled.
+#[derive(Debug)]
+pub struct PeerServer {
+    addr: SocketAddr,
+    token: CancelToken,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl PeerServer {
+    /// Starts to listen.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound or no thread started.
+    pub fn start(
+        settings: &ServerSettings,
+        service: Arc<dyn PeerService>,
+        token: &CancelToken,
+    ) -> Result<Self, StartError> {
+        let listener = TcpListener::bind(settings.listen_addr)?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let module = methods(Context {
+            self_id: settings.self_id.clone(),
+            secret: settings.secret.clone(),
+            service,
+        })?;
+        let server = {
+            let _guard = runtime.enter();
+            Server::builder()
+                .set_config(config(settings))
+                .build_from_tcp(listener)?
+        };
+        let token = token.child();
+        let stop = Arc::new(Notify::new());
+        let stopping = stop.clone();
+        token.on_cancel(move || stopping.notify_one());
+        let thread = std::thread::Builder::new()
+            .name("peer-rpc-server".to_owned())
+            .spawn(move || serve(&runtime, server, module, &stop))?;
+        Ok(Self {
+            addr,
+            token,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns where the server listens.
+    #[must_use]
+    pub fn local_addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        self.token.cancel();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn config(settings: &ServerSettings) -> ServerConfig {
+    ServerConfig::builder()
+        .http_only()
+        .max_connections(settings.max_connections)
+        .max_request_body_size(MAX_REQUEST_BYTES)
+        .max_response_body_size(MAX_RESPONSE_BYTES)
+        .set_batch_request_config(BatchRequestConfig::Disabled)
+        .set_first_request_timeout(Some(settings.first_request_timeout))
+        .set_tcp_no_delay(true)
+        .build()
+}
+
+// Connections that are still open end with the runtime.
+fn serve(runtime: &Runtime, server: Server, module: RpcModule<Context>, stop: &Notify) {
+    runtime.block_on(async {
+        let handle = server.start(module);
+        stop.notified().await;
+        drop(handle);
+    });
+}
+
+fn methods(context: Context) -> Result<RpcModule<Context>, StartError> {
+    let mut module = RpcModule::new(context);
+    module.register_method(Method::Ping.name(), |params, context, _: &Extensions| {
+        answer(&params, context, Method::Ping, |_| Some(Vec::new()))
+    })?;
+    module.register_method(Method::FetchPack.name(), |params, context, _| {
+        answer(&params, context, Method::FetchPack, |digest| {
+            let pack = context.service.pack(digest)?;
+            (pack.len() <= MAX_PACK_BYTES).then(|| pack.to_vec())
+        })
+    })?;
+    module.register_method(Method::FetchHostList.name(), |params, context, _| {
+        answer(&params, context, Method::FetchHostList, |_| {
+            serde_json::to_vec(&context.service.host_list()?).ok()
+        })
+    })?;
+    Ok(module)
+}
+
+fn answer(
+    params: &Params<'_>,
+    context: &Context,
+    method: Method,
+    content: impl FnOnce(&str) -> Option<Vec<u8>>,
+) -> Result<Answer, ErrorObjectOwned> {
+    let call: Call = params.parse()?;
+    if !call.is_authentic(&context.secret, method, &context.self_id) {
+        log::warn!("peers: {} with a wrong code refused", method.name());
+        return Err(error(CODE_UNAUTHENTICATED, "unauthenticated"));
+    }
+    let content = content(&call.argument).ok_or_else(|| error(CODE_NOT_FOUND, "not found"))?;
+    Ok(Answer::new(&context.secret, method, &call.nonce, &content))
+}
+
+fn error(code: i32, message: &'static str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(code, message, None::<()>)
+}
--- a/crates/protocol/tests/testsuite/main.rs
+++ b/crates/protocol/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod codec;
 mod fuzz;
+mod rpc;
 mod samples;
 mod socket;
 mod upgrade;
