--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod codec;
+pub mod config;
 pub mod gossip;
 pub mod health;
 pub mod loan;
@@ -15,6 +16,7 @@
 pub mod socket;
 
 pub use codec::{MAX_DATAGRAM_BYTES, wire_len_bytes};
+pub use config::{ConfigMessage, Stamp, Summary};
 pub use message::{Envelope, Message, MessageKind, Outgoing};
 pub use rpc::{PeerClient, PeerServer, PeerService, RpcError};
 pub use secret::FleetSecret;
--- a/crates/protocol/src/socket/budget.rs
+++ b/crates/protocol/src/socket/budget.rs
@@ -65,7 +65,7 @@
     fn reserve_bytes(&self, kind: MessageKind) -> f64 {
         match kind {
             MessageKind::Loan | MessageKind::Attempt => 0.0,
-            MessageKind::Health | MessageKind::Gossip => {
+            MessageKind::Health | MessageKind::Gossip | MessageKind::Config => {
                 self.burst_bytes * RESERVE_PERCENT / FULL_PERCENT
             }
         }
