--- a/crates/protocol/src/rpc/client.rs
+++ b/crates/protocol/src/rpc/client.rs
@@ -13,7 +13,7 @@
 use jsonrpsee_http_client::HttpClientBuilder;
 use tokio::runtime::{Builder, Handle};
 use tokio::sync::Notify;
-use waxwingusher_core::{CancelToken, HostId, HostList};
+use waxwingusher_core::{CancelToken, ContentDigest, HostId, HostList};
 
 use super::auth::{Answer, Call};
 use super::{
@@ -95,7 +95,7 @@
         self.call(peer, addr, Method::Ping, "").map(|_| ())
     }
 
-    /// Fetches a pack of the configuration. The caller checks its digest.
+    /// Fetches a pack or a manifest of the configuration.
     ///
     /// # Errors
     ///
@@ -104,9 +104,13 @@
         &self,
         peer: &HostId,
         addr: SocketAddr,
-        digest: &str,
+        digest: &ContentDigest,
     ) -> Result<Vec<u8>, RpcError> {
-        self.call(peer, addr, Method::FetchPack, digest)
+        let content = self.call(peer, addr, Method::FetchPack, &digest.to_string())?;
+        if ContentDigest::of(&content) != *digest {
+            return Err(RpcError::WrongContent);
+        }
+        Ok(content)
     }
 
     /// Fetches the host list that a peer has.
--- a/crates/protocol/src/rpc/mod.rs
+++ b/crates/protocol/src/rpc/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use waxwingusher_core::HostList;
+use waxwingusher_core::{ContentDigest, HostList};
 
 pub use client::{ClientSettings, PeerClient};
 pub use server::{PeerServer, ServerSettings};
@@ -50,8 +50,8 @@
 /// What a host serves to its peers. Calls must not block: all of them run on
 /// one thread.
 pub trait PeerService: Send + Sync + 'static {
-    /// Returns a pack of the configuration by its digest.
-    fn pack(&self, digest: &str) -> Option<Arc<[u8]>>;
+    /// Returns a pack or a manifest of the configuration by its digest.
+    fn pack(&self, digest: &ContentDigest) -> Option<Arc<[u8]>>;
 
     /// Returns the newest host list that this host has.
     fn host_list(&self) -> Option<HostList>;
@@ -78,6 +78,9 @@
     /// The answer does not have the form that was agreed on.
     #[error("the answer is malformed")]
     Malformed,
+    /// The content does not have the digest that was asked for.
+    #[error("the content has another digest")]
+    WrongContent,
     /// The operating system gave no random numbers.
     #[error("no random numbers")]
     NoRandomness,
--- a/crates/protocol/src/rpc/server.rs
+++ b/crates/protocol/src/rpc/server.rs
@@ -148,7 +148,7 @@
     })?;
     module.register_method(Method::FetchPack.name(), |params, context, _| {
         answer(&params, context, Method::FetchPack, |digest| {
-            let pack = context.service.pack(digest)?;
+            let pack = context.service.pack(&digest.parse().ok()?)?;
             (pack.len() <= MAX_PACK_BYTES).then(|| pack.to_vec())
         })
     })?;
--- a/crates/protocol/tests/testsuite/rpc.rs
+++ b/crates/protocol/tests/testsuite/rpc.rs
@@ -6,22 +6,32 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use waxwingusher_core::{CancelToken, HostList};
+use waxwingusher_core::{CancelToken, ContentDigest, HostList};
 use waxwingusher_protocol::rpc::{ClientSettings, MAX_PACK_BYTES, ServerSettings};
 use waxwingusher_protocol::{FleetSecret, PeerClient, PeerServer, PeerService, RpcError};
 
 use crate::samples::{OTHER_SECRET, host, secret};
 
+const SMALL: &[u8] = b"\x00content\xff";
+
 struct Packs;
 
+fn digest(content: &[u8]) -> ContentDigest {
+    ContentDigest::of(content)
+}
+
 impl PeerService for Packs {
-    fn pack(&self, digest: &str) -> Option<Arc<[u8]>> {
-        match digest {
-            "small" => Some(Arc::from(&b"\x00content\xff"[..])),
-            "largest" => Some(Arc::from(vec![7; MAX_PACK_BYTES])),
-            "too-large" => Some(Arc::from(vec![7; MAX_PACK_BYTES + 1])),
-            _ => None,
+    fn pack(&self, wanted: &ContentDigest) -> Option<Arc<[u8]>> {
+        if *wanted == digest(b"altered") {
+            return Some(Arc::from(SMALL));
         }
+        let packs = [
+            SMALL.to_vec(),
+            vec![7; MAX_PACK_BYTES],
+            vec![7; MAX_PACK_BYTES + 1],
+        ];
+        let found = packs.into_iter().find(|pack| digest(pack) == *wanted);
+        found.map(Arc::from)
     }
 
     fn host_list(&self) -> Option<HostList> {
@@ -61,10 +71,12 @@
     let server = server(&server_settings());
     let (client, peer, addr) = (client(), host("host-b"), server.local_addr());
     client.ping(&peer, addr).expect("answers");
-    let pack = client.fetch_pack(&peer, addr, "small").expect("is there");
-    assert_eq!(pack, b"\x00content\xff");
-    let pack = client.fetch_pack(&peer, addr, "largest").expect("is there");
-    assert!(pack == vec![7; MAX_PACK_BYTES]);
+    for content in [SMALL.to_vec(), vec![7; MAX_PACK_BYTES]] {
+        let pack = client.fetch_pack(&peer, addr, &digest(&content));
+        assert!(pack.expect("is there") == content);
+    }
+    let altered = client.fetch_pack(&peer, addr, &digest(b"altered"));
+    assert_matches!(altered, Err(RpcError::WrongContent));
     let list = client.fetch_host_list(&peer, addr).expect("is there");
     assert_eq!(list.version, 5);
 }
@@ -73,8 +85,8 @@
 fn what_is_absent_or_too_large_is_not_found() {
     let server = server(&server_settings());
     let (client, peer, addr) = (client(), host("host-b"), server.local_addr());
-    for digest in ["absent", "too-large"] {
-        let pack = client.fetch_pack(&peer, addr, digest);
+    for content in [b"absent".to_vec(), vec![7; MAX_PACK_BYTES + 1]] {
+        let pack = client.fetch_pack(&peer, addr, &digest(&content));
         assert_matches!(pack, Err(RpcError::NotFound));
     }
 }
@@ -85,9 +97,9 @@
     let addr = server.local_addr();
     let other = FleetSecret::new(OTHER_SECRET).expect("long enough");
     let stranger = client_with(|settings| settings.secret = other);
-    let pack = stranger.fetch_pack(&host("host-b"), addr, "small");
+    let pack = stranger.fetch_pack(&host("host-b"), addr, &digest(SMALL));
     assert_matches!(pack, Err(RpcError::Unauthenticated));
-    let misled = client().fetch_pack(&host("host-c"), addr, "small");
+    let misled = client().fetch_pack(&host("host-c"), addr, &digest(SMALL));
     assert_matches!(misled, Err(RpcError::Unauthenticated));
 }
 
@@ -108,7 +120,7 @@
         let answer = head + body;
         stream.write_all(answer.as_bytes()).expect("is sent");
     });
-    let pack = client().fetch_pack(&host("host-b"), addr, "small");
+    let pack = client().fetch_pack(&host("host-b"), addr, &digest(SMALL));
     assert_matches!(pack, Err(RpcError::Unauthenticated));
     forger.join().expect("the forger ends");
 }
