Add liveness of peers with suspicions that can be refuted

The platform's list lags, so hosts would go on asking dead peers. Each host now probes one peer a second, in two rounds of direct and relayed pings before it suspects it; news travels with other messages, and a peer objects by raising its refutation number. Bytes have a token bucket. A process that was paused drops its open probes and gives its suspects the time back; a host that hears nobody accuses nobody. Nothing here grants or withdraws a right.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -2,3 +2,4 @@
 //! hosts.
 
 pub mod distribution;
+pub mod liveness;
--- /dev/null
+++ b/crates/membership/src/liveness/budget.rs
@@ -0,0 +1,45 @@
+//! The bytes that liveness may send.
+
+use std::time::Instant;
+
+/// A token bucket of bytes that may be overdrawn by answers.
+#[derive(Debug)]
+pub(super) struct GossipBudget {
+    bytes_per_s: f64,
+    burst_bytes: f64,
+    available_bytes: f64,
+    refilled_at: Instant,
+}
+
+impl GossipBudget {
+    pub(super) fn new(bytes_per_s: u32, burst_bytes: u32, now: Instant) -> Self {
+        Self {
+            bytes_per_s: f64::from(bytes_per_s),
+            burst_bytes: f64::from(burst_bytes),
+            available_bytes: f64::from(burst_bytes),
+            refilled_at: now,
+        }
+    }
+
+    pub(super) fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        self.refilled_at = now;
+        let refilled = self.available_bytes + elapsed.as_secs_f64() * self.bytes_per_s;
+        self.available_bytes = refilled.min(self.burst_bytes);
+    }
+
+    pub(super) fn spend(&mut self, len_bytes: usize) {
+        let spent = self.available_bytes - len_bytes as f64;
+        self.available_bytes = spent.max(-self.burst_bytes);
+    }
+
+    /// Reports whether anything may be begun.
+    pub(super) fn is_open(&self) -> bool {
+        self.available_bytes >= 0.0
+    }
+
+    /// Reports whether there is room for news that could also wait.
+    pub(super) fn is_ample(&self) -> bool {
+        self.available_bytes >= self.burst_bytes / 2.0
+    }
+}
--- /dev/null
+++ b/crates/membership/src/liveness/members.rs
@@ -0,0 +1,216 @@
+//! All peers that this host knows.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{FailureDomain, HostId, HostList};
+use waxwingusher_protocol::gossip::LivenessUpdate;
+
+use super::record::{Effect, Listing, Record};
+use super::state::{EventQueue, LivenessEvent, PeerState};
+
+const MAX_HEARD_ONLY: usize = 64;
+
+/// The records of all peers. Each change of state goes through it.
+#[derive(Debug)]
+pub(super) struct Members {
+    self_id: HostId,
+    own_domain: Option<FailureDomain>,
+    records: BTreeMap<HostId, Record>,
+    suspect_until: BTreeMap<HostId, Instant>,
+    suspicion_timeout: Duration,
+    events: EventQueue,
+}
+
+impl Members {
+    pub(super) fn new(self_id: &HostId, suspicion_timeout: Duration) -> Self {
+        Self {
+            self_id: self_id.clone(),
+            own_domain: None,
+            records: BTreeMap::new(),
+            suspect_until: BTreeMap::new(),
+            suspicion_timeout,
+            events: EventQueue::default(),
+        }
+    }
+
+    /// Takes the list; returns the hosts that are no longer in it.
+    pub(super) fn apply_list(&mut self, list: &HostList) -> Vec<HostId> {
+        if let Some(own) = list.get(&self.self_id) {
+            self.own_domain = Some(own.failure_domain.clone());
+        }
+        let is_gone = |host: &HostId, record: &Record| {
+            record.listing == Listing::Listed && list.get(host).is_none()
+        };
+        let gone: Vec<_> = self
+            .records
+            .iter()
+            .filter(|(host, record)| is_gone(host, record))
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in &gone {
+            self.remove(host);
+        }
+        for entry in &list.hosts {
+            if entry.id == self.self_id {
+                continue;
+            }
+            let domain = Some(entry.failure_domain.clone());
+            let record = self
+                .records
+                .entry(entry.id.clone())
+                .or_insert_with(|| Record::new(Listing::Listed, None));
+            record.listing = Listing::Listed;
+            record.failure_domain = domain;
+        }
+        gone
+    }
+
+    pub(super) fn get(&self, host: &HostId) -> Option<&Record> {
+        self.records.get(host)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&HostId, &Record)> {
+        self.records.iter()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    pub(super) fn state(&self, host: &HostId) -> PeerState {
+        self.records
+            .get(host)
+            .map_or(PeerState::Unknown, |record| record.state)
+    }
+
+    pub(super) fn is_in_own_domain(&self, record: &Record) -> bool {
+        record.failure_domain.is_some() && record.failure_domain == self.own_domain
+    }
+
+    pub(super) fn take_events(&mut self) -> Vec<LivenessEvent> {
+        self.events.take()
+    }
+
+    /// Takes news of a listed host. A host that is not listed is only known
+    /// once it has been heard.
+    pub(super) fn merge(&mut self, update: &LivenessUpdate, now: Instant) -> Effect {
+        let merge = |record: &mut Record| record.merge(update, now);
+        self.change(&update.host, now, merge)
+            .unwrap_or(Effect::Ignored)
+    }
+
+    /// Takes an authenticated message from a host.
+    pub(super) fn on_contact(&mut self, host: &HostId, incarnation: u64, now: Instant) -> Effect {
+        if !self.records.contains_key(host) {
+            let heard_only = |record: &&Record| record.listing == Listing::HeardOnly;
+            if self.records.values().filter(heard_only).count() >= MAX_HEARD_ONLY {
+                return Effect::Ignored;
+            }
+            let record = Record::new(Listing::HeardOnly, None);
+            self.records.insert(host.clone(), record);
+        }
+        self.change(host, now, |record| record.on_contact(incarnation))
+            .unwrap_or(Effect::Ignored)
+    }
+
+    pub(super) fn on_answer(&mut self, host: &HostId, now: Instant) {
+        self.change(host, now, Record::on_answer);
+    }
+
+    /// Counts a failed round and returns the failed rounds in a row.
+    pub(super) fn on_failed_round(&mut self, host: &HostId) -> u32 {
+        let Some(record) = self.records.get_mut(host) else {
+            return 0;
+        };
+        record.failed_rounds += 1;
+        record.failed_rounds
+    }
+
+    pub(super) fn suspect(&mut self, host: &HostId, now: Instant) {
+        self.change(host, now, |record| {
+            if record.state.is_usable() {
+                record.state = PeerState::Suspect { since: now };
+            }
+        });
+    }
+
+    /// Turns suspects whose time is over into dead hosts and returns them.
+    pub(super) fn expire_suspicions(&mut self, now: Instant) -> Vec<HostId> {
+        let is_over = |until: &Instant| *until <= now;
+        let over: Vec<_> = self
+            .suspect_until
+            .iter()
+            .filter(|(_, until)| is_over(until))
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in &over {
+            self.change(host, now, |record| record.state = PeerState::Dead);
+        }
+        over
+    }
+
+    /// Gives all suspects the time back in which this process was paused.
+    pub(super) fn extend_suspicions(&mut self, pause: Duration) {
+        for until in self.suspect_until.values_mut() {
+            *until += pause;
+        }
+    }
+
+    fn change<R>(
+        &mut self,
+        host: &HostId,
+        now: Instant,
+        change: impl FnOnce(&mut Record) -> R,
+    ) -> Option<R> {
+        let record = self.records.get_mut(host)?;
+        let from = record.state;
+        let result = change(record);
+        let to = record.state;
+        let is_forgotten = record.listing == Listing::HeardOnly && to == PeerState::Dead;
+        if from != to {
+            self.on_change(host, from, to, now);
+        }
+        if is_forgotten {
+            self.records.remove(host);
+        }
+        Some(result)
+    }
+
+    fn remove(&mut self, host: &HostId) {
+        let Some(record) = self.records.remove(host) else {
+            return;
+        };
+        self.suspect_until.remove(host);
+        if record.state == PeerState::Unknown {
+            return;
+        }
+        self.push_event(host, record.state, PeerState::Unknown);
+    }
+
+    fn on_change(&mut self, host: &HostId, from: PeerState, to: PeerState, now: Instant) {
+        log::info!(
+            "membership: {host} is {} and was {}",
+            to.name(),
+            from.name()
+        );
+        match to {
+            PeerState::Suspect { .. } => {
+                let until = now + self.suspicion_timeout;
+                self.suspect_until.insert(host.clone(), until);
+            }
+            PeerState::Alive | PeerState::Dead | PeerState::Unknown => {
+                self.suspect_until.remove(host);
+            }
+        }
+        self.push_event(host, from, to);
+    }
+
+    fn push_event(&mut self, host: &HostId, from: PeerState, to: PeerState) {
+        self.events.push(LivenessEvent {
+            host: host.clone(),
+            from,
+            to,
+        });
+    }
+}
--- /dev/null
+++ b/crates/membership/src/liveness/news.rs
@@ -0,0 +1,102 @@
+//! News of peers: what is taken, objected to, and passed on.
+
+use std::time::Instant;
+
+use waxwingusher_core::HostId;
+use waxwingusher_protocol::gossip::{GossipMessage, Liveliness, LivenessUpdate};
+
+use super::record::Effect;
+use super::state::PeerState;
+use super::{Liveness, Sent, outgoing};
+
+const UPDATES_PER_MESSAGE: usize = 6;
+const UPDATES_WHEN_SHORT: usize = 1;
+const PUSH_TARGETS: usize = 3;
+
+impl Liveness {
+    pub(super) fn push_news(&mut self, sent: &mut Sent) {
+        if !self.budget.is_ample() || !self.broadcasts.has_unsent() {
+            return;
+        }
+        let updates = self.news();
+        let is_alive = |state: PeerState| state == PeerState::Alive;
+        let alive = self
+            .members
+            .iter()
+            .filter(|(_, record)| is_alive(record.state));
+        let alive: Vec<_> = alive.map(|(host, _)| host.clone()).collect();
+        for target in self.rng.choose_multiple(alive, PUSH_TARGETS) {
+            let updates = updates.clone();
+            sent.push(outgoing(&target, GossipMessage::Push { updates }));
+        }
+    }
+
+    // Returns an objection if this process is said to be suspect or dead.
+    pub(super) fn take_news(
+        &mut self,
+        updates: &[LivenessUpdate],
+        now: Instant,
+    ) -> Option<LivenessUpdate> {
+        let mut objection = None;
+        for update in updates {
+            if update.host == self.self_id {
+                objection = self.object(update).or(objection);
+                continue;
+            }
+            match self.members.merge(update, now) {
+                Effect::Changed => self.broadcasts.push(update.clone()),
+                Effect::Unclear => self.schedule.urge(&update.host),
+                Effect::Ignored => {}
+            }
+        }
+        objection
+    }
+
+    fn object(&mut self, update: &LivenessUpdate) -> Option<LivenessUpdate> {
+        let is_this_process = update.incarnation == self.incarnation;
+        if !is_this_process || update.liveliness == Liveliness::Alive {
+            return None;
+        }
+        if update.refutation >= self.refutation {
+            self.refutation = update.refutation.saturating_add(1);
+            log::info!(
+                "membership: this host objects to being {:?}",
+                update.liveliness
+            );
+        }
+        let objection = LivenessUpdate {
+            host: self.self_id.clone(),
+            incarnation: self.incarnation,
+            refutation: self.refutation,
+            liveliness: Liveliness::Alive,
+        };
+        self.broadcasts.push(objection.clone());
+        Some(objection)
+    }
+
+    /// Returns what is held against a host, so that it can object.
+    pub(super) fn accusation(&self, host: &HostId) -> Option<LivenessUpdate> {
+        let record = self.members.get(host)?;
+        if record.state.is_usable() {
+            return None;
+        }
+        record.update(host)
+    }
+
+    pub(super) fn news(&mut self) -> Vec<LivenessUpdate> {
+        let count = if self.budget.is_open() {
+            UPDATES_PER_MESSAGE
+        } else {
+            UPDATES_WHEN_SHORT
+        };
+        self.broadcasts.take(count, self.members.len())
+    }
+
+    pub(super) fn announce(&mut self, host: &HostId) {
+        let record = self.members.get(host);
+        let Some(update) = record.and_then(|record| record.update(host)) else {
+            return;
+        };
+        self.broadcasts.push(update);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/liveness/probe.rs
@@ -0,0 +1,172 @@
+//! Probes that are under way, and probes on behalf of other hosts.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::HostId;
+
+use super::settings::LivenessSettings;
+
+const MAX_RELAYED: usize = 64;
+
+/// How far a round of probes has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Direct,
+    Retried,
+    Relayed,
+}
+
+#[derive(Debug)]
+struct Probe {
+    target: HostId,
+    begun_at: Instant,
+    stage: Stage,
+}
+
+#[derive(Debug)]
+struct RelayedProbe {
+    requester: HostId,
+    their_number: u32,
+    target: HostId,
+    begun_at: Instant,
+}
+
+/// What is to be done for a probe.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Send the ping again.
+    Retry(u32, HostId),
+    /// Ask other hosts, and send the ping again.
+    Relay(u32, HostId),
+    /// The round has ended without an answer.
+    Fail(HostId, Instant),
+}
+
+/// An answer that is owed to another host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct OwedAnswer {
+    pub(super) requester: HostId,
+    pub(super) their_number: u32,
+}
+
+/// All probes that are under way, by their number.
+#[derive(Debug, Default)]
+pub(super) struct Probes {
+    last_number: u32,
+    own: BTreeMap<u32, Probe>,
+    relayed: BTreeMap<u32, RelayedProbe>,
+}
+
+impl Probes {
+    /// Begins a round and returns its number.
+    pub(super) fn begin(&mut self, target: &HostId, now: Instant) -> u32 {
+        let number = self.next_number();
+        let probe = Probe {
+            target: target.clone(),
+            begun_at: now,
+            stage: Stage::Direct,
+        };
+        self.own.insert(number, probe);
+        number
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.own.len()
+    }
+
+    pub(super) fn is_probing(&self, target: &HostId) -> bool {
+        self.own.values().any(|probe| probe.target == *target)
+    }
+
+    /// Ends the round that an answer belongs to.
+    pub(super) fn finish(&mut self, number: u32, target: &HostId) -> bool {
+        let is_answer = self
+            .own
+            .get(&number)
+            .is_some_and(|probe| probe.target == *target);
+        if is_answer {
+            self.own.remove(&number);
+        }
+        is_answer
+    }
+
+    /// Begins a probe for another host; nothing if there are too many.
+    pub(super) fn begin_relayed(
+        &mut self,
+        requester: &HostId,
+        their_number: u32,
+        target: &HostId,
+        now: Instant,
+    ) -> Option<u32> {
+        if self.relayed.len() >= MAX_RELAYED {
+            return None;
+        }
+        let number = self.next_number();
+        let probe = RelayedProbe {
+            requester: requester.clone(),
+            their_number,
+            target: target.clone(),
+            begun_at: now,
+        };
+        self.relayed.insert(number, probe);
+        Some(number)
+    }
+
+    /// Ends a probe for another host, to which the answer is then owed.
+    pub(super) fn finish_relayed(&mut self, number: u32, target: &HostId) -> Option<OwedAnswer> {
+        if self.relayed.get(&number)?.target != *target {
+            return None;
+        }
+        let probe = self.relayed.remove(&number)?;
+        Some(OwedAnswer {
+            requester: probe.requester,
+            their_number: probe.their_number,
+        })
+    }
+
+    /// Drops all probes, whose answers may have come while nobody listened.
+    pub(super) fn clear(&mut self) {
+        self.own.clear();
+        self.relayed.clear();
+    }
+
+    /// Returns what is due.
+    pub(super) fn advance(&mut self, now: Instant, settings: &LivenessSettings) -> Vec<Step> {
+        let age = |begun_at: Instant| now.saturating_duration_since(begun_at);
+        let mut steps = Vec::new();
+        for (number, probe) in &mut self.own {
+            let Some(step) = probe.advance(*number, age(probe.begun_at), settings) else {
+                continue;
+            };
+            steps.push(step);
+        }
+        self.own
+            .retain(|_, probe| age(probe.begun_at) < settings.round_timeout);
+        self.relayed
+            .retain(|_, probe| age(probe.begun_at) < settings.round_timeout);
+        steps
+    }
+
+    fn next_number(&mut self) -> u32 {
+        self.last_number = self.last_number.wrapping_add(1);
+        self.last_number
+    }
+}
+
+impl Probe {
+    fn advance(&mut self, number: u32, age: Duration, settings: &LivenessSettings) -> Option<Step> {
+        if age >= settings.round_timeout {
+            return Some(Step::Fail(self.target.clone(), self.begun_at));
+        }
+        if age >= settings.relay_after && self.stage != Stage::Relayed {
+            self.stage = Stage::Relayed;
+            return Some(Step::Relay(number, self.target.clone()));
+        }
+        if age >= settings.retry_after && self.stage == Stage::Direct {
+            self.stage = Stage::Retried;
+            return Some(Step::Retry(number, self.target.clone()));
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/membership/src/liveness/record.rs
@@ -0,0 +1,168 @@
+//! What is known of one peer's process, and how news changes it.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use waxwingusher_core::{FailureDomain, HostId};
+use waxwingusher_protocol::gossip::{Liveliness, LivenessUpdate};
+
+use super::state::PeerState;
+
+const MAX_BURIED: usize = 4;
+
+/// A peer's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Process {
+    pub(super) incarnation: u64,
+    pub(super) refutation: u32,
+}
+
+/// Whether the host list has a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Listing {
+    Listed,
+    HeardOnly,
+}
+
+/// What news did to a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Effect {
+    /// The news is passed on.
+    Changed,
+    /// The news was known, or older than what is known.
+    Ignored,
+    /// The news is of a process that this host cannot place.
+    Unclear,
+}
+
+#[derive(Debug)]
+pub(super) struct Record {
+    pub(super) process: Option<Process>,
+    pub(super) state: PeerState,
+    pub(super) listing: Listing,
+    pub(super) failure_domain: Option<FailureDomain>,
+    /// Rounds of this host's probes that failed in a row.
+    pub(super) failed_rounds: u32,
+    buried: VecDeque<u64>,
+}
+
+impl Record {
+    pub(super) fn new(listing: Listing, failure_domain: Option<FailureDomain>) -> Self {
+        Self {
+            process: None,
+            state: PeerState::Unknown,
+            listing,
+            failure_domain,
+            failed_rounds: 0,
+            buried: VecDeque::new(),
+        }
+    }
+
+    /// Takes news that another host passed on.
+    pub(super) fn merge(&mut self, update: &LivenessUpdate, now: Instant) -> Effect {
+        let Some(process) = self.process else {
+            return self.replace(update, now);
+        };
+        if process.incarnation == update.incarnation {
+            return self.merge_same_process(process, update, now);
+        }
+        if self.buried.contains(&update.incarnation) {
+            return Effect::Ignored;
+        }
+        match update.liveliness {
+            Liveliness::Alive => self.replace(update, now),
+            Liveliness::Suspect | Liveliness::Dead => Effect::Unclear,
+        }
+    }
+
+    /// Takes an authenticated message from the process itself. That a process
+    /// is heard for the first time is no news to others.
+    pub(super) fn on_contact(&mut self, incarnation: u64) -> Effect {
+        let is_same = |process: Process| process.incarnation == incarnation;
+        if self.process.is_some_and(is_same) {
+            if self.state == PeerState::Unknown {
+                self.state = PeerState::Alive;
+            }
+            return Effect::Ignored;
+        }
+        let is_restart = self.process.is_some();
+        self.set_process(incarnation, 0);
+        self.failed_rounds = 0;
+        self.state = PeerState::Alive;
+        if is_restart {
+            Effect::Changed
+        } else {
+            Effect::Ignored
+        }
+    }
+
+    /// Takes an answer of the process to a probe of this host.
+    pub(super) fn on_answer(&mut self) {
+        self.failed_rounds = 0;
+        self.state = PeerState::Alive;
+    }
+
+    /// Returns what this host would tell others, if it knows the process.
+    pub(super) fn update(&self, host: &HostId) -> Option<LivenessUpdate> {
+        let process = self.process?;
+        let liveliness = match self.state {
+            PeerState::Alive => Liveliness::Alive,
+            PeerState::Suspect { .. } => Liveliness::Suspect,
+            PeerState::Dead => Liveliness::Dead,
+            PeerState::Unknown => return None,
+        };
+        Some(LivenessUpdate {
+            host: host.clone(),
+            incarnation: process.incarnation,
+            refutation: process.refutation,
+            liveliness,
+        })
+    }
+
+    fn merge_same_process(
+        &mut self,
+        process: Process,
+        update: &LivenessUpdate,
+        now: Instant,
+    ) -> Effect {
+        let is_newer = update.refutation > process.refutation;
+        let is_level = update.refutation == process.refutation;
+        let is_usable = self.state.is_usable();
+        let is_news = match update.liveliness {
+            Liveliness::Alive => is_newer,
+            Liveliness::Suspect => is_newer || (is_level && is_usable),
+            Liveliness::Dead => (is_newer || is_level) && self.state != PeerState::Dead,
+        };
+        if !is_news {
+            return Effect::Ignored;
+        }
+        self.replace(update, now)
+    }
+
+    fn replace(&mut self, update: &LivenessUpdate, now: Instant) -> Effect {
+        self.set_process(update.incarnation, update.refutation);
+        self.failed_rounds = 0;
+        self.state = match (update.liveliness, self.state) {
+            (Liveliness::Alive, _) => PeerState::Alive,
+            (Liveliness::Suspect, PeerState::Suspect { since }) => PeerState::Suspect { since },
+            (Liveliness::Suspect, _) => PeerState::Suspect { since: now },
+            (Liveliness::Dead, _) => PeerState::Dead,
+        };
+        Effect::Changed
+    }
+
+    fn set_process(&mut self, incarnation: u64, refutation: u32) {
+        let former = self.process.replace(Process {
+            incarnation,
+            refutation,
+        });
+        let Some(former) = former.filter(|process| process.incarnation != incarnation) else {
+            return;
+        };
+        self.buried.retain(|buried| *buried != incarnation);
+        if self.buried.len() >= MAX_BURIED {
+            self.buried.pop_front();
+        }
+        self.buried.push_back(former.incarnation);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/liveness/settings.rs
@@ -0,0 +1,59 @@
+//! The settings of liveness.
+
+use std::time::Duration;
+
+/// How often [`super::Liveness::tick`] is meant to be called.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+const RELAY_AFTER: Duration = Duration::from_millis(600);
+const ROUND_TIMEOUT: Duration = Duration::from_secs(1);
+const ROUNDS_BEFORE_SUSPICION: u32 = 2;
+const SUSPICION_TIMEOUT: Duration = Duration::from_secs(5);
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_500);
+const RELAYS: usize = 3;
+const BYTES_PER_S: u32 = 400;
+const BURST_BYTES: u32 = 4_000;
+
+/// The settings of liveness. All hosts of a fleet have the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LivenessSettings {
+    /// The time between two probes of a host.
+    pub probe_interval: Duration,
+    /// When a probe without an answer is sent again.
+    pub retry_after: Duration,
+    /// When other hosts are asked to probe.
+    pub relay_after: Duration,
+    /// When a round of probes without an answer ends.
+    pub round_timeout: Duration,
+    /// Rounds without an answer before the target is suspected.
+    pub rounds_before_suspicion: u32,
+    /// How long a suspected host may object.
+    pub suspicion_timeout: Duration,
+    /// A longer time between two calls means that this process was paused.
+    pub pause_threshold: Duration,
+    /// Hosts that are asked to probe.
+    pub relays: usize,
+    /// The bytes that are sent each second, over a longer time.
+    pub bytes_per_s: u32,
+    /// The bytes that may be sent at once after a quiet time.
+    pub burst_bytes: u32,
+}
+
+impl Default for LivenessSettings {
+    fn default() -> Self {
+        Self {
+            probe_interval: PROBE_INTERVAL,
+            retry_after: RETRY_AFTER,
+            relay_after: RELAY_AFTER,
+            round_timeout: ROUND_TIMEOUT,
+            rounds_before_suspicion: ROUNDS_BEFORE_SUSPICION,
+            suspicion_timeout: SUSPICION_TIMEOUT,
+            pause_threshold: PAUSE_THRESHOLD,
+            relays: RELAYS,
+            bytes_per_s: BYTES_PER_S,
+            burst_bytes: BURST_BYTES,
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/testsuite/liveness_faults.rs
@@ -0,0 +1,197 @@
+//! Dead, paused, restarted and cut off hosts, and lossy links.
+
+use waxwingusher_membership::liveness::PeerState;
+use waxwingusher_standins::LinkFaults;
+
+use crate::liveness_fleet::{Fleet, name};
+
+const SIZE: usize = 40;
+
+fn lossy(loss: f64) -> LinkFaults {
+    LinkFaults {
+        loss,
+        duplication: 0.02,
+        ..LinkFaults::default()
+    }
+}
+
+#[test]
+fn nobody_is_accused_in_a_sound_fleet() {
+    let mut fleet = Fleet::new(SIZE, 1);
+    fleet.run_s(300);
+    assert_eq!(fleet.accused(), Vec::new());
+    for i in 0..SIZE {
+        let is_alive = |state: &PeerState| *state == PeerState::Alive;
+        assert!(fleet.views_of(&name(i)).iter().all(is_alive));
+    }
+}
+
+#[test]
+fn a_dead_host_is_dead_everywhere_and_nobody_else_is_accused() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(SIZE, seed);
+        fleet.run_s(60);
+        fleet.fleet.kill(&name(7));
+        fleet.run_s(30);
+        let is_dead = |state: &PeerState| *state == PeerState::Dead;
+        assert!(fleet.views_of(&name(7)).iter().all(is_dead), "seed {seed}");
+        assert!(fleet.accused().iter().all(|(host, _)| *host == name(7)));
+    }
+}
+
+#[test]
+fn a_paused_host_is_suspected_but_suspects_nobody_when_it_wakes() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(SIZE, seed);
+        fleet.run_s(60);
+        fleet.events();
+        fleet.fleet.pause(&name(7));
+        fleet.run_s(10);
+        fleet.fleet.resume(&name(7));
+        fleet.run_s(20);
+        let accused = fleet.accused();
+        assert!(!accused.is_empty());
+        assert!(
+            accused
+                .iter()
+                .all(|(host, by)| *host == name(7) && *by != name(7))
+        );
+        let is_alive = |state: &PeerState| *state == PeerState::Alive;
+        assert!(fleet.views_of(&name(7)).iter().all(is_alive), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_host_that_wakes_does_not_hold_old_suspects_for_dead() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(SIZE, seed);
+        fleet.run_s(60);
+        fleet.fleet.pause(&name(7));
+        let view = |fleet: &Fleet| {
+            let host = fleet.fleet.host(&name(3)).expect("runs");
+            host.liveness.state(&name(7))
+        };
+        while view(&fleet).is_usable() {
+            fleet.fleet.step();
+        }
+        fleet.fleet.pause(&name(3));
+        // Early enough that nobody who runs holds it for dead.
+        fleet.run_s(1);
+        fleet.fleet.resume(&name(7));
+        fleet.run_s(9);
+        fleet.events();
+        fleet.fleet.resume(&name(3));
+        fleet.run_s(20);
+        let died = fleet.events().into_iter();
+        let died: Vec<_> = died
+            .filter(|(_, e)| e.host != name(3) && e.to == PeerState::Dead)
+            .collect();
+        assert_eq!(died, Vec::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_restarted_host_is_known_as_its_new_process() {
+    for down_s in [0, 2, 30] {
+        let mut fleet = Fleet::new(SIZE, 4);
+        fleet.run_s(60);
+        fleet.fleet.kill(&name(7));
+        fleet.run_s(down_s);
+        fleet.start(&name(7));
+        fleet.run_s(30);
+        let is_alive = |state: &PeerState| *state == PeerState::Alive;
+        assert!(fleet.views_of(&name(7)).iter().all(is_alive), "{down_s} s");
+        fleet.fleet.kill(&name(7));
+        fleet.run_s(30);
+        let is_dead = |state: &PeerState| *state == PeerState::Dead;
+        assert!(fleet.views_of(&name(7)).iter().all(is_dead), "{down_s} s");
+    }
+}
+
+#[test]
+fn a_one_way_cut_between_two_hosts_accuses_neither() {
+    let mut fleet = Fleet::new(SIZE, 5);
+    fleet.fleet.cut(&name(0), &name(4));
+    fleet.run_s(300);
+    assert_eq!(fleet.accused(), Vec::new());
+}
+
+#[test]
+fn a_host_that_hears_nobody_accuses_nobody() {
+    let mut fleet = Fleet::new(SIZE, 6);
+    fleet.run_s(60);
+    for i in 1..SIZE {
+        fleet.fleet.cut(&name(i), &name(0));
+    }
+    fleet.events();
+    fleet.run_s(60);
+    assert!(fleet.accused().iter().all(|(host, _)| *host == name(0)));
+    fleet.fleet.mend_all();
+    fleet.run_s(30);
+    let is_alive = |state: &PeerState| *state == PeerState::Alive;
+    assert!(fleet.views_of(&name(0)).iter().all(is_alive));
+}
+
+#[test]
+fn a_fleet_that_was_split_finds_together_again() {
+    let mut fleet = Fleet::new(SIZE, 8);
+    fleet.run_s(60);
+    for i in 0..SIZE / 2 {
+        for j in SIZE / 2..SIZE {
+            fleet.fleet.cut(&name(i), &name(j));
+            fleet.fleet.cut(&name(j), &name(i));
+        }
+    }
+    fleet.run_s(120);
+    assert_eq!(
+        fleet
+            .fleet
+            .host(&name(0))
+            .unwrap()
+            .liveness
+            .state(&name(39)),
+        PeerState::Dead
+    );
+    fleet.fleet.mend_all();
+    fleet.run_s(180);
+    for i in 0..SIZE {
+        let is_alive = |state: &PeerState| *state == PeerState::Alive;
+        assert!(fleet.views_of(&name(i)).iter().all(is_alive), "host {i}");
+    }
+}
+
+#[test]
+fn loss_lets_nobody_die() {
+    for (loss, seed) in [(0.01, 9), (0.2, 10), (0.2, 11)] {
+        let mut fleet = Fleet::new(SIZE, seed);
+        fleet.fleet.set_faults(lossy(loss));
+        fleet.run_s(600);
+        let died = fleet.events().into_iter();
+        let died: Vec<_> = died.filter(|(_, e)| e.to == PeerState::Dead).collect();
+        assert_eq!(died, Vec::new(), "loss {loss}, seed {seed}");
+    }
+}
+
+#[test]
+fn a_host_outside_the_list_is_known_once_heard_and_one_that_leaves_is_forgotten() {
+    let mut fleet = Fleet::new(SIZE, 12);
+    fleet.start(&name(SIZE));
+    fleet.run_s(60);
+    let is_alive = |state: &PeerState| *state == PeerState::Alive;
+    assert!(fleet.views_of(&name(SIZE)).iter().any(is_alive));
+    let mut shorter = fleet.list.clone();
+    shorter.hosts.retain(|entry| entry.id != name(7));
+    let host = fleet.fleet.host_mut(&name(0)).expect("runs");
+    assert_eq!(host.liveness.state(&name(7)), PeerState::Alive);
+    host.liveness.apply_host_list(&shorter);
+    assert_eq!(host.liveness.state(&name(7)), PeerState::Unknown);
+}
+
+#[test]
+fn two_hosts_notice_each_others_death() {
+    let mut fleet = Fleet::new(2, 13);
+    fleet.run_s(10);
+    fleet.fleet.kill(&name(1));
+    fleet.run_s(20);
+    assert_eq!(fleet.views_of(&name(1)), vec![PeerState::Dead]);
+}
--- /dev/null
+++ b/crates/membership/tests/testsuite/liveness_fuzz.rs
@@ -0,0 +1,113 @@
+//! Random pauses, stops, restarts, cuts and loss, against the truth.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use waxwingusher_core::HostId;
+use waxwingusher_membership::liveness::PeerState;
+use waxwingusher_standins::LinkFaults;
+
+use crate::liveness_fleet::{Fleet, name};
+
+const SIZE: usize = 16;
+const SEEDS: u64 = 30;
+const ACTIONS: usize = 40;
+const SETTLE_S: u64 = 120;
+
+#[derive(Default)]
+struct Truth {
+    stopped: BTreeSet<HostId>,
+    paused: BTreeSet<HostId>,
+}
+
+fn act(fleet: &mut Fleet, truth: &mut Truth, rng: &mut fastrand::Rng) {
+    let id = name(rng.usize(0..SIZE));
+    match rng.u32(0..7) {
+        0 if truth.stopped.len() < SIZE / 4 => {
+            fleet.fleet.kill(&id);
+            truth.paused.remove(&id);
+            truth.stopped.insert(id);
+        }
+        1 => {
+            fleet.start(&id);
+            truth.paused.remove(&id);
+            truth.stopped.remove(&id);
+        }
+        2 if !truth.stopped.contains(&id) => {
+            fleet.fleet.pause(&id);
+            truth.paused.insert(id);
+        }
+        3 => {
+            fleet.fleet.resume(&id);
+            truth.paused.remove(&id);
+        }
+        4 => fleet.fleet.cut(&id, &name(rng.usize(0..SIZE))),
+        5 => fleet.fleet.mend_all(),
+        _ => fleet.fleet.set_faults(LinkFaults {
+            loss: rng.f64() * 0.3,
+            duplication: rng.f64() * 0.3,
+            max_delay: Duration::from_millis(rng.u64(2..400)),
+            ..LinkFaults::default()
+        }),
+    }
+}
+
+fn settle(fleet: &mut Fleet, truth: &Truth) {
+    fleet.fleet.mend_all();
+    fleet.fleet.set_faults(LinkFaults::default());
+    for id in &truth.paused {
+        fleet.fleet.resume(id);
+    }
+    fleet.run_s(SETTLE_S);
+}
+
+#[test]
+fn views_agree_with_the_truth_once_faults_have_ended() {
+    for seed in 0..SEEDS {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut fleet = Fleet::new(SIZE, seed);
+        let mut truth = Truth::default();
+        fleet.run_s(20);
+        for _ in 0..ACTIONS {
+            act(&mut fleet, &mut truth, &mut rng);
+            fleet.run_s(rng.u64(0..8));
+            for (id, host) in fleet.fleet.hosts() {
+                assert_eq!(host.liveness.state(id), PeerState::Alive, "of itself");
+            }
+        }
+        settle(&mut fleet, &truth);
+        for i in 0..SIZE {
+            let views = fleet.views_of(&name(i));
+            let expected = if truth.stopped.contains(&name(i)) {
+                PeerState::Dead
+            } else {
+                PeerState::Alive
+            };
+            assert!(
+                views.iter().all(|view| *view == expected),
+                "seed {seed}, host {i}: {views:?} in place of {expected:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_history() {
+    let history = |seed: u64| {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut fleet = Fleet::new(SIZE, seed);
+        let mut truth = Truth::default();
+        let mut changes = Vec::new();
+        for _ in 0..ACTIONS {
+            act(&mut fleet, &mut truth, &mut rng);
+            fleet.run_s(3);
+            for (by, event) in fleet.events() {
+                changes.push((by, event.host, event.to.name()));
+            }
+        }
+        changes
+    };
+    let first = history(77);
+    assert!(!first.is_empty());
+    assert_eq!(first, history(77));
+}
--- /dev/null
+++ b/crates/membership/tests/testsuite/liveness_news.rs
@@ -0,0 +1,169 @@
+//! How one host takes news: order, objections, late and doubled messages.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use waxwingusher_core::{HostId, ManualClock};
+use waxwingusher_membership::liveness::{Liveness, LivenessSettings, PeerState};
+use waxwingusher_protocol::gossip::{GossipMessage, Liveliness, LivenessUpdate};
+
+use crate::liveness_fleet::{list, name};
+
+const OWN_INCARNATION: u64 = 5;
+
+fn host() -> (Liveness, ManualClock) {
+    let clock = ManualClock::new();
+    let settings = LivenessSettings::default();
+    let mut liveness = Liveness::new(
+        name(0),
+        OWN_INCARNATION,
+        Arc::new(clock.clone()),
+        1,
+        settings,
+    );
+    liveness.apply_host_list(&list(10));
+    (liveness, clock)
+}
+
+fn update(i: usize, incarnation: u64, refutation: u32, liveliness: Liveliness) -> LivenessUpdate {
+    LivenessUpdate {
+        host: name(i),
+        incarnation,
+        refutation,
+        liveliness,
+    }
+}
+
+fn tell(liveness: &mut Liveness, update: LivenessUpdate) {
+    let updates = vec![update];
+    liveness.on_message(&name(9), 1, &GossipMessage::Push { updates });
+}
+
+#[test]
+fn only_a_higher_refutation_clears_a_suspicion() {
+    let (mut liveness, _) = host();
+    tell(&mut liveness, update(1, 7, 0, Liveliness::Alive));
+    assert_eq!(liveness.state(&name(1)), PeerState::Alive);
+    tell(&mut liveness, update(1, 7, 0, Liveliness::Suspect));
+    tell(&mut liveness, update(1, 7, 0, Liveliness::Alive));
+    assert_matches!(liveness.state(&name(1)), PeerState::Suspect { .. });
+    tell(&mut liveness, update(1, 7, 1, Liveliness::Alive));
+    assert_eq!(liveness.state(&name(1)), PeerState::Alive);
+    tell(&mut liveness, update(1, 7, 0, Liveliness::Suspect));
+    assert_eq!(liveness.state(&name(1)), PeerState::Alive);
+    tell(&mut liveness, update(1, 7, 1, Liveliness::Dead));
+    tell(&mut liveness, update(1, 7, 1, Liveliness::Suspect));
+    assert_eq!(liveness.state(&name(1)), PeerState::Dead);
+}
+
+#[test]
+fn news_of_a_former_process_does_not_touch_the_present_one() {
+    let (mut liveness, _) = host();
+    let push = GossipMessage::Push {
+        updates: Vec::new(),
+    };
+    liveness.on_message(&name(1), 7, &push);
+    liveness.on_message(&name(1), 8, &push);
+    for liveliness in [Liveliness::Suspect, Liveliness::Dead, Liveliness::Alive] {
+        tell(&mut liveness, update(1, 7, 9, liveliness));
+        assert_eq!(liveness.state(&name(1)), PeerState::Alive);
+    }
+    tell(&mut liveness, update(1, 8, 0, Liveliness::Suspect));
+    assert_matches!(liveness.state(&name(1)), PeerState::Suspect { .. });
+}
+
+#[test]
+fn an_accused_host_objects_in_its_answer_with_a_higher_number() {
+    let (mut liveness, _) = host();
+    for (accused, objected) in [(0, 1), (0, 1), (4, 5)] {
+        let ping = GossipMessage::Ping {
+            probe: 3,
+            updates: vec![update(0, OWN_INCARNATION, accused, Liveliness::Dead)],
+        };
+        let answers = liveness.on_message(&name(9), 1, &ping);
+        let [answer] = &answers[..] else {
+            panic!("{answers:?}");
+        };
+        assert_eq!(answer.to, name(9));
+        let objection = update(0, OWN_INCARNATION, objected, Liveliness::Alive);
+        assert_matches!(&answer.message, GossipMessage::Ack { probe: 3, .. });
+        assert_eq!(answer.message.updates()[0], objection);
+    }
+    let former = update(0, OWN_INCARNATION + 1, 4, Liveliness::Dead);
+    let ping = GossipMessage::Ping {
+        probe: 4,
+        updates: vec![former],
+    };
+    let answers = liveness.on_message(&name(9), 1, &ping);
+    let own = |update: &LivenessUpdate| update.incarnation == OWN_INCARNATION;
+    assert!(answers[0].message.updates().iter().all(own));
+}
+
+#[test]
+fn a_suspicion_ends_in_death_after_its_time_and_not_before() {
+    let (mut liveness, clock) = host();
+    tell(&mut liveness, update(1, 7, 0, Liveliness::Suspect));
+    let timeout = LivenessSettings::default().suspicion_timeout;
+    let step = Duration::from_millis(100);
+    while clock.elapsed() + step < timeout {
+        clock.advance(step);
+        liveness.tick();
+        assert_matches!(liveness.state(&name(1)), PeerState::Suspect { .. });
+    }
+    clock.advance(step);
+    liveness.tick();
+    assert_eq!(liveness.state(&name(1)), PeerState::Dead);
+}
+
+#[test]
+fn a_pause_of_this_process_does_not_use_up_the_time_of_a_suspect() {
+    let (mut liveness, clock) = host();
+    tell(&mut liveness, update(1, 7, 0, Liveliness::Suspect));
+    clock.advance(Duration::from_secs(600));
+    liveness.tick();
+    assert_matches!(liveness.state(&name(1)), PeerState::Suspect { .. });
+    for _ in 0..5 {
+        clock.advance(Duration::from_secs(1));
+        liveness.tick();
+    }
+    assert_eq!(liveness.state(&name(1)), PeerState::Dead);
+}
+
+#[test]
+fn a_mere_message_of_a_dead_host_tells_it_but_does_not_revive_it() {
+    let (mut liveness, _) = host();
+    tell(&mut liveness, update(1, 7, 2, Liveliness::Dead));
+    let ping = GossipMessage::Ping {
+        probe: 1,
+        updates: Vec::new(),
+    };
+    let answers = liveness.on_message(&name(1), 7, &ping);
+    assert_eq!(liveness.state(&name(1)), PeerState::Dead);
+    let accusation = update(1, 7, 2, Liveliness::Dead);
+    assert!(answers[0].message.updates().contains(&accusation));
+}
+
+#[test]
+fn hosts_that_nobody_listed_are_not_learnt_from_news() {
+    let (mut liveness, _) = host();
+    tell(&mut liveness, update(50, 7, 0, Liveliness::Alive));
+    assert_eq!(liveness.state(&name(50)), PeerState::Unknown);
+    assert!(liveness.events().iter().all(|event| event.host != name(50)));
+}
+
+#[test]
+fn a_host_that_joins_learns_who_is_not_usable() {
+    let (mut liveness, _) = host();
+    tell(&mut liveness, update(1, 7, 0, Liveliness::Dead));
+    tell(&mut liveness, update(2, 7, 0, Liveliness::Suspect));
+    tell(&mut liveness, update(3, 7, 1, Liveliness::Alive));
+    let answers = liveness.on_message(&name(4), 1, &GossipMessage::Join { probe: 8 });
+    let told: Vec<&HostId> = answers[0]
+        .message
+        .updates()
+        .iter()
+        .map(|update| &update.host)
+        .collect();
+    assert_eq!(told, vec![&name(1), &name(2)]);
+}
--- /dev/null
+++ b/crates/membership/tests/testsuite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of membership, by concern.
+
+mod liveness_faults;
+mod liveness_fleet;
+mod liveness_fuzz;
+mod liveness_news;
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,224 @@
+//! Many hosts in one process and in virtual time, which can be paused, stopped
+//! and restarted.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use waxwingusher_core::{Clock, HostId, ManualClock};
+use waxwingusher_protocol::Outgoing;
+
+use crate::links::{Delivery, LinkFaults, Links};
+
+// A paused process finds at most this many messages when it goes on.
+const MAX_WAITING: usize = 4_096;
+
+/// The decision logic of one host.
+pub trait VirtualHost {
+    /// What hosts send to each other.
+    type Message: Clone;
+
+    /// Returns the random number of this process.
+    fn incarnation(&self) -> u64;
+
+    /// Does what is due.
+    fn tick(&mut self) -> Vec<Outgoing<Self::Message>>;
+
+    /// Takes a message from a peer.
+    fn on_message(
+        &mut self,
+        from: &HostId,
+        incarnation: u64,
+        message: &Self::Message,
+    ) -> Vec<Outgoing<Self::Message>>;
+
+    /// Returns the bytes of a message of this host on the wire.
+    fn wire_len_bytes(&self, message: &Self::Message) -> usize;
+}
+
+/// A message with the process that sent it.
+#[derive(Debug, Clone)]
+struct Carried<M> {
+    incarnation: u64,
+    message: M,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Running {
+    Normally,
+    Paused,
+}
+
+struct Slot<H: VirtualHost> {
+    host: H,
+    running: Running,
+    waiting: Vec<Delivery<Carried<H::Message>>>,
+    sent_bytes: u64,
+}
+
+/// Hosts, the links between them, and the clock that all of them read.
+pub struct VirtualFleet<H: VirtualHost> {
+    clock: ManualClock,
+    tick_interval: Duration,
+    links: Links<Carried<H::Message>>,
+    slots: BTreeMap<HostId, Slot<H>>,
+}
+
+impl<H: VirtualHost> VirtualFleet<H> {
+    /// Creates a fleet without hosts.
+    #[must_use]
+    pub fn new(seed: u64, faults: LinkFaults, clock: ManualClock, tick_interval: Duration) -> Self {
+        Self {
+            clock,
+            tick_interval,
+            links: Links::new(seed, faults),
+            slots: BTreeMap::new(),
+        }
+    }
+
+    /// Starts a host, or restarts it as a new process.
+    pub fn start(&mut self, id: &HostId, host: H) {
+        let slot = Slot {
+            host,
+            running: Running::Normally,
+            waiting: Vec::new(),
+            sent_bytes: 0,
+        };
+        self.slots.insert(id.clone(), slot);
+    }
+
+    /// Stops a host without a word to its peers.
+    pub fn kill(&mut self, id: &HostId) {
+        self.slots.remove(id);
+    }
+
+    /// Pauses a host; messages for it wait.
+    pub fn pause(&mut self, id: &HostId) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.running = Running::Paused;
+        }
+    }
+
+    /// Lets a paused host go on, which finds the messages that waited.
+    pub fn resume(&mut self, id: &HostId) {
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        slot.running = Running::Normally;
+        for delivery in std::mem::take(&mut slot.waiting) {
+            self.deliver(delivery);
+        }
+    }
+
+    /// Returns a running or paused host.
+    #[must_use]
+    pub fn host(&self, id: &HostId) -> Option<&H> {
+        self.slots.get(id).map(|slot| &slot.host)
+    }
+
+    /// Returns a running or paused host.
+    pub fn host_mut(&mut self, id: &HostId) -> Option<&mut H> {
+        self.slots.get_mut(id).map(|slot| &mut slot.host)
+    }
+
+    /// Returns all running or paused hosts by name.
+    pub fn hosts(&self) -> impl Iterator<Item = (&HostId, &H)> {
+        self.slots.iter().map(|(id, slot)| (id, &slot.host))
+    }
+
+    /// Returns all running or paused hosts by name.
+    pub fn hosts_mut(&mut self) -> impl Iterator<Item = (&HostId, &mut H)> {
+        self.slots.iter_mut().map(|(id, slot)| (id, &mut slot.host))
+    }
+
+    /// Cuts the link in one direction.
+    pub fn cut(&mut self, from: &HostId, to: &HostId) {
+        self.links.cut(from, to);
+    }
+
+    /// Mends all links.
+    pub fn mend_all(&mut self) {
+        self.links.mend_all();
+    }
+
+    /// Changes the faults of messages that are sent from now on.
+    pub fn set_faults(&mut self, faults: LinkFaults) {
+        self.links.set_faults(faults);
+    }
+
+    /// Returns the bytes that a process has sent since its start.
+    #[must_use]
+    pub fn sent_bytes(&self, id: &HostId) -> u64 {
+        self.slots.get(id).map_or(0, |slot| slot.sent_bytes)
+    }
+
+    /// Moves on by one tick: delivers what arrives, then ticks every host.
+    pub fn step(&mut self) {
+        let end = self.clock.now() + self.tick_interval;
+        while let Some(at) = self.links.next_arrival().filter(|at| *at <= end) {
+            let wait = at.saturating_duration_since(self.clock.now());
+            self.clock.advance(wait);
+            let Some(delivery) = self.links.receive(at) else {
+                continue;
+            };
+            self.deliver(delivery);
+        }
+        let rest = end.saturating_duration_since(self.clock.now());
+        self.clock.advance(rest);
+        let ids: Vec<_> = self.slots.keys().cloned().collect();
+        for id in ids {
+            self.tick(&id);
+        }
+    }
+
+    /// Moves on for a time, in whole ticks.
+    pub fn run_for(&mut self, duration: Duration) {
+        let end = self.clock.now() + duration;
+        while self.clock.now() < end {
+            self.step();
+        }
+    }
+
+    fn tick(&mut self, id: &HostId) {
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        if slot.running == Running::Paused {
+            return;
+        }
+        let sent = slot.host.tick();
+        self.send(id, sent);
+    }
+
+    fn deliver(&mut self, delivery: Delivery<Carried<H::Message>>) {
+        let Some(slot) = self.slots.get_mut(&delivery.to) else {
+            return;
+        };
+        if slot.running == Running::Paused {
+            if slot.waiting.len() < MAX_WAITING {
+                slot.waiting.push(delivery);
+            }
+            return;
+        }
+        let carried = &delivery.message;
+        let sent = slot
+            .host
+            .on_message(&delivery.from, carried.incarnation, &carried.message);
+        self.send(&delivery.to, sent);
+    }
+
+    fn send(&mut self, from: &HostId, sent: Vec<Outgoing<H::Message>>) {
+        let Some(slot) = self.slots.get_mut(from) else {
+            return;
+        };
+        let now = self.clock.now();
+        let incarnation = slot.host.incarnation();
+        for outgoing in sent {
+            slot.sent_bytes += slot.host.wire_len_bytes(&outgoing.message) as u64;
+            let carried = Carried {
+                incarnation,
+                message: outgoing.message,
+            };
+            self.links.send(now, from, &outgoing.to, carried);
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod config_service;
 pub mod error;
+pub mod fleet;
 pub mod http;
 pub mod links;
 mod server;
@@ -14,6 +15,7 @@
 
 pub use config_service::{CallCounts, ConfigService, HostListLag, ServiceMode};
 pub use error::StandinError;
+pub use fleet::{VirtualFleet, VirtualHost};
 pub use http::HttpRequest;
 pub use links::{Delivery, LinkFaults, Links};
 pub use upstream::{
