--- a/crates/attempts/src/lib.rs
+++ b/crates/attempts/src/lib.rs
@@ -11,6 +11,7 @@
 mod records;
 pub mod refusal;
 pub mod registry;
+mod rounds;
 pub mod settings;
 mod transfer;
 mod witness;
--- a/crates/attempts/src/lists.rs
+++ b/crates/attempts/src/lists.rs
@@ -31,6 +31,7 @@
     past: VecDeque<Past>,
     seen: Option<Stamp>,
     confirmed: Option<Stamp>,
+    active_confirmed: Option<Stamp>,
     unbroken_since: Option<Instant>,
 }
 
@@ -44,6 +45,7 @@
             past: VecDeque::new(),
             seen: None,
             confirmed: None,
+            active_confirmed: None,
             unbroken_since: None,
         }
     }
@@ -79,6 +81,9 @@
         }
         self.confirmed = Some(Stamp::now(clock));
         self.refresh(clock);
+        if self.pending.is_none() {
+            self.active_confirmed = self.confirmed;
+        }
     }
 
     /// Brings a settled list into use and forgets lists beyond the coverage.
@@ -109,10 +114,14 @@
         }
     }
 
-    /// Returns the list in use if it may still be trusted.
+    /// Returns the list in use if it may still be trusted: the host knows what
+    /// the newest list is, and the list in use was the newest one lately.
     pub(crate) fn trusted(&self, clock: &dyn Clock) -> Option<&Arc<Topology>> {
-        let confirmed = self.confirmed?;
-        if confirmed.longest_age(clock) > self.settings.list_fence {
+        let fence = self.settings.list_fence;
+        if self.confirmed?.longest_age(clock) > fence {
+            return None;
+        }
+        if self.active_confirmed?.longest_age(clock) > fence + self.settings.list_settle {
             return None;
         }
         self.active.as_ref()
@@ -143,6 +152,8 @@
 
     fn note_gap(&mut self, version: u64, clock: &dyn Clock) {
         let Some(seen) = self.seen else {
+            let opens_later = self.settings.opened_at.is_some_and(|at| clock.wall() < at);
+            self.unbroken_since = (!opens_later).then(|| clock.now());
             return;
         };
         let last = self.confirmed.map_or(seen, |confirmed| {
--- a/crates/attempts/src/registry.rs
+++ b/crates/attempts/src/registry.rs
@@ -5,41 +5,20 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use waxwingusher_core::{BodyDigest, Clock, HostId, HostList};
+use waxwingusher_core::{Clock, HostId, HostList};
 use waxwingusher_protocol::Outgoing;
-use waxwingusher_protocol::attempt::{AttemptKey, AttemptMessage, ClaimEnd, ClaimId, Verdict};
+use waxwingusher_protocol::attempt::{AttemptKey, AttemptMessage, ClaimEnd, ClaimId};
 
 use crate::attempt::{
     AttemptDecision, AttemptReport, AttemptRequest, AttemptResult, AttemptTicket, Permission,
-    PermitError, UnknownCause,
+    PermitError,
 };
-use crate::claimant::{ClaimRound, Conclusion, Step};
+use crate::claimant::Conclusion;
 use crate::hand_over::HandOverState;
 use crate::lists::ListTracker;
+use crate::rounds::{Attempt, Stage};
 use crate::settings::AttemptSettings;
 use crate::witness::Witness;
-use crate::witnesses::HashKey;
-
-/// How long a caller waits before it asks for a running attempt again.
-const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
-
-#[derive(Debug)]
-enum Stage {
-    Asking(ClaimRound),
-    BackingOff { until: Instant, last: Conclusion },
-    Permitted(ClaimRound),
-    Dispatched(ClaimRound),
-}
-
-#[derive(Debug)]
-struct Attempt {
-    key: AttemptKey,
-    body: BodyDigest,
-    deadline: Instant,
-    give_up_at: Instant,
-    rounds: u32,
-    stage: Stage,
-}
 
 /// The attempt records of one host.
 pub struct AttemptRegistry {
@@ -52,11 +31,11 @@
     pub(crate) witness: Witness,
     pub(crate) hand_over: HandOverState,
     pub(crate) outbox: Vec<Outgoing<AttemptMessage>>,
-    attempts: BTreeMap<AttemptTicket, Attempt>,
-    tickets: HashMap<ClaimId, AttemptTicket>,
+    pub(crate) attempts: BTreeMap<AttemptTicket, Attempt>,
+    pub(crate) tickets: HashMap<ClaimId, AttemptTicket>,
     next_ticket: u64,
-    decisions: Vec<AttemptDecision>,
-    report: AttemptReport,
+    pub(crate) decisions: Vec<AttemptDecision>,
+    pub(crate) report: AttemptReport,
 }
 
 impl AttemptRegistry {
@@ -76,7 +55,7 @@
             self_id,
             incarnation,
             clock,
-            rng: fastrand::Rng::with_seed(seed ^ incarnation),
+            rng: fastrand::Rng::with_seed(seed),
             settings,
             lists: ListTracker::new(settings),
             witness,
@@ -281,216 +260,4 @@
         let left = opened_at.duration_since(self.clock.wall()).ok()?;
         (!left.is_zero()).then_some(left)
     }
-
-    fn start_round(&mut self, ticket: AttemptTicket) {
-        self.lists.refresh(&*self.clock);
-        let Some(topology) = self.lists.trusted(&*self.clock).cloned() else {
-            let unknown = Permission::Unknown(UnknownCause::ListStale);
-            self.conclude(ticket, unknown);
-            return;
-        };
-        let Some(attempt) = self.attempts.get_mut(&ticket) else {
-            return;
-        };
-        let count = self.settings.plan.witnesses();
-        let witnesses = topology.witnesses(&HashKey::new(&attempt.key), count);
-        let claim = ClaimId(self.rng.u64(..).to_le_bytes());
-        let timeout = self.settings.verdict_timeout;
-        let mut round = ClaimRound::new(claim, witnesses, timeout, &*self.clock);
-        let hosts = round.ask_quorum();
-        attempt.rounds += 1;
-        attempt.stage = Stage::Asking(round);
-        self.tickets.insert(claim, ticket);
-        self.send_claim(ticket, &hosts);
-        self.evaluate(ticket, false);
-    }
-
-    /// Sends the open claim; this host's own verdict is taken at once.
-    fn send_claim(&mut self, ticket: AttemptTicket, hosts: &[HostId]) {
-        let now = self.clock.now();
-        for host in hosts {
-            let Some(attempt) = self.attempts.get_mut(&ticket) else {
-                return;
-            };
-            let Stage::Asking(round) = &mut attempt.stage else {
-                return;
-            };
-            let time_left = attempt.deadline.saturating_duration_since(now);
-            let claim = round.message(attempt.key, attempt.body, time_left);
-            if host == &self.self_id {
-                let verdict = self.witness.on_claim(&claim, &self.lists, &*self.clock);
-                round.on_verdict(host, verdict);
-                continue;
-            }
-            self.send(host, AttemptMessage::Claim(claim));
-        }
-    }
-
-    fn on_verdict(&mut self, from: &HostId, claim: ClaimId, verdict: Verdict) {
-        let Some(ticket) = self.tickets.get(&claim).copied() else {
-            return;
-        };
-        let Some(attempt) = self.attempts.get_mut(&ticket) else {
-            return;
-        };
-        let Stage::Asking(round) = &mut attempt.stage else {
-            return;
-        };
-        round.on_verdict(from, verdict);
-        self.evaluate(ticket, false);
-    }
-
-    fn evaluate(&mut self, ticket: AttemptTicket, is_time_up: bool) {
-        loop {
-            let Some(attempt) = self.attempts.get_mut(&ticket) else {
-                return;
-            };
-            let Stage::Asking(round) = &mut attempt.stage else {
-                return;
-            };
-            match round.evaluate(is_time_up) {
-                Step::Wait => return,
-                Step::AskNext => {
-                    let next: Vec<_> = round.ask_next().into_iter().collect();
-                    self.send_claim(ticket, &next);
-                }
-                Step::Permit => {
-                    self.permit(ticket);
-                    return;
-                }
-                Step::Conclude(conclusion) => {
-                    self.end_claim(ticket, conclusion, is_time_up);
-                    return;
-                }
-            }
-        }
-    }
-
-    fn permit(&mut self, ticket: AttemptTicket) {
-        let Some(mut attempt) = self.attempts.remove(&ticket) else {
-            return;
-        };
-        if let Stage::Asking(round) = attempt.stage {
-            attempt.stage = Stage::Permitted(round);
-        }
-        log::info!("attempts: {:?} may run", attempt.key);
-        self.attempts.insert(ticket, attempt);
-        self.report.permitted += 1;
-        let permission = Permission::Run;
-        self.decisions.push(AttemptDecision { ticket, permission });
-    }
-
-    fn end_claim(&mut self, ticket: AttemptTicket, conclusion: Conclusion, is_time_up: bool) {
-        let permission = match conclusion {
-            Conclusion::FirstAnswer(answer) => Permission::FirstAnswer(answer),
-            Conclusion::Unknown(cause) => Permission::Unknown(cause),
-            Conclusion::Misuse => Permission::Misuse,
-            Conclusion::Contended | Conclusion::Unsettled => {
-                self.back_off(ticket, conclusion, is_time_up);
-                return;
-            }
-        };
-        self.conclude(ticket, permission);
-    }
-
-    /// Gives the claim back and claims anew after a random time, so that two
-    /// claimants cannot hold each other up for ever.
-    fn back_off(&mut self, ticket: AttemptTicket, last: Conclusion, is_time_up: bool) {
-        let Some(mut attempt) = self.attempts.remove(&ticket) else {
-            return;
-        };
-        if is_time_up || attempt.rounds >= self.settings.claim_rounds {
-            self.attempts.insert(ticket, attempt);
-            self.conclude(ticket, last_resort(&last));
-            return;
-        }
-        self.end_round(&attempt, &ClaimEnd::NotRun);
-        let longest = self.settings.verdict_timeout * (1 << attempt.rounds.min(8));
-        let until = self.clock.now() + longest.mul_f64(0.5 + self.rng.f64() / 2.0);
-        attempt.stage = Stage::BackingOff { until, last };
-        self.attempts.insert(ticket, attempt);
-    }
-
-    fn conclude(&mut self, ticket: AttemptTicket, permission: Permission) {
-        let Some(attempt) = self.attempts.remove(&ticket) else {
-            return;
-        };
-        self.end_round(&attempt, &ClaimEnd::NotRun);
-        let counter = match &permission {
-            Permission::Run => &mut self.report.permitted,
-            Permission::FirstAnswer(_) => &mut self.report.first_answers,
-            Permission::InProgress { .. } => &mut self.report.in_progress,
-            Permission::Unknown(UnknownCause::EarlierAttempt) => &mut self.report.earlier_attempts,
-            Permission::Unknown(_) => &mut self.report.not_vouched,
-            Permission::Misuse => &mut self.report.misuses,
-        };
-        *counter += 1;
-        log::info!("attempts: {:?} is refused: {permission:?}", attempt.key);
-        self.decisions.push(AttemptDecision { ticket, permission });
-    }
-
-    /// Tells all asked witnesses how the claim ended.
-    fn end_round(&mut self, attempt: &Attempt, end: &ClaimEnd) {
-        let (Stage::Asking(round) | Stage::Permitted(round) | Stage::Dispatched(round)) =
-            &attempt.stage
-        else {
-            return;
-        };
-        self.tickets.remove(&round.claim);
-        let (key, claim) = (attempt.key, round.claim);
-        for host in round.asked() {
-            let end = end.clone();
-            if host == &self.self_id {
-                self.witness.on_finish(key, claim, end, &*self.clock);
-                continue;
-            }
-            self.outbox.push(Outgoing {
-                to: host.clone(),
-                message: AttemptMessage::Finish { key, claim, end },
-            });
-        }
-    }
-
-    fn tick_attempt(&mut self, ticket: AttemptTicket, now: Instant) {
-        let Some(attempt) = self.attempts.get_mut(&ticket) else {
-            return;
-        };
-        let give_up = now >= attempt.give_up_at;
-        match &mut attempt.stage {
-            Stage::Asking(_) if give_up => self.evaluate(ticket, true),
-            Stage::Asking(round) if now >= round.resend_at => {
-                let hosts = round.resend(now);
-                self.send_claim(ticket, &hosts);
-                self.evaluate(ticket, false);
-            }
-            Stage::BackingOff { last, .. } if give_up => {
-                let permission = last_resort(last);
-                self.conclude(ticket, permission);
-            }
-            Stage::BackingOff { until, .. } if now >= *until => self.start_round(ticket),
-            Stage::Permitted(_) | Stage::Dispatched(_)
-                if now >= attempt.deadline + self.settings.permit_term =>
-            {
-                log::warn!("attempts: {:?} was never finished", attempt.key);
-                self.abandon(ticket);
-            }
-            _ => {}
-        }
-    }
-
-    fn abandon(&mut self, ticket: AttemptTicket) {
-        let Some(attempt) = self.attempts.remove(&ticket) else {
-            return;
-        };
-        self.end_round(&attempt, &ClaimEnd::Unknown);
-    }
-}
-
-fn last_resort(last: &Conclusion) -> Permission {
-    match last {
-        Conclusion::Contended => Permission::InProgress {
-            retry_after: IN_PROGRESS_RETRY,
-        },
-        _ => Permission::Unknown(UnknownCause::NotCovered),
-    }
 }
--- a/crates/attempts/src/settings.rs
+++ b/crates/attempts/src/settings.rs
@@ -65,7 +65,7 @@
             permit_term: Duration::from_secs(5),
             list_lag: Duration::from_secs(2),
             list_fence: Duration::from_secs(10),
-            list_settle: Duration::from_secs(8),
+            list_settle: Duration::from_secs(6),
             verdict_timeout: Duration::from_millis(40),
             claim_rounds: 4,
             max_records: 262_144,
@@ -86,7 +86,8 @@
     /// Returns how long a witness must have covered a key before it vouches.
     #[must_use]
     pub fn coverage(&self) -> Duration {
-        with_drift(self.retention() + self.list_lag + self.list_fence)
+        let list_change = self.list_lag + self.list_fence + self.list_settle;
+        with_drift(self.retention() + list_change)
     }
 
     /// Returns how long a witness may stand for a stopped host. It ends before
--- a/crates/attempts/tests/testsuite/main.rs
+++ b/crates/attempts/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of request outcomes.
 
 mod lifecycle;
+mod schedules;
--- /dev/null
+++ b/crates/attempts/tests/testsuite/schedules.rs
@@ -0,0 +1,41 @@
+//! Random schedules of faults never double a run or refuse falsely.
+
+use std::ops::Range;
+
+use waxwingusher_attempts::WitnessPlan;
+use waxwingusher_bench::attempts::run_schedule;
+
+fn check(plan: WitnessPlan, seeds: Range<u64>) {
+    let (mut runs, mut first_sends, mut first_answers, mut not_run) = (0, 0, 0, 0);
+    for seed in seeds {
+        let fleet = run_schedule(seed, plan);
+        assert_eq!(fleet.oracle().violations(), [], "seed {seed}");
+        let tally = fleet.oracle().tally();
+        runs += tally.runs;
+        first_sends += tally.first_sends;
+        first_answers += tally.first_answers;
+        not_run += tally.not_run;
+    }
+    assert!(runs > first_sends / 2, "{runs} runs of {first_sends}");
+    assert!(first_answers > 0 && not_run > 0);
+}
+
+#[test]
+fn two_of_three_witnesses_keep_the_promises() {
+    check(WitnessPlan::Majority, 0..80);
+}
+
+#[test]
+fn two_of_three_witnesses_keep_the_promises_on_further_seeds() {
+    check(WitnessPlan::Majority, 2230..2310);
+}
+
+#[test]
+fn two_witnesses_keep_the_promises() {
+    check(WitnessPlan::Pair, 0..80);
+}
+
+#[test]
+fn one_home_keeps_the_promises() {
+    check(WitnessPlan::Home, 0..80);
+}
--- /dev/null
+++ b/crates/bench/src/attempts/fleet.rs
@@ -0,0 +1,352 @@
+//! A fleet of attempt registries on links in virtual time.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_attempts::{AttemptSettings, AttemptTicket};
+use waxwingusher_core::{
+    Clock, FailureDomain, HostEntry, HostId, HostList, HostState, ManualClock,
+};
+use waxwingusher_protocol::Outgoing;
+use waxwingusher_protocol::attempt::AttemptMessage;
+use waxwingusher_standins::{Delivery, LinkFaults, Links};
+
+use super::fault::Fault;
+use super::member::{DriftingClock, Member};
+use super::oracle::Oracle;
+use super::traffic::Treatment;
+
+/// The time between ticks of an idle process.
+pub(super) const IDLE_TICK: Duration = Duration::from_millis(250);
+
+/// The size and times of a simulated fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetSettings {
+    /// The number of failure domains.
+    pub domains: usize,
+    /// The hosts in each failure domain.
+    pub hosts_per_domain: usize,
+    /// The largest drift of a clock, in millionths.
+    pub max_drift_ppm: i32,
+    /// The time between reads of the host list.
+    pub read_interval: Duration,
+    /// Times and limits of the records.
+    pub attempt: AttemptSettings,
+}
+
+/// A message with its sender's incarnation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Packet {
+    pub(super) incarnation: u64,
+    pub(super) message: AttemptMessage,
+}
+
+/// Something that happens at an instant.
+#[derive(Debug, Clone)]
+pub(super) enum Event {
+    Send {
+        operation: usize,
+    },
+    Dispatch {
+        host: HostId,
+        incarnation: u64,
+        ticket: AttemptTicket,
+    },
+    Done {
+        host: HostId,
+        incarnation: u64,
+        ticket: AttemptTicket,
+        treatment: Treatment,
+    },
+    Read {
+        host: HostId,
+        incarnation: u64,
+    },
+    Tick {
+        host: HostId,
+        incarnation: u64,
+        is_idle: bool,
+    },
+    Deliver(Delivery<Packet>),
+    Fault(Fault),
+    Start {
+        host: HostId,
+    },
+    HandOver {
+        host: HostId,
+    },
+    Halt {
+        host: HostId,
+        at_latest: Instant,
+        replaced_after: Option<Duration>,
+    },
+    Publish {
+        host: HostId,
+        state: Option<HostState>,
+    },
+    Mend {
+        from: HostId,
+        to: HostId,
+    },
+    MendLinks,
+}
+
+/// The fleet, its callers and its upstream.
+pub struct Fleet {
+    pub(super) settings: FleetSettings,
+    pub(super) time: ManualClock,
+    pub(super) rng: fastrand::Rng,
+    pub(super) links: Links<Packet>,
+    pub(super) members: BTreeMap<HostId, Member>,
+    pub(super) published: Vec<(Instant, Arc<HostList>)>,
+    pub(super) list_away_until: Option<Instant>,
+    events: BTreeMap<(Instant, u64), Event>,
+    pub(super) sequence: u64,
+    pub(super) oracle: Oracle,
+    sent_messages: u64,
+}
+
+impl Fleet {
+    /// Creates a fleet whose processes have just started.
+    #[must_use]
+    pub fn new(seed: u64, settings: FleetSettings) -> Self {
+        let time = ManualClock::new();
+        let mut fleet = Self {
+            settings,
+            rng: fastrand::Rng::with_seed(seed),
+            links: Links::new(seed, LinkFaults::default()),
+            members: BTreeMap::new(),
+            published: vec![(time.now(), Arc::default())],
+            list_away_until: None,
+            events: BTreeMap::new(),
+            sequence: 0,
+            oracle: Oracle::new(settings.attempt.window),
+            sent_messages: 0,
+            time,
+        };
+        for index in 0..settings.domains * settings.hosts_per_domain {
+            let domain = FailureDomain::new(&format!("d{}", index % settings.domains));
+            fleet.add_host(domain);
+        }
+        fleet
+    }
+
+    /// Returns the truth about all operations.
+    #[must_use]
+    pub const fn oracle(&self) -> &Oracle {
+        &self.oracle
+    }
+
+    /// Returns how many messages were sent.
+    #[must_use]
+    pub const fn sent_messages(&self) -> u64 {
+        self.sent_messages
+    }
+
+    /// Returns the names of all hosts, running or not.
+    #[must_use]
+    pub fn hosts(&self) -> Vec<HostId> {
+        self.members.keys().cloned().collect()
+    }
+
+    /// Returns the true time.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.time.now()
+    }
+
+    /// Adds a host, starts its process and lists it.
+    pub fn add_host(&mut self, domain: FailureDomain) -> HostId {
+        let id = HostId::new(&format!("h{:03}", self.members.len()));
+        let max_drift = self.settings.max_drift_ppm;
+        let drift_ppm = self.rng.i32(-max_drift..=max_drift);
+        let clock = DriftingClock::new(self.time.clone(), drift_ppm);
+        self.members
+            .insert(id.clone(), Member::new(id.clone(), domain, clock));
+        self.start(&id);
+        self.publish(&id, Some(HostState::Live));
+        id
+    }
+
+    /// Plans a send of an operation to a random host.
+    pub fn plan_send(&mut self, after: Duration, operation: usize) {
+        self.plan(after, Event::Send { operation });
+    }
+
+    /// Plans a fault.
+    pub fn plan_fault(&mut self, after: Duration, fault: Fault) {
+        self.plan(after, Event::Fault(fault));
+    }
+
+    /// Lets the fleet run for a time, or until a promise is broken.
+    pub fn run_for(&mut self, time: Duration) {
+        let until = self.now() + time;
+        while self.oracle.violations().is_empty() {
+            let next_event = self.events.keys().next().map(|(at, _)| *at);
+            let next = [next_event, self.links.next_arrival()];
+            let Some(next) = next.into_iter().flatten().min() else {
+                break;
+            };
+            if next > until {
+                break;
+            }
+            let step = next.saturating_duration_since(self.now());
+            self.time.advance(step);
+            self.step();
+        }
+        let rest = until.saturating_duration_since(self.now());
+        self.time.advance(rest);
+    }
+
+    pub(super) fn plan(&mut self, after: Duration, event: Event) {
+        self.plan_at(self.now() + after, event);
+    }
+
+    pub(super) fn plan_at(&mut self, at: Instant, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at, self.sequence), event);
+    }
+
+    /// Starts a process without memory on a host.
+    pub(super) fn start(&mut self, host: &HostId) {
+        log::trace!("fleet: {:?} {host} starts", self.time.elapsed());
+        let incarnation = self.rng.u64(..);
+        let attempt = self.settings.attempt;
+        let Some(member) = self.members.get_mut(host) else {
+            return;
+        };
+        if member.process.is_some() {
+            return;
+        }
+        member.start(incarnation, attempt);
+        let host = host.clone();
+        let read = Event::Read {
+            host: host.clone(),
+            incarnation,
+        };
+        self.plan(Duration::ZERO, read);
+        let tick = Event::Tick {
+            host,
+            incarnation,
+            is_idle: true,
+        };
+        self.plan(IDLE_TICK, tick);
+    }
+
+    /// Publishes a list in which one host has a new state or is missing.
+    pub(super) fn publish(&mut self, host: &HostId, state: Option<HostState>) {
+        log::trace!(
+            "fleet: {:?} {host} is listed as {state:?}",
+            self.time.elapsed()
+        );
+        let Some(member) = self.members.get(host) else {
+            return;
+        };
+        let mut list = self
+            .published
+            .last()
+            .map_or_else(HostList::default, |(_, list)| HostList::clone(list));
+        list.hosts.retain(|entry| &entry.id != host);
+        if let Some(state) = state {
+            list.hosts.push(HostEntry {
+                id: host.clone(),
+                peer_addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+                failure_domain: member.domain.clone(),
+                state,
+            });
+        }
+        list.hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        list.version += 1;
+        self.published.push((self.time.now(), Arc::new(list)));
+    }
+
+    pub(super) fn send_all(&mut self, from: &HostId, outgoing: Vec<Outgoing<AttemptMessage>>) {
+        let Some(process) = self
+            .members
+            .get(from)
+            .and_then(|member| member.process.as_ref())
+        else {
+            return;
+        };
+        let incarnation = process.incarnation;
+        let now = self.time.now();
+        for Outgoing { to, message } in outgoing {
+            self.sent_messages += 1;
+            log::trace!(
+                "fleet: {:?} {from} -> {to}: {message:?}",
+                self.time.elapsed()
+            );
+            let packet = Packet {
+                incarnation,
+                message,
+            };
+            self.links.send(now, from, &to, packet);
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.now();
+        while let Some(delivery) = self.links.receive(now) {
+            self.handle(Event::Deliver(delivery));
+        }
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > now {
+                break;
+            }
+            let event = entry.remove();
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Some(until) = self.paused(&event) {
+            self.plan_at(until, event);
+            return;
+        }
+        match event {
+            Event::Send { operation } => self.on_send(operation),
+            Event::Dispatch {
+                host,
+                incarnation,
+                ticket,
+            } => {
+                self.on_dispatch(&host, incarnation, ticket);
+            }
+            Event::Done {
+                host,
+                incarnation,
+                ticket,
+                treatment,
+            } => {
+                self.on_done(&host, incarnation, ticket, treatment);
+            }
+            Event::Read { host, incarnation } => self.on_read(&host, incarnation),
+            Event::Tick {
+                host,
+                incarnation,
+                is_idle,
+            } => {
+                self.on_tick(&host, incarnation, is_idle);
+            }
+            Event::Deliver(delivery) => self.on_delivery(delivery),
+            fault => self.on_fault_event(fault),
+        }
+    }
+
+    /// Returns until when the host that an event happens on is paused.
+    fn paused(&self, event: &Event) -> Option<Instant> {
+        let host = match event {
+            Event::Dispatch { host, .. }
+            | Event::Done { host, .. }
+            | Event::Read { host, .. }
+            | Event::Tick { host, .. }
+            | Event::HandOver { host }
+            | Event::Halt { host, .. } => host,
+            Event::Deliver(delivery) => &delivery.to,
+            _ => return None,
+        };
+        self.members.get(host)?.paused_at(self.now())
+    }
+}
--- /dev/null
+++ b/crates/bench/src/attempts/schedule.rs
@@ -0,0 +1,145 @@
+//! Random schedules of faults and repeats, each from one seed.
+
+use std::time::Duration;
+
+use waxwingusher_attempts::{AttemptSettings, WitnessPlan};
+use waxwingusher_core::{FailureDomain, HostId};
+use waxwingusher_standins::LinkFaults;
+
+use super::fault::{Fault, Listing};
+use super::fleet::{Fleet, FleetSettings};
+
+/// The time in which faults and sends begin.
+const BUSY_TIME: Duration = Duration::from_secs(60);
+
+/// The time after it in which repeats still arrive.
+const REST_TIME: Duration = Duration::from_secs(20);
+
+/// The operations of one schedule.
+const OPERATIONS: usize = 40;
+
+/// Returns settings with a short window, so that a schedule spans several.
+#[must_use]
+pub fn short_settings(plan: WitnessPlan) -> AttemptSettings {
+    AttemptSettings {
+        window: Duration::from_secs(15),
+        permit_term: Duration::from_secs(1),
+        list_lag: Duration::from_millis(200),
+        list_fence: Duration::from_secs(2),
+        list_settle: Duration::from_millis(1200),
+        plan,
+        ..AttemptSettings::default()
+    }
+}
+
+/// Returns how long a fleet runs before its hosts vouch.
+#[must_use]
+pub fn warm_up(settings: &AttemptSettings) -> Duration {
+    settings.coverage() + settings.list_settle + Duration::from_secs(2)
+}
+
+/// Runs one schedule of random faults.
+#[must_use]
+pub fn run_schedule(seed: u64, plan: WitnessPlan) -> Fleet {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x5ced);
+    let settings = FleetSettings {
+        domains: rng.usize(1..=4),
+        hosts_per_domain: rng.usize(1..=3),
+        max_drift_ppm: 10_000,
+        read_interval: Duration::from_millis(300),
+        attempt: short_settings(plan),
+    };
+    let mut fleet = Fleet::new(seed, settings);
+    fleet.run_for(warm_up(&settings.attempt));
+    for _ in 0..rng.usize(2..14) {
+        let fault = random_fault(&mut rng, &fleet);
+        fleet.plan_fault(up_to(&mut rng, BUSY_TIME), fault);
+    }
+    for operation in 0..OPERATIONS {
+        let first = up_to(&mut rng, BUSY_TIME);
+        fleet.plan_send(first, operation);
+        for _ in 0..rng.usize(1..5) {
+            fleet.plan_send(first + repeat_after(&mut rng), operation);
+        }
+    }
+    fleet.run_for(BUSY_TIME + REST_TIME);
+    fleet
+}
+
+/// Draws when a repeat follows: at once, within seconds, or near the window.
+fn repeat_after(rng: &mut fastrand::Rng) -> Duration {
+    match rng.u32(..4) {
+        0 => Duration::from_micros(rng.u64(..5000)),
+        1 => Duration::from_millis(rng.u64(..1500)),
+        _ => Duration::from_millis(rng.u64(..18_000)),
+    }
+}
+
+fn random_fault(rng: &mut fastrand::Rng, fleet: &Fleet) -> Fault {
+    let hosts = fleet.hosts();
+    let host = pick(rng, &hosts);
+    let domain = FailureDomain::new(&format!("d{}", rng.usize(..fleet.settings.domains)));
+    let time = Duration::from_millis(rng.u64(100..30_000));
+    match rng.u32(..14) {
+        0 | 1 => Fault::Kill {
+            host,
+            replaced_after: replacement(rng),
+            listing: listing(rng),
+        },
+        2 | 3 => Fault::Stop {
+            host,
+            hands_over: rng.u32(..4) > 0,
+            replaced_after: replacement(rng),
+            listing: listing(rng),
+        },
+        4 => Fault::Pause { host, time },
+        5 => Fault::Suspend { host, time },
+        6 | 7 => Fault::CutLink {
+            from: host,
+            to: pick(rng, &hosts),
+            time,
+        },
+        8 => Fault::CutDomain {
+            domain,
+            both_ways: rng.bool(),
+            time,
+        },
+        9 => Fault::BadLinks {
+            faults: bad_links(rng),
+            time,
+        },
+        10 => Fault::ListAway { time },
+        11 => Fault::ReadsFail { host, time },
+        12 => Fault::Delist { host, time },
+        _ => Fault::Add { domain },
+    }
+}
+
+fn replacement(rng: &mut fastrand::Rng) -> Option<Duration> {
+    let after = Duration::from_millis(rng.u64(0..5000));
+    (rng.u32(..4) > 0).then_some(after)
+}
+
+fn listing(rng: &mut fastrand::Rng) -> Listing {
+    if rng.bool() {
+        return Listing::Kept;
+    }
+    Listing::DroppedAfter(Duration::from_millis(rng.u64(..6000)))
+}
+
+fn bad_links(rng: &mut fastrand::Rng) -> LinkFaults {
+    LinkFaults {
+        min_delay: Duration::from_micros(500),
+        max_delay: Duration::from_millis(rng.u64(2..2000)),
+        loss: rng.f64() / 4.0,
+        duplication: rng.f64() / 4.0,
+    }
+}
+
+fn pick(rng: &mut fastrand::Rng, hosts: &[HostId]) -> HostId {
+    hosts[rng.usize(..hosts.len())].clone()
+}
+
+fn up_to(rng: &mut fastrand::Rng, longest: Duration) -> Duration {
+    longest.mul_f64(rng.f64())
+}
--- /dev/null
+++ b/crates/bench/src/attempts/traffic.rs
@@ -0,0 +1,73 @@
+//! Operations, and how upstreams answer them.
+
+use std::time::Duration;
+
+use waxwingusher_core::{BodyDigest, WorkspaceName};
+use waxwingusher_protocol::attempt::{StoredAnswer, StoredHeader};
+
+/// How the upstream treats one dispatched request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Treatment {
+    /// It runs the request and answers.
+    Answers,
+    /// It runs the request, and the answer is lost.
+    AnswerLost,
+    /// It sheds the request.
+    Sheds,
+}
+
+/// Returns the workspace of an operation.
+#[must_use]
+pub fn workspace_of(operation: usize) -> WorkspaceName {
+    WorkspaceName::new(&format!("w{}", operation % 5))
+}
+
+/// Returns the idempotency key of an operation. Keys repeat over workspaces.
+#[must_use]
+pub fn key_of(operation: usize) -> String {
+    format!("key-{}", operation / 5)
+}
+
+/// Returns the digest of an operation's request.
+#[must_use]
+pub fn body_of(operation: usize) -> BodyDigest {
+    BodyDigest::of_request("POST", "/leaves", &operation.to_le_bytes())
+}
+
+/// Returns the answer of an operation's `run`th run.
+#[must_use]
+pub fn answer_of(operation: usize, run: u64) -> StoredAnswer {
+    let header = StoredHeader {
+        name: "location".into(),
+        value: format!("/leaves/{operation}").into(),
+    };
+    StoredAnswer {
+        status: 201,
+        headers: vec![header],
+        body: format!("operation {operation} run {run}")
+            .into_bytes()
+            .into(),
+    }
+}
+
+/// Draws how the upstream treats a request.
+pub fn treatment(rng: &mut fastrand::Rng) -> Treatment {
+    match rng.u32(..100) {
+        0..80 => Treatment::Answers,
+        80..92 => Treatment::AnswerLost,
+        _ => Treatment::Sheds,
+    }
+}
+
+/// Draws how long an upstream takes.
+pub fn service_time(rng: &mut fastrand::Rng) -> Duration {
+    Duration::from_millis(rng.u64(2..400))
+}
+
+/// Draws how long a permitted request waits for its dispatch.
+pub fn queue_time(rng: &mut fastrand::Rng) -> Duration {
+    match rng.u32(..20) {
+        0 => Duration::from_millis(rng.u64(0..2000)),
+        _ => Duration::from_micros(rng.u64(0..2000)),
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 //! Scenarios drive the decision logic in virtual time through small fakes and
 //! are exactly repeatable. Each topic contributes its own list.
 
+pub mod attempts;
 pub mod scenario;
 
 pub use scenario::{Bound, Measurement, Scenario, ScenarioResult};
