Distribute the configuration through the agent, and join liveness and peer RPC

Cause: every host watched the configuration service itself, and nothing told the attempt records that a host list is current while the service is away. Before: 2 watches a host. After: two readers a failure domain watch, others learn from peers and ask those readers most; evidence on the host list travels with its age, and while the service is away the word of a majority of failure domains counts.

--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use waxwingusher_config::resolve::{TeamText, resolve};
 use waxwingusher_config::{CheckErrors, Pack, PublicationError, publish};
@@ -11,7 +11,6 @@
     CancelToken, FailureDomain, HostEntry, HostId, HostList, HostState, KeyDigest, SystemClock,
 };
 use waxwingusher_edge::EdgeSettings;
-use waxwingusher_host::settings::Bootstrap;
 use waxwingusher_host::{Host, HostError, HostSettings};
 use waxwingusher_protocol::secret::FleetSecret;
 use waxwingusher_standins::{ConfigService, StandinError, UpstreamServer, UpstreamSettings};
@@ -72,6 +71,7 @@
     config_version: u64,
     list_version: u64,
     next_incarnation: u64,
+    opens_at: SystemTime,
     _token: CancelToken,
 }
 
@@ -95,13 +95,14 @@
             upstreams.push(UpstreamServer::start(settings, &token)?);
         }
         let mut fleet = Self {
-            plan,
             service,
             upstreams,
             hosts: Vec::new(),
             config_version: 0,
             list_version: 0,
             next_incarnation: seed.wrapping_mul(1_000_003).wrapping_add(1),
+            opens_at: SystemTime::now() + plan.opens_after,
+            plan,
             _token: token,
         };
         fleet.publish_config()?;
@@ -262,7 +263,8 @@
             queue_per_workspace: 256,
             loan_term: self.plan.loan_term,
             attempt_window: self.plan.attempt_window,
-            bootstrap: Bootstrap::NewFleet,
+            fleet_opens_at: Some(self.opens_at),
+            seed_peers: Vec::new(),
         };
         let clock = Arc::new(SystemClock);
         Ok(Host::start(settings, clock, self.next_incarnation)?)
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -21,6 +21,8 @@
     pub workspaces: Vec<WorkspacePlan>,
     /// How long a loan of rate and burst lasts.
     pub loan_term: Duration,
+    /// How long after its start the fleet opens to callers.
+    pub opens_after: Duration,
     /// How long a keyed operation runs at most once.
     pub attempt_window: Duration,
     /// Threads of a host that forward requests.
@@ -67,7 +69,8 @@
                 WorkspacePlan::new("payroll", 200.0, 50),
             ],
             loan_term: Duration::from_secs(1),
-            attempt_window: Duration::from_secs(3),
+            opens_after: Duration::from_secs(2),
+            attempt_window: Duration::from_secs(60),
             workers: 16,
         }
     }
--- a/crates/host/src/duties/mod.rs
+++ b/crates/host/src/duties/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod admitter;
 pub(crate) mod operators;
+pub(crate) mod peer_fetcher;
 pub(crate) mod peer_receiver;
 pub(crate) mod service_reader;
 pub(crate) mod ticker;
--- a/crates/host/src/duties/peer_receiver.rs
+++ b/crates/host/src/duties/peer_receiver.rs
@@ -36,6 +36,16 @@
                 .on_message(&from, incarnation, &health);
             state.peers.send_all(replies, Message::Health);
         }
-        Message::Gossip(_) | Message::Config(_) => {}
+        Message::Gossip(gossip) => {
+            let replies = state
+                .lock_liveness()
+                .on_message(&from, incarnation, &gossip);
+            state.peers.send_all(replies, Message::Gossip);
+        }
+        Message::Config(config) => {
+            state
+                .config
+                .with(state, |agent| agent.on_message(&from, incarnation, &config));
+        }
     }
 }
--- a/crates/host/src/duties/service_reader.rs
+++ b/crates/host/src/duties/service_reader.rs
@@ -1,124 +1,50 @@
-//! Watches the published configuration and the host list.
+//! Reads and watches the configuration service for the agent.
 
-use std::collections::HashMap;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::sync::mpsc::Receiver;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
-use waxwingusher_config::publication::{HOSTS_KEY, MANIFEST_KEY};
-use waxwingusher_config::{BlobDigest, Manifest, Pack, assemble};
-use waxwingusher_core::HostList;
+use waxwingusher_membership::distribution::ServiceRead;
 
-use crate::service_client::{ServiceClient, ServiceError};
+use crate::service_client::{ServiceClient, ServiceError, ServiceValue};
 use crate::state::HostState;
 
-const WATCH: Duration = Duration::from_secs(5);
-const RETRY: Duration = Duration::from_millis(500);
+/// Calls that may be under way at once: a watch of the configuration, a watch
+/// of the host list, and reads of packs.
+pub(crate) const READERS: usize = 4;
 
-/// Watches the host list until the host stops.
-pub(crate) fn run_hosts(state: &HostState) {
-    let client = ServiceClient::new(state.settings.config_service);
-    let mut revision = 0;
-    while !state.stop.is_cancelled() {
-        let started_at = state.clock.now();
-        match client.watch(HOSTS_KEY, revision, WATCH) {
-            Ok(Some(value)) => {
-                revision = value.revision;
-                take_hosts(state, &value.bytes, started_at);
-            }
-            Ok(None) => confirm(state, state.host_list().version, started_at),
-            Err(e) => pause(state, "hosts", &e),
-        }
-    }
-}
+/// How long a thread waits at the ring before it looks whether the host stops.
+const RING_WAIT: Duration = Duration::from_millis(200);
 
-/// Watches the configuration until the host stops.
-pub(crate) fn run_config(state: &HostState) {
+/// Runs until the host stops.
+pub(crate) fn run(state: &HostState, ring: &Mutex<Receiver<ServiceRead>>) {
     let client = ServiceClient::new(state.settings.config_service);
-    let mut packs = HashMap::new();
-    let mut revision = 0;
     while !state.stop.is_cancelled() {
-        match client.watch(MANIFEST_KEY, revision, WATCH) {
-            Ok(Some(value)) => {
-                if take_manifest(state, &client, &mut packs, &value.bytes) {
-                    revision = value.revision;
-                } else {
-                    state.stop.wait(RETRY);
-                }
-            }
-            Ok(None) => {}
-            Err(e) => pause(state, "config", &e),
-        }
-    }
-}
-
-fn take_hosts(state: &HostState, bytes: &[u8], started_at: Instant) {
-    let list: HostList = match serde_json::from_slice(bytes) {
-        Ok(list) => list,
-        Err(e) => {
-            log::warn!("members: A host list was refused: {e}.");
-            state.metrics.count("hosts.refused");
-            return;
-        }
-    };
-    state.apply_host_list(&list);
-    confirm(state, list.version, started_at);
-}
-
-/// Notes that a read has shown a version to be the newest.
-fn confirm(state: &HostState, version: u64, started_at: Instant) {
-    state.limits.lock().confirm_host_list(version, started_at);
-    state.attempts.lock().registry.confirm_host_list(version);
-}
-
-/// Fetches the packs of a manifest and puts the configuration in force.
-fn take_manifest(
-    state: &HostState,
-    client: &ServiceClient,
-    packs: &mut HashMap<BlobDigest, Pack>,
-    bytes: &[u8],
-) -> bool {
-    let manifest = match Manifest::parse(bytes) {
-        Ok(manifest) => manifest,
-        Err(e) => {
-            log::warn!("config: A manifest was refused: {e}.");
-            state.metrics.count("config.refused");
-            return true;
-        }
-    };
-    let mut found = Vec::new();
-    for digest in &manifest.packs {
-        let Some(pack) = fetch_pack(client, packs, digest) else {
-            log::warn!("config: Pack {digest} is not there yet.");
-            return false;
+        let Some(read) = next(ring) else {
+            continue;
         };
-        found.push(pack);
-    }
-    match assemble(&manifest, &found) {
-        Ok(snapshot) => state.adopt(&Arc::new(snapshot)),
-        Err(e) => {
-            log::warn!("config: Version {} was refused: {e}.", manifest.version);
-            state.metrics.count("config.refused");
-        }
+        let result = call(&client, &read);
+        let ticket = read.ticket;
+        state.config.with(state, |agent| match result {
+            Ok(Some(value)) => agent.on_service_value(ticket, value.revision, &value.bytes.into()),
+            Ok(None) if read.watch.is_some() => agent.on_service_unchanged(ticket),
+            Ok(None) => agent.on_service_error(ticket),
+            Err(e) => {
+                log::warn!("config: The service gave no {}: {e}.", read.key);
+                agent.on_service_error(ticket)
+            }
+        });
     }
-    packs.clear();
-    packs.extend(found.into_iter().map(|pack| (pack.digest, pack)));
-    true
 }
 
-fn fetch_pack(
-    client: &ServiceClient,
-    packs: &HashMap<BlobDigest, Pack>,
-    digest: &BlobDigest,
-) -> Option<Pack> {
-    if let Some(pack) = packs.get(digest) {
-        return Some(pack.clone());
+fn call(client: &ServiceClient, read: &ServiceRead) -> Result<Option<ServiceValue>, ServiceError> {
+    match &read.watch {
+        Some(watch) => client.watch(&read.key, watch.after_revision, watch.wait),
+        None => client.read(&read.key),
     }
-    let value = client.read(&Pack::service_key(digest)).ok()??;
-    let pack = Pack::new(Arc::from(value.bytes));
-    (pack.digest == *digest).then_some(pack)
 }
 
-fn pause(state: &HostState, what: &str, error: &ServiceError) {
-    log::warn!("config: The service gave no {what}: {error}.");
-    state.stop.wait(RETRY);
+fn next(ring: &Mutex<Receiver<ServiceRead>>) -> Option<ServiceRead> {
+    let ring = ring.lock().unwrap_or_else(PoisonError::into_inner);
+    ring.recv_timeout(RING_WAIT).ok()
 }
--- a/crates/host/src/duties/ticker.rs
+++ b/crates/host/src/duties/ticker.rs
@@ -1,18 +1,26 @@
 //! Drives the periodic work of the decision logic.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use waxwingusher_attempts::AttemptRegistry;
+use waxwingusher_membership::liveness::{LivenessEvent, TICK_INTERVAL};
 use waxwingusher_protocol::Message;
 
+use crate::list_evidence;
 use crate::state::HostState;
 
-/// The time between two ticks.
+/// The time between two ticks of the work that requests wait for.
 const TICK: Duration = Duration::from_millis(10);
 
+/// The age up to which evidence on the host list is passed on.
+const MAX_EVIDENCE_AGE: Duration = Duration::from_secs(2);
+
 /// Runs until the host stops.
 pub(crate) fn run(state: &HostState) {
+    let mut membership = MembershipTicks::new(state);
     while !state.stop.wait(TICK) {
         tick(state);
+        membership.run_if_due(state);
     }
 }
 
@@ -21,9 +29,72 @@
     state.limits.notify();
     state.peers.send_all(loans, Message::Loan);
     let peers = &state.peers;
-    state
-        .attempts
-        .with(peers, waxwingusher_attempts::AttemptRegistry::tick);
+    state.attempts.with(peers, AttemptRegistry::tick);
     let health = state.lock_upstreams().tick();
     state.peers.send_all(health, Message::Health);
 }
+
+/// The slower ticks of membership.
+struct MembershipTicks {
+    next_at: Instant,
+    confirmed_at: Option<Instant>,
+}
+
+impl MembershipTicks {
+    fn new(state: &HostState) -> Self {
+        Self {
+            next_at: state.clock.now(),
+            confirmed_at: None,
+        }
+    }
+
+    fn run_if_due(&mut self, state: &HostState) {
+        let now = state.clock.now();
+        if now < self.next_at {
+            return;
+        }
+        self.next_at = now + TICK_INTERVAL;
+        state.config.with(
+            state,
+            waxwingusher_membership::distribution::ConfigAgent::tick,
+        );
+        if let Some(known) = state.config.lock().known_hosts() {
+            state.peers.set_hosts(&known);
+        }
+        let mut liveness = state.lock_liveness();
+        let gossip = liveness.tick();
+        let events = liveness.events();
+        drop(liveness);
+        state.peers.send_all(gossip, Message::Gossip);
+        for event in events {
+            report(state, &event);
+        }
+        self.pass_on_evidence(state, now);
+    }
+
+    /// Tells the holders of rights that the host list is current.
+    fn pass_on_evidence(&mut self, state: &HostState, now: Instant) {
+        let freshness = state.config.lock().list_freshness();
+        let list = state.host_list();
+        let id = &state.settings.host_id;
+        let Some(at) = list_evidence::confirmed_at(&freshness, &list, id, now) else {
+            return;
+        };
+        if self.confirmed_at.is_some_and(|known| at <= known) {
+            return;
+        }
+        self.confirmed_at = Some(at);
+        state.limits.lock().confirm_host_list(list.version, at);
+        if now.saturating_duration_since(at) <= MAX_EVIDENCE_AGE {
+            let mut attempts = state.attempts.lock();
+            attempts.registry.confirm_host_list(list.version);
+        }
+    }
+}
+
+fn report(state: &HostState, event: &LivenessEvent) {
+    let LivenessEvent { host, from, to } = event;
+    let (from, to) = (from.name(), to.name());
+    log::info!("members: Host {host} was {from} and is {to}.");
+    state.metrics.count(&format!("peers.{to}"));
+}
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -2,23 +2,27 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, sync_channel};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use waxwingusher_attempts::{AttemptRegistry, AttemptSettings};
-use waxwingusher_core::{CancelToken, Clock};
+use waxwingusher_core::{CancelToken, Clock, HostEntry, HostList, HostState as HostEntryState};
 use waxwingusher_edge::{CallerEdge, EdgeError, UpstreamClient};
 use waxwingusher_limits::{Limiter, LimiterSettings};
-use waxwingusher_protocol::socket::{PeerSocket, SocketSettings};
+use waxwingusher_membership::distribution::{ConfigAgent, DistributionSettings, ServiceRead};
+use waxwingusher_membership::liveness::{Liveness, LivenessSettings};
+use waxwingusher_protocol::rpc::{ClientSettings, ServerSettings, StartError};
 use waxwingusher_protocol::{Envelope, Message};
+use waxwingusher_protocol::{PeerClient, PeerServer, PeerSocket, SocketSettings};
 use waxwingusher_upstreams::{UpstreamSet, UpstreamSettings};
 
 use crate::attempt_desk::AttemptDesk;
+use crate::config_desk::{ConfigDesk, PeerFetch, PeerFiles};
 use crate::duties::operators::{Operators, OperatorsError};
-use crate::duties::{admitter, peer_receiver, service_reader, spawn, ticker, worker};
+use crate::duties::{admitter, peer_fetcher, peer_receiver, service_reader, spawn, ticker, worker};
 use crate::limit_desk::LimitDesk;
 use crate::metrics::{Metrics, MetricsError};
 use crate::peer_link::PeerLink;
@@ -28,6 +32,10 @@
 
 /// Requests that may wait between the edge and the admitter.
 const EDGE_RING: usize = 1_024;
+/// Calls to the configuration service that may wait.
+const READ_RING: usize = 64;
+/// Fetches from peers that may wait.
+const FETCH_RING: usize = 64;
 /// How long peers may take to confirm a hand-over.
 const HAND_OVER_TIME: Duration = Duration::from_millis(500);
 
@@ -48,6 +56,9 @@
     /// The operators' address could not be opened.
     #[error(transparent)]
     Operators(#[from] OperatorsError),
+    /// The service for peers could not start.
+    #[error(transparent)]
+    PeerService(#[from] StartError),
     /// Metrics could not be set up.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
@@ -62,6 +73,7 @@
     edge: CallerEdge,
     operator_addr: SocketAddr,
     peer_addr: SocketAddr,
+    _rpc: PeerServer,
     work_done: CancelToken,
     admitter: JoinHandle<()>,
     workers: Vec<JoinHandle<()>>,
@@ -81,39 +93,35 @@
         incarnation: u64,
     ) -> Result<Self, HostError> {
         let stop = CancelToken::new();
-        let (socket, envelopes) = open_socket(&settings, &clock, incarnation, &stop)?;
-        let peer_addr = socket.local_addr()?;
+        let peers = open_peers(&settings, &clock, incarnation, &stop)?;
         let metrics = match settings.statsd_addr {
             Some(addr) => Metrics::to_statsd(addr)?,
             None => Metrics::none(),
         };
+        let (reads, read_ring) = sync_channel(READ_RING);
+        let (fetches, fetch_ring) = sync_channel(FETCH_RING);
+        let agent = new_agent(&settings, &clock, incarnation);
         let parts = Parts {
             limits: LimitDesk::new(new_limiter(&settings, &clock, incarnation), clock.clone()),
             attempts: AttemptDesk::new(new_registry(&settings, &clock, incarnation), clock.clone()),
             upstreams: new_upstreams(&settings, &clock, incarnation),
-            peers: PeerLink::new(socket),
+            config: ConfigDesk::new(agent, reads, fetches),
+            liveness: new_liveness(&settings, &clock, incarnation),
+            peers: PeerLink::new(peers.socket),
             clock: clock.clone(),
             metrics,
             stop: stop.clone(),
         };
         let state = Arc::new(HostState::new(settings, parts));
+        let rpc = start_rpc(&state, peers.addr)?;
         let operators = Operators::bind(&state)?;
         let operator_addr = operators.local_addr();
-        let mut duties = Vec::new();
-        let shared = state.clone();
-        duties.push(spawn("peers", move || {
-            peer_receiver::run(&shared, &envelopes);
-        })?);
-        let shared = state.clone();
-        duties.push(spawn("ticker", move || ticker::run(&shared))?);
-        let shared = state.clone();
-        duties.push(spawn("hosts", move || service_reader::run_hosts(&shared))?);
-        let shared = state.clone();
-        duties.push(spawn("config", move || {
-            service_reader::run_config(&shared);
-        })?);
-        let shared = state.clone();
-        duties.push(spawn("operators", move || operators.run(&shared))?);
+        let rings = Rings {
+            envelopes: peers.envelopes,
+            reads: read_ring,
+            fetches: fetch_ring,
+        };
+        let duties = start_duties(&state, rings, operators)?;
 
         let queue = Arc::new(WorkQueue::new(state.settings.queue_per_workspace));
         let work_done = CancelToken::new();
@@ -133,7 +141,8 @@
             state,
             edge,
             operator_addr,
-            peer_addr,
+            peer_addr: peers.addr,
+            _rpc: rpc,
             work_done,
             admitter,
             workers,
@@ -240,18 +249,122 @@
     Ok(workers)
 }
 
-fn open_socket(
+/// The ways to peers that are opened before the rest.
+struct Peers {
+    socket: PeerSocket,
+    envelopes: Receiver<Envelope>,
+    addr: SocketAddr,
+}
+
+/// The rings that feed the duties.
+struct Rings {
+    envelopes: Receiver<Envelope>,
+    reads: Receiver<ServiceRead>,
+    fetches: Receiver<PeerFetch>,
+}
+
+fn open_peers(
     settings: &HostSettings,
     clock: &Arc<dyn Clock>,
     incarnation: u64,
     stop: &CancelToken,
-) -> Result<(PeerSocket, Receiver<Envelope>), HostError> {
+) -> Result<Peers, HostError> {
     let addr = settings.peer_addr;
     let secret = settings.fleet_secret.clone();
     let id = settings.host_id.clone();
     let socket = SocketSettings::new(id, incarnation, addr, secret);
-    PeerSocket::open(&socket, clock.clone(), stop)
-        .map_err(|source| HostError::Peers { addr, source })
+    let open = || -> io::Result<Peers> {
+        let (socket, envelopes) = PeerSocket::open(&socket, clock.clone(), stop)?;
+        let addr = socket.local_addr()?;
+        Ok(Peers {
+            socket,
+            envelopes,
+            addr,
+        })
+    };
+    let peers = open().map_err(|source| HostError::Peers { addr, source })?;
+    peers.socket.set_hosts(&seed_list(settings));
+    Ok(peers)
+}
+
+/// Returns the seed peers as a list from which no right follows.
+fn seed_list(settings: &HostSettings) -> HostList {
+    let mut list = HostList::default();
+    for seed in &settings.seed_peers {
+        list.hosts.push(HostEntry {
+            id: seed.id.clone(),
+            peer_addr: seed.addr,
+            failure_domain: settings.failure_domain.clone(),
+            state: HostEntryState::Live,
+        });
+    }
+    list
+}
+
+/// Serves files to peers, over TCP on the port of the datagrams.
+fn start_rpc(state: &Arc<HostState>, addr: SocketAddr) -> Result<PeerServer, HostError> {
+    let settings = &state.settings;
+    let id = settings.host_id.clone();
+    let server = ServerSettings::new(id, addr, settings.fleet_secret.clone());
+    let files = PeerFiles {
+        state: Arc::downgrade(state),
+    };
+    Ok(PeerServer::start(&server, Arc::new(files), &state.stop)?)
+}
+
+fn start_duties(
+    state: &Arc<HostState>,
+    rings: Rings,
+    operators: Operators,
+) -> Result<Vec<JoinHandle<()>>, HostError> {
+    let mut duties = Vec::new();
+    let shared = state.clone();
+    let envelopes = rings.envelopes;
+    duties.push(spawn("peers", move || {
+        peer_receiver::run(&shared, &envelopes);
+    })?);
+    let shared = state.clone();
+    duties.push(spawn("ticker", move || ticker::run(&shared))?);
+    let shared = state.clone();
+    duties.push(spawn("operators", move || operators.run(&shared))?);
+    let reads = Arc::new(Mutex::new(rings.reads));
+    for _ in 0..service_reader::READERS {
+        let shared = state.clone();
+        let reads = reads.clone();
+        // Not joined: a watch may hold a reader for seconds, and it owns nothing.
+        drop(spawn("service", move || {
+            service_reader::run(&shared, &reads);
+        })?);
+    }
+    let settings = &state.settings;
+    let client = ClientSettings::new(settings.host_id.clone(), settings.fleet_secret.clone());
+    let client = PeerClient::start(client, &state.stop)?;
+    let shared = state.clone();
+    let fetches = rings.fetches;
+    let fetch = move || peer_fetcher::run(&shared, &fetches, &client);
+    duties.push(spawn("fetcher", fetch)?);
+    Ok(duties)
+}
+
+fn new_agent(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> ConfigAgent {
+    let seeds = settings.seed_peers.iter().map(|seed| seed.id.clone());
+    let distribution = DistributionSettings {
+        seeds: seeds.collect(),
+        ..DistributionSettings::default()
+    };
+    ConfigAgent::new(
+        settings.host_id.clone(),
+        settings.failure_domain.clone(),
+        clock.clone(),
+        incarnation,
+        distribution,
+    )
+}
+
+fn new_liveness(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> Liveness {
+    let id = settings.host_id.clone();
+    let liveness = LivenessSettings::default();
+    Liveness::new(id, incarnation, clock.clone(), incarnation, liveness)
 }
 
 fn new_limiter(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> Limiter {
@@ -274,6 +387,7 @@
 ) -> AttemptRegistry {
     let attempts = AttemptSettings {
         window: settings.attempt_window,
+        opened_at: settings.fleet_opens_at,
         ..AttemptSettings::default()
     };
     let id = settings.host_id.clone();
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -1,8 +1,9 @@
 //! Sends the messages of the decision logic to other hosts.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use waxwingusher_core::HostList;
+use waxwingusher_core::{HostId, HostList};
 use waxwingusher_protocol::socket::PeerSocket;
 use waxwingusher_protocol::{Message, Outgoing};
 
@@ -23,6 +24,11 @@
         self.socket.set_hosts(list);
     }
 
+    /// Returns the address of a host, if it is known.
+    pub(crate) fn address_of(&self, host: &HostId) -> Option<SocketAddr> {
+        self.socket.address_of(host)
+    }
+
     /// Sends all messages, wrapped for the wire.
     pub(crate) fn send_all<M>(&self, outgoing: Vec<Outgoing<M>>, wrap: fn(M) -> Message) {
         for Outgoing { to, message } in outgoing {
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use waxwingusher_core::{FailureDomain, HostId};
 use waxwingusher_edge::EdgeSettings;
@@ -43,18 +43,20 @@
     pub loan_term: Duration,
     /// How long a keyed operation runs at most once; alike on all hosts.
     pub attempt_window: Duration,
-    /// How the first host of a new fleet gets ready.
-    pub bootstrap: Bootstrap,
+    /// When the fleet opens for the first time, if it is new: no host has
+    /// served a request before.
+    pub fleet_opens_at: Option<SystemTime>,
+    /// Peers to ask while there is no host list.
+    pub seed_peers: Vec<SeedPeer>,
 }
 
-/// Whether a host may become ready without hearing from a peer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Bootstrap {
-    /// The host asks its peers first.
-    #[default]
-    AskPeers,
-    /// The host belongs to a fleet that starts for the first time.
-    NewFleet,
+/// A peer that is known without a host list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeedPeer {
+    /// The peer's name.
+    pub id: HostId,
+    /// Where the peer takes messages.
+    pub addr: SocketAddr,
 }
 
 /// A setting is missing or cannot be used.
@@ -204,11 +206,17 @@
     Some("600000"),
     "1000 to 86400000, alike on all hosts",
 );
-const BOOTSTRAP: Setting = setting(
-    "bootstrap",
-    "WAXWINGUSHER_BOOTSTRAP",
-    Some("ask-peers"),
-    "`ask-peers` or `new-fleet`",
+const FLEET_OPENS_AT: Setting = setting(
+    "fleet-opens-at",
+    "WAXWINGUSHER_FLEET_OPENS_AT",
+    Some("none"),
+    "seconds since 1970, alike on all hosts of a new fleet, or `none`",
+);
+const SEED_PEERS: Setting = setting(
+    "seed-peers",
+    "WAXWINGUSHER_SEED_PEERS",
+    Some("none"),
+    "host names with addresses, such as `north-1=10.0.0.1:8082`, separated by commas, or `none`",
 );
 
 /// Returns all settings, for the manual.
@@ -232,7 +240,8 @@
         DRAIN_TIMEOUT_MS,
         LOAN_TERM_MS,
         ATTEMPT_WINDOW_MS,
-        BOOTSTRAP,
+        FLEET_OPENS_AT,
+        SEED_PEERS,
     ]
 }
 
@@ -286,7 +295,8 @@
         let queue_per_workspace = self.parse(QUEUE, |text| in_range(text, 1, 65_536));
         let loan_term = self.parse(LOAN_TERM_MS, |text| millis(text, 500, 600_000));
         let attempt_window = self.parse(ATTEMPT_WINDOW_MS, |text| millis(text, 1_000, 86_400_000));
-        let bootstrap = self.parse(BOOTSTRAP, bootstrap);
+        let fleet_opens_at = self.parse(FLEET_OPENS_AT, epoch_time);
+        let seed_peers = self.parse(SEED_PEERS, seed_peers);
         Some(HostSettings {
             host_id: HostId::new(&host_id?),
             failure_domain: failure_domain?,
@@ -302,7 +312,8 @@
             queue_per_workspace: queue_per_workspace?,
             loan_term: loan_term?,
             attempt_window: attempt_window?,
-            bootstrap: bootstrap?,
+            fleet_opens_at: fleet_opens_at?,
+            seed_peers: seed_peers?,
         })
     }
 
@@ -419,10 +430,22 @@
     Some(domains)
 }
 
-fn bootstrap(text: &str) -> Option<Bootstrap> {
-    match text {
-        "ask-peers" => Some(Bootstrap::AskPeers),
-        "new-fleet" => Some(Bootstrap::NewFleet),
-        _ => None,
+fn epoch_time(text: &str) -> Option<Option<SystemTime>> {
+    let seconds: Option<u64> = optional(text)?;
+    Some(seconds.map(|seconds| SystemTime::UNIX_EPOCH + Duration::from_secs(seconds)))
+}
+
+fn seed_peers(text: &str) -> Option<Vec<SeedPeer>> {
+    if text == "none" {
+        return Some(Vec::new());
+    }
+    let mut peers = Vec::new();
+    for part in text.split(',') {
+        let (id, addr) = part.trim().split_once('=')?;
+        peers.push(SeedPeer {
+            id: HostId::new(&name(id)?),
+            addr: addr.parse().ok()?,
+        });
     }
+    Some(peers)
 }
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -5,10 +5,12 @@
 
 use waxwingusher_config::Snapshot;
 use waxwingusher_core::{CancelToken, Clock, HostList};
+use waxwingusher_membership::liveness::Liveness;
 use waxwingusher_upstreams::UpstreamSet;
 
 use crate::active::Active;
 use crate::attempt_desk::AttemptDesk;
+use crate::config_desk::ConfigDesk;
 use crate::decisions::DecisionLog;
 use crate::limit_desk::LimitDesk;
 use crate::metrics::Metrics;
@@ -25,6 +27,8 @@
     pub(crate) attempts: AttemptDesk,
     pub(crate) upstreams: Mutex<UpstreamSet>,
     pub(crate) slot_freed: Condvar,
+    pub(crate) config: ConfigDesk,
+    pub(crate) liveness: Mutex<Liveness>,
     pub(crate) peers: PeerLink,
     pub(crate) stop: CancelToken,
     pub(crate) draining: AtomicBool,
@@ -39,6 +43,8 @@
     pub(crate) limits: LimitDesk,
     pub(crate) attempts: AttemptDesk,
     pub(crate) upstreams: UpstreamSet,
+    pub(crate) config: ConfigDesk,
+    pub(crate) liveness: Liveness,
     pub(crate) peers: PeerLink,
     pub(crate) stop: CancelToken,
 }
@@ -54,6 +60,8 @@
             attempts: parts.attempts,
             upstreams: Mutex::new(parts.upstreams),
             slot_freed: Condvar::new(),
+            config: parts.config,
+            liveness: Mutex::new(parts.liveness),
             peers: parts.peers,
             stop: parts.stop,
             draining: AtomicBool::new(false),
@@ -81,6 +89,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Gives access to what is known of peers.
+    pub(crate) fn lock_liveness(&self) -> MutexGuard<'_, Liveness> {
+        self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Reports whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         self.active().is_some() && !self.draining.load(Ordering::SeqCst)
@@ -118,6 +131,7 @@
         self.limits.lock().apply_host_list(list);
         self.attempts.lock().registry.apply_host_list(list);
         self.lock_upstreams().apply_host_list(list);
+        self.lock_liveness().apply_host_list(list);
         let version = list.version;
         let count = list.hosts.len();
         log::info!("members: Host list {version} with {count} hosts is in use.");
--- a/crates/membership/src/distribution/agent.rs
+++ b/crates/membership/src/distribution/agent.rs
@@ -171,23 +171,33 @@
     /// Returns the evidence that the host list in force is current.
     #[must_use]
     pub fn list_freshness(&self) -> ListFreshness {
-        let words = self.peers.near().iter().filter_map(|host| {
-            let answered = self.peers.answered(host)?;
-            Some(PeerWord {
-                host: host.clone(),
-                seen_version: answered.summary.seen_hosts_version,
-                asked_at: answered.asked_at,
-            })
+        let words = self.peers.answers().map(|(host, answered)| PeerWord {
+            host: host.clone(),
+            seen_version: answered.summary.seen_hosts_version,
+            asked_at: answered.asked_at,
         });
-        let stamp = self.hosts.stamp();
         ListFreshness {
-            version: stamp.version,
+            version: self.hosts.stamp().version,
             seen_version: self.hosts.seen_version(),
-            confirmed_at: self.hosts_watch.confirmed_at(stamp),
+            confirmed_at: self.hosts_confirmed_at(),
             words: words.collect(),
         }
     }
 
+    /// Returns the latest instant at which a reader surely had the host list
+    /// in force from the service. A peer's evidence is at least as old as the
+    /// poll that it answers.
+    fn hosts_confirmed_at(&self) -> Option<Instant> {
+        let stamp = self.hosts.stamp();
+        let of_peers = self.peers.answers().filter_map(|(_, answered)| {
+            let summary = &answered.summary;
+            let age_ms = summary.hosts_age_ms.filter(|_| summary.hosts == stamp)?;
+            let age = Duration::from_millis(u64::from(age_ms));
+            answered.asked_at.checked_sub(age)
+        });
+        of_peers.chain(self.hosts_watch.confirmed_at(stamp)).max()
+    }
+
     fn set_peers(&mut self, all: Vec<HostId>, near: Vec<HostId>, now: Instant) {
         if let Some(survey) = &mut self.survey {
             let timeout = self.settings.survey_timeout;
@@ -203,10 +213,14 @@
         };
         let others = || list.hosts.iter().filter(|host| host.id != self.self_id);
         let all = others().map(|host| host.id.clone()).collect();
-        let near = others().filter(|host| host.failure_domain == self.failure_domain);
-        let near = near.map(|host| host.id.clone()).collect();
         self.candidates = candidates(&list, &self.failure_domain, &self.settings);
-        self.set_peers(all, near, now);
+        // Readers are asked most, as their evidence is the freshest.
+        let readers = self
+            .candidates
+            .iter()
+            .take(self.settings.readers_per_domain);
+        let near = readers.filter(|host| **host != self.self_id).cloned();
+        self.set_peers(all, near.collect(), now);
     }
 
     fn role(&self, now: Instant) -> Role {
@@ -233,9 +247,16 @@
             hosts: self.hosts.stamp(),
             seen_hosts_version: self.hosts.seen_version(),
             service_age_ms: age.map(|age| u32::try_from(age).unwrap_or(u32::MAX)),
+            hosts_age_ms: self.hosts_age_ms(now),
         }
     }
 
+    fn hosts_age_ms(&self, now: Instant) -> Option<u32> {
+        let age = now.saturating_duration_since(self.hosts_confirmed_at()?);
+        // Rounded up, as evidence may only seem older than it is.
+        u32::try_from(age.as_millis() + 1).ok()
+    }
+
     fn refuse(&mut self, refusal: Refusal, actions: &mut Vec<AgentAction>) {
         self.counters.refused += 1;
         actions.push(AgentAction::Refuse(refusal));
--- a/crates/membership/src/distribution/freshness.rs
+++ b/crates/membership/src/distribution/freshness.rs
@@ -23,8 +23,8 @@
     /// The highest version that this host has heard of from anyone.
     pub seen_version: u64,
     /// An instant at or after which the configuration service still had the
-    /// version in force as its newest.
+    /// version in force as its newest, by a read of this host or of a peer.
     pub confirmed_at: Option<Instant>,
-    /// What listed peers of the same failure domain last answered.
+    /// What listed peers last answered.
     pub words: Vec<PeerWord>,
 }
--- a/crates/membership/src/distribution/peers.rs
+++ b/crates/membership/src/distribution/peers.rs
@@ -98,7 +98,7 @@
         self.started_at
     }
 
-    /// Replaces the peers; `near` are those of the own failure domain.
+    /// Replaces the peers; every second poll goes to one of `near`.
     pub fn set(&mut self, all: Vec<HostId>, near: Vec<HostId>, rng: &mut fastrand::Rng) {
         self.peers.retain(|host, _| all.contains(host));
         for host in &all {
@@ -110,21 +110,11 @@
         self.cursor = 0;
     }
 
-    /// Returns the peers of the own failure domain.
-    pub fn near(&self) -> &[HostId] {
-        &self.near
-    }
-
     /// Returns a peer's last message.
     pub fn heard(&self, host: &HostId) -> Option<&Heard> {
         self.peers.get(host)?.heard.as_ref()
     }
 
-    /// Returns a peer's last answer to a poll.
-    pub fn answered(&self, host: &HostId) -> Option<&Answered> {
-        self.peers.get(host)?.answered.as_ref()
-    }
-
     /// Remembers that a peer is polled with a number.
     pub fn on_poll(&mut self, host: &HostId, nonce: u32, now: Instant) {
         if let Some(peer) = self.peers.get_mut(host) {
@@ -158,6 +148,12 @@
         self.scan_pause = MIN_SCAN_PAUSE;
     }
 
+    /// Returns the last answers of all peers.
+    pub fn answers(&self) -> impl Iterator<Item = (&HostId, &Answered)> {
+        let peers = self.peers.iter();
+        peers.filter_map(|(host, peer)| Some((host, peer.answered.as_ref()?)))
+    }
+
     /// Returns when a peer last answered.
     pub fn answered_at(&self) -> Option<Instant> {
         self.answered_at
--- a/crates/membership/src/distribution/settings.rs
+++ b/crates/membership/src/distribution/settings.rs
@@ -36,7 +36,7 @@
             poll_interval: Duration::from_secs(2),
             answer_timeout: Duration::from_millis(500),
             fanout: 8,
-            watch_wait: Duration::from_secs(10),
+            watch_wait: Duration::from_secs(3),
             fetch_timeout: Duration::from_millis(300),
             survey_timeout: Duration::from_secs(3),
             seeds: Vec::new(),
--- a/crates/protocol/src/config.rs
+++ b/crates/protocol/src/config.rs
@@ -24,6 +24,9 @@
     /// The milliseconds since the sender last read the configuration service,
     /// if it ever did.
     pub service_age_ms: Option<u32>,
+    /// The age of the evidence that the host list in force is the newest one,
+    /// in milliseconds, if there is any.
+    pub hosts_age_ms: Option<u32>,
 }
 
 /// A message for the distribution of the configuration.
--- a/crates/protocol/src/socket/mod.rs
+++ b/crates/protocol/src/socket/mod.rs
@@ -167,6 +167,12 @@
         addresses.set_listed(list);
     }
 
+    /// Returns the address of a host, if it is known.
+    #[must_use]
+    pub fn address_of(&self, host: &HostId) -> Option<SocketAddr> {
+        lock(&self.shared.addresses).get(host)
+    }
+
     /// Sends a message, once and without a guarantee.
     ///
     /// # Errors
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -66,9 +66,12 @@
     /// how long a keyed operation runs at most once (600000)
     #[argh(option)]
     attempt_window_ms: Option<String>,
-    /// new-fleet if the fleet starts for the first time (ask-peers)
+    /// when a new fleet opens for the first time, in seconds since 1970 (none)
     #[argh(option)]
-    bootstrap: Option<String>,
+    fleet_opens_at: Option<String>,
+    /// peers to ask while there is no host list, such as north-1=10.0.0.1:8082
+    #[argh(option)]
+    seed_peers: Option<String>,
     /// how much is logged: off, error, warn, info or debug (info)
     #[argh(option, default = "LevelFilter::Info")]
     log_level: LevelFilter,
@@ -92,7 +95,8 @@
             "drain-timeout-ms" => &self.drain_timeout_ms,
             "loan-term-ms" => &self.loan_term_ms,
             "attempt-window-ms" => &self.attempt_window_ms,
-            "bootstrap" => &self.bootstrap,
+            "fleet-opens-at" => &self.fleet_opens_at,
+            "seed-peers" => &self.seed_peers,
             _ => return None,
         };
         value.clone()
