--- /dev/null
+++ b/crates/host/src/duties/service_reader.rs
@@ -0,0 +1,50 @@
+//! Reads and watches the configuration service for the agent.
+
+use std::sync::mpsc::Receiver;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use waxwingusher_membership::distribution::ServiceRead;
+
+use crate::service_client::{ServiceClient, ServiceError, ServiceValue};
+use crate::state::HostState;
+
+/// Calls that may be under way at once: a watch of the configuration, a watch
+/// of the host list, and reads of packs.
+pub(crate) const READERS: usize = 4;
+
+/// How long a thread waits at the ring before it looks whether the host stops.
+const RING_WAIT: Duration = Duration::from_millis(200);
+
+/// Runs until the host stops.
+pub(crate) fn run(state: &HostState, ring: &Mutex<Receiver<ServiceRead>>) {
+    let client = ServiceClient::new(state.settings.config_service);
+    while !state.stop.is_cancelled() {
+        let Some(read) = next(ring) else {
+            continue;
+        };
+        let result = call(&client, &read);
+        let ticket = read.ticket;
+        state.config.with(state, |agent| match result {
+            Ok(Some(value)) => agent.on_service_value(ticket, value.revision, &value.bytes.into()),
+            Ok(None) if read.watch.is_some() => agent.on_service_unchanged(ticket),
+            Ok(None) => agent.on_service_error(ticket),
+            Err(e) => {
+                log::warn!("config: The service gave no {}: {e}.", read.key);
+                agent.on_service_error(ticket)
+            }
+        });
+    }
+}
+
+fn call(client: &ServiceClient, read: &ServiceRead) -> Result<Option<ServiceValue>, ServiceError> {
+    match &read.watch {
+        Some(watch) => client.watch(&read.key, watch.after_revision, watch.wait),
+        None => client.read(&read.key),
+    }
+}
+
+fn next(ring: &Mutex<Receiver<ServiceRead>>) -> Option<ServiceRead> {
+    let ring = ring.lock().unwrap_or_else(PoisonError::into_inner);
+    ring.recv_timeout(RING_WAIT).ok()
+}
