Lend tokens without rate where room is small, and add scenarios

A bucket of one or two tokens is full most of the time and wastes its refill, so such borrowers get tokens ahead of demand but no rate.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod attempts;
 pub mod config;
+pub mod limits;
 pub mod scenario;
 
 pub use scenario::{Bound, Measurement, Scenario, ScenarioResult};
--- /dev/null
+++ b/crates/bench/src/limits/design_size.rs
@@ -0,0 +1,150 @@
+//! The decision logic at the design size: 440 hosts and 13,000 workspaces.
+
+use std::time::{Duration, Instant};
+
+use waxwingusher_config::RateLimit;
+
+use super::compare::{refused_share, run_for};
+use super::fleet::{Fleet, Shape, WARM_UP};
+use super::load::{Demand, Driver, Load, STEP, Way};
+use crate::{Bound, Measurement, Scenario, ScenarioResult};
+
+/// Workspaces.
+const WORKSPACES: usize = 13_000;
+/// Requests a second over the whole fleet.
+const TOTAL_PER_S: f64 = 130_000.0;
+/// The part of its rate that a workspace uses.
+const USED_SHARE: f64 = 0.7;
+/// Requests a second on one connection of a caller, which stays at one host.
+const PER_CONNECTION_PER_S: f64 = 5.0;
+/// The fewest connections of a workspace.
+const MIN_CONNECTIONS: usize = 2;
+/// How long the load lasts before it is measured.
+const SETTLING: Duration = Duration::from_secs(10);
+/// How long the load is measured.
+const MEASURED: Duration = Duration::from_secs(13);
+/// Bytes a second that a host may send for loans.
+const BYTES_PER_S: f64 = 1200.0;
+/// The part of a core that a host may use for control, in percent.
+const CORE_PERCENT: f64 = 4.2;
+
+/// Seven failure domains, few of whose hosts read the host list.
+const SHAPE: Shape = Shape {
+    domains: 7,
+    hosts_per_domain: 63,
+    readers_per_domain: 3,
+};
+
+/// The whole fleet at the design size, with callers that keep connections.
+pub struct DesignSize;
+
+impl Scenario for DesignSize {
+    fn name(&self) -> &'static str {
+        "limits/design-size"
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let demands = zipf_demands();
+        let mut fleet = Fleet::new(&SHAPE, &demands, seed);
+        let mut now = Duration::ZERO;
+        while now < WARM_UP {
+            now += STEP * 5;
+            fleet.step(now);
+        }
+        let load = Load {
+            connections: connections(&demands, seed),
+            demands,
+            host_weights: Vec::new(),
+        };
+        let mut driver = Driver::new(load, seed, now);
+        run_for(&mut driver, &mut fleet, &mut now, SETTLING);
+        driver.reset_outcomes();
+        fleet.take_traffic();
+        fleet.reset_busy();
+        let start = Instant::now();
+        run_for(&mut driver, &mut fleet, &mut now, MEASURED);
+        let elapsed = start.elapsed();
+        let mut measurements = traffic(&mut fleet);
+        measurements.extend(outcomes(&driver));
+        let core = fleet.busy().as_secs_f64() / (MEASURED.as_secs_f64() * SHAPE.hosts() as f64);
+        let core = Measurement::new("control-of-a-core", core * 100.0, "percent");
+        measurements.push(core.bounded(Bound::AtMost(CORE_PERCENT)));
+        measurements.push(Measurement::new("run-time", elapsed.as_secs_f64(), "s"));
+        ScenarioResult {
+            scenario: self.name().into(),
+            seed,
+            measurements,
+        }
+    }
+}
+
+fn traffic(fleet: &mut Fleet) -> Vec<Measurement> {
+    let traffic = fleet.take_traffic();
+    let per_host_second = |count: u64| count as f64 / SHAPE.hosts() as f64 / MEASURED.as_secs_f64();
+    vec![
+        Measurement::new(
+            "bytes-sent",
+            per_host_second(traffic.bytes),
+            "bytes/s a host",
+        )
+        .bounded(Bound::AtMost(BYTES_PER_S)),
+        Measurement::new(
+            "datagrams-sent",
+            per_host_second(traffic.datagrams),
+            "1/s a host",
+        ),
+        Measurement::new(
+            "list-datagrams-sent",
+            per_host_second(traffic.list_datagrams),
+            "1/s a host",
+        ),
+    ]
+}
+
+fn outcomes(driver: &Driver) -> Vec<Measurement> {
+    let outcomes = driver.outcomes();
+    let waited: u64 = outcomes.iter().map(|outcome| outcome.waited).sum();
+    let offered: u64 = outcomes.iter().map(|outcome| outcome.offered).sum();
+    let excess = outcomes.iter().map(|outcome| outcome.excess);
+    vec![
+        Measurement::new("in-rate-refused", refused_share(outcomes), "share")
+            .bounded(Bound::AtMost(0.0)),
+        Measurement::new("waited-for-a-loan", waited as f64 / offered as f64, "share")
+            .bounded(Bound::AtMost(0.01)),
+        Measurement::new(
+            "requests-over-the-limit",
+            excess.fold(0.0, f64::max),
+            "requests",
+        )
+        .bounded(Bound::AtMost(0.0)),
+    ]
+}
+
+/// Returns demands of which the n-th is proportional to 1/n.
+fn zipf_demands() -> Vec<Demand> {
+    let total: f64 = (1..=WORKSPACES).map(|n| 1.0 / n as f64).sum();
+    let demand = |n: usize| {
+        let per_s = TOTAL_PER_S / total / n as f64;
+        let rate_per_s = per_s / USED_SHARE;
+        Demand {
+            limit: RateLimit {
+                rate_millis_per_s: (rate_per_s * 1000.0) as u64,
+                burst: (rate_per_s as u32).max(20),
+            },
+            per_s,
+        }
+    };
+    (1..=WORKSPACES).map(demand).collect()
+}
+
+/// Returns the hosts that each workspace's connections lead to.
+fn connections(demands: &[Demand], seed: u64) -> Vec<Vec<usize>> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut all = Vec::new();
+    for demand in demands {
+        let count = (demand.per_s / PER_CONNECTION_PER_S) as usize;
+        let count = count.max(MIN_CONNECTIONS);
+        all.push((0..count).map(|_| rng.usize(..SHAPE.hosts())).collect());
+    }
+    all
+}
--- /dev/null
+++ b/crates/bench/src/limits/faults.rs
@@ -0,0 +1,170 @@
+//! In-rate refusals while hosts restart and while a failure domain is cut off.
+
+use std::time::Duration;
+
+use super::compare::{demands, refused_share, run_for};
+use super::fleet::{Fleet, Shape, WARM_UP};
+use super::load::{Demand, Driver, Load, STEP, Way, skewed_weights};
+use crate::{Bound, Measurement, Scenario, ScenarioResult};
+
+/// The time between two restarts.
+const RESTART_INTERVAL: Duration = Duration::from_secs(60);
+/// How long a restarting host is away.
+const AWAY: Duration = Duration::from_secs(3);
+/// How many hosts restart, one after another.
+const RESTARTS: usize = 10;
+/// The failure domain that is cut off.
+const CUT_DOMAIN: usize = 0;
+/// How long it is cut off before the load is measured: longer than any loan
+/// lasts.
+const CUT_SETTLING: Duration = Duration::from_secs(60);
+/// How long the cut load is measured.
+const CUT_MEASURED: Duration = Duration::from_secs(60);
+/// The load while a domain is cut off, relative to the rate.
+const CUT_LOAD: f64 = 3.0;
+/// The part of its share that each side must serve. Rates are reduced so that
+/// clocks that run 1% fast never exceed them.
+const CUT_SHARE: f64 = 1000.0 / 1010.0;
+
+/// Returns the scenarios with faults.
+#[must_use]
+pub fn scenarios() -> Vec<Box<dyn Scenario>> {
+    vec![Box::new(Restarts), Box::new(DomainCut)]
+}
+
+/// One host in 36 is killed each minute and comes back without memory.
+struct Restarts;
+
+impl Scenario for Restarts {
+    fn name(&self) -> &'static str {
+        "limits/restarts"
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let demands = demands(false);
+        let weights = skewed_weights(Shape::TODAY.hosts(), seed);
+        let mut fleet = Fleet::new(&Shape::TODAY, &demands, seed);
+        let mut now = warm_up(&mut fleet);
+        let load = Load {
+            demands,
+            connections: Vec::new(),
+            host_weights: weights.clone(),
+        };
+        let mut driver = Driver::new(load, seed, now);
+        run_for(&mut driver, &mut fleet, &mut now, Duration::from_secs(10));
+        driver.reset_outcomes();
+        let mut rng = fastrand::Rng::with_seed(seed);
+        for _ in 0..RESTARTS {
+            let host = rng.usize(..weights.len());
+            fleet.kill(host);
+            driver.set_host_weight(host, 0.0);
+            run_for(&mut driver, &mut fleet, &mut now, AWAY);
+            fleet.start(host);
+            driver.set_host_weight(host, weights[host]);
+            run_for(&mut driver, &mut fleet, &mut now, RESTART_INTERVAL - AWAY);
+        }
+        let refused = refused_share(driver.outcomes());
+        let served = driver
+            .outcomes()
+            .iter()
+            .map(|outcome| outcome.served_share());
+        let excess = driver.outcomes().iter().map(|outcome| outcome.excess);
+        ScenarioResult {
+            scenario: self.name().into(),
+            seed,
+            measurements: vec![
+                Measurement::new("in-rate-refused", refused, "share").bounded(Bound::AtMost(0.001)),
+                Measurement::new(
+                    "worst-served",
+                    served.fold(f64::INFINITY, f64::min),
+                    "share",
+                ),
+                Measurement::new(
+                    "requests-over-the-limit",
+                    excess.fold(0.0, f64::max),
+                    "requests",
+                )
+                .bounded(Bound::AtMost(0.0)),
+            ],
+        }
+    }
+}
+
+/// One failure domain is cut off while callers send more than the rate on
+/// both sides.
+struct DomainCut;
+
+impl Scenario for DomainCut {
+    fn name(&self) -> &'static str {
+        "limits/domain-cut"
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let shape = Shape::TODAY;
+        let mut demands = demands(false);
+        for demand in &mut demands {
+            demand.per_s = demand.limit.rate_millis_per_s as f64 / 1000.0 * CUT_LOAD;
+        }
+        let mut measurements = Vec::new();
+        let mut excess: f64 = 0.0;
+        for (name, cut_side) in [("cut-off-side", true), ("other-side", false)] {
+            let (share, over) = served_on_side(&shape, &demands, cut_side, seed);
+            excess = excess.max(over);
+            let measurement = Measurement::new(name, share, "share of its domains' part");
+            measurements.push(measurement.bounded(Bound::AtLeast(CUT_SHARE)));
+        }
+        let measurement = Measurement::new("requests-over-the-limit", excess, "requests");
+        measurements.push(measurement.bounded(Bound::AtMost(0.0)));
+        ScenarioResult {
+            scenario: self.name().into(),
+            seed,
+            measurements,
+        }
+    }
+}
+
+/// Returns the least that a workspace is served on one side, relative to the
+/// side's part of the rate, and by how much a limit is exceeded.
+fn served_on_side(shape: &Shape, demands: &[Demand], cut_side: bool, seed: u64) -> (f64, f64) {
+    let mut fleet = Fleet::new(shape, demands, seed);
+    let mut now = warm_up(&mut fleet);
+    let on_side = |host: usize| (host % shape.domains == CUT_DOMAIN) == cut_side;
+    let weight = |host: usize| if on_side(host) { 1.0 } else { 0.0 };
+    let load = Load {
+        demands: demands.to_vec(),
+        connections: Vec::new(),
+        host_weights: (0..shape.hosts()).map(weight).collect(),
+    };
+    fleet.cut_domain(CUT_DOMAIN, shape.domains);
+    fleet.set_readers(|host| host % shape.domains != CUT_DOMAIN);
+    let mut driver = Driver::new(load, seed, now);
+    run_for(&mut driver, &mut fleet, &mut now, CUT_SETTLING);
+    driver.reset_outcomes();
+    run_for(&mut driver, &mut fleet, &mut now, CUT_MEASURED);
+        for o in driver.outcomes() {
+            eprintln!(
+                "   off {} adm {} wait {} inrate {} refused {}",
+                o.offered, o.admitted, o.waited, o.in_rate, o.in_rate_refused
+            );
+        }
+    }
+    let domains = if cut_side { 1 } else { shape.domains - 1 };
+    let part = domains as f64 / shape.domains as f64 * CUT_MEASURED.as_secs_f64();
+    let mut least = f64::INFINITY;
+    let mut excess: f64 = 0.0;
+    for (demand, outcome) in demands.iter().zip(driver.outcomes()) {
+        let rate_per_s = demand.limit.rate_millis_per_s as f64 / 1000.0;
+        least = least.min(outcome.admitted as f64 / (rate_per_s * part));
+        excess = excess.max(outcome.excess);
+    }
+    (least, excess)
+}
+
+fn warm_up(fleet: &mut Fleet) -> Duration {
+    let mut now = Duration::ZERO;
+    while now < WARM_UP {
+        now += STEP;
+        fleet.step(now);
+    }
+    now
+}
--- /dev/null
+++ b/crates/bench/src/limits/load.rs
@@ -0,0 +1,258 @@
+//! Seeded load, the ideal token bucket, and what became of each request.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use waxwingusher_config::RateLimit;
+
+/// The time between two steps of a run.
+pub const STEP: Duration = Duration::from_millis(2);
+/// What floating-point error may amount to.
+const EPSILON: f64 = 1e-6;
+
+/// What becomes of a request at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It runs.
+    Admitted,
+    /// It is refused.
+    Refused,
+    /// It waits; [`Way::step`] tells later.
+    Waiting,
+}
+
+/// One request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Request {
+    /// A number of its own.
+    pub ticket: u64,
+    /// The host that the balancer chose.
+    pub host: usize,
+    /// The workspace.
+    pub workspace: usize,
+}
+
+/// A way to keep limits over the whole fleet.
+pub trait Way {
+    /// Decides on a request.
+    fn request(&mut self, now: Duration, request: Request) -> Verdict;
+
+    /// Lets time pass and returns the requests that no longer wait, with
+    /// whether they run.
+    fn step(&mut self, now: Duration) -> Vec<(u64, bool)>;
+}
+
+/// The demand of one workspace.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand {
+    /// The limit.
+    pub limit: RateLimit,
+    /// Requests a second that callers send.
+    pub per_s: f64,
+}
+
+/// The load on a fleet.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// The demand, by workspace.
+    pub demands: Vec<Demand>,
+    /// The hosts that each workspace's connections lead to; empty if the
+    /// balancer chooses a host for each request.
+    pub connections: Vec<Vec<usize>>,
+    /// How much each host gets from the balancer, relative to the others.
+    pub host_weights: Vec<f64>,
+}
+
+/// A token bucket over the whole fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct IdealBucket {
+    limit: RateLimit,
+    tokens: f64,
+    at: Duration,
+}
+
+impl IdealBucket {
+    /// Creates a full bucket.
+    #[must_use]
+    pub fn new(limit: RateLimit, at: Duration) -> Self {
+        Self {
+            limit,
+            tokens: f64::from(limit.burst),
+            at,
+        }
+    }
+
+    /// Takes a token if there is one.
+    pub fn take(&mut self, now: Duration) -> bool {
+        self.refill(now);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Takes a token in any case and returns by how many the limit is exceeded.
+    pub fn charge(&mut self, now: Duration) -> f64 {
+        self.refill(now);
+        self.tokens -= 1.0;
+        (-self.tokens - EPSILON).max(0.0)
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        let rate_per_s = self.limit.rate_millis_per_s as f64 / 1000.0;
+        self.tokens = (self.tokens + elapsed * rate_per_s).min(f64::from(self.limit.burst));
+        self.at = now;
+    }
+}
+
+/// What became of one workspace's requests.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Outcome {
+    /// Requests that were sent.
+    pub offered: u64,
+    /// Requests that ran.
+    pub admitted: u64,
+    /// Requests that waited for a token.
+    pub waited: u64,
+    /// Requests within the rate and burst.
+    pub in_rate: u64,
+    /// Requests within the rate and burst that were refused.
+    pub in_rate_refused: u64,
+    /// The most requests by which the limit was ever exceeded.
+    pub excess: f64,
+}
+
+impl Outcome {
+    /// Returns the refused part of the requests within the rate.
+    #[must_use]
+    pub fn refused_share(&self) -> f64 {
+        self.in_rate_refused as f64 / self.in_rate.max(1) as f64
+    }
+
+    /// Returns what was admitted relative to the requests within the rate.
+    #[must_use]
+    pub fn served_share(&self) -> f64 {
+        self.admitted as f64 / self.in_rate.max(1) as f64
+    }
+}
+
+/// Drives a load through a way.
+pub struct Driver {
+    load: Load,
+    rng: fastrand::Rng,
+    next: Vec<Duration>,
+    ideal: Vec<IdealBucket>,
+    bound: Vec<IdealBucket>,
+    waiting: HashMap<u64, (usize, bool)>,
+    ticket: u64,
+    outcomes: Vec<Outcome>,
+}
+
+impl Driver {
+    /// Prepares a load that starts at an instant.
+    #[must_use]
+    pub fn new(load: Load, seed: u64, at: Duration) -> Self {
+        let bucket = |demand: &Demand| IdealBucket::new(demand.limit, at);
+        let buckets: Vec<_> = load.demands.iter().map(bucket).collect();
+        Self {
+            rng: fastrand::Rng::with_seed(seed),
+            next: vec![at; buckets.len()],
+            ideal: buckets.clone(),
+            bound: buckets.clone(),
+            waiting: HashMap::new(),
+            ticket: 0,
+            outcomes: vec![Outcome::default(); buckets.len()],
+            load,
+        }
+    }
+
+    /// Takes a host from the balancer, or puts it back.
+    pub fn set_host_weight(&mut self, host: usize, weight: f64) {
+        self.load.host_weights[host] = weight;
+    }
+
+    /// Runs one step that ends at `now`.
+    pub fn step(&mut self, way: &mut dyn Way, now: Duration) {
+        for (ticket, admitted) in way.step(now) {
+            let Some((workspace, in_rate)) = self.waiting.remove(&ticket) else {
+                continue;
+            };
+            self.settle(workspace, in_rate, admitted, now);
+        }
+        for workspace in 0..self.next.len() {
+            while self.next[workspace] <= now {
+                self.send(way, workspace, now);
+                let gap = -(1.0 - self.rng.f64()).ln() / self.load.demands[workspace].per_s;
+                self.next[workspace] += Duration::from_secs_f64(gap);
+            }
+        }
+    }
+
+    /// Returns what became of the requests, by workspace.
+    #[must_use]
+    pub fn outcomes(&self) -> &[Outcome] {
+        &self.outcomes
+    }
+
+    /// Forgets what became of the requests so far, as after a warm-up.
+    pub fn reset_outcomes(&mut self) {
+        self.outcomes.fill(Outcome::default());
+    }
+
+    fn send(&mut self, way: &mut dyn Way, workspace: usize, now: Duration) {
+        self.ticket += 1;
+        let request = Request {
+            ticket: self.ticket,
+            host: self.choose_host(workspace),
+            workspace,
+        };
+        let in_rate = self.ideal[workspace].take(now);
+        let outcome = &mut self.outcomes[workspace];
+        outcome.offered += 1;
+        outcome.in_rate += u64::from(in_rate);
+        match way.request(now, request) {
+            Verdict::Admitted => self.settle(workspace, in_rate, true, now),
+            Verdict::Refused => self.settle(workspace, in_rate, false, now),
+            Verdict::Waiting => {
+                outcome.waited += 1;
+                self.waiting.insert(self.ticket, (workspace, in_rate));
+            }
+        }
+    }
+
+    fn settle(&mut self, workspace: usize, in_rate: bool, admitted: bool, now: Duration) {
+        let outcome = &mut self.outcomes[workspace];
+        if admitted {
+            outcome.admitted += 1;
+            let excess = self.bound[workspace].charge(now);
+            outcome.excess = outcome.excess.max(excess);
+        } else if in_rate {
+            outcome.in_rate_refused += 1;
+        }
+    }
+
+    fn choose_host(&mut self, workspace: usize) -> usize {
+        if let Some(hosts) = self.load.connections.get(workspace) {
+            return hosts[self.rng.usize(..hosts.len())];
+        }
+        let total: f64 = self.load.host_weights.iter().sum();
+        let mut point = self.rng.f64() * total;
+        for (host, weight) in self.load.host_weights.iter().enumerate() {
+            point -= weight;
+            if point < 0.0 {
+                return host;
+            }
+        }
+        self.load.host_weights.len() - 1
+    }
+}
+
+/// Returns host weights of a balancer that gives some hosts about ten times as
+/// much as others.
+#[must_use]
+pub fn skewed_weights(hosts: usize, seed: u64) -> Vec<f64> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    (0..hosts).map(|_| 10f64.powf(rng.f64())).collect()
+}
--- /dev/null
+++ b/crates/bench/src/limits/mod.rs
@@ -0,0 +1,23 @@
+//! Fleet-wide rates and bursts: in-rate refusals, the worst-served workspace,
+//! messages and cost.
+
+pub mod compare;
+pub mod cost;
+pub mod design_size;
+pub mod faults;
+pub mod fleet;
+pub mod load;
+pub mod rivals;
+
+use crate::Scenario;
+
+/// Returns the scenarios on rates and bursts.
+#[must_use]
+pub fn scenarios() -> Vec<Box<dyn Scenario>> {
+    let mut all: Vec<Box<dyn Scenario>> = Vec::new();
+    all.extend(compare::scenarios());
+    all.extend(faults::scenarios());
+    all.push(Box::new(design_size::DesignSize));
+    all.push(Box::new(cost::Cost));
+    all
+}
--- /dev/null
+++ b/crates/limits/src/lending.rs
@@ -0,0 +1,181 @@
+//! Decides how much of a share one borrower gets.
+
+use std::time::Duration;
+
+use waxwingusher_protocol::loan::LoanRequest;
+
+use crate::settings::LimiterSettings;
+use crate::shares::{MILLIS_PER_TOKEN, ShareLimit, TINY_SHARE_MILLIS};
+
+/// The term of a loan of one token while there is too little room for more.
+const SCARCE_TERM: Duration = Duration::from_millis(400);
+/// The term of a loan of tokens without rate.
+const TOKEN_TERM: Duration = Duration::from_secs(5);
+/// The part of the room that is lent for long; the rest buffers what refills
+/// here.
+const LENDABLE_PERCENT: u64 = 70;
+/// The room below which no rate is lent: a small bucket is full most of the
+/// time and wastes its refill.
+const MIN_RATE_ROOM_MILLIS: u64 = 3 * MILLIS_PER_TOKEN;
+/// The part of the tokens that one borrower may get.
+const LEND_DIVISOR: u64 = 2;
+/// The part of the lender's demand, and of its room, that even a borrower that
+/// has run dry does not get.
+const DRY_RESERVE_DIVISOR: u64 = 8;
+/// The shortest time after which a borrower should ask a dry lender again.
+const MIN_RETRY_MS: u64 = 20;
+/// The time after which a borrower should ask a lender that is overrun again.
+const OVERRUN_RETRY_MS: u64 = 1000;
+/// How far demand may exceed the rate before a lender counts as overrun, in
+/// percent of the rate.
+const OVERRUN_PERCENT: u64 = 130;
+
+/// The state of a share that a lender decides from.
+#[derive(Debug, Clone, Copy)]
+pub struct Pool {
+    /// The share's rate and room.
+    pub limit: ShareLimit,
+    /// Room that is lent, also to this borrower.
+    pub lent_room_millis: u64,
+    /// Rate that is lent, also to this borrower.
+    pub lent_rate_millis_per_s: u64,
+    /// Tokens that are not lent.
+    pub tokens_millis: u64,
+    /// Borrowers that hold room or rate, with this one.
+    pub borrowers: u64,
+    /// The demand of the lender's own callers.
+    pub own_demand_millis_per_s: u64,
+    /// The demand of all borrowers and of the lender's own callers.
+    pub demand_millis_per_s: u64,
+}
+
+/// What a borrower gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Offer {
+    /// All the room that it may hold.
+    pub room_millis: u64,
+    /// The whole rate that it may hold.
+    pub rate_millis_per_s: u64,
+    /// The tokens that are added.
+    pub tokens_millis: u64,
+    /// The term.
+    pub term: Duration,
+    /// How long it should wait before it asks again.
+    pub retry_after_ms: u64,
+}
+
+impl Pool {
+    /// Returns what a borrower gets.
+    #[must_use]
+    pub fn offer(&self, request: &LoanRequest, settings: &LimiterSettings) -> Offer {
+        let room = self.long_room(request);
+        let lasts = request.wanted_rate_millis_per_s > 0 && room >= MILLIS_PER_TOKEN;
+        let mut offer = if !lasts {
+            self.scarce_offer(request)
+        } else {
+            self.long_offer(request, room, settings)
+        };
+        offer.term = offer.term.min(settings.loan_term);
+        offer.retry_after_ms = self.retry_after_ms(request, offer.tokens_millis);
+        offer
+    }
+
+    fn long_offer(&self, request: &LoanRequest, room: u64, settings: &LimiterSettings) -> Offer {
+        let rate = if room < MIN_RATE_ROOM_MILLIS {
+            0
+        } else {
+            self.rate(request)
+        };
+        let vacant = room.saturating_sub(request.held_tokens_millis.into());
+        let free = self.tokens_millis.saturating_sub(self.reserve(request));
+        let most = (free / LEND_DIVISOR).max(free.min(MILLIS_PER_TOKEN));
+        Offer {
+            room_millis: room,
+            rate_millis_per_s: rate,
+            tokens_millis: vacant.min(most),
+            term: if rate > 0 {
+                settings.loan_term
+            } else {
+                TOKEN_TERM
+            },
+            retry_after_ms: 0,
+        }
+    }
+
+    /// Offers what is wanted, but of scarce tokens one at most, or nothing.
+    fn scarce_offer(&self, request: &LoanRequest) -> Offer {
+        let held = u64::from(request.held_tokens_millis);
+        let most = (self.tokens_millis / LEND_DIVISOR).max(MILLIS_PER_TOKEN);
+        let mut wanted = u64::from(request.wanted_tokens_millis).min(most);
+        if self.limit.room_millis < MILLIS_PER_TOKEN {
+            wanted = wanted.min(held + self.tokens_millis);
+        }
+        let lacking = wanted.saturating_sub(held);
+        let tokens = if lacking <= self.tokens_millis {
+            lacking
+        } else {
+            0
+        };
+        let free = self.limit.room_millis.saturating_sub(self.lent_room_millis);
+        let most = u64::from(request.held_room_millis) + free;
+        Offer {
+            room_millis: (held + tokens).min(most),
+            rate_millis_per_s: 0,
+            tokens_millis: tokens,
+            term: SCARCE_TERM,
+            retry_after_ms: 0,
+        }
+    }
+
+    /// Returns the room for a loan that lasts: at most as much as each of the
+    /// others may have.
+    fn long_room(&self, request: &LoanRequest) -> u64 {
+        if self.limit.room_millis < TINY_SHARE_MILLIS {
+            return 0;
+        }
+        let lendable = self.limit.room_millis * LENDABLE_PERCENT / 100;
+        let lendable = lendable.min(self.limit.room_millis - MILLIS_PER_TOKEN);
+        let free = lendable.saturating_sub(self.lent_room_millis);
+        let most = u64::from(request.held_room_millis) + free;
+        let fair = (lendable / (self.borrowers + 1)).max(MILLIS_PER_TOKEN);
+        u64::from(request.wanted_tokens_millis).min(most).min(fair)
+    }
+
+    fn rate(&self, request: &LoanRequest) -> u64 {
+        let wanted = u64::from(request.wanted_rate_millis_per_s);
+        let share = self.limit.rate_millis_per_s;
+        let free = share.saturating_sub(self.lent_rate_millis_per_s);
+        let most = free + u64::from(request.held_rate_millis_per_s);
+        if self.demand_millis_per_s <= share {
+            return wanted.min(most);
+        }
+        let fair = u128::from(wanted) * u128::from(share) / u128::from(self.demand_millis_per_s);
+        u64::try_from(fair).unwrap_or(u64::MAX).min(most)
+    }
+
+    /// Returns the tokens that are kept back: some for the lender's own callers,
+    /// and more for borrowers that have run dry if this one has not.
+    fn reserve(&self, request: &LoanRequest) -> u64 {
+        let room = self.limit.room_millis.saturating_sub(self.lent_room_millis);
+        let demand = self.own_demand_millis_per_s;
+        if u64::from(request.held_tokens_millis) < MILLIS_PER_TOKEN {
+            return (demand / DRY_RESERVE_DIVISOR).min(room / DRY_RESERVE_DIVISOR);
+        }
+        demand.max(room / LEND_DIVISOR).min(room)
+    }
+
+    fn retry_after_ms(&self, request: &LoanRequest, tokens: u64) -> u64 {
+        let held = u64::from(request.held_tokens_millis);
+        let wanted = MILLIS_PER_TOKEN.min(request.wanted_tokens_millis.into());
+        if held + tokens >= wanted {
+            return 0;
+        }
+        let share = self.limit.rate_millis_per_s;
+        if self.demand_millis_per_s * 100 > share * OVERRUN_PERCENT {
+            return OVERRUN_RETRY_MS;
+        }
+        let lacking = wanted - held - tokens;
+        let lacking = lacking.saturating_sub(self.tokens_millis - tokens);
+        (lacking * 1000 / share.max(1)).max(MIN_RETRY_MS)
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -5,6 +5,7 @@
 mod bucket;
 mod demand;
 mod holders;
+mod lending;
 mod limit_table;
 mod loan_part;
 mod role;
--- a/crates/limits/src/loan_part.rs
+++ b/crates/limits/src/loan_part.rs
@@ -15,6 +15,11 @@
 /// The part of a term after which a loan is renewed, in percent.
 const RENEW_PERCENT: u32 = 65;
 
+/// How long a lender that gave too little rate is not asked for more.
+const SHORT_TIME: Duration = Duration::from_secs(1);
+/// The shortest term of a loan that is held for later requests.
+const MIN_LASTING_TERM: Duration = Duration::from_millis(500);
+
 /// What a borrower would like to hold from one lender.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Wanted {
@@ -158,8 +163,8 @@
     /// Reports whether the lender lends for short terms only, because it has
     /// too little room for all borrowers.
     #[must_use]
-    pub fn is_scarce(&self, settings: &LimiterSettings) -> bool {
-        self.term > Duration::ZERO && self.term < settings.loan_term
+    pub fn is_scarce(&self) -> bool {
+        self.term > Duration::ZERO && self.term < MIN_LASTING_TERM
     }
 
     /// Reduces the loan after the share it comes from has shrunk.
@@ -229,8 +234,11 @@
         let term = Duration::from_millis(grant.term_ms.into());
         let until = pending.asked_at + term;
         self.retry_at = now + Duration::from_millis(grant.retry_after_ms.into());
-        if u64::from(grant.rate_millis_per_s) < pending.wanted.rate_millis_per_s {
-            self.short_until = now + Duration::from_secs(1);
+        let wanted_rate = pending.wanted.rate_millis_per_s;
+        if grant.rate_millis_per_s == 0 && wanted_rate > 0 {
+            self.short_until = until;
+        } else if u64::from(grant.rate_millis_per_s) < wanted_rate {
+            self.short_until = now + SHORT_TIME;
         }
         if now >= until {
             return;
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -9,22 +9,10 @@
 };
 
 use crate::bucket::Bucket;
+use crate::lending::Pool;
 use crate::settings::LimiterSettings;
 use crate::shares::{MILLIS_PER_TOKEN, ShareLimit};
 
-/// The term of a loan while a share has too little room for all borrowers.
-const SCARCE_TERM: Duration = Duration::from_millis(100);
-/// The part of the tokens that one borrower may get.
-const LEND_DIVISOR: u64 = 2;
-/// The part of the lender's demand, and of its room, that even a borrower that
-/// has run dry does not get.
-const DRY_RESERVE_DIVISOR: u64 = 8;
-/// The shortest time after which a borrower should ask a dry lender again.
-const MIN_RETRY: Duration = Duration::from_millis(20);
-/// The time after which a borrower should ask a lender that is overrun again.
-const OVERRUN_RETRY: Duration = Duration::from_millis(250);
-/// The part of the room that is lent; the rest buffers what refills here.
-const LENDABLE_PERCENT: u64 = 70;
 /// How long a borrower counts as one after it has given everything back.
 const BORROWER_MEMORY: Duration = Duration::from_secs(2);
 /// Stands for a time that does not come.
@@ -265,140 +253,64 @@
         let key = (borrower.host.clone(), borrower.incarnation);
         let former = self.loans.get(&key).copied();
         let asked_before = former.map_or(0, |loan| loan.asked_millis_per_s);
-        self.asked_millis_per_s = self.asked_millis_per_s - asked_before + wanted_rate;
-        let demand = self.asked_millis_per_s + borrower.lender_demand_millis_per_s;
-        let scarce = self.is_scarce(former.is_some());
-        let room = if scarce {
-            self.scarce_room_for(request)
+        self.asked_millis_per_s -= asked_before;
+        let offer = self.pool(request, borrower).offer(request, settings);
+        // Borrowers without a rate ask several lenders for the same demand.
+        let asked = if offer.rate_millis_per_s > 0 {
+            wanted_rate
         } else {
-            self.room_for(request, former.is_some())
-        };
-        let rate = if scarce || room < MILLIS_PER_TOKEN {
-            0
-        } else {
-            self.rate_for(request, demand)
-        };
-        let reserve = if scarce {
             0
-        } else {
-            self.reserve_for(request, borrower)
-        };
-        let tokens = self.tokens_for(request, room, reserve);
-        let term = if scarce {
-            SCARCE_TERM
-        } else {
-            settings.loan_term
         };
+        self.asked_millis_per_s += asked;
+        self.bucket.remove(offer.tokens_millis);
+        let held_room = u64::from(request.held_room_millis);
+        let held_rate = u64::from(request.held_rate_millis_per_s);
+        let until = loan_end(
+            former,
+            request,
+            borrower.now + settings.with_drift(offer.term),
+        );
         let loan = Loan {
             seq: request.seq,
-            room_millis: room.max(request.held_room_millis.into()),
-            rate_millis_per_s: rate.max(request.held_rate_millis_per_s.into()),
-            asked_millis_per_s: wanted_rate,
-            until: loan_end(former, request, borrower.now + settings.with_drift(term)),
-            forget_at: borrower.now + settings.with_drift(settings.loan_term),
+            room_millis: offer.room_millis.max(held_room),
+            rate_millis_per_s: offer.rate_millis_per_s.max(held_rate),
+            asked_millis_per_s: asked,
+            until,
+            forget_at: until + BORROWER_MEMORY,
         };
         self.loans.insert(key, loan);
-        self.lent_room_millis += loan.room_millis - u64::from(request.held_room_millis);
-        self.lent_rate_millis_per_s +=
-            loan.rate_millis_per_s - u64::from(request.held_rate_millis_per_s);
-        self.next_expiry = self
-            .next_expiry
-            .map(|at| at.min(loan.until))
-            .or(Some(loan.until));
+        self.lent_room_millis += loan.room_millis - held_room;
+        self.lent_rate_millis_per_s += loan.rate_millis_per_s - held_rate;
+        self.next_expiry = Some(self.next_expiry.map_or(until, |at| at.min(until)));
         self.rebalance(borrower.now);
         LoanGrant {
             limit: request.limit,
             terms: request.terms,
             seq: request.seq,
-            room_millis: narrow(room),
-            added_tokens_millis: narrow(tokens),
-            rate_millis_per_s: narrow(rate),
-            term_ms: u32::try_from(term.as_millis()).unwrap_or(u32::MAX),
-            retry_after_ms: self.retry_after_ms(request, tokens, demand),
-        }
-    }
-
-    /// Reports whether the room does not suffice for a token for each borrower
-    /// and one for the lender.
-    fn is_scarce(&self, known: bool) -> bool {
-        self.limit.room_millis < (self.borrowers_with(known) + 1) * MILLIS_PER_TOKEN
-    }
-
-    fn borrowers_with(&self, known: bool) -> u64 {
-        self.loans.len() as u64 + u64::from(!known)
-    }
-
-    fn rate_for(&self, request: &LoanRequest, demand: u64) -> u64 {
-        let wanted = u64::from(request.wanted_rate_millis_per_s);
-        let share = self.limit.rate_millis_per_s;
-        let free = share.saturating_sub(self.lent_rate_millis_per_s);
-        let most = free + u64::from(request.held_rate_millis_per_s);
-        if demand <= share {
-            return wanted.min(most);
+            room_millis: narrow(offer.room_millis),
+            added_tokens_millis: narrow(offer.tokens_millis),
+            rate_millis_per_s: narrow(offer.rate_millis_per_s),
+            term_ms: u32::try_from(offer.term.as_millis()).unwrap_or(u32::MAX),
+            retry_after_ms: narrow(offer.retry_after_ms),
         }
-        let fair = u128::from(wanted) * u128::from(share) / u128::from(demand.max(1));
-        u64::try_from(fair).unwrap_or(u64::MAX).min(most)
-    }
-
-    /// Returns the room for a borrower, who gets as much as the others at most.
-    fn room_for(&self, request: &LoanRequest, known: bool) -> u64 {
-        let lendable = self.limit.room_millis * LENDABLE_PERCENT / 100;
-        let free = lendable.saturating_sub(self.lent_room_millis);
-        let most = u64::from(request.held_room_millis) + free;
-        let fair = (lendable / (self.borrowers_with(known) + 1)).max(MILLIS_PER_TOKEN);
-        u64::from(request.wanted_tokens_millis).min(most).min(fair)
-    }
-
-    /// Returns the room for one token, or for the part of it that there is.
-    fn scarce_room_for(&self, request: &LoanRequest) -> u64 {
-        let present = self.bucket.tokens_millis();
-        let held_tokens = u64::from(request.held_tokens_millis);
-        let held_room = u64::from(request.held_room_millis);
-        let wanted = u64::from(request.wanted_tokens_millis).min(MILLIS_PER_TOKEN);
-        wanted
-            .min(held_tokens + present)
-            .min(held_room + self.free_room())
-    }
-
-    fn free_room(&self) -> u64 {
-        let lent = self.lent_room_millis;
-        self.limit.room_millis.saturating_sub(lent)
     }
 
-    /// Returns the tokens that are kept back: some for the lender's own callers,
-    /// and more for borrowers that have run dry if this one has not.
-    fn reserve_for(&self, request: &LoanRequest, borrower: Borrower<'_>) -> u64 {
-        let room = self.bucket.room_millis();
-        if u64::from(request.held_tokens_millis) < MILLIS_PER_TOKEN {
-            let demand = borrower.lender_demand_millis_per_s;
-            return (demand / DRY_RESERVE_DIVISOR).min(room / DRY_RESERVE_DIVISOR);
-        }
-        borrower
-            .lender_demand_millis_per_s
-            .max(room / LEND_DIVISOR)
-            .min(room)
-    }
-
-    /// Takes the tokens of a loan out of the bucket.
-    fn tokens_for(&mut self, request: &LoanRequest, room: u64, reserve: u64) -> u64 {
-        let vacant = room.saturating_sub(request.held_tokens_millis.into());
-        let present = self.bucket.tokens_millis().saturating_sub(reserve);
-        let most = (present / LEND_DIVISOR).max(present.min(MILLIS_PER_TOKEN));
-        self.bucket.remove(vacant.min(most))
-    }
-
-    fn retry_after_ms(&self, request: &LoanRequest, tokens: u64, demand: u64) -> u32 {
-        let held = u64::from(request.held_tokens_millis);
-        if held + tokens >= MILLIS_PER_TOKEN.min(request.wanted_tokens_millis.into()) {
-            return 0;
-        }
-        let share = self.limit.rate_millis_per_s;
-        if demand * 100 > share * OVERRUN_PERCENT {
-            return OVERRUN_RETRY.as_millis() as u32;
+    /// Returns what the decision on a loan depends on.
+    fn pool(&self, request: &LoanRequest, borrower: Borrower<'_>) -> Pool {
+        let is_new = request.held_room_millis == 0 && request.held_rate_millis_per_s == 0;
+        let holds = |loan: &&Loan| loan.room_millis > 0 || loan.rate_millis_per_s > 0;
+        let holding = self.loans.values().filter(holds).count() as u64;
+        let own_demand = borrower.lender_demand_millis_per_s;
+        let wanted_rate = u64::from(request.wanted_rate_millis_per_s);
+        Pool {
+            limit: self.limit,
+            lent_room_millis: self.lent_room_millis,
+            lent_rate_millis_per_s: self.lent_rate_millis_per_s,
+            tokens_millis: self.bucket.tokens_millis(),
+            borrowers: holding + u64::from(is_new),
+            own_demand_millis_per_s: own_demand,
+            demand_millis_per_s: self.asked_millis_per_s + wanted_rate + own_demand,
         }
-        let wanted = MILLIS_PER_TOKEN.min(request.wanted_tokens_millis.into());
-        let wait_ms = wanted.saturating_sub(held + tokens) * 1000 / share.max(1);
-        narrow(wait_ms.max(MIN_RETRY.as_millis() as u64))
     }
 
     fn sum_up(&mut self, now: Instant) {
--- a/crates/limits/src/shares.rs
+++ b/crates/limits/src/shares.rs
@@ -7,6 +7,10 @@
 /// Thousandths in a token.
 pub const MILLIS_PER_TOKEN: u64 = 1000;
 
+/// The room of a share below which tokens are gathered from all lenders in
+/// equal parts, so that no share overflows while another is empty.
+pub const TINY_SHARE_MILLIS: u64 = 2 * MILLIS_PER_TOKEN;
+
 /// The part of a limit that one holder answers for.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ShareLimit {
--- a/crates/limits/src/stock.rs
+++ b/crates/limits/src/stock.rs
@@ -10,7 +10,7 @@
 use crate::loan_part::{LoanPart, RequestHeader, Wanted};
 use crate::settings::LimiterSettings;
 use crate::share::Share;
-use crate::shares::MILLIS_PER_TOKEN;
+use crate::shares::{MILLIS_PER_TOKEN, TINY_SHARE_MILLIS};
 
 /// Demand below which tokens are borrowed but no rate, in requests a second.
 const MIN_RATE_DEMAND_PER_S: f64 = 0.3;
@@ -20,9 +20,8 @@
 const LOW_WATER_PERCENT: u64 = 40;
 /// The part of the wanted rate below which a borrower asks for more.
 const LOW_RATE_PERCENT: u64 = 75;
-/// The room of a share below which tokens are gathered from all lenders in
-/// equal parts, so that no share overflows while another is empty.
-const TINY_SHARE_MILLIS: u64 = 2 * MILLIS_PER_TOKEN;
+/// The part of the wanted rate below which it is not worth a loan of its own.
+const MIN_RATE_PERCENT: u64 = 10;
 /// The shortest time between requests to a lender while no request waits.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// The time without requests after which a loan is given back.
@@ -253,9 +252,14 @@
             return;
         }
         let askable = |part: &LoanPart| part.retry_at().is_some_and(|at| at <= ctx.now);
-        let indexes: Vec<_> = (0..self.parts.len())
+        let mut indexes: Vec<_> = (0..self.parts.len())
+            .map(|step| (ctx.near_share + step) % self.parts.len())
             .filter(|index| askable(&self.parts[*index]))
             .collect();
+        if indexes.len() < self.parts.len() {
+            // Parts that do not add up to a token help nobody.
+            indexes.truncate(1);
+        }
         for index in &indexes {
             let held = self.parts[*index].bucket().tokens_millis();
             let wanted = Wanted {
@@ -272,10 +276,8 @@
         if part.is_awaited(ctx.now, ctx.settings) || part.retry_at()? > ctx.now {
             return None;
         }
-        if part.is_scarce(ctx.settings) && part.holds_anything() {
-            let unused = self.waiting == 0 && part.bucket().tokens_millis() > 0;
-            let blocks_room = self.waiting == 0 && ctx.share_room_millis >= TINY_SHARE_MILLIS;
-            return (unused || blocks_room).then_some(Wanted::default());
+        if part.is_scarce() && part.holds_anything() {
+            return (self.waiting == 0).then_some(Wanted::default());
         }
         if !part.is_due(ctx.now) {
             return None;
@@ -284,7 +286,7 @@
             return Some(Wanted::default());
         }
         let wanted = self.wanted(index, ctx);
-        let useful = wanted.rate_millis_per_s > 0 || wanted.room_millis >= MILLIS_PER_TOKEN;
+        let useful = wanted.rate_millis_per_s > 0 || part.bucket().rate_millis_per_s() > 0;
         Some(if useful { wanted } else { Wanted::default() })
     }
 
@@ -294,15 +296,19 @@
             let awaited = |part: &&LoanPart| part.is_awaited(ctx.now, ctx.settings);
             return self.waiting as usize > self.parts.iter().filter(awaited).count();
         }
-        let scarce = |part: &LoanPart| part.is_scarce(ctx.settings);
         let asked_lately = ctx.now < self.asked_at + REQUEST_INTERVAL;
-        if asked_lately || self.demand.idle(ctx.now) > IDLE_TIME || self.parts.iter().any(scarce) {
+        let target = self.target(ctx);
+        if asked_lately || target.rate_millis_per_s == 0 {
             return false;
         }
-        let target = self.target(ctx);
         let held = self.held(ctx);
-        let low_tokens = held.tokens_millis * 100 < target.room_millis * LOW_WATER_PERCENT;
-        low_tokens || held.rate_millis_per_s * 100 < target.rate_millis_per_s * LOW_RATE_PERCENT
+        let low_rate = target.rate_millis_per_s * LOW_RATE_PERCENT / 100;
+        self.has_low_tokens(ctx) || held.rate_millis_per_s < low_rate
+    }
+
+    fn has_low_tokens(&self, ctx: PlanContext<'_>) -> bool {
+        let low = self.target(ctx).room_millis * LOW_WATER_PERCENT / 100;
+        self.held(ctx).tokens_millis < low.max(MILLIS_PER_TOKEN)
     }
 
     /// Returns the nearest lender that may be asked now.
@@ -317,7 +323,7 @@
             if retry_at > ctx.now || part.is_awaited(ctx.now, ctx.settings) {
                 continue;
             }
-            if self.waiting == 0 && part.is_short(ctx.now) {
+            if self.waiting == 0 && !self.lends_ahead(index, ctx) {
                 continue;
             }
             return Some(index);
@@ -325,6 +331,22 @@
         None
     }
 
+    /// Reports whether a lender should be asked while no request waits: the near
+    /// one for tokens, and any that may still have rate for more rate.
+    fn lends_ahead(&self, index: usize, ctx: PlanContext<'_>) -> bool {
+        let part = &self.parts[index];
+        let near = &self.parts[ctx.near_share];
+        if part.is_scarce() {
+            return false;
+        }
+        if index == ctx.near_share {
+            return self.has_low_tokens(ctx) || !part.is_short(ctx.now);
+        }
+        let near_is_used_up = near.bucket().rate_millis_per_s() > 0 && near.is_short(ctx.now);
+        let near_lends = near.has_answered() && !near_is_used_up;
+        !near_lends && !part.is_short(ctx.now)
+    }
+
     /// Returns what to hold from one lender, given what the others lend.
     fn wanted(&self, index: usize, ctx: PlanContext<'_>) -> Wanted {
         let target = self.target(ctx);
@@ -332,9 +354,12 @@
         let mut others = self.held(ctx);
         others.room_millis -= part.room_millis();
         others.rate_millis_per_s -= part.rate_millis_per_s();
-        let rate = target
+        let mut rate = target
             .rate_millis_per_s
             .saturating_sub(others.rate_millis_per_s);
+        if rate * 100 < target.rate_millis_per_s * MIN_RATE_PERCENT {
+            rate = 0;
+        }
         let mut room = target.room_millis.saturating_sub(others.room_millis);
         if rate > 0 {
             room = room.max(MILLIS_PER_TOKEN);
--- a/crates/protocol/src/loan.rs
+++ b/crates/protocol/src/loan.rs
@@ -7,7 +7,7 @@
 use waxwingusher_core::HostId;
 
 /// The most entries that one message carries, so that it fits a datagram.
-pub const MAX_LOAN_ENTRIES: usize = 32;
+pub const MAX_LOAN_ENTRIES: usize = 20;
 
 /// A short stable hash of the name of a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
