Keep the lent room of a share below its limit for lasting loans

A borrower with a short loan could keep its room for long, until no room was left for the share to refill. Under three times the rate in a cut-off domain a limit of 10/s then served nothing. Also repairs the scenarios' build.

--- a/crates/bench/src/limits/compare.rs
+++ b/crates/bench/src/limits/compare.rs
@@ -121,13 +121,6 @@
         run_for(&mut driver, way.as_mut(), &mut now, SETTLING);
         driver.reset_outcomes();
         run_for(&mut driver, way.as_mut(), &mut now, MEASURED);
-            for o in driver.outcomes() {
-                eprintln!(
-                    "   off {} adm {} wait {} inrate {} refused {}",
-                    o.offered, o.admitted, o.waited, o.in_rate, o.in_rate_refused
-                );
-            }
-        }
         let bounded = matches!(self.kind, Kind::Lending);
         ScenarioResult {
             scenario: self.name.into(),
--- a/crates/bench/src/limits/faults.rs
+++ b/crates/bench/src/limits/faults.rs
@@ -4,7 +4,7 @@
 
 use super::compare::{demands, refused_share, run_for};
 use super::fleet::{Fleet, Shape, WARM_UP};
-use super::load::{Demand, Driver, Load, STEP, Way, skewed_weights};
+use super::load::{Demand, Driver, Load, Outcome, STEP, Way, skewed_weights};
 use crate::{Bound, Measurement, Scenario, ScenarioResult};
 
 /// The time between two restarts.
@@ -64,10 +64,7 @@
             run_for(&mut driver, &mut fleet, &mut now, RESTART_INTERVAL - AWAY);
         }
         let refused = refused_share(driver.outcomes());
-        let served = driver
-            .outcomes()
-            .iter()
-            .map(|outcome| outcome.served_share());
+        let served = driver.outcomes().iter().map(Outcome::served_share);
         let excess = driver.outcomes().iter().map(|outcome| outcome.excess);
         ScenarioResult {
             scenario: self.name().into(),
@@ -141,13 +138,6 @@
     run_for(&mut driver, &mut fleet, &mut now, CUT_SETTLING);
     driver.reset_outcomes();
     run_for(&mut driver, &mut fleet, &mut now, CUT_MEASURED);
-        for o in driver.outcomes() {
-            eprintln!(
-                "   off {} adm {} wait {} inrate {} refused {}",
-                o.offered, o.admitted, o.waited, o.in_rate, o.in_rate_refused
-            );
-        }
-    }
     let domains = if cut_side { 1 } else { shape.domains - 1 };
     let part = domains as f64 / shape.domains as f64 * CUT_MEASURED.as_secs_f64();
     let mut least = f64::INFINITY;
--- a/crates/limits/src/lending.rs
+++ b/crates/limits/src/lending.rs
@@ -135,8 +135,8 @@
         }
         let lendable = self.limit.room_millis * LENDABLE_PERCENT / 100;
         let lendable = lendable.min(self.limit.room_millis - MILLIS_PER_TOKEN);
-        let free = lendable.saturating_sub(self.lent_room_millis);
-        let most = u64::from(request.held_room_millis) + free;
+        let others = self.lent_room_millis - u64::from(request.held_room_millis);
+        let most = lendable.saturating_sub(others);
         let fair = (lendable / (self.borrowers + 1)).max(MILLIS_PER_TOKEN);
         u64::from(request.wanted_tokens_millis).min(most).min(fair)
     }
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -17,9 +17,6 @@
 const BORROWER_MEMORY: Duration = Duration::from_secs(2);
 /// Stands for a time that does not come.
 const NEVER: Duration = Duration::from_secs(3600);
-/// How far demand may exceed the rate before a lender counts as overrun, in
-/// percent of the rate.
-const OVERRUN_PERCENT: u64 = 130;
 
 /// What one process of a host has borrowed.
 #[derive(Debug, Clone, Copy)]
