--- a/crates/limits/src/loan_part.rs
+++ b/crates/limits/src/loan_part.rs
@@ -192,7 +192,11 @@
             .bucket
             .rate_millis_per_s()
             .min(wanted.rate_millis_per_s);
-        let room = self.bucket.room_millis().min(wanted.room_millis);
+        let mut room = self.bucket.room_millis().min(wanted.room_millis);
+        if self.is_scarce() {
+            // Others need the room that has been spent.
+            room = room.min(self.bucket.tokens_millis());
+        }
         let excess = self.bucket.tokens_millis().saturating_sub(room);
         let returned = self.bucket.remove(excess);
         self.bucket.set_rate(now, rate);
--- a/crates/limits/src/stock.rs
+++ b/crates/limits/src/stock.rs
@@ -256,7 +256,7 @@
             .map(|step| (ctx.near_share + step) % self.parts.len())
             .filter(|index| askable(&self.parts[*index]))
             .collect();
-        if indexes.len() < self.parts.len() {
+        if indexes.len() * 2 < self.parts.len() {
             // Parts that do not add up to a token help nobody.
             indexes.truncate(1);
         }
