--- a/crates/bench/src/limits/mod.rs
+++ b/crates/bench/src/limits/mod.rs
@@ -17,7 +17,7 @@
     let mut all: Vec<Box<dyn Scenario>> = Vec::new();
     all.extend(compare::scenarios());
     all.extend(faults::scenarios());
-    all.push(Box::new(design_size::DesignSize));
+    all.push(Box::new(design_size::DesignSize::SLICE));
     all.push(Box::new(cost::Cost));
     all
 }
--- a/crates/limits/src/lending.rs
+++ b/crates/limits/src/lending.rs
@@ -81,7 +81,7 @@
     }
 
     fn long_offer(&self, request: &LoanRequest, room: u64, settings: &LimiterSettings) -> Offer {
-        let rate = if room < MIN_RATE_ROOM_MILLIS {
+        let rate = if room < MIN_RATE_ROOM_MILLIS.min(self.lendable() / 2) {
             0
         } else {
             self.rate(request)
@@ -133,14 +133,20 @@
         if self.limit.room_millis < TINY_SHARE_MILLIS {
             return 0;
         }
-        let lendable = self.limit.room_millis * LENDABLE_PERCENT / 100;
-        let lendable = lendable.min(self.limit.room_millis - MILLIS_PER_TOKEN);
+        let lendable = self.lendable();
         let others = self.lent_room_millis - u64::from(request.held_room_millis);
         let most = lendable.saturating_sub(others);
-        let fair = (lendable / (self.borrowers + 1)).max(MILLIS_PER_TOKEN);
+        let lender = u64::from(lendable >= MIN_RATE_ROOM_MILLIS);
+        let fair = (lendable / (self.borrowers + lender).max(1)).max(MILLIS_PER_TOKEN);
         u64::from(request.wanted_tokens_millis).min(most).min(fair)
     }
 
+    /// Returns the room that may be lent for long.
+    fn lendable(&self) -> u64 {
+        let lendable = self.limit.room_millis * LENDABLE_PERCENT / 100;
+        lendable.min(self.limit.room_millis.saturating_sub(MILLIS_PER_TOKEN))
+    }
+
     fn rate(&self, request: &LoanRequest) -> u64 {
         let wanted = u64::from(request.wanted_rate_millis_per_s);
         let share = self.limit.rate_millis_per_s;
