--- /dev/null
+++ b/crates/limits/src/limiter/holding.rs
@@ -0,0 +1,160 @@
+//! Moves shares between holders.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use waxwingusher_core::HostId;
+use waxwingusher_protocol::Outgoing;
+use waxwingusher_protocol::loan::{LoanMessage, ShareTransfer};
+
+use super::{Limiter, OFFER_INTERVAL, OFFER_SEQ};
+use crate::role::Role;
+use crate::share::Share;
+use crate::shares::ShareLimit;
+
+impl Limiter {
+    pub(super) fn accept_transfer(
+        &mut self,
+        from: &HostId,
+        transfer: &ShareTransfer,
+        now: Instant,
+    ) {
+        if transfer.to_incarnation != self.incarnation {
+            return;
+        }
+        let version = self.authority.list().version;
+        if transfer.list_version > version && self.early_transfers.len() < u16::MAX.into() {
+            self.early_transfers.push((from.clone(), transfer.clone()));
+            return;
+        }
+        let (Some(index), Some(near)) = (self.table.by_id(transfer.limit), self.near_share) else {
+            return;
+        };
+        let state = self.table.get_mut(index);
+        if transfer.list_version != version || !matches!(state.role, Role::Waiting) {
+            return;
+        }
+        let limit = ShareLimit::of(state.limit, near, &self.settings);
+        let share = Share::transferred(limit, transfer, from, now, &self.settings);
+        log::info!("limits: {} is held here, given by {from}", state.key);
+        state.role = Role::Holder(Box::new(share));
+        self.waiting.retain(|other| *other != index);
+    }
+
+    pub(super) fn accept_early_transfers(&mut self, now: Instant) {
+        for (from, transfer) in std::mem::take(&mut self.early_transfers) {
+            self.accept_transfer(&from, &transfer, now);
+        }
+    }
+
+    /// Sets the role for each limit under the current list. `unbroken` tells
+    /// whether no other host can have been a holder under a list that this
+    /// host has missed.
+    pub(super) fn place_shares(&mut self, now: Instant, unbroken: bool) {
+        let until = self.authority.valid_until();
+        self.waiting.clear();
+        self.leaving.clear();
+        let in_list = self.authority.domain().is_some();
+        let Some(near) = self.near_share else {
+            return;
+        };
+        for (index, state) in self.table.iter_mut() {
+            let holder = self.holders.of_share(&state.key, near);
+            let is_self = in_list && holder == Some(&self.self_id);
+            let role = std::mem::take(&mut state.role);
+            let was_holder = matches!(role, Role::Holder(_));
+            let until = until.filter(|until| now < *until);
+            state.role = match holder.filter(|_| !is_self) {
+                None if is_self => role.named(now, unbroken),
+                to => role.not_named(now, until, to),
+            };
+            match &state.role {
+                Role::Waiting => self.waiting.push(index),
+                Role::Leaving(_) => self.leaving.push(index),
+                Role::Borrower if was_holder => {
+                    log::info!("limits: {} is no longer held here", state.key);
+                }
+                Role::Borrower | Role::Holder(_) => {}
+            }
+        }
+    }
+
+    /// Starts shares whose former holders have certainly stopped.
+    pub(super) fn take_over(&mut self, now: Instant) {
+        let Some(near) = self.near_share else {
+            return;
+        };
+        if self.waiting.is_empty() || now < self.started_at + self.settings.quarantine() {
+            return;
+        }
+        if !self.authority.may_take_over(now, &self.settings) {
+            return;
+        }
+        for index in std::mem::take(&mut self.waiting) {
+            let state = self.table.get_mut(index);
+            let limit = ShareLimit::of(state.limit, near, &self.settings);
+            log::info!(
+                "limits: {} is held here, former holder has stopped",
+                state.key
+            );
+            state.role = Role::Holder(Box::new(Share::new(limit, now)));
+        }
+    }
+
+    /// Gives shares to their next holders, as soon as these have been heard of
+    /// and so their present incarnation is known.
+    pub(super) fn give_shares(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
+        let list_version = self.authority.list().version;
+        let mut out = Vec::new();
+        for index in std::mem::take(&mut self.leaving) {
+            let state = self.table.get_mut(index);
+            let Role::Leaving(leaving) = &mut state.role else {
+                continue;
+            };
+            if now >= leaving.until {
+                log::info!("limits: {} is no longer held here", state.key);
+                state.role = Role::Borrower;
+                continue;
+            }
+            let to = leaving.to.as_ref();
+            let Some((to, peer)) = to.and_then(|to| self.peers.get_key_value(to)) else {
+                self.leaving.push(index);
+                continue;
+            };
+            if peer.heard_at <= leaving.since {
+                self.leaving.push(index);
+                continue;
+            }
+            log::info!("limits: {} is given to {to}", state.key);
+            let share = &mut leaving.share;
+            let transfer = share.transfer(state.id, list_version, peer.incarnation, now);
+            out.push(Outgoing {
+                to: to.clone(),
+                message: LoanMessage::Transfers(vec![transfer]),
+            });
+            state.role = Role::Borrower;
+        }
+        out.extend(self.offers(now));
+        out
+    }
+
+    /// Makes the next holders of shares send their present incarnation.
+    pub(super) fn offers(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
+        if self.leaving.is_empty() || now < self.offered_at + OFFER_INTERVAL {
+            return Vec::new();
+        }
+        self.offered_at = now;
+        let mut receivers = BTreeSet::new();
+        for index in &self.leaving {
+            let Role::Leaving(leaving) = &self.table.get(*index).role else {
+                continue;
+            };
+            receivers.extend(leaving.to.clone());
+        }
+        let query = |to| Outgoing {
+            to,
+            message: LoanMessage::ListQuery { seq: OFFER_SEQ },
+        };
+        receivers.into_iter().map(query).collect()
+    }
+}
--- /dev/null
+++ b/crates/limits/src/limiter/loans.rs
@@ -0,0 +1,178 @@
+//! Lends to other hosts and borrows from them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use waxwingusher_core::HostId;
+use waxwingusher_protocol::Outgoing;
+use waxwingusher_protocol::loan::{LoanGrant, LoanMessage, LoanRequest, MAX_LOAN_ENTRIES};
+
+use super::Limiter;
+use crate::limit_table::LimitState;
+use crate::loan_part::LoanPart;
+use crate::settings::LimiterSettings;
+use crate::share::{Borrower, is_return};
+use crate::shares::ShareLimit;
+use crate::stock::{Holding, PlanContext};
+
+impl Limiter {
+    /// Gives all loans back and all shares on, before a planned stop. The host
+    /// list should already call this host leaving.
+    pub fn hand_over(&mut self) -> Vec<Outgoing<LoanMessage>> {
+        let now = self.now();
+        let mut out = self.give_shares(now);
+        let mut requests = BTreeMap::new();
+        let settings = Arc::clone(&self.settings);
+        let valid_until = self.authority.valid_until();
+        for index in std::mem::take(&mut self.active) {
+            let state = self.table.get_mut(index);
+            let ctx = plan_context(state, self.near_share, valid_until, now, &settings);
+            let Some(mut stock) = state.stock.take() else {
+                continue;
+            };
+            collect(&mut requests, stock.give_back(ctx, &mut self.seq));
+        }
+        out.extend(into_requests(requests));
+        out
+    }
+
+    pub(super) fn lend(
+        &mut self,
+        from: &HostId,
+        incarnation: u64,
+        requests: &[LoanRequest],
+        now: Instant,
+    ) -> Vec<Outgoing<LoanMessage>> {
+        let mut grants = Vec::new();
+        for request in requests {
+            grants.extend(self.lend_one(from, incarnation, request, now));
+        }
+        if grants.is_empty() {
+            return Vec::new();
+        }
+        vec![Outgoing {
+            to: from.clone(),
+            message: LoanMessage::Grants(grants),
+        }]
+    }
+
+    pub(super) fn lend_one(
+        &mut self,
+        from: &HostId,
+        incarnation: u64,
+        request: &LoanRequest,
+        now: Instant,
+    ) -> Option<LoanGrant> {
+        let valid_until = self.authority.valid_until();
+        let state = self.table.get_mut(self.table.by_id(request.limit)?);
+        let share = state.role.spendable(now, valid_until)?;
+        let stock = state.stock.as_ref();
+        let borrower = Borrower {
+            host: from,
+            incarnation,
+            lender_demand_millis_per_s: stock.map_or(0, |stock| stock.demand_millis_per_s(now)),
+            now,
+        };
+        if !share.reconcile(request, borrower) {
+            return None;
+        }
+        if request.terms != state.terms || is_return(request) {
+            return None;
+        }
+        let grant = share.lend(request, borrower, &self.settings);
+        let (tokens, rate) = (grant.added_tokens_millis, grant.rate_millis_per_s);
+        log::debug!(
+            "limits: {} lends {from} {tokens} millitokens and {rate} milli/s",
+            state.key
+        );
+        Some(grant)
+    }
+
+    pub(super) fn accept_grants(&mut self, from: &HostId, grants: &[LoanGrant], now: Instant) {
+        for grant in grants {
+            let Some(index) = self.table.by_id(grant.limit) else {
+                continue;
+            };
+            let state = self.table.get_mut(index);
+            let (true, Some(stock)) = (state.terms == grant.terms, &mut state.stock) else {
+                continue;
+            };
+            let lender = |part: &&mut LoanPart| part.lender() == Some(from);
+            let Some(part) = stock.parts_mut().iter_mut().find(lender) else {
+                continue;
+            };
+            part.accept(grant, now);
+            log::debug!("limits: {} has a loan from {from}", state.key);
+        }
+    }
+
+    pub(super) fn borrow_ahead(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
+        let mut requests = BTreeMap::new();
+        let settings = Arc::clone(&self.settings);
+        let valid_until = self.authority.valid_until();
+        for index in std::mem::take(&mut self.active) {
+            let state = self.table.get_mut(index);
+            let ctx = plan_context(state, self.near_share, valid_until, now, &settings);
+            let Some(stock) = &mut state.stock else {
+                continue;
+            };
+            if stock.is_idle(now, &self.settings) {
+                state.stock = None;
+                continue;
+            }
+            if stock.list_version() != self.holders.version() {
+                let lenders = self.holders.of_all(&state.key, &self.self_id);
+                stock.set_lenders(self.holders.version(), &lenders, now);
+            }
+            collect(&mut requests, stock.plan(ctx, &mut self.seq));
+            self.active.push(index);
+        }
+        into_requests(requests)
+    }
+}
+
+fn plan_context<'a>(
+    state: &mut LimitState,
+    near_share: Option<usize>,
+    valid_until: Option<Instant>,
+    now: Instant,
+    settings: &'a LimiterSettings,
+) -> PlanContext<'a> {
+    let own = state.role.spendable(now, valid_until).map(|share| {
+        share.settle(now);
+        let mut own = Holding::default();
+        own.add(share.bucket());
+        own.room_millis = own.tokens_millis;
+        own
+    });
+    let share_room_millis = ShareLimit::of(state.limit, 0, settings).room_millis;
+    PlanContext {
+        limit: state.id,
+        terms: state.terms,
+        near_share: near_share.unwrap_or_default(),
+        share_room_millis,
+        own: own.unwrap_or_default(),
+        now,
+        settings,
+    }
+}
+
+fn collect<E>(by_host: &mut BTreeMap<HostId, Vec<E>>, entries: Vec<(HostId, E)>) {
+    for (host, entry) in entries {
+        by_host.entry(host).or_default().push(entry);
+    }
+}
+
+fn into_requests(by_host: BTreeMap<HostId, Vec<LoanRequest>>) -> Vec<Outgoing<LoanMessage>> {
+    let mut out = Vec::new();
+    for (to, requests) in by_host {
+        for chunk in requests.chunks(MAX_LOAN_ENTRIES) {
+            out.push(Outgoing {
+                to: to.clone(),
+                message: LoanMessage::Requests(chunk.to_vec()),
+            });
+        }
+    }
+    out
+}
