--- a/crates/limits/src/loan_part.rs
+++ b/crates/limits/src/loan_part.rs
@@ -18,8 +18,8 @@
 /// What a borrower would like to hold from one lender.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Wanted {
-    /// Tokens, and the room for them.
-    pub tokens_millis: u64,
+    /// Room, which the lender fills with tokens as far as it can.
+    pub room_millis: u64,
     /// The rate.
     pub rate_millis_per_s: u64,
 }
@@ -73,13 +73,17 @@
         }
     }
 
-    /// Sets the host to borrow from. What another one lent is given up.
+    /// Sets the host to borrow from. A loan goes on when its lender passes the
+    /// share on.
     pub fn set_lender(&mut self, lender: Option<&HostId>, now: Instant) {
         if self.lender.as_ref() == lender {
             return;
         }
-        *self = Self::new(now);
         self.lender = lender.cloned();
+        self.pending = None;
+        self.unanswered = 0;
+        self.retry_at = now;
+        self.short_until = now;
     }
 
     /// Returns the host to borrow from.
@@ -114,6 +118,12 @@
         self.bucket.room_millis() > 0 || self.bucket.rate_millis_per_s() > 0
     }
 
+    /// Reports whether the loan may be used at `now`.
+    #[must_use]
+    pub fn is_in_force(&self, now: Instant) -> bool {
+        now < self.until
+    }
+
     /// Reports whether an answer is awaited.
     #[must_use]
     pub fn is_awaited(&self, now: Instant, settings: &LimiterSettings) -> bool {
@@ -145,13 +155,11 @@
         self.holds_anything() && now >= self.renew_at
     }
 
-    /// Reports whether a short loan is spent, so that its room should go back.
+    /// Reports whether the lender lends for short terms only, because it has
+    /// too little room for all borrowers.
     #[must_use]
-    pub fn is_spent(&self, settings: &LimiterSettings) -> bool {
-        let short = self.term < settings.loan_term;
-        short
-            && self.holds_anything()
-            && self.bucket.tokens_nanos() < crate::bucket::NANOS_PER_TOKEN
+    pub fn is_scarce(&self, settings: &LimiterSettings) -> bool {
+        self.term > Duration::ZERO && self.term < settings.loan_term
     }
 
     /// Reduces the loan after the share it comes from has shrunk.
@@ -179,7 +187,7 @@
             .bucket
             .rate_millis_per_s()
             .min(wanted.rate_millis_per_s);
-        let room = self.bucket.room_millis().min(wanted.tokens_millis);
+        let room = self.bucket.room_millis().min(wanted.room_millis);
         let excess = self.bucket.tokens_millis().saturating_sub(room);
         let returned = self.bucket.remove(excess);
         self.bucket.set_rate(now, rate);
@@ -201,7 +209,7 @@
             held_tokens_millis: narrow(self.bucket.tokens_millis()),
             held_rate_millis_per_s: narrow(rate),
             returned_tokens_millis: narrow(returned),
-            wanted_tokens_millis: narrow(wanted.tokens_millis),
+            wanted_tokens_millis: narrow(wanted.room_millis),
             wanted_rate_millis_per_s: narrow(wanted.rate_millis_per_s),
         }
     }
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::HostId;
-use waxwingusher_protocol::loan::{LoanGrant, LoanRequest};
+use waxwingusher_protocol::loan::{
+    LimitId, LoanGrant, LoanRequest, MAX_LOAN_ENTRIES, ShareTransfer, TransferredLoan,
+};
 
 use crate::bucket::Bucket;
 use crate::settings::LimiterSettings;
@@ -12,17 +14,24 @@
 
 /// The term of a loan while a share has too little room for all borrowers.
 const SCARCE_TERM: Duration = Duration::from_millis(100);
-/// The part of the free tokens and room that one borrower may get.
+/// The part of the tokens that one borrower may get.
 const LEND_DIVISOR: u64 = 2;
+/// The part of the lender's demand, and of its room, that even a borrower that
+/// has run dry does not get.
+const DRY_RESERVE_DIVISOR: u64 = 8;
 /// The shortest time after which a borrower should ask a dry lender again.
 const MIN_RETRY: Duration = Duration::from_millis(20);
 /// The time after which a borrower should ask a lender that is overrun again.
 const OVERRUN_RETRY: Duration = Duration::from_millis(250);
+/// The part of the room that is lent; the rest buffers what refills here.
+const LENDABLE_PERCENT: u64 = 70;
+/// How long a borrower counts as one after it has given everything back.
+const BORROWER_MEMORY: Duration = Duration::from_secs(2);
 /// Stands for a time that does not come.
 const NEVER: Duration = Duration::from_secs(3600);
 /// How far demand may exceed the rate before a lender counts as overrun, in
 /// percent of the rate.
-const OVERRUN_PERCENT: u64 = 110;
+const OVERRUN_PERCENT: u64 = 130;
 
 /// What one process of a host has borrowed.
 #[derive(Debug, Clone, Copy)]
@@ -79,17 +88,6 @@
     pub now: Instant,
 }
 
-/// What a former holder had lent when it gave up a share.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Outstanding {
-    /// Room that is lent.
-    pub room_millis: u64,
-    /// Rate that is lent.
-    pub rate_millis_per_s: u64,
-    /// How long the last of the loans may last.
-    pub lasts: Duration,
-}
-
 impl Share {
     /// Creates an empty share that starts to refill at `now`.
     #[must_use]
@@ -111,28 +109,61 @@
     #[must_use]
     pub fn transferred(
         limit: ShareLimit,
-        tokens_millis: u64,
-        outstanding: Outstanding,
+        transfer: &ShareTransfer,
         former: &HostId,
         now: Instant,
+        settings: &LimiterSettings,
     ) -> Self {
         let mut share = Self::new(limit, now);
-        if outstanding.lasts > Duration::ZERO {
-            let loan = Loan {
-                seq: u32::MAX,
-                room_millis: outstanding.room_millis,
-                rate_millis_per_s: outstanding.rate_millis_per_s,
-                asked_millis_per_s: 0,
-                until: now + outstanding.lasts,
-                forget_at: now + outstanding.lasts,
+        for loan in unlisted_loan(transfer, former)
+            .iter()
+            .chain(&transfer.loans)
+        {
+            let lasts = Duration::from_millis(loan.lasts_ms.into());
+            let until = now + settings.with_drift(lasts);
+            let record = Loan {
+                seq: loan.seq,
+                room_millis: loan.room_millis.into(),
+                rate_millis_per_s: loan.rate_millis_per_s.into(),
+                asked_millis_per_s: loan.rate_millis_per_s.into(),
+                until,
+                forget_at: until + BORROWER_MEMORY,
             };
-            share.loans.insert((former.clone(), 0), loan);
-            share.sum_up(now);
+            let borrower = (loan.borrower.clone(), loan.incarnation);
+            share.loans.insert(borrower, record);
         }
-        share.bucket.add(tokens_millis);
+        share.sum_up(now);
+        share.bucket.add(transfer.tokens_millis.into());
         share
     }
 
+    /// Passes the share on: the most important loans one by one, the others
+    /// as a sum. This share must not be used any more.
+    #[must_use]
+    pub fn transfer(
+        &mut self,
+        limit: LimitId,
+        list_version: u64,
+        to_incarnation: u64,
+        now: Instant,
+    ) -> ShareTransfer {
+        self.settle(now);
+        let mut loans: Vec<_> = self.loans.iter().map(|loan| listed(loan, now)).collect();
+        loans.retain(|loan| loan.room_millis > 0 || loan.rate_millis_per_s > 0);
+        loans.sort_by_key(|loan| std::cmp::Reverse((loan.rate_millis_per_s, loan.room_millis)));
+        let rest = loans.split_off(loans.len().min(MAX_LOAN_ENTRIES / 2));
+        ShareTransfer {
+            limit,
+            list_version,
+            to_incarnation,
+            tokens_millis: narrow(self.bucket.tokens_millis()),
+            lent_room_millis: rest.iter().map(|loan| loan.room_millis).sum(),
+            lent_rate_millis_per_s: rest.iter().map(|loan| loan.rate_millis_per_s).sum(),
+            lent_for_ms: rest.iter().map(|loan| loan.lasts_ms).max().unwrap_or(0),
+            loans,
+        }
+    }
+
     /// Refills until `now` and ends loans whose term is over.
     pub fn settle(&mut self, now: Instant) {
         self.bucket.settle(now);
@@ -178,15 +209,16 @@
         self.loans.len()
     }
 
-    /// Returns what is lent at `now`.
+    /// Returns the room that is lent.
     #[must_use]
-    pub fn outstanding(&self, now: Instant) -> Outstanding {
-        let ends = self.loans.values().map(|loan| loan.until).max();
-        Outstanding {
-            room_millis: self.lent_room_millis,
-            rate_millis_per_s: self.lent_rate_millis_per_s,
-            lasts: ends.map_or(Duration::ZERO, |at| at.saturating_duration_since(now)),
-        }
+    pub fn lent_room_millis(&self) -> u64 {
+        self.lent_room_millis
+    }
+
+    /// Returns the rate that is lent.
+    #[must_use]
+    pub fn lent_rate_millis_per_s(&self) -> u64 {
+        self.lent_rate_millis_per_s
     }
 
     /// Records what a borrower states that it still holds, and reports whether
@@ -210,6 +242,13 @@
         self.lent_rate_millis_per_s -= loan.rate_millis_per_s - held_rate;
         loan.room_millis = held_room;
         loan.rate_millis_per_s = held_rate;
+        if is_return(request) {
+            loan.forget_at = borrower.now + BORROWER_MEMORY;
+            loan.until = borrower.now;
+            self.next_expiry = self.next_expiry.min(Some(loan.forget_at));
+            self.asked_millis_per_s -= loan.asked_millis_per_s;
+            loan.asked_millis_per_s = 0;
+        }
         self.rebalance(borrower.now);
         self.bucket.add(request.returned_tokens_millis.into());
         true
@@ -229,13 +268,22 @@
         self.asked_millis_per_s = self.asked_millis_per_s - asked_before + wanted_rate;
         let demand = self.asked_millis_per_s + borrower.lender_demand_millis_per_s;
         let scarce = self.is_scarce(former.is_some());
-        let rate = if scarce {
+        let room = if scarce {
+            self.scarce_room_for(request)
+        } else {
+            self.room_for(request, former.is_some())
+        };
+        let rate = if scarce || room < MILLIS_PER_TOKEN {
             0
         } else {
             self.rate_for(request, demand)
         };
-        let room = self.room_for(request, scarce);
-        let tokens = self.tokens_for(request, room);
+        let reserve = if scarce {
+            0
+        } else {
+            self.reserve_for(request, borrower)
+        };
+        let tokens = self.tokens_for(request, room, reserve);
         let term = if scarce {
             SCARCE_TERM
         } else {
@@ -273,8 +321,11 @@
     /// Reports whether the room does not suffice for a token for each borrower
     /// and one for the lender.
     fn is_scarce(&self, known: bool) -> bool {
-        let borrowers = self.loans.len() + usize::from(!known);
-        self.limit.room_millis < (borrowers as u64 + 1) * MILLIS_PER_TOKEN
+        self.limit.room_millis < (self.borrowers_with(known) + 1) * MILLIS_PER_TOKEN
+    }
+
+    fn borrowers_with(&self, known: bool) -> u64 {
+        self.loans.len() as u64 + u64::from(!known)
     }
 
     fn rate_for(&self, request: &LoanRequest, demand: u64) -> u64 {
@@ -289,21 +340,49 @@
         u64::try_from(fair).unwrap_or(u64::MAX).min(most)
     }
 
-    fn room_for(&self, request: &LoanRequest, scarce: bool) -> u64 {
-        let wanted = u64::from(request.wanted_tokens_millis);
-        let held = u64::from(request.held_room_millis);
-        let free = self.limit.room_millis.saturating_sub(self.lent_room_millis);
-        if scarce {
-            return wanted.min(MILLIS_PER_TOKEN).min(held + free);
+    /// Returns the room for a borrower, who gets as much as the others at most.
+    fn room_for(&self, request: &LoanRequest, known: bool) -> u64 {
+        let lendable = self.limit.room_millis * LENDABLE_PERCENT / 100;
+        let free = lendable.saturating_sub(self.lent_room_millis);
+        let most = u64::from(request.held_room_millis) + free;
+        let fair = (lendable / (self.borrowers_with(known) + 1)).max(MILLIS_PER_TOKEN);
+        u64::from(request.wanted_tokens_millis).min(most).min(fair)
+    }
+
+    /// Returns the room for one token, or for the part of it that there is.
+    fn scarce_room_for(&self, request: &LoanRequest) -> u64 {
+        let present = self.bucket.tokens_millis();
+        let held_tokens = u64::from(request.held_tokens_millis);
+        let held_room = u64::from(request.held_room_millis);
+        let wanted = u64::from(request.wanted_tokens_millis).min(MILLIS_PER_TOKEN);
+        wanted
+            .min(held_tokens + present)
+            .min(held_room + self.free_room())
+    }
+
+    fn free_room(&self) -> u64 {
+        let lent = self.lent_room_millis;
+        self.limit.room_millis.saturating_sub(lent)
+    }
+
+    /// Returns the tokens that are kept back: some for the lender's own callers,
+    /// and more for borrowers that have run dry if this one has not.
+    fn reserve_for(&self, request: &LoanRequest, borrower: Borrower<'_>) -> u64 {
+        let room = self.bucket.room_millis();
+        if u64::from(request.held_tokens_millis) < MILLIS_PER_TOKEN {
+            let demand = borrower.lender_demand_millis_per_s;
+            return (demand / DRY_RESERVE_DIVISOR).min(room / DRY_RESERVE_DIVISOR);
         }
-        let most = (free / LEND_DIVISOR).max(free.min(MILLIS_PER_TOKEN));
-        wanted.min(held + most)
+        borrower
+            .lender_demand_millis_per_s
+            .max(room / LEND_DIVISOR)
+            .min(room)
     }
 
     /// Takes the tokens of a loan out of the bucket.
-    fn tokens_for(&mut self, request: &LoanRequest, room: u64) -> u64 {
+    fn tokens_for(&mut self, request: &LoanRequest, room: u64, reserve: u64) -> u64 {
         let vacant = room.saturating_sub(request.held_tokens_millis.into());
-        let present = self.bucket.tokens_millis();
+        let present = self.bucket.tokens_millis().saturating_sub(reserve);
         let most = (present / LEND_DIVISOR).max(present.min(MILLIS_PER_TOKEN));
         self.bucket.remove(vacant.min(most))
     }
@@ -317,8 +396,8 @@
         if demand * 100 > share * OVERRUN_PERCENT {
             return OVERRUN_RETRY.as_millis() as u32;
         }
-        let lacking = MILLIS_PER_TOKEN.saturating_sub(self.bucket.tokens_millis());
-        let wait_ms = lacking * 1000 / share.max(1);
+        let wanted = MILLIS_PER_TOKEN.min(request.wanted_tokens_millis.into());
+        let wait_ms = wanted.saturating_sub(held + tokens) * 1000 / share.max(1);
         narrow(wait_ms.max(MIN_RETRY.as_millis() as u64))
     }
 
@@ -346,6 +425,41 @@
     }
 }
 
+fn listed(
+    ((borrower, incarnation), loan): (&(HostId, u64), &Loan),
+    now: Instant,
+) -> TransferredLoan {
+    let lasts = loan.until.saturating_duration_since(now);
+    TransferredLoan {
+        borrower: borrower.clone(),
+        incarnation: *incarnation,
+        seq: loan.seq,
+        room_millis: narrow(loan.room_millis),
+        rate_millis_per_s: narrow(loan.rate_millis_per_s),
+        lasts_ms: u32::try_from(lasts.as_millis() + 1).unwrap_or(u32::MAX),
+    }
+}
+
+/// Returns one loan that stands for all that a transfer does not list.
+fn unlisted_loan(transfer: &ShareTransfer, former: &HostId) -> Option<TransferredLoan> {
+    (transfer.lent_for_ms > 0).then(|| TransferredLoan {
+        borrower: former.clone(),
+        incarnation: 0,
+        seq: u32::MAX,
+        room_millis: transfer.lent_room_millis,
+        rate_millis_per_s: transfer.lent_rate_millis_per_s,
+        lasts_ms: transfer.lent_for_ms,
+    })
+}
+
+/// Reports whether a borrower gives everything back and wants nothing.
+#[must_use]
+pub fn is_return(request: &LoanRequest) -> bool {
+    let held = request.held_room_millis > 0 || request.held_rate_millis_per_s > 0;
+    let wants = request.wanted_tokens_millis > 0 || request.wanted_rate_millis_per_s > 0;
+    !held && !wants
+}
+
 /// Returns when a loan ends for the lender. A borrower that still holds something
 /// may miss this grant and go on until the end of an earlier one.
 fn loan_end(former: Option<Loan>, request: &LoanRequest, end: Instant) -> Instant {
