Add retry budgets, quarantine of crashing requests, recovery of records

Cause: retries had no bound, a request that crashes instances could go round the whole pool, and a restarted host did not vouch although its records had been handed over. Before: the coverage of a restarted host counted from its first list, also after its records had come back.

--- /dev/null
+++ b/crates/attempts/src/completions.rs
@@ -0,0 +1,59 @@
+//! Fingerprints that completed lately, in bounded memory.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use waxwingusher_protocol::attempt::AttemptKey;
+
+use crate::quarantine::QuarantineSettings;
+
+/// Fingerprints with the time of their last completion.
+pub(crate) struct Completions {
+    term: Duration,
+    capacity: usize,
+    last: HashMap<AttemptKey, Instant>,
+    order: VecDeque<(Instant, AttemptKey)>,
+}
+
+impl Completions {
+    pub(crate) fn new(settings: &QuarantineSettings) -> Self {
+        Self {
+            term: settings.completion_term,
+            capacity: settings.max_completions,
+            last: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn insert(&mut self, fingerprint: AttemptKey, now: Instant) {
+        self.expire(now);
+        if self.order.len() >= self.capacity {
+            self.pop();
+        }
+        self.last.insert(fingerprint, now);
+        self.order.push_back((now, fingerprint));
+    }
+
+    pub(crate) fn contains(&self, fingerprint: &AttemptKey, now: Instant) -> bool {
+        let last = self.last.get(fingerprint);
+        last.is_some_and(|at| now.saturating_duration_since(*at) <= self.term)
+    }
+
+    pub(crate) fn expire(&mut self, now: Instant) {
+        while let Some((at, _)) = self.order.front() {
+            if now.saturating_duration_since(*at) <= self.term {
+                break;
+            }
+            self.pop();
+        }
+    }
+
+    fn pop(&mut self) {
+        let Some((at, fingerprint)) = self.order.pop_front() else {
+            return;
+        };
+        if self.last.get(&fingerprint) == Some(&at) {
+            self.last.remove(&fingerprint);
+        }
+    }
+}
--- a/crates/attempts/src/hand_over.rs
+++ b/crates/attempts/src/hand_over.rs
@@ -221,7 +221,8 @@
             parts: 0,
             topology: incoming.topology,
             receivers: incoming.receivers,
-            is_complete: self.is_list_unchanged(incoming.topology),
+            is_complete: self.lists.is_unbroken(self.clock.now())
+                && self.is_list_unchanged(incoming.topology),
             records: Vec::new(),
         };
         let records = self.witness.store.export_of(incoming.keys());
@@ -290,6 +291,7 @@
         if self.hand_over.recover_until.take().is_some() {
             log::info!("attempts: recovered the records of the former process");
             self.witness.recover_memory();
+            self.lists.recover();
         }
     }
 
--- /dev/null
+++ b/crates/attempts/src/judge.rs
@@ -0,0 +1,220 @@
+//! Decides which request explains the crashes of a service's instances.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{InstanceId, ServiceName};
+use waxwingusher_protocol::attempt::{AttemptKey, CrashReport};
+
+use crate::quarantine::QuarantineSettings;
+
+/// How many instances a request must have crashed.
+const MIN_INSTANCES: usize = 2;
+
+/// The most crashes that are remembered of one service.
+const MAX_CRASHES: usize = 64;
+
+/// The most requests that are remembered of one crash.
+const MAX_SUSPECTS: usize = 128;
+
+/// A request to quarantine.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Verdict {
+    pub(crate) fingerprint: AttemptKey,
+    pub(crate) instances: Vec<InstanceId>,
+    pub(crate) term: Duration,
+}
+
+#[derive(Debug)]
+struct Crash {
+    instance: InstanceId,
+    at: Instant,
+    suspects: BTreeSet<AttemptKey>,
+    explained_by: Option<AttemptKey>,
+}
+
+#[derive(Debug, Default)]
+struct Docket {
+    due: Option<Instant>,
+    crashes: Vec<Crash>,
+    completing: BTreeMap<AttemptKey, Instant>,
+}
+
+#[derive(Debug)]
+struct Conviction {
+    at: Instant,
+    term: Duration,
+}
+
+/// The crashes of the services that one host judges.
+pub(crate) struct Judge {
+    settings: QuarantineSettings,
+    services: BTreeMap<ServiceName, Docket>,
+    convictions: BTreeMap<AttemptKey, Conviction>,
+}
+
+impl Judge {
+    pub(crate) const fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            settings,
+            services: BTreeMap::new(),
+            convictions: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a report. It is judged after a while, when the other hosts have
+    /// reported on the same crash, and on others if a cut took them all.
+    pub(crate) fn on_report(&mut self, report: &CrashReport, now: Instant) {
+        self.expire(now);
+        let docket = self.services.entry(report.service.clone()).or_default();
+        docket.add(report, now, self.settings.merge_time);
+        let due = now + self.settings.hearing_time;
+        docket.due.get_or_insert(due);
+    }
+
+    /// Returns the requests that explain crashes whose hearing is over.
+    pub(crate) fn verdicts(&mut self, now: Instant) -> Vec<Verdict> {
+        let mut explained = Vec::new();
+        for docket in self.services.values_mut() {
+            if docket.due.is_none_or(|due| now < due) {
+                continue;
+            }
+            docket.due = None;
+            let known = docket.known_offender(&self.convictions);
+            let Some(fingerprint) = known.or_else(|| docket.best_explanation()) else {
+                continue;
+            };
+            explained.push((fingerprint, docket.explain(fingerprint)));
+        }
+        let verdicts = explained
+            .into_iter()
+            .map(|(fingerprint, instances)| Verdict {
+                fingerprint,
+                instances,
+                term: self.convict(fingerprint, now),
+            });
+        verdicts.collect()
+    }
+
+    pub(crate) fn expire(&mut self, now: Instant) {
+        let memory = self.settings.memory;
+        let is_young = |at: Instant| now.saturating_duration_since(at) <= memory;
+        for docket in self.services.values_mut() {
+            docket.crashes.retain(|crash| is_young(crash.at));
+            docket.completing.retain(|_, at| is_young(*at));
+        }
+        self.services.retain(|_, docket| !docket.crashes.is_empty());
+        self.convictions
+            .retain(|_, conviction| is_young(conviction.at + conviction.term));
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        let crashes = self.services.values().map(|docket| docket.crashes.len());
+        crashes.sum()
+    }
+
+    /// Returns how long the request stays in quarantine from now on. A request
+    /// that crashes an instance after its quarantine gets twice the time.
+    fn convict(&mut self, fingerprint: AttemptKey, now: Instant) -> Duration {
+        let mut conviction = Conviction {
+            at: now,
+            term: self.settings.term,
+        };
+        if let Some(former) = self.convictions.get(&fingerprint) {
+            let end = former.at + former.term;
+            if now < end {
+                return end.saturating_duration_since(now);
+            }
+            conviction.term = (2 * former.term).min(self.settings.max_term);
+        }
+        let term = conviction.term;
+        self.convictions.insert(fingerprint, conviction);
+        term
+    }
+}
+
+impl Docket {
+    /// Adds a report; reports of several hosts on one instance are one crash.
+    fn add(&mut self, report: &CrashReport, now: Instant, merge_time: Duration) {
+        let position = self.crashes.iter().position(|crash| {
+            crash.instance == report.instance
+                && now.saturating_duration_since(crash.at) <= merge_time
+        });
+        let index = position.unwrap_or_else(|| {
+            if self.crashes.len() >= MAX_CRASHES {
+                self.crashes.remove(0);
+            }
+            self.crashes.push(Crash {
+                instance: report.instance.clone(),
+                at: now,
+                suspects: BTreeSet::new(),
+                explained_by: None,
+            });
+            self.crashes.len() - 1
+        });
+        let crash = &mut self.crashes[index];
+        for suspect in &report.suspects {
+            if suspect.completes {
+                self.completing.insert(suspect.fingerprint, now);
+                continue;
+            }
+            if crash.suspects.len() < MAX_SUSPECTS {
+                crash.suspects.insert(suspect.fingerprint);
+            }
+        }
+    }
+
+    /// Returns a request that was quarantined before, and was in flight on an
+    /// instance that was lost since.
+    fn known_offender(&self, convictions: &BTreeMap<AttemptKey, Conviction>) -> Option<AttemptKey> {
+        let suspects = self.unexplained().flat_map(|crash| &crash.suspects);
+        let mut known = suspects.filter(|suspect| convictions.contains_key(*suspect));
+        known.next().copied()
+    }
+
+    /// Returns the one request that explains more of the unexplained crashes
+    /// than any other, on two instances at least, and half of them at least.
+    fn best_explanation(&self) -> Option<AttemptKey> {
+        let mut instances: BTreeMap<AttemptKey, BTreeSet<&InstanceId>> = BTreeMap::new();
+        let mut crashed = BTreeSet::new();
+        for crash in self.unexplained() {
+            crashed.insert(&crash.instance);
+            for suspect in &crash.suspects {
+                if self.completing.contains_key(suspect) {
+                    continue;
+                }
+                let entry = instances.entry(*suspect).or_default();
+                entry.insert(&crash.instance);
+            }
+        }
+        let most = instances.values().map(BTreeSet::len).max()?;
+        if most < MIN_INSTANCES || 2 * most < crashed.len() {
+            return None;
+        }
+        let mut best = instances.iter().filter(|(_, hit)| hit.len() == most);
+        let (fingerprint, _) = best.next()?;
+        if best.next().is_some() {
+            return None;
+        }
+        Some(*fingerprint)
+    }
+
+    /// Marks the crashes that a request explains, and returns their instances.
+    fn explain(&mut self, fingerprint: AttemptKey) -> Vec<InstanceId> {
+        let mut instances = BTreeSet::new();
+        for crash in &mut self.crashes {
+            if crash.explained_by.is_some() || !crash.suspects.contains(&fingerprint) {
+                continue;
+            }
+            crash.explained_by = Some(fingerprint);
+            instances.insert(crash.instance.clone());
+        }
+        instances.into_iter().collect()
+    }
+
+    fn unexplained(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes
+            .iter()
+            .filter(|crash| crash.explained_by.is_none())
+    }
+}
--- a/crates/attempts/src/lib.rs
+++ b/crates/attempts/src/lib.rs
@@ -3,14 +3,18 @@
 
 pub mod attempt;
 mod claimant;
+mod completions;
 mod hand_over;
 mod inheritance;
+mod judge;
 mod lease;
 pub mod lifecycle;
 mod lists;
+pub mod quarantine;
 mod records;
 pub mod refusal;
 pub mod registry;
+pub mod retry;
 mod rounds;
 pub mod settings;
 mod transfer;
@@ -23,6 +27,8 @@
 };
 pub use hand_over::HandOverProgress;
 pub use lifecycle::{Admitted, Answered, Dispatched, Received, Request, Response, Shed, Unknown};
+pub use quarantine::{LostInstance, Quarantine, QuarantineReport, QuarantineSettings};
 pub use refusal::{Outcome, Refusal, RefusalReason};
 pub use registry::AttemptRegistry;
+pub use retry::{FailedRequest, Origin, Repeatability, RetryBudget, RetryRefusal, RetrySettings};
 pub use settings::{AttemptSettings, WitnessPlan};
--- a/crates/attempts/src/lists.rs
+++ b/crates/attempts/src/lists.rs
@@ -144,10 +144,16 @@
         self.in_coverage().chain(pending)
     }
 
-    /// Returns since when no list can have come into use unseen, if any may
-    /// have before.
-    pub(crate) const fn unbroken_since(&self) -> Option<Instant> {
-        self.unbroken_since
+    /// Takes a peer's word that no other list was in use before.
+    pub(crate) fn recover(&mut self) {
+        self.unbroken_since = None;
+    }
+
+    /// Reports whether all lists are known that were in use within the coverage.
+    pub(crate) fn is_unbroken(&self, now: Instant) -> bool {
+        let coverage = self.settings.coverage();
+        let since = self.unbroken_since;
+        since.is_none_or(|since| now.saturating_duration_since(since) >= coverage)
     }
 
     fn note_gap(&mut self, version: u64, clock: &dyn Clock) {
--- /dev/null
+++ b/crates/attempts/src/quarantine.rs
@@ -0,0 +1,353 @@
+//! Quarantine of requests that crash the instances that run them.
+//!
+//! The hosts that lose an instance report what they had in flight on it to two
+//! hosts that judge the service. A fingerprint that explains the crashes of two
+//! instances is quarantined, and the notice is spread by gossip. Without
+//! crashes nothing is sent.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{
+    BodyDigest, Clock, HostId, HostList, InstanceId, RouteName, ServiceName, WorkspaceName,
+    rendezvous,
+};
+use waxwingusher_protocol::Outgoing;
+use waxwingusher_protocol::attempt::{
+    AttemptKey, AttemptMessage, CrashReport, QuarantineMessage, QuarantineNotice, Suspect,
+};
+
+use crate::completions::Completions;
+use crate::judge::{Judge, Verdict};
+
+/// How many hosts judge the crashes of a service.
+const JUDGES: usize = 2;
+
+/// The most instances that are pardoned because of one request.
+const MAX_PARDONS: usize = 32;
+
+/// Limits of the quarantine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuarantineSettings {
+    /// How long a request stays in quarantine for the first time.
+    pub term: Duration,
+    /// The longest time of a repeated quarantine.
+    pub max_term: Duration,
+    /// How long crashes and earlier quarantines are remembered.
+    pub memory: Duration,
+    /// How long reports of several hosts on one instance count as one crash.
+    pub merge_time: Duration,
+    /// How long a judge waits for the reports of other hosts.
+    pub hearing_time: Duration,
+    /// How long a completion speaks for a fingerprint.
+    pub completion_term: Duration,
+    /// How many peers a host tells of a notice.
+    pub fanout: usize,
+    /// How often a judge spreads a notice.
+    pub rounds: u8,
+    /// The time between two rounds.
+    pub round_interval: Duration,
+    /// The most requests in quarantine.
+    pub max_quarantined: usize,
+    /// The most completed fingerprints that a host remembers.
+    pub max_completions: usize,
+}
+
+impl Default for QuarantineSettings {
+    fn default() -> Self {
+        Self {
+            term: Duration::from_secs(60),
+            max_term: Duration::from_secs(480),
+            memory: Duration::from_secs(300),
+            merge_time: Duration::from_secs(5),
+            hearing_time: Duration::from_millis(500),
+            completion_term: Duration::from_secs(60),
+            fanout: 4,
+            rounds: 3,
+            round_interval: Duration::from_secs(2),
+            max_quarantined: 1024,
+            max_completions: 16_384,
+        }
+    }
+}
+
+/// An instance that was lost, with this host's requests in flight on it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LostInstance {
+    /// The service.
+    pub service: ServiceName,
+    /// The instance.
+    pub instance: InstanceId,
+    /// The fingerprints of the requests.
+    pub in_flight: Vec<AttemptKey>,
+}
+
+/// Counters and sizes of one host's quarantine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct QuarantineReport {
+    /// Requests in quarantine.
+    pub quarantined: usize,
+    /// Requests that were refused.
+    pub refused: u64,
+    /// Crashes that this host judges.
+    pub judged_crashes: usize,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    until: Instant,
+    round: u8,
+    instances: BTreeSet<InstanceId>,
+}
+
+#[derive(Debug, Clone)]
+struct Spread {
+    due: Instant,
+    notice: QuarantineNotice,
+    until: Instant,
+}
+
+/// The quarantine as one host sees it.
+pub struct Quarantine {
+    self_id: HostId,
+    clock: Arc<dyn Clock>,
+    rng: fastrand::Rng,
+    settings: QuarantineSettings,
+    peers: Vec<HostId>,
+    entries: BTreeMap<AttemptKey, Entry>,
+    completions: Completions,
+    judge: Judge,
+    spreads: VecDeque<Spread>,
+    pardons: Vec<InstanceId>,
+    refused: u64,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine.
+    #[must_use]
+    pub fn new(
+        self_id: HostId,
+        clock: Arc<dyn Clock>,
+        rng: fastrand::Rng,
+        settings: QuarantineSettings,
+    ) -> Self {
+        Self {
+            self_id,
+            clock,
+            rng,
+            settings,
+            peers: Vec::new(),
+            entries: BTreeMap::new(),
+            completions: Completions::new(&settings),
+            judge: Judge::new(settings),
+            spreads: VecDeque::new(),
+            pardons: Vec::new(),
+            refused: 0,
+        }
+    }
+
+    /// Returns the fingerprint of a request. It names the workspace, so that
+    /// no workspace can have another's requests quarantined by sending them.
+    #[must_use]
+    pub fn fingerprint(
+        workspace: &WorkspaceName,
+        route: &RouteName,
+        body: &BodyDigest,
+    ) -> AttemptKey {
+        AttemptKey::fingerprint(workspace, route.as_str(), body)
+    }
+
+    /// Takes a host list.
+    pub fn apply_host_list(&mut self, list: &HostList) {
+        self.peers = list.live().map(|entry| entry.id.clone()).collect();
+    }
+
+    /// Reports whether a request is in quarantine and must be refused.
+    pub fn is_quarantined(&mut self, fingerprint: &AttemptKey) -> bool {
+        let now = self.clock.now();
+        let quarantined = self
+            .entries
+            .get(fingerprint)
+            .is_some_and(|entry| now < entry.until);
+        if quarantined {
+            self.refused += 1;
+            log::info!("quarantine: {fingerprint:?} is refused");
+        }
+        quarantined
+    }
+
+    /// Notes that a request was answered.
+    pub fn on_completed(&mut self, fingerprint: AttemptKey) {
+        self.completions.insert(fingerprint, self.clock.now());
+    }
+
+    /// Reports the requests in flight on an instance that was lost.
+    pub fn on_instance_lost(&mut self, lost: &LostInstance) -> Vec<Outgoing<AttemptMessage>> {
+        if lost.in_flight.is_empty() {
+            return Vec::new();
+        }
+        let now = self.clock.now();
+        let mut fingerprints = lost.in_flight.clone();
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        let suspects = fingerprints.into_iter().map(|fingerprint| Suspect {
+            fingerprint,
+            completes: self.completions.contains(&fingerprint, now),
+        });
+        let report = CrashReport {
+            service: lost.service.clone(),
+            instance: lost.instance.clone(),
+            suspects: suspects.collect(),
+        };
+        log::info!("quarantine: {} was lost", report.instance);
+        let mut outgoing = Vec::new();
+        for judge in self.judges(&lost.service) {
+            if judge == self.self_id {
+                self.judge.on_report(&report, now);
+                continue;
+            }
+            let message = QuarantineMessage::Report(report.clone());
+            outgoing.push(to_peer(judge, message));
+        }
+        outgoing
+    }
+
+    /// Takes a message of another host.
+    pub fn on_message(&mut self, message: QuarantineMessage) -> Vec<Outgoing<AttemptMessage>> {
+        match message {
+            QuarantineMessage::Report(report) => {
+                self.judge.on_report(&report, self.clock.now());
+                Vec::new()
+            }
+            QuarantineMessage::Notice(notice) => self.on_notice(&notice),
+        }
+    }
+
+    /// Spreads notices anew, and forgets old crashes and quarantines.
+    pub fn tick(&mut self) -> Vec<Outgoing<AttemptMessage>> {
+        let now = self.clock.now();
+        self.entries.retain(|_, entry| now < entry.until);
+        self.completions.expire(now);
+        self.judge.expire(now);
+        let mut outgoing = Vec::new();
+        for verdict in self.judge.verdicts(now) {
+            outgoing.extend(self.begin(verdict));
+        }
+        while self.spreads.front().is_some_and(|spread| spread.due <= now) {
+            let Some(spread) = self.spreads.pop_front() else {
+                break;
+            };
+            let Some(left) = spread.until.checked_duration_since(now) else {
+                continue;
+            };
+            let mut notice = spread.notice;
+            notice.left_ms = to_millis(left);
+            self.plan_round(&notice, spread.until);
+            outgoing.extend(self.on_notice(&notice));
+        }
+        outgoing
+    }
+
+    /// Takes the instances that crashed because of quarantined requests, and
+    /// must not be blamed for it.
+    pub fn take_pardons(&mut self) -> Vec<InstanceId> {
+        std::mem::take(&mut self.pardons)
+    }
+
+    /// Returns counters and sizes.
+    #[must_use]
+    pub fn report(&self) -> QuarantineReport {
+        QuarantineReport {
+            quarantined: self.entries.len(),
+            refused: self.refused,
+            judged_crashes: self.judge.len(),
+        }
+    }
+
+    fn judges(&self, service: &ServiceName) -> Vec<HostId> {
+        let ranked = rendezvous::rank(service.as_str(), self.peers.iter(), |host| host.as_str());
+        ranked.into_iter().take(JUDGES).cloned().collect()
+    }
+
+    fn begin(&mut self, verdict: Verdict) -> Vec<Outgoing<AttemptMessage>> {
+        let Verdict {
+            fingerprint,
+            instances,
+            term,
+        } = verdict;
+        log::warn!("quarantine: {fingerprint:?} crashed {instances:?}");
+        let notice = QuarantineNotice {
+            fingerprint,
+            left_ms: to_millis(term),
+            round: 0,
+            instances,
+        };
+        self.plan_round(&notice, self.clock.now() + term);
+        self.on_notice(&notice)
+    }
+
+    /// Plans the next round of a judge's notice.
+    fn plan_round(&mut self, notice: &QuarantineNotice, until: Instant) {
+        let round = notice.round + 1;
+        if round >= self.settings.rounds {
+            return;
+        }
+        self.spreads.push_back(Spread {
+            due: self.clock.now() + self.settings.round_interval,
+            notice: QuarantineNotice {
+                round,
+                ..notice.clone()
+            },
+            until,
+        });
+    }
+
+    /// Takes a notice, and passes it on if anything in it is new.
+    fn on_notice(&mut self, notice: &QuarantineNotice) -> Vec<Outgoing<AttemptMessage>> {
+        let now = self.clock.now();
+        let left = Duration::from_millis(u64::from(notice.left_ms)).min(self.settings.max_term);
+        let is_new_key = !self.entries.contains_key(&notice.fingerprint);
+        if left.is_zero() || is_new_key && self.entries.len() >= self.settings.max_quarantined {
+            return Vec::new();
+        }
+        let entry = self.entries.entry(notice.fingerprint).or_insert(Entry {
+            until: now,
+            round: notice.round,
+            instances: BTreeSet::new(),
+        });
+        let mut is_news = is_new_key || entry.round < notice.round;
+        entry.round = entry.round.max(notice.round);
+        entry.until = entry.until.max(now + left);
+        for instance in &notice.instances {
+            if entry.instances.len() < MAX_PARDONS && entry.instances.insert(instance.clone()) {
+                self.pardons.push(instance.clone());
+                is_news = true;
+            }
+        }
+        if !is_news {
+            return Vec::new();
+        }
+        log::warn!("quarantine: {:?} for {left:?}", notice.fingerprint);
+        self.forward(notice)
+    }
+
+    fn forward(&mut self, notice: &QuarantineNotice) -> Vec<Outgoing<AttemptMessage>> {
+        let others = self.peers.iter().filter(|peer| **peer != self.self_id);
+        let chosen = self.rng.choose_multiple(others, self.settings.fanout);
+        let messages = chosen.into_iter().map(|peer| {
+            let message = QuarantineMessage::Notice(notice.clone());
+            to_peer(peer.clone(), message)
+        });
+        messages.collect()
+    }
+}
+
+fn to_peer(to: HostId, message: QuarantineMessage) -> Outgoing<AttemptMessage> {
+    let message = AttemptMessage::Quarantine(message);
+    Outgoing { to, message }
+}
+
+fn to_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/attempts/src/registry.rs
+++ b/crates/attempts/src/registry.rs
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Returns the number that identifies this process.
+    #[must_use]
+    pub const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Takes a host list, from whomever. Older ones are ignored.
     pub fn apply_host_list(&mut self, list: &HostList) {
         self.lists.apply(list, &*self.clock);
@@ -252,6 +258,9 @@
             AttemptMessage::HandOverAck { id, part } => self.on_hand_over_ack(from, id, part),
             AttemptMessage::HandOverCommit { id } => self.on_hand_over_commit(from, id),
             AttemptMessage::Recover => self.on_recover(from, incarnation),
+            AttemptMessage::Quarantine(_) => {
+                log::warn!("attempts: a message of {from} belongs to the quarantine");
+            }
         }
     }
 
--- /dev/null
+++ b/crates/attempts/src/retry.rs
@@ -0,0 +1,246 @@
+//! Retries of idempotent requests within a budget.
+//!
+//! Successful first attempts earn fractions of a retry, for their workspace and
+//! for the service. Under a total outage nothing is earned, so that the load on
+//! the upstreams stays near that of the first attempts.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{Clock, ServiceName, WorkspaceName};
+
+/// The request header by which a host marks its retries.
+pub const RETRY_HEADER: &str = "x-waxwingusher-retry";
+
+/// Thousandths of a retry.
+const MILLI: u32 = 1000;
+
+/// Limits of retries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetrySettings {
+    /// The retries that first attempts earn, in percent.
+    pub share_percent: u32,
+    /// The most retries that a workspace saves up for one service.
+    pub max_saved_per_workspace: u32,
+    /// The most retries that all workspaces save up for one service.
+    pub max_saved_per_service: u32,
+    /// The most retries of one request.
+    pub max_retries: u32,
+    /// The longest wait before the first retry.
+    pub base_delay: Duration,
+    /// The longest wait before any retry.
+    pub max_delay: Duration,
+    /// The most budgets that a host keeps.
+    pub max_budgets: usize,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            share_percent: 10,
+            max_saved_per_workspace: 2,
+            max_saved_per_service: 4,
+            max_retries: 2,
+            base_delay: Duration::from_millis(10),
+            max_delay: Duration::from_millis(250),
+            max_budgets: 16_384,
+        }
+    }
+}
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Repeatability {
+    /// It may run more than once.
+    Idempotent,
+    /// It must run at most once.
+    NonIdempotent,
+}
+
+/// Who sent a request to this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// A caller sent it for the first time, as far as is known.
+    Caller,
+    /// It carries the mark of a retry.
+    Retry,
+}
+
+/// A request that failed at an instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FailedRequest {
+    /// The caller's workspace.
+    pub workspace: WorkspaceName,
+    /// The service.
+    pub service: ServiceName,
+    /// Whether the request may run more than once.
+    pub repeatability: Repeatability,
+    /// Who sent the request.
+    pub origin: Origin,
+    /// How often this host has retried it.
+    pub retries: u32,
+    /// The usable instances that have not been tried.
+    pub untried_instances: usize,
+    /// The time that a request to the service commonly takes.
+    pub expected_time: Duration,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// Why a request is not retried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum RetryRefusal {
+    /// The request must run at most once.
+    #[error("the request is not idempotent")]
+    NotIdempotent,
+    /// Another host already retries the request.
+    #[error("the request is a retry itself")]
+    IsRetry,
+    /// The request was retried as often as allowed.
+    #[error("the request was retried often enough")]
+    TooMany,
+    /// All usable instances were tried.
+    #[error("no other instance is left")]
+    NoOtherInstance,
+    /// The deadline leaves no time.
+    #[error("no time is left")]
+    NoTime,
+    /// The budget is used up.
+    #[error("the retry budget is used up")]
+    NoBudget,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Budget {
+    saved_millis: u32,
+    used: Instant,
+}
+
+/// The retry budgets of one host.
+pub struct RetryBudget {
+    settings: RetrySettings,
+    clock: Arc<dyn Clock>,
+    rng: fastrand::Rng,
+    workspaces: HashMap<(WorkspaceName, ServiceName), Budget>,
+    services: HashMap<ServiceName, Budget>,
+}
+
+impl RetryBudget {
+    /// Creates empty budgets.
+    #[must_use]
+    pub fn new(settings: RetrySettings, clock: Arc<dyn Clock>, rng: fastrand::Rng) -> Self {
+        Self {
+            settings,
+            clock,
+            rng,
+            workspaces: HashMap::new(),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Notes that a first attempt succeeded.
+    pub fn on_first_success(&mut self, workspace: &WorkspaceName, service: &ServiceName) {
+        let now = self.clock.now();
+        if self.workspaces.len() >= self.settings.max_budgets {
+            self.forget_idle();
+        }
+        let earned = self.settings.share_percent * MILLI / 100;
+        let empty = Budget {
+            saved_millis: 0,
+            used: now,
+        };
+        let key = (workspace.clone(), service.clone());
+        let budget = self.workspaces.entry(key).or_insert(empty);
+        budget.earn(earned, self.settings.max_saved_per_workspace, now);
+        let budget = self.services.entry(service.clone()).or_insert(empty);
+        budget.earn(earned, self.settings.max_saved_per_service, now);
+    }
+
+    /// Decides on a retry, and returns the wait before it. The retry must go to
+    /// an instance that has not been tried, and carry [`RETRY_HEADER`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request must not be retried.
+    pub fn retry(&mut self, failed: &FailedRequest) -> Result<Duration, RetryRefusal> {
+        self.check(failed)?;
+        let delay = self.draw_delay(failed.retries);
+        let now = self.clock.now();
+        if now + delay + failed.expected_time >= failed.deadline {
+            return Err(RetryRefusal::NoTime);
+        }
+        let key = (failed.workspace.clone(), failed.service.clone());
+        let workspace = self.workspaces.get_mut(&key);
+        let service = self.services.get_mut(&failed.service);
+        let (Some(workspace), Some(service)) = (workspace, service) else {
+            return Err(RetryRefusal::NoBudget);
+        };
+        if workspace.saved_millis < MILLI || service.saved_millis < MILLI {
+            return Err(RetryRefusal::NoBudget);
+        }
+        workspace.spend(now);
+        service.spend(now);
+        log::info!(
+            "retries: a request of {} to {} is retried",
+            failed.workspace,
+            failed.service
+        );
+        Ok(delay)
+    }
+
+    /// Returns the number of budgets.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.workspaces.len()
+    }
+
+    /// Reports whether there are no budgets.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.workspaces.is_empty()
+    }
+
+    fn check(&self, failed: &FailedRequest) -> Result<(), RetryRefusal> {
+        if failed.repeatability == Repeatability::NonIdempotent {
+            return Err(RetryRefusal::NotIdempotent);
+        }
+        if failed.origin == Origin::Retry {
+            return Err(RetryRefusal::IsRetry);
+        }
+        if failed.retries >= self.settings.max_retries {
+            return Err(RetryRefusal::TooMany);
+        }
+        if failed.untried_instances == 0 {
+            return Err(RetryRefusal::NoOtherInstance);
+        }
+        Ok(())
+    }
+
+    /// Draws a wait with full jitter.
+    fn draw_delay(&mut self, retries: u32) -> Duration {
+        let ceiling = self.settings.base_delay * (1 << retries.min(16));
+        ceiling.min(self.settings.max_delay).mul_f64(self.rng.f64())
+    }
+
+    /// Forgets the half of the budgets that was idle the longest.
+    fn forget_idle(&mut self) {
+        let mut used: Vec<_> = self.workspaces.values().map(|budget| budget.used).collect();
+        let middle = used.len() / 2;
+        let (_, median, _) = used.select_nth_unstable(middle);
+        let median = *median;
+        self.workspaces.retain(|_, budget| budget.used > median);
+    }
+}
+
+impl Budget {
+    fn earn(&mut self, earned_millis: u32, max_saved: u32, now: Instant) {
+        self.saved_millis = (self.saved_millis + earned_millis).min(max_saved * MILLI);
+        self.used = now;
+    }
+
+    fn spend(&mut self, now: Instant) {
+        self.saved_millis -= MILLI;
+        self.used = now;
+    }
+}
--- a/crates/attempts/src/witness.rs
+++ b/crates/attempts/src/witness.rs
@@ -80,8 +80,9 @@
     /// Reports whether the memory reaches back over the whole coverage.
     pub(crate) fn is_covered(&self, lists: &ListTracker, now: Instant) -> bool {
         let coverage = self.settings.coverage();
-        let since = self.memory_since.max(lists.unbroken_since());
-        since.is_none_or(|since| now.saturating_duration_since(since) >= coverage)
+        let since = self.memory_since;
+        let remembers = since.is_none_or(|since| now.saturating_duration_since(since) >= coverage);
+        remembers && lists.is_unbroken(now)
     }
 
     /// Takes back the memory of a former process of this host.
--- /dev/null
+++ b/crates/attempts/tests/testsuite/registry.rs
@@ -0,0 +1,279 @@
+//! One key runs at most once, and repeats learn what became of it.
+
+use std::time::{Duration, SystemTime};
+
+use assert_matches::assert_matches;
+use waxwingusher_attempts::{
+    AttemptResult, AttemptSettings, Outcome, Permission, PermitError, UnknownCause,
+};
+use waxwingusher_core::Clock;
+use waxwingusher_protocol::attempt::MAX_STORED_BODY_BYTES;
+
+use crate::cluster::{Cluster, answer, host, request};
+
+#[test]
+fn a_repeat_on_any_host_gets_the_first_answer() {
+    for (hosts, domains) in [(1, 1), (2, 1), (2, 2), (3, 1), (3, 3), (4, 2), (12, 4)] {
+        let mut cluster = Cluster::warm(hosts, domains);
+        let first = request("a", "x", &cluster.clock);
+        let ticket = cluster.dispatch(&host(0), &first);
+        let result = AttemptResult::Answered(answer(b"done"));
+        let outgoing = cluster.registry(&host(0)).finish(ticket, result);
+        cluster.deliver(&host(0), outgoing);
+        for index in 0..hosts {
+            let repeat = request("a", "x", &cluster.clock);
+            let (_, permission) = cluster.begin(&host(index), &repeat);
+            assert_eq!(permission, Permission::FirstAnswer(answer(b"done")));
+        }
+    }
+}
+
+#[test]
+fn a_repeat_during_the_first_run_is_in_progress_and_never_runs() {
+    let mut cluster = Cluster::warm(6, 3);
+    let first = request("a", "x", &cluster.clock);
+    cluster.dispatch(&host(0), &first);
+    let repeat = request("a", "x", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(1), &repeat);
+    assert_matches!(permission, Permission::InProgress { .. });
+    cluster.pass(Duration::from_secs(30));
+    let repeat = request("a", "x", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(1), &repeat);
+    assert_eq!(
+        permission,
+        Permission::Unknown(UnknownCause::EarlierAttempt)
+    );
+}
+
+#[test]
+fn a_key_is_free_again_after_the_window() {
+    let mut cluster = Cluster::warm(6, 3);
+    let first = request("a", "x", &cluster.clock);
+    let ticket = cluster.dispatch(&host(0), &first);
+    cluster
+        .registry(&host(0))
+        .finish(ticket, AttemptResult::Unknown);
+    let window = cluster.settings.window;
+    cluster.pass(window - Duration::from_secs(5));
+    let repeat = request("a", "x", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(1), &repeat);
+    assert_matches!(permission, Permission::Unknown(_));
+    cluster.pass(Duration::from_secs(30));
+    let later = request("a", "x", &cluster.clock);
+    cluster.dispatch(&host(1), &later);
+    assert!(
+        cluster
+            .hosts
+            .values()
+            .all(|host| host.report().records <= 1)
+    );
+}
+
+#[test]
+fn another_body_is_misuse_and_another_workspace_is_another_key() {
+    let mut cluster = Cluster::warm(6, 3);
+    let first = request("a", "x", &cluster.clock);
+    cluster.dispatch(&host(0), &first);
+    let other_body = request("a", "y", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(1), &other_body);
+    assert_eq!(permission, Permission::Misuse);
+    let mut other_workspace = request("a", "y", &cluster.clock);
+    other_workspace.workspace = "payroll".into();
+    cluster.dispatch(&host(1), &other_workspace);
+}
+
+#[test]
+fn a_request_that_surely_did_not_run_frees_its_key() {
+    let mut cluster = Cluster::warm(6, 3);
+    let first = request("a", "x", &cluster.clock);
+    let ticket = cluster.dispatch(&host(0), &first);
+    let outgoing = cluster
+        .registry(&host(0))
+        .finish(ticket, AttemptResult::NotRun);
+    cluster.deliver(&host(0), outgoing);
+    let repeat = request("a", "x", &cluster.clock);
+    cluster.dispatch(&host(3), &repeat);
+}
+
+#[test]
+fn a_permission_is_good_for_one_dispatch() {
+    let mut cluster = Cluster::warm(6, 3);
+    let first = request("a", "x", &cluster.clock);
+    let ticket = cluster.dispatch(&host(0), &first);
+    let again = cluster.registry(&host(0)).check_before_dispatch(ticket);
+    assert_eq!(again, Err(PermitError::NotPermitted));
+}
+
+#[test]
+fn a_permission_has_expired_when_a_paused_process_wakes() {
+    let mut cluster = Cluster::warm(6, 3);
+    let mut first = request("a", "x", &cluster.clock);
+    first.deadline += Duration::from_secs(3600);
+    let (ticket, permission) = cluster.begin(&host(0), &first);
+    assert_eq!(permission, Permission::Run);
+    cluster.clock.advance(Duration::from_secs(30));
+    let checked = cluster.registry(&host(0)).check_before_dispatch(ticket);
+    assert_eq!(checked, Err(PermitError::Expired));
+    assert_eq!(PermitError::Expired.outcome(), Outcome::NotRun);
+    let window = cluster.settings.window;
+    cluster.clock.advance(window);
+    let checked = cluster.registry(&host(0)).check_before_dispatch(ticket);
+    assert_eq!(checked, Err(PermitError::Forgotten));
+    assert_eq!(PermitError::Forgotten.outcome(), Outcome::Unknown);
+}
+
+#[test]
+fn nothing_is_dispatched_under_an_unconfirmed_list() {
+    let mut cluster = Cluster::warm(6, 3);
+    let fence = cluster.settings.list_fence;
+    cluster.clock.advance(fence - Duration::from_secs(1));
+    let first = request("a", "x", &cluster.clock);
+    let (ticket, outgoing) = cluster.registry(&host(0)).begin(&first);
+    cluster.deliver(&host(0), outgoing);
+    cluster.clock.advance(Duration::from_millis(1500));
+    let checked = cluster.registry(&host(0)).check_before_dispatch(ticket);
+    assert_eq!(checked, Err(PermitError::ListStale));
+    let second = request("b", "x", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(0), &second);
+    assert_eq!(permission, Permission::Unknown(UnknownCause::ListStale));
+}
+
+#[test]
+fn nobody_vouches_after_a_cold_start_of_the_fleet() {
+    let settings = AttemptSettings::default();
+    let mut cluster = Cluster::cold(6, 3, settings);
+    let first = request("a", "x", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(0), &first);
+    assert_eq!(permission, Permission::Unknown(UnknownCause::NotCovered));
+    cluster.pass(settings.coverage());
+    let later = request("a", "x", &cluster.clock);
+    cluster.dispatch(&host(0), &later);
+}
+
+#[test]
+fn a_fleet_that_opens_for_the_first_time_vouches_at_once() {
+    let opening = Duration::from_secs(20);
+    let settings = AttemptSettings {
+        opened_at: Some(SystemTime::UNIX_EPOCH + opening),
+        ..AttemptSettings::default()
+    };
+    let mut cluster = Cluster::cold(6, 3, settings);
+    let early = request("a", "x", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(0), &early);
+    assert_matches!(permission, Permission::InProgress { .. });
+    cluster.pass(opening - cluster.clock.elapsed());
+    let first = request("a", "x", &cluster.clock);
+    cluster.dispatch(&host(0), &first);
+    for index in 0..6 {
+        cluster.start(&host(index));
+    }
+    cluster.pass(settings.list_settle);
+    let repeat = request("a", "x", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(0), &repeat);
+    assert_eq!(permission, Permission::Unknown(UnknownCause::NotCovered));
+}
+
+#[test]
+fn one_witness_without_memory_is_made_up_for_and_two_are_not() {
+    let mut cluster = Cluster::warm(3, 3);
+    let first = request("a", "x", &cluster.clock);
+    cluster.dispatch(&host(0), &first);
+    cluster.start(&host(1));
+    let settle = cluster.settings.list_settle;
+    cluster.pass(settle);
+    let fresh = request("b", "x", &cluster.clock);
+    cluster.dispatch(&host(0), &fresh);
+    cluster.start(&host(2));
+    cluster.pass(settle);
+    for key in ["a", "c"] {
+        let repeat = request(key, "x", &cluster.clock);
+        let (_, permission) = cluster.begin(&host(0), &repeat);
+        assert_matches!(permission, Permission::Unknown(_), "{key}");
+    }
+}
+
+#[test]
+fn a_skipped_list_ends_the_coverage_only_after_a_gap() {
+    for (gap_s, is_covered) in [(1, true), (60, false)] {
+        let mut cluster = Cluster::warm(6, 3);
+        cluster.clock.advance(Duration::from_secs(gap_s));
+        cluster.list.version += 2;
+        cluster.pass(Duration::ZERO);
+        let report = cluster.registry(&host(0)).report();
+        assert_eq!(report.is_covered, is_covered, "gap {gap_s} s");
+    }
+}
+
+#[test]
+fn full_memory_refuses_new_keys_and_forgets_none() {
+    let settings = AttemptSettings {
+        max_records: 10,
+        ..AttemptSettings::default()
+    };
+    let mut cluster = Cluster::cold(3, 3, settings);
+    cluster.pass(settings.coverage());
+    let mut permitted = Vec::new();
+    for index in 0..30 {
+        let key = index.to_string();
+        let request = request(&key, "x", &cluster.clock);
+        let (_, permission) = cluster.begin(&host(0), &request);
+        if permission == Permission::Run {
+            permitted.push(key);
+        }
+    }
+    assert!(permitted.len() >= 10, "{permitted:?}");
+    assert!(
+        cluster
+            .hosts
+            .values()
+            .all(|host| host.report().records <= 10)
+    );
+    for key in permitted {
+        let repeat = request(&key, "x", &cluster.clock);
+        let (_, permission) = cluster.begin(&host(1), &repeat);
+        assert_ne!(permission, Permission::Run, "{key}");
+    }
+}
+
+#[test]
+fn answers_beyond_the_limits_are_unknown_to_repeats() {
+    let settings = AttemptSettings {
+        max_answer_bytes: 2000,
+        ..AttemptSettings::default()
+    };
+    let mut cluster = Cluster::cold(3, 3, settings);
+    cluster.pass(settings.coverage());
+    let sizes = [MAX_STORED_BODY_BYTES + 1, 700, 700, 700, 700];
+    for (index, size) in sizes.into_iter().enumerate() {
+        let first = request(&index.to_string(), "x", &cluster.clock);
+        let ticket = cluster.dispatch(&host(0), &first);
+        let result = AttemptResult::Answered(answer(&vec![0; size]));
+        let outgoing = cluster.registry(&host(0)).finish(ticket, result);
+        cluster.deliver(&host(0), outgoing);
+    }
+    for registry in cluster.hosts.values() {
+        assert!(registry.report().answer_bytes <= 2000);
+    }
+    for (key, is_stored) in [("0", false), ("1", false), ("4", true)] {
+        let repeat = request(key, "x", &cluster.clock);
+        let (_, permission) = cluster.begin(&host(1), &repeat);
+        let got_answer = matches!(permission, Permission::FirstAnswer(_));
+        assert_eq!(got_answer, is_stored, "key {key}: {permission:?}");
+    }
+}
+
+#[test]
+fn an_attempt_that_is_never_finished_stays_unknown() {
+    let mut cluster = Cluster::warm(6, 3);
+    let first = request("a", "x", &cluster.clock);
+    cluster.dispatch(&host(0), &first);
+    cluster.pass(Duration::from_secs(20));
+    assert_eq!(cluster.registry(&host(0)).report().open_attempts, 0);
+    let repeat = request("a", "x", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(1), &repeat);
+    assert_eq!(
+        permission,
+        Permission::Unknown(UnknownCause::EarlierAttempt)
+    );
+    assert!(cluster.clock.now() > first.deadline);
+}
--- a/crates/protocol/src/attempt.rs
+++ b/crates/protocol/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use waxwingusher_core::{BodyDigest, HostId, WorkspaceName};
+use waxwingusher_core::{BodyDigest, HostId, InstanceId, ServiceName, WorkspaceName};
 
 /// The largest body of an answer that is stored for repeats, in bytes.
 pub const MAX_STORED_BODY_BYTES: usize = 768;
@@ -206,6 +206,48 @@
     pub records: Vec<HandedRecord>,
 }
 
+/// A request that was in flight when an instance was lost.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request's fingerprint.
+    pub fingerprint: AttemptKey,
+    /// Whether a request with this fingerprint completed at the sender lately.
+    pub completes: bool,
+}
+
+/// The requests of one host that were in flight when an instance was lost.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The service.
+    pub service: ServiceName,
+    /// The instance.
+    pub instance: InstanceId,
+    /// The requests.
+    pub suspects: Vec<Suspect>,
+}
+
+/// A request that may not run for a while.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineNotice {
+    /// The request's fingerprint.
+    pub fingerprint: AttemptKey,
+    /// The time left, in milliseconds.
+    pub left_ms: u32,
+    /// How often the notice has been spread anew.
+    pub round: u8,
+    /// The instances that it crashed.
+    pub instances: Vec<InstanceId>,
+}
+
+/// A message on crashing requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuarantineMessage {
+    /// Tells the hosts that judge a service's crashes.
+    Report(CrashReport),
+    /// Tells a peer of a quarantined request.
+    Notice(QuarantineNotice),
+}
+
 /// A message for attempt records and quarantine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptMessage {
@@ -243,4 +285,6 @@
     },
     /// A process that has just started asks for the records of its host.
     Recover,
+    /// Crashing requests.
+    Quarantine(QuarantineMessage),
 }
