Keep every record of a stopping witness in small fleets

Cause: with three hosts no spare witness exists, so a stopping host handed nothing over but called the hand-over complete; its next process vouched without memory. After: any host keeps such records; two claims on one key that meet in one memory pin it for the window; a receiver without room takes nothing and stands for nobody.

--- a/crates/attempts/src/hand_over.rs
+++ b/crates/attempts/src/hand_over.rs
@@ -83,10 +83,12 @@
             .collect();
         for record in self.witness.store.export() {
             let key = HashKey::new(&record.key);
-            let Some(successor) = topology.successor(&key, count, &self.self_id) else {
+            let successor = topology.successor(&key, count, &self.self_id);
+            // A small fleet has no spare witness; any host may keep the record.
+            let Some(keeper) = successor.or_else(|| receivers.first().cloned()) else {
                 continue;
             };
-            if let Some(share) = shares.get_mut(&successor) {
+            if let Some(share) = shares.get_mut(&keeper) {
                 share.push(record);
             }
         }
@@ -145,6 +147,10 @@
     }
 
     pub(crate) fn on_hand_over(&mut self, from: &HostId, part: HandOver) {
+        if !self.witness.store.has_room_for(part.records.len()) {
+            log::warn!("attempts: no room for the records of {}", part.of);
+            return;
+        }
         let now = self.clock.now();
         let key = (from.clone(), part.id);
         let incoming = self
--- a/crates/attempts/src/records.rs
+++ b/crates/attempts/src/records.rs
@@ -14,6 +14,10 @@
 /// The bytes of a stored answer beside its headers and body.
 const ANSWER_OVERHEAD_BYTES: usize = 64;
 
+/// Stands for two claims on one key which two witnesses recorded. Neither end
+/// frees the key.
+const CONFLICT: ClaimId = ClaimId([0; 8]);
+
 #[derive(Debug, Clone)]
 enum State {
     Claimed { running_until_s: u32 },
@@ -70,6 +74,9 @@
         if matches!(record.state, State::Free) {
             return None;
         }
+        if record.claim == CONFLICT {
+            return Some(Verdict::Unknown);
+        }
         if record.body != claim.body {
             return Some(Verdict::OtherBody);
         }
@@ -84,7 +91,7 @@
 
     /// Records a claim for which nothing else is recorded.
     pub(crate) fn record(&mut self, claim: &Claim, now: Instant) -> Verdict {
-        if self.expiry.len() >= self.settings.max_records {
+        if !self.has_room_for(1) {
             return Verdict::CannotVouch(NoVouch::Full);
         }
         let time_left = Duration::from_millis(u64::from(claim.time_left_ms));
@@ -94,6 +101,11 @@
         Verdict::Granted
     }
 
+    /// Reports whether as many records fit.
+    pub(crate) fn has_room_for(&self, count: usize) -> bool {
+        self.expiry.len() + count <= self.settings.max_records
+    }
+
     /// Notes how a claim ended.
     pub(crate) fn finish(&mut self, key: AttemptKey, claim: ClaimId, end: ClaimEnd, now: Instant) {
         let Some(record) = self.records.get_mut(&key) else {
@@ -119,15 +131,22 @@
         let HandedRecord {
             key, claim, body, ..
         } = handed;
-        let is_newer = self
+        let known = self.records.get(&key);
+        let bound = known.filter(|record| !matches!(record.state, State::Free));
+        match bound.map(|record| record.claim) {
+            None => self.insert(key, claim, body, State::Unknown, now),
+            Some(known) if known == claim => {}
+            Some(known) => {
+                self.drop_answer(key, known);
+                self.insert(key, CONFLICT, body, State::Unknown, now);
+                return;
+            }
+        }
+        let is_answered = self
             .records
             .get(&key)
-            .is_none_or(|record| matches!(record.state, State::Free));
-        if !is_newer {
-            return;
-        }
-        self.insert(key, claim, body, State::Unknown, now);
-        if let Some(answer) = handed.answer {
+            .is_some_and(|record| matches!(record.state, State::Answered(_)));
+        if let Some(answer) = handed.answer.filter(|_| !is_answered) {
             self.store_answer(key, claim, answer);
         }
     }
@@ -214,7 +233,7 @@
 
     /// Remembers a release that overtook its claim.
     fn insert_tombstone(&mut self, key: AttemptKey, claim: ClaimId, end: &ClaimEnd, now: Instant) {
-        if *end != ClaimEnd::NotRun || self.expiry.len() >= self.settings.max_records {
+        if *end != ClaimEnd::NotRun || !self.has_room_for(1) {
             return;
         }
         let body = BodyDigest::of_request("", "", b"");
