--- /dev/null
+++ b/crates/protocol/tests/testsuite/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the inner protocol, by concern.
+
+mod budget;
+mod codec;
+mod fuzz;
+mod rpc;
+mod samples;
+mod socket;
+mod upgrade;
