Test distribution under faults, and mend two refusals

Two faults found by them: altered bytes from one peer made a host refuse the good version for good, and one altered pack was counted twice, as both documents looked at it. Altered content is now remembered apart from refused versions, and only a version that names the digest looks at it.

--- a/crates/bench/src/config/fleet.rs
+++ b/crates/bench/src/config/fleet.rs
@@ -14,7 +14,7 @@
 
 use super::service::{Answer, FakeService};
 
-/// The time between two ticks of each host.
+/// The time between two ticks of each host, unless it is set.
 const TICK: Duration = Duration::from_millis(50);
 
 /// An incarnation of typical length.
@@ -54,6 +54,7 @@
     links: Links<Packet>,
     rng: fastrand::Rng,
     settings: DistributionSettings,
+    tick: Duration,
 }
 
 impl Fleet {
@@ -69,6 +70,7 @@
             links: Links::new(seed, faults),
             rng: fastrand::Rng::with_seed(seed),
             settings: DistributionSettings::default(),
+            tick: TICK,
         };
         for host in &list.hosts {
             fleet.start(&host.id, &host.failure_domain);
@@ -113,6 +115,11 @@
         self.settings.seeds = seeds;
     }
 
+    /// Sets the time between two ticks; long spans run faster with rare ones.
+    pub fn set_tick(&mut self, tick: Duration) {
+        self.tick = tick;
+    }
+
     /// Sets the faults of all links.
     pub fn set_faults(&mut self, faults: LinkFaults) {
         self.links.set_faults(faults);
@@ -134,6 +141,12 @@
         }
     }
 
+    /// Mends the link between two hosts.
+    pub fn mend(&mut self, a: &HostId, b: &HostId) {
+        self.links.mend(a, b);
+        self.links.mend(b, a);
+    }
+
     /// Mends all links.
     pub fn mend_all(&mut self) {
         self.links.mend_all();
@@ -184,7 +197,7 @@
 
     /// Runs to the next tick of all hosts.
     pub fn step(&mut self) {
-        let end = self.clock.now() + TICK;
+        let end = self.clock.now() + self.tick;
         while let Some(at) = self.links.next_arrival().filter(|at| *at <= end) {
             let now = self.clock.now();
             self.clock.advance(at.saturating_duration_since(now));
--- a/crates/membership/src/distribution/pursuit.rs
+++ b/crates/membership/src/distribution/pursuit.rs
@@ -136,14 +136,17 @@
         }
     }
 
+    /// Reports whether a digest names the manifest or a pack of the version.
+    pub fn contains(&self, digest: &ContentDigest) -> bool {
+        let manifest = self.manifest.as_ref();
+        self.stamp.digest == *digest
+            || manifest.is_some_and(|(manifest, _)| manifest.packs.contains(digest))
+    }
+
     /// Takes a pack whose digest has been checked, if it is wanted.
     pub fn add_pack(&mut self, digest: ContentDigest, bytes: &Arc<[u8]>) {
-        let is_wanted = self
-            .manifest
-            .as_ref()
-            .is_some_and(|(manifest, _)| manifest.packs.contains(&digest));
         self.requests.remove(&digest);
-        if is_wanted {
+        if self.contains(&digest) {
             self.packs.insert(digest, bytes.clone());
         }
     }
--- a/crates/membership/src/distribution/replica.rs
+++ b/crates/membership/src/distribution/replica.rs
@@ -15,7 +15,7 @@
 /// Versions that are collected at the same time.
 const MAX_PURSUITS: usize = 4;
 
-/// Refused digests that a host remembers.
+/// Digests of each kind that a host remembers to refuse or log them once.
 const MAX_REFUSED: usize = 16;
 
 type Blobs = BTreeMap<ContentDigest, Arc<[u8]>>;
@@ -48,6 +48,7 @@
     staged: Option<Held<D>>,
     pursuits: Vec<Pursuit>,
     refused: VecDeque<ContentDigest>,
+    altered: VecDeque<ContentDigest>,
     seen_version: u64,
 }
 
@@ -59,6 +60,7 @@
             staged: None,
             pursuits: Vec::new(),
             refused: VecDeque::new(),
+            altered: VecDeque::new(),
             seen_version: 0,
         }
     }
@@ -291,16 +293,24 @@
         digest: ContentDigest,
         now: Instant,
     ) -> Option<Refusal> {
-        let pursuits = self.pursuits.iter_mut();
         let mut version = None;
-        for pursuit in pursuits {
+        for pursuit in &mut self.pursuits {
+            if !pursuit.contains(&digest) {
+                continue;
+            }
             pursuit.fail(source, &digest, now);
             version = Some(pursuit.stamp.version);
         }
-        if self.is_refused(&digest) {
+        if version.is_none() || self.altered.contains(&digest) {
             return None;
         }
-        Some(self.refuse(digest, version, PublicationError::WrongDigest { digest }))
+        // Another source may have the right content, so the digest is not
+        // refused for good.
+        remember(&mut self.altered, digest);
+        Some(refusal::<D>(
+            version,
+            PublicationError::WrongDigest { digest },
+        ))
     }
 
     fn is_refused(&self, digest: &ContentDigest) -> bool {
@@ -314,25 +324,29 @@
         version: Option<u64>,
         reason: PublicationError,
     ) -> Refusal {
-        if self.refused.len() >= MAX_REFUSED {
-            self.refused.pop_front();
-        }
-        self.refused.push_back(digest);
+        remember(&mut self.refused, digest);
         self.pursuits
             .retain(|pursuit| pursuit.stamp.digest != digest);
-        let refusal = Refusal {
-            document: D::KIND,
-            version,
-            reason,
-        };
-        match version {
-            Some(version) => log::warn!(
-                "config: refused {} version {version}: {}",
-                D::KIND,
-                refusal.reason
-            ),
-            None => log::warn!("config: refused a {}: {}", D::KIND, refusal.reason),
-        }
-        refusal
+        refusal::<D>(version, reason)
+    }
+}
+
+fn remember(digests: &mut VecDeque<ContentDigest>, digest: ContentDigest) {
+    if digests.len() >= MAX_REFUSED {
+        digests.pop_front();
+    }
+    digests.push_back(digest);
+}
+
+/// Logs and returns a refusal.
+fn refusal<D: Document>(version: Option<u64>, reason: PublicationError) -> Refusal {
+    match version {
+        Some(version) => log::warn!("config: refused {} version {version}: {reason}", D::KIND),
+        None => log::warn!("config: refused a {}: {reason}", D::KIND),
+    }
+    Refusal {
+        document: D::KIND,
+        version,
+        reason,
     }
 }
--- /dev/null
+++ b/crates/membership/tests/testsuite/distribution.rs
@@ -0,0 +1,9 @@
+//! Distribution of the configuration.
+
+mod agent;
+mod bad_publications;
+mod lab;
+mod readers;
+mod restarts;
+mod schedule;
+mod service;
--- /dev/null
+++ b/crates/membership/tests/testsuite/distribution/agent.rs
@@ -0,0 +1,195 @@
+//! One agent, driven by hand.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use waxwingusher_bench::config::sample::{Size, domain, host_id, host_list, snapshot};
+use waxwingusher_config::publication::{HOSTS_KEY, MANIFEST_KEY, publish_hosts};
+use waxwingusher_config::{Manifest, Publication, publish};
+use waxwingusher_core::{Clock, ContentDigest, HostId, ManualClock};
+use waxwingusher_membership::distribution::{AgentAction, ConfigAgent, DistributionSettings};
+use waxwingusher_protocol::{ConfigMessage, Stamp, Summary};
+
+struct Bench {
+    agent: ConfigAgent,
+    clock: ManualClock,
+    config: Publication,
+    hosts: Publication,
+    manifest_ticket: u64,
+}
+
+impl Bench {
+    /// An agent that has read the list of two hosts, and no configuration.
+    fn new() -> Self {
+        let clock = ManualClock::new();
+        let shared: Arc<dyn Clock> = Arc::new(clock.clone());
+        let settings = DistributionSettings::default();
+        let mut agent = ConfigAgent::new(host_id(0), domain(0), shared, 5, settings);
+        let list = host_list(3, 1, 4);
+        let value: Arc<[u8]> = serde_json::to_vec(&list).expect("it is JSON").into();
+        let first = agent.tick();
+        agent.on_service_value(ticket_of(&first, HOSTS_KEY), 1, &value);
+        Self {
+            agent,
+            clock,
+            config: publish(&snapshot(Size::SMALL, 9, 5)).expect("it is good"),
+            hosts: publish_hosts(&list).expect("it is good"),
+            manifest_ticket: ticket_of(&first, MANIFEST_KEY),
+        }
+    }
+
+    /// Ticks until a fresh host has given its peers time to answer.
+    fn pass_survey(&mut self) {
+        for _ in 0..40 {
+            self.clock.advance(Duration::from_millis(100));
+            self.agent.tick();
+        }
+    }
+
+    fn summary(&self) -> Summary {
+        let stamp = |publication: &Publication| Stamp {
+            version: Manifest::parse(&publication.manifest)
+                .expect("good")
+                .version,
+            digest: ContentDigest::of(&publication.manifest),
+        };
+        Summary {
+            config: stamp(&self.config),
+            hosts: stamp(&self.hosts),
+            seen_hosts_version: 4,
+            service_age_ms: None,
+        }
+    }
+
+    fn announce(&mut self, from: &HostId) -> Vec<AgentAction> {
+        let summary = self.summary();
+        let message = ConfigMessage::Announce { summary };
+        self.agent.on_message(from, 1, &message)
+    }
+
+    fn blob(&self, digest: &ContentDigest) -> Arc<[u8]> {
+        if ContentDigest::of(&self.config.manifest) == *digest {
+            return self.config.manifest.clone();
+        }
+        let packs = self.config.packs.iter();
+        let pack = packs.clone().find(|pack| pack.digest == *digest);
+        pack.expect("only packs of the version are asked for")
+            .bytes
+            .clone()
+    }
+}
+
+fn ticket_of(actions: &[AgentAction], wanted: &str) -> u64 {
+    let mut reads = actions.iter().rev().filter_map(|action| match action {
+        AgentAction::ReadService(read) if &*read.key == wanted => Some(read.ticket),
+        _ => None,
+    });
+    reads.next().expect("the value is read")
+}
+
+fn fetches(actions: &[AgentAction]) -> Vec<(HostId, ContentDigest)> {
+    let fetches = actions.iter().filter_map(|action| match action {
+        AgentAction::FetchFromPeer { host, digest } => Some((host.clone(), *digest)),
+        _ => None,
+    });
+    fetches.collect()
+}
+
+fn refusals(actions: &[AgentAction]) -> usize {
+    let refusals = actions
+        .iter()
+        .filter(|a| matches!(a, AgentAction::Refuse(_)));
+    refusals.count()
+}
+
+#[test]
+fn an_altered_pack_of_one_peer_is_refused_and_the_next_peer_is_asked() {
+    let mut bench = Bench::new();
+    let (bad, good) = (host_id(1), host_id(2));
+    let mut wanted = fetches(&bench.announce(&bad));
+    wanted.extend(fetches(&bench.announce(&good)));
+    let mut refused = 0;
+    while let Some((host, digest)) = wanted.pop() {
+        let bytes = match host == bad {
+            true => Arc::from(&b"altered"[..]),
+            false => bench.blob(&digest),
+        };
+        let actions = bench.agent.on_pack(&host, digest, &bytes);
+        refused += refusals(&actions);
+        wanted.extend(fetches(&actions));
+    }
+    bench.pass_survey();
+    assert_eq!(refused, 1);
+    assert_eq!(
+        bench.agent.current().map(|snapshot| snapshot.version),
+        Some(9)
+    );
+}
+
+#[test]
+fn a_late_answer_is_no_evidence() {
+    let mut bench = Bench::new();
+    let nonce_of = |actions: &[AgentAction]| {
+        let mut polls = actions.iter().rev().filter_map(|action| match action {
+            AgentAction::Send(outgoing) if outgoing.to == host_id(1) => match &outgoing.message {
+                ConfigMessage::Poll { nonce, .. } => Some(*nonce),
+                _ => None,
+            },
+            _ => None,
+        });
+        polls.next().expect("the peer is polled")
+    };
+    let first = nonce_of(&bench.agent.tick());
+    bench.clock.advance(Duration::from_millis(600));
+    let second = nonce_of(&bench.agent.tick());
+    let asked_at = bench.clock.now();
+    let summary = bench.summary();
+    let mut answer = |nonce| {
+        let message = ConfigMessage::Answer { nonce, summary };
+        bench.agent.on_message(&host_id(1), 1, &message);
+        bench.agent.list_freshness().words
+    };
+    assert!(answer(first).is_empty());
+    assert_eq!(answer(second)[0].asked_at, asked_at);
+}
+
+#[test]
+fn an_answer_to_an_old_call_is_ignored() {
+    let mut bench = Bench::new();
+    let ticket = bench.manifest_ticket;
+    bench.agent.on_service_error(ticket);
+    let before = bench.agent.counters();
+    let manifest = bench.config.manifest.clone();
+    assert!(
+        bench
+            .agent
+            .on_service_value(ticket, 3, &manifest)
+            .is_empty()
+    );
+    assert_eq!(bench.agent.counters(), before);
+}
+
+#[test]
+fn a_host_answers_each_poll_and_tells_hosts_that_are_behind() {
+    let mut bench = Bench::new();
+    bench.pass_survey();
+    let behind = Summary::default();
+    let answers = |actions: &[AgentAction]| {
+        let sent = actions.iter().filter_map(|action| match action {
+            AgentAction::Send(outgoing) => Some(outgoing.message.clone()),
+            _ => None,
+        });
+        sent.filter(|m| matches!(m, ConfigMessage::Answer { .. }))
+            .count()
+    };
+    let poll = ConfigMessage::Poll {
+        nonce: 8,
+        summary: behind,
+    };
+    assert_eq!(answers(&bench.agent.on_message(&host_id(1), 1, &poll)), 1);
+    let late = ConfigMessage::Announce { summary: behind };
+    let told = answers(&bench.agent.on_message(&host_id(1), 1, &late));
+    let has_list = bench.agent.hosts().is_some();
+    assert_eq!(told, usize::from(has_list));
+    assert!(has_list);
+}
--- /dev/null
+++ b/crates/membership/tests/testsuite/distribution/readers.rs
@@ -0,0 +1,102 @@
+//! Which hosts read the service, and what they know of the list's age.
+
+use std::time::Duration;
+
+use waxwingusher_bench::config::sample::host_id;
+use waxwingusher_bench::config::service::ServiceMode;
+use waxwingusher_core::Clock;
+
+use super::lab::{DOMAINS, Lab, TARGET, in_domain};
+
+const READERS_PER_DOMAIN: usize = 2;
+
+#[test]
+fn each_failure_domain_has_two_readers() {
+    let lab = Lab::new(30, 41);
+    let readers = lab.readers();
+    for domain in 0..DOMAINS {
+        let count = readers.iter().filter(|id| in_domain(id, domain)).count();
+        assert_eq!(count, READERS_PER_DOMAIN);
+    }
+}
+
+#[test]
+fn others_replace_readers_that_are_silent() {
+    let mut lab = Lab::new(30, 42);
+    let gone: Vec<_> = lab.readers();
+    for id in &gone {
+        lab.fleet.stop(id);
+    }
+    lab.fleet.run(Duration::from_secs(60));
+    assert_eq!(lab.readers().len(), DOMAINS * READERS_PER_DOMAIN);
+    lab.publish();
+    lab.expect_everywhere(2, TARGET);
+    for (i, id) in gone.iter().enumerate() {
+        let domain = (0..DOMAINS).find(|d| in_domain(id, *d)).unwrap_or(i);
+        lab.fleet
+            .start(id, &format!("domain-{domain}").as_str().into());
+    }
+    lab.fleet.run(Duration::from_secs(60));
+    assert_eq!(lab.readers(), gone, "the first readers read again");
+}
+
+#[test]
+fn others_replace_readers_that_the_service_does_not_answer() {
+    let mut lab = Lab::new(30, 43);
+    for id in lab.readers() {
+        lab.fleet.service.cut(&id);
+    }
+    lab.fleet.run(Duration::from_secs(90));
+    lab.publish();
+    lab.expect_everywhere(2, TARGET);
+}
+
+#[test]
+fn calls_stay_few_whatever_the_service_does() {
+    let mut lab = Lab::new(40, 44);
+    for mode in [ServiceMode::Current, ServiceMode::Away, ServiceMode::Stale] {
+        lab.fleet.service.set_mode(mode);
+        let calls = lab.fleet.service.calls();
+        lab.fleet.run(Duration::from_secs(300));
+        let per_s = (lab.fleet.service.calls() - calls) as f64 / 300.0;
+        assert!(per_s < 5.0, "{per_s} calls a second in {mode:?}");
+    }
+}
+
+#[test]
+fn the_age_of_the_list_is_never_understated() {
+    let mut lab = Lab::new(12, 45);
+    let reader = lab.readers()[0].clone();
+    lab.fleet.run(Duration::from_secs(60));
+    let now = lab.fleet.clock.now();
+    let freshness = lab.fleet.nodes[&reader].agent.list_freshness();
+    let confirmed = freshness.confirmed_at.expect("a reader has read");
+    assert!(confirmed <= now && now - confirmed < Duration::from_secs(25));
+    lab.fleet.service.set_mode(ServiceMode::Away);
+    lab.fleet.run(Duration::from_secs(300));
+    let later = lab.fleet.nodes[&reader].agent.list_freshness();
+    let last = later.confirmed_at.expect("it was confirmed before");
+    assert!(last <= now, "the service has confirmed nothing since");
+}
+
+#[test]
+fn a_newer_list_that_peers_have_heard_of_is_told() {
+    let mut lab = Lab::new(12, 46);
+    let list = waxwingusher_bench::config::sample::host_list(12, DOMAINS, 7);
+    lab.fleet.service.put_hosts(&list);
+    lab.fleet.run(Duration::from_secs(90));
+    for node in lab.fleet.nodes.values() {
+        let freshness = node.agent.list_freshness();
+        assert_eq!((freshness.version, freshness.seen_version), (7, 7));
+        let now = lab.fleet.clock.now();
+        let heard = freshness.words.iter().filter(|word| word.seen_version == 7);
+        assert_eq!(heard.count(), 3, "all peers of the domain have answered");
+        assert!(freshness.words.iter().all(|word| word.asked_at <= now));
+    }
+    let silent = host_id(0);
+    lab.fleet.partition(|id| *id == silent);
+    let cut_at = lab.fleet.clock.now();
+    lab.fleet.run(Duration::from_secs(60));
+    let words = lab.fleet.nodes[&silent].agent.list_freshness().words;
+    assert!(words.iter().all(|word| word.asked_at <= cut_at));
+}
--- /dev/null
+++ b/crates/membership/tests/testsuite/distribution/restarts.rs
@@ -0,0 +1,103 @@
+//! Fresh hosts.
+
+use std::time::Duration;
+
+use waxwingusher_bench::config::fleet::Fleet;
+use waxwingusher_bench::config::sample::{Size, host_id, host_list, snapshot};
+use waxwingusher_bench::config::service::ServiceMode;
+use waxwingusher_config::publish;
+use waxwingusher_standins::LinkFaults;
+
+use super::lab::{Lab, TARGET};
+
+#[test]
+fn a_restart_before_a_stale_service_takes_the_version_of_the_peers() {
+    let mut lab = Lab::new(12, 31);
+    let old = publish(&lab.snapshot).expect("it is good");
+    lab.publish();
+    lab.expect_everywhere(2, TARGET);
+    lab.fleet.service.publish(&old);
+    for i in 0..12 {
+        lab.fleet.restart(&host_id(i));
+        for _ in 0..200 {
+            lab.fleet.step();
+            assert_ne!(lab.version(&host_id(i)), 1, "an older version is in force");
+        }
+        assert_eq!(lab.version(&host_id(i)), 2);
+    }
+}
+
+#[test]
+fn one_peer_with_the_newest_version_is_enough_for_all_others() {
+    let mut lab = Lab::new(12, 32);
+    let old = publish(&lab.snapshot).expect("it is good");
+    lab.publish();
+    lab.expect_everywhere(2, TARGET);
+    lab.fleet.service.publish(&old);
+    for i in 1..12 {
+        lab.fleet.restart(&host_id(i));
+    }
+    for _ in 0..400 {
+        lab.fleet.step();
+        assert!(!lab.versions().contains(&1), "an older version is in force");
+    }
+    assert_eq!(lab.versions(), vec![2; 12]);
+}
+
+#[test]
+fn a_restart_without_the_service_finds_peers_by_its_seeds() {
+    let mut lab = Lab::new(12, 33);
+    lab.fleet.service.set_mode(ServiceMode::Away);
+    lab.fleet.set_seeds(vec![host_id(1), host_id(7)]);
+    lab.fleet.stop(&host_id(1));
+    lab.fleet.restart(&host_id(4));
+    lab.fleet.run(Duration::from_secs(15));
+    assert_eq!(lab.version(&host_id(4)), 1);
+    assert!(lab.fleet.nodes[&host_id(4)].agent.is_ready());
+}
+
+#[test]
+fn the_first_host_is_ready_once_its_peers_had_time_to_answer() {
+    let list = host_list(40, 4, 1);
+    let mut fleet = Fleet::new(&list, 34, LinkFaults::default());
+    for host in &list.hosts[1..] {
+        fleet.stop(&host.id);
+    }
+    let publication = publish(&snapshot(Size::SMALL, 1, 34)).expect("it is good");
+    fleet.service.publish(&publication);
+    fleet.run(Duration::from_secs(2));
+    assert!(!fleet.nodes[&host_id(0)].agent.is_ready());
+    fleet.run(Duration::from_secs(13));
+    assert!(fleet.nodes[&host_id(0)].agent.is_ready());
+}
+
+#[test]
+fn a_host_without_any_configuration_is_never_ready() {
+    let list = host_list(4, 2, 1);
+    let mut fleet = Fleet::new(&list, 35, LinkFaults::default());
+    fleet.run(Duration::from_secs(120));
+    assert!(fleet.nodes.values().all(|node| !node.agent.is_ready()));
+    let publication = publish(&snapshot(Size::SMALL, 1, 35)).expect("it is good");
+    fleet.service.publish(&publication);
+    fleet.run(Duration::from_secs(40));
+    assert!(fleet.nodes.values().all(|node| node.agent.is_ready()));
+}
+
+#[test]
+fn a_host_that_joins_is_reached_when_the_list_names_it() {
+    let mut lab = Lab::new(12, 36);
+    let list = host_list(13, super::lab::DOMAINS, 2);
+    let new = &list.hosts[12];
+    lab.fleet.service.cut(&new.id);
+    lab.fleet.set_seeds(vec![host_id(0)]);
+    lab.fleet.start(&new.id, &new.failure_domain);
+    lab.fleet.run(Duration::from_secs(10));
+    assert_eq!(lab.version(&new.id), 1);
+    lab.fleet.service.put_hosts(&list);
+    lab.fleet.run(TARGET);
+    for node in lab.fleet.nodes.values() {
+        assert_eq!(node.agent.hosts().map(|list| list.version), Some(2));
+    }
+    lab.publish();
+    lab.expect_everywhere(2, TARGET);
+}
--- /dev/null
+++ b/crates/membership/tests/testsuite/distribution/schedule.rs
@@ -0,0 +1,234 @@
+//! Random schedules of faults, with an oracle that is asked after each step.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use waxwingusher_bench::config::sample::host_id;
+use waxwingusher_bench::config::service::ServiceMode;
+use waxwingusher_config::publication::MANIFEST_KEY;
+use waxwingusher_config::{Publication, Snapshot, publish};
+use waxwingusher_core::HostId;
+use waxwingusher_standins::LinkFaults;
+
+use super::lab::{Lab, TARGET, in_domain};
+
+const HOSTS: usize = 12;
+const EVENTS: usize = 60;
+
+/// The longest pause of a reader after failed calls, and of a search for peers.
+const SETTLE: Duration = Duration::from_secs(70);
+
+/// A host that has started anew and has nothing in force yet.
+struct Restarted {
+    /// The version that the host had in force before.
+    before: u64,
+    /// Peers that the host reaches, with the version they had.
+    reachable: BTreeMap<HostId, u64>,
+}
+
+/// What the hosts may have in force.
+#[derive(Default)]
+struct Oracle {
+    published: BTreeMap<u64, Arc<Snapshot>>,
+    in_force: BTreeMap<HostId, u64>,
+    restarted: BTreeMap<HostId, Restarted>,
+}
+
+impl Oracle {
+    fn check(&mut self, lab: &Lab, seed: u64) {
+        for id in lab.fleet.nodes.keys() {
+            let Some(current) = lab.fleet.current(id) else {
+                continue;
+            };
+            let expected = self.published.get(&current.version);
+            assert_eq!(
+                Some(&current),
+                expected,
+                "seed {seed}: {id} has an unknown version"
+            );
+            let before = self.in_force.insert(id.clone(), current.version);
+            assert!(
+                before <= Some(current.version),
+                "seed {seed}: {id} went back"
+            );
+            if let Some(restarted) = self.restarted.remove(id) {
+                let best = restarted.reachable.values().max().copied().unwrap_or(0);
+                let least = best.min(restarted.before);
+                assert!(
+                    current.version >= least,
+                    "seed {seed}: {id} came back with {} instead of {least}",
+                    current.version
+                );
+            }
+        }
+    }
+
+    fn on_restart(&mut self, lab: &Lab, id: &HostId) {
+        let earlier = self.restarted.remove(id).map_or(0, |r| r.before);
+        let before = self.in_force.remove(id).unwrap_or(earlier);
+        let others = lab.fleet.nodes.keys().filter(|other| *other != id);
+        let reachable = others
+            .filter(|other| lab.fleet.reaches(id, other))
+            .map(|other| (other.clone(), lab.version(other)))
+            .collect();
+        for restarted in self.restarted.values_mut() {
+            restarted.reachable.remove(id);
+        }
+        self.restarted
+            .insert(id.clone(), Restarted { before, reachable });
+    }
+
+    /// Forgets what is not reachable any more.
+    fn on_cut(&mut self, lab: &Lab) {
+        for (id, restarted) in &mut self.restarted {
+            restarted
+                .reachable
+                .retain(|other, _| lab.fleet.reaches(id, other));
+        }
+    }
+}
+
+struct Schedule {
+    lab: Lab,
+    oracle: Oracle,
+    seed: u64,
+    rng: fastrand::Rng,
+    older: Vec<Publication>,
+}
+
+impl Schedule {
+    fn new(seed: u64) -> Self {
+        let lab = Lab::new(HOSTS, seed);
+        let mut oracle = Oracle::default();
+        oracle.published.insert(1, Arc::new(lab.snapshot.clone()));
+        Self {
+            older: vec![publish(&lab.snapshot).expect("it is good")],
+            lab,
+            oracle,
+            seed,
+            rng: fastrand::Rng::with_seed(seed ^ 0xface),
+        }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.lab.fleet.clock.elapsed() + span;
+        while self.lab.fleet.clock.elapsed() < end {
+            self.lab.fleet.step();
+            self.oracle.check(&self.lab, self.seed);
+        }
+    }
+
+    fn event(&mut self) {
+        let host = host_id(self.rng.usize(..HOSTS));
+        let other = host_id(self.rng.usize(..HOSTS));
+        match self.rng.u8(..13) {
+            0..3 => self.publish_good(),
+            3 => self.publish_bad(),
+            4 => self.publish_old(),
+            5 | 6 => {
+                self.oracle.on_restart(&self.lab, &host);
+                self.lab.fleet.restart(&host);
+            }
+            7 => self.lab.fleet.cut(&host, &other),
+            8 => {
+                let domain = self.rng.usize(..super::lab::DOMAINS);
+                self.lab.fleet.partition(|id| in_domain(id, domain));
+            }
+            9 => self.lab.fleet.mend_all(),
+            10 => self.lab.fleet.service.cut(&host),
+            11 => {
+                let modes = [ServiceMode::Current, ServiceMode::Stale, ServiceMode::Away];
+                let mode = modes[self.rng.usize(..modes.len())];
+                self.lab.fleet.service.set_mode(mode);
+            }
+            _ => self.lab.fleet.set_faults(LinkFaults {
+                loss: 0.02 * self.rng.f64(),
+                duplication: 0.1 * self.rng.f64(),
+                max_delay: Duration::from_millis(self.rng.u64(2..80)),
+                ..LinkFaults::default()
+            }),
+        }
+        self.oracle.on_cut(&self.lab);
+    }
+
+    fn publish_good(&mut self) {
+        let publication = self.lab.next();
+        let snapshot = Arc::new(self.lab.snapshot.clone());
+        self.oracle.published.insert(snapshot.version, snapshot);
+        self.lab.fleet.service.publish(&publication);
+        self.older.push(publication);
+    }
+
+    /// Publishes a version that no host may adopt.
+    fn publish_bad(&mut self) {
+        self.lab.next();
+        let version = self.lab.snapshot.version;
+        match self.rng.u8(..3) {
+            0 => {
+                let mut bad = self.lab.snapshot.clone();
+                bad.services.clear();
+                let publication = publish(&bad).expect("publishing checks sizes only");
+                self.lab.fleet.service.publish(&publication);
+            }
+            1 => {
+                // The next good version brings packs of its own.
+                let text = format!(r#"{{"format":9,"version":{version},"packs":[]}}"#);
+                self.lab
+                    .fleet
+                    .service
+                    .put(MANIFEST_KEY, text.into_bytes().into());
+            }
+            _ => {
+                let altered = format!(
+                    r#"{{"format":1,"version":{version},"packs":["{}"]}}"#,
+                    "0".repeat(32)
+                );
+                self.lab
+                    .fleet
+                    .service
+                    .put(MANIFEST_KEY, altered.into_bytes().into());
+            }
+        }
+    }
+
+    /// Lets the service show an earlier version again.
+    fn publish_old(&mut self) {
+        let at = self.rng.usize(..self.older.len());
+        self.lab.fleet.service.publish(&self.older[at]);
+    }
+
+    /// Ends all faults, and expects each new version everywhere in time.
+    fn settle(&mut self) {
+        self.lab.fleet.mend_all();
+        self.lab.fleet.service.mend_all();
+        self.lab.fleet.service.set_mode(ServiceMode::Current);
+        self.lab.fleet.set_faults(LinkFaults::default());
+        self.publish_good();
+        self.run(SETTLE);
+        for _ in 0..2 {
+            self.publish_good();
+            self.run(TARGET);
+            let expected = self.lab.snapshot.version;
+            let versions = self.lab.versions();
+            assert_eq!(versions, vec![expected; HOSTS], "seed {}", self.seed);
+        }
+    }
+}
+
+fn run_seed(seed: u64) {
+    let mut schedule = Schedule::new(seed);
+    for _ in 0..EVENTS {
+        schedule.event();
+        let span_ms = schedule.rng.u64(50..4_000);
+        schedule.run(Duration::from_millis(span_ms));
+    }
+    schedule.settle();
+}
+
+#[test]
+fn versions_never_go_back_and_are_in_force_in_time() {
+    for seed in 1..=20 {
+        run_seed(seed);
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of membership, by concern.
+
+mod distribution;
