--- a/crates/membership/tests/testsuite/main.rs
+++ b/crates/membership/tests/testsuite/main.rs
@@ -1,3 +1,7 @@
 //! Tests of membership, by concern.
 
 mod distribution;
+mod liveness_faults;
+mod liveness_fleet;
+mod liveness_fuzz;
+mod liveness_news;
