--- a/crates/bench/src/config/service.rs
+++ b/crates/bench/src/config/service.rs
@@ -101,7 +101,8 @@
     pub fn put_packs(&mut self, packs: &[Pack]) {
         for pack in packs {
             let key = Pack::service_key(&pack.digest);
-            if !self.values.contains_key(&key) {
+            let held = self.values.get(&key);
+            if held.is_none_or(|value| value.bytes != pack.bytes) {
                 self.put(&key, pack.bytes.clone());
             }
         }
--- a/crates/membership/tests/testsuite/distribution/restarts.rs
+++ b/crates/membership/tests/testsuite/distribution/restarts.rs
@@ -44,6 +44,29 @@
     assert_eq!(lab.versions(), vec![2; 12]);
 }
 
+#[test]
+fn a_fresh_host_waits_for_peers_that_are_slower_than_the_service() {
+    let mut lab = Lab::new(12, 37);
+    let old = publish(&lab.snapshot).expect("it is good");
+    lab.publish();
+    lab.expect_everywhere(2, TARGET);
+    lab.fleet.service.publish(&old);
+    lab.fleet.set_faults(LinkFaults {
+        min_delay: Duration::from_millis(200),
+        max_delay: Duration::from_millis(400),
+        ..LinkFaults::default()
+    });
+    // Only one peer still has the newest version when the others ask.
+    for i in 1..12 {
+        lab.fleet.restart(&host_id(i));
+    }
+    for _ in 0..400 {
+        lab.fleet.step();
+        assert!(!lab.versions().contains(&1), "an older version is in force");
+    }
+    assert_eq!(lab.versions(), vec![2; 12]);
+}
+
 #[test]
 fn a_restart_without_the_service_finds_peers_by_its_seeds() {
     let mut lab = Lab::new(12, 33);
--- a/crates/membership/tests/testsuite/distribution/schedule.rs
+++ b/crates/membership/tests/testsuite/distribution/schedule.rs
@@ -7,7 +7,7 @@
 use waxwingusher_bench::config::sample::host_id;
 use waxwingusher_bench::config::service::ServiceMode;
 use waxwingusher_config::publication::MANIFEST_KEY;
-use waxwingusher_config::{Publication, Snapshot, publish};
+use waxwingusher_config::{Pack, Publication, Snapshot, publish};
 use waxwingusher_core::HostId;
 use waxwingusher_standins::LinkFaults;
 
@@ -145,7 +145,7 @@
             _ => self.lab.fleet.set_faults(LinkFaults {
                 loss: 0.02 * self.rng.f64(),
                 duplication: 0.1 * self.rng.f64(),
-                max_delay: Duration::from_millis(self.rng.u64(2..80)),
+                max_delay: Duration::from_millis(self.rng.u64(2..400)),
                 ..LinkFaults::default()
             }),
         }
@@ -162,9 +162,10 @@
 
     /// Publishes a version that no host may adopt.
     fn publish_bad(&mut self) {
-        self.lab.next();
+        let before = self.lab.snapshot.clone();
+        let publication = self.lab.next();
         let version = self.lab.snapshot.version;
-        match self.rng.u8(..3) {
+        match self.rng.u8(..4) {
             0 => {
                 let mut bad = self.lab.snapshot.clone();
                 bad.services.clear();
@@ -172,7 +173,16 @@
                 self.lab.fleet.service.publish(&publication);
             }
             1 => {
-                // The next good version brings packs of its own.
+                // Packs that are good, but not the ones that the manifest names.
+                let other = &self.older[0].packs[0];
+                for pack in &publication.packs {
+                    let key = Pack::service_key(&pack.digest);
+                    self.lab.fleet.service.put(&key, other.bytes.clone());
+                }
+                let manifest = publication.manifest;
+                self.lab.fleet.service.put(MANIFEST_KEY, manifest);
+            }
+            2 => {
                 let text = format!(r#"{{"format":9,"version":{version},"packs":[]}}"#);
                 self.lab
                     .fleet
@@ -190,6 +200,7 @@
                     .put(MANIFEST_KEY, altered.into_bytes().into());
             }
         }
+        self.lab.snapshot = Snapshot { version, ..before };
     }
 
     /// Lets the service show an earlier version again.
