Let a cut of answers hold for requests that began under it

Ruled out: a wrong expectation, as an answer whose request began under the cut must not arrive. Conclusion: mended in the stand-in; the test is unchanged.

--- a/crates/standins/src/upstream/work.rs
+++ b/crates/standins/src/upstream/work.rs
@@ -130,6 +130,8 @@
     if is_marked(request) {
         return (RequestOutcome::Crashed, Connection::Close);
     }
+    // An answer is lost if the way back is cut at either end of the work.
+    let was_cut = shared.faults().cut == Cut::Answers;
     let duration = work_duration(shared, fate);
     match work(control, request, duration, reader) {
         WorkEnd::Done => {}
@@ -140,7 +142,7 @@
             return (RequestOutcome::DeadlineExceeded, Connection::Close);
         }
     }
-    if shared.faults().cut == Cut::Answers {
+    if was_cut || shared.faults().cut == Cut::Answers {
         wait_out_cut(shared, control, reader);
         return (RequestOutcome::CutShort, Connection::Close);
     }
