Queue requests fairly at each host, and open a new fleet without waiting for former holders

A holder takes its share at the opening only if it started before it and a read that began the list lag after it still returned the list; three tests hold this, and a host that starts later waits as before.

--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -24,6 +24,8 @@
 pub(crate) struct Party {
     /// The workspace, or a fixed name on open routes.
     pub(crate) workspace: WorkspaceName,
+    /// The weight in fair queues.
+    pub(crate) weight: u32,
     /// What the request's token is taken from.
     pub(crate) limit: LimitKey,
     /// The digest of the key, on keyed routes.
@@ -85,6 +87,7 @@
 fn open_party(route: &Route) -> Party {
     Party {
         workspace: WorkspaceName::new(OPEN_WORKSPACE),
+        weight: 1,
         limit: LimitKey::OpenRoute(route.name.clone()),
         key: None,
     }
@@ -118,6 +121,7 @@
     let target = scrub(&key, request, forwarded)?;
     let party = Party {
         workspace: workspace.name.clone(),
+        weight: workspace.weight,
         limit: LimitKey::Workspace(workspace.name.clone()),
         key: Some(KeyDigest::of_key(key.as_bytes())),
     };
--- a/crates/host/src/duties/admitter.rs
+++ b/crates/host/src/duties/admitter.rs
@@ -11,7 +11,7 @@
 use crate::pipeline::{self, Job};
 use crate::refusal;
 use crate::state::HostState;
-use crate::work_queue::WorkQueue;
+use crate::work_queue::{RefusedJob, WorkQueue};
 
 /// Runs until the edge is gone.
 pub(crate) fn run(state: &Arc<HostState>, ring: &Receiver<Exchange>, queue: &WorkQueue) {
@@ -24,15 +24,22 @@
                 continue;
             }
         };
-        let Err(job) = queue.push(Job { exchange, admitted }) else {
+        let Err(refused) = queue.push(Job { exchange, admitted }) else {
             continue;
         };
-        let refusal = Request::<Received>::new().refuse(RefusalReason::Overloaded);
-        let Exchange { request, reply } = job.exchange;
-        pipeline::refuse(state, &request, &job.admitted, reply, refusal);
+        refuse_queued(state, *refused);
     }
 }
 
+fn refuse_queued(state: &HostState, refused: RefusedJob) {
+    let RefusedJob { job, reason } = refused;
+    let workspace = &job.admitted.party.workspace;
+    log::info!("queue: A request of workspace {workspace} may not wait: {reason}.");
+    let refusal = Request::<Received>::new().refuse(RefusalReason::Overloaded);
+    let Exchange { request, reply } = job.exchange;
+    pipeline::refuse(state, &request, &job.admitted, reply, refusal);
+}
+
 fn refuse_unadmitted(state: &HostState, exchange: Exchange, reason: RefusalReason) {
     let Exchange { request, reply } = exchange;
     let code = reason.code();
--- a/crates/host/src/duties/worker.rs
+++ b/crates/host/src/duties/worker.rs
@@ -4,6 +4,7 @@
 
 use waxwingusher_core::CancelToken;
 use waxwingusher_edge::UpstreamClient;
+use waxwingusher_limits::Next;
 
 use crate::pipeline;
 use crate::state::HostState;
@@ -17,10 +18,11 @@
     stop: &CancelToken,
 ) {
     loop {
-        if let Some(job) = queue.pop() {
-            pipeline::run(state, client, job);
-        } else if stop.is_cancelled() {
-            return;
+        match queue.pop() {
+            // The pipeline refuses what has expired.
+            Some(Next::Run(job) | Next::Expired(job)) => pipeline::run(state, client, job),
+            None if stop.is_cancelled() => return,
+            None => {}
         }
     }
 }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -125,7 +125,10 @@
         };
         let duties = start_duties(&state, rings, operators)?;
 
-        let queue = Arc::new(WorkQueue::new(state.settings.queue_per_workspace));
+        let queue = Arc::new(WorkQueue::new(
+            clock.clone(),
+            state.settings.queue_per_workspace,
+        ));
         let work_done = CancelToken::new();
         let workers = start_workers(&state, &queue, &work_done)?;
         let (ring, exchanges) = sync_channel(EDGE_RING);
@@ -394,6 +397,7 @@
 fn new_limiter(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> Limiter {
     let limiter = LimiterSettings {
         loan_term: settings.loan_term,
+        opened_at: settings.fleet_opens_at,
         ..LimiterSettings::new(settings.failure_domains.clone())
     };
     Limiter::new(
--- a/crates/host/src/work_queue.rs
+++ b/crates/host/src/work_queue.rs
@@ -1,53 +1,63 @@
-//! Admitted requests on their way to the workers.
+//! Admitted requests on their way to the workers, each workspace with its fair
+//! share.
 
-use std::collections::VecDeque;
-use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use waxwingusher_core::Clock;
+use waxwingusher_limits::{FairQueue, FairQueueSettings, Next, QueueRefusal};
+
 use crate::pipeline::Job;
 
 /// How long a worker waits before it looks whether the host stops.
 const POP_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// A bounded queue.
+/// Fair queues that workers wait at.
 pub(crate) struct WorkQueue {
-    jobs: Mutex<VecDeque<Job>>,
+    queue: Mutex<FairQueue<Job>>,
     arrived: Condvar,
-    max_jobs: usize,
 }
 
 impl WorkQueue {
-    pub(crate) fn new(max_jobs: usize) -> Self {
+    pub(crate) fn new(clock: Arc<dyn Clock>, per_workspace: usize) -> Self {
+        let settings = FairQueueSettings {
+            per_workspace,
+            ..FairQueueSettings::default()
+        };
         Self {
-            jobs: Mutex::new(VecDeque::new()),
+            queue: Mutex::new(FairQueue::new(clock, settings)),
             arrived: Condvar::new(),
-            max_jobs,
         }
     }
 
-    /// Adds a job, or gives it back if the queue is full.
-    pub(crate) fn push(&self, job: Job) -> Result<(), Box<Job>> {
-        let mut jobs = self.lock();
-        if jobs.len() >= self.max_jobs {
-            return Err(Box::new(job));
-        }
-        jobs.push_back(job);
-        drop(jobs);
+    /// Adds a job, or gives it back with the reason why it may not wait.
+    pub(crate) fn push(&self, job: Job) -> Result<(), Box<RefusedJob>> {
+        let workspace = job.admitted.party.workspace.clone();
+        let weight = job.admitted.party.weight;
+        let deadline = job.admitted.deadline;
+        let pushed = self.lock().push(&workspace, weight, deadline, job);
+        pushed.map_err(|(job, reason)| Box::new(RefusedJob { job, reason }))?;
         self.arrived.notify_one();
         Ok(())
     }
 
-    /// Takes the next job, or `None` after a while.
-    pub(crate) fn pop(&self) -> Option<Job> {
-        let jobs = self.lock();
-        let (mut jobs, _) = self
+    /// Takes the next job, or nothing after a while.
+    pub(crate) fn pop(&self) -> Option<Next<Job>> {
+        let queue = self.lock();
+        let (mut queue, _) = self
             .arrived
-            .wait_timeout_while(jobs, POP_TIMEOUT, |jobs| jobs.is_empty())
+            .wait_timeout_while(queue, POP_TIMEOUT, |queue| queue.is_empty())
             .unwrap_or_else(PoisonError::into_inner);
-        jobs.pop_front()
+        queue.pop()
     }
 
-    fn lock(&self) -> MutexGuard<'_, VecDeque<Job>> {
-        self.jobs.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, FairQueue<Job>> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// A job that may not wait.
+pub(crate) struct RefusedJob {
+    pub(crate) job: Job,
+    pub(crate) reason: QueueRefusal,
+}
--- a/crates/limits/src/authority.rs
+++ b/crates/limits/src/authority.rs
@@ -144,6 +144,15 @@
         now >= since + settings.take_over_wait() && self.evidence() >= Some(since + fenced)
     }
 
+    /// Reports whether the list in use was published before an instant and no
+    /// newer one was: it was adopted by then, and a read that started at least
+    /// the list lag later still returned it.
+    #[must_use]
+    pub fn stood_at(&self, instant: Instant, settings: &LimiterSettings) -> bool {
+        let settled = instant + settings.with_drift(settings.list_lag);
+        self.adopted_at <= instant && self.read_at.is_some_and(|read| read >= settled)
+    }
+
     /// Returns the answer to a peer's query.
     #[must_use]
     pub fn answer(&self, seq: u32, now: Instant) -> LoanMessage {
--- a/crates/limits/src/limiter.rs
+++ b/crates/limits/src/limiter.rs
@@ -49,6 +49,7 @@
     settings: Arc<LimiterSettings>,
     rng: fastrand::Rng,
     started_at: Instant,
+    opening: Option<Instant>,
     last_seen: (Instant, SystemTime),
     authority: Authority,
     holders: Holders,
@@ -75,6 +76,8 @@
         settings: LimiterSettings,
     ) -> Self {
         let now = clock.now();
+        let opens_in = settings.opened_at.map(|at| at.duration_since(clock.wall()));
+        let opening = opens_in.and_then(Result::ok).map(|wait| now + wait);
         Self {
             authority: Authority::new(self_id.clone(), now),
             self_id,
@@ -84,6 +87,7 @@
             settings: Arc::new(settings),
             rng: fastrand::Rng::with_seed(incarnation),
             started_at: now,
+            opening,
             holders: Holders::default(),
             near_share: None,
             table: LimitTable::default(),
@@ -481,10 +485,12 @@
         let Some(near) = self.near_share else {
             return;
         };
-        if self.waiting.is_empty() || now < self.started_at + self.settings.quarantine() {
+        if self.waiting.is_empty() {
             return;
         }
-        if !self.authority.may_take_over(now, &self.settings) {
+        let is_settled = now >= self.started_at + self.settings.quarantine()
+            && self.authority.may_take_over(now, &self.settings);
+        if !is_settled && !self.opens_now(now) {
             return;
         }
         for index in std::mem::take(&mut self.waiting) {
@@ -498,6 +504,14 @@
         }
     }
 
+    /// Reports whether the fleet opens for the first time, so that no share
+    /// has a former holder.
+    fn opens_now(&self, now: Instant) -> bool {
+        self.opening.is_some_and(|opening| {
+            self.authority.is_valid(now) && self.authority.stood_at(opening, &self.settings)
+        })
+    }
+
     /// Gives shares to their next holders, as soon as these have been heard of
     /// and so their present incarnation is known.
     fn give_shares(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -1,6 +1,6 @@
 //! Times and proportions of the limiter.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use waxwingusher_core::FailureDomain;
 
@@ -29,6 +29,10 @@
     pub answer_timeout: Duration,
     /// How much demand a borrower holds tokens for.
     pub stock_horizon: Duration,
+    /// When the fleet opens for the first time. The operator states that no
+    /// host admitted a request before. Holders that started earlier, under a
+    /// list that still stands after it, need not wait for former holders.
+    pub opened_at: Option<SystemTime>,
 }
 
 impl LimiterSettings {
@@ -44,6 +48,7 @@
             loan_wait: Duration::from_millis(300),
             answer_timeout: Duration::from_millis(40),
             stock_horizon: Duration::from_millis(1500),
+            opened_at: None,
         }
     }
 
--- a/crates/limits/tests/testsuite/main.rs
+++ b/crates/limits/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bound;
 mod fleet;
 mod keys;
+mod opening;
 mod oracle;
 mod queue;
 mod schedule;
