--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -8,6 +8,9 @@
 /// How long a caller waits for an answer.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The longest body that a caller reads.
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+
 /// A request of a caller.
 #[derive(Debug, Clone)]
 pub struct Operation {
@@ -58,8 +61,10 @@
     pub code: Option<String>,
     /// The target that the upstream says it was asked for.
     pub echoed_target: Option<String>,
-    /// The body.
+    /// The body, as text.
     pub body: String,
+    /// The length of the body.
+    pub body_bytes: usize,
 }
 
 impl CallerAnswer {
@@ -136,6 +141,8 @@
                 request.call()?
             }
         };
+        let limited = response.body_mut().with_config().limit(MAX_BODY_BYTES);
+        let body = limited.read_to_vec()?;
         let header = |name: &str| {
             let value = response.headers().get(name);
             value.and_then(|value| value.to_str().ok().map(str::to_owned))
@@ -145,7 +152,8 @@
             outcome: header("x-waxwingusher-outcome"),
             code: header("x-waxwingusher-code"),
             echoed_target: header("x-echo-target"),
-            body: response.body_mut().read_to_string()?,
+            body_bytes: body.len(),
+            body: String::from_utf8_lossy(&body).into_owned(),
         })
     }
 }
