Measure liveness, and spend fewer bytes on suspects

Each round of probes of a suspect asked three relays again, and each host announced deaths that all others could tell by themselves. Suspects are now only pinged, by the host that began the suspicion, which also is the one that announces the death; the bucket refills with 380 bytes/s, so that its burst fits the budget.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! are exactly repeatable. Each topic contributes its own list.
 
 pub mod config;
+pub mod membership;
 pub mod scenario;
 
 pub use scenario::{Bound, Measurement, Scenario, ScenarioResult};
--- /dev/null
+++ b/crates/bench/src/membership/mod.rs
@@ -0,0 +1,27 @@
+//! Scenarios of liveness: detection time, false suspicion, bytes.
+
+mod fleet;
+mod scenarios;
+mod watch;
+
+use crate::scenario::Scenario;
+
+use scenarios::{Dead, Lossy, Paused, Restarts, Sizes, Split};
+
+/// Returns the scenarios of liveness, today's size before the design size.
+#[must_use]
+pub fn scenarios() -> Vec<Box<dyn Scenario>> {
+    let (today, design) = (Sizes::TODAY, Sizes::DESIGN);
+    vec![
+        Box::new(Dead::new("membership/dead-host-40", today)),
+        Box::new(Dead::new("membership/dead-host-440", design)),
+        Box::new(Lossy::new("membership/loss-1-percent-40", today, 0.01)),
+        Box::new(Lossy::new("membership/loss-1-percent-440", design, 0.01)),
+        Box::new(Lossy::new("membership/loss-20-percent-40", today, 0.2)),
+        Box::new(Lossy::new("membership/loss-20-percent-440", design, 0.2)),
+        Box::new(Paused::new("membership/pause-10-s-40", today)),
+        Box::new(Paused::new("membership/pause-10-s-440", design)),
+        Box::new(Restarts::new("membership/restarts-440", design)),
+        Box::new(Split::new("membership/split-440", design)),
+    ]
+}
--- /dev/null
+++ b/crates/bench/src/membership/scenarios.rs
@@ -0,0 +1,317 @@
+//! The scenarios of liveness.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use waxwingusher_core::HostId;
+use waxwingusher_membership::liveness::PeerState;
+use waxwingusher_standins::LinkFaults;
+
+use crate::scenario::{Bound, Measurement, Scenario, ScenarioResult};
+
+use super::fleet::{LivenessFleet, Seen};
+use super::watch::{Accusations, Meter, Times};
+
+pub(super) use super::fleet::Sizes;
+
+const WARM_UP_S: u64 = 60;
+const TRIALS: usize = 20;
+const PAUSE_S: u64 = 10;
+const RECOVERY_S: u64 = 30;
+const LOSS_S: u64 = 600;
+const SPLIT_S: u64 = 300;
+// Ten times the restarts of a day at the design size.
+const RESTART_INTERVAL_S: u64 = 23;
+const RESTARTS: usize = 20;
+const S_PER_HOUR: f64 = 3_600.0;
+
+macro_rules! sized_scenario {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        pub(super) struct $name {
+            name: &'static str,
+            sizes: Sizes,
+        }
+
+        impl $name {
+            pub(super) fn new(name: &'static str, sizes: Sizes) -> Self {
+                Self { name, sizes }
+            }
+        }
+    };
+}
+
+sized_scenario!(
+    /// Hosts die one after the other, without a word.
+    Dead
+);
+sized_scenario!(
+    /// Hosts pause for ten seconds, one after the other.
+    Paused
+);
+sized_scenario!(
+    /// Hosts are restarted, ten times as often as on an ordinary day.
+    Restarts
+);
+sized_scenario!(
+    /// The halves of the fleet lose each other.
+    Split
+);
+
+/// Every link loses messages.
+pub(super) struct Lossy {
+    name: &'static str,
+    sizes: Sizes,
+    loss: f64,
+}
+
+impl Lossy {
+    pub(super) fn new(name: &'static str, sizes: Sizes, loss: f64) -> Self {
+        Self { name, sizes, loss }
+    }
+}
+
+impl Scenario for Dead {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let mut fleet = warm_fleet(self.sizes, seed, LinkFaults::default());
+        let (mut unusable, mut dead) = (Times::default(), Times::default());
+        let mut wrong = Accusations::default();
+        let meter = Meter::begin(&fleet);
+        for _ in 0..TRIALS {
+            let victim = fleet.random_id();
+            fleet.fleet.kill(&victim);
+            let killed_at = fleet.elapsed();
+            while fleet.elapsed() < killed_at + Duration::from_secs(RECOVERY_S) {
+                fleet.fleet.step();
+                let since = fleet.elapsed() - killed_at;
+                for seen in fleet.take_seen() {
+                    if seen.event.host != victim {
+                        count(&seen, &mut wrong);
+                        continue;
+                    }
+                    if seen.event.from.is_usable() && !seen.event.to.is_usable() {
+                        unusable.push(since);
+                    }
+                    if seen.event.to == PeerState::Dead {
+                        dead.push(since);
+                    }
+                }
+            }
+            fleet.start(&victim);
+            fleet.run_s(RECOVERY_S);
+            fleet.take_seen();
+        }
+        let mut measurements = unusable.measurements("not-usable-at-a-host");
+        measurements.extend(dead.measurements("dead-at-a-host"));
+        measurements.extend(false_counts(&wrong));
+        measurements.extend(meter.measurements(&fleet));
+        result(self.name, seed, measurements)
+    }
+}
+
+impl Scenario for Lossy {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let faults = LinkFaults {
+            loss: self.loss,
+            ..LinkFaults::default()
+        };
+        let mut fleet = warm_fleet(self.sizes, seed, faults);
+        let meter = Meter::begin(&fleet);
+        let begun_at = fleet.elapsed();
+        let mut wrong = Accusations::default();
+        let mut views = WrongViews::default();
+        while fleet.elapsed() < begun_at + Duration::from_secs(LOSS_S) {
+            fleet.fleet.step();
+            let now = fleet.elapsed();
+            for seen in fleet.take_seen() {
+                count(&seen, &mut wrong);
+                views.take(&seen, now);
+            }
+        }
+        let host_hours = self.sizes.hosts as f64 * LOSS_S as f64 / S_PER_HOUR;
+        let view_s = (self.sizes.hosts * (self.sizes.hosts - 1)) as f64 * LOSS_S as f64;
+        let mut measurements = vec![
+            Measurement::new(
+                "false-suspicions-per-host-hour",
+                views.begun as f64 / host_hours,
+                "1/h",
+            ),
+            Measurement::new("wrong-views", views.sum_s / view_s, "share"),
+        ];
+        measurements.extend(false_counts(&wrong));
+        measurements.extend(meter.measurements(&fleet));
+        result(self.name, seed, measurements)
+    }
+}
+
+impl Scenario for Paused {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let mut fleet = warm_fleet(self.sizes, seed, LinkFaults::default());
+        let meter = Meter::begin(&fleet);
+        let mut usable_again = Times::default();
+        let (mut by_the_woken, mut of_others) = (0, 0);
+        for _ in 0..TRIALS {
+            let paused = fleet.random_id();
+            fleet.fleet.pause(&paused);
+            fleet.run_s(PAUSE_S);
+            fleet.fleet.resume(&paused);
+            let woken_at = fleet.elapsed();
+            let mut last_wrong_at = woken_at;
+            while fleet.elapsed() < woken_at + Duration::from_secs(RECOVERY_S) {
+                fleet.fleet.step();
+                if fleet.count_views(&paused, |_| true, |state| !state.is_usable()) > 0 {
+                    last_wrong_at = fleet.elapsed();
+                }
+            }
+            usable_again.push(last_wrong_at - woken_at);
+            for seen in fleet.take_seen() {
+                let accuses = !seen.event.to.is_usable();
+                by_the_woken += u64::from(accuses && seen.by == paused);
+                of_others += u64::from(accuses && seen.event.host != paused);
+            }
+        }
+        let zero = Bound::AtMost(0.0);
+        let mut measurements = usable_again.measurements("usable-again-everywhere");
+        measurements.extend([
+            Measurement::new("accused-by-the-woken", by_the_woken as f64, "count").bounded(zero),
+            Measurement::new("others-accused", of_others as f64, "count").bounded(zero),
+        ]);
+        measurements.extend(meter.measurements(&fleet));
+        result(self.name, seed, measurements)
+    }
+}
+
+impl Scenario for Restarts {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let mut fleet = warm_fleet(self.sizes, seed, LinkFaults::default());
+        let meter = Meter::begin(&fleet);
+        let mut wrong = Accusations::default();
+        for _ in 0..RESTARTS {
+            let id = fleet.random_id();
+            fleet.start(&id);
+            fleet.run_s(RESTART_INTERVAL_S);
+            for seen in fleet.take_seen() {
+                count(&seen, &mut wrong);
+            }
+        }
+        let mut measurements = false_counts(&wrong);
+        measurements.extend(meter.measurements(&fleet));
+        result(self.name, seed, measurements)
+    }
+}
+
+impl Scenario for Split {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let mut fleet = warm_fleet(self.sizes, seed, LinkFaults::default());
+        let half = self.sizes.hosts / 2;
+        for i in 0..half {
+            for j in half..self.sizes.hosts {
+                let (a, b) = (fleet.id(i), fleet.id(j));
+                fleet.fleet.cut(&a, &b);
+                fleet.fleet.cut(&b, &a);
+            }
+        }
+        let meter = Meter::begin(&fleet);
+        fleet.run_s(SPLIT_S);
+        let mut measurements = meter.measurements(&fleet);
+        let seen_apart = share_of_far_views(&fleet, half, |state| !state.is_usable());
+        measurements.push(Measurement::new("far-half-not-usable", seen_apart, "share"));
+        fleet.fleet.mend_all();
+        fleet.run_s(SPLIT_S);
+        let seen_again = share_of_far_views(&fleet, half, PeerState::is_usable);
+        measurements.push(Measurement::new(
+            "far-half-usable-after",
+            seen_again,
+            "share",
+        ));
+        result(self.name, seed, measurements)
+    }
+}
+
+/// How long running hosts were wrongly held for unusable, over all views.
+#[derive(Default)]
+struct WrongViews {
+    begun: u64,
+    sum_s: f64,
+    since: BTreeMap<(HostId, HostId), Duration>,
+    named: BTreeMap<HostId, Duration>,
+}
+
+impl WrongViews {
+    fn take(&mut self, seen: &Seen, now: Duration) {
+        let view = (seen.by.clone(), seen.event.host.clone());
+        if seen.event.to.is_usable() {
+            let since = self.since.remove(&view);
+            self.sum_s += since.map_or(0.0, |since| (now - since).as_secs_f64());
+            return;
+        }
+        self.since.entry(view).or_insert(now);
+        // All views of one suspicion count once.
+        let last = self.named.insert(seen.event.host.clone(), now);
+        let is_same = last.is_some_and(|last| now - last < Duration::from_secs(PAUSE_S));
+        self.begun += u64::from(!is_same);
+    }
+}
+
+fn warm_fleet(sizes: Sizes, seed: u64, faults: LinkFaults) -> LivenessFleet {
+    let mut fleet = LivenessFleet::new(sizes, seed, faults);
+    fleet.run_s(WARM_UP_S);
+    fleet.take_seen();
+    fleet
+}
+
+fn count(seen: &Seen, wrong: &mut Accusations) {
+    match seen.event.to {
+        PeerState::Suspect { .. } => wrong.suspected += 1,
+        PeerState::Dead => wrong.died += 1,
+        PeerState::Alive | PeerState::Unknown => {}
+    }
+}
+
+fn false_counts(wrong: &Accusations) -> Vec<Measurement> {
+    vec![
+        Measurement::new("views-false-suspect", wrong.suspected as f64, "count"),
+        Measurement::new("views-false-dead", wrong.died as f64, "count"),
+    ]
+}
+
+// The views that one half has of a host of the other, both ways.
+fn share_of_far_views(
+    fleet: &LivenessFleet,
+    half: usize,
+    fits: impl Fn(PeerState) -> bool + Copy,
+) -> f64 {
+    let (first, last, middle) = (fleet.id(0), fleet.id(2 * half - 1), fleet.id(half));
+    let of_first = fleet.count_views(&first, |by| *by >= middle, fits);
+    let of_last = fleet.count_views(&last, |by| *by < middle, fits);
+    (of_first + of_last) as f64 / (2 * half) as f64
+}
+
+fn result(name: &str, seed: u64, measurements: Vec<Measurement>) -> ScenarioResult {
+    ScenarioResult {
+        scenario: Arc::from(name),
+        seed,
+        measurements,
+    }
+}
--- a/crates/membership/src/liveness/members.rs
+++ b/crates/membership/src/liveness/members.rs
@@ -11,13 +11,26 @@
 
 const MAX_HEARD_ONLY: usize = 64;
 
+/// Who began a suspicion.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    ThisHost,
+    News,
+}
+
+#[derive(Debug)]
+struct Suspicion {
+    until: Instant,
+    origin: Origin,
+}
+
 /// The records of all peers. Each change of state goes through it.
 #[derive(Debug)]
 pub(super) struct Members {
     self_id: HostId,
     own_domain: Option<FailureDomain>,
     records: BTreeMap<HostId, Record>,
-    suspect_until: BTreeMap<HostId, Instant>,
+    suspicions: BTreeMap<HostId, Suspicion>,
     suspicion_timeout: Duration,
     events: EventQueue,
 }
@@ -28,7 +41,7 @@
             self_id: self_id.clone(),
             own_domain: None,
             records: BTreeMap::new(),
-            suspect_until: BTreeMap::new(),
+            suspicions: BTreeMap::new(),
             suspicion_timeout,
             events: EventQueue::default(),
         }
@@ -127,33 +140,48 @@
         record.failed_rounds
     }
 
+    /// Begins a suspicion of this host's own.
     pub(super) fn suspect(&mut self, host: &HostId, now: Instant) {
         self.change(host, now, |record| {
             if record.state.is_usable() {
                 record.state = PeerState::Suspect { since: now };
             }
         });
+        if let Some(suspicion) = self.suspicions.get_mut(host) {
+            suspicion.origin = Origin::ThisHost;
+        }
+    }
+
+    /// Reports whether this host has begun the suspicion of a host.
+    pub(super) fn is_own_suspect(&self, host: &HostId) -> bool {
+        let suspicion = self.suspicions.get(host);
+        suspicion.is_some_and(|suspicion| suspicion.origin == Origin::ThisHost)
     }
 
-    /// Turns suspects whose time is over into dead hosts and returns them.
+    /// Turns suspects whose time is over into dead hosts, and returns those
+    /// whose suspicion was this host's own.
     pub(super) fn expire_suspicions(&mut self, now: Instant) -> Vec<HostId> {
-        let is_over = |until: &Instant| *until <= now;
+        let is_over = |suspicion: &Suspicion| suspicion.until <= now;
         let over: Vec<_> = self
-            .suspect_until
+            .suspicions
             .iter()
-            .filter(|(_, until)| is_over(until))
-            .map(|(host, _)| host.clone())
+            .filter(|(_, suspicion)| is_over(suspicion))
+            .map(|(host, suspicion)| (host.clone(), suspicion.origin))
             .collect();
-        for host in &over {
-            self.change(host, now, |record| record.state = PeerState::Dead);
+        let mut own = Vec::new();
+        for (host, origin) in over {
+            self.change(&host, now, |record| record.state = PeerState::Dead);
+            if origin == Origin::ThisHost {
+                own.push(host);
+            }
         }
-        over
+        own
     }
 
     /// Gives all suspects the time back in which this process was paused.
     pub(super) fn extend_suspicions(&mut self, pause: Duration) {
-        for until in self.suspect_until.values_mut() {
-            *until += pause;
+        for suspicion in self.suspicions.values_mut() {
+            suspicion.until += pause;
         }
     }
 
@@ -181,7 +209,7 @@
         let Some(record) = self.records.remove(host) else {
             return;
         };
-        self.suspect_until.remove(host);
+        self.suspicions.remove(host);
         if record.state == PeerState::Unknown {
             return;
         }
@@ -196,11 +224,14 @@
         );
         match to {
             PeerState::Suspect { .. } => {
-                let until = now + self.suspicion_timeout;
-                self.suspect_until.insert(host.clone(), until);
+                let suspicion = Suspicion {
+                    until: now + self.suspicion_timeout,
+                    origin: Origin::News,
+                };
+                self.suspicions.insert(host.clone(), suspicion);
             }
             PeerState::Alive | PeerState::Dead | PeerState::Unknown => {
-                self.suspect_until.remove(host);
+                self.suspicions.remove(host);
             }
         }
         self.push_event(host, from, to);
--- a/crates/membership/src/liveness/probing.rs
+++ b/crates/membership/src/liveness/probing.rs
@@ -24,8 +24,12 @@
                 }
             }
             Step::Relay(number, target) => {
-                if self.may_continue(number, &target) {
-                    sent.push(self.ping(number, &target));
+                if !self.may_continue(number, &target) {
+                    return;
+                }
+                sent.push(self.ping(number, &target));
+                // A suspect needs no further evidence against it.
+                if self.members.state(&target).is_usable() {
                     self.ask_relays(number, &target, sent);
                 }
             }
@@ -35,8 +39,11 @@
 
     // A round that is not followed up is no evidence.
     fn may_continue(&mut self, number: u32, target: &HostId) -> bool {
-        let is_dead = self.members.state(target) == PeerState::Dead;
-        if !is_dead && self.budget.is_open() {
+        let is_usable = self.members.state(target).is_usable();
+        if !is_usable && !self.members.is_own_suspect(target) {
+            return false;
+        }
+        if self.budget.is_open() {
             return true;
         }
         self.probes.finish(number, target);
@@ -59,9 +66,11 @@
             self.members.suspect(target, now);
             self.announce(target);
         }
-        // A suspect is told of the suspicion until it objects or is dead.
-        let is_dead = self.members.state(target) == PeerState::Dead;
-        if !is_dead && self.budget.is_open() {
+        // The first round of a doubt is followed by the next; a suspect is told
+        // of the suspicion by the host that has begun it.
+        let is_usable = self.members.state(target).is_usable();
+        let goes_on = is_usable || self.members.is_own_suspect(target);
+        if goes_on && self.budget.is_open() {
             let number = self.probes.begin(target, now);
             sent.push(self.ping(number, target));
         }
--- a/crates/membership/src/liveness/settings.rs
+++ b/crates/membership/src/liveness/settings.rs
@@ -13,7 +13,7 @@
 const SUSPICION_TIMEOUT: Duration = Duration::from_secs(5);
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_500);
 const RELAYS: usize = 3;
-const BYTES_PER_S: u32 = 400;
+const BYTES_PER_S: u32 = 380;
 const BURST_BYTES: u32 = 4_000;
 
 /// The settings of liveness. All hosts of a fleet have the same.
--- a/crates/membership/tests/testsuite/liveness_faults.rs
+++ b/crates/membership/tests/testsuite/liveness_faults.rs
@@ -160,6 +160,22 @@
     }
 }
 
+#[test]
+fn the_bytes_stay_within_the_budget_when_most_hosts_are_gone() {
+    const BUDGET_BYTES_PER_S: u64 = 400;
+    const SECONDS: u64 = 200;
+    let mut fleet = Fleet::new(100, 14);
+    fleet.fleet.set_faults(lossy(0.2));
+    for i in 10..100 {
+        fleet.fleet.kill(&name(i));
+    }
+    fleet.run_s(SECONDS);
+    for i in 0..10 {
+        let sent = fleet.fleet.sent_bytes(&name(i));
+        assert!(sent <= BUDGET_BYTES_PER_S * SECONDS, "host {i}: {sent}");
+    }
+}
+
 #[test]
 fn loss_lets_nobody_die() {
     for (loss, seed) in [(0.01, 9), (0.2, 10), (0.2, 11)] {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -52,7 +52,6 @@
     host: H,
     running: Running,
     waiting: Vec<Delivery<Carried<H::Message>>>,
-    sent_bytes: u64,
 }
 
 /// Hosts, the links between them, and the clock that all of them read.
@@ -61,6 +60,7 @@
     tick_interval: Duration,
     links: Links<Carried<H::Message>>,
     slots: BTreeMap<HostId, Slot<H>>,
+    sent_bytes: BTreeMap<HostId, u64>,
 }
 
 impl<H: VirtualHost> VirtualFleet<H> {
@@ -72,6 +72,7 @@
             tick_interval,
             links: Links::new(seed, faults),
             slots: BTreeMap::new(),
+            sent_bytes: BTreeMap::new(),
         }
     }
 
@@ -81,7 +82,6 @@
             host,
             running: Running::Normally,
             waiting: Vec::new(),
-            sent_bytes: 0,
         };
         self.slots.insert(id.clone(), slot);
     }
@@ -145,10 +145,10 @@
         self.links.set_faults(faults);
     }
 
-    /// Returns the bytes that a process has sent since its start.
+    /// Returns the bytes that all processes of a host have sent.
     #[must_use]
     pub fn sent_bytes(&self, id: &HostId) -> u64 {
-        self.slots.get(id).map_or(0, |slot| slot.sent_bytes)
+        self.sent_bytes.get(id).copied().unwrap_or(0)
     }
 
     /// Moves on by one tick: delivers what arrives, then ticks every host.
@@ -212,8 +212,9 @@
         };
         let now = self.clock.now();
         let incarnation = slot.host.incarnation();
+        let sent_bytes = self.sent_bytes.entry(from.clone()).or_default();
         for outgoing in sent {
-            slot.sent_bytes += slot.host.wire_len_bytes(&outgoing.message) as u64;
+            *sent_bytes += slot.host.wire_len_bytes(&outgoing.message) as u64;
             let carried = Carried {
                 incarnation,
                 message: outgoing.message,
