--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -2,19 +2,26 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
 
 use waxwingusher_config::Snapshot;
 use waxwingusher_core::{CancelToken, Clock, HostList};
+use waxwingusher_membership::liveness::Liveness;
 use waxwingusher_upstreams::UpstreamSet;
 
 use crate::active::Active;
 use crate::attempt_desk::AttemptDesk;
+use crate::config_desk::ConfigDesk;
 use crate::decisions::DecisionLog;
 use crate::limit_desk::LimitDesk;
 use crate::metrics::Metrics;
 use crate::peer_link::PeerLink;
 use crate::settings::HostSettings;
 
+/// How long a host that has a configuration waits for a host list that it may
+/// rely on before it takes callers all the same.
+const MAX_WARM_UP: Duration = Duration::from_secs(30);
+
 /// The shared state of one host.
 pub(crate) struct HostState {
     pub(crate) settings: HostSettings,
@@ -25,9 +32,13 @@
     pub(crate) attempts: AttemptDesk,
     pub(crate) upstreams: Mutex<UpstreamSet>,
     pub(crate) slot_freed: Condvar,
+    pub(crate) config: ConfigDesk,
+    pub(crate) liveness: Mutex<Liveness>,
     pub(crate) peers: PeerLink,
     pub(crate) stop: CancelToken,
     pub(crate) draining: AtomicBool,
+    warm: AtomicBool,
+    started_at: Instant,
     active: RwLock<Option<Arc<Active>>>,
     host_list: RwLock<Arc<HostList>>,
 }
@@ -39,12 +50,15 @@
     pub(crate) limits: LimitDesk,
     pub(crate) attempts: AttemptDesk,
     pub(crate) upstreams: UpstreamSet,
+    pub(crate) config: ConfigDesk,
+    pub(crate) liveness: Liveness,
     pub(crate) peers: PeerLink,
     pub(crate) stop: CancelToken,
 }
 
 impl HostState {
     pub(crate) fn new(settings: HostSettings, parts: Parts) -> Self {
+        let started_at = parts.clock.now();
         Self {
             settings,
             clock: parts.clock,
@@ -54,9 +68,13 @@
             attempts: parts.attempts,
             upstreams: Mutex::new(parts.upstreams),
             slot_freed: Condvar::new(),
+            config: parts.config,
+            liveness: Mutex::new(parts.liveness),
             peers: parts.peers,
             stop: parts.stop,
             draining: AtomicBool::new(false),
+            warm: AtomicBool::new(false),
+            started_at,
             active: RwLock::new(None),
             host_list: RwLock::new(Arc::new(HostList::default())),
         }
@@ -81,9 +99,27 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Gives access to what is known of peers.
+    pub(crate) fn lock_liveness(&self) -> MutexGuard<'_, Liveness> {
+        self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Reports whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.active().is_some() && !self.draining.load(Ordering::SeqCst)
+        self.is_warm() && !self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Reports whether the host has had a configuration and a host list that
+    /// it may rely on. It stays so when the configuration service goes away.
+    fn is_warm(&self) -> bool {
+        if self.warm.load(Ordering::SeqCst) {
+            return true;
+        }
+        let trusts_list = self.attempts.lock().registry.report().is_list_trusted;
+        let waited = self.clock.now().saturating_duration_since(self.started_at);
+        let is_warm = self.active().is_some() && (trusts_list || waited > MAX_WARM_UP);
+        self.warm.fetch_or(is_warm, Ordering::SeqCst);
+        is_warm
     }
 
     /// Puts a configuration in force, unless a newer one is.
@@ -118,6 +154,7 @@
         self.limits.lock().apply_host_list(list);
         self.attempts.lock().registry.apply_host_list(list);
         self.lock_upstreams().apply_host_list(list);
+        self.lock_liveness().apply_host_list(list);
         let version = list.version;
         let count = list.hosts.len();
         log::info!("members: Host list {version} with {count} hosts is in use.");
