Let a cut hold the answers of requests that began under it

One of about 15 runs of the stand-ins' tests failed: the cut of answers was replaced while its request was still running, and the answer then left.

--- a/crates/standins/src/upstream/work.rs
+++ b/crates/standins/src/upstream/work.rs
@@ -29,6 +29,14 @@
     Gray(GrayKind),
 }
 
+/// A request that has a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Work {
+    id: RecordId,
+    fate: Fate,
+    cut: Cut,
+}
+
 /// How the time of the work ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WorkEnd {
@@ -71,15 +79,15 @@
     if let Some(response) = hint(shared, request) {
         return write_whole(writer, request, &response).map_or(Connection::Close, keep_open);
     }
-    let Some((id, fate)) = take_slot(shared, request) else {
+    let Some(begun) = take_slot(shared, request) else {
         let response = HttpResponse::new(503, b"shed\n".to_vec());
         let response = response.with_header(SHED_HEADER, SHED_VALUE);
         return write_whole(writer, request, &response).map_or(Connection::Close, keep_open);
     };
-    let (outcome, next) = run(shared, control, request, fate, reader, writer);
+    let (outcome, next) = run(shared, control, request, begun, reader, writer);
     let mut state = shared.lock();
     state.in_flight -= 1;
-    state.records.finish(id, outcome);
+    state.records.finish(begun.id, outcome);
     drop(state);
     if outcome == RequestOutcome::Crashed {
         let down_time = shared.settings.crash_down_time;
@@ -105,7 +113,7 @@
 }
 
 // Records the request, and returns nothing if it is shed.
-fn take_slot(shared: &Shared, request: &HttpRequest) -> Option<(RecordId, Fate)> {
+fn take_slot(shared: &Shared, request: &HttpRequest) -> Option<Work> {
     let mut state = shared.lock();
     let is_full = state.in_flight >= shared.settings.slots;
     if is_full || state.faults.phase == Phase::Draining {
@@ -116,21 +124,25 @@
     let draw = state.rng.u8(0..PERCENT);
     let gray = state.faults.gray.filter(|gray| draw < gray.share_percent);
     let fate = gray.map_or(Fate::Normal, |gray| Fate::Gray(gray.kind));
-    Some((state.records.begin(request), fate))
+    Some(Work {
+        id: state.records.begin(request),
+        fate,
+        cut: state.faults.cut,
+    })
 }
 
 fn run(
     shared: &Shared,
     control: &ServerControl,
     request: &HttpRequest,
-    fate: Fate,
+    begun: Work,
     reader: &RequestReader,
     writer: &mut TcpStream,
 ) -> (RequestOutcome, Connection) {
     if is_marked(request) {
         return (RequestOutcome::Crashed, Connection::Close);
     }
-    let duration = work_duration(shared, fate);
+    let duration = work_duration(shared, begun.fate);
     match work(control, request, duration, reader) {
         WorkEnd::Done => {}
         WorkEnd::ClientGone => return (RequestOutcome::Cancelled, Connection::Close),
@@ -140,11 +152,12 @@
             return (RequestOutcome::DeadlineExceeded, Connection::Close);
         }
     }
-    if shared.faults().cut == Cut::Answers {
+    // The cut counts also if it ended while the request ran.
+    if begun.cut == Cut::Answers || shared.faults().cut == Cut::Answers {
         wait_out_cut(shared, control, reader);
         return (RequestOutcome::CutShort, Connection::Close);
     }
-    let mut answer = match fate {
+    let mut answer = match begun.fate {
         Fate::Gray(GrayKind::Errors) => Answer::whole(HttpResponse::new(500, b"error\n".to_vec())),
         Fate::Normal | Fate::Gray(_) => answers::for_request(request),
     };
