--- a/crates/standins/tests/testsuite/main.rs
+++ b/crates/standins/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod client;
 mod config_service;
+mod fleet;
 mod upstream;
 mod upstream_faults;
