Measure unknown answers, cost and spread; test each safety rule on its own

Cause: nothing showed what each way of choosing witnesses costs and yields, and some rules were covered by chance only. Before: no scenario. After: six scenarios, attempts/schedules, unknown-share, messages, memory, retries-in-outage, quarantine-spread.

--- a/crates/attempts/src/lists.rs
+++ b/crates/attempts/src/lists.rs
@@ -57,11 +57,12 @@
             return;
         }
         self.note_gap(list.version, clock);
+        let skipped = list.version > self.newest_version + 1;
         self.newest_version = list.version;
         self.seen = Some(Stamp::now(clock));
         let topology = Topology::new(list);
         if let Some(pending) = &self.pending {
-            if *pending.topology == topology {
+            if *pending.topology == topology && !skipped {
                 return;
             }
         } else if self.active.as_deref() == Some(&topology) {
--- a/crates/attempts/src/quarantine.rs
+++ b/crates/attempts/src/quarantine.rs
@@ -15,7 +15,8 @@
 };
 use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::attempt::{
-    AttemptKey, AttemptMessage, CrashReport, QuarantineMessage, QuarantineNotice, Suspect,
+    AttemptKey, AttemptMessage, CrashReport, MAX_REPORTED_SUSPECTS, QuarantineMessage,
+    QuarantineNotice, Suspect,
 };
 
 use crate::completions::Completions;
@@ -191,6 +192,7 @@
         let mut fingerprints = lost.in_flight.clone();
         fingerprints.sort_unstable();
         fingerprints.dedup();
+        fingerprints.truncate(MAX_REPORTED_SUSPECTS);
         let suspects = fingerprints.into_iter().map(|fingerprint| Suspect {
             fingerprint,
             completes: self.completions.contains(&fingerprint, now),
--- a/crates/attempts/tests/testsuite/cluster.rs
+++ b/crates/attempts/tests/testsuite/cluster.rs
@@ -23,6 +23,8 @@
     pub settings: AttemptSettings,
     pub hosts: BTreeMap<HostId, AttemptRegistry>,
     pub list: HostList,
+    /// Hosts that see another list than the rest.
+    pub views: BTreeMap<HostId, HostList>,
     pub cut: Vec<HostId>,
     incarnation: u64,
 }
@@ -70,6 +72,7 @@
             settings,
             hosts: BTreeMap::new(),
             list: host_list(1, hosts, domains),
+            views: BTreeMap::new(),
             cut: Vec::new(),
             incarnation: 0,
         };
@@ -120,7 +123,7 @@
     pub fn begin(&mut self, id: &HostId, request: &AttemptRequest) -> (AttemptTicket, Permission) {
         let (ticket, outgoing) = self.registry(id).begin(request);
         self.deliver(id, outgoing);
-        for _ in 0..40 {
+        for _ in 0..=41 {
             let decisions = self.registry(id).decisions();
             if let Some(decision) = decisions.into_iter().find(|d| d.ticket == ticket) {
                 return (ticket, decision.permission);
@@ -168,7 +171,7 @@
     }
 
     fn tick(&mut self, id: &HostId) {
-        let list = self.list.clone();
+        let list = self.views.get(id).unwrap_or(&self.list).clone();
         let registry = self.registry(id);
         registry.apply_host_list(&list);
         registry.confirm_host_list(list.version);
--- a/crates/attempts/tests/testsuite/hand_over.rs
+++ b/crates/attempts/tests/testsuite/hand_over.rs
@@ -115,3 +115,49 @@
     }
     assert!(unknown > 0);
 }
+
+#[test]
+fn a_host_without_memory_hands_nothing_over_that_counts() {
+    let mut cluster = Cluster::warm(6, 3);
+    let settle = cluster.settings.list_settle;
+    cluster.start(&host(0));
+    cluster.pass(settle + Duration::from_secs(1));
+    stop(&mut cluster, &host(0));
+    cluster.start(&host(0));
+    cluster.pass(settle + Duration::from_secs(1));
+    assert!(!cluster.registry(&host(0)).report().is_covered);
+}
+
+#[test]
+fn nobody_stands_for_a_host_that_took_its_records_back() {
+    let mut cluster = Cluster::warm(9, 3);
+    let settle = cluster.settings.list_settle + Duration::from_secs(1);
+    stop(&mut cluster, &host(0));
+    cluster.start(&host(0));
+    cluster.pass(settle);
+    cluster.cut = vec![host(2), host(5), host(8)];
+    run_keys(&mut cluster);
+    cluster.cut.clear();
+    for index in [1, 4, 7] {
+        cluster.start(&host(index));
+    }
+    cluster.hosts.remove(&host(0));
+    cluster.list.version += 1;
+    cluster.list.hosts.remove(0);
+    cluster.pass(settle);
+    for key in 0..KEYS {
+        let repeat = request(&key.to_string(), "x", &cluster.clock);
+        let (_, permission) = cluster.begin(&host(5), &repeat);
+        assert_ne!(permission, Permission::Run, "key {key}");
+    }
+}
+
+#[test]
+fn a_host_that_has_handed_over_vouches_no_more() {
+    let mut cluster = Cluster::warm(3, 3);
+    cluster.registry(&host(0)).hand_over();
+    cluster.cut.push(host(1));
+    let first = request("a", "x", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(2), &first);
+    assert_matches!(permission, Permission::Unknown(_));
+}
--- a/crates/attempts/tests/testsuite/registry.rs
+++ b/crates/attempts/tests/testsuite/registry.rs
@@ -1,15 +1,17 @@
 //! One key runs at most once, and repeats learn what became of it.
 
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use assert_matches::assert_matches;
 use waxwingusher_attempts::{
-    AttemptResult, AttemptSettings, Outcome, Permission, PermitError, UnknownCause,
+    AttemptRegistry, AttemptResult, AttemptSettings, Outcome, Permission, PermitError, UnknownCause,
 };
-use waxwingusher_core::Clock;
+use waxwingusher_bench::attempts::member::DriftingClock;
+use waxwingusher_core::{Clock, ManualClock};
 use waxwingusher_protocol::attempt::MAX_STORED_BODY_BYTES;
 
-use crate::cluster::{Cluster, answer, host, request};
+use crate::cluster::{Cluster, answer, host, host_list, request};
 
 #[test]
 fn a_repeat_on_any_host_gets_the_first_answer() {
@@ -122,6 +124,33 @@
     assert_eq!(PermitError::Forgotten.outcome(), Outcome::Unknown);
 }
 
+#[test]
+fn a_permission_has_expired_when_a_suspended_machine_wakes() {
+    let truth = ManualClock::new();
+    let clock = Arc::new(DriftingClock::new(truth.clone(), 0));
+    let settings = AttemptSettings::default();
+    let mut registry =
+        AttemptRegistry::new(host(0), 1, Arc::<DriftingClock>::clone(&clock), 1, settings);
+    let list = host_list(1, 1, 1);
+    for _ in 0..400 {
+        registry.apply_host_list(&list);
+        registry.confirm_host_list(1);
+        truth.advance(Duration::from_secs(1));
+    }
+    let mut first = request("a", "x", &*clock);
+    first.deadline += Duration::from_secs(3600);
+    let (ticket, _) = registry.begin(&first);
+    assert_eq!(registry.decisions()[0].permission, Permission::Run);
+    let before = clock.now();
+    truth.advance(Duration::from_secs(30));
+    clock.suspend(Duration::from_secs(30));
+    assert_eq!(clock.now(), before, "the monotonic clock stood");
+    assert_eq!(
+        registry.check_before_dispatch(ticket),
+        Err(PermitError::Expired)
+    );
+}
+
 #[test]
 fn nothing_is_dispatched_under_an_unconfirmed_list() {
     let mut cluster = Cluster::warm(6, 3);
@@ -150,6 +179,45 @@
     cluster.dispatch(&host(0), &later);
 }
 
+#[test]
+fn a_witness_covers_more_than_the_window() {
+    let settings = AttemptSettings::default();
+    let mut cluster = Cluster::cold(6, 3, settings);
+    cluster.pass(settings.window + settings.permit_term);
+    let first = request("a", "x", &cluster.clock);
+    let (_, permission) = cluster.begin(&host(0), &first);
+    assert_eq!(permission, Permission::Unknown(UnknownCause::NotCovered));
+}
+
+#[test]
+fn lists_that_change_faster_than_they_settle_are_used_by_nobody() {
+    let mut cluster = Cluster::warm(6, 3);
+    let end = cluster.clock.now() + cluster.settings.coverage() * 2;
+    let mut version = 1;
+    while cluster.clock.now() < end {
+        version += 1;
+        let half = version % 2;
+        let mut list = host_list(version, 6, 3);
+        list.hosts
+            .retain(|entry| (entry.id >= host(3)) == (half == 1));
+        for index in 0..3 {
+            let seeing = if half == 1 { index + 3 } else { index };
+            cluster.views.insert(host(seeing), list.clone());
+        }
+        cluster.pass(Duration::from_secs(1));
+    }
+    let first = request("a", "x", &cluster.clock);
+    let (_, one) = cluster.begin(&host(0), &first);
+    let (_, other) = cluster.begin(&host(3), &first);
+    let runs = [one, other]
+        .into_iter()
+        .filter(|got| *got == Permission::Run);
+    assert!(
+        runs.count() <= 1,
+        "two halves with lists of their own both ran"
+    );
+}
+
 #[test]
 fn a_fleet_that_opens_for_the_first_time_vouches_at_once() {
     let opening = Duration::from_secs(20);
--- a/crates/bench/src/attempts/fault_events.rs
+++ b/crates/bench/src/attempts/fault_events.rs
@@ -58,6 +58,7 @@
             process.seen_version = list.version;
             process.registry.apply_host_list(&list);
             process.registry.confirm_host_list(list.version);
+            process.is_ready |= process.registry.report().is_list_trusted;
         }
         let interval = self.settings.read_interval;
         let host = host.clone();
--- a/crates/bench/src/attempts/fleet.rs
+++ b/crates/bench/src/attempts/fleet.rs
@@ -9,17 +9,18 @@
 use waxwingusher_core::{
     Clock, FailureDomain, HostEntry, HostId, HostList, HostState, ManualClock,
 };
-use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::attempt::AttemptMessage;
+use waxwingusher_protocol::codec::wire_len_bytes;
+use waxwingusher_protocol::{Message, Outgoing};
 use waxwingusher_standins::{Delivery, LinkFaults, Links};
 
 use super::fault::Fault;
 use super::member::{DriftingClock, Member};
 use super::oracle::Oracle;
-use super::traffic::Treatment;
+use super::traffic::{Treatment, Upstream};
 
 /// The time between ticks of an idle process.
-pub(super) const IDLE_TICK: Duration = Duration::from_millis(250);
+pub(super) const IDLE_TICK: Duration = Duration::from_millis(500);
 
 /// The size and times of a simulated fleet.
 #[derive(Debug, Clone, Copy)]
@@ -32,6 +33,8 @@
     pub max_drift_ppm: i32,
     /// The time between reads of the host list.
     pub read_interval: Duration,
+    /// How upstreams behave.
+    pub upstream: Upstream,
     /// Times and limits of the records.
     pub attempt: AttemptSettings,
 }
@@ -93,6 +96,25 @@
     MendLinks,
 }
 
+/// Returns a list of hosts that are spread over failure domains in turn.
+#[must_use]
+pub fn host_list(hosts: usize, domains: usize) -> HostList {
+    let entry = |index: usize| HostEntry {
+        id: host_name(index),
+        peer_addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        failure_domain: FailureDomain::new(&format!("d{}", index % domains)),
+        state: HostState::Live,
+    };
+    HostList {
+        version: 1,
+        hosts: (0..hosts).map(entry).collect(),
+    }
+}
+
+fn host_name(index: usize) -> HostId {
+    HostId::new(&format!("entry-host-{index:03}"))
+}
+
 /// The fleet, its callers and its upstream.
 pub struct Fleet {
     pub(super) settings: FleetSettings,
@@ -106,6 +128,7 @@
     pub(super) sequence: u64,
     pub(super) oracle: Oracle,
     sent_messages: u64,
+    sent_bytes: Option<usize>,
 }
 
 impl Fleet {
@@ -124,6 +147,7 @@
             sequence: 0,
             oracle: Oracle::new(settings.attempt.window),
             sent_messages: 0,
+            sent_bytes: None,
             time,
         };
         for index in 0..settings.domains * settings.hosts_per_domain {
@@ -145,6 +169,18 @@
         self.sent_messages
     }
 
+    /// Counts from now on what is sent, with all overhead of the wire.
+    pub fn count_bytes(&mut self) {
+        self.sent_messages = 0;
+        self.sent_bytes = Some(0);
+    }
+
+    /// Returns the bytes that were sent since they are counted.
+    #[must_use]
+    pub fn sent_bytes(&self) -> usize {
+        self.sent_bytes.unwrap_or_default()
+    }
+
     /// Returns the names of all hosts, running or not.
     #[must_use]
     pub fn hosts(&self) -> Vec<HostId> {
@@ -159,7 +195,7 @@
 
     /// Adds a host, starts its process and lists it.
     pub fn add_host(&mut self, domain: FailureDomain) -> HostId {
-        let id = HostId::new(&format!("h{:03}", self.members.len()));
+        let id = host_name(self.members.len());
         let max_drift = self.settings.max_drift_ppm;
         let drift_ppm = self.rng.i32(-max_drift..=max_drift);
         let clock = DriftingClock::new(self.time.clone(), drift_ppm);
@@ -274,6 +310,10 @@
         let now = self.time.now();
         for Outgoing { to, message } in outgoing {
             self.sent_messages += 1;
+            if let Some(sent) = &mut self.sent_bytes {
+                let message = Message::Attempt(message.clone());
+                *sent += wire_len_bytes(from, incarnation, &message);
+            }
             log::trace!(
                 "fleet: {:?} {from} -> {to}: {message:?}",
                 self.time.elapsed()
--- a/crates/bench/src/attempts/member.rs
+++ b/crates/bench/src/attempts/member.rs
@@ -78,6 +78,8 @@
     pub seen_version: u64,
     /// Whether it stops and takes no new sends.
     pub is_draining: bool,
+    /// Whether it has come to trust its first list, and takes sends.
+    pub is_ready: bool,
     /// When the next tick for an open attempt is planned.
     pub next_tick: Option<Instant>,
 }
@@ -124,6 +126,7 @@
             sends: BTreeMap::new(),
             seen_version: 0,
             is_draining: false,
+            is_ready: false,
             next_tick: None,
         });
     }
--- a/crates/bench/src/attempts/mod.rs
+++ b/crates/bench/src/attempts/mod.rs
@@ -1,16 +1,21 @@
 //! Attempt records under faults: doubled runs, false refusals, unknown answers
 //! and cost.
 
+mod cost;
 pub mod fault;
 mod fault_events;
 pub mod fleet;
 pub mod member;
 pub mod oracle;
 mod process_events;
+mod resilience;
+pub mod scenarios;
 pub mod schedule;
 pub mod traffic;
+mod unknown_share;
 
 pub use fault::Fault;
 pub use fleet::{Fleet, FleetSettings};
 pub use oracle::{Oracle, Tally, Violation};
+pub use scenarios::scenarios;
 pub use schedule::run_schedule;
--- a/crates/bench/src/attempts/process_events.rs
+++ b/crates/bench/src/attempts/process_events.rs
@@ -24,7 +24,7 @@
                 member
                     .process
                     .as_ref()
-                    .is_some_and(|process| !process.is_draining)
+                    .is_some_and(|process| process.is_ready && !process.is_draining)
             })
             .map(|member| member.id.clone())
             .collect();
@@ -84,7 +84,7 @@
         }
         let next_tick = process.registry.next_tick();
         for ticket in permitted {
-            let wait = traffic::queue_time(&mut self.rng);
+            let wait = self.settings.upstream.queue_time(&mut self.rng);
             let host = host.clone();
             self.plan(
                 wait,
@@ -147,7 +147,7 @@
             self.send_all(host, outgoing);
             return;
         }
-        let treatment = traffic::treatment(&mut self.rng);
+        let treatment = self.settings.upstream.treatment(&mut self.rng);
         if treatment != Treatment::Sheds {
             self.oracle.on_run(send.operation, now);
             log::trace!(
@@ -156,7 +156,7 @@
                 send.operation
             );
         }
-        let wait = traffic::service_time(&mut self.rng);
+        let wait = self.settings.upstream.service_time(&mut self.rng);
         let host = host.clone();
         self.plan(
             wait,
--- /dev/null
+++ b/crates/bench/src/attempts/scenarios.rs
@@ -0,0 +1,112 @@
+//! The scenarios of attempt records.
+
+use std::ops::Range;
+use std::thread;
+
+use waxwingusher_attempts::WitnessPlan;
+
+use super::cost::{Memory, Messages};
+use super::oracle::Violation;
+use super::resilience::{Outage, Spread};
+use super::schedule::run_schedule;
+use super::unknown_share::UnknownShare;
+use crate::scenario::{Bound, Measurement, Scenario, ScenarioResult};
+
+/// The schedules of one run.
+const SCHEDULES: u64 = 10_000;
+
+/// The threads that share them.
+const THREADS: u64 = 4;
+
+/// Returns all scenarios of attempt records.
+#[must_use]
+pub fn scenarios() -> Vec<Box<dyn Scenario>> {
+    vec![
+        Box::new(Schedules),
+        Box::new(UnknownShare),
+        Box::new(Messages),
+        Box::new(Memory),
+        Box::new(Outage),
+        Box::new(Spread),
+    ]
+}
+
+/// Runs many random schedules of faults against the oracle.
+struct Schedules;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    schedules: u64,
+    doubled: u64,
+    false_not_run: u64,
+    crossed: u64,
+    runs: u64,
+    repeats: u64,
+}
+
+impl Scenario for Schedules {
+    fn name(&self) -> &'static str {
+        "attempts/schedules"
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let first = seed.wrapping_mul(SCHEDULES);
+        let share = SCHEDULES / THREADS;
+        let counts = thread::scope(|scope| {
+            let starts = (0..THREADS).map(|thread| first.wrapping_add(thread * share));
+            let threads: Vec<_> = starts
+                .map(|start| scope.spawn(move || count(start..start.wrapping_add(share))))
+                .collect();
+            let finished = threads.into_iter().filter_map(|thread| thread.join().ok());
+            finished.fold(Counts::default(), Counts::add)
+        });
+        let never = Bound::AtMost(0.0);
+        let count = |name: &str, value: u64| Measurement::new(name, value as f64, "count");
+        let measurements = vec![
+            count("schedules", counts.schedules).bounded(Bound::AtLeast(SCHEDULES as f64)),
+            count("doubled", counts.doubled).bounded(never),
+            count("false-not-run", counts.false_not_run).bounded(never),
+            count("crossed", counts.crossed).bounded(never),
+            count("runs", counts.runs).bounded(Bound::AtLeast(SCHEDULES as f64)),
+            count("repeats", counts.repeats),
+        ];
+        ScenarioResult {
+            scenario: self.name().into(),
+            seed,
+            measurements,
+        }
+    }
+}
+
+impl Counts {
+    fn add(self, other: Self) -> Self {
+        Self {
+            schedules: self.schedules + other.schedules,
+            doubled: self.doubled + other.doubled,
+            false_not_run: self.false_not_run + other.false_not_run,
+            crossed: self.crossed + other.crossed,
+            runs: self.runs + other.runs,
+            repeats: self.repeats + other.repeats,
+        }
+    }
+}
+
+fn count(seeds: Range<u64>) -> Counts {
+    let mut counts = Counts::default();
+    for seed in seeds {
+        let fleet = run_schedule(seed, WitnessPlan::Majority);
+        let tally = fleet.oracle().tally();
+        counts.schedules += 1;
+        counts.runs += tally.runs;
+        counts.repeats += tally.repeats;
+        for violation in fleet.oracle().violations() {
+            log::error!("schedules: seed {seed}: {violation:?}");
+            match violation {
+                Violation::Doubled { .. } => counts.doubled += 1,
+                Violation::FalseNotRun { .. } => counts.false_not_run += 1,
+                Violation::Crossed { .. } => counts.crossed += 1,
+            }
+        }
+    }
+    counts
+}
--- a/crates/bench/src/attempts/schedule.rs
+++ b/crates/bench/src/attempts/schedule.rs
@@ -8,6 +8,7 @@
 
 use super::fault::{Fault, Listing};
 use super::fleet::{Fleet, FleetSettings};
+use super::traffic::Upstream;
 
 /// The time in which faults and sends begin.
 const BUSY_TIME: Duration = Duration::from_secs(60);
@@ -47,6 +48,7 @@
         hosts_per_domain: rng.usize(1..=3),
         max_drift_ppm: 10_000,
         read_interval: Duration::from_millis(300),
+        upstream: Upstream::Unreliable,
         attempt: short_settings(plan),
     };
     let mut fleet = Fleet::new(seed, settings);
--- a/crates/bench/src/attempts/traffic.rs
+++ b/crates/bench/src/attempts/traffic.rs
@@ -16,6 +16,15 @@
     Sheds,
 }
 
+/// How an upstream behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Upstream {
+    /// It answers everything soon.
+    Reliable,
+    /// It loses answers, sheds, and keeps requests waiting.
+    Unreliable,
+}
+
 /// Returns the workspace of an operation.
 #[must_use]
 pub fn workspace_of(operation: usize) -> WorkspaceName {
@@ -50,24 +59,32 @@
     }
 }
 
-/// Draws how the upstream treats a request.
-pub fn treatment(rng: &mut fastrand::Rng) -> Treatment {
-    match rng.u32(..100) {
-        0..80 => Treatment::Answers,
-        80..92 => Treatment::AnswerLost,
-        _ => Treatment::Sheds,
+impl Upstream {
+    /// Draws how the upstream treats a request.
+    pub fn treatment(self, rng: &mut fastrand::Rng) -> Treatment {
+        if self == Self::Reliable {
+            return Treatment::Answers;
+        }
+        match rng.u32(..100) {
+            0..80 => Treatment::Answers,
+            80..92 => Treatment::AnswerLost,
+            _ => Treatment::Sheds,
+        }
     }
-}
 
-/// Draws how long an upstream takes.
-pub fn service_time(rng: &mut fastrand::Rng) -> Duration {
-    Duration::from_millis(rng.u64(2..400))
-}
+    /// Draws how long the upstream takes.
+    pub fn service_time(self, rng: &mut fastrand::Rng) -> Duration {
+        match self {
+            Self::Reliable => Duration::from_millis(rng.u64(2..50)),
+            Self::Unreliable => Duration::from_millis(rng.u64(2..400)),
+        }
+    }
 
-/// Draws how long a permitted request waits for its dispatch.
-pub fn queue_time(rng: &mut fastrand::Rng) -> Duration {
-    match rng.u32(..20) {
-        0 => Duration::from_millis(rng.u64(0..2000)),
-        _ => Duration::from_micros(rng.u64(0..2000)),
+    /// Draws how long a permitted request waits for its dispatch.
+    pub fn queue_time(self, rng: &mut fastrand::Rng) -> Duration {
+        if self == Self::Unreliable && rng.u32(..20) == 0 {
+            return Duration::from_millis(rng.u64(0..2000));
+        }
+        Duration::from_micros(rng.u64(0..2000))
     }
 }
--- /dev/null
+++ b/crates/bench/src/attempts/unknown_share.rs
@@ -0,0 +1,257 @@
+//! The share of "unknown" answers per fault, for each way of choosing
+//! witnesses on the same seeds.
+
+use std::thread;
+use std::time::Duration;
+
+use waxwingusher_attempts::{AttemptSettings, WitnessPlan};
+use waxwingusher_core::{FailureDomain, HostId};
+
+use super::fault::{Fault, Listing};
+use super::fleet::{Fleet, FleetSettings};
+use super::oracle::Tally;
+use super::schedule::warm_up;
+use super::traffic::Upstream;
+use crate::scenario::{Bound, Measurement, Scenario, ScenarioResult};
+
+const DOMAINS: usize = 4;
+const HOSTS_PER_DOMAIN: usize = 9;
+const SENDS_PER_S: usize = 40;
+const RESTART_INTERVAL: Duration = Duration::from_secs(10);
+const REPLACED_AFTER: Duration = Duration::from_secs(2);
+const DROPPED_AFTER: Duration = Duration::from_secs(10);
+
+/// The share of unknown answers that a planned restart of all hosts may cause.
+const MAX_PLANNED_UNKNOWN: f64 = 0.001;
+
+/// The ways that are weighed.
+const PLANS: [(WitnessPlan, &str); 3] = [
+    (WitnessPlan::Home, "home"),
+    (WitnessPlan::Pair, "pair"),
+    (WitnessPlan::Majority, "majority"),
+];
+
+/// What befalls the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Case {
+    Calm,
+    HostKilled,
+    HostReplaced,
+    RackLost,
+    DomainCut,
+    DomainSilent,
+    ListChanged,
+    RollingRestart,
+    RollingRestartWithHandOver,
+    RollingReplacementWithHandOver,
+}
+
+const CASES: [(Case, &str); 10] = [
+    (Case::Calm, "calm"),
+    (Case::HostKilled, "host-killed"),
+    (Case::HostReplaced, "host-replaced"),
+    (Case::RackLost, "rack-lost"),
+    (Case::DomainCut, "domain-cut"),
+    (Case::DomainSilent, "domain-silent"),
+    (Case::ListChanged, "list-changed"),
+    (Case::RollingRestart, "rolling-restart"),
+    (
+        Case::RollingRestartWithHandOver,
+        "rolling-restart-handed-over",
+    ),
+    (
+        Case::RollingReplacementWithHandOver,
+        "rolling-replacement-handed-over",
+    ),
+];
+
+/// Measures the share of unknown answers per fault and way.
+pub(super) struct UnknownShare;
+
+impl Scenario for UnknownShare {
+    fn name(&self) -> &'static str {
+        "attempts/unknown-share"
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let measurements = thread::scope(|scope| {
+            let threads: Vec<_> = PLANS
+                .into_iter()
+                .map(|(plan, name)| scope.spawn(move || measure_plan(seed, plan, name)))
+                .collect();
+            let finished = threads.into_iter().filter_map(|thread| thread.join().ok());
+            finished.flatten().collect()
+        });
+        ScenarioResult {
+            scenario: self.name().into(),
+            seed,
+            measurements,
+        }
+    }
+}
+
+fn measure_plan(seed: u64, plan: WitnessPlan, plan_name: &str) -> Vec<Measurement> {
+    let measured = CASES.into_iter().flat_map(|(case, case_name)| {
+        let fleet = run_case(seed, case, plan);
+        measure(&format!("{case_name}/{plan_name}"), case, plan, &fleet)
+    });
+    measured.collect()
+}
+
+fn measure(name: &str, case: Case, plan: WitnessPlan, fleet: &Fleet) -> Vec<Measurement> {
+    let tally = fleet.oracle().tally();
+    let violations = fleet.oracle().violations().len() as f64;
+    let first = Measurement::new(
+        &format!("{name}/first-unknown"),
+        first_share(&tally),
+        "share",
+    );
+    let planned = [Case::Calm, Case::RollingRestartWithHandOver];
+    let first = if plan == WitnessPlan::Majority && planned.contains(&case) {
+        first.bounded(Bound::AtMost(MAX_PLANNED_UNKNOWN))
+    } else {
+        first
+    };
+    let repeat = Measurement::new(
+        &format!("{name}/repeat-unknown"),
+        repeat_share(&tally),
+        "share",
+    );
+    let broken = Measurement::new(&format!("{name}/broken-promises"), violations, "count");
+    vec![first, repeat, broken.bounded(Bound::AtMost(0.0))]
+}
+
+fn first_share(tally: &Tally) -> f64 {
+    tally.first_unknown as f64 / tally.first_sends.max(1) as f64
+}
+
+fn repeat_share(tally: &Tally) -> f64 {
+    tally.repeat_unknown as f64 / tally.repeats.max(1) as f64
+}
+
+fn run_case(seed: u64, case: Case, plan: WitnessPlan) -> Fleet {
+    let settings = FleetSettings {
+        domains: DOMAINS,
+        hosts_per_domain: HOSTS_PER_DOMAIN,
+        max_drift_ppm: 100,
+        read_interval: Duration::from_secs(1),
+        upstream: Upstream::Reliable,
+        attempt: AttemptSettings {
+            plan,
+            ..AttemptSettings::default()
+        },
+    };
+    let mut fleet = Fleet::new(seed, settings);
+    fleet.run_for(warm_up(&settings.attempt));
+    let busy = plan_faults(&mut fleet, case);
+    plan_sends(&mut fleet, seed, busy);
+    fleet.run_for(busy + Duration::from_secs(35));
+    fleet
+}
+
+/// Plans sends at a steady rate, and a repeat of every fifth.
+fn plan_sends(fleet: &mut Fleet, seed: u64, busy: Duration) {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x5e4d);
+    let sends = usize::try_from(busy.as_secs()).unwrap_or_default() * SENDS_PER_S;
+    for operation in 0..sends {
+        let first = busy.mul_f64(rng.f64());
+        fleet.plan_send(first, operation);
+        if operation % 5 == 0 {
+            let after = Duration::from_millis(rng.u64(200..30_000));
+            fleet.plan_send(first + after, operation);
+        }
+    }
+}
+
+/// Plans the faults of a case, and returns how long it lasts.
+fn plan_faults(fleet: &mut Fleet, case: Case) -> Duration {
+    let soon = Duration::from_secs(10);
+    let hosts = fleet.hosts();
+    let domain = FailureDomain::new("d1");
+    match case {
+        Case::Calm => {}
+        Case::HostKilled => fleet.plan_fault(soon, kill(&hosts[1], None)),
+        Case::HostReplaced => fleet.plan_fault(soon, kill(&hosts[1], Some(REPLACED_AFTER))),
+        Case::RackLost => {
+            for index in [1, 5, 9] {
+                let back = Some(Duration::from_secs(30));
+                fleet.plan_fault(soon, kill(&hosts[index], back));
+            }
+        }
+        Case::DomainCut | Case::DomainSilent => {
+            let cut = Fault::CutDomain {
+                domain,
+                both_ways: case == Case::DomainCut,
+                time: Duration::from_secs(100),
+            };
+            fleet.plan_fault(soon, cut);
+        }
+        Case::ListChanged => {
+            fleet.plan_fault(soon, Fault::Add { domain });
+            let delist = Fault::Delist {
+                host: hosts[2].clone(),
+                time: Duration::from_secs(3600),
+            };
+            fleet.plan_fault(2 * soon, delist);
+        }
+        Case::RollingRestart => return restart_all(fleet, &hosts, false, Listing::Kept),
+        Case::RollingRestartWithHandOver => {
+            return restart_all(fleet, &hosts, true, Listing::Kept);
+        }
+        Case::RollingReplacementWithHandOver => {
+            return replace_all(fleet, &hosts);
+        }
+    }
+    Duration::from_secs(120)
+}
+
+fn kill(host: &HostId, replaced_after: Option<Duration>) -> Fault {
+    let listing = if replaced_after.is_some() {
+        Listing::Kept
+    } else {
+        Listing::DroppedAfter(DROPPED_AFTER)
+    };
+    Fault::Kill {
+        host: host.clone(),
+        replaced_after,
+        listing,
+    }
+}
+
+fn restart_all(
+    fleet: &mut Fleet,
+    hosts: &[HostId],
+    hands_over: bool,
+    listing: Listing,
+) -> Duration {
+    let mut after = Duration::ZERO;
+    for host in hosts {
+        let stop = Fault::Stop {
+            host: host.clone(),
+            hands_over,
+            replaced_after: Some(REPLACED_AFTER),
+            listing,
+        };
+        fleet.plan_fault(after, stop);
+        after += RESTART_INTERVAL;
+    }
+    after + Duration::from_secs(30)
+}
+
+/// Replaces each host by one with another name.
+fn replace_all(fleet: &mut Fleet, hosts: &[HostId]) -> Duration {
+    let mut after = Duration::ZERO;
+    for (index, host) in hosts.iter().enumerate() {
+        let domain = FailureDomain::new(&format!("d{}", index % DOMAINS));
+        fleet.plan_fault(after, Fault::Add { domain });
+        let stop = Fault::Stop {
+            host: host.clone(),
+            hands_over: true,
+            replaced_after: None,
+            listing: Listing::DroppedAfter(Duration::from_secs(5)),
+        };
+        fleet.plan_fault(after, stop);
+        after += 2 * RESTART_INTERVAL;
+    }
+    after + Duration::from_secs(30)
+}
--- a/crates/protocol/src/attempt.rs
+++ b/crates/protocol/src/attempt.rs
@@ -10,11 +10,14 @@
 pub const MAX_STORED_BODY_BYTES: usize = 768;
 
 /// The largest sum of header names and values of a stored answer, in bytes.
-pub const MAX_STORED_HEADER_BYTES: usize = 256;
+pub const MAX_STORED_HEADER_BYTES: usize = 192;
 
 /// The size at which a hand-over part is closed, in bytes of its records.
 pub const HAND_OVER_PART_BYTES: usize = 900;
 
+/// The most requests in one crash report.
+pub const MAX_REPORTED_SUSPECTS: usize = 40;
+
 /// The size of a record without its answer in a hand-over, in bytes.
 pub const HANDED_RECORD_BYTES: usize = 46;
 
