--- a/crates/attempts/src/hand_over.rs
+++ b/crates/attempts/src/hand_over.rs
@@ -40,6 +40,21 @@
     }
 }
 
+/// The records for one receiver.
+struct Share {
+    receiver: HostId,
+    records: Vec<HandedRecord>,
+}
+
+impl Share {
+    const fn new(receiver: HostId) -> Self {
+        Self {
+            receiver,
+            records: Vec::new(),
+        }
+    }
+}
+
 /// Hand-overs that this host sends or takes.
 pub(crate) struct HandOverState {
     outgoing: BTreeMap<(HostId, u64), Transfer>,
@@ -77,21 +92,6 @@
         };
         let count = self.settings.plan.witnesses();
         let receivers = topology.successors(count, &self.self_id);
-        let mut shares: BTreeMap<HostId, Vec<HandedRecord>> = receivers
-            .iter()
-            .map(|host| (host.clone(), Vec::new()))
-            .collect();
-        for record in self.witness.store.export() {
-            let key = HashKey::new(&record.key);
-            let successor = topology.successor(&key, count, &self.self_id);
-            // A small fleet has no spare witness; any host may keep the record.
-            let Some(keeper) = successor.or_else(|| receivers.first().cloned()) else {
-                continue;
-            };
-            if let Some(share) = shares.get_mut(&keeper) {
-                share.push(record);
-            }
-        }
         let source = self.rng.u64(..);
         let template = HandOver {
             of: self.self_id.clone(),
@@ -104,12 +104,9 @@
             is_complete: self.witness.is_covered(&self.lists, self.clock.now()),
             records: Vec::new(),
         };
-        log::info!(
-            "attempts: hands its records over to {} hosts",
-            receivers.len()
-        );
-        for (host, records) in shares {
-            self.start_transfer(&host, &template, records);
+        log::info!("attempts: hands records over to {} hosts", receivers.len());
+        for share in self.share_records(&topology, receivers) {
+            self.start_transfer(&share.receiver, &template, share.records);
         }
         self.take_outbox()
     }
@@ -301,6 +298,23 @@
         }
     }
 
+    /// Assigns each record to the host that becomes a witness of its key.
+    fn share_records(&self, topology: &Topology, receivers: Vec<HostId>) -> Vec<Share> {
+        let count = self.settings.plan.witnesses();
+        let mut shares: Vec<_> = receivers.into_iter().map(Share::new).collect();
+        for record in self.witness.store.export() {
+            let key = HashKey::new(&record.key);
+            let successor = topology.successor(&key, count, &self.self_id);
+            let is_successor = |share: &Share| Some(&share.receiver) == successor.as_ref();
+            // A small fleet has no spare witness; any host may keep the record.
+            let keeper = shares.iter().position(is_successor).unwrap_or_default();
+            if let Some(share) = shares.get_mut(keeper) {
+                share.records.push(record);
+            }
+        }
+        shares
+    }
+
     /// Reports whether only this list was in use within the coverage.
     fn is_list_unchanged(&self, topology: u64) -> bool {
         let is_same = |known: &std::sync::Arc<Topology>| known.fingerprint() == topology;
--- a/crates/attempts/tests/testsuite/main.rs
+++ b/crates/attempts/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod hand_over;
 mod lifecycle;
+mod messages;
 mod quarantine;
 mod registry;
 mod retry;
--- a/crates/bench/src/attempts/cost.rs
+++ b/crates/bench/src/attempts/cost.rs
@@ -61,17 +61,7 @@
 }
 
 fn measure_messages(seed: u64, plan: WitnessPlan, name: &str) -> Vec<Measurement> {
-    let settings = FleetSettings {
-        domains: DOMAINS,
-        hosts_per_domain: HOSTS_PER_DOMAIN,
-        max_drift_ppm: 100,
-        read_interval: Duration::from_secs(2),
-        upstream: Upstream::Reliable,
-        attempt: AttemptSettings {
-            plan,
-            ..AttemptSettings::default()
-        },
-    };
+    let settings = design_size(plan);
     let mut fleet = Fleet::new(seed, settings);
     fleet.run_for(warm_up(&settings.attempt));
     fleet.count_bytes();
@@ -104,6 +94,20 @@
     ]
 }
 
+fn design_size(plan: WitnessPlan) -> FleetSettings {
+    FleetSettings {
+        domains: DOMAINS,
+        hosts_per_domain: HOSTS_PER_DOMAIN,
+        max_drift_ppm: 100,
+        read_interval: Duration::from_secs(2),
+        upstream: Upstream::Reliable,
+        attempt: AttemptSettings {
+            plan,
+            ..AttemptSettings::default()
+        },
+    }
+}
+
 /// Measures the memory of a witness when every request carries a key.
 pub(super) struct Memory;
 
--- a/crates/bench/src/attempts/fault_events.rs
+++ b/crates/bench/src/attempts/fault_events.rs
@@ -81,12 +81,7 @@
                 listing,
             } => self.stop(&host, hands_over, replaced_after, listing),
             Fault::Pause { host, time } => self.pause(&host, now + time),
-            Fault::Suspend { host, time } => {
-                if let Some(member) = self.members.get(&host) {
-                    member.clock.suspend(time);
-                }
-                self.pause(&host, now + time);
-            }
+            Fault::Suspend { host, time } => self.suspend(&host, time),
             Fault::CutLink { from, to, time } => self.cut(&from, &to, time),
             Fault::CutDomain {
                 domain,
@@ -98,11 +93,7 @@
                 self.plan(time, Event::MendLinks);
             }
             Fault::ListAway { time } => self.list_away_until = Some(now + time),
-            Fault::ReadsFail { host, time } => {
-                if let Some(member) = self.members.get_mut(&host) {
-                    member.reads_fail_until = Some(now + time);
-                }
-            }
+            Fault::ReadsFail { host, time } => self.fail_reads(&host, now + time),
             Fault::Delist { host, time } => {
                 self.publish(&host, None);
                 let state = Some(HostState::Live);
@@ -208,6 +199,19 @@
         }
     }
 
+    fn suspend(&mut self, host: &HostId, time: Duration) {
+        if let Some(member) = self.members.get(host) {
+            member.clock.suspend(time);
+        }
+        self.pause(host, self.now() + time);
+    }
+
+    fn fail_reads(&mut self, host: &HostId, until: Instant) {
+        if let Some(member) = self.members.get_mut(host) {
+            member.reads_fail_until = Some(until);
+        }
+    }
+
     fn cut(&mut self, from: &HostId, to: &HostId, time: Duration) {
         self.links.cut(from, to);
         let (from, to) = (from.clone(), to.clone());
--- a/crates/bench/src/attempts/process_events.rs
+++ b/crates/bench/src/attempts/process_events.rs
@@ -7,7 +7,7 @@
 use waxwingusher_standins::Delivery;
 
 use super::fleet::{Event, Fleet, IDLE_TICK, Packet};
-use super::member::Send;
+use super::member::{Member, Send};
 use super::traffic::{self, Treatment};
 
 /// The time a caller waits.
@@ -15,20 +15,7 @@
 
 impl Fleet {
     pub(super) fn on_send(&mut self, operation: usize) {
-        let now = self.now();
-        let up: Vec<_> = self
-            .members
-            .values()
-            .filter(|member| member.paused_at(now).is_none())
-            .filter(|member| {
-                member
-                    .process
-                    .as_ref()
-                    .is_some_and(|process| process.is_ready && !process.is_draining)
-            })
-            .map(|member| member.id.clone())
-            .collect();
-        let Some(host) = self.rng.choice(up) else {
+        let Some(host) = self.choose_host() else {
             return;
         };
         let is_first = self.oracle.on_send(operation);
@@ -57,6 +44,19 @@
         self.after_action(&host);
     }
 
+    /// Returns a host that takes sends, as the platform's balancer would.
+    fn choose_host(&mut self) -> Option<HostId> {
+        let now = self.now();
+        let takes_sends = |member: &&Member| {
+            let process = member.process.as_ref();
+            let is_ready = process.is_some_and(|process| process.is_ready && !process.is_draining);
+            is_ready && member.paused_at(now).is_none()
+        };
+        let up: Vec<_> = self.members.values().filter(takes_sends).collect();
+        let host = self.rng.choice(up)?;
+        Some(host.id.clone())
+    }
+
     /// Takes decisions, and plans the next tick.
     pub(super) fn after_action(&mut self, host: &HostId) {
         let now = self.now();
@@ -84,16 +84,7 @@
         }
         let next_tick = process.registry.next_tick();
         for ticket in permitted {
-            let wait = self.settings.upstream.queue_time(&mut self.rng);
-            let host = host.clone();
-            self.plan(
-                wait,
-                Event::Dispatch {
-                    host,
-                    incarnation,
-                    ticket,
-                },
-            );
+            self.plan_dispatch(host, incarnation, ticket);
         }
         let Some(next) = next_tick else {
             return;
@@ -102,6 +93,16 @@
         self.plan_tick(host, now + wait);
     }
 
+    fn plan_dispatch(&mut self, host: &HostId, incarnation: u64, ticket: AttemptTicket) {
+        let wait = self.settings.upstream.queue_time(&mut self.rng);
+        let dispatch = Event::Dispatch {
+            host: host.clone(),
+            incarnation,
+            ticket,
+        };
+        self.plan(wait, dispatch);
+    }
+
     /// Plans a tick unless an earlier one is planned.
     fn plan_tick(&mut self, host: &HostId, at: Instant) {
         let process = self
@@ -150,11 +151,6 @@
         let treatment = self.settings.upstream.treatment(&mut self.rng);
         if treatment != Treatment::Sheds {
             self.oracle.on_run(send.operation, now);
-            log::trace!(
-                "fleet: {:?} {host} runs operation {}",
-                self.time.elapsed(),
-                send.operation
-            );
         }
         let wait = self.settings.upstream.service_time(&mut self.rng);
         let host = host.clone();
--- a/crates/bench/src/attempts/resilience.rs
+++ b/crates/bench/src/attempts/resilience.rs
@@ -60,7 +60,6 @@
 fn load(seed: u64, requests_per_s: usize, failing_percent: u32) -> f64 {
     let clock = ManualClock::new();
     let mut rng = fastrand::Rng::with_seed(seed);
-    let service = ServiceName::new("staff-desk");
     let mut budgets: Vec<_> = (0..RETRY_HOSTS)
         .map(|_| {
             RetryBudget::new(
@@ -72,35 +71,48 @@
         .collect();
     let step = Duration::from_secs(1).div_f64(requests_per_s as f64);
     let calm = CALM_TIME_S * requests_per_s;
-    let all = calm + OUTAGE_TIME_S * requests_per_s;
+    let outage = OUTAGE_TIME_S * requests_per_s;
     let mut retries = 0;
-    for index in 0..all {
+    for index in 0..calm + outage {
         clock.advance(step);
         let budget = &mut budgets[rng.usize(..RETRY_HOSTS)];
-        let workspace = WorkspaceName::new(&format!("w{}", rng.usize(..WORKSPACES)));
-        let mut failed = FailedRequest {
-            workspace,
-            service: service.clone(),
-            repeatability: Repeatability::Idempotent,
-            origin: Origin::Caller,
-            retries: 0,
-            untried_instances: 10,
-            expected_time: Duration::from_millis(20),
-            deadline: clock.now() + Duration::from_secs(2),
-        };
-        if index < calm || rng.u32(..100) >= failing_percent {
-            budget.on_first_success(&failed.workspace, &service);
+        let request = request(rng.usize(..WORKSPACES), &clock);
+        let mut fails = || rng.u32(..100) < failing_percent;
+        if index < calm || !fails() {
+            budget.on_first_success(&request.workspace, &request.service);
             continue;
         }
-        while budget.retry(&failed).is_ok() {
-            failed.retries += 1;
-            retries += 1;
-            if rng.u32(..100) >= failing_percent {
-                break;
-            }
+        retries += retry_until_answered(budget, request, fails);
+    }
+    1.0 + f64::from(retries) / outage as f64
+}
+
+fn request(workspace: usize, clock: &ManualClock) -> FailedRequest {
+    FailedRequest {
+        workspace: WorkspaceName::new(&format!("w{workspace}")),
+        service: ServiceName::new("staff-desk"),
+        repeatability: Repeatability::Idempotent,
+        origin: Origin::Caller,
+        retries: 0,
+        untried_instances: 10,
+        expected_time: Duration::from_millis(20),
+        deadline: clock.now() + Duration::from_secs(2),
+    }
+}
+
+/// Retries a failed request as long as the budget allows, and returns how often.
+fn retry_until_answered(
+    budget: &mut RetryBudget,
+    mut request: FailedRequest,
+    mut fails: impl FnMut() -> bool,
+) -> u32 {
+    while budget.retry(&request).is_ok() {
+        request.retries += 1;
+        if !fails() {
+            break;
         }
     }
-    1.0 + f64::from(retries) / (all - calm) as f64
+    request.retries
 }
 
 /// Measures how fast a quarantine reaches all hosts, and its bytes.
