Recover records although the list changed, and end duels with a silent witness

Cause: one host lost during a rolling restart stopped all recoveries for a window, and two claimants with one witness each waited out their deadlines when the third was down.

--- a/crates/attempts/src/claimant.rs
+++ b/crates/attempts/src/claimant.rs
@@ -9,6 +9,9 @@
 use crate::lease::Stamp;
 use crate::witnesses::WitnessSet;
 
+/// How often a claim is sent again while another claim holds the key.
+const MAX_CONTENDED_RESENDS: u32 = 2;
+
 /// One witness as the claimant sees it.
 #[derive(Debug)]
 struct Asked {
@@ -23,6 +26,7 @@
     pub(crate) first_sent: Stamp,
     pub(crate) resend_at: Instant,
     resend_after: Duration,
+    resends: u32,
     witnesses: WitnessSet,
     asked: Vec<Asked>,
 }
@@ -68,6 +72,7 @@
             first_sent,
             resend_at: first_sent.monotonic() + verdict_timeout,
             resend_after: verdict_timeout,
+            resends: 0,
             witnesses,
             asked: Vec::new(),
         }
@@ -106,12 +111,21 @@
     /// Returns whom to send the claim again, and everyone who is still unasked.
     pub(crate) fn resend(&mut self, now: Instant) -> Vec<HostId> {
         self.resend_after *= 2;
+        self.resends += 1;
         self.resend_at = now + self.resend_after;
         while self.ask_next().is_some() {}
         let silent = self.asked.iter().filter(|asked| asked.verdict.is_none());
         silent.map(|asked| asked.host.clone()).collect()
     }
 
+    /// Reports whether another claim holds the key and the witnesses that could
+    /// decide between both have been silent for long.
+    pub(crate) fn is_stuck(&self) -> bool {
+        let is_contended =
+            |verdict: &Verdict| matches!(verdict, Verdict::Held | Verdict::OtherBody);
+        self.resends >= MAX_CONTENDED_RESENDS && self.count(is_contended) > 0
+    }
+
     /// Returns all witnesses that may have recorded the claim.
     pub(crate) fn asked(&self) -> impl Iterator<Item = &HostId> {
         self.asked.iter().map(|asked| &asked.host)
--- a/crates/attempts/src/hand_over.rs
+++ b/crates/attempts/src/hand_over.rs
@@ -6,12 +6,14 @@
 //! after the sender, still alive, has confirmed that all parts arrived.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::HostId;
 use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::attempt::{
-    AttemptKey, AttemptMessage, ClaimEnd, ClaimId, HAND_OVER_PART_BYTES, HandOver, HandedRecord,
+    AttemptKey, AttemptMessage, ClaimEnd, ClaimId, FormerHost, HAND_OVER_PART_BYTES, HandOver,
+    HandedRecord,
 };
 
 use crate::lease::Stamp;
@@ -23,6 +25,12 @@
 /// How long a sender waits for receipts before it sends parts again.
 pub(crate) const RESEND_AFTER: Duration = Duration::from_millis(200);
 
+/// How long a process that has just started asks for its records.
+pub(crate) const RECOVERY_TIME: Duration = Duration::from_secs(40);
+
+/// How long it waits at first before it asks again.
+const RECOVER_AFTER: Duration = Duration::from_secs(1);
+
 /// How far a planned stop's hand-over has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HandOverProgress {
@@ -55,13 +63,21 @@
     }
 }
 
+/// What has returned of one hand-over.
+#[derive(Default)]
+struct Returned {
+    hosts: BTreeSet<HostId>,
+    former_hosts: Vec<FormerHost>,
+}
+
 /// Hand-overs that this host sends or takes.
 pub(crate) struct HandOverState {
     outgoing: BTreeMap<(HostId, u64), Transfer>,
     incoming: BTreeMap<(HostId, u64), Incoming>,
-    returned: BTreeMap<u64, BTreeSet<HostId>>,
+    returned: BTreeMap<u64, Returned>,
     recover_until: Option<Instant>,
     recover_at: Option<Instant>,
+    recover_tries: u32,
 }
 
 impl HandOverState {
@@ -72,6 +88,7 @@
             returned: BTreeMap::new(),
             recover_until: Some(recover_until),
             recover_at: None,
+            recover_tries: 0,
         }
     }
 }
@@ -100,6 +117,7 @@
             part: 0,
             parts: 0,
             topology: topology.fingerprint(),
+            former_hosts: Vec::new(),
             receivers: u32::try_from(receivers.len()).unwrap_or(u32::MAX),
             is_complete: self.witness.is_covered(&self.lists, self.clock.now()),
             records: Vec::new(),
@@ -187,13 +205,13 @@
             return;
         };
         let (of, source) = (incoming.of.clone(), incoming.source);
-        let (topology, receivers) = (incoming.topology, incoming.receivers);
+        let topology = incoming.topology;
         if !incoming.is_complete {
             return;
         }
         if of == self.self_id {
             if id == self.incarnation {
-                self.on_returned(from, source, topology, receivers);
+                self.on_returned(from, id);
             }
             return;
         }
@@ -209,7 +227,14 @@
 
     /// Returns the records of a host to its next process. This host no longer
     /// stands for it from here on.
-    pub(crate) fn on_recover(&mut self, from: &HostId, incarnation: u64) {
+    pub(crate) fn on_recover(&mut self, from: &HostId, incarnation: u64, topology: u64) {
+        let is_same = |own: &Arc<Topology>| own.fingerprint() == topology;
+        if !self.lists.trusted(&*self.clock).is_some_and(is_same) {
+            return;
+        }
+        let Some(former_hosts) = self.lists.former_hosts(from, &*self.clock) else {
+            return;
+        };
         let Some(source) = self.witness.inherited.remove(from) else {
             return;
         };
@@ -222,10 +247,10 @@
             id: incarnation,
             part: 0,
             parts: 0,
-            topology: incoming.topology,
+            topology,
+            former_hosts,
             receivers: incoming.receivers,
-            is_complete: self.lists.is_unbroken(self.clock.now())
-                && self.is_list_unchanged(incoming.topology),
+            is_complete: true,
             records: Vec::new(),
         };
         let records = self.witness.store.export_of(incoming.keys());
@@ -277,24 +302,35 @@
             return;
         }
         let count = self.settings.plan.witnesses();
+        let message = AttemptMessage::Recover {
+            topology: topology.fingerprint(),
+        };
         for host in topology.successors(count, &self.self_id) {
-            self.send(&host, AttemptMessage::Recover);
+            self.send(&host, message.clone());
         }
-        let attempts_left = until.saturating_duration_since(now) / 2;
-        self.hand_over.recover_at = Some(now + attempts_left.max(RESEND_AFTER));
+        let state = &mut self.hand_over;
+        state.recover_at = Some(now + RECOVER_AFTER * (1 << (state.recover_tries / 4)));
+        state.recover_tries += 1;
     }
 
-    fn on_returned(&mut self, from: &HostId, source: u64, topology: u64, receivers: u32) {
-        let is_same = self.is_list_unchanged(topology);
-        let returned = self.hand_over.returned.entry(source).or_default();
-        returned.insert(from.clone());
-        if !is_same || returned.len() < receivers as usize {
+    fn on_returned(&mut self, from: &HostId, id: u64) {
+        let Some(incoming) = self.hand_over.incoming.get(&(from.clone(), id)) else {
+            return;
+        };
+        let is_same = |own: &Arc<Topology>| own.fingerprint() == incoming.topology;
+        if !self.lists.trusted(&*self.clock).is_some_and(is_same) {
+            return;
+        }
+        let returned = self.hand_over.returned.entry(incoming.source).or_default();
+        returned.hosts.insert(from.clone());
+        returned.former_hosts.extend(incoming.former_hosts.clone());
+        if returned.hosts.len() < incoming.receivers as usize {
             return;
         }
         if self.hand_over.recover_until.take().is_some() {
             log::info!("attempts: recovered the records of the former process");
             self.witness.recover_memory();
-            self.lists.recover();
+            self.lists.recover(&returned.former_hosts, &*self.clock);
         }
     }
 
@@ -315,12 +351,6 @@
         shares
     }
 
-    /// Reports whether only this list was in use within the coverage.
-    fn is_list_unchanged(&self, topology: u64) -> bool {
-        let is_same = |known: &std::sync::Arc<Topology>| known.fingerprint() == topology;
-        self.lists.trusted(&*self.clock).is_some() && self.lists.known().all(is_same)
-    }
-
     fn start_transfer(&mut self, to: &HostId, template: &HandOver, records: Vec<HandedRecord>) {
         let mut parts = vec![template.clone()];
         let mut size_bytes = 0;
--- a/crates/attempts/src/lists.rs
+++ b/crates/attempts/src/lists.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use waxwingusher_core::{Clock, HostList};
+use waxwingusher_core::{Clock, HostId, HostList};
+use waxwingusher_protocol::attempt::{FormerHost, MAX_FORMER_HOSTS};
 
 use crate::lease::Stamp;
 use crate::settings::AttemptSettings;
@@ -145,9 +146,39 @@
         self.in_coverage().chain(pending)
     }
 
-    /// Takes a peer's word that no other list was in use before.
-    pub(crate) fn recover(&mut self) {
+    /// Takes the peers' word that all lists in use within the coverage were
+    /// the present one, or had some of these hosts besides.
+    pub(crate) fn recover(&mut self, former_hosts: &[FormerHost], clock: &dyn Clock) {
         self.unbroken_since = None;
+        let Some(active) = self.active.as_ref().filter(|_| !former_hosts.is_empty()) else {
+            return;
+        };
+        self.past.push_back(Past {
+            topology: Arc::new(active.with_hosts(former_hosts)),
+            superseded: clock.now(),
+        });
+    }
+
+    /// Returns the hosts of earlier lists within the coverage that the present
+    /// one lacks, if these describe well enough how long `host` has been the
+    /// witness of a key.
+    pub(crate) fn former_hosts(&self, host: &HostId, clock: &dyn Clock) -> Option<Vec<FormerHost>> {
+        let active = self.trusted(clock)?;
+        if !self.is_unbroken(clock.now()) {
+            return None;
+        }
+        let count = self.settings.plan.witnesses();
+        let mut former = Vec::new();
+        for known in self.known() {
+            let is_same = known == active;
+            if !known.contains(host) || !is_same && !known.has_same_domains(active, count) {
+                return None;
+            }
+            former.extend(known.hosts_missing_in(active));
+        }
+        former.sort();
+        former.dedup();
+        (former.len() <= MAX_FORMER_HOSTS).then_some(former)
     }
 
     /// Reports whether all lists are known that were in use within the coverage.
--- a/crates/attempts/src/registry.rs
+++ b/crates/attempts/src/registry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use waxwingusher_core::{Clock, HostId, HostList};
+use waxwingusher_core::{Clock, HostId, HostList, rendezvous};
 use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::attempt::{AttemptKey, AttemptMessage, ClaimEnd, ClaimId};
 
@@ -14,7 +14,7 @@
     PermitError,
 };
 use crate::claimant::Conclusion;
-use crate::hand_over::HandOverState;
+use crate::hand_over::{HandOverState, RECOVERY_TIME};
 use crate::lists::ListTracker;
 use crate::rounds::{Attempt, Stage};
 use crate::settings::AttemptSettings;
@@ -39,8 +39,8 @@
 }
 
 impl AttemptRegistry {
-    /// Creates the records of a host whose process has just started. The seed
-    /// must differ between processes.
+    /// Creates the records of a host whose process has just started. Hosts that
+    /// share a seed still draw different numbers.
     #[must_use]
     pub fn new(
         self_id: HostId,
@@ -50,12 +50,14 @@
         settings: AttemptSettings,
     ) -> Self {
         let witness = Witness::new(self_id.clone(), settings, &*clock);
-        let recover_until = clock.now() + settings.coverage() / 2;
+        let name_hash = rendezvous::weight("attempts", self_id.as_str());
+        let own_seed = seed ^ incarnation ^ name_hash;
+        let recover_until = clock.now() + RECOVERY_TIME;
         Self {
             self_id,
             incarnation,
             clock,
-            rng: fastrand::Rng::with_seed(seed),
+            rng: fastrand::Rng::with_seed(own_seed),
             settings,
             lists: ListTracker::new(settings),
             witness,
@@ -257,7 +259,9 @@
             AttemptMessage::HandOver(part) => self.on_hand_over(from, part),
             AttemptMessage::HandOverAck { id, part } => self.on_hand_over_ack(from, id, part),
             AttemptMessage::HandOverCommit { id } => self.on_hand_over_commit(from, id),
-            AttemptMessage::Recover => self.on_recover(from, incarnation),
+            AttemptMessage::Recover { topology } => {
+                self.on_recover(from, incarnation, topology);
+            }
             AttemptMessage::Quarantine(_) => {
                 log::warn!("attempts: a message of {from} belongs to the quarantine");
             }
--- a/crates/attempts/src/rounds.rs
+++ b/crates/attempts/src/rounds.rs
@@ -211,6 +211,9 @@
         let give_up = now >= attempt.give_up_at;
         match &mut attempt.stage {
             Stage::Asking(_) if give_up => self.evaluate(ticket, true),
+            Stage::Asking(round) if now >= round.resend_at && round.is_stuck() => {
+                self.back_off(ticket, Conclusion::Contended, false);
+            }
             Stage::Asking(round) if now >= round.resend_at => {
                 let hosts = round.resend(now);
                 self.send_claim(ticket, &hosts);
--- a/crates/attempts/src/transfer.rs
+++ b/crates/attempts/src/transfer.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::{Clock, HostId};
-use waxwingusher_protocol::attempt::{AttemptKey, HandOver};
+use waxwingusher_protocol::attempt::{AttemptKey, FormerHost, HandOver};
 
 use crate::hand_over::RESEND_AFTER;
 use crate::lease::Stamp;
@@ -74,6 +74,7 @@
     pub(crate) of: HostId,
     pub(crate) source: u64,
     pub(crate) topology: u64,
+    pub(crate) former_hosts: Vec<FormerHost>,
     pub(crate) receivers: u32,
     pub(crate) is_complete: bool,
     parts: u32,
@@ -92,6 +93,7 @@
             of: first.of.clone(),
             source: first.source,
             topology: first.topology,
+            former_hosts: first.former_hosts.clone(),
             receivers: first.receivers,
             is_complete: first.is_complete,
             parts: first.parts,
--- a/crates/attempts/src/witnesses.rs
+++ b/crates/attempts/src/witnesses.rs
@@ -7,7 +7,7 @@
 
 use waxwingusher_core::rendezvous;
 use waxwingusher_core::{FailureDomain, HostId, HostList};
-use waxwingusher_protocol::attempt::AttemptKey;
+use waxwingusher_protocol::attempt::{AttemptKey, FormerHost};
 
 /// A key in the form that stable hashing takes.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -76,6 +76,48 @@
         others.cloned().collect()
     }
 
+    /// Returns the hosts with their failure domains that `other` lacks.
+    pub(crate) fn hosts_missing_in(&self, other: &Self) -> Vec<FormerHost> {
+        let mut missing = Vec::new();
+        for (domain, hosts) in &self.domains {
+            let others = other.domains.get(domain);
+            for host in hosts {
+                if others.is_some_and(|others| others.contains(host)) {
+                    continue;
+                }
+                missing.push(FormerHost {
+                    id: host.clone(),
+                    failure_domain: domain.clone(),
+                });
+            }
+        }
+        missing
+    }
+
+    /// Returns the list with further hosts added.
+    pub(crate) fn with_hosts(&self, further: &[FormerHost]) -> Self {
+        let mut domains = self.domains.clone();
+        for host in further {
+            let hosts = domains.entry(host.failure_domain.clone()).or_default();
+            if !hosts.contains(&host.id) {
+                hosts.push(host.id.clone());
+            }
+        }
+        Self { domains }
+    }
+
+    /// Reports whether both lists have the same failure domains, and enough of
+    /// them for `count` witnesses. A host that is a witness in a list is then
+    /// one in each smaller list that holds it, too.
+    pub(crate) fn has_same_domains(&self, other: &Self, count: usize) -> bool {
+        self.domains.len() >= count && self.domains.keys().eq(other.domains.keys())
+    }
+
+    /// Reports whether the host is in the list.
+    pub(crate) fn contains(&self, host: &HostId) -> bool {
+        self.hosts().any(|listed| listed == host)
+    }
+
     /// Returns a hash of all hosts and their failure domains.
     pub(crate) fn fingerprint(&self) -> u64 {
         let mut text = String::new();
--- a/crates/attempts/tests/testsuite/hand_over.rs
+++ b/crates/attempts/tests/testsuite/hand_over.rs
@@ -116,6 +116,35 @@
     assert!(unknown > 0);
 }
 
+#[test]
+fn a_restart_keeps_its_records_although_the_list_changes() {
+    let mut cluster = Cluster::warm(12, 3);
+    run_keys(&mut cluster);
+    let settle = cluster.settings.list_settle + Duration::from_secs(1);
+    let grown = cluster.list.clone();
+    cluster.list.version += 1;
+    cluster.list.hosts.truncate(11);
+    cluster.pass(settle);
+    for index in [0, 1, 2] {
+        stop(&mut cluster, &host(index));
+        cluster.start(&host(index));
+        cluster.pass(settle);
+        assert!(cluster.registry(&host(index)).report().is_covered);
+    }
+    cluster.list.version += 1;
+    cluster.list.hosts = grown.hosts;
+    cluster.pass(settle);
+    for key in 0..KEYS {
+        let repeat = request(&key.to_string(), "x", &cluster.clock);
+        let (_, permission) = cluster.begin(&host(3), &repeat);
+        assert_matches!(
+            permission,
+            Permission::FirstAnswer(_) | Permission::Unknown(_),
+            "key {key}"
+        );
+    }
+}
+
 #[test]
 fn a_host_without_memory_hands_nothing_over_that_counts() {
     let mut cluster = Cluster::warm(6, 3);
@@ -161,3 +190,56 @@
     let (_, permission) = cluster.begin(&host(2), &first);
     assert_matches!(permission, Permission::Unknown(_));
 }
+
+#[test]
+fn records_that_come_back_in_part_do_not_count() {
+    let mut cluster = Cluster::warm(9, 3);
+    run_keys(&mut cluster);
+    stop(&mut cluster, &host(0));
+    cluster.hosts.remove(&host(3));
+    cluster.start(&host(0));
+    cluster.pass(Duration::from_secs(60));
+    assert!(!cluster.registry(&host(0)).report().is_covered);
+}
+
+#[test]
+fn a_host_that_was_off_the_list_takes_no_records_back() {
+    let mut cluster = Cluster::warm(9, 3);
+    run_keys(&mut cluster);
+    let settle = cluster.settings.list_settle + Duration::from_secs(1);
+    let full = cluster.list.hosts.clone();
+    stop(&mut cluster, &host(0));
+    cluster.list.version += 1;
+    cluster.list.hosts.remove(0);
+    cluster.pass(settle);
+    cluster.list.version += 1;
+    cluster.list.hosts = full;
+    cluster.start(&host(0));
+    cluster.pass(Duration::from_secs(60));
+    assert!(!cluster.registry(&host(0)).report().is_covered);
+}
+
+#[test]
+fn only_the_receiver_of_a_record_stands_for_its_witness() {
+    let mut cluster = Cluster::warm(12, 3);
+    cluster.cut = [2, 5, 8, 11].map(host).to_vec();
+    run_keys(&mut cluster);
+    cluster.cut.clear();
+    stop(&mut cluster, &host(0));
+    cluster.hosts.remove(&host(3));
+    for index in [1, 4, 7, 10] {
+        cluster.start(&host(index));
+    }
+    cluster.list.version += 1;
+    cluster
+        .list
+        .hosts
+        .retain(|entry| entry.id != host(0) && entry.id != host(3));
+    let settle = cluster.settings.list_settle + Duration::from_secs(1);
+    cluster.pass(settle);
+    for key in 0..KEYS {
+        let repeat = request(&key.to_string(), "x", &cluster.clock);
+        let (_, permission) = cluster.begin(&host(5), &repeat);
+        assert_ne!(permission, Permission::Run, "key {key}");
+    }
+}
--- a/crates/attempts/tests/testsuite/main.rs
+++ b/crates/attempts/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of request outcomes.
 
 mod cluster;
+mod contention;
 mod hand_over;
 mod lifecycle;
 mod messages;
--- a/crates/attempts/tests/testsuite/messages.rs
+++ b/crates/attempts/tests/testsuite/messages.rs
@@ -46,6 +46,7 @@
         part: u32::MAX,
         parts: u32::MAX,
         topology: u64::MAX,
+        former_hosts: Vec::new(),
         receivers: u32::MAX,
         is_complete: true,
         records,
--- a/crates/bench/src/attempts/unknown_share.rs
+++ b/crates/bench/src/attempts/unknown_share.rs
@@ -43,10 +43,11 @@
     ListChanged,
     RollingRestart,
     RollingRestartWithHandOver,
+    RollingRestartAndLoss,
     RollingReplacementWithHandOver,
 }
 
-const CASES: [(Case, &str); 10] = [
+const CASES: [(Case, &str); 11] = [
     (Case::Calm, "calm"),
     (Case::HostKilled, "host-killed"),
     (Case::HostReplaced, "host-replaced"),
@@ -59,6 +60,10 @@
         Case::RollingRestartWithHandOver,
         "rolling-restart-handed-over",
     ),
+    (
+        Case::RollingRestartAndLoss,
+        "rolling-restart-handed-over-and-host-killed",
+    ),
     (
         Case::RollingReplacementWithHandOver,
         "rolling-replacement-handed-over",
@@ -198,6 +203,10 @@
         Case::RollingRestartWithHandOver => {
             return restart_all(fleet, &hosts, true, Listing::Kept);
         }
+        Case::RollingRestartAndLoss => {
+            fleet.plan_fault(10 * soon, kill(&hosts[0], None));
+            return restart_all(fleet, &hosts[1..], true, Listing::Kept);
+        }
         Case::RollingReplacementWithHandOver => {
             return replace_all(fleet, &hosts);
         }
--- a/crates/protocol/src/attempt.rs
+++ b/crates/protocol/src/attempt.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use waxwingusher_core::{BodyDigest, HostId, InstanceId, ServiceName, WorkspaceName};
+use waxwingusher_core::{
+    BodyDigest, FailureDomain, HostId, InstanceId, ServiceName, WorkspaceName,
+};
 
 /// The largest body of an answer that is stored for repeats, in bytes.
 pub const MAX_STORED_BODY_BYTES: usize = 768;
@@ -15,6 +17,9 @@
 /// The size at which a hand-over part is closed, in bytes of its records.
 pub const HAND_OVER_PART_BYTES: usize = 900;
 
+/// The most former hosts in one hand-over part.
+pub const MAX_FORMER_HOSTS: usize = 16;
+
 /// The most requests in one crash report.
 pub const MAX_REPORTED_SUSPECTS: usize = 40;
 
@@ -186,6 +191,15 @@
     }
 }
 
+/// A host of a list that is no longer in use.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct FormerHost {
+    /// The host's name.
+    pub id: HostId,
+    /// The host's failure domain.
+    pub failure_domain: FailureDomain,
+}
+
 /// A part of the records of one witness, on their way to another host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HandOver {
@@ -199,8 +213,11 @@
     pub part: u32,
     /// How many parts the receiver gets.
     pub parts: u32,
-    /// A hash of the host list by which records were assigned.
+    /// A hash of the sender's host list.
     pub topology: u64,
+    /// Hosts of the sender's earlier lists within the coverage, when records
+    /// return to their witness.
+    pub former_hosts: Vec<FormerHost>,
     /// How many hosts share the witness's records.
     pub receivers: u32,
     /// Whether the records are all that the witness granted in the window.
@@ -287,7 +304,10 @@
         id: u64,
     },
     /// A process that has just started asks for the records of its host.
-    Recover,
+    Recover {
+        /// A hash of its host list.
+        topology: u64,
+    },
     /// Crashing requests.
     Quarantine(QuarantineMessage),
 }
