--- a/crates/attempts/src/claimant.rs
+++ b/crates/attempts/src/claimant.rs
@@ -163,7 +163,8 @@
         Step::Conclude(self.conclude(outstanding || unasked))
     }
 
-    fn conclude(&self, is_silent: bool) -> Conclusion {
+    /// Returns why the claim fails if no further verdict comes.
+    pub(crate) fn conclude(&self, is_silent: bool) -> Conclusion {
         let misuses = self.count(|verdict| *verdict == Verdict::OtherBody);
         if misuses >= self.witnesses.quorum() {
             return Conclusion::Misuse;
--- a/crates/attempts/src/rounds.rs
+++ b/crates/attempts/src/rounds.rs
@@ -212,7 +212,8 @@
         match &mut attempt.stage {
             Stage::Asking(_) if give_up => self.evaluate(ticket, true),
             Stage::Asking(round) if now >= round.resend_at && round.is_stuck() => {
-                self.back_off(ticket, Conclusion::Contended, false);
+                let conclusion = round.conclude(true);
+                self.end_claim(ticket, conclusion, false);
             }
             Stage::Asking(round) if now >= round.resend_at => {
                 let hosts = round.resend(now);
--- a/crates/attempts/tests/testsuite/hand_over.rs
+++ b/crates/attempts/tests/testsuite/hand_over.rs
@@ -243,3 +243,47 @@
         assert_ne!(permission, Permission::Run, "key {key}");
     }
 }
+
+#[test]
+fn a_restarted_host_does_not_vouch_for_keys_that_it_has_only_just_got() {
+    let mut cluster = Cluster::warm(12, 3);
+    let settle = cluster.settings.list_settle + Duration::from_secs(1);
+    cluster.cut = [1, 4, 7, 10].map(host).to_vec();
+    run_keys(&mut cluster);
+    cluster.cut.clear();
+    cluster.hosts.remove(&host(11));
+    cluster.list.version += 1;
+    cluster.list.hosts.retain(|entry| entry.id != host(11));
+    cluster.pass(settle);
+    stop(&mut cluster, &host(2));
+    cluster.start(&host(2));
+    cluster.pass(settle);
+    assert!(cluster.registry(&host(2)).report().is_covered);
+    for index in [0, 3, 6, 9] {
+        cluster.start(&host(index));
+    }
+    cluster.pass(settle);
+    for key in 0..KEYS {
+        let repeat = request(&key.to_string(), "x", &cluster.clock);
+        let (_, permission) = cluster.begin(&host(1), &repeat);
+        assert_ne!(permission, Permission::Run, "key {key}");
+    }
+}
+
+#[test]
+fn peers_that_do_not_know_the_earlier_lists_return_no_records() {
+    let mut cluster = Cluster::warm(12, 3);
+    let settle = cluster.settings.list_settle + Duration::from_secs(1);
+    cluster.list.version += 1;
+    cluster.list.hosts.truncate(11);
+    cluster.hosts.remove(&host(11));
+    cluster.pass(settle);
+    for index in [5, 8] {
+        cluster.start(&host(index));
+    }
+    cluster.pass(settle);
+    stop(&mut cluster, &host(2));
+    cluster.start(&host(2));
+    cluster.pass(Duration::from_secs(60));
+    assert!(!cluster.registry(&host(2)).report().is_covered);
+}
--- a/crates/attempts/tests/testsuite/quarantine.rs
+++ b/crates/attempts/tests/testsuite/quarantine.rs
@@ -217,6 +217,9 @@
             vec![unique]
         };
         fleet.lose(index, &lost(&format!("a{index}"), &in_flight));
+        if index == 2 {
+            fleet.run(Duration::from_millis(300));
+        }
     }
     fleet.run(Duration::from_secs(5));
     assert_eq!(fleet.refusing(retried), 0);
