--- a/crates/attempts/tests/testsuite/main.rs
+++ b/crates/attempts/tests/testsuite/main.rs
@@ -1,8 +1,10 @@
 //! Tests of request outcomes.
 
 mod cluster;
+mod contention;
 mod hand_over;
 mod lifecycle;
+mod messages;
 mod quarantine;
 mod registry;
 mod retry;
