Bound the calls to the service when the whole fleet starts at once

Each fresh host read the manifest and then every pack from the service, as no peer had any: at the design size 440 x 165 reads. A fresh host now reads only the host list; readers read packs every 10 ms at most; standbys wait for the readers above them; hosts that stay without a configuration go to the service one after the other.

--- a/crates/bench/src/config/propagation.rs
+++ b/crates/bench/src/config/propagation.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use waxwingusher_config::publication::publish_hosts;
+use waxwingusher_config::publication::{Packing, publish_hosts, publish_with};
 use waxwingusher_config::{Publication, Snapshot, publish};
 use waxwingusher_core::{Clock, HostId};
 use waxwingusher_standins::LinkFaults;
@@ -23,6 +23,18 @@
 /// The longest time that a version is waited for.
 const LIMIT: Duration = Duration::from_secs(60);
 
+/// The calls a second that the configuration service serves.
+const SERVICE_CALLS_PER_S: f64 = 2_000.0;
+
+/// A configuration with about as many rows as there are packs at the design
+/// size.
+const COLD_SIZE: Size = Size {
+    services: 5,
+    instances: 20,
+    routes: 20,
+    workspaces: 120,
+};
+
 /// Seconds without changes, over which calls and bytes are counted.
 const QUIET: Duration = Duration::from_secs(120);
 
@@ -69,6 +81,7 @@
         measurements.extend(run.changes("all"));
         run.isolate(0, 1);
         measurements.extend(run.changes("one-cut-off"));
+        measurements.extend(cold_start(self.hosts, self.domains, seed));
         measurements.extend(transfers(self.hosts, self.domains, seed));
         ScenarioResult {
             scenario: self.name.into(),
@@ -100,6 +113,33 @@
     }
 }
 
+/// Starts all hosts at once before a configuration of many packs.
+fn cold_start(hosts: usize, domains: usize, seed: u64) -> Vec<Measurement> {
+    let list = host_list(hosts, domains, 1);
+    let mut fleet = Fleet::new(&list, seed, LinkFaults::default());
+    let packing = Packing {
+        rows_per_pack: 1,
+        ..Packing::default()
+    };
+    let Ok(publication) = publish_with(&snapshot(COLD_SIZE, 1, seed), packing) else {
+        return Vec::new();
+    };
+    fleet.service.publish(&publication);
+    let taken = fleet.run_until_version(1, LIMIT);
+    let seconds = taken.map_or(f64::MAX, |taken| taken.as_secs_f64());
+    vec![
+        Measurement::new("cold-start-packs", publication.packs.len() as f64, "packs"),
+        Measurement::new("cold-start", seconds, "s"),
+        Measurement::new("cold-start-calls", fleet.service.calls() as f64, "calls"),
+        Measurement::new(
+            "cold-start-peak",
+            fleet.service.peak_calls() as f64,
+            "calls/s",
+        )
+        .bounded(Bound::AtMost(SERVICE_CALLS_PER_S)),
+    ]
+}
+
 struct Run {
     fleet: Fleet,
     snapshot: Snapshot,
--- a/crates/bench/src/config/service.rs
+++ b/crates/bench/src/config/service.rs
@@ -75,6 +75,8 @@
     cut: HashSet<HostId>,
     pending: Vec<PendingCall>,
     calls: u64,
+    second: Option<(Instant, u64)>,
+    peak_calls: u64,
 }
 
 impl FakeService {
@@ -150,6 +152,12 @@
         self.calls
     }
 
+    /// Returns the most calls that began in one second.
+    #[must_use]
+    pub fn peak_calls(&self) -> u64 {
+        self.peak_calls
+    }
+
     /// Forgets the calls of a host that has stopped.
     pub fn forget(&mut self, host: &HostId) {
         self.pending.retain(|call| call.host != *host);
@@ -158,6 +166,12 @@
     /// Takes a call.
     pub fn call(&mut self, host: &HostId, read: ServiceRead, now: Instant) {
         self.calls += 1;
+        let (start, count) = self
+            .second
+            .filter(|(start, _)| now < *start + Duration::from_secs(1))
+            .unwrap_or((now, 0));
+        self.second = Some((start, count + 1));
+        self.peak_calls = self.peak_calls.max(count + 1);
         let wait = read.watch.map_or(Duration::ZERO, |watch| watch.wait);
         self.pending.push(PendingCall {
             host: host.clone(),
--- a/crates/membership/src/distribution/agent.rs
+++ b/crates/membership/src/distribution/agent.rs
@@ -22,10 +22,15 @@
 use super::survey::Survey;
 use super::watch::ServiceWatch;
 
-/// The time after which a host without a configuration, or without any peer
-/// that answers, reads the service whatever its role is.
+/// The time after which a host that no peer answers reads the service whatever
+/// its role is.
 const ALONE_AFTER: Duration = Duration::from_secs(10);
 
+/// The longest time after which a host without a configuration reads the
+/// service. Hosts that start together do so one after the other, and the first
+/// one that succeeds tells the others.
+const MAX_LATE: Duration = Duration::from_secs(60);
+
 /// How long a fresh host waits for a version that a peer said to have.
 const CLAIM_AGE: Duration = Duration::from_secs(10);
 
@@ -75,6 +80,7 @@
     candidates: Vec<HostId>,
     survey: Option<Survey>,
     started_at: Instant,
+    late_after: Duration,
     next_observation: Instant,
     next_ticket: u64,
     counters: AgentCounters,
@@ -91,11 +97,13 @@
         settings: DistributionSettings,
     ) -> Self {
         let now = clock.now();
+        let mut rng = fastrand::Rng::with_seed(seed);
         let mut agent = Self {
+            late_after: ALONE_AFTER + (MAX_LATE - ALONE_AFTER).mul_f64(rng.f64()),
             self_id,
             failure_domain,
             clock,
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
             config: Replica::new(),
             hosts: Replica::new(),
             config_watch: ServiceWatch::new(MANIFEST_KEY, now),
@@ -214,13 +222,15 @@
         role(&self.self_id, &self.candidates, &self.peers, readers, now)
     }
 
+    /// Reports whether the host watches the service: as a reader, or because
+    /// no peer can tell it what the service has.
     fn reads_service(&self, now: Instant) -> bool {
-        if self.role(now) == Role::Reader || self.hosts.newest().is_none() {
+        if self.role(now) == Role::Reader {
             return true;
         }
         let since = self.peers.answered_at().unwrap_or(self.started_at);
         let is_alone = now >= since + ALONE_AFTER;
-        let is_late = now >= self.started_at + ALONE_AFTER;
+        let is_late = now >= self.started_at + self.late_after;
         is_alone || (is_late && self.config.current().is_none())
     }
 
--- a/crates/membership/src/distribution/agent/service.rs
+++ b/crates/membership/src/distribution/agent/service.rs
@@ -63,16 +63,16 @@
     /// Makes the calls that are due.
     pub(super) fn read_service(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
         self.pack_reads.retain(|_, read| read.deadline > now);
-        if !self.reads_service(now) {
-            return;
-        }
+        let reads = self.reads_service(now);
         let wait = self.settings.watch_wait;
         let ticket = self.ticket();
-        if let Some(call) = self.config_watch.due(ticket, wait, now) {
+        if reads && let Some(call) = self.config_watch.due(ticket, wait, now) {
             self.call(ticket, call.key, call.watch, actions);
         }
+        // Each fresh host reads the list once, to know its peers and its role.
+        let reads = reads || self.hosts.newest().is_none();
         let ticket = self.ticket();
-        if let Some(call) = self.hosts_watch.due(ticket, wait, now) {
+        if reads && let Some(call) = self.hosts_watch.due(ticket, wait, now) {
             self.call(ticket, call.key, call.watch, actions);
         }
     }
--- a/crates/membership/src/distribution/pursuit.rs
+++ b/crates/membership/src/distribution/pursuit.rs
@@ -17,6 +17,13 @@
 /// How long the configuration service may take to hand over a pack.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The time between two reads of packs, so that all readers together stay well
+/// below what the configuration service serves.
+const SERVICE_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The reads that may be caught up at one time.
+const SERVICE_BURST: u32 = 4;
+
 /// The first pause after a value was missing at the configuration service.
 const MIN_SERVICE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -279,8 +286,14 @@
         if let Some(host) = self.peers.keys().nth(turn) {
             return Some(Source::Peer(host.clone()));
         }
-        let service = self.service.as_ref()?;
-        let may_ask = service.not_before <= now && self.manifest.is_some();
-        may_ask.then_some(Source::Service)
+        self.manifest.as_ref()?;
+        let service = self.service.as_mut()?;
+        if now < service.not_before {
+            return None;
+        }
+        let earliest = now.checked_sub(SERVICE_INTERVAL * (SERVICE_BURST - 1));
+        let from = service.not_before.max(earliest.unwrap_or(now));
+        service.not_before = from + SERVICE_INTERVAL;
+        Some(Source::Service)
     }
 }
--- a/crates/membership/src/distribution/roles.rs
+++ b/crates/membership/src/distribution/roles.rs
@@ -64,13 +64,13 @@
 
 /// Reports whether a host answers and the service answers it.
 fn is_reading(host: &HostId, peers: &Peers, now: Instant) -> bool {
+    // Hosts that start together have not read yet when they first hear of each
+    // other.
+    let is_new = now < peers.started_at() + SILENT_AFTER;
     let Some(heard) = peers.heard(host) else {
-        return now < peers.started_at() + SILENT_AFTER;
+        return is_new;
     };
     let is_silent = now >= heard.at + SILENT_AFTER;
-    let has_service = heard
-        .summary
-        .service_age_ms
-        .is_some_and(|age| age <= MAX_SERVICE_AGE_MS);
-    !is_silent && has_service
+    let age_ms = heard.summary.service_age_ms;
+    !is_silent && age_ms.map_or(is_new, |age| age <= MAX_SERVICE_AGE_MS)
 }
