--- a/crates/limits/src/stock.rs
+++ b/crates/limits/src/stock.rs
@@ -5,7 +5,7 @@
 use waxwingusher_core::HostId;
 use waxwingusher_protocol::loan::{LimitId, LoanRequest};
 
-use crate::bucket::NANOS_PER_TOKEN;
+use crate::bucket::{Bucket, NANOS_PER_TOKEN};
 use crate::demand::Demand;
 use crate::loan_part::{LoanPart, RequestHeader, Wanted};
 use crate::settings::LimiterSettings;
@@ -15,11 +15,14 @@
 /// Demand below which tokens are borrowed but no rate, in requests a second.
 const MIN_RATE_DEMAND_PER_S: f64 = 0.3;
 /// The rate that a borrower wants, in percent of its demand.
-const RATE_PERCENT: f64 = 125.0;
+const RATE_PERCENT: f64 = 95.0;
 /// The part of the wanted tokens below which a borrower asks for more.
 const LOW_WATER_PERCENT: u64 = 40;
-/// The part of the demand below which the rate is too low, in percent.
-const LOW_RATE_PERCENT: u64 = 95;
+/// The part of the wanted rate below which a borrower asks for more.
+const LOW_RATE_PERCENT: u64 = 75;
+/// The room of a share below which tokens are gathered from all lenders in
+/// equal parts, so that no share overflows while another is empty.
+const TINY_SHARE_MILLIS: u64 = 2 * MILLIS_PER_TOKEN;
 /// The shortest time between requests to a lender while no request waits.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// The time without requests after which a loan is given back.
@@ -34,14 +37,36 @@
     pub terms: u16,
     /// The index of the share of this host's failure domain.
     pub near_share: usize,
-    /// Tokens in this host's own share, if it is a holder.
-    pub own: Wanted,
+    /// The room of one share.
+    pub share_room_millis: u64,
+    /// What is left in this host's own share, if it is a holder.
+    pub own: Holding,
     /// The time.
     pub now: Instant,
     /// The settings.
     pub settings: &'a LimiterSettings,
 }
 
+/// Tokens, room and rate that a host holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Holding {
+    /// Tokens.
+    pub tokens_millis: u64,
+    /// Room for tokens.
+    pub room_millis: u64,
+    /// The rate.
+    pub rate_millis_per_s: u64,
+}
+
+impl Holding {
+    /// Adds what a bucket holds.
+    pub fn add(&mut self, bucket: &Bucket) {
+        self.tokens_millis += bucket.tokens_millis();
+        self.room_millis += bucket.room_millis();
+        self.rate_millis_per_s += bucket.rate_millis_per_s();
+    }
+}
+
 /// The borrowed stock of one limit.
 #[derive(Debug)]
 pub struct Stock {
@@ -66,12 +91,6 @@
         }
     }
 
-    /// Returns the loans, by share.
-    #[must_use]
-    pub fn parts(&self) -> &[LoanPart] {
-        &self.parts
-    }
-
     /// Returns the loans, by share.
     pub fn parts_mut(&mut self) -> &mut [LoanPart] {
         &mut self.parts
@@ -88,6 +107,16 @@
         (self.demand.per_s(now) * RATE_PERCENT * 10.0) as u64
     }
 
+    /// Returns what is borrowed and may be used at `now`.
+    #[must_use]
+    pub fn borrowed(&self, now: Instant) -> Holding {
+        let mut borrowed = Holding::default();
+        for part in self.parts.iter().filter(|part| part.is_in_force(now)) {
+            borrowed.add(part.bucket());
+        }
+        borrowed
+    }
+
     /// Counts a request that waits for a loan.
     pub fn add_waiting(&mut self) {
         self.waiting += 1;
@@ -166,9 +195,9 @@
                 self.ask(index, wanted, ctx, seq, &mut requests);
             }
         }
-        let asked_long_ago = ctx.now >= self.asked_at + REQUEST_INTERVAL;
-        let needs_more = self.waiting > 0 || (asked_long_ago && self.is_low(ctx));
-        if let Some(index) = self.next_lender(ctx).filter(|_| needs_more) {
+        if ctx.share_room_millis < TINY_SHARE_MILLIS {
+            self.ask_all(ctx, seq, &mut requests);
+        } else if let Some(index) = self.next_lender(ctx).filter(|_| self.needs_more(ctx)) {
             let wanted = self.wanted(index, ctx);
             self.asked_at = ctx.now;
             self.ask(index, wanted, ctx, seq, &mut requests);
@@ -210,14 +239,43 @@
         requests.push((lender, request));
     }
 
+    /// Asks all lenders for equal parts of the tokens that requests wait for.
+    fn ask_all(
+        &mut self,
+        ctx: PlanContext<'_>,
+        seq: &mut u32,
+        requests: &mut Vec<(HostId, LoanRequest)>,
+    ) {
+        let waiting = u64::from(self.waiting) * MILLIS_PER_TOKEN;
+        let lacking = waiting.saturating_sub(self.held(ctx).tokens_millis);
+        let awaited = |part: &LoanPart| part.is_awaited(ctx.now, ctx.settings);
+        if lacking == 0 || self.parts.iter().any(awaited) {
+            return;
+        }
+        let askable = |part: &LoanPart| part.retry_at().is_some_and(|at| at <= ctx.now);
+        let indexes: Vec<_> = (0..self.parts.len())
+            .filter(|index| askable(&self.parts[*index]))
+            .collect();
+        for index in &indexes {
+            let held = self.parts[*index].bucket().tokens_millis();
+            let wanted = Wanted {
+                room_millis: held + lacking.div_ceil(indexes.len() as u64),
+                rate_millis_per_s: 0,
+            };
+            self.ask(*index, wanted, ctx, seq, requests);
+        }
+    }
+
     /// Returns what to ask for at the renewal of a loan, if it is due.
     fn renewal(&self, index: usize, ctx: PlanContext<'_>) -> Option<Wanted> {
         let part = &self.parts[index];
         if part.is_awaited(ctx.now, ctx.settings) || part.retry_at()? > ctx.now {
             return None;
         }
-        if part.is_spent(ctx.settings) && self.waiting == 0 {
-            return Some(Wanted::default());
+        if part.is_scarce(ctx.settings) && part.holds_anything() {
+            let unused = self.waiting == 0 && part.bucket().tokens_millis() > 0;
+            let blocks_room = self.waiting == 0 && ctx.share_room_millis >= TINY_SHARE_MILLIS;
+            return (unused || blocks_room).then_some(Wanted::default());
         }
         if !part.is_due(ctx.now) {
             return None;
@@ -225,18 +283,26 @@
         if self.demand.idle(ctx.now) > IDLE_TIME {
             return Some(Wanted::default());
         }
-        Some(self.wanted(index, ctx))
+        let wanted = self.wanted(index, ctx);
+        let useful = wanted.rate_millis_per_s > 0 || wanted.room_millis >= MILLIS_PER_TOKEN;
+        Some(if useful { wanted } else { Wanted::default() })
     }
 
-    fn is_low(&self, ctx: PlanContext<'_>) -> bool {
-        if self.demand.idle(ctx.now) > IDLE_TIME {
+    /// Reports whether another lender should be asked.
+    fn needs_more(&self, ctx: PlanContext<'_>) -> bool {
+        if self.waiting > 0 {
+            let awaited = |part: &&LoanPart| part.is_awaited(ctx.now, ctx.settings);
+            return self.waiting as usize > self.parts.iter().filter(awaited).count();
+        }
+        let scarce = |part: &LoanPart| part.is_scarce(ctx.settings);
+        let asked_lately = ctx.now < self.asked_at + REQUEST_INTERVAL;
+        if asked_lately || self.demand.idle(ctx.now) > IDLE_TIME || self.parts.iter().any(scarce) {
             return false;
         }
         let target = self.target(ctx);
         let held = self.held(ctx);
-        let low_tokens = held.tokens_millis * 100 < target.tokens_millis * LOW_WATER_PERCENT;
-        let needed_rate = target.rate_millis_per_s * LOW_RATE_PERCENT / RATE_PERCENT as u64;
-        low_tokens || held.rate_millis_per_s < needed_rate
+        let low_tokens = held.tokens_millis * 100 < target.room_millis * LOW_WATER_PERCENT;
+        low_tokens || held.rate_millis_per_s * 100 < target.rate_millis_per_s * LOW_RATE_PERCENT
     }
 
     /// Returns the nearest lender that may be asked now.
@@ -262,42 +328,43 @@
     /// Returns what to hold from one lender, given what the others lend.
     fn wanted(&self, index: usize, ctx: PlanContext<'_>) -> Wanted {
         let target = self.target(ctx);
-        let held = self.held(ctx);
         let part = self.parts[index].bucket();
-        let others = Wanted {
-            tokens_millis: held.tokens_millis - part.tokens_millis(),
-            rate_millis_per_s: held.rate_millis_per_s - part.rate_millis_per_s(),
-        };
-        let tokens = target.tokens_millis.saturating_sub(others.tokens_millis);
+        let mut others = self.held(ctx);
+        others.room_millis -= part.room_millis();
+        others.rate_millis_per_s -= part.rate_millis_per_s();
         let rate = target
             .rate_millis_per_s
             .saturating_sub(others.rate_millis_per_s);
+        let mut room = target.room_millis.saturating_sub(others.room_millis);
+        if rate > 0 {
+            room = room.max(MILLIS_PER_TOKEN);
+        }
+        if self.waiting > 0 {
+            let waiting = u64::from(self.waiting) * MILLIS_PER_TOKEN;
+            room = room.max(part.tokens_millis() + waiting);
+        }
         Wanted {
-            tokens_millis: tokens.max(MILLIS_PER_TOKEN),
+            room_millis: room,
             rate_millis_per_s: rate,
         }
     }
 
+    /// Returns what to hold from all lenders together.
     fn target(&self, ctx: PlanContext<'_>) -> Wanted {
         let per_s = self.demand.per_s(ctx.now);
         let horizon = per_s * ctx.settings.stock_horizon.as_secs_f64();
-        let tokens = (horizon * 1000.0) as u64 + (u64::from(self.waiting) + 1) * MILLIS_PER_TOKEN;
-        let rate = if per_s < MIN_RATE_DEMAND_PER_S {
-            0
-        } else {
-            self.demand_millis_per_s(ctx.now)
-        };
+        let has_rate = per_s >= MIN_RATE_DEMAND_PER_S;
+        let rate = self.demand_millis_per_s(ctx.now);
         Wanted {
-            tokens_millis: tokens,
-            rate_millis_per_s: rate,
+            room_millis: (horizon * 1000.0) as u64 + MILLIS_PER_TOKEN,
+            rate_millis_per_s: if has_rate { rate } else { 0 },
         }
     }
 
-    fn held(&self, ctx: PlanContext<'_>) -> Wanted {
+    fn held(&self, ctx: PlanContext<'_>) -> Holding {
         let mut held = ctx.own;
         for part in &self.parts {
-            held.tokens_millis += part.bucket().tokens_millis();
-            held.rate_millis_per_s += part.bucket().rate_millis_per_s();
+            held.add(part.bucket());
         }
         held
     }
