Keep crashing requests away, and retry within budgets

Before: an idempotent request could end up to 3 instances and was retried without a budget. Pardons for crashed instances are only logged so far.

--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -5,7 +5,9 @@
 
 use http::HeaderMap;
 use http::uri::PathAndQuery;
+use waxwingusher_attempts::Origin;
 use waxwingusher_attempts::refusal::RefusalReason;
+use waxwingusher_attempts::retry::RETRY_HEADER;
 use waxwingusher_config::{Access, Route};
 use waxwingusher_core::{KeyDigest, WorkspaceName};
 use waxwingusher_edge::{CallerRequest, headers};
@@ -41,8 +43,10 @@
     /// What goes to the upstream, without the key.
     pub(crate) target: PathAndQuery,
     pub(crate) headers: HeaderMap,
-    /// Whether the caller marked the request as another host's retry.
+    /// The caller's name for an operation that must run at most once.
     pub(crate) idempotency_key: Option<String>,
+    /// Whether the request is another host's retry.
+    pub(crate) origin: Origin,
 }
 
 /// Decides whether a request may be worked on.
@@ -69,6 +73,11 @@
         target,
         headers: forwarded,
         idempotency_key,
+        origin: if request.headers.contains_key(RETRY_HEADER) {
+            Origin::Retry
+        } else {
+            Origin::Caller
+        },
     })
 }
 
--- /dev/null
+++ b/crates/host/src/crash_guard.rs
@@ -0,0 +1,99 @@
+//! Recognises requests that crash instances, and keeps them away.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use waxwingusher_attempts::{LostInstance, Quarantine};
+use waxwingusher_core::{BodyDigest, InstanceId, ServiceName};
+use waxwingusher_protocol::Message;
+use waxwingusher_protocol::attempt::AttemptKey;
+
+use crate::admission::Admitted;
+use crate::peer_link::PeerLink;
+
+/// The quarantine with the requests that this host has in flight.
+pub(crate) struct CrashGuard {
+    quarantine: Mutex<Quarantine>,
+    in_flight: Mutex<HashMap<InstanceId, Vec<AttemptKey>>>,
+}
+
+/// Identifies what a request asks for, within its workspace and route.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Fingerprint(AttemptKey);
+
+impl Fingerprint {
+    pub(crate) fn new(admitted: &Admitted, body: &BodyDigest) -> Self {
+        let workspace = &admitted.party.workspace;
+        let route = &admitted.route.name;
+        Self(Quarantine::fingerprint(workspace, route, body))
+    }
+}
+
+impl CrashGuard {
+    pub(crate) fn new(quarantine: Quarantine) -> Self {
+        Self {
+            quarantine: Mutex::new(quarantine),
+            in_flight: Mutex::new(HashMap::new()),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reports whether a request is known to crash instances.
+    pub(crate) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        self.lock().is_quarantined(&fingerprint.0)
+    }
+
+    /// Notes that a request goes to an instance.
+    pub(crate) fn begin(&self, instance: &InstanceId, fingerprint: Fingerprint) {
+        let mut in_flight = self.lock_in_flight();
+        let requests = in_flight.entry(instance.clone()).or_default();
+        requests.push(fingerprint.0);
+    }
+
+    /// Notes that a request has left an instance, with or without an answer.
+    pub(crate) fn end(&self, instance: &InstanceId, fingerprint: Fingerprint) {
+        let mut in_flight = self.lock_in_flight();
+        let Some(requests) = in_flight.get_mut(instance) else {
+            return;
+        };
+        if let Some(at) = requests.iter().position(|one| *one == fingerprint.0) {
+            requests.swap_remove(at);
+        }
+        if requests.is_empty() {
+            in_flight.remove(instance);
+        }
+    }
+
+    /// Notes that a request was answered whole.
+    pub(crate) fn completed(&self, fingerprint: Fingerprint) {
+        self.lock().on_completed(fingerprint.0);
+    }
+
+    /// Reports an instance whose connections ended under its requests.
+    pub(crate) fn instance_lost(
+        &self,
+        service: &ServiceName,
+        instance: &InstanceId,
+        peers: &PeerLink,
+    ) {
+        let in_flight = self.lock_in_flight().get(instance).cloned();
+        let lost = LostInstance {
+            service: service.clone(),
+            instance: instance.clone(),
+            in_flight: in_flight.unwrap_or_default(),
+        };
+        let outgoing = self.lock().on_instance_lost(&lost);
+        peers.send_all(outgoing, Message::Attempt);
+    }
+
+    fn lock_in_flight(&self) -> MutexGuard<'_, HashMap<InstanceId, Vec<AttemptKey>>> {
+        self.in_flight
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/host/src/duties/peer_receiver.rs
+++ b/crates/host/src/duties/peer_receiver.rs
@@ -2,6 +2,7 @@
 
 use std::sync::mpsc::Receiver;
 
+use waxwingusher_protocol::attempt::AttemptMessage;
 use waxwingusher_protocol::{Envelope, Message};
 
 use crate::state::HostState;
@@ -25,6 +26,10 @@
             state.limits.notify();
             state.peers.send_all(replies, Message::Loan);
         }
+        Message::Attempt(AttemptMessage::Quarantine(message)) => {
+            let replies = state.crashes.lock().on_message(message);
+            state.peers.send_all(replies, Message::Attempt);
+        }
         Message::Attempt(attempt) => {
             state.attempts.with(&state.peers, |registry| {
                 registry.on_message(&from, incarnation, attempt)
--- a/crates/host/src/duties/ticker.rs
+++ b/crates/host/src/duties/ticker.rs
@@ -30,6 +30,14 @@
     state.peers.send_all(loans, Message::Loan);
     let peers = &state.peers;
     state.attempts.with(peers, AttemptRegistry::tick);
+    let mut quarantine = state.crashes.lock();
+    let notices = quarantine.tick();
+    let pardons = quarantine.take_pardons();
+    drop(quarantine);
+    state.peers.send_all(notices, Message::Attempt);
+    for instance in pardons {
+        log::info!("quarantine: Instance {instance} crashed through a quarantined request.");
+    }
     let health = state.lock_upstreams().tick();
     state.peers.send_all(health, Message::Health);
 }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -8,7 +8,9 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use waxwingusher_attempts::{AttemptRegistry, AttemptSettings};
+use waxwingusher_attempts::{
+    AttemptRegistry, AttemptSettings, Quarantine, QuarantineSettings, RetryBudget, RetrySettings,
+};
 use waxwingusher_core::{CancelToken, Clock, HostEntry, HostList, HostState as HostEntryState};
 use waxwingusher_edge::{CallerEdge, EdgeError, UpstreamClient};
 use waxwingusher_limits::{Limiter, LimiterSettings};
@@ -21,6 +23,7 @@
 
 use crate::attempt_desk::AttemptDesk;
 use crate::config_desk::{ConfigDesk, PeerFetch, PeerFiles};
+use crate::crash_guard::CrashGuard;
 use crate::duties::operators::{Operators, OperatorsError};
 use crate::duties::{admitter, peer_fetcher, peer_receiver, service_reader, spawn, ticker, worker};
 use crate::limit_desk::LimitDesk;
@@ -107,6 +110,12 @@
             limits: LimitDesk::new(new_limiter(&settings, &clock, incarnation), clock.clone()),
             attempts: AttemptDesk::new(new_registry(&settings, &clock, incarnation), clock.clone()),
             upstreams: new_upstreams(&settings, &clock, incarnation),
+            crashes: CrashGuard::new(new_quarantine(&settings, &clock, incarnation)),
+            retries: RetryBudget::new(
+                RetrySettings::default(),
+                clock.clone(),
+                fastrand::Rng::with_seed(incarnation),
+            ),
             config: ConfigDesk::new(agent, reads, fetches),
             liveness: new_liveness(&settings, &clock, incarnation),
             peers: PeerLink::new(peers.socket),
@@ -422,6 +431,12 @@
     AttemptRegistry::new(id, incarnation, clock.clone(), incarnation, attempts)
 }
 
+fn new_quarantine(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> Quarantine {
+    let rng = fastrand::Rng::with_seed(incarnation);
+    let id = settings.host_id.clone();
+    Quarantine::new(id, clock.clone(), rng, QuarantineSettings::default())
+}
+
 fn new_upstreams(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> UpstreamSet {
     UpstreamSet::new(
         settings.host_id.clone(),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod attempt_desk;
 mod config_desk;
+mod crash_guard;
 mod duties;
 mod limit_desk;
 mod list_evidence;
--- a/crates/host/src/pipeline/dispatch.rs
+++ b/crates/host/src/pipeline/dispatch.rs
@@ -5,6 +5,8 @@
 
 use waxwingusher_attempts::lifecycle::{Admitted as AdmittedState, Request};
 use waxwingusher_attempts::refusal::{Refusal, RefusalReason, is_shed_response};
+use waxwingusher_attempts::retry::RETRY_HEADER;
+use waxwingusher_attempts::{FailedRequest, Origin, Repeatability};
 use waxwingusher_core::InstanceId;
 use waxwingusher_edge::{CallControl, Reply, UpstreamAnswer, UpstreamCall, UpstreamError, headers};
 use waxwingusher_upstreams::{
@@ -17,6 +19,11 @@
 
 /// Instances that one request is sent to at most.
 const MAX_TRIES: usize = 3;
+/// Instances that may end the connection under one request. A request that
+/// crashes instances must not take more of them along.
+const MAX_DEATHS: u32 = 2;
+/// The least time that a retry is given.
+const MIN_RETRY_TIME: Duration = Duration::from_millis(1);
 /// How long a request waits for a busy pool.
 const MAX_BUSY_WAIT: Duration = Duration::from_millis(500);
 
@@ -42,6 +49,7 @@
     pub(crate) fn dispatch(&self, mut life: Request<AdmittedState>, mut reply: Reply) {
         let mut tried: Vec<InstanceId> = Vec::new();
         let mut may_have_run = false;
+        let mut deaths = 0;
         loop {
             let choice = match self.choose(&tried) {
                 Ok(choice) => choice,
@@ -60,7 +68,10 @@
             );
             note(self.state, self.request, &text);
             tried.push(choice.instance.clone());
-            let failure = match self.send(&choice, reply) {
+            self.state.crashes.begin(&choice.instance, self.fingerprint);
+            let sent = self.send(&choice, tried.len(), reply);
+            self.state.crashes.end(&choice.instance, self.fingerprint);
+            let failure = match sent {
                 Try::Done => return,
                 Try::Failed(free, failure) => {
                     reply = free;
@@ -68,7 +79,9 @@
                 }
             };
             may_have_run |= failure.may_have_run;
-            if !self.may_try_again(&failure, tried.len()) {
+            deaths += u32::from(matches!(failure.error, Some(UpstreamError::Died { .. })));
+            let is_suspect = deaths >= MAX_DEATHS;
+            if is_suspect || !self.may_try_again(&failure, tried.len()) {
                 let refusal = end(life, may_have_run, failure.reason);
                 return self.refuse(reply, refusal);
             }
@@ -103,10 +116,10 @@
         }
     }
 
-    fn send(&self, choice: &Choice, reply: Reply) -> Try {
+    fn send(&self, choice: &Choice, tries: usize, reply: Reply) -> Try {
         let (control, finding) = last_check::new_control(self.state, self.rights());
         let started: Instant = self.state.clock.now();
-        let sent = self.call(choice, &control);
+        let sent = self.call(choice, tries, &control);
         let answer = match sent {
             Ok(answer) => answer,
             Err(error) => {
@@ -141,10 +154,11 @@
                     }
                 };
                 self.report(choice, result);
+                self.note_success();
                 Try::Done
             }
             Relayed::Cut => {
-                let blame = Blame::Instance;
+                let blame = self.instance_lost(choice);
                 self.report(choice, UpstreamResult::Died { blame });
                 Try::Done
             }
@@ -155,6 +169,7 @@
     fn call(
         &self,
         choice: &Choice,
+        tries: usize,
         control: &Arc<CallControl>,
     ) -> Result<UpstreamAnswer, UpstreamError> {
         let timeout = self.time_left();
@@ -164,6 +179,9 @@
         let mut request_headers = self.admitted.headers.clone();
         let left_ms = headers::value(&timeout.as_millis().to_string());
         request_headers.insert(headers::DEADLINE_MS, left_ms);
+        if tries > 1 || self.admitted.origin == Origin::Retry {
+            request_headers.insert(RETRY_HEADER, headers::value("true"));
+        }
         let call = UpstreamCall {
             addr: choice.addr,
             method: self.request.method.clone(),
@@ -209,12 +227,14 @@
             UpstreamError::Timeout { .. } => {
                 (UpstreamResult::Timeout, RefusalReason::DeadlineExceeded)
             }
-            UpstreamError::Died { .. } | UpstreamError::Unframed => (
-                UpstreamResult::Died {
-                    blame: Blame::Instance,
-                },
-                RefusalReason::UpstreamFailed,
-            ),
+            UpstreamError::Died { .. } => {
+                let blame = self.instance_lost(choice);
+                (
+                    UpstreamResult::Died { blame },
+                    RefusalReason::UpstreamFailed,
+                )
+            }
+            UpstreamError::Unframed => (UpstreamResult::ErrorStatus, RefusalReason::UpstreamFailed),
         };
         self.report(choice, result);
         let text = match finding {
@@ -244,7 +264,63 @@
         let permission_left = !was_shed || self.ticket.is_none();
         let is_repeatable = self.is_idempotent() || (!failure.may_have_run && permission_left);
         let has_time = !self.time_left().is_zero();
-        !is_final && is_repeatable && has_time && tries < MAX_TRIES
+        if is_final || !is_repeatable || !has_time || tries >= MAX_TRIES {
+            return false;
+        }
+        !self.is_idempotent() || self.may_retry(tries)
+    }
+
+    /// Reports an instance that ended the connection under this request, and
+    /// returns whether the instance may be at fault.
+    fn instance_lost(&self, choice: &Choice) -> Blame {
+        let crashes = &self.state.crashes;
+        crashes.instance_lost(&choice.service, &choice.instance, &self.state.peers);
+        if crashes.is_quarantined(self.fingerprint) {
+            Blame::Request
+        } else {
+            Blame::Instance
+        }
+    }
+
+    fn note_success(&self) {
+        let workspace = &self.admitted.party.workspace;
+        let service = &self.admitted.route.service;
+        self.state.crashes.completed(self.fingerprint);
+        self.state
+            .lock_retries()
+            .on_first_success(workspace, service);
+    }
+
+    /// Asks the retry budget, and waits as it says.
+    fn may_retry(&self, tries: usize) -> bool {
+        let service = &self.admitted.route.service;
+        let failed = FailedRequest {
+            workspace: self.admitted.party.workspace.clone(),
+            service: service.clone(),
+            repeatability: Repeatability::Idempotent,
+            origin: self.admitted.origin,
+            retries: u32::try_from(tries - 1).unwrap_or(u32::MAX),
+            untried_instances: self.pool_size().saturating_sub(tries),
+            expected_time: MIN_RETRY_TIME,
+            deadline: self.admitted.deadline,
+        };
+        let verdict = self.state.lock_retries().retry(&failed);
+        match verdict {
+            Ok(wait) => !self.request.cancel.wait(wait),
+            Err(refusal) => {
+                note(self.state, self.request, &format!("no retry: {refusal}"));
+                false
+            }
+        }
+    }
+
+    fn pool_size(&self) -> usize {
+        let service = &self.admitted.route.service;
+        let active = self.state.active();
+        let service = active
+            .as_ref()
+            .and_then(|active| active.snapshot.services.get(service));
+        service.map_or(0, |service| service.instances.len())
     }
 
     fn report(&self, choice: &Choice, result: UpstreamResult) {
--- a/crates/host/src/pipeline/mod.rs
+++ b/crates/host/src/pipeline/mod.rs
@@ -17,6 +17,7 @@
 use waxwingusher_protocol::attempt::StoredAnswer;
 
 use crate::admission::Admitted;
+use crate::crash_guard::Fingerprint;
 use crate::limit_desk::SpentToken;
 use crate::refusal;
 use crate::state::HostState;
@@ -37,6 +38,7 @@
     pub(crate) admitted: &'a Admitted,
     pub(crate) token: Cell<SpentToken>,
     pub(crate) ticket: Option<AttemptTicket>,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// Works on a request until its caller has the answer.
@@ -52,11 +54,17 @@
         let refusal = life.refuse(RefusalReason::DeadlineExceeded);
         return refuse(state, &request, &admitted, reply, refusal);
     }
+    let body = body_digest(&request);
+    let fingerprint = Fingerprint::new(&admitted, &body);
+    if state.crashes.is_quarantined(fingerprint) {
+        let refusal = life.refuse(RefusalReason::Quarantined);
+        return refuse(state, &request, &admitted, reply, refusal);
+    }
     let token = match spend(state, &request, &admitted) {
         Ok(token) => token,
         Err(reason) => return refuse(state, &request, &admitted, reply, life.refuse(reason)),
     };
-    let ticket = match permission(state, &request, &admitted) {
+    let ticket = match permission(state, &request, &admitted, body) {
         Permit::Unkeyed => None,
         Permit::Granted(ticket) => Some(ticket),
         Permit::FirstAnswer(answer) => {
@@ -74,6 +82,7 @@
         admitted: &admitted,
         token: Cell::new(token),
         ticket,
+        fingerprint,
     };
     flow.dispatch(life.admit(), reply);
 }
@@ -129,7 +138,12 @@
 }
 
 /// Asks the attempt records about an operation that must not repeat.
-fn permission(state: &HostState, request: &CallerRequest, admitted: &Admitted) -> Permit {
+fn permission(
+    state: &HostState,
+    request: &CallerRequest,
+    admitted: &Admitted,
+    body_digest: BodyDigest,
+) -> Permit {
     let is_idempotent = admitted.route.is_idempotent(request.method.as_str());
     let Some(key) = admitted.idempotency_key.as_ref().filter(|_| !is_idempotent) else {
         return Permit::Unkeyed;
@@ -137,7 +151,7 @@
     let attempt = AttemptRequest {
         workspace: admitted.party.workspace.clone(),
         idempotency_key: key.clone(),
-        body_digest: body_digest(request),
+        body_digest,
         deadline: admitted.deadline,
     };
     let (ticket, permission) = state.attempts.begin(&attempt, &state.peers);
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+use waxwingusher_attempts::RetryBudget;
 use waxwingusher_config::Snapshot;
 use waxwingusher_core::{CancelToken, Clock, HostList};
 use waxwingusher_membership::liveness::Liveness;
@@ -12,6 +13,7 @@
 use crate::active::Active;
 use crate::attempt_desk::AttemptDesk;
 use crate::config_desk::ConfigDesk;
+use crate::crash_guard::CrashGuard;
 use crate::decisions::DecisionLog;
 use crate::limit_desk::LimitDesk;
 use crate::metrics::Metrics;
@@ -32,6 +34,8 @@
     pub(crate) attempts: AttemptDesk,
     pub(crate) upstreams: Mutex<UpstreamSet>,
     pub(crate) slot_freed: Condvar,
+    pub(crate) crashes: CrashGuard,
+    pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) config: ConfigDesk,
     pub(crate) liveness: Mutex<Liveness>,
     pub(crate) peers: PeerLink,
@@ -50,6 +54,8 @@
     pub(crate) limits: LimitDesk,
     pub(crate) attempts: AttemptDesk,
     pub(crate) upstreams: UpstreamSet,
+    pub(crate) crashes: CrashGuard,
+    pub(crate) retries: RetryBudget,
     pub(crate) config: ConfigDesk,
     pub(crate) liveness: Liveness,
     pub(crate) peers: PeerLink,
@@ -68,6 +74,8 @@
             attempts: parts.attempts,
             upstreams: Mutex::new(parts.upstreams),
             slot_freed: Condvar::new(),
+            crashes: parts.crashes,
+            retries: Mutex::new(parts.retries),
             config: parts.config,
             liveness: Mutex::new(parts.liveness),
             peers: parts.peers,
@@ -99,6 +107,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Gives access to the retry budgets.
+    pub(crate) fn lock_retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Gives access to what is known of peers.
     pub(crate) fn lock_liveness(&self) -> MutexGuard<'_, Liveness> {
         self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
@@ -155,6 +168,7 @@
         self.attempts.lock().registry.apply_host_list(list);
         self.lock_upstreams().apply_host_list(list);
         self.lock_liveness().apply_host_list(list);
+        self.crashes.lock().apply_host_list(list);
         let version = list.version;
         let count = list.hosts.len();
         log::info!("members: Host list {version} with {count} hosts is in use.");
--- /dev/null
+++ b/tests/testsuite/crashes.rs
@@ -0,0 +1,67 @@
+//! A request that crashes each instance that runs it is recognised and kept
+//! away on all hosts; others are not.
+
+use std::time::Duration;
+
+use waxwingusher_emulator::fleet::wait_until;
+use waxwingusher_emulator::{Caller, CallerAnswer, Fleet, FleetPlan, Operation};
+
+const LIMIT: Duration = Duration::from_secs(60);
+const MARKER: &str = "crash-the-instance";
+
+fn send(fleet: &Fleet, host: usize, operation: &Operation) -> CallerAnswer {
+    let addr = fleet.caller_addrs()[host];
+    let answer = Caller::new().send(addr, operation);
+    answer.expect("a whole answer")
+}
+
+fn crashing_read(fleet: &Fleet, workspace: usize) -> Operation {
+    let key = &fleet.plan.workspaces[workspace].key;
+    Operation::read(&format!("/desk/echo?{MARKER}"), key, "crashing")
+}
+
+fn plain_read(fleet: &Fleet, workspace: usize) -> Operation {
+    let key = &fleet.plan.workspaces[workspace].key;
+    Operation::read("/desk/echo?harmless", key, "harmless")
+}
+
+#[test]
+fn a_crashing_request_is_quarantined_on_all_hosts() {
+    let fleet = Fleet::start(FleetPlan::default(), 21).expect("the fleet starts");
+    fleet.wait_until_ready(LIMIT).expect("all hosts get ready");
+    let hosts = fleet.caller_addrs().len();
+    wait_until("answers from all hosts", LIMIT, || {
+        let mut reads = (0..hosts).flat_map(|host| [(host, 0), (host, 1)]);
+        reads.all(|(host, workspace)| {
+            send(&fleet, host, &plain_read(&fleet, workspace)).status == 200
+        })
+    })
+    .expect("all hosts serve");
+
+    let first = send(&fleet, 0, &crashing_read(&fleet, 0));
+    assert_eq!(first.outcome.as_deref(), Some("unknown"), "{first:?}");
+    let crashed = || {
+        fleet
+            .upstreams
+            .iter()
+            .map(|one| one.runs_of("crashing"))
+            .sum::<u64>()
+    };
+    wait_until("quarantine on all hosts", LIMIT, || {
+        (0..hosts).all(|host| {
+            let answer = send(&fleet, host, &crashing_read(&fleet, 0));
+            answer.code.as_deref() == Some("quarantined")
+        })
+    })
+    .expect("the request is quarantined everywhere");
+    let runs = crashed();
+    let again = send(&fleet, 1, &crashing_read(&fleet, 0));
+    assert_eq!(again.outcome.as_deref(), Some("not-run"));
+    assert_eq!(crashed(), runs, "a quarantined request ran");
+    for host in 0..hosts {
+        for workspace in [0, 1] {
+            let answer = send(&fleet, host, &plain_read(&fleet, workspace));
+            assert_ne!(answer.code.as_deref(), Some("quarantined"));
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the binary, by concern.
 
 mod commands;
+mod crashes;
 mod fleet;
 mod serve;
 mod whole_path;
