--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod attempts;
 pub mod config;
 pub mod scenario;
+pub mod upstreams;
 
 pub use scenario::{Bound, Measurement, Scenario, ScenarioResult};
--- /dev/null
+++ b/crates/bench/src/upstreams/detection.rs
@@ -0,0 +1,395 @@
+//! Detection scenarios: the fleet's test and its rivals on the same faults.
+
+use std::time::Duration;
+
+use waxwingusher_core::InstanceId;
+use waxwingusher_upstreams::{Blame, RequestOrigin, UpstreamResult, UpstreamSettings};
+
+use super::fleet::Fleet;
+use super::pool::{APPROVAL_DESK, ORDER_SERVICE, PoolShape, instance_id, service_name};
+use super::rivals::{Rival, RivalFleet};
+use crate::{Bound, Measurement, Scenario, ScenarioResult};
+
+const WARM_UP: Duration = Duration::from_secs(60);
+const RUNS: u64 = 20;
+const RIVAL_STEP: Duration = Duration::from_millis(5);
+const SICK: usize = 3;
+const BASE_FAILURES: f64 = 0.001;
+const MEDIAN_LATENCY: Duration = Duration::from_millis(20);
+const DEADLINE: Duration = Duration::from_secs(1);
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    /// One instance fails a share of its requests and answers probes.
+    Failing(f64),
+    /// One instance is ten times slower.
+    Slow,
+    /// One instance is well and failing by turns.
+    Flapping(Duration),
+    /// Requests of one workspace fail everywhere.
+    BadWorkspace,
+    /// Requests of one route fail everywhere.
+    BadRoute,
+    /// All instances are ten times slower.
+    PoolSlow,
+    /// One failure domain's hosts reach one instance no more.
+    PathCut,
+    /// A request that kills each instance that runs it, known for that.
+    CrashingRequest,
+}
+
+/// One scenario.
+struct DetectionCase {
+    name: &'static str,
+    shape: PoolShape,
+    fault: Fault,
+    rate_per_instance: f64,
+    length: Duration,
+    limit: Option<Duration>,
+}
+
+/// Returns the scenarios of detection.
+pub fn scenarios() -> Vec<Box<dyn Scenario>> {
+    let mut all: Vec<Box<dyn Scenario>> = Vec::new();
+    for (shape, names, limits) in [
+        (APPROVAL_DESK, CAREFUL_NAMES, [5, 15]),
+        (ORDER_SERVICE, FAST_NAMES, [2, 5]),
+    ] {
+        let limits = limits.map(|seconds| Some(Duration::from_secs(seconds)));
+        let faults = [
+            (Fault::Failing(1.0), 5.0, 30, limits[0]),
+            (Fault::Failing(0.3), 5.0, 60, limits[1]),
+            (Fault::Failing(0.1), 5.0, 120, None),
+            (Fault::Slow, 5.0, 30, None),
+            (Fault::Flapping(Duration::from_secs(1)), 5.0, 60, None),
+            (Fault::Flapping(Duration::from_secs(10)), 5.0, 120, None),
+            (Fault::Flapping(Duration::from_secs(60)), 5.0, 240, None),
+            (Fault::BadWorkspace, 5.0, 60, None),
+            (Fault::BadRoute, 5.0, 60, None),
+            (Fault::PoolSlow, 5.0, 60, None),
+            (Fault::PathCut, 5.0, 60, None),
+            (Fault::CrashingRequest, 5.0, 30, None),
+            (Fault::Failing(1.0), 2.0, 60, None),
+        ];
+        for (name, (fault, rate, seconds, limit)) in names.into_iter().zip(faults) {
+            all.push(Box::new(DetectionCase {
+                name,
+                shape,
+                fault,
+                rate_per_instance: rate,
+                length: Duration::from_secs(seconds),
+                limit,
+            }));
+        }
+    }
+    all
+}
+
+const CAREFUL_NAMES: [&str; 13] = [
+    "upstreams/careful-failing-100",
+    "upstreams/careful-failing-30",
+    "upstreams/careful-failing-10",
+    "upstreams/careful-slow",
+    "upstreams/careful-flapping-1s",
+    "upstreams/careful-flapping-10s",
+    "upstreams/careful-flapping-60s",
+    "upstreams/careful-bad-workspace",
+    "upstreams/careful-bad-route",
+    "upstreams/careful-pool-slow",
+    "upstreams/careful-path-cut",
+    "upstreams/careful-crashing-request",
+    "upstreams/careful-low-traffic",
+];
+
+const FAST_NAMES: [&str; 13] = [
+    "upstreams/fast-failing-100",
+    "upstreams/fast-failing-30",
+    "upstreams/fast-failing-10",
+    "upstreams/fast-slow",
+    "upstreams/fast-flapping-1s",
+    "upstreams/fast-flapping-10s",
+    "upstreams/fast-flapping-60s",
+    "upstreams/fast-bad-workspace",
+    "upstreams/fast-bad-route",
+    "upstreams/fast-pool-slow",
+    "upstreams/fast-path-cut",
+    "upstreams/fast-crashing-request",
+    "upstreams/fast-low-traffic",
+];
+
+/// What one run showed.
+#[derive(Debug, Clone, Copy, Default)]
+struct RunOutcome {
+    detected: Option<Duration>,
+    healthy_ejections: u32,
+    requests: u32,
+    failed: u32,
+}
+
+impl Scenario for DetectionCase {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn run(&self, seed: u64) -> ScenarioResult {
+        let mut measurements = Vec::new();
+        let mut runs: Vec<RunOutcome> = Vec::new();
+        for run in 0..RUNS {
+            runs.push(self.run_fleet(seed.wrapping_mul(1_000) + run));
+        }
+        self.summarise("", &runs, &mut measurements);
+        for (label, rival) in [
+            ("consecutive-", Rival::ConsecutiveFailures),
+            ("probes-", Rival::ProbesOnly),
+        ] {
+            let runs: Vec<_> = (0..RUNS)
+                .map(|run| self.run_rival(rival, seed.wrapping_mul(1_000) + run))
+                .collect();
+            self.summarise(label, &runs, &mut measurements);
+        }
+        ScenarioResult {
+            scenario: self.name.into(),
+            seed,
+            measurements,
+        }
+    }
+}
+
+impl DetectionCase {
+    fn has_sick_instance(&self) -> bool {
+        matches!(
+            self.fault,
+            Fault::Failing(_) | Fault::Slow | Fault::Flapping(_)
+        )
+    }
+
+    fn rate_per_s(&self) -> f64 {
+        self.rate_per_instance * self.shape.instances as f64
+    }
+
+    /// Draws what a request to an instance meets.
+    fn outcome(
+        &self,
+        since: Duration,
+        from: (usize, &RequestOrigin),
+        instance: usize,
+        rng: &mut fastrand::Rng,
+    ) -> (UpstreamResult, Duration) {
+        let (host, origin) = from;
+        let sick = instance == SICK;
+        let error = (UpstreamResult::ErrorStatus, MEDIAN_LATENCY / 4);
+        let mut latency = MEDIAN_LATENCY.mul_f64(noise(rng));
+        let failing = match self.fault {
+            Fault::Failing(share) if sick => rng.f64() < share,
+            Fault::Flapping(period) if sick => {
+                (since.as_millis() / period.as_millis()).is_multiple_of(2)
+            }
+            Fault::BadWorkspace => origin.workspace.as_str() == "workspace-1",
+            Fault::BadRoute => origin.route.as_str() == "route-1",
+            _ => false,
+        };
+        if failing || rng.f64() < BASE_FAILURES {
+            return error;
+        }
+        match self.fault {
+            Fault::Slow if sick => latency *= 10,
+            Fault::PoolSlow => latency *= 10,
+            Fault::PathCut if sick && self.is_cut(host) => {
+                return (UpstreamResult::Timeout, DEADLINE);
+            }
+            Fault::CrashingRequest if rng.f64() < 0.02 => {
+                let blame = Blame::Request;
+                return (UpstreamResult::Died { blame }, MEDIAN_LATENCY);
+            }
+            _ => {}
+        }
+        let load = None;
+        (UpstreamResult::Success { latency, load }, latency)
+    }
+
+    fn is_cut(&self, host: usize) -> bool {
+        self.shape.domain(host) == self.shape.domain(SICK)
+    }
+
+    fn run_fleet(&self, seed: u64) -> RunOutcome {
+        let mut fleet = Fleet::new(&self.shape, 1, seed, &UpstreamSettings::default());
+        let healthy = Self {
+            fault: Fault::Failing(0.0),
+            ..*self
+        };
+        let mut outcome = RunOutcome::default();
+        let mut elapsed = Duration::ZERO;
+        while elapsed < WARM_UP {
+            healthy.send_requests(&mut fleet, Duration::ZERO, &mut RunOutcome::default());
+            elapsed += fleet.step();
+        }
+        let mut since = Duration::ZERO;
+        let mut ejected_before = vec![false; self.shape.instances];
+        while since < self.length {
+            self.send_requests(&mut fleet, since, &mut outcome);
+            since += fleet.step();
+            self.observe(&fleet, since, &mut ejected_before, &mut outcome);
+        }
+        outcome
+    }
+
+    fn send_requests(&self, fleet: &mut Fleet, since: Duration, outcome: &mut RunOutcome) {
+        for _ in 0..fleet.arrivals(self.rate_per_s()) {
+            let host = fleet.rng.usize(..self.shape.hosts);
+            let origin = fleet.origin();
+            let from = origin.clone();
+            let result = fleet.request(host, &service_name(), origin, |instance, rng| {
+                self.outcome(since, (host, &from), index_of(instance), rng)
+            });
+            outcome.requests += 1;
+            let good = matches!(result, Ok(UpstreamResult::Success { .. }));
+            outcome.failed += u32::from(!good);
+        }
+    }
+
+    fn observe(
+        &self,
+        fleet: &Fleet,
+        since: Duration,
+        before: &mut [bool],
+        outcome: &mut RunOutcome,
+    ) {
+        let ejected: Vec<_> = fleet
+            .sets
+            .iter()
+            .map(|set| set.ejected(&service_name()))
+            .collect();
+        let sick = instance_id(SICK);
+        let everywhere = ejected.iter().all(|list| list.contains(&sick));
+        if everywhere && outcome.detected.is_none() {
+            outcome.detected = Some(since);
+        }
+        for (index, known) in before.iter_mut().enumerate() {
+            let id = instance_id(index);
+            let out = ejected.iter().any(|list| list.contains(&id));
+            let healthy = index != SICK || !self.has_sick_instance();
+            outcome.healthy_ejections += u32::from(out && !*known && healthy);
+            *known = out;
+        }
+    }
+
+    fn run_rival(&self, rival: Rival, seed: u64) -> RunOutcome {
+        let (hosts, instances) = (self.shape.hosts, self.shape.instances);
+        let mut fleet = RivalFleet::new(rival, hosts, instances, seed);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut outcome = RunOutcome::default();
+        let mut before = vec![false; instances];
+        let mut since = Duration::ZERO;
+        let mut due = 0.0;
+        while since < self.length {
+            due += self.rate_per_s() * RIVAL_STEP.as_secs_f64();
+            while due >= 1.0 {
+                due -= 1.0;
+                self.rival_request(&mut fleet, since, &mut rng, &mut outcome);
+            }
+            since += RIVAL_STEP;
+            let cut = self.fault == Fault::PathCut;
+            fleet.probe(since, |host, instance| {
+                !(cut && instance == SICK && self.is_cut(host))
+            });
+            self.observe_rival(&fleet, since, &mut before, &mut outcome);
+        }
+        outcome
+    }
+
+    fn rival_request(
+        &self,
+        fleet: &mut RivalFleet,
+        since: Duration,
+        rng: &mut fastrand::Rng,
+        outcome: &mut RunOutcome,
+    ) {
+        let host = rng.usize(..self.shape.hosts);
+        let instance = fleet.choose(host, since);
+        let origin = RequestOrigin {
+            workspace: format!("workspace-{}", rng.usize(..8)).as_str().into(),
+            route: format!("route-{}", rng.usize(..5)).as_str().into(),
+        };
+        let (result, _) = self.outcome(since, (host, &origin), instance, rng);
+        let good = matches!(result, UpstreamResult::Success { .. });
+        outcome.requests += 1;
+        outcome.failed += u32::from(!good);
+        fleet.report(host, instance, good, since);
+    }
+
+    fn observe_rival(
+        &self,
+        fleet: &RivalFleet,
+        since: Duration,
+        before: &mut [bool],
+        outcome: &mut RunOutcome,
+    ) {
+        let hosts = self.shape.hosts;
+        let everywhere = (0..hosts).all(|host| fleet.is_out(host, SICK, since));
+        if everywhere && outcome.detected.is_none() {
+            outcome.detected = Some(since);
+        }
+        for (index, known) in before.iter_mut().enumerate() {
+            let out = (0..hosts).any(|host| fleet.is_out(host, index, since));
+            let healthy = index != SICK || !self.has_sick_instance();
+            outcome.healthy_ejections += u32::from(out && !*known && healthy);
+            *known = out;
+        }
+    }
+
+    fn summarise(&self, label: &str, runs: &[RunOutcome], out: &mut Vec<Measurement>) {
+        let name = |text: &str| format!("{label}{text}");
+        if self.has_sick_instance() {
+            let mut times: Vec<Duration> = runs.iter().filter_map(|run| run.detected).collect();
+            times.sort_unstable();
+            let missed = runs.len() - times.len();
+            let median = times.get(times.len() / 2).copied().unwrap_or_default();
+            let slowest = times.last().copied().unwrap_or_default();
+            let seconds = median.as_secs_f64();
+            out.push(Measurement::new(
+                &name("out-everywhere-median"),
+                seconds,
+                "s",
+            ));
+            let mut worst =
+                Measurement::new(&name("out-everywhere-slowest"), slowest.as_secs_f64(), "s");
+            let mut missing = Measurement::new(&name("not-detected"), missed as f64, "runs");
+            if let (Some(limit), "") = (self.limit, label) {
+                worst = worst.bounded(Bound::AtMost(limit.as_secs_f64()));
+                missing = missing.bounded(Bound::AtMost(0.0));
+            }
+            if let Some(limit) = self.limit {
+                let within = times.iter().filter(|time| **time <= limit).count();
+                let share = within as f64 / runs.len() as f64;
+                out.push(Measurement::new(&name("within-limit"), share, "share"));
+            }
+            out.extend([worst, missing]);
+        }
+        let ejections: u32 = runs.iter().map(|run| run.healthy_ejections).sum();
+        let mut healthy = Measurement::new(
+            &name("healthy-ejections"),
+            f64::from(ejections),
+            "ejections",
+        );
+        if label.is_empty() {
+            healthy = healthy.bounded(Bound::AtMost(0.0));
+        }
+        let requests: u32 = runs.iter().map(|run| run.requests).sum();
+        let failed: u32 = runs.iter().map(|run| run.failed).sum();
+        let share = f64::from(failed) / f64::from(requests.max(1));
+        out.push(healthy);
+        out.push(Measurement::new(&name("failed-requests"), share, "share"));
+    }
+}
+
+fn index_of(instance: &InstanceId) -> usize {
+    let digits = instance.as_str().rsplit('-').next();
+    digits.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// Draws a latency factor around one with a tail to the right.
+fn noise(rng: &mut fastrand::Rng) -> f64 {
+    let normal: f64 = (0..12).map(|_| rng.f64()).sum::<f64>() - 6.0;
+    (0.5 * normal).exp()
+}
--- /dev/null
+++ b/crates/bench/src/upstreams/mod.rs
@@ -0,0 +1,24 @@
+//! Detection of sick upstreams, false ejections, balance and subsets.
+
+mod balance;
+mod cost;
+mod curve;
+mod detection;
+mod fleet;
+mod pool;
+mod rivals;
+mod subsets;
+
+use crate::Scenario;
+
+/// Returns all scenarios of this topic.
+#[must_use]
+pub fn scenarios() -> Vec<Box<dyn Scenario>> {
+    let mut all = detection::scenarios();
+    all.push(Box::new(curve::FalseEjections));
+    all.push(Box::new(curve::TradeOff));
+    all.push(Box::new(balance::Balance));
+    all.push(Box::new(subsets::Subsets));
+    all.push(Box::new(cost::ControlCost));
+    all
+}
--- a/crates/protocol/src/health.rs
+++ b/crates/protocol/src/health.rs
@@ -127,6 +127,8 @@
     pub origins: Vec<OriginRow>,
     /// Outcomes of all other instances together.
     pub others: OutcomeCounts,
+    /// Outcomes of the whole pool over the last minutes.
+    pub usual: OutcomeCounts,
 }
 
 /// Asks all hosts to report some instances in full for a while.
--- a/crates/upstreams/src/balance.rs
+++ b/crates/upstreams/src/balance.rs
@@ -18,9 +18,9 @@
     /// One after the other.
     RoundRobin,
     /// The better of two by this host's own requests under way.
+    #[default]
     LocalInFlight,
     /// The better of two by the load that answers carry, and by own requests.
-    #[default]
     AnsweredLoad,
 }
 
@@ -37,6 +37,8 @@
     pub median_latency_s: Option<f64>,
     /// How to choose.
     pub policy: BalancePolicy,
+    /// The host's failure domain's part of all hosts.
+    pub near_host_share: f64,
     /// The number of choices so far.
     pub turn: usize,
 }
@@ -70,7 +72,9 @@
         return Ok((index, ChoiceReason::Trial));
     }
     let near = pick(context, members, &found.near, rng);
+    let prefers_near = rng.f64() < near_share(context, members, &found);
     if let Some(index) = near
+        && prefers_near
         && load(context, &members[index]) < NEAR_LOAD
     {
         return Ok((index, ChoiceReason::Near));
@@ -78,8 +82,8 @@
     let far = pick(context, members, &found.far, rng);
     match (near, far) {
         (Some(near), Some(far)) => {
-            let prefers_near = cost(context, &members[near]) <= cost(context, &members[far]);
-            return Ok(if prefers_near {
+            let near_is_better = cost(context, &members[near]) <= cost(context, &members[far]);
+            return Ok(if prefers_near && near_is_better {
                 (near, ChoiceReason::Near)
             } else {
                 (far, ChoiceReason::Far)
@@ -98,6 +102,18 @@
     })
 }
 
+/// Returns the part of the host's requests that the near instances can take
+/// if all hosts send as much: their part of the slots by the part of the hosts.
+fn near_share(context: &BalanceContext<'_>, members: &[Member], found: &Candidates) -> f64 {
+    let slots = |indices: &[usize]| -> f64 {
+        let slots = indices.iter().map(|index| members[*index].instance.slots);
+        f64::from(slots.sum::<u32>())
+    };
+    let near = slots(&found.near);
+    let all = near + slots(&found.far);
+    near / (all * context.near_host_share).max(f64::MIN_POSITIVE)
+}
+
 fn sort_in(
     context: &BalanceContext<'_>,
     member: &Member,
--- a/crates/upstreams/src/casebook.rs
+++ b/crates/upstreams/src/casebook.rs
@@ -4,13 +4,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use waxwingusher_core::HostId;
 use waxwingusher_protocol::health::{Evidence, FailureKind, InstanceKey, OriginKey, OutcomeCounts};
 
 use crate::window::Generations;
 
 const CASE_WINDOW: Duration = Duration::from_secs(20);
-const ORIGIN_SPAN: Duration = Duration::from_secs(10);
+const ORIGIN_SPAN: Duration = Duration::from_secs(4);
+const OTHERS_SPAN: Duration = Duration::from_secs(10);
 const MERGE_SPAN: Duration = Duration::from_millis(200);
+const MIN_USUAL_SAMPLES: f64 = 500.0;
 const MAX_ENTRIES: usize = 512;
 const MAX_ORIGINS: usize = 512;
 
@@ -109,6 +112,7 @@
     cases: HashMap<InstanceKey, Case>,
     origins: HashMap<OriginKey, Generations<u32>>,
     others: Generations<OutcomeCounts>,
+    usual: HashMap<HostId, OutcomeCounts>,
 }
 
 impl Casebook {
@@ -118,7 +122,8 @@
         Self {
             cases: HashMap::new(),
             origins: HashMap::new(),
-            others: Generations::new(now, ORIGIN_SPAN),
+            others: Generations::new(now, OTHERS_SPAN),
+            usual: HashMap::new(),
         }
     }
 
@@ -203,6 +208,25 @@
         })
     }
 
+    /// Notes what a host has seen of the whole pool over minutes.
+    pub fn set_usual(&mut self, host: &HostId, usual: OutcomeCounts) {
+        self.usual.insert(host.clone(), usual);
+    }
+
+    /// Returns a careful estimate of the rate at which the pool usually fails
+    /// without `exceptional` failures, if enough is known.
+    #[must_use]
+    pub fn usual_failure_rate(&self, exceptional: u32) -> Option<f64> {
+        let failed: u32 = self.usual.values().map(|counts| counts.failed).sum();
+        let ok: u32 = self.usual.values().map(|counts| counts.ok).sum();
+        let samples = f64::from(ok + failed);
+        if samples < MIN_USUAL_SAMPLES {
+            return None;
+        }
+        let failed = f64::from(failed.saturating_sub(exceptional));
+        Some((failed + 2.0 * failed.sqrt() + 2.0) / samples)
+    }
+
     /// Returns the outcomes of the instances that nobody suspects.
     pub fn others(&mut self, now: Instant) -> OutcomeCounts {
         let (old, new) = self.others.both(now);
--- a/crates/upstreams/src/judge.rs
+++ b/crates/upstreams/src/judge.rs
@@ -14,13 +14,12 @@
 
 use crate::casebook::{Casebook, Vantage};
 use crate::ejection::{EjectionBook, PoolCapacity};
-use crate::score::{Score, Verdict, score_all};
+use crate::score::{SUSPICION_SHARE, Score, Scores, Scoring, Verdict, score_all};
 use crate::settings::{
     EJECTION_TERM, RENEWAL_INTERVAL, TestThresholds, UpstreamSettings, VOTE_TERM,
 };
 
 const WATCH_SETTLE: Duration = Duration::from_millis(150);
-const WATCH_SHARE: f64 = 0.55;
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
 const CAMPAIGN_TERM: Duration = Duration::from_millis(1_500);
 const REMEMBERED_ROUNDS: usize = 8;
@@ -54,6 +53,9 @@
     pub applied: (&'a [EjectionRow], Instant),
     /// The settings.
     pub settings: &'a UpstreamSettings,
+    /// The requests a second that each instance gets, if all hosts send as
+    /// many as this one.
+    pub expected_per_s: f64,
     /// The thresholds of the service.
     pub thresholds: TestThresholds,
 }
@@ -84,7 +86,7 @@
     campaign_since: Option<Instant>,
     quiet_until: Instant,
     wanted_since: Option<Instant>,
-    scores: Vec<Score>,
+    scores: Scores,
     rng: fastrand::Rng,
 }
 
@@ -106,15 +108,22 @@
             campaign_since: None,
             quiet_until: now,
             wanted_since: None,
-            scores: Vec::new(),
+            scores: Scores::default(),
             rng,
         }
     }
 
     /// Takes a report.
-    pub fn on_evidence(&mut self, now: Instant, vantage: &Vantage, evidence: &Evidence) {
+    pub fn on_evidence(
+        &mut self,
+        now: Instant,
+        from: &HostId,
+        vantage: &Vantage,
+        evidence: &Evidence,
+    ) {
         self.ejections.on_evidence(evidence);
         self.book.add(now, vantage, evidence);
+        self.book.set_usual(from, evidence.usual);
     }
 
     /// Takes a vote, and acts on it if it completes a quorum.
@@ -156,13 +165,20 @@
 
     /// Weighs the evidence and renews votes and ejections that are due.
     pub fn tick(&mut self, context: &JudgeContext<'_>) -> Vec<Addressed> {
-        if !self.is_due(context) {
+        if !self.is_due(context.now, context.applied.0) {
             return Vec::new();
         }
         self.last_evaluation = context.now;
         self.book.expire(context.now);
         self.unavailable.retain(|_, until| context.now < *until);
-        self.scores = score_all(&mut self.book, context.now, context.capacity.len());
+        let pool_size = context.capacity.len();
+        let scoring = Scoring {
+            now: context.now,
+            pool_size,
+            expected_per_s: context.expected_per_s,
+            thresholds: context.thresholds,
+        };
+        self.scores = score_all(&mut self.book, &scoring);
         let mut out = self.watch_suspects(context);
         if !self.wants_to_act(context) {
             self.campaign_since = None;
@@ -178,10 +194,22 @@
         out
     }
 
+    /// Reports whether there is something to weigh; `applied` are the
+    /// ejections that the host applies as a voter.
+    #[must_use]
+    pub fn is_due(&self, now: Instant, applied: &[EjectionRow]) -> bool {
+        let age = now.saturating_duration_since(self.last_evaluation);
+        let idle = self.book.is_empty()
+            && self.ejections.is_idle()
+            && self.scores.scores.is_empty()
+            && applied.is_empty();
+        !idle && age >= EVALUATION_INTERVAL
+    }
+
     /// Returns the scores of the latest evaluation.
     #[must_use]
     pub fn scores(&self) -> &[Score] {
-        &self.scores
+        &self.scores.scores
     }
 
     /// Reports whether a quorum is bound to this judge now.
@@ -196,22 +224,13 @@
         valid >= quorum(context.hosts.len())
     }
 
-    fn is_due(&self, context: &JudgeContext<'_>) -> bool {
-        let age = context.now.saturating_duration_since(self.last_evaluation);
-        let idle = self.book.is_empty()
-            && self.ejections.is_idle()
-            && self.scores.is_empty()
-            && context.applied.0.is_empty();
-        !idle && age >= EVALUATION_INTERVAL
-    }
-
     fn watch_suspects(&mut self, context: &JudgeContext<'_>) -> Vec<Addressed> {
         let mut instances = Vec::new();
         let mut origins = BTreeSet::new();
         let mut cross_check = false;
-        for score in &self.scores {
-            let suspicious = score.suspicion >= context.thresholds.failure * WATCH_SHARE
-                || score.slow >= context.thresholds.slow * WATCH_SHARE;
+        for score in &self.scores.scores {
+            let suspicious = score.suspicion >= context.thresholds.suspicion
+                || score.slow >= context.thresholds.slow * SUSPICION_SHARE;
             let Some(case) = self.book.case_mut(score.instance) else {
                 continue;
             };
@@ -264,10 +283,11 @@
     }
 
     fn candidates<'a>(&'a self, context: &JudgeContext<'a>) -> impl Iterator<Item = &'a Score> {
-        let thresholds = context.thresholds;
+        let slow_threshold = context.thresholds.slow;
+        let failure_threshold = self.scores.failure_threshold;
         let now = context.now;
-        self.scores.iter().filter(move |score| {
-            let high = score.failure >= thresholds.failure || score.slow >= thresholds.slow;
+        self.scores.scores.iter().filter(move |score| {
+            let high = score.failure >= failure_threshold || score.slow >= slow_threshold;
             let watched =
                 self.book.cases().iter().any(|(key, case)| {
                     *key == score.instance && case.is_watched(now, WATCH_SETTLE)
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -155,6 +155,7 @@
             ejections: &ejections,
             median_latency_s: median.map(|median| median.as_secs_f64()),
             policy: context.settings.balance,
+            near_host_share: context.near_host_share,
             turn: self.turn,
         };
         self.turn = self.turn.wrapping_add(1);
@@ -416,6 +417,8 @@
     pub near: &'a FailureDomain,
     /// The number of listed hosts.
     pub hosts: usize,
+    /// The part of them in the host's failure domain.
+    pub near_host_share: f64,
     /// The settings.
     pub settings: &'a UpstreamSettings,
 }
--- a/crates/upstreams/src/reporter.rs
+++ b/crates/upstreams/src/reporter.rs
@@ -13,8 +13,11 @@
 
 const HISTORY_SPAN: Duration = Duration::from_secs(8);
 const BUCKET_SPAN: Duration = Duration::from_millis(500);
-const ORIGIN_SPAN: Duration = Duration::from_secs(5);
+const ORIGIN_SPAN: Duration = Duration::from_secs(2);
+const RATE_SPAN: Duration = Duration::from_secs(10);
+const USUAL_SPAN: Duration = Duration::from_secs(300);
 const SUSPICION_TERM: Duration = Duration::from_secs(15);
+const MAX_ROWS_PER_REPORT: usize = 48;
 const MAX_FAILURES_PER_REPORT: usize = 16;
 const MAX_ORIGINS_PER_REPORT: usize = 16;
 const MAX_ORIGINS: usize = 512;
@@ -95,6 +98,8 @@
     origins: HashMap<OriginKey, OriginMemory>,
     watched: HashMap<InstanceKey, Instant>,
     latencies: LatencyWindow,
+    usual: Generations<OutcomeCounts>,
+    requests: Generations<u32>,
     urgent: bool,
     answers_watch: bool,
 }
@@ -112,6 +117,8 @@
             origins: HashMap::new(),
             watched: HashMap::new(),
             latencies: LatencyWindow::default(),
+            usual: Generations::new(now, USUAL_SPAN),
+            requests: Generations::new(now, RATE_SPAN),
             urgent: false,
             answers_watch: false,
         }
@@ -119,6 +126,12 @@
 
     /// Takes an outcome.
     pub fn record(&mut self, now: Instant, outcome: &Outcome) {
+        *self.requests.current(now) += 1;
+        let usual = self.usual.current(now);
+        match outcome.result {
+            Ok(_) => usual.ok += 1,
+            Err(_) => usual.failed += 1,
+        }
         let counts = self.rows.entry(outcome.instance).or_default().current(now);
         match outcome.result {
             Ok(latency) => {
@@ -162,19 +175,23 @@
             return None;
         }
         let (instances, others) = self.take_rows(now, ejected);
+        let empty = instances.is_empty() && self.failures.is_empty();
+        if empty && !self.answers_watch {
+            return None;
+        }
         let origins = self.take_origins(now);
         self.urgent = false;
         self.answers_watch = false;
-        if instances.is_empty() && self.failures.is_empty() && origins.is_empty() {
-            return None;
-        }
         self.last_flush = now;
+        let (before, lately) = self.usual.both(now);
+        let usual = add(*before, *lately);
         Some(Evidence {
             service: self.service,
             instances,
             failures: std::mem::take(&mut self.failures),
             origins,
             others,
+            usual,
         })
     }
 
@@ -184,6 +201,13 @@
         self.latencies.median()
     }
 
+    /// Returns the pool's requests a second at this host.
+    #[must_use]
+    pub fn requests_per_s(&mut self, now: Instant) -> f64 {
+        let (before, lately) = self.requests.both(now);
+        f64::from(*before + *lately) / (1.5 * RATE_SPAN.as_secs_f64())
+    }
+
     fn record_failure(&mut self, now: Instant, outcome: &Outcome, kind: FailureKind) {
         self.urgent = true;
         self.suspect(now, outcome.workspace);
@@ -241,35 +265,41 @@
                 others = add(others, sum);
                 continue;
             }
+            if taken.len() + row.buckets.len() > MAX_ROWS_PER_REPORT {
+                continue;
+            }
             taken.extend(row.take(now, *instance));
         }
         taken.sort_by_key(|row| (row.instance, std::cmp::Reverse(row.age_ds)));
         (taken, others)
     }
 
+    /// Takes the successes of suspected origins, and while an instance is
+    /// watched those of the busiest others.
     fn take_origins(&mut self, now: Instant) -> Vec<OriginRow> {
-        let mut taken = Vec::new();
+        let watching = !self.watched.is_empty();
+        let mut found = Vec::new();
         for (origin, memory) in &mut self.origins {
-            let Some(until) = memory.suspect_until else {
-                continue;
-            };
-            if now >= until {
+            let suspect = memory.suspect_until.is_some_and(|until| now < until);
+            if !suspect {
                 memory.suspect_until = None;
-                continue;
             }
             let (old, new) = memory.ok.both(now);
             let ok = old + new;
-            if ok == 0 || taken.len() == MAX_ORIGINS_PER_REPORT {
-                continue;
+            if ok > 0 && (suspect || watching) {
+                found.push((suspect, ok, *origin));
+            }
+        }
+        found.sort_unstable_by(|a, b| b.cmp(a));
+        found.truncate(MAX_ORIGINS_PER_REPORT);
+        for (_, _, origin) in &found {
+            if let Some(memory) = self.origins.get_mut(origin) {
+                memory.ok.take(now);
             }
-            memory.ok.take(now);
-            taken.push(OriginRow {
-                origin: *origin,
-                ok,
-            });
         }
-        taken.sort_by_key(|row| row.origin);
-        taken
+        let rows = found.into_iter();
+        rows.map(|(_, ok, origin)| OriginRow { origin, ok })
+            .collect()
     }
 }
 
--- a/crates/upstreams/src/score.rs
+++ b/crates/upstreams/src/score.rs
@@ -5,24 +5,40 @@
 //! is the median over instances, and for each failure the rate at which the
 //! same workspace or route fails elsewhere.
 
-use std::collections::HashMap;
-use std::time::Instant;
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
 
 use waxwingusher_protocol::health::{FailureKind, InstanceKey, OriginKey};
 
 use crate::casebook::{Case, Casebook, Failure, Vantage};
+use crate::settings::TestThresholds;
 
 const MIN_FAILURE_RATE: f64 = 0.02;
 const MIN_SLOW_RATE: f64 = 0.05;
 const SICK_FAILURE_RATE: f64 = 0.25;
 const SICK_SLOW_RATE: f64 = 0.5;
+/// What is assumed while too little is known of a pool.
+const UNKNOWN_FAILURE_RATE: f64 = 0.005;
+const LEAST_FAILURE_RATE: f64 = 0.000_5;
+/// More failures than this are needed whatever the rate.
+const LEAST_FAILURES: f64 = 2.2;
+const MOST_ADJUSTMENT: f64 = 5.0;
+const LEAST_ADJUSTMENT: f64 = 0.5;
+const ADJUSTMENT_STEPS: usize = 30;
+/// The part of the slowness threshold that makes an instance a suspect.
+pub const SUSPICION_SHARE: f64 = 0.55;
 const POOL_FACTOR: f64 = 2.0;
 const HOPELESS_RATE: f64 = 0.45;
 const ORIGIN_PRIOR: f64 = 0.3;
+const SPREAD_FAILURES: u32 = 2;
+const SPREAD_FACTOR: f64 = 4.0;
+const UNEXPLAINED_RATE: f64 = 0.5;
 const UNEXPLAINED_FAILURES: u32 = 2;
-const TRIMMED_SHARE: f64 = 0.3;
+const MOST_SUSPECTS: f64 = 0.3;
 const MIN_CASE_SAMPLES: u32 = 3;
-const CLEAR_PATH_SAMPLES: u32 = 8;
+const CLEAR_PATH_SAMPLES: u32 = 6;
+const MIN_PATH_FAILURES: u32 = 2;
+const MIN_PATH_SHARE: f64 = 0.15;
 
 /// What the evidence on an instance says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -35,6 +51,15 @@
     Unclear,
 }
 
+/// The scores of all instances, and what they are held against.
+#[derive(Debug, Clone, Default)]
+pub struct Scores {
+    /// One score for each instance with evidence.
+    pub scores: Vec<Score>,
+    /// The failure score that ejects.
+    pub failure_threshold: f64,
+}
+
 /// The test's state for one instance.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Score {
@@ -55,15 +80,108 @@
     pub verdict: Verdict,
 }
 
-/// Scores all instances with evidence. `pool_size` is the number of instances.
+/// The steps of one cumulative sum against a base rate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TestSteps {
+    /// What a good outcome adds, a negative number.
+    pub good: f64,
+    /// What a bad outcome adds.
+    pub bad: f64,
+}
+
+impl TestSteps {
+    /// Returns the steps for failures in a pool that fails at this rate.
+    #[must_use]
+    pub fn for_failures(pool_rate: f64) -> Self {
+        let base = (pool_rate * POOL_FACTOR).max(MIN_FAILURE_RATE);
+        Self::new(base, SICK_FAILURE_RATE)
+    }
+
+    /// Returns the steps for slow answers in a pool that is slow at this rate.
+    #[must_use]
+    pub fn for_slow(pool_rate: f64) -> Self {
+        let base = (pool_rate * POOL_FACTOR).max(MIN_SLOW_RATE);
+        Self::new(base, SICK_SLOW_RATE)
+    }
+
+    /// Returns the threshold that a healthy instance passes with a chance of
+    /// about `exp(-exponent)` at each outcome, if a share `bad_rate` of its
+    /// outcomes is bad.
+    #[must_use]
+    pub fn threshold(self, exponent: f64, bad_rate: f64) -> f64 {
+        let bad_rate = bad_rate.max(LEAST_FAILURE_RATE);
+        let mut low = 0.0;
+        let mut high = MOST_ADJUSTMENT;
+        for _ in 0..ADJUSTMENT_STEPS {
+            let middle = f64::midpoint(low, high);
+            let growth = bad_rate * (middle * self.bad).exp()
+                + (1.0 - bad_rate) * (middle * self.good).exp();
+            if growth > 1.0 {
+                high = middle;
+            } else {
+                low = middle;
+            }
+        }
+        (exponent / low.max(LEAST_ADJUSTMENT)).max(self.bad * LEAST_FAILURES)
+    }
+
+    fn new(base: f64, sick: f64) -> Self {
+        Self {
+            good: ok_step(base, sick),
+            bad: bad_step(base, sick),
+        }
+    }
+}
+
+/// What the scores go by beside the evidence.
+#[derive(Debug, Clone, Copy)]
+pub struct Scoring {
+    /// The time.
+    pub now: Instant,
+    /// The number of instances.
+    pub pool_size: usize,
+    /// The requests a second that an instance is likely to get. Hosts report
+    /// successes only of watched instances.
+    pub expected_per_s: f64,
+    /// The thresholds of the service.
+    pub thresholds: TestThresholds,
+}
+
+/// Scores all instances with evidence.
 #[must_use]
-pub fn score_all(book: &mut Casebook, now: Instant, pool_size: usize) -> Vec<Score> {
-    let origins = origin_rates(book, now, pool_size);
-    let reference = reference_rates(book, now, pool_size);
-    book.cases()
+pub fn score_all(book: &mut Casebook, scoring: &Scoring) -> Scores {
+    let reference = reference_rates(book, scoring.now, scoring.pool_size);
+    let steps = TestSteps::for_failures(reference.failure);
+    let usual = book
+        .usual_failure_rate(worst_failures(book, scoring.pool_size))
+        .unwrap_or(UNKNOWN_FAILURE_RATE);
+    let usual = usual.max(reference.failure);
+    let nothing = HashMap::new();
+    let mut suspects: Vec<(InstanceKey, f64)> = book
+        .cases()
         .into_iter()
-        .map(|(instance, case)| score_case(instance, case, &origins, reference))
-        .collect()
+        .map(|(instance, case)| score_case(instance, case, &nothing, reference, scoring))
+        .filter(|score| score.suspicion >= scoring.thresholds.suspicion)
+        .map(|score| (score.instance, score.suspicion))
+        .collect();
+    suspects.sort_by(|a, b| b.1.total_cmp(&a.1));
+    suspects.truncate(((scoring.pool_size as f64 * MOST_SUSPECTS) as usize).max(1));
+    let suspects: HashSet<InstanceKey> = suspects.into_iter().map(|(key, _)| key).collect();
+    let origins = origin_records(book, scoring.now, &suspects);
+    let cases = book.cases().into_iter();
+    Scores {
+        scores: cases
+            .map(|(instance, case)| score_case(instance, case, &origins, reference, scoring))
+            .collect(),
+        failure_threshold: steps.threshold(scoring.thresholds.failure, usual),
+    }
+}
+
+/// How an origin fares at instances that are no suspects.
+#[derive(Debug, Clone, Copy)]
+struct OriginRecord {
+    rate: f64,
+    failed: u32,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -75,26 +193,41 @@
 fn score_case(
     instance: InstanceKey,
     case: &Case,
-    origins: &HashMap<OriginKey, f64>,
+    origins: &HashMap<OriginKey, OriginRecord>,
     reference: Rates,
+    scoring: &Scoring,
 ) -> Score {
+    let own = failures_by_origin(case);
+    let explained = ExplainedRates {
+        own: &own,
+        origins,
+        pool_size: scoring.pool_size,
+    };
+    let watched = case.is_watched(scoring.now, Duration::ZERO);
+    let unseen_per_s = if watched { 0.0 } else { scoring.expected_per_s };
+    let mut last_at = None;
     let base = (reference.failure * POOL_FACTOR).max(MIN_FAILURE_RATE);
-    let base_slow = (reference.slow * POOL_FACTOR).max(MIN_SLOW_RATE);
+    let failure_steps = TestSteps::for_failures(reference.failure);
+    let slow_steps = TestSteps::for_slow(reference.slow);
     let mut failure = 0.0_f64;
     let mut suspicion = 0.0_f64;
     let mut slow = 0.0_f64;
     for entry in &case.entries {
-        let good = f64::from(entry.ok) * ok_step(base, SICK_FAILURE_RATE);
-        let bad = entry.failures.len() as f64 * bad_step(base, SICK_FAILURE_RATE);
-        suspicion = (suspicion + good + bad).max(0.0);
+        let good = f64::from(entry.ok) * failure_steps.good;
+        let bad = entry.failures.len() as f64 * failure_steps.bad;
+        let gap = last_at.map_or(Duration::ZERO, |last| {
+            entry.at.saturating_duration_since(last)
+        });
+        let unseen = gap.as_secs_f64() * unseen_per_s * failure_steps.good;
+        last_at = Some(entry.at);
+        suspicion = ((suspicion + unseen).max(0.0) + good + bad).max(0.0);
         let mut step = good;
         for failed in &entry.failures {
-            step += bad_step(failure_base(failed, base, origins), SICK_FAILURE_RATE);
+            step += bad_step(explained.base(failed, base), SICK_FAILURE_RATE);
         }
         failure = (failure + step).max(0.0);
-        let quick = f64::from(entry.ok - entry.slow.min(entry.ok));
-        let slow_step = quick * ok_step(base_slow, SICK_SLOW_RATE)
-            + f64::from(entry.slow) * bad_step(base_slow, SICK_SLOW_RATE);
+        let quick = f64::from(entry.ok.saturating_sub(entry.slow));
+        let slow_step = quick * slow_steps.good + f64::from(entry.slow) * slow_steps.bad;
         slow = (slow + slow_step).max(0.0);
     }
     let totals = case.totals();
@@ -110,9 +243,32 @@
     }
 }
 
-fn failure_base(failed: &Failure, base: f64, origins: &HashMap<OriginKey, f64>) -> f64 {
-    let rate = |origin| origins.get(&origin).copied().unwrap_or(0.0);
-    base.max(rate(failed.workspace)).max(rate(failed.route))
+/// The rates that the origins of an instance's failures explain.
+struct ExplainedRates<'a> {
+    own: &'a HashMap<OriginKey, u32>,
+    origins: &'a HashMap<OriginKey, OriginRecord>,
+    pool_size: usize,
+}
+
+impl ExplainedRates<'_> {
+    fn base(&self, failed: &Failure, base: f64) -> f64 {
+        base.max(self.rate(failed.workspace))
+            .max(self.rate(failed.route))
+    }
+
+    /// Returns the rate at which an origin fails elsewhere, or a half if its
+    /// failures are spread over the pool.
+    fn rate(&self, origin: OriginKey) -> f64 {
+        let Some(record) = self.origins.get(&origin) else {
+            return 0.0;
+        };
+        let own = f64::from(self.own.get(&origin).copied().unwrap_or(0));
+        let even = f64::from(record.failed) / (self.pool_size.max(2) - 1) as f64;
+        if record.failed >= SPREAD_FAILURES && own <= SPREAD_FACTOR * even + 1.0 {
+            return UNEXPLAINED_RATE;
+        }
+        record.rate
+    }
 }
 
 fn sick_rate(base: f64, sick: f64) -> f64 {
@@ -133,6 +289,16 @@
     ((1.0 - sick_rate(base, sick)) / (1.0 - base)).ln()
 }
 
+/// Returns the recent failures of the instances that fail most, which say
+/// nothing of how the pool usually fails.
+fn worst_failures(book: &Casebook, pool_size: usize) -> u32 {
+    let cases = book.cases();
+    let mut failed: Vec<u32> = cases.iter().map(|(_, case)| case.totals().failed).collect();
+    failed.sort_unstable_by(|a, b| b.cmp(a));
+    let most = ((pool_size as f64 * MOST_SUSPECTS) as usize).max(1);
+    failed.iter().take(most).sum()
+}
+
 /// Returns the median over instances of their rates; instances without a case
 /// have the rate of all others together.
 fn reference_rates(book: &mut Casebook, now: Instant, pool_size: usize) -> Rates {
@@ -169,27 +335,38 @@
     *values.select_nth_unstable_by(middle, f64::total_cmp).1
 }
 
-/// Returns for each origin with repeated failures the rate at which it fails,
-/// without the instances at which it fails most. With no success elsewhere the
-/// rate is a half, which lets its failures say nothing of the instance.
-fn origin_rates(book: &mut Casebook, now: Instant, pool_size: usize) -> HashMap<OriginKey, f64> {
-    let mut failed: HashMap<OriginKey, Vec<u32>> = HashMap::new();
-    for (_, case) in book.cases() {
+/// Returns for each origin with repeated failures the rate at which it fails
+/// at instances that are no suspects. With no success there the rate is a
+/// half, which lets its failures say nothing of an instance.
+fn origin_records(
+    book: &mut Casebook,
+    now: Instant,
+    suspects: &HashSet<InstanceKey>,
+) -> HashMap<OriginKey, OriginRecord> {
+    let mut failed: HashMap<OriginKey, (u32, u32)> = HashMap::new();
+    for (instance, case) in book.cases() {
         for (origin, count) in failures_by_origin(case) {
-            failed.entry(origin).or_default().push(count);
+            let (all, elsewhere) = failed.entry(origin).or_default();
+            *all += count;
+            if !suspects.contains(&instance) {
+                *elsewhere += count;
+            }
         }
     }
-    let trimmed = ((pool_size as f64 * TRIMMED_SHARE) as usize).max(1);
     let mut rates = HashMap::with_capacity(failed.len());
-    for (origin, mut counts) in failed {
-        counts.sort_unstable_by(|a, b| b.cmp(a));
-        if counts.iter().sum::<u32>() <= UNEXPLAINED_FAILURES {
+    for (origin, (all, elsewhere)) in failed {
+        if all <= UNEXPLAINED_FAILURES {
             continue;
         }
-        let elsewhere = f64::from(counts.iter().skip(trimmed).sum::<u32>());
+        let count = elsewhere;
+        let elsewhere = f64::from(elsewhere);
         let ok = f64::from(book.origin_ok(now, origin));
         let rate = (elsewhere + ORIGIN_PRIOR) / (elsewhere + ok + 2.0 * ORIGIN_PRIOR);
-        rates.insert(origin, rate);
+        let record = OriginRecord {
+            rate,
+            failed: count,
+        };
+        rates.insert(origin, record);
     }
     rates
 }
@@ -205,36 +382,40 @@
     counts
 }
 
-/// Tells a cut path from a sick instance: a vantage from which many
-/// requests succeed and none fails has a path to an instance that is well.
+/// Tells a cut path from a sick instance: the requests of all vantages but the
+/// worst must fail on the path as well.
 fn path_verdict(case: &Case) -> Verdict {
     let mut vantages: HashMap<&Vantage, (u32, u32)> = HashMap::new();
     let mut path_failures = 0;
     let mut instance_failures = 0;
     for entry in &case.entries {
-        let (ok, failed) = vantages.entry(&entry.vantage).or_default();
-        *ok += entry.ok;
-        *failed += entry.failures.len() as u32;
         let on_path = entry
             .failures
             .iter()
             .filter(|failure| failure.kind == FailureKind::Path)
-            .count();
+            .count() as u32;
+        let (all, failed) = vantages.entry(&entry.vantage).or_default();
+        *all += entry.ok + on_path;
+        *failed += on_path;
         path_failures += on_path;
-        instance_failures += entry.failures.len() - on_path;
+        instance_failures += entry.failures.len() as u32 - on_path;
     }
     if path_failures <= instance_failures {
         return Verdict::Sick;
     }
-    let clear = vantages
-        .values()
-        .any(|(ok, failed)| *failed == 0 && *ok >= CLEAR_PATH_SAMPLES);
-    let failing = vantages.values().filter(|(_, failed)| *failed > 0).count();
-    if clear || (failing < 2 && vantages.len() > 1) {
-        return Verdict::PathCut;
-    }
-    if failing < 2 {
+    let worst = vantages.values().max_by_key(|(_, failed)| *failed);
+    let Some((worst_all, worst_failed)) = worst.copied() else {
         return Verdict::Unclear;
+    };
+    let all: u32 = vantages.values().map(|(all, _)| *all).sum();
+    let elsewhere = all - worst_all;
+    let failed_elsewhere = path_failures - worst_failed;
+    let share = f64::from(failed_elsewhere) / f64::from(elsewhere.max(1));
+    if failed_elsewhere >= MIN_PATH_FAILURES && share >= MIN_PATH_SHARE {
+        return Verdict::Sick;
+    }
+    if elsewhere >= CLEAR_PATH_SAMPLES {
+        return Verdict::PathCut;
     }
-    Verdict::Sick
+    Verdict::Unclear
 }
--- a/crates/upstreams/src/set.rs
+++ b/crates/upstreams/src/set.rs
@@ -52,6 +52,7 @@
     settings: UpstreamSettings,
     started: Instant,
     hosts: Vec<HostId>,
+    near_host_share: f64,
     vantages: HashMap<HostId, Vantage>,
     services: HashMap<ServiceKey, ServiceState>,
     picks: HashMap<PickId, Pick>,
@@ -79,6 +80,7 @@
             rng: fastrand::Rng::with_seed(seed),
             settings,
             started,
+            near_host_share: 1.0,
             vantages: HashMap::new(),
             services: HashMap::new(),
             picks: HashMap::new(),
@@ -113,6 +115,12 @@
         let mut hosts: Vec<HostId> = list.hosts.iter().map(|entry| entry.id.clone()).collect();
         hosts.sort();
         hosts.dedup();
+        let near = list
+            .hosts
+            .iter()
+            .filter(|entry| entry.failure_domain == self.failure_domain)
+            .count();
+        self.near_host_share = near.max(1) as f64 / list.hosts.len().max(1) as f64;
         let single_domain = list.failure_domains().len() < 2;
         self.vantages = list
             .hosts
@@ -153,6 +161,7 @@
             now,
             near: &self.failure_domain,
             hosts: self.hosts.len(),
+            near_host_share: self.near_host_share,
             settings: &self.settings,
         };
         let state = self.services.get_mut(&key).ok_or(ChooseError::NoInstance)?;
@@ -189,6 +198,7 @@
             now: self.clock.now(),
             near: &self.failure_domain,
             hosts: self.hosts.len(),
+            near_host_share: self.near_host_share,
             settings: &self.settings,
         };
         let Some(state) = self.services.get_mut(&held.service) else {
@@ -220,6 +230,10 @@
         for state in services.values_mut() {
             state.pool.tick(now);
             out.extend(flush(state, now));
+            let (applied, _) = state.pool.voter.last_ejections();
+            if !state.judge.is_due(now, applied) {
+                continue;
+            }
             let capacity = state.pool.capacity(now);
             let (judge, context) = self.judge_parts(state, now, &capacity);
             out.extend(judge.tick(&context));
@@ -340,7 +354,7 @@
         ) else {
             return Vec::new();
         };
-        state.judge.on_evidence(now, vantage, evidence);
+        state.judge.on_evidence(now, from, vantage, evidence);
         Vec::new()
     }
 
@@ -349,6 +363,7 @@
             now,
             near: &self.failure_domain,
             hosts: self.hosts.len(),
+            near_host_share: self.near_host_share,
             settings: &self.settings,
         };
         let Some(state) = self.services.get_mut(&watch.service) else {
@@ -369,6 +384,7 @@
             now,
             near: &self.failure_domain,
             hosts: self.hosts.len(),
+            near_host_share: self.near_host_share,
             settings: &self.settings,
         };
         let Some(state) = self.services.get_mut(&grant.service) else {
@@ -403,6 +419,8 @@
         now: Instant,
         capacity: &'a crate::ejection::PoolCapacity,
     ) -> (&'a mut Judge, JudgeContext<'a>) {
+        let requests_per_s = state.pool.reporter.requests_per_s(now);
+        let instances = capacity.len().max(1) as f64;
         let voter = &state.pool.voter;
         let rank = if state.judges.first() == Some(&self.self_id) {
             JudgeRank::First
@@ -418,6 +436,7 @@
             may_vote_for_self: voter.may_vote_for(now, &self.self_id, self.incarnation),
             applied: voter.last_ejections(),
             settings: &self.settings,
+            expected_per_s: requests_per_s * self.hosts.len() as f64 / instances,
             thresholds: TestThresholds::of(state.pool.service.detection),
         };
         (&mut state.judge, context)
--- a/crates/upstreams/src/settings.rs
+++ b/crates/upstreams/src/settings.rs
@@ -65,8 +65,12 @@
 /// Thresholds of the sequential test.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TestThresholds {
-    /// The log-likelihood ratio of failures that ejects.
+    /// The logarithm of how unlikely the failures of an ejected instance must
+    /// be if it is healthy. The score that this takes follows from the rate at
+    /// which the pool usually fails.
     pub failure: f64,
+    /// The score of all failures that makes an instance a suspect.
+    pub suspicion: f64,
     /// The log-likelihood ratio of slow answers that ejects.
     pub slow: f64,
 }
@@ -77,12 +81,14 @@
     pub fn of(detection: Detection) -> Self {
         match detection {
             Detection::Careful => Self {
-                failure: 14.0,
+                failure: 24.0,
+                suspicion: 4.5,
                 slow: 16.0,
             },
             Detection::Fast => Self {
-                failure: 8.5,
-                slow: 10.5,
+                failure: 15.6,
+                suspicion: 3.2,
+                slow: 11.0,
             },
         }
     }
--- a/crates/upstreams/src/subset.rs
+++ b/crates/upstreams/src/subset.rs
@@ -1,11 +1,9 @@
 //! Which instances of a large pool a host uses.
 //!
 //! Hosts and instances are matched greedily along falling rendezvous weights,
-//! with room for a fixed number of instances at each host and of hosts at each
-//! instance, apart for each failure domain of the instances. All hosts with
-//! the same list find the same matching, and a change moves few pairs.
-
-use std::collections::BTreeMap;
+//! with room for a fixed number of instances at each host, of each failure
+//! domain at each host, and of hosts at each instance. All hosts with the same
+//! list find the same matching, and a change moves few pairs.
 
 use waxwingusher_config::Instance;
 use waxwingusher_core::{HostId, rendezvous};
@@ -17,7 +15,7 @@
 pub const CONNECTIONS_PER_PAIR: usize = 2;
 
 const INSTANCE_SLACK: f64 = 1.05;
-const LEAST_SUBSET: usize = 2;
+const LEAST_SUBSET: usize = 1;
 
 /// Returns how many instances of a pool each host uses.
 #[must_use]
@@ -41,67 +39,119 @@
     preferred: usize,
 ) -> Vec<usize> {
     let size = subset_size(hosts.len(), instances.len(), preferred);
-    if size == instances.len() || !hosts.contains(host) {
-        return (0..instances.len()).collect();
-    }
-    let mut chosen = Vec::with_capacity(size);
-    for (group, share) in domain_shares(instances, size) {
-        chosen.extend(matched(host, hosts, instances, &group, share));
+    let row = hosts.iter().position(|candidate| candidate == host);
+    match row {
+        Some(row) if size < instances.len() => {
+            all_subsets(hosts, instances, preferred).swap_remove(row)
+        }
+        _ => (0..instances.len()).collect(),
     }
-    chosen.sort_unstable();
-    chosen
 }
 
-/// Splits the subset's size over the failure domains by their instances.
-fn domain_shares(instances: &[Instance], size: usize) -> Vec<(Vec<usize>, usize)> {
-    let mut groups: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
-    for (index, instance) in instances.iter().enumerate() {
-        let domain = instance.failure_domain.as_str();
-        groups.entry(domain).or_default().push(index);
+/// Returns the subsets of all hosts, in the order of the hosts.
+#[must_use]
+pub fn all_subsets(hosts: &[HostId], instances: &[Instance], preferred: usize) -> Vec<Vec<usize>> {
+    let size = subset_size(hosts.len(), instances.len(), preferred);
+    let mut matching = Matching::new(hosts.len(), instances, size);
+    let pairs = ranked_pairs(hosts, instances);
+    for (room, spread) in matching.passes() {
+        matching.instance_room = room;
+        for (_, host, instance) in &pairs {
+            matching.try_match(*host, *instance, spread);
+        }
     }
-    if groups.len() > size {
-        return vec![((0..instances.len()).collect(), size)];
+    for subset in &mut matching.chosen {
+        subset.sort_unstable();
     }
-    let total = instances.len();
-    groups
-        .into_values()
-        .map(|group| {
-            let share = (size * group.len() + total / 2) / total;
-            let share = share.clamp(1, group.len());
-            (group, share)
-        })
-        .collect()
+    matching.chosen
 }
 
-fn matched(
-    host: &HostId,
-    hosts: &[HostId],
-    instances: &[Instance],
-    group: &[usize],
-    share: usize,
-) -> Vec<usize> {
-    let mut pairs = Vec::with_capacity(hosts.len() * group.len());
-    for (row, candidate) in hosts.iter().enumerate() {
-        for &index in group {
-            let weight = rendezvous::weight(candidate.as_str(), instances[index].id.as_str());
+fn ranked_pairs(hosts: &[HostId], instances: &[Instance]) -> Vec<(u64, usize, usize)> {
+    let mut pairs = Vec::with_capacity(hosts.len() * instances.len());
+    for (row, host) in hosts.iter().enumerate() {
+        for (index, instance) in instances.iter().enumerate() {
+            let weight = rendezvous::weight(host.as_str(), instance.id.as_str());
             pairs.push((weight, row, index));
         }
     }
     pairs.sort_unstable_by(|a, b| b.cmp(a));
-    let even = hosts.len() as f64 * share as f64 / group.len() as f64;
-    let instance_room = (even * INSTANCE_SLACK).ceil() as usize;
-    let mut host_load = vec![0; hosts.len()];
-    let mut instance_load = vec![0; instances.len()];
-    let mut chosen = Vec::with_capacity(share);
-    for (_, row, index) in pairs {
-        if host_load[row] == share || instance_load[index] == instance_room {
-            continue;
+    pairs
+}
+
+/// Whether a host's instances must be spread over the failure domains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DomainSpread {
+    Even,
+    Any,
+}
+
+/// A matching under way, with the room that is left.
+struct Matching {
+    size: usize,
+    /// The hosts of each instance if all have as many.
+    even: f64,
+    instance_room: usize,
+    instance_load: Vec<usize>,
+    /// The failure domain of each instance, as an index.
+    domain_of: Vec<usize>,
+    /// The most instances of each failure domain at one host.
+    domain_room: Vec<usize>,
+    domain_load: Vec<Vec<usize>>,
+    chosen: Vec<Vec<usize>>,
+}
+
+impl Matching {
+    fn new(hosts: usize, instances: &[Instance], size: usize) -> Self {
+        let mut domains: Vec<_> = instances.iter().map(|i| &i.failure_domain).collect();
+        domains.sort();
+        domains.dedup();
+        let domain_of: Vec<usize> = instances
+            .iter()
+            .map(|i| domains.partition_point(|domain| *domain < &i.failure_domain))
+            .collect();
+        let mut domain_room = vec![0; domains.len()];
+        for domain in &domain_of {
+            domain_room[*domain] += 1;
+        }
+        for room in &mut domain_room {
+            *room = (size * *room).div_ceil(instances.len().max(1));
         }
-        host_load[row] += 1;
-        instance_load[index] += 1;
-        if &hosts[row] == host {
-            chosen.push(index);
+        let even = hosts as f64 * size as f64 / instances.len().max(1) as f64;
+        Self {
+            size,
+            instance_room: 0,
+            even,
+            instance_load: vec![0; instances.len()],
+            domain_load: vec![vec![0; domains.len()]; hosts],
+            domain_of,
+            domain_room,
+            chosen: vec![Vec::with_capacity(size); hosts],
+        }
+    }
+
+    /// Returns the passes over all pairs: first all instances get an even part.
+    fn passes(&self) -> [(usize, DomainSpread); 4] {
+        let even = self.even as usize;
+        let most = (self.even * INSTANCE_SLACK) as usize;
+        [
+            (even, DomainSpread::Even),
+            (even, DomainSpread::Any),
+            (most, DomainSpread::Even),
+            (most, DomainSpread::Any),
+        ]
+    }
+
+    fn try_match(&mut self, host: usize, instance: usize, spread: DomainSpread) {
+        let domain = self.domain_of[instance];
+        let domain_full = self.domain_load[host][domain] >= self.domain_room[domain];
+        let full = self.chosen[host].len() == self.size
+            || self.instance_load[instance] >= self.instance_room
+            || (spread == DomainSpread::Even && domain_full);
+        if full || self.chosen[host].contains(&instance) {
+            return;
         }
+        self.instance_load[instance] += 1;
+        self.domain_load[host][domain] += 1;
+        self.chosen[host].push(instance);
     }
-    chosen
 }
--- a/crates/upstreams/tests/testsuite/detection.rs
+++ b/crates/upstreams/tests/testsuite/detection.rs
@@ -11,7 +11,8 @@
 
 const HOSTS: usize = 36;
 const RATE_PER_S: f64 = 50.0;
-const WARM_UP: Duration = Duration::from_secs(15);
+const SICK_INTERVAL: Duration = Duration::from_millis(200);
+const WARM_UP: Duration = Duration::from_secs(45);
 
 fn fleet(detection: Detection, seed: u64) -> Fleet {
     let snapshot = snapshot(1, service(10, detection));
@@ -27,21 +28,30 @@
     InstanceId::new("instance-03")
 }
 
-/// Runs until all hosts have ejected the sick instance.
-fn time_to_eject(fleet: &mut Fleet, failing: f64, limit: Duration) -> Option<Duration> {
-    let mut elapsed = Duration::ZERO;
-    while elapsed < limit {
-        fleet.traffic(RATE_PER_S, |_, choice, rng| {
-            if choice.instance == sick() && rng.f64() < failing {
-                UpstreamResult::ErrorStatus
-            } else {
-                success()
-            }
-        });
+/// Runs until all hosts have ejected the sick instance, which gets exactly 5
+/// requests a second from random hosts.
+fn time_to_eject(fleet: &mut Fleet, limit: Duration) -> Option<Duration> {
+    let others: Vec<_> = (0..10)
+        .map(|index| InstanceId::new(&format!("instance-{index:02}")))
+        .filter(|id| *id != sick())
+        .collect();
+    let every = SICK_INTERVAL.as_millis() / STEP.as_millis();
+    let mut step = 0;
+    while STEP * step < limit {
+        if u128::from(step).is_multiple_of(every) {
+            let host = fleet.rng.usize(..HOSTS);
+            let workspace = fleet.rng.usize(..8);
+            fleet.request_excluding(host, workspace, &others, |_, _| UpstreamResult::ErrorStatus);
+        }
+        for _ in 0..fleet.arrivals(RATE_PER_S - 5.0) {
+            let host = fleet.rng.usize(..HOSTS);
+            let workspace = fleet.rng.usize(..8);
+            fleet.request_excluding(host, workspace, &[sick()], |_, _| success());
+        }
         fleet.step();
-        elapsed += STEP;
+        step += 1;
         if fleet.hosts_without(&sick()) == HOSTS {
-            return Some(elapsed);
+            return Some(STEP * step);
         }
     }
     None
@@ -49,19 +59,13 @@
 
 #[test]
 fn all_failing_instance_leaves_every_host_in_time() {
-    for seed in 0..5 {
-        let mut fast = fleet(Detection::Fast, seed);
-        let limit = Duration::from_secs(2);
-        assert!(
-            time_to_eject(&mut fast, 1.0, limit).is_some(),
-            "seed {seed}"
-        );
-        let mut careful = fleet(Detection::Careful, seed);
-        let limit = Duration::from_secs(5);
-        assert!(
-            time_to_eject(&mut careful, 1.0, limit).is_some(),
-            "seed {seed}"
-        );
+    for seed in 0..10 {
+        for (detection, limit) in [(Detection::Fast, 2), (Detection::Careful, 5)] {
+            let mut fleet = fleet(detection, seed);
+            let limit = Duration::from_secs(limit);
+            let elapsed = time_to_eject(&mut fleet, limit);
+            assert!(elapsed.is_some(), "seed {seed}, {detection:?}");
+        }
     }
 }
 
--- a/crates/upstreams/tests/testsuite/fleet.rs
+++ b/crates/upstreams/tests/testsuite/fleet.rs
@@ -173,15 +173,19 @@
         Some(choice)
     }
 
+    /// Returns how many requests arrive in one step.
+    pub fn arrivals(&mut self, rate_per_s: f64) -> usize {
+        let mean = rate_per_s * STEP.as_secs_f64();
+        mean as usize + usize::from(self.rng.f64() < mean.fract())
+    }
+
     /// Spreads one step's requests at `rate_per_s` over running hosts.
     pub fn traffic(
         &mut self,
         rate_per_s: f64,
         mut result: impl FnMut(usize, &Choice, &mut fastrand::Rng) -> UpstreamResult,
     ) {
-        let mean = rate_per_s * STEP.as_secs_f64();
-        let count = mean as usize + usize::from(self.rng.f64() < mean.fract());
-        for _ in 0..count {
+        for _ in 0..self.arrivals(rate_per_s) {
             let host = self.rng.usize(..self.hosts.len());
             let workspace = self.rng.usize(..8);
             if self.hosts[host].paused {
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -3,3 +3,5 @@
 mod detection;
 mod fleet;
 mod floor;
+mod recovery;
+mod subsets;
--- /dev/null
+++ b/crates/upstreams/tests/testsuite/recovery.rs
@@ -0,0 +1,173 @@
+//! Return of ejected instances, judges that are lost, draining and shedding.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use waxwingusher_config::{Detection, InstanceState};
+use waxwingusher_core::{Clock, InstanceId};
+use waxwingusher_standins::LinkFaults;
+use waxwingusher_upstreams::{ChooseError, ChooseRequest, UpstreamResult};
+
+use crate::fleet::{Fleet, STEP, host_id, origin, service, service_name, snapshot, success};
+
+const HOSTS: usize = 12;
+const RATE_PER_S: f64 = 60.0;
+
+fn sick() -> InstanceId {
+    InstanceId::new("instance-03")
+}
+
+fn steps(span: Duration) -> u128 {
+    span.as_millis() / STEP.as_millis()
+}
+
+fn run(fleet: &mut Fleet, span: Duration, failing: bool) {
+    for _ in 0..steps(span) {
+        fleet.traffic(RATE_PER_S, |_, choice, _| {
+            if failing && choice.instance == sick() {
+                UpstreamResult::ErrorStatus
+            } else {
+                success()
+            }
+        });
+        fleet.step();
+    }
+}
+
+fn ejecting_fleet(seed: u64) -> Fleet {
+    let snapshot = snapshot(1, service(10, Detection::Fast));
+    let mut fleet = Fleet::new(HOSTS, seed, LinkFaults::default(), &snapshot);
+    run(&mut fleet, Duration::from_secs(10), false);
+    run(&mut fleet, Duration::from_secs(5), true);
+    assert_eq!(fleet.hosts_without(&sick()), HOSTS);
+    fleet
+}
+
+#[test]
+fn well_instance_returns_after_trials() {
+    let mut fleet = ejecting_fleet(1);
+    run(&mut fleet, Duration::from_secs(30), false);
+    assert_eq!(fleet.hosts_without(&sick()), 0);
+}
+
+#[test]
+fn sick_instance_stays_out_ever_longer() {
+    let mut fleet = ejecting_fleet(2);
+    let mut requests = [0, 0];
+    for half in &mut requests {
+        for _ in 0..steps(Duration::from_secs(60)) {
+            fleet.traffic(RATE_PER_S, |_, choice, _| {
+                if choice.instance != sick() {
+                    return success();
+                }
+                *half += 1;
+                UpstreamResult::ErrorStatus
+            });
+            fleet.step();
+        }
+    }
+    assert!(requests[0] >= 2, "no trials: {requests:?}");
+    assert!(requests[1] < requests[0], "{requests:?}");
+    assert_eq!(fleet.hosts_without(&sick()), HOSTS);
+}
+
+#[test]
+fn trials_are_idempotent_only() {
+    let mut fleet = ejecting_fleet(3);
+    for _ in 0..steps(Duration::from_secs(25)) {
+        fleet.step();
+        let request = ChooseRequest {
+            idempotent: false,
+            exclude: &[],
+            deadline: fleet.clock.now(),
+        };
+        let host = fleet.rng.usize(..HOSTS);
+        let set = &mut fleet.hosts[host].set;
+        let choice = set
+            .choose(&service_name(), &request)
+            .expect("others are free");
+        assert_ne!(choice.instance, sick());
+        set.report(choice.pick, &origin(0), success());
+    }
+}
+
+#[test]
+fn another_host_judges_when_the_judge_dies() {
+    for judge in 0..HOSTS {
+        let mut fleet = ejecting_fleet(4);
+        fleet.hosts[judge].paused = true;
+        run(&mut fleet, Duration::from_secs(12), true);
+        let out = fleet.hosts_without(&sick());
+        assert_eq!(out, HOSTS - 1, "without {}", host_id(judge));
+    }
+}
+
+#[test]
+fn leaving_instance_gets_no_new_work_after_five_seconds() {
+    let first = service(10, Detection::Fast);
+    let mut second = first.clone();
+    second.instances[3].state = InstanceState::Leaving;
+    let mut fleet = Fleet::new(HOSTS, 5, LinkFaults::default(), &snapshot(1, first));
+    run(&mut fleet, Duration::from_secs(1), false);
+    for host in &mut fleet.hosts {
+        host.set.apply_snapshot(&snapshot(2, second.clone()));
+    }
+    run(&mut fleet, Duration::from_secs(5), false);
+    for _ in 0..200 {
+        fleet.traffic(400.0, |_, choice, _| {
+            assert_ne!(choice.instance, sick());
+            success()
+        });
+        fleet.step();
+    }
+}
+
+#[test]
+fn draining_answer_ends_new_work() {
+    let mut fleet = Fleet::new(
+        HOSTS,
+        6,
+        LinkFaults::default(),
+        &snapshot(1, service(10, Detection::Fast)),
+    );
+    let others: Vec<_> = (0..10)
+        .map(|index| InstanceId::new(&format!("instance-{index:02}")))
+        .filter(|id| *id != sick())
+        .collect();
+    let choice = fleet.request_excluding(0, 0, &others, |_, _| UpstreamResult::Draining);
+    assert_eq!(choice.map(|choice| choice.instance), Some(sick()));
+    for _ in 0..steps(Duration::from_secs(5)) {
+        fleet.step();
+    }
+    let request = ChooseRequest {
+        idempotent: true,
+        exclude: &others,
+        deadline: fleet.clock.now(),
+    };
+    let result = fleet.hosts[0].set.choose(&service_name(), &request);
+    assert_matches!(result, Err(ChooseError::NoInstance));
+}
+
+#[test]
+fn shed_answer_backs_off_that_instance() {
+    let mut fleet = Fleet::new(
+        1,
+        7,
+        LinkFaults::default(),
+        &snapshot(1, service(1, Detection::Fast)),
+    );
+    let shed = UpstreamResult::Shed {
+        retry_after: Some(Duration::from_millis(300)),
+    };
+    fleet.request(0, 0, |_, _| shed);
+    let request = ChooseRequest {
+        idempotent: true,
+        exclude: &[],
+        deadline: fleet.clock.now(),
+    };
+    let busy = fleet.hosts[0].set.choose(&service_name(), &request);
+    let wait = assert_matches!(busy, Err(ChooseError::AllBusy { retry_after }) => retry_after);
+    assert!(wait >= Duration::from_millis(300));
+    fleet.clock.advance(wait);
+    assert!(fleet.hosts[0].set.choose(&service_name(), &request).is_ok());
+}
