--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod limits;
 pub mod membership;
 pub mod scenario;
+pub mod upstreams;
 
 pub use scenario::{Bound, Measurement, Scenario, ScenarioResult};
