--- a/crates/membership/src/liveness/answers.rs
+++ b/crates/membership/src/liveness/answers.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use waxwingusher_core::HostId;
+use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::gossip::{GossipMessage, LivenessUpdate};
 
 use super::record::Effect;
@@ -20,28 +21,8 @@
         now: Instant,
     ) -> Sent {
         match message {
-            GossipMessage::Ping { probe, .. } => {
-                let mut updates = Vec::from_iter(objection);
-                updates.extend(self.accusation(from));
-                updates.extend(self.news());
-                vec![outgoing(
-                    from,
-                    GossipMessage::Ack {
-                        probe: *probe,
-                        updates,
-                    },
-                )]
-            }
-            GossipMessage::Join { probe } => {
-                let updates = self.unusable_peers();
-                vec![outgoing(
-                    from,
-                    GossipMessage::Ack {
-                        probe: *probe,
-                        updates,
-                    },
-                )]
-            }
+            GossipMessage::Ping { probe, .. } => vec![self.ack(from, *probe, objection)],
+            GossipMessage::Join { probe } => vec![self.join_ack(from, *probe)],
             GossipMessage::Ack { probe, .. } => self.on_ack(from, *probe, now),
             GossipMessage::PingRequest { probe, target, .. } => {
                 self.on_ping_request(from, *probe, target, now)
@@ -59,6 +40,23 @@
         }
     }
 
+    fn ack(
+        &mut self,
+        to: &HostId,
+        probe: u32,
+        objection: Option<LivenessUpdate>,
+    ) -> Outgoing<GossipMessage> {
+        let mut updates = Vec::from_iter(objection);
+        updates.extend(self.accusation(to));
+        updates.extend(self.news());
+        outgoing(to, GossipMessage::Ack { probe, updates })
+    }
+
+    fn join_ack(&self, to: &HostId, probe: u32) -> Outgoing<GossipMessage> {
+        let updates = self.unusable_peers();
+        outgoing(to, GossipMessage::Ack { probe, updates })
+    }
+
     fn on_ack(&mut self, from: &HostId, probe: u32, now: Instant) -> Sent {
         if self.probes.finish(probe, from) {
             self.members.on_answer(from, now);
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -64,19 +64,8 @@
             .local_addr()?
             .as_socket()
             .ok_or(io::ErrorKind::AddrNotAvailable)?;
-        let control = Arc::new(ServerControl {
-            addr,
-            token: parent.child(),
-            max_connections,
-            state: Mutex::new(State {
-                gate: Gate::Open,
-                is_listening: true,
-                next_id: 0,
-                streams: HashMap::new(),
-            }),
-            changed: Condvar::new(),
-            _reservation: reservation,
-        });
+        let control = ServerControl::new(addr, parent.child(), max_connections, reservation);
+        let control = Arc::new(control);
         let listener = listen(addr)?;
         let handler = make_handler(control.clone());
         let accepting = control.clone();
@@ -114,6 +103,28 @@
 }
 
 impl ServerControl {
+    fn new(
+        addr: SocketAddr,
+        token: CancelToken,
+        max_connections: usize,
+        reservation: Socket,
+    ) -> Self {
+        let state = State {
+            gate: Gate::Open,
+            is_listening: true,
+            next_id: 0,
+            streams: HashMap::new(),
+        };
+        Self {
+            addr,
+            token,
+            max_connections,
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            _reservation: reservation,
+        }
+    }
+
     pub(crate) fn addr(&self) -> SocketAddr {
         self.addr
     }
