--- a/crates/membership/tests/testsuite/liveness_fuzz.rs
+++ b/crates/membership/tests/testsuite/liveness_fuzz.rs
@@ -1,4 +1,5 @@
-//! Random pauses, stops, restarts, cuts and loss, against the truth.
+//! Random pauses, stops, restarts, cuts, loss, late messages and differing
+//! lists, against the truth.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -22,7 +23,7 @@
 
 fn act(fleet: &mut Fleet, truth: &mut Truth, rng: &mut fastrand::Rng) {
     let id = name(rng.usize(0..SIZE));
-    match rng.u32(0..7) {
+    match rng.u32(0..8) {
         0 if truth.stopped.len() < SIZE / 4 => {
             fleet.fleet.kill(&id);
             truth.paused.remove(&id);
@@ -43,21 +44,33 @@
         }
         4 => fleet.fleet.cut(&id, &name(rng.usize(0..SIZE))),
         5 => fleet.fleet.mend_all(),
+        6 => apply_shorter_list(fleet, &id, rng),
         _ => fleet.fleet.set_faults(LinkFaults {
             loss: rng.f64() * 0.3,
             duplication: rng.f64() * 0.3,
-            max_delay: Duration::from_millis(rng.u64(2..400)),
+            max_delay: Duration::from_millis(rng.u64(2..3_000)),
             ..LinkFaults::default()
         }),
     }
 }
 
+fn apply_shorter_list(fleet: &mut Fleet, id: &HostId, rng: &mut fastrand::Rng) {
+    let mut shorter = fleet.list.clone();
+    shorter.hosts.retain(|_| rng.u32(0..4) > 0);
+    if let Some(host) = fleet.fleet.host_mut(id) {
+        host.liveness.apply_host_list(&shorter);
+    }
+}
+
 fn settle(fleet: &mut Fleet, truth: &Truth) {
     fleet.fleet.mend_all();
     fleet.fleet.set_faults(LinkFaults::default());
     for id in &truth.paused {
         fleet.fleet.resume(id);
     }
+    for (_, host) in fleet.fleet.hosts_mut() {
+        host.liveness.apply_host_list(&fleet.list);
+    }
     fleet.run_s(SETTLE_S);
 }
 
