--- a/crates/attempts/src/hand_over.rs
+++ b/crates/attempts/src/hand_over.rs
@@ -6,12 +6,14 @@
 //! after the sender, still alive, has confirmed that all parts arrived.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::HostId;
 use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::attempt::{
-    AttemptKey, AttemptMessage, ClaimEnd, ClaimId, HAND_OVER_PART_BYTES, HandOver, HandedRecord,
+    AttemptKey, AttemptMessage, ClaimEnd, ClaimId, FormerHost, HAND_OVER_PART_BYTES, HandOver,
+    HandedRecord,
 };
 
 use crate::lease::Stamp;
@@ -23,6 +25,12 @@
 /// How long a sender waits for receipts before it sends parts again.
 pub(crate) const RESEND_AFTER: Duration = Duration::from_millis(200);
 
+/// How long a process that has just started asks for its records.
+pub(crate) const RECOVERY_TIME: Duration = Duration::from_secs(40);
+
+/// How long it waits at first before it asks again.
+const RECOVER_AFTER: Duration = Duration::from_secs(1);
+
 /// How far a planned stop's hand-over has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HandOverProgress {
@@ -40,13 +48,36 @@
     }
 }
 
+/// The records for one receiver.
+struct Share {
+    receiver: HostId,
+    records: Vec<HandedRecord>,
+}
+
+impl Share {
+    const fn new(receiver: HostId) -> Self {
+        Self {
+            receiver,
+            records: Vec::new(),
+        }
+    }
+}
+
+/// What has returned of one hand-over.
+#[derive(Default)]
+struct Returned {
+    hosts: BTreeSet<HostId>,
+    former_hosts: Vec<FormerHost>,
+}
+
 /// Hand-overs that this host sends or takes.
 pub(crate) struct HandOverState {
     outgoing: BTreeMap<(HostId, u64), Transfer>,
     incoming: BTreeMap<(HostId, u64), Incoming>,
-    returned: BTreeMap<u64, BTreeSet<HostId>>,
+    returned: BTreeMap<u64, Returned>,
     recover_until: Option<Instant>,
     recover_at: Option<Instant>,
+    recover_tries: u32,
 }
 
 impl HandOverState {
@@ -57,6 +88,7 @@
             returned: BTreeMap::new(),
             recover_until: Some(recover_until),
             recover_at: None,
+            recover_tries: 0,
         }
     }
 }
@@ -77,21 +109,6 @@
         };
         let count = self.settings.plan.witnesses();
         let receivers = topology.successors(count, &self.self_id);
-        let mut shares: BTreeMap<HostId, Vec<HandedRecord>> = receivers
-            .iter()
-            .map(|host| (host.clone(), Vec::new()))
-            .collect();
-        for record in self.witness.store.export() {
-            let key = HashKey::new(&record.key);
-            let successor = topology.successor(&key, count, &self.self_id);
-            // A small fleet has no spare witness; any host may keep the record.
-            let Some(keeper) = successor.or_else(|| receivers.first().cloned()) else {
-                continue;
-            };
-            if let Some(share) = shares.get_mut(&keeper) {
-                share.push(record);
-            }
-        }
         let source = self.rng.u64(..);
         let template = HandOver {
             of: self.self_id.clone(),
@@ -100,16 +117,14 @@
             part: 0,
             parts: 0,
             topology: topology.fingerprint(),
+            former_hosts: Vec::new(),
             receivers: u32::try_from(receivers.len()).unwrap_or(u32::MAX),
             is_complete: self.witness.is_covered(&self.lists, self.clock.now()),
             records: Vec::new(),
         };
-        log::info!(
-            "attempts: hands its records over to {} hosts",
-            receivers.len()
-        );
-        for (host, records) in shares {
-            self.start_transfer(&host, &template, records);
+        log::info!("attempts: hands records over to {} hosts", receivers.len());
+        for share in self.share_records(&topology, receivers) {
+            self.start_transfer(&share.receiver, &template, share.records);
         }
         self.take_outbox()
     }
@@ -190,13 +205,13 @@
             return;
         };
         let (of, source) = (incoming.of.clone(), incoming.source);
-        let (topology, receivers) = (incoming.topology, incoming.receivers);
+        let topology = incoming.topology;
         if !incoming.is_complete {
             return;
         }
         if of == self.self_id {
             if id == self.incarnation {
-                self.on_returned(from, source, topology, receivers);
+                self.on_returned(from, id);
             }
             return;
         }
@@ -212,7 +227,14 @@
 
     /// Returns the records of a host to its next process. This host no longer
     /// stands for it from here on.
-    pub(crate) fn on_recover(&mut self, from: &HostId, incarnation: u64) {
+    pub(crate) fn on_recover(&mut self, from: &HostId, incarnation: u64, topology: u64) {
+        let is_same = |own: &Arc<Topology>| own.fingerprint() == topology;
+        if !self.lists.trusted(&*self.clock).is_some_and(is_same) {
+            return;
+        }
+        let Some(former_hosts) = self.lists.former_hosts(from, &*self.clock) else {
+            return;
+        };
         let Some(source) = self.witness.inherited.remove(from) else {
             return;
         };
@@ -225,10 +247,10 @@
             id: incarnation,
             part: 0,
             parts: 0,
-            topology: incoming.topology,
+            topology,
+            former_hosts,
             receivers: incoming.receivers,
-            is_complete: self.lists.is_unbroken(self.clock.now())
-                && self.is_list_unchanged(incoming.topology),
+            is_complete: true,
             records: Vec::new(),
         };
         let records = self.witness.store.export_of(incoming.keys());
@@ -280,31 +302,53 @@
             return;
         }
         let count = self.settings.plan.witnesses();
+        let message = AttemptMessage::Recover {
+            topology: topology.fingerprint(),
+        };
         for host in topology.successors(count, &self.self_id) {
-            self.send(&host, AttemptMessage::Recover);
+            self.send(&host, message.clone());
         }
-        let attempts_left = until.saturating_duration_since(now) / 2;
-        self.hand_over.recover_at = Some(now + attempts_left.max(RESEND_AFTER));
+        let state = &mut self.hand_over;
+        state.recover_at = Some(now + RECOVER_AFTER * (1 << (state.recover_tries / 4)));
+        state.recover_tries += 1;
     }
 
-    fn on_returned(&mut self, from: &HostId, source: u64, topology: u64, receivers: u32) {
-        let is_same = self.is_list_unchanged(topology);
-        let returned = self.hand_over.returned.entry(source).or_default();
-        returned.insert(from.clone());
-        if !is_same || returned.len() < receivers as usize {
+    fn on_returned(&mut self, from: &HostId, id: u64) {
+        let Some(incoming) = self.hand_over.incoming.get(&(from.clone(), id)) else {
+            return;
+        };
+        let is_same = |own: &Arc<Topology>| own.fingerprint() == incoming.topology;
+        if !self.lists.trusted(&*self.clock).is_some_and(is_same) {
+            return;
+        }
+        let returned = self.hand_over.returned.entry(incoming.source).or_default();
+        returned.hosts.insert(from.clone());
+        returned.former_hosts.extend(incoming.former_hosts.clone());
+        if returned.hosts.len() < incoming.receivers as usize {
             return;
         }
         if self.hand_over.recover_until.take().is_some() {
             log::info!("attempts: recovered the records of the former process");
             self.witness.recover_memory();
-            self.lists.recover();
+            self.lists.recover(&returned.former_hosts, &*self.clock);
         }
     }
 
-    /// Reports whether only this list was in use within the coverage.
-    fn is_list_unchanged(&self, topology: u64) -> bool {
-        let is_same = |known: &std::sync::Arc<Topology>| known.fingerprint() == topology;
-        self.lists.trusted(&*self.clock).is_some() && self.lists.known().all(is_same)
+    /// Assigns each record to the host that becomes a witness of its key.
+    fn share_records(&self, topology: &Topology, receivers: Vec<HostId>) -> Vec<Share> {
+        let count = self.settings.plan.witnesses();
+        let mut shares: Vec<_> = receivers.into_iter().map(Share::new).collect();
+        for record in self.witness.store.export() {
+            let key = HashKey::new(&record.key);
+            let successor = topology.successor(&key, count, &self.self_id);
+            let is_successor = |share: &Share| Some(&share.receiver) == successor.as_ref();
+            // A small fleet has no spare witness; any host may keep the record.
+            let keeper = shares.iter().position(is_successor).unwrap_or_default();
+            if let Some(share) = shares.get_mut(keeper) {
+                share.records.push(record);
+            }
+        }
+        shares
     }
 
     fn start_transfer(&mut self, to: &HostId, template: &HandOver, records: Vec<HandedRecord>) {
