Run the scenarios of all topics with `bench`, with bounds and a report

Cause: each topic had scenarios and nothing ran them together or judged them. Before: none could be run from the command line. Not run whole yet.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod config;
 pub mod limits;
 pub mod membership;
+pub mod report;
+pub mod runner;
 pub mod scenario;
 pub mod upstreams;
 
--- /dev/null
+++ b/crates/bench/src/runner.rs
@@ -0,0 +1,95 @@
+//! Runs scenarios side by side and collects what fell short.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::scenario::{Scenario, ScenarioResult};
+use crate::{attempts, config, limits, membership, upstreams};
+
+/// Scenarios that run at once. Each keeps one core busy.
+const THREADS: usize = 4;
+
+/// The results of one run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct BenchResults {
+    /// The results by name.
+    pub results: Vec<ScenarioResult>,
+}
+
+/// One value that did not keep its bound.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Shortfall {
+    /// The scenario and the measurement.
+    pub name: String,
+    /// What was measured.
+    pub value: f64,
+    /// The bound.
+    pub bound: crate::Bound,
+}
+
+impl BenchResults {
+    /// Returns the values that did not keep their bounds.
+    #[must_use]
+    pub fn shortfalls(&self) -> Vec<Shortfall> {
+        let mut shortfalls = Vec::new();
+        for result in &self.results {
+            for measurement in &result.measurements {
+                let Some(bound) = measurement.bound else {
+                    continue;
+                };
+                if measurement.holds() {
+                    continue;
+                }
+                shortfalls.push(Shortfall {
+                    name: format!("{} {}", result.scenario, measurement.name),
+                    value: measurement.value,
+                    bound,
+                });
+            }
+        }
+        shortfalls
+    }
+}
+
+/// Returns the scenarios of all topics, by name.
+#[must_use]
+pub fn all_scenarios() -> Vec<Box<dyn Scenario>> {
+    let mut all = attempts::scenarios();
+    all.extend(config::scenarios());
+    all.extend(limits::scenarios());
+    all.extend(membership::scenarios());
+    all.extend(upstreams::scenarios());
+    all.sort_by_key(|scenario| scenario.name());
+    all
+}
+
+/// Runs scenarios and tells of each when it has ended.
+pub fn run(
+    scenarios: &[Box<dyn Scenario>],
+    seed: u64,
+    on_end: impl Fn(&ScenarioResult, Duration) + Sync,
+) -> BenchResults {
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                while let Some(scenario) = scenarios.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let started = Instant::now();
+                    let result = scenario.run(seed);
+                    on_end(&result, started.elapsed());
+                    let mut results = results.lock().unwrap_or_else(PoisonError::into_inner);
+                    results.push(result);
+                }
+            });
+        }
+    });
+    let mut results = results.into_inner().unwrap_or_else(PoisonError::into_inner);
+    results.sort_by(|a, b| a.scenario.cmp(&b.scenario));
+    BenchResults { results }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands. Each module holds its arguments and `run`.
 
+pub mod bench;
 pub mod check;
 pub mod collect;
 pub mod demo;
@@ -16,6 +17,7 @@
 use log::LevelFilter;
 use serde::Serialize;
 use simplelog::{ConfigBuilder, WriteLogger};
+use waxwingusher_bench::report::ReportError;
 use waxwingusher_config::DirectoryError;
 use waxwingusher_emulator::demo::DemoError;
 use waxwingusher_host::HostError;
@@ -77,6 +79,9 @@
     /// The host could not start.
     #[error(transparent)]
     Host(#[from] HostError),
+    /// A report could not be written.
+    #[error(transparent)]
+    Report(#[from] ReportError),
     /// The demonstration could not be run.
     #[error(transparent)]
     Demo(#[from] DemoError),
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,7 @@
 
 use argh::FromArgs;
 
-use crate::cmd::{CmdError, Outcome, check, collect, demo, diff, key, serve};
+use crate::cmd::{CmdError, Outcome, bench, check, collect, demo, diff, key, serve};
 
 /// A proxy fleet for upstreams with gray failures.
 #[derive(Debug, FromArgs)]
@@ -23,6 +23,7 @@
     reason = "there is one value in the process"
 )]
 enum Command {
+    Bench(bench::BenchArgs),
     Check(check::CheckArgs),
     Collect(collect::CollectArgs),
     Demo(demo::DemoArgs),
@@ -34,6 +35,7 @@
 impl Command {
     fn run(&self) -> Result<Outcome, CmdError> {
         match self {
+            Self::Bench(args) => args.run(),
             Self::Check(args) => args.run(),
             Self::Collect(args) => args.run(),
             Self::Demo(args) => args.run(),
