Serve an administration API, and show the fleet with `status` and `explain`

Cause: operators could see only health, and the decisions kept for a request could not be asked for. Before: /livez and /readyz. After: versioned JSON with an OpenAPI description, a token compared in constant time, hosts with liveness and versions, routes, workspaces with their tokens, services with evidence, decisions by request id, and two actions that are local to the host.

--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -59,6 +59,8 @@
     pub outcome: Option<String>,
     /// The code, on answers that are not the upstream's.
     pub code: Option<String>,
+    /// The request's id, on answers that are not the upstream's.
+    pub request_id: Option<String>,
     /// The target that the upstream says it was asked for.
     pub echoed_target: Option<String>,
     /// The body, as text.
@@ -151,6 +153,7 @@
             status: response.status().as_u16(),
             outcome: header("x-waxwingusher-outcome"),
             code: header("x-waxwingusher-code"),
+            request_id: header("x-waxwingusher-request-id"),
             echoed_target: header("x-echo-target"),
             body_bytes: body.len(),
             body: String::from_utf8_lossy(&body).into_owned(),
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -12,7 +12,7 @@
 };
 use waxwingusher_edge::EdgeSettings;
 use waxwingusher_host::{Host, HostError, HostSettings};
-use waxwingusher_protocol::secret::FleetSecret;
+use waxwingusher_protocol::secret::{FleetSecret, SecretTooShort};
 use waxwingusher_standins::{ConfigService, StandinError, UpstreamServer, UpstreamSettings};
 
 use crate::plan::{FleetPlan, WorkspacePlan};
@@ -20,6 +20,9 @@
 /// The service of an emulated fleet.
 pub const SERVICE: &str = "desk";
 
+/// The operators' token of an emulated fleet.
+pub const OPERATOR_TOKEN: &str = "emulated-operator-token";
+
 const SECRET: &str = "a secret of an emulated fleet, not of a real one";
 const LOOPBACK: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -34,6 +37,9 @@
     /// A host could not start.
     #[error(transparent)]
     Host(#[from] HostError),
+    /// The fleet secret is not allowed.
+    #[error(transparent)]
+    Secret(#[from] SecretTooShort),
     /// The configuration was refused.
     #[error("{0}")]
     Config(#[from] CheckErrors),
@@ -266,11 +272,8 @@
             operator_addr: LOOPBACK,
             peer_addr: LOOPBACK,
             config_service: self.service.addr(),
-            fleet_secret: FleetSecret::new(SECRET).map_err(|_| EmulatorError::TooSlow {
-                what: "the secret",
-                limit: Duration::ZERO,
-            })?,
-            operator_token: None,
+            fleet_secret: FleetSecret::new(SECRET)?,
+            operator_token: Some(Arc::from(OPERATOR_TOKEN)),
             statsd_addr: None,
             workers: self.plan.workers,
             queue_per_workspace: 256,
--- a/crates/host/src/duties/operators.rs
+++ b/crates/host/src/duties/operators.rs
@@ -6,6 +6,7 @@
 
 use rouille::{Request, Response, Server};
 
+use crate::admin;
 use crate::state::HostState;
 
 /// Threads that answer operators.
@@ -32,7 +33,7 @@
     pub(crate) fn bind(state: &Arc<HostState>) -> Result<Self, OperatorsError> {
         let addr = state.settings.operator_addr;
         let state = state.clone();
-        let handler: Handler = Box::new(move |request| answer(&state, request));
+        let handler: Handler = Box::new(move |request| admin::answer(&state, request));
         let server = Server::new(addr, handler).map_err(|cause| OperatorsError {
             addr,
             cause: cause.to_string(),
@@ -53,13 +54,3 @@
         }
     }
 }
-
-fn answer(state: &HostState, request: &Request) -> Response {
-    let response = match request.url().as_str() {
-        "/livez" => Response::text("alive\n"),
-        "/readyz" if state.is_ready() => Response::text("ready\n"),
-        "/readyz" => Response::text("not ready\n").with_status_code(503),
-        _ => Response::text("not found\n").with_status_code(404),
-    };
-    response.with_additional_header("Connection", "close")
-}
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -195,10 +195,11 @@
         Some(active.snapshot.version)
     }
 
-    /// Reports whether an operator has asked the host to stop.
+    /// Reports whether the host should stop: an operator has asked for it, or
+    /// the host list calls the host leaving.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.state.draining.load(Ordering::SeqCst)
+        self.state.is_draining()
     }
 
     /// Stops gracefully: callers are sent elsewhere, every request that was
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod settings;
 
 mod active;
+mod admin;
 mod admission;
 mod attempt_desk;
 mod config_desk;
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -6,7 +6,7 @@
 
 use waxwingusher_attempts::RetryBudget;
 use waxwingusher_config::Snapshot;
-use waxwingusher_core::{CancelToken, Clock, HostList};
+use waxwingusher_core::{CancelToken, Clock, HostList, HostState as ListedState};
 use waxwingusher_membership::liveness::Liveness;
 use waxwingusher_upstreams::UpstreamSet;
 
@@ -41,6 +41,8 @@
     pub(crate) peers: PeerLink,
     pub(crate) stop: CancelToken,
     pub(crate) draining: AtomicBool,
+    /// Whether an operator has asked for a graceful shutdown.
+    pub(crate) drain_asked: AtomicBool,
     warm: AtomicBool,
     started_at: Instant,
     active: RwLock<Option<Arc<Active>>>,
@@ -81,6 +83,7 @@
             peers: parts.peers,
             stop: parts.stop,
             draining: AtomicBool::new(false),
+            drain_asked: AtomicBool::new(false),
             warm: AtomicBool::new(false),
             started_at,
             active: RwLock::new(None),
@@ -119,7 +122,12 @@
 
     /// Reports whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.is_warm() && !self.draining.load(Ordering::SeqCst)
+        self.is_warm() && !self.is_draining()
+    }
+
+    /// Reports whether the host stops, or was asked to.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst) || self.drain_asked.load(Ordering::SeqCst)
     }
 
     /// Reports whether the host has had a configuration and a host list that
@@ -152,6 +160,17 @@
         log::info!("config: Version {version} is in force.");
     }
 
+    /// Drains when the host list no longer calls this host live. A list that
+    /// never did may be older than this process.
+    fn drain_if_leaving(&self, former: &HostList, list: &HostList) {
+        let state_in = |list: &HostList| list.get(&self.settings.host_id).map(|own| own.state);
+        let was_live = state_in(former) == Some(ListedState::Live);
+        if was_live && state_in(list) == Some(ListedState::Leaving) {
+            log::info!("host: The host list calls this host leaving.");
+            self.drain_asked.store(true, Ordering::SeqCst);
+        }
+    }
+
     /// Takes a newer host list.
     pub(crate) fn apply_host_list(&self, list: &HostList) {
         let mut current = self
@@ -161,7 +180,7 @@
         if list.version <= current.version {
             return;
         }
-        *current = Arc::new(list.clone());
+        let former = std::mem::replace(&mut *current, Arc::new(list.clone()));
         drop(current);
         self.peers.set_hosts(list);
         self.limits.lock().apply_host_list(list);
@@ -169,6 +188,7 @@
         self.lock_upstreams().apply_host_list(list);
         self.lock_liveness().apply_host_list(list);
         self.crashes.lock().apply_host_list(list);
+        self.drain_if_leaving(&former, list);
         let version = list.version;
         let count = list.hosts.len();
         log::info!("members: Host list {version} with {count} hosts is in use.");
--- a/crates/membership/src/distribution/agent.rs
+++ b/crates/membership/src/distribution/agent.rs
@@ -3,7 +3,7 @@
 mod exchange;
 mod service;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -176,6 +176,15 @@
         self.counters
     }
 
+    /// Returns the version of the configuration that each peer last told of.
+    #[must_use]
+    pub fn config_versions(&self) -> BTreeMap<HostId, u64> {
+        let heard = self.peers.heard_since(self.started_at);
+        heard
+            .map(|(host, summary)| (host.clone(), summary.config.version))
+            .collect()
+    }
+
     /// Returns the evidence that the host list in force is current.
     #[must_use]
     pub fn list_freshness(&self) -> ListFreshness {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,15 +5,19 @@
 pub mod collect;
 pub mod demo;
 pub mod diff;
+pub mod explain;
 pub mod key;
 pub mod serve;
+pub mod status;
 
+mod operator_client;
 mod sources;
 
 use std::io::{self, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use crate::cmd::operator_client::OperatorError;
 use log::LevelFilter;
 use serde::Serialize;
 use simplelog::{ConfigBuilder, WriteLogger};
@@ -79,6 +83,9 @@
     /// The host could not start.
     #[error(transparent)]
     Host(#[from] HostError),
+    /// A host gave no answer to an operator.
+    #[error(transparent)]
+    Operator(#[from] OperatorError),
     /// A report could not be written.
     #[error(transparent)]
     Report(#[from] ReportError),
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,9 @@
 
 use argh::FromArgs;
 
-use crate::cmd::{CmdError, Outcome, bench, check, collect, demo, diff, key, serve};
+use crate::cmd::{
+    CmdError, Outcome, bench, check, collect, demo, diff, explain, key, serve, status,
+};
 
 /// A proxy fleet for upstreams with gray failures.
 #[derive(Debug, FromArgs)]
@@ -28,8 +30,10 @@
     Collect(collect::CollectArgs),
     Demo(demo::DemoArgs),
     Diff(diff::DiffArgs),
+    Explain(explain::ExplainArgs),
     Key(key::KeyArgs),
     Serve(serve::ServeArgs),
+    Status(status::StatusArgs),
 }
 
 impl Command {
@@ -40,8 +44,10 @@
             Self::Collect(args) => args.run(),
             Self::Demo(args) => args.run(),
             Self::Diff(args) => args.run(),
+            Self::Explain(args) => args.run(),
             Self::Key(args) => args.run(),
             Self::Serve(args) => args.run(),
+            Self::Status(args) => args.run(),
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,5 +3,6 @@
 mod commands;
 mod crashes;
 mod fleet;
+mod operators;
 mod serve;
 mod whole_path;
