--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -147,9 +147,10 @@
             admitter::run(&shared, &exchanges, &queue);
         })?;
         log::info!(
-            "host: {} serves callers on {}.",
+            "host: {} serves callers on {}, operators on {operator_addr}, peers on {}.",
             state.settings.host_id,
-            edge.local_addr()
+            edge.local_addr(),
+            peers.addr
         );
         Ok(Self {
             state,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 mod crashes;
 mod fleet;
 mod operators;
+mod processes;
 mod serve;
 mod whole_path;
--- /dev/null
+++ b/tests/testsuite/processes.rs
@@ -0,0 +1,164 @@
+//! Hosts as separate processes that meet the stand-ins over sockets.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, SystemTime};
+
+use waxwingusher_config::publication::MANIFEST_KEY;
+use waxwingusher_config::resolve::{TeamText, resolve};
+use waxwingusher_config::{Pack, publish};
+use waxwingusher_core::{
+    CancelToken, FailureDomain, HostEntry, HostId, HostList, HostState, KeyDigest,
+};
+use waxwingusher_emulator::fleet::wait_until;
+use waxwingusher_emulator::{Caller, Operation};
+use waxwingusher_standins::{ConfigService, UpstreamServer, UpstreamSettings};
+
+const LIMIT: Duration = Duration::from_secs(90);
+const KEY: &str = "a-key-for-separate-processes";
+const SECRET: &str = "a secret for separate processes, not a real one";
+
+/// A host that runs as a process of its own, and is killed when dropped.
+struct HostProcess {
+    child: Child,
+    entry: HostEntry,
+    callers: SocketAddr,
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        // It may have ended already.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+fn start_host(name: &str, domain: &str, service: SocketAddr, opens_at_s: u64) -> HostProcess {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_waxwingusher"))
+        .args(["serve", "--host-id", name, "--failure-domain", domain])
+        .args(["--failure-domains", "north,south", "--workers", "8"])
+        .args([
+            "--caller-addr",
+            "127.0.0.1:0",
+            "--operator-addr",
+            "127.0.0.1:0",
+        ])
+        .args([
+            "--peer-addr",
+            "127.0.0.1:0",
+            "--config-service",
+            &service.to_string(),
+        ])
+        .args([
+            "--loan-term-ms",
+            "1000",
+            "--fleet-opens-at",
+            &opens_at_s.to_string(),
+        ])
+        .env("WAXWINGUSHER_FLEET_SECRET", SECRET)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let stderr = child.stderr.take().expect("the log is piped");
+    let mut lines = BufReader::new(stderr).lines();
+    let started = lines
+        .by_ref()
+        .map_while(Result::ok)
+        .find(|line| line.contains("serves callers on"))
+        .expect("the host says where it serves");
+    // The rest of the log is read, so that the host can go on writing it.
+    std::thread::spawn(move || lines.for_each(drop));
+    let addr_after = |word: &str| -> SocketAddr {
+        let rest = started.split(word).nth(1).expect("an address is named");
+        let text = rest.trim().split([',', ' ']).next().expect("a word");
+        text.trim_end_matches('.').parse().expect("an address")
+    };
+    HostProcess {
+        callers: addr_after("callers on"),
+        entry: HostEntry {
+            id: HostId::new(name),
+            peer_addr: addr_after("peers on"),
+            failure_domain: FailureDomain::new(domain),
+            state: HostState::Live,
+        },
+        child,
+    }
+}
+
+fn publish_config(service: &ConfigService, upstream: &UpstreamServer) {
+    let text = format!(
+        "owner = \"desk\"\n[service.desk]\n[service.desk.instance.one]\naddr = \"{}\"\nslots = 6\n\
+         failure-domain = \"north\"\n[route.desk]\nservice = \"desk\"\npath-prefix = \"/desk\"\n\
+         [workspace.staff]\nkey-digests = [\"{}\"]\nrate-per-s = 500\nburst = 200\n",
+        upstream.addr(),
+        KeyDigest::of_key(KEY.as_bytes())
+    );
+    let path = PathBuf::from("desk.toml");
+    let snapshot = resolve(&[TeamText { path, text }], 1).expect("the file is good");
+    let publication = publish(&snapshot).expect("it can be published");
+    for pack in &publication.packs {
+        let key = Pack::service_key(&pack.digest);
+        service.put(&key, &pack.bytes).expect("the pack is taken");
+    }
+    let taken = service.put(MANIFEST_KEY, &publication.manifest);
+    taken.expect("the manifest is taken");
+}
+
+#[test]
+fn a_request_is_served_by_separate_processes_and_a_planned_stop_ends_with_0() {
+    let token = CancelToken::new();
+    let service = ConfigService::start(&token).expect("the service starts");
+    let upstream = UpstreamServer::start(UpstreamSettings::default(), &token);
+    let upstream = upstream.expect("the upstream starts");
+    publish_config(&service, &upstream);
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let opens_at_s = now.expect("a time after 1970").as_secs() + 3;
+    let mut hosts: Vec<HostProcess> = ["north-0", "north-1", "south-0", "south-1"]
+        .iter()
+        .map(|name| {
+            let domain = name.split('-').next().expect("a domain");
+            start_host(name, domain, service.addr(), opens_at_s)
+        })
+        .collect();
+    let mut list = HostList {
+        version: 1,
+        hosts: hosts.iter().map(|host| host.entry.clone()).collect(),
+    };
+    service.put_hosts(&list).expect("the list is taken");
+    let caller = Caller::new();
+    wait_until("answers from all processes", LIMIT, || {
+        hosts.iter().all(|host| {
+            let operation = Operation::submission("/desk/echo", KEY, "warm-up");
+            let answer = caller.send(host.callers, &operation);
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+    })
+    .expect("all processes serve");
+    assert!(!upstream.has_seen(KEY.as_bytes()));
+
+    let mut leaving = hosts.remove(0);
+    list.version += 1;
+    list.hosts[0].state = HostState::Leaving;
+    service.put_hosts(&list).expect("the list is taken");
+    let status = leaving.child.wait().expect("the host ends");
+    assert_eq!(status.code(), Some(0));
+
+    let pid = hosts[0].child.id();
+    let asked = Command::new("sh")
+        .args(["-c", &format!("kill -TERM {pid}")])
+        .status()
+        .expect("the shell runs");
+    assert!(asked.success());
+    let status = hosts[0].child.wait().expect("the host ends");
+    assert_eq!(status.code(), Some(0));
+    let operation = Operation::read("/desk/echo?last", KEY, "last");
+    let answer = caller
+        .send(hosts[1].callers, &operation)
+        .expect("an answer");
+    assert!(
+        answer.status == 200 || answer.outcome.as_deref() == Some("not-run"),
+        "{answer:?}"
+    );
+}
