Measure slopes of each role over four sizes

Cause: docs/CAPACITY.md needs slopes, and the scenarios measured one or two sizes. Before: no slope. After: `bench capacity` measures limits, liveness, distribution, health, attempts and the configuration at four sizes each and fits a line.

--- a/crates/bench/src/attempts/cost.rs
+++ b/crates/bench/src/attempts/cost.rs
@@ -117,28 +117,33 @@
     }
 
     fn run(&self, seed: u64) -> ScenarioResult {
-        let mut trio = Trio::new(seed);
-        trio.warm_up();
-        trio.run_for(AttemptSettings::default().retention());
-        let report = trio.hosts[0].report();
-        let records = report.records as f64;
-        let memory_mb = report.memory_bytes as f64 / BYTES_PER_MB;
-        let refused = trio.refused as f64;
-        let without_answers = (report.memory_bytes - report.answer_bytes) as f64;
-        let measurements = vec![
-            Measurement::new("records", records, "count"),
-            Measurement::new("bytes-per-record", without_answers / records, "bytes"),
-            Measurement::new("memory", memory_mb, "MB").bounded(Bound::AtMost(MAX_MEMORY_MB)),
-            Measurement::new("refused", refused, "count").bounded(Bound::AtMost(0.0)),
-        ];
         ScenarioResult {
             scenario: self.name().into(),
             seed,
-            measurements,
+            measurements: measure_requests(REQUESTS_PER_HOST_PER_S, seed),
         }
     }
 }
 
+/// Measures the memory of a witness at a number of requests with a key, a
+/// second a host.
+pub(crate) fn measure_requests(requests_per_s: usize, seed: u64) -> Vec<Measurement> {
+    let mut trio = Trio::new(seed);
+    trio.warm_up();
+    trio.run_for(AttemptSettings::default().retention(), requests_per_s);
+    let report = trio.hosts[0].report();
+    let records = report.records as f64;
+    let memory_mb = report.memory_bytes as f64 / BYTES_PER_MB;
+    let refused = trio.refused as f64;
+    let without_answers = (report.memory_bytes - report.answer_bytes) as f64;
+    vec![
+        Measurement::new("records", records, "count"),
+        Measurement::new("bytes-per-record", without_answers / records, "bytes"),
+        Measurement::new("memory", memory_mb, "MB").bounded(Bound::AtMost(MAX_MEMORY_MB)),
+        Measurement::new("refused", refused, "count").bounded(Bound::AtMost(0.0)),
+    ]
+}
+
 /// Three hosts without delays, loaded like hosts of a large fleet.
 struct Trio {
     clock: ManualClock,
@@ -177,11 +182,11 @@
         }
     }
 
-    fn run_for(&mut self, time: Duration) {
+    fn run_for(&mut self, time: Duration, requests_per_s: usize) {
         let until = self.clock.now() + time;
         while self.clock.now() < until {
             self.tick();
-            for _ in 0..self.hosts.len() * REQUESTS_PER_HOST_PER_S {
+            for _ in 0..self.hosts.len() * requests_per_s {
                 self.run_one();
             }
             self.clock.advance(Duration::from_secs(1));
--- a/crates/bench/src/attempts/mod.rs
+++ b/crates/bench/src/attempts/mod.rs
@@ -1,7 +1,7 @@
 //! Attempt records under faults: doubled runs, false refusals, unknown answers
 //! and cost.
 
-mod cost;
+pub(crate) mod cost;
 pub mod fault;
 mod fault_events;
 pub mod fleet;
--- a/crates/bench/src/config.rs
+++ b/crates/bench/src/config.rs
@@ -6,7 +6,7 @@
 pub mod service;
 
 mod packs;
-mod propagation;
+pub(crate) mod propagation;
 
 use crate::Scenario;
 
--- a/crates/bench/src/config/propagation.rs
+++ b/crates/bench/src/config/propagation.rs
@@ -140,6 +140,12 @@
     ]
 }
 
+/// Measures a quiet fleet of a size.
+pub(crate) fn measure_hosts(hosts: usize, seed: u64) -> Vec<Measurement> {
+    let domains = Propagation::DESIGN.domains;
+    Run::start(hosts, domains, seed, LinkFaults::default()).quiet()
+}
+
 struct Run {
     fleet: Fleet,
     snapshot: Snapshot,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! are exactly repeatable. Each topic contributes its own list.
 
 pub mod attempts;
+pub mod capacity;
 pub mod config;
 pub mod limits;
 pub mod membership;
--- a/crates/bench/src/limits/design_size.rs
+++ b/crates/bench/src/limits/design_size.rs
@@ -9,9 +9,9 @@
 use super::load::{Demand, Driver, Load, STEP, Way};
 use crate::{Bound, Measurement, Scenario, ScenarioResult};
 
-/// Workspaces.
+/// Workspaces of the design size.
 const WORKSPACES: usize = 13_000;
-/// Requests a second over the whole fleet.
+/// Requests a second over the whole fleet of the design size.
 const TOTAL_PER_S: f64 = 130_000.0;
 /// The part of its rate that a workspace uses.
 const USED_SHARE: f64 = 0.7;
@@ -44,43 +44,58 @@
     }
 
     fn run(&self, seed: u64) -> ScenarioResult {
-        let demands = zipf_demands();
-        let mut fleet = Fleet::new(&SHAPE, &demands, seed);
-        let mut now = Duration::ZERO;
-        while now < WARM_UP {
-            now += STEP * 5;
-            fleet.step(now);
-        }
-        let load = Load {
-            connections: connections(&demands, seed),
-            demands,
-            host_weights: Vec::new(),
-        };
-        let mut driver = Driver::new(load, seed, now);
-        run_for(&mut driver, &mut fleet, &mut now, SETTLING);
-        driver.reset_outcomes();
-        fleet.take_traffic();
-        fleet.reset_busy();
-        let start = Instant::now();
-        run_for(&mut driver, &mut fleet, &mut now, MEASURED);
-        let elapsed = start.elapsed();
-        let mut measurements = traffic(&mut fleet);
-        measurements.extend(outcomes(&driver));
-        let core = fleet.busy().as_secs_f64() / (MEASURED.as_secs_f64() * SHAPE.hosts() as f64);
-        let core = Measurement::new("control-of-a-core", core * 100.0, "percent");
-        measurements.push(core.bounded(Bound::AtMost(CORE_PERCENT)));
-        measurements.push(Measurement::new("run-time", elapsed.as_secs_f64(), "s"));
         ScenarioResult {
             scenario: self.name().into(),
             seed,
-            measurements,
+            measurements: measure(&SHAPE, 1.0, seed),
         }
     }
 }
 
-fn traffic(fleet: &mut Fleet) -> Vec<Measurement> {
+/// Measures a smaller fleet in which each host and each workspace has as much
+/// to do as at the design size.
+pub(crate) fn measure_hosts(hosts_per_domain: usize, seed: u64) -> Vec<Measurement> {
+    let shape = Shape {
+        hosts_per_domain,
+        ..SHAPE
+    };
+    let scale = shape.hosts() as f64 / SHAPE.hosts() as f64;
+    measure(&shape, scale, seed)
+}
+
+fn measure(shape: &Shape, scale: f64, seed: u64) -> Vec<Measurement> {
+    let demands = zipf_demands(scale);
+    let mut fleet = Fleet::new(shape, &demands, seed);
+    let mut now = Duration::ZERO;
+    while now < WARM_UP {
+        now += STEP * 5;
+        fleet.step(now);
+    }
+    let load = Load {
+        connections: connections(&demands, shape, seed),
+        demands,
+        host_weights: Vec::new(),
+    };
+    let mut driver = Driver::new(load, seed, now);
+    run_for(&mut driver, &mut fleet, &mut now, SETTLING);
+    driver.reset_outcomes();
+    fleet.take_traffic();
+    fleet.reset_busy();
+    let start = Instant::now();
+    run_for(&mut driver, &mut fleet, &mut now, MEASURED);
+    let elapsed = start.elapsed();
+    let mut measurements = traffic(&mut fleet, shape);
+    measurements.extend(outcomes(&driver));
+    let core = fleet.busy().as_secs_f64() / (MEASURED.as_secs_f64() * shape.hosts() as f64);
+    let core = Measurement::new("control-of-a-core", core * 100.0, "percent");
+    measurements.push(core.bounded(Bound::AtMost(CORE_PERCENT)));
+    measurements.push(Measurement::new("run-time", elapsed.as_secs_f64(), "s"));
+    measurements
+}
+
+fn traffic(fleet: &mut Fleet, shape: &Shape) -> Vec<Measurement> {
     let traffic = fleet.take_traffic();
-    let per_host_second = |count: u64| count as f64 / SHAPE.hosts() as f64 / MEASURED.as_secs_f64();
+    let per_host_second = |count: u64| count as f64 / shape.hosts() as f64 / MEASURED.as_secs_f64();
     vec![
         Measurement::new(
             "bytes-sent",
@@ -121,10 +136,11 @@
 }
 
 /// Returns demands of which the n-th is proportional to 1/n.
-fn zipf_demands() -> Vec<Demand> {
-    let total: f64 = (1..=WORKSPACES).map(|n| 1.0 / n as f64).sum();
+fn zipf_demands(scale: f64) -> Vec<Demand> {
+    let workspaces = (WORKSPACES as f64 * scale) as usize;
+    let total: f64 = (1..=workspaces).map(|n| 1.0 / n as f64).sum();
     let demand = |n: usize| {
-        let per_s = TOTAL_PER_S / total / n as f64;
+        let per_s = TOTAL_PER_S * scale / total / n as f64;
         let rate_per_s = per_s / USED_SHARE;
         Demand {
             limit: RateLimit {
@@ -134,17 +150,17 @@
             per_s,
         }
     };
-    (1..=WORKSPACES).map(demand).collect()
+    (1..=workspaces).map(demand).collect()
 }
 
 /// Returns the hosts that each workspace's connections lead to.
-fn connections(demands: &[Demand], seed: u64) -> Vec<Vec<usize>> {
+fn connections(demands: &[Demand], shape: &Shape, seed: u64) -> Vec<Vec<usize>> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut all = Vec::new();
     for demand in demands {
         let count = (demand.per_s / PER_CONNECTION_PER_S) as usize;
         let count = count.max(MIN_CONNECTIONS);
-        all.push((0..count).map(|_| rng.usize(..SHAPE.hosts())).collect());
+        all.push((0..count).map(|_| rng.usize(..shape.hosts())).collect());
     }
     all
 }
--- a/crates/bench/src/membership/mod.rs
+++ b/crates/bench/src/membership/mod.rs
@@ -25,3 +25,8 @@
         Box::new(Split::new("membership/split-440", design)),
     ]
 }
+
+/// Measures liveness in a healthy fleet of a size.
+pub(crate) fn measure_hosts(hosts: usize, seed: u64) -> Vec<crate::Measurement> {
+    scenarios::measure_hosts(hosts, seed)
+}
--- a/crates/bench/src/membership/scenarios.rs
+++ b/crates/bench/src/membership/scenarios.rs
@@ -274,6 +274,18 @@
     }
 }
 
+/// Measures a healthy fleet of a size.
+pub(super) fn measure_hosts(hosts: usize, seed: u64) -> Vec<Measurement> {
+    let sizes = Sizes {
+        hosts,
+        ..Sizes::DESIGN
+    };
+    let mut fleet = warm_fleet(sizes, seed, LinkFaults::default());
+    let meter = Meter::begin(&fleet);
+    fleet.run_s(WARM_UP_S);
+    meter.measurements(&fleet)
+}
+
 fn warm_fleet(sizes: Sizes, seed: u64, faults: LinkFaults) -> LivenessFleet {
     let mut fleet = LivenessFleet::new(sizes, seed, faults);
     fleet.run_s(WARM_UP_S);
--- a/crates/bench/src/runner.rs
+++ b/crates/bench/src/runner.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::scenario::{Scenario, ScenarioResult};
-use crate::{attempts, config, limits, membership, upstreams};
+use crate::{attempts, capacity, config, limits, membership, upstreams};
 
 /// Scenarios that run at once. Each keeps one core busy.
 const THREADS: usize = 4;
@@ -60,6 +60,7 @@
 #[must_use]
 pub fn all_scenarios() -> Vec<Box<dyn Scenario>> {
     let mut all = attempts::scenarios();
+    all.extend(capacity::scenarios());
     all.extend(config::scenarios());
     all.extend(limits::scenarios());
     all.extend(membership::scenarios());
--- a/crates/bench/src/upstreams/cost.rs
+++ b/crates/bench/src/upstreams/cost.rs
@@ -37,8 +37,8 @@
     }
 
     fn run(&self, seed: u64) -> ScenarioResult {
-        let calm = bytes_per_host_s(seed, 0.0);
-        let ejecting = bytes_per_host_s(seed, 1.0);
+        let calm = bytes_per_host_s(&SHAPE, seed, 0.0);
+        let ejecting = bytes_per_host_s(&SHAPE, seed, 1.0);
         let (tick_core, choose_us) = processor_time(seed);
         let scale = SERVICES as f64 / SIMULATED_SERVICES as f64;
         let measurements = vec![
@@ -60,16 +60,25 @@
     }
 }
 
+/// Measures a calm fleet of a size before all services.
+pub(crate) fn measure_hosts(hosts: usize, seed: u64) -> Vec<Measurement> {
+    let shape = PoolShape { hosts, ..SHAPE };
+    let scale = SERVICES as f64 / SIMULATED_SERVICES as f64;
+    let calm = bytes_per_host_s(&shape, seed, 0.0) * scale;
+    vec![Measurement::new("calm-bytes", calm, "B/s")]
+}
+
 /// Returns the bytes a second a host, for the simulated services, while one
 /// instance of each fails the given share.
-fn bytes_per_host_s(seed: u64, failing: f64) -> f64 {
+fn bytes_per_host_s(shape: &PoolShape, seed: u64, failing: f64) -> f64 {
     let mut fleet = Fleet::new(
-        &SHAPE,
+        shape,
         SIMULATED_SERVICES,
         seed,
         &UpstreamSettings::default(),
     );
-    let rate = REQUESTS_PER_S * SIMULATED_SERVICES as f64 / SERVICES as f64;
+    let load = shape.hosts as f64 / SHAPE.hosts as f64;
+    let rate = REQUESTS_PER_S * load * SIMULATED_SERVICES as f64 / SERVICES as f64;
     let names: Vec<_> = (0..SIMULATED_SERVICES)
         .map(|index| ServiceName::new(&format!("service-{index}")))
         .collect();
@@ -80,7 +89,7 @@
             bytes_before = fleet.sent_bytes;
         }
         for _ in 0..fleet.arrivals(rate) {
-            let host = fleet.rng.usize(..SHAPE.hosts);
+            let host = fleet.rng.usize(..shape.hosts);
             let service = &names[fleet.rng.usize(..names.len())];
             let origin = fleet.origin();
             let sent = fleet.request(host, service, origin, |instance, rng| {
@@ -99,7 +108,7 @@
         elapsed += fleet.step();
     }
     let sent = (fleet.sent_bytes - bytes_before) as f64;
-    sent / LENGTH.as_secs_f64() / SHAPE.hosts as f64
+    sent / LENGTH.as_secs_f64() / shape.hosts as f64
 }
 
 /// Returns the share of a core for ticks with all services, and the time of
--- a/crates/bench/src/upstreams/mod.rs
+++ b/crates/bench/src/upstreams/mod.rs
@@ -1,7 +1,7 @@
 //! Detection of sick upstreams, false ejections, balance and subsets.
 
 mod balance;
-mod cost;
+pub(crate) mod cost;
 mod curve;
 mod detection;
 mod fleet;
