Do not call a shed request not-run after a pause beyond the window

The records had expired, a repeat had run, and the caller of the first send was told not-run. Conclusion: hosts must ask shed_outcome before they pass a shed response on.

--- a/crates/attempts/src/registry.rs
+++ b/crates/attempts/src/registry.rs
@@ -16,6 +16,7 @@
 use crate::claimant::Conclusion;
 use crate::hand_over::{HandOverState, RECOVERY_TIME};
 use crate::lists::ListTracker;
+use crate::refusal::Outcome;
 use crate::rounds::{Attempt, Stage};
 use crate::settings::AttemptSettings;
 use crate::witness::Witness;
@@ -163,6 +164,21 @@
         Ok(())
     }
 
+    /// Returns what may be told of a dispatched attempt that the upstream shed.
+    /// A process that was paused for longer than the window no longer knows
+    /// whether another attempt has run meanwhile. Ask before [`Self::finish`].
+    #[must_use]
+    pub fn shed_outcome(&self, ticket: AttemptTicket) -> Outcome {
+        let Some(Stage::Dispatched(round)) = self.attempts.get(&ticket).map(|open| &open.stage)
+        else {
+            return Outcome::Unknown;
+        };
+        if round.first_sent.longest_age(&*self.clock) > self.settings.window {
+            return Outcome::Unknown;
+        }
+        Outcome::NotRun
+    }
+
     /// Ends a permitted attempt and tells its witnesses.
     pub fn finish(
         &mut self,
--- a/crates/attempts/tests/testsuite/registry.rs
+++ b/crates/attempts/tests/testsuite/registry.rs
@@ -124,6 +124,23 @@
     assert_eq!(PermitError::Forgotten.outcome(), Outcome::Unknown);
 }
 
+#[test]
+fn a_shed_request_is_not_run_unless_the_process_was_paused_beyond_the_window() {
+    let mut cluster = Cluster::warm(6, 3);
+    let mut first = request("a", "x", &cluster.clock);
+    first.deadline += Duration::from_secs(3600);
+    let ticket = cluster.dispatch(&host(0), &first);
+    let shed_outcome = |cluster: &mut Cluster| cluster.registry(&host(0)).shed_outcome(ticket);
+    assert_eq!(shed_outcome(&mut cluster), Outcome::NotRun);
+    let window = cluster.settings.window;
+    cluster.clock.advance(window + Duration::from_secs(1));
+    assert_eq!(shed_outcome(&mut cluster), Outcome::Unknown);
+    cluster
+        .registry(&host(0))
+        .finish(ticket, AttemptResult::NotRun);
+    assert_eq!(shed_outcome(&mut cluster), Outcome::Unknown);
+}
+
 #[test]
 fn a_permission_has_expired_when_a_suspended_machine_wakes() {
     let truth = ManualClock::new();
--- a/crates/attempts/tests/testsuite/schedules.rs
+++ b/crates/attempts/tests/testsuite/schedules.rs
@@ -24,8 +24,9 @@
 }
 
 /// Seeds that once doubled a run or refused falsely.
-const FORMER_FAILURES: [u64; 16] = [
+const FORMER_FAILURES: [u64; 17] = [
     238, 342, 1055, 1588, 2295, 2427, 2482, 3259, 3641, 3726, 4286, 4298, 4942, 5250, 9043, 11_016,
+    37_777,
 ];
 
 #[test]
--- a/crates/bench/src/attempts/process_events.rs
+++ b/crates/bench/src/attempts/process_events.rs
@@ -191,7 +191,9 @@
             }
             Treatment::AnswerLost => AttemptResult::Unknown,
             Treatment::Sheds => {
-                self.oracle.on_not_run(send.operation, now);
+                if process.registry.shed_outcome(ticket) == Outcome::NotRun {
+                    self.oracle.on_not_run(send.operation, now);
+                }
                 AttemptResult::NotRun
             }
         };
