Spread the polls for evidence over relays, and describe the configuration

Every second poll of each host went to one of the two readers of its failure domain, so that evidence of a current host list is fresh.

The schedule's oracle called a version that was published with altered packs unusable; a host that holds the right packs may adopt it. Its content is now compared instead.

--- a/crates/config/tests/testsuite/findings.rs
+++ b/crates/config/tests/testsuite/findings.rs
@@ -237,3 +237,12 @@
     );
     assert_eq!(codes(&text), ["2 error too-large"]);
 }
+
+#[test]
+fn the_example_of_the_reference_is_accepted() {
+    let page = include_str!("../../../../docs/reference/configuration.md");
+    let (_, rest) = page.split_once("```toml\n").expect("there is an example");
+    let (example, _) = rest.split_once("```").expect("it ends");
+    let report = check(&[file("example.toml", example)], 1);
+    assert!(report.is_accepted(), "{:?}", report.findings);
+}
--- a/crates/membership/src/distribution/agent.rs
+++ b/crates/membership/src/distribution/agent.rs
@@ -17,7 +17,7 @@
 use super::peers::Peers;
 use super::pursuit::Source;
 use super::replica::Replica;
-use super::roles::{Role, candidates, role};
+use super::roles::{Near, Role, near, ranked, role};
 use super::settings::DistributionSettings;
 use super::survey::Survey;
 use super::watch::ServiceWatch;
@@ -119,7 +119,7 @@
             settings,
         };
         let seeds = agent.settings.seeds.clone();
-        agent.set_peers(seeds, Vec::new(), now);
+        agent.set_peers(seeds, Near::default(), now);
         agent
     }
 
@@ -206,7 +206,7 @@
         of_peers.chain(self.hosts_watch.confirmed_at(stamp)).max()
     }
 
-    fn set_peers(&mut self, all: Vec<HostId>, near: Vec<HostId>, now: Instant) {
+    fn set_peers(&mut self, all: Vec<HostId>, near: Near, now: Instant) {
         if let Some(survey) = &mut self.survey {
             let timeout = self.settings.survey_timeout;
             survey.add(all.iter().cloned(), timeout, now);
@@ -221,14 +221,11 @@
         };
         let others = || list.hosts.iter().filter(|host| host.id != self.self_id);
         let all = others().map(|host| host.id.clone()).collect();
-        self.candidates = candidates(&list, &self.failure_domain, &self.settings);
-        // Readers are asked most, as their evidence is the freshest.
-        let readers = self
-            .candidates
-            .iter()
-            .take(self.settings.readers_per_domain);
-        let near = readers.filter(|host| **host != self.self_id).cloned();
-        self.set_peers(all, near.collect(), now);
+        let mut ranked = ranked(&list, &self.failure_domain);
+        let near = near(&self.self_id, &ranked, self.settings.readers_per_domain);
+        ranked.truncate(self.settings.candidates_per_domain);
+        self.candidates = ranked;
+        self.set_peers(all, near, now);
     }
 
     fn role(&self, now: Instant) -> Role {
--- a/crates/membership/src/distribution/agent/service.rs
+++ b/crates/membership/src/distribution/agent/service.rs
@@ -71,6 +71,7 @@
         }
         // Each fresh host reads the list once, to know its peers and its role.
         let reads = reads || self.hosts.newest().is_none();
+        let wait = self.settings.list_watch_wait;
         let ticket = self.ticket();
         if reads && let Some(call) = self.hosts_watch.due(ticket, wait, now) {
             self.call(ticket, call.key, call.watch, actions);
--- a/crates/membership/src/distribution/peers.rs
+++ b/crates/membership/src/distribution/peers.rs
@@ -6,11 +6,15 @@
 use waxwingusher_core::HostId;
 use waxwingusher_protocol::Summary;
 
+use super::roles::{Near, Tier};
 use super::settings::DistributionSettings;
 
 /// Peers that a host without an answer asks next, before it asks all.
 const RETRY_WIDTH: usize = 3;
 
+/// Rounds of a relay in which one poll goes to any peer.
+const RELAY_PERIOD: u32 = 4;
+
 /// Peers that a host asks at one time while it asks all.
 const SCAN_WIDTH: usize = 128;
 
@@ -64,11 +68,11 @@
 pub struct Peers {
     peers: BTreeMap<HostId, Peer>,
     ring: Vec<HostId>,
-    near: Vec<HostId>,
+    near: Near,
     cursor: usize,
     stage: Stage,
     next_round: Instant,
-    is_near_round: bool,
+    rounds: u32,
     scan_pause: Duration,
     next_scan: Instant,
     started_at: Instant,
@@ -81,11 +85,11 @@
         Self {
             peers: BTreeMap::new(),
             ring: Vec::new(),
-            near: Vec::new(),
+            near: Near::default(),
             cursor: 0,
             stage: Stage::Idle,
             next_round: now,
-            is_near_round: false,
+            rounds: 0,
             scan_pause: MIN_SCAN_PAUSE,
             next_scan: now,
             started_at: now,
@@ -98,8 +102,8 @@
         self.started_at
     }
 
-    /// Replaces the peers; every second poll goes to one of `near`.
-    pub fn set(&mut self, all: Vec<HostId>, near: Vec<HostId>, rng: &mut fastrand::Rng) {
+    /// Replaces the peers.
+    pub fn set(&mut self, all: Vec<HostId>, near: Near, rng: &mut fastrand::Rng) {
         self.peers.retain(|host, _| all.contains(host));
         for host in &all {
             self.peers.entry(host.clone()).or_default();
@@ -204,18 +208,22 @@
     ) -> Vec<HostId> {
         let jitter = 0.9 + 0.2 * rng.f64();
         self.next_round = now + settings.poll_interval.mul_f64(jitter);
-        self.is_near_round = !self.is_near_round;
-        let pool = if self.is_near_round && !self.near.is_empty() {
-            &self.near
-        } else {
-            &self.ring
+        self.rounds = self.rounds.wrapping_add(1);
+        let is_even = self.rounds.is_multiple_of(2);
+        let (asks_near, asks_any) = match self.near.tier {
+            _ if self.near.hosts.is_empty() => (false, true),
+            Tier::Reader => (false, true),
+            Tier::Relay => (true, self.rounds.is_multiple_of(RELAY_PERIOD)),
+            Tier::Leaf => (is_even, !is_even),
         };
-        let target = rng.choice(pool).cloned();
-        if target.is_some() {
+        let near = rng.choice(&self.near.hosts).filter(|_| asks_near);
+        let any = rng.choice(&self.ring).filter(|_| asks_any);
+        let targets: Vec<_> = near.into_iter().chain(any).cloned().collect();
+        if !targets.is_empty() {
             let retry_at = now + settings.answer_timeout;
             self.stage = Stage::Asked { retry_at };
         }
-        target.into_iter().collect()
+        targets
     }
 
     /// Returns the peers that answered last, and one at random.
--- a/crates/membership/src/distribution/roles.rs
+++ b/crates/membership/src/distribution/roles.rs
@@ -5,7 +5,6 @@
 use waxwingusher_core::{FailureDomain, HostEntry, HostId, HostList, rendezvous};
 
 use super::peers::Peers;
-use super::settings::DistributionSettings;
 
 /// The namespace of the hash that ranks readers.
 const READER_KEY: &str = "config-reader";
@@ -27,20 +26,57 @@
     Learner,
 }
 
-/// Returns the hosts of a failure domain that may read, by falling rank.
-pub fn candidates(
-    list: &HostList,
-    domain: &FailureDomain,
-    settings: &DistributionSettings,
-) -> Vec<HostId> {
+/// How a host shares its polls between `Near::hosts` and all peers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Tier {
+    /// The host polls all peers only.
+    #[default]
+    Reader,
+    /// The host polls readers each time, and all peers now and then.
+    Relay,
+    /// The host polls relays and all peers in turn.
+    Leaf,
+}
+
+/// The peers whose word on the service a host asks for.
+#[derive(Debug, Default)]
+pub struct Near {
+    /// How polls are shared.
+    pub tier: Tier,
+    /// The readers or relays of the failure domain.
+    pub hosts: Vec<HostId>,
+}
+
+/// Returns the live hosts of a failure domain by falling rank.
+pub fn ranked(list: &HostList, domain: &FailureDomain) -> Vec<HostId> {
     let in_domain = list.live().filter(|host| host.failure_domain == *domain);
     rendezvous::rank(READER_KEY, in_domain, |host: &HostEntry| host.id.as_str())
         .into_iter()
-        .take(settings.candidates_per_domain)
         .map(|host| host.id.clone())
         .collect()
 }
 
+/// Returns whose word a host asks for. Relays keep the load of the readers and
+/// their own near the root of the domain's size.
+pub fn near(self_id: &HostId, ranked: &[HostId], readers: usize) -> Near {
+    let (readers, others) = ranked.split_at(readers.min(ranked.len()));
+    let relays = others.len().isqrt() + 1;
+    let (relays, _) = others.split_at(relays.min(others.len()));
+    if readers.contains(self_id) {
+        return Near::default();
+    }
+    if relays.contains(self_id) {
+        return Near {
+            tier: Tier::Relay,
+            hosts: readers.to_vec(),
+        };
+    }
+    Near {
+        tier: Tier::Leaf,
+        hosts: relays.to_vec(),
+    }
+}
+
 /// Returns a host's role.
 pub fn role(
     self_id: &HostId,
--- a/crates/membership/src/distribution/settings.rs
+++ b/crates/membership/src/distribution/settings.rs
@@ -17,8 +17,11 @@
     pub answer_timeout: Duration,
     /// Peers that a host tells of a version that it has adopted.
     pub fanout: usize,
-    /// How long the configuration service holds a watch.
+    /// How long the configuration service holds a watch of the manifest.
     pub watch_wait: Duration,
+    /// How long it holds a watch of the host list. Each end of a watch is fresh
+    /// evidence that the list is current.
+    pub list_watch_wait: Duration,
     /// How long a host waits for a pack before it asks the next peer. A pack
     /// that comes later is still taken.
     pub fetch_timeout: Duration,
@@ -36,7 +39,8 @@
             poll_interval: Duration::from_secs(2),
             answer_timeout: Duration::from_millis(500),
             fanout: 8,
-            watch_wait: Duration::from_secs(3),
+            watch_wait: Duration::from_secs(10),
+            list_watch_wait: Duration::from_secs(2),
             fetch_timeout: Duration::from_millis(300),
             survey_timeout: Duration::from_secs(3),
             seeds: Vec::new(),
--- a/crates/membership/tests/testsuite/distribution/agent.rs
+++ b/crates/membership/tests/testsuite/distribution/agent.rs
@@ -58,6 +58,7 @@
             hosts: stamp(&self.hosts),
             seen_hosts_version: 4,
             service_age_ms: None,
+            hosts_age_ms: None,
         }
     }
 
--- a/crates/membership/tests/testsuite/distribution/schedule.rs
+++ b/crates/membership/tests/testsuite/distribution/schedule.rs
@@ -174,6 +174,10 @@
             }
             1 => {
                 // Packs that are good, but not the ones that the manifest names.
+                // A host that holds the right ones may adopt the version, with
+                // exactly their content.
+                let snapshot = Arc::new(self.lab.snapshot.clone());
+                self.oracle.published.insert(version, snapshot);
                 let other = &self.older[0].packs[0];
                 for pack in &publication.packs {
                     let key = Pack::service_key(&pack.digest);
