--- a/crates/bench/examples/config.rs
+++ b/crates/bench/examples/membership.rs
@@ -1,8 +1,8 @@
-//! Runs the scenarios of the configuration and prints their measurements.
+//! Runs the scenarios of liveness and prints their measurements.
 
 use std::io::{self, Write};
 
-use waxwingusher_bench::config::scenarios;
+use waxwingusher_bench::membership::scenarios;
 
 const DEFAULT_SEED: u64 = 1;
 
@@ -24,7 +24,7 @@
                 "  OUT OF BOUND"
             };
             let (name, value, unit) = (&measurement.name, measurement.value, &measurement.unit);
-            writeln!(out, "  {name}: {value:.1} {unit}{verdict}")?;
+            writeln!(out, "  {name}: {value:.6} {unit}{verdict}")?;
         }
     }
     Ok(())
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,11 @@
 
 pub mod attempts;
 pub mod config;
+pub mod limits;
+pub mod membership;
+pub mod report;
+pub mod runner;
 pub mod scenario;
+pub mod upstreams;
 
 pub use scenario::{Bound, Measurement, Scenario, ScenarioResult};
--- a/crates/host/src/pipeline/mod.rs
+++ b/crates/host/src/pipeline/mod.rs
@@ -2,8 +2,10 @@
 //! instances that it is sent to, and the answer.
 
 mod dispatch;
+mod last_check;
 mod relay;
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,15 +17,13 @@
 use waxwingusher_protocol::attempt::StoredAnswer;
 
 use crate::admission::Admitted;
+use crate::crash_guard::Fingerprint;
 use crate::limit_desk::SpentToken;
 use crate::refusal;
 use crate::state::HostState;
 
 pub(crate) use relay::from_stored;
 
-/// How long after it was spent a token may still be used.
-pub(crate) const MAX_TOKEN_AGE: Duration = Duration::from_millis(500);
-
 /// An admitted request with the place for its answer.
 pub(crate) struct Job {
     pub(crate) exchange: Exchange,
@@ -36,8 +36,9 @@
     pub(crate) client: &'a UpstreamClient,
     pub(crate) request: &'a CallerRequest,
     pub(crate) admitted: &'a Admitted,
-    pub(crate) token: SpentToken,
+    pub(crate) token: Cell<SpentToken>,
     pub(crate) ticket: Option<AttemptTicket>,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// Works on a request until its caller has the answer.
@@ -53,11 +54,17 @@
         let refusal = life.refuse(RefusalReason::DeadlineExceeded);
         return refuse(state, &request, &admitted, reply, refusal);
     }
+    let body = body_digest(&request);
+    let fingerprint = Fingerprint::new(&admitted, &body);
+    if state.crashes.is_quarantined(fingerprint) {
+        let refusal = life.refuse(RefusalReason::Quarantined);
+        return refuse(state, &request, &admitted, reply, refusal);
+    }
     let token = match spend(state, &request, &admitted) {
         Ok(token) => token,
         Err(reason) => return refuse(state, &request, &admitted, reply, life.refuse(reason)),
     };
-    let ticket = match permission(state, &request, &admitted) {
+    let ticket = match permission(state, &request, &admitted, body) {
         Permit::Unkeyed => None,
         Permit::Granted(ticket) => Some(ticket),
         Permit::FirstAnswer(answer) => {
@@ -73,8 +80,9 @@
         client,
         request: &request,
         admitted: &admitted,
-        token,
+        token: Cell::new(token),
         ticket,
+        fingerprint,
     };
     flow.dispatch(life.admit(), reply);
 }
@@ -130,7 +138,12 @@
 }
 
 /// Asks the attempt records about an operation that must not repeat.
-fn permission(state: &HostState, request: &CallerRequest, admitted: &Admitted) -> Permit {
+fn permission(
+    state: &HostState,
+    request: &CallerRequest,
+    admitted: &Admitted,
+    body_digest: BodyDigest,
+) -> Permit {
     let is_idempotent = admitted.route.is_idempotent(request.method.as_str());
     let Some(key) = admitted.idempotency_key.as_ref().filter(|_| !is_idempotent) else {
         return Permit::Unkeyed;
@@ -138,7 +151,7 @@
     let attempt = AttemptRequest {
         workspace: admitted.party.workspace.clone(),
         idempotency_key: key.clone(),
-        body_digest: body_digest(request),
+        body_digest,
         deadline: admitted.deadline,
     };
     let (ticket, permission) = state.attempts.begin(&attempt, &state.peers);
@@ -166,6 +179,13 @@
         self.admitted.deadline.saturating_duration_since(now)
     }
 
+    /// Spends a new token in place of one that has expired.
+    pub(crate) fn spend_again(&self) -> Result<(), RefusalReason> {
+        let token = spend(self.state, self.request, self.admitted)?;
+        self.token.set(token);
+        Ok(())
+    }
+
     /// Ends the attempt record, if the request has one.
     pub(crate) fn finish_attempt(&self, result: AttemptResult) {
         let Some(ticket) = self.ticket else {
--- a/crates/membership/tests/testsuite/distribution/readers.rs
+++ b/crates/membership/tests/testsuite/distribution/readers.rs
@@ -1,5 +1,6 @@
 //! Which hosts read the service, and what they know of the list's age.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use waxwingusher_bench::config::sample::{host_id, host_list};
@@ -107,6 +108,12 @@
     for node in lab.fleet.nodes.values() {
         let freshness = node.agent.list_freshness();
         assert_eq!((freshness.version, freshness.seen_version), (7, 7));
+        let heard = freshness.words.iter().filter(|word| word.seen_version == 7);
+        let domains: BTreeSet<_> = heard
+            .filter_map(|word| Some(&list.get(&word.host)?.failure_domain))
+            .collect();
+        let expected: BTreeSet<_> = list.hosts.iter().map(|host| &host.failure_domain).collect();
+        assert_eq!(domains, expected, "peers of every domain have answered");
         assert!(freshness.words.iter().all(|word| word.asked_at <= now));
         let recent = freshness
             .words
