--- a/crates/attempts/src/registry.rs
+++ b/crates/attempts/src/registry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use waxwingusher_core::{Clock, HostId, HostList};
+use waxwingusher_core::{Clock, HostId, HostList, rendezvous};
 use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::attempt::{AttemptKey, AttemptMessage, ClaimEnd, ClaimId};
 
@@ -14,8 +14,9 @@
     PermitError,
 };
 use crate::claimant::Conclusion;
-use crate::hand_over::HandOverState;
+use crate::hand_over::{HandOverState, RECOVERY_TIME};
 use crate::lists::ListTracker;
+use crate::refusal::Outcome;
 use crate::rounds::{Attempt, Stage};
 use crate::settings::AttemptSettings;
 use crate::witness::Witness;
@@ -39,8 +40,8 @@
 }
 
 impl AttemptRegistry {
-    /// Creates the records of a host whose process has just started. The seed
-    /// must differ between processes.
+    /// Creates the records of a host whose process has just started. Hosts that
+    /// share a seed still draw different numbers.
     #[must_use]
     pub fn new(
         self_id: HostId,
@@ -50,12 +51,14 @@
         settings: AttemptSettings,
     ) -> Self {
         let witness = Witness::new(self_id.clone(), settings, &*clock);
-        let recover_until = clock.now() + settings.coverage() / 2;
+        let name_hash = rendezvous::weight("attempts", self_id.as_str());
+        let own_seed = seed ^ incarnation ^ name_hash;
+        let recover_until = clock.now() + RECOVERY_TIME;
         Self {
             self_id,
             incarnation,
             clock,
-            rng: fastrand::Rng::with_seed(seed),
+            rng: fastrand::Rng::with_seed(own_seed),
             settings,
             lists: ListTracker::new(settings),
             witness,
@@ -69,6 +72,12 @@
         }
     }
 
+    /// Returns the number that identifies this process.
+    #[must_use]
+    pub const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Takes a host list, from whomever. Older ones are ignored.
     pub fn apply_host_list(&mut self, list: &HostList) {
         self.lists.apply(list, &*self.clock);
@@ -155,6 +164,21 @@
         Ok(())
     }
 
+    /// Returns what may be told of a dispatched attempt that the upstream shed.
+    /// A process that was paused for longer than the window no longer knows
+    /// whether another attempt has run meanwhile. Ask before [`Self::finish`].
+    #[must_use]
+    pub fn shed_outcome(&self, ticket: AttemptTicket) -> Outcome {
+        let Some(Stage::Dispatched(round)) = self.attempts.get(&ticket).map(|open| &open.stage)
+        else {
+            return Outcome::Unknown;
+        };
+        if round.first_sent.longest_age(&*self.clock) > self.settings.window {
+            return Outcome::Unknown;
+        }
+        Outcome::NotRun
+    }
+
     /// Ends a permitted attempt and tells its witnesses.
     pub fn finish(
         &mut self,
@@ -251,7 +275,12 @@
             AttemptMessage::HandOver(part) => self.on_hand_over(from, part),
             AttemptMessage::HandOverAck { id, part } => self.on_hand_over_ack(from, id, part),
             AttemptMessage::HandOverCommit { id } => self.on_hand_over_commit(from, id),
-            AttemptMessage::Recover => self.on_recover(from, incarnation),
+            AttemptMessage::Recover { topology } => {
+                self.on_recover(from, incarnation, topology);
+            }
+            AttemptMessage::Quarantine(_) => {
+                log::warn!("attempts: a message of {from} belongs to the quarantine");
+            }
         }
     }
 
--- a/crates/bench/src/config/fleet.rs
+++ b/crates/bench/src/config/fleet.rs
@@ -14,7 +14,7 @@
 
 use super::service::{Answer, FakeService};
 
-/// The time between two ticks of each host.
+/// The time between two ticks of each host, unless it is set.
 const TICK: Duration = Duration::from_millis(50);
 
 /// An incarnation of typical length.
@@ -38,6 +38,8 @@
     pub adopted_at: Option<Instant>,
     /// The bytes of datagrams sent.
     pub message_bytes: u64,
+    /// The bytes of datagrams received.
+    pub received_bytes: u64,
     /// The bytes of manifests and packs that peers handed over to this host.
     pub fetched_bytes: u64,
     failure_domain: FailureDomain,
@@ -54,6 +56,7 @@
     links: Links<Packet>,
     rng: fastrand::Rng,
     settings: DistributionSettings,
+    tick: Duration,
 }
 
 impl Fleet {
@@ -69,6 +72,7 @@
             links: Links::new(seed, faults),
             rng: fastrand::Rng::with_seed(seed),
             settings: DistributionSettings::default(),
+            tick: TICK,
         };
         for host in &list.hosts {
             fleet.start(&host.id, &host.failure_domain);
@@ -88,6 +92,7 @@
             refusals: Vec::new(),
             adopted_at: None,
             message_bytes: 0,
+            received_bytes: 0,
             fetched_bytes: 0,
             failure_domain: domain.clone(),
         };
@@ -113,6 +118,11 @@
         self.settings.seeds = seeds;
     }
 
+    /// Sets the time between two ticks; long spans run faster with rare ones.
+    pub fn set_tick(&mut self, tick: Duration) {
+        self.tick = tick;
+    }
+
     /// Sets the faults of all links.
     pub fn set_faults(&mut self, faults: LinkFaults) {
         self.links.set_faults(faults);
@@ -134,6 +144,12 @@
         }
     }
 
+    /// Mends the link between two hosts.
+    pub fn mend(&mut self, a: &HostId, b: &HostId) {
+        self.links.mend(a, b);
+        self.links.mend(b, a);
+    }
+
     /// Mends all links.
     pub fn mend_all(&mut self) {
         self.links.mend_all();
@@ -184,7 +200,7 @@
 
     /// Runs to the next tick of all hosts.
     pub fn step(&mut self) {
-        let end = self.clock.now() + TICK;
+        let end = self.clock.now() + self.tick;
         while let Some(at) = self.links.next_arrival().filter(|at| *at <= end) {
             let now = self.clock.now();
             self.clock.advance(at.saturating_duration_since(now));
@@ -215,6 +231,9 @@
         let (from, to) = (delivery.from, delivery.to);
         match delivery.message {
             Packet::Message(message) => {
+                if let Some(node) = self.nodes.get_mut(&to) {
+                    node.received_bytes += wire_bytes(&from, &message);
+                }
                 self.act(&to, |agent| agent.on_message(&from, INCARNATION, &message));
             }
             Packet::Request(digest) => {
@@ -249,8 +268,7 @@
                     self.links.send(now, id, &host, Packet::Request(digest));
                 }
                 AgentAction::Send(outgoing) => {
-                    let message = Message::Config(outgoing.message.clone());
-                    node.message_bytes += wire_len_bytes(id, INCARNATION, &message) as u64;
+                    node.message_bytes += wire_bytes(id, &outgoing.message);
                     let packet = Packet::Message(outgoing.message);
                     self.links.send(now, id, &outgoing.to, packet);
                 }
@@ -261,3 +279,7 @@
         }
     }
 }
+
+fn wire_bytes(from: &HostId, message: &ConfigMessage) -> u64 {
+    wire_len_bytes(from, INCARNATION, &Message::Config(message.clone())) as u64
+}
--- a/crates/bench/src/limits/design_size.rs
+++ b/crates/bench/src/limits/design_size.rs
@@ -58,6 +58,16 @@
     };
 }
 
+/// Measures a fleet whose hosts bear the load of the design size.
+pub(crate) fn measure_hosts(hosts_per_domain: usize, seed: u64) -> Vec<Measurement> {
+    let shape = Shape {
+        hosts_per_domain,
+        ..DesignSize::WHOLE.shape
+    };
+    let name = DesignSize::WHOLE.name;
+    DesignSize { name, shape }.run(seed).measurements
+}
+
 impl Scenario for DesignSize {
     fn name(&self) -> &'static str {
         self.name
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -1,14 +1,16 @@
 //! Starts and stops one host.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, sync_channel};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use waxwingusher_attempts::{AttemptRegistry, AttemptSettings};
+use waxwingusher_attempts::{
+    AttemptRegistry, AttemptSettings, Quarantine, QuarantineSettings, RetryBudget, RetrySettings,
+};
 use waxwingusher_core::{CancelToken, Clock, HostEntry, HostList, HostState as HostEntryState};
 use waxwingusher_edge::{CallerEdge, EdgeError, UpstreamClient};
 use waxwingusher_limits::{Limiter, LimiterSettings};
@@ -21,6 +23,7 @@
 
 use crate::attempt_desk::AttemptDesk;
 use crate::config_desk::{ConfigDesk, PeerFetch, PeerFiles};
+use crate::crash_guard::CrashGuard;
 use crate::duties::operators::{Operators, OperatorsError};
 use crate::duties::{admitter, peer_fetcher, peer_receiver, service_reader, spawn, ticker, worker};
 use crate::limit_desk::LimitDesk;
@@ -32,6 +35,8 @@
 
 /// Requests that may wait between the edge and the admitter.
 const EDGE_RING: usize = 1_024;
+/// How often a free port is looked for that both transports can have.
+const FREE_PORT_TRIES: u32 = 16;
 /// Calls to the configuration service that may wait.
 const READ_RING: usize = 64;
 /// Fetches from peers that may wait.
@@ -105,6 +110,12 @@
             limits: LimitDesk::new(new_limiter(&settings, &clock, incarnation), clock.clone()),
             attempts: AttemptDesk::new(new_registry(&settings, &clock, incarnation), clock.clone()),
             upstreams: new_upstreams(&settings, &clock, incarnation),
+            crashes: CrashGuard::new(new_quarantine(&settings, &clock, incarnation)),
+            retries: RetryBudget::new(
+                RetrySettings::default(),
+                clock.clone(),
+                fastrand::Rng::with_seed(incarnation),
+            ),
             config: ConfigDesk::new(agent, reads, fetches),
             liveness: new_liveness(&settings, &clock, incarnation),
             peers: PeerLink::new(peers.socket),
@@ -113,7 +124,7 @@
             stop: stop.clone(),
         };
         let state = Arc::new(HostState::new(settings, parts));
-        let rpc = start_rpc(&state, peers.addr)?;
+        let rpc = start_rpc(&state, peers.listener)?;
         let operators = Operators::bind(&state)?;
         let operator_addr = operators.local_addr();
         let rings = Rings {
@@ -123,7 +134,10 @@
         };
         let duties = start_duties(&state, rings, operators)?;
 
-        let queue = Arc::new(WorkQueue::new(state.settings.queue_per_workspace));
+        let queue = Arc::new(WorkQueue::new(
+            clock.clone(),
+            state.settings.queue_per_workspace,
+        ));
         let work_done = CancelToken::new();
         let workers = start_workers(&state, &queue, &work_done)?;
         let (ring, exchanges) = sync_channel(EDGE_RING);
@@ -133,9 +147,10 @@
             admitter::run(&shared, &exchanges, &queue);
         })?;
         log::info!(
-            "host: {} serves callers on {}.",
+            "host: {} serves callers on {}, operators on {operator_addr}, peers on {}.",
             state.settings.host_id,
-            edge.local_addr()
+            edge.local_addr(),
+            peers.addr
         );
         Ok(Self {
             state,
@@ -181,10 +196,11 @@
         Some(active.snapshot.version)
     }
 
-    /// Reports whether an operator has asked the host to stop.
+    /// Reports whether the host should stop: an operator has asked for it, or
+    /// the host list calls the host leaving.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.state.draining.load(Ordering::SeqCst)
+        self.state.is_draining()
     }
 
     /// Stops gracefully: callers are sent elsewhere, every request that was
@@ -207,11 +223,12 @@
         log::info!("host: {id} has stopped.");
     }
 
-    /// Stops at once, as a crash would: nothing is answered or handed over.
+    /// Stops at once, as a crash would: connections are cut, and nothing is
+    /// answered or handed over.
     pub fn kill(self) {
         self.state.stop.cancel();
         self.work_done.cancel();
-        self.state.draining.store(true, Ordering::SeqCst);
+        self.edge.abort();
     }
 }
 
@@ -253,6 +270,7 @@
 struct Peers {
     socket: PeerSocket,
     envelopes: Receiver<Envelope>,
+    listener: TcpListener,
     addr: SocketAddr,
 }
 
@@ -270,21 +288,39 @@
     stop: &CancelToken,
 ) -> Result<Peers, HostError> {
     let addr = settings.peer_addr;
+    let mut tries = if addr.port() == 0 { FREE_PORT_TRIES } else { 1 };
+    loop {
+        tries -= 1;
+        match try_open_peers(settings, clock, incarnation, stop) {
+            Ok(peers) => {
+                peers.socket.set_hosts(&seed_list(settings));
+                return Ok(peers);
+            }
+            Err(_) if tries > 0 => {}
+            Err(source) => return Err(HostError::Peers { addr, source }),
+        }
+    }
+}
+
+/// Opens the same port for datagrams and for connections.
+fn try_open_peers(
+    settings: &HostSettings,
+    clock: &Arc<dyn Clock>,
+    incarnation: u64,
+    stop: &CancelToken,
+) -> io::Result<Peers> {
     let secret = settings.fleet_secret.clone();
     let id = settings.host_id.clone();
-    let socket = SocketSettings::new(id, incarnation, addr, secret);
-    let open = || -> io::Result<Peers> {
-        let (socket, envelopes) = PeerSocket::open(&socket, clock.clone(), stop)?;
-        let addr = socket.local_addr()?;
-        Ok(Peers {
-            socket,
-            envelopes,
-            addr,
-        })
-    };
-    let peers = open().map_err(|source| HostError::Peers { addr, source })?;
-    peers.socket.set_hosts(&seed_list(settings));
-    Ok(peers)
+    let datagrams = SocketSettings::new(id, incarnation, settings.peer_addr, secret);
+    let (socket, envelopes) = PeerSocket::open(&datagrams, clock.clone(), stop)?;
+    let addr = socket.local_addr()?;
+    let listener = TcpListener::bind(addr)?;
+    Ok(Peers {
+        socket,
+        envelopes,
+        listener,
+        addr,
+    })
 }
 
 /// Returns the seed peers as a list from which no right follows.
@@ -302,14 +338,16 @@
 }
 
 /// Serves files to peers, over TCP on the port of the datagrams.
-fn start_rpc(state: &Arc<HostState>, addr: SocketAddr) -> Result<PeerServer, HostError> {
+fn start_rpc(state: &Arc<HostState>, listener: TcpListener) -> Result<PeerServer, HostError> {
     let settings = &state.settings;
     let id = settings.host_id.clone();
-    let server = ServerSettings::new(id, addr, settings.fleet_secret.clone());
+    let secret = settings.fleet_secret.clone();
+    let server = ServerSettings::new(id, settings.peer_addr, secret);
     let files = PeerFiles {
         state: Arc::downgrade(state),
     };
-    Ok(PeerServer::start(&server, Arc::new(files), &state.stop)?)
+    let files = Arc::new(files);
+    Ok(PeerServer::start_on(listener, &server, files, &state.stop)?)
 }
 
 fn start_duties(
@@ -370,6 +408,7 @@
 fn new_limiter(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> Limiter {
     let limiter = LimiterSettings {
         loan_term: settings.loan_term,
+        opened_at: settings.fleet_opens_at,
         ..LimiterSettings::new(settings.failure_domains.clone())
     };
     Limiter::new(
@@ -394,6 +433,12 @@
     AttemptRegistry::new(id, incarnation, clock.clone(), incarnation, attempts)
 }
 
+fn new_quarantine(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> Quarantine {
+    let rng = fastrand::Rng::with_seed(incarnation);
+    let id = settings.host_id.clone();
+    Quarantine::new(id, clock.clone(), rng, QuarantineSettings::default())
+}
+
 fn new_upstreams(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> UpstreamSet {
     UpstreamSet::new(
         settings.host_id.clone(),
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -2,21 +2,28 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
 
+use waxwingusher_attempts::RetryBudget;
 use waxwingusher_config::Snapshot;
-use waxwingusher_core::{CancelToken, Clock, HostList};
+use waxwingusher_core::{CancelToken, Clock, HostList, HostState as ListedState};
 use waxwingusher_membership::liveness::Liveness;
 use waxwingusher_upstreams::UpstreamSet;
 
 use crate::active::Active;
 use crate::attempt_desk::AttemptDesk;
 use crate::config_desk::ConfigDesk;
+use crate::crash_guard::CrashGuard;
 use crate::decisions::DecisionLog;
 use crate::limit_desk::LimitDesk;
 use crate::metrics::Metrics;
 use crate::peer_link::PeerLink;
 use crate::settings::HostSettings;
 
+/// How long a host that has a configuration waits for a host list that it may
+/// rely on before it takes callers all the same.
+const MAX_WARM_UP: Duration = Duration::from_secs(30);
+
 /// The shared state of one host.
 pub(crate) struct HostState {
     pub(crate) settings: HostSettings,
@@ -27,11 +34,17 @@
     pub(crate) attempts: AttemptDesk,
     pub(crate) upstreams: Mutex<UpstreamSet>,
     pub(crate) slot_freed: Condvar,
+    pub(crate) crashes: CrashGuard,
+    pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) config: ConfigDesk,
     pub(crate) liveness: Mutex<Liveness>,
     pub(crate) peers: PeerLink,
     pub(crate) stop: CancelToken,
     pub(crate) draining: AtomicBool,
+    /// Whether an operator has asked for a graceful shutdown.
+    pub(crate) drain_asked: AtomicBool,
+    warm: AtomicBool,
+    started_at: Instant,
     active: RwLock<Option<Arc<Active>>>,
     host_list: RwLock<Arc<HostList>>,
 }
@@ -43,6 +56,8 @@
     pub(crate) limits: LimitDesk,
     pub(crate) attempts: AttemptDesk,
     pub(crate) upstreams: UpstreamSet,
+    pub(crate) crashes: CrashGuard,
+    pub(crate) retries: RetryBudget,
     pub(crate) config: ConfigDesk,
     pub(crate) liveness: Liveness,
     pub(crate) peers: PeerLink,
@@ -51,6 +66,7 @@
 
 impl HostState {
     pub(crate) fn new(settings: HostSettings, parts: Parts) -> Self {
+        let started_at = parts.clock.now();
         Self {
             settings,
             clock: parts.clock,
@@ -60,11 +76,16 @@
             attempts: parts.attempts,
             upstreams: Mutex::new(parts.upstreams),
             slot_freed: Condvar::new(),
+            crashes: parts.crashes,
+            retries: Mutex::new(parts.retries),
             config: parts.config,
             liveness: Mutex::new(parts.liveness),
             peers: parts.peers,
             stop: parts.stop,
             draining: AtomicBool::new(false),
+            drain_asked: AtomicBool::new(false),
+            warm: AtomicBool::new(false),
+            started_at,
             active: RwLock::new(None),
             host_list: RwLock::new(Arc::new(HostList::default())),
         }
@@ -89,6 +110,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Gives access to the retry budgets.
+    pub(crate) fn lock_retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Gives access to what is known of peers.
     pub(crate) fn lock_liveness(&self) -> MutexGuard<'_, Liveness> {
         self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
@@ -96,7 +122,25 @@
 
     /// Reports whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.active().is_some() && !self.draining.load(Ordering::SeqCst)
+        self.is_warm() && !self.is_draining()
+    }
+
+    /// Reports whether the host stops, or was asked to.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst) || self.drain_asked.load(Ordering::SeqCst)
+    }
+
+    /// Reports whether the host has had a configuration and a host list that
+    /// it may rely on. It stays so when the configuration service goes away.
+    fn is_warm(&self) -> bool {
+        if self.warm.load(Ordering::SeqCst) {
+            return true;
+        }
+        let trusts_list = self.attempts.lock().registry.report().is_list_trusted;
+        let waited = self.clock.now().saturating_duration_since(self.started_at);
+        let is_warm = self.active().is_some() && (trusts_list || waited > MAX_WARM_UP);
+        self.warm.fetch_or(is_warm, Ordering::SeqCst);
+        is_warm
     }
 
     /// Puts a configuration in force, unless a newer one is.
@@ -116,6 +160,17 @@
         log::info!("config: Version {version} is in force.");
     }
 
+    /// Drains when the host list no longer calls this host live. A list that
+    /// never did may be older than this process.
+    fn drain_if_leaving(&self, former: &HostList, list: &HostList) {
+        let state_in = |list: &HostList| list.get(&self.settings.host_id).map(|own| own.state);
+        let was_live = state_in(former) == Some(ListedState::Live);
+        if was_live && state_in(list) == Some(ListedState::Leaving) {
+            log::info!("host: The host list calls this host leaving.");
+            self.drain_asked.store(true, Ordering::SeqCst);
+        }
+    }
+
     /// Takes a newer host list.
     pub(crate) fn apply_host_list(&self, list: &HostList) {
         let mut current = self
@@ -125,13 +180,15 @@
         if list.version <= current.version {
             return;
         }
-        *current = Arc::new(list.clone());
+        let former = std::mem::replace(&mut *current, Arc::new(list.clone()));
         drop(current);
         self.peers.set_hosts(list);
         self.limits.lock().apply_host_list(list);
         self.attempts.lock().registry.apply_host_list(list);
         self.lock_upstreams().apply_host_list(list);
         self.lock_liveness().apply_host_list(list);
+        self.crashes.lock().apply_host_list(list);
+        self.drain_if_leaving(&former, list);
         let version = list.version;
         let count = list.hosts.len();
         log::info!("members: Host list {version} with {count} hosts is in use.");
--- a/crates/limits/src/limiter.rs
+++ b/crates/limits/src/limiter.rs
@@ -49,6 +49,7 @@
     settings: Arc<LimiterSettings>,
     rng: fastrand::Rng,
     started_at: Instant,
+    opening: Option<Instant>,
     last_seen: (Instant, SystemTime),
     authority: Authority,
     holders: Holders,
@@ -75,6 +76,8 @@
         settings: LimiterSettings,
     ) -> Self {
         let now = clock.now();
+        let opens_in = settings.opened_at.map(|at| at.duration_since(clock.wall()));
+        let opening = opens_in.and_then(Result::ok).map(|wait| now + wait);
         Self {
             authority: Authority::new(self_id.clone(), now),
             self_id,
@@ -84,6 +87,7 @@
             settings: Arc::new(settings),
             rng: fastrand::Rng::with_seed(incarnation),
             started_at: now,
+            opening,
             holders: Holders::default(),
             near_share: None,
             table: LimitTable::default(),
--- a/crates/limits/src/limiter/holding.rs
+++ b/crates/limits/src/limiter/holding.rs
@@ -84,10 +84,12 @@
         let Some(near) = self.near_share else {
             return;
         };
-        if self.waiting.is_empty() || now < self.started_at + self.settings.quarantine() {
+        if self.waiting.is_empty() {
             return;
         }
-        if !self.authority.may_take_over(now, &self.settings) {
+        let is_settled = now >= self.started_at + self.settings.quarantine()
+            && self.authority.may_take_over(now, &self.settings);
+        if !is_settled && !self.opens_now(now) {
             return;
         }
         for index in std::mem::take(&mut self.waiting) {
@@ -101,6 +103,14 @@
         }
     }
 
+    /// Reports whether the fleet opens for the first time, so that no share
+    /// has a former holder.
+    fn opens_now(&self, now: Instant) -> bool {
+        self.opening.is_some_and(|opening| {
+            self.authority.is_valid(now) && self.authority.stood_at(opening, &self.settings)
+        })
+    }
+
     /// Gives shares to their next holders, as soon as these have been heard of
     /// and so their present incarnation is known.
     pub(super) fn give_shares(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
--- a/crates/limits/tests/testsuite/main.rs
+++ b/crates/limits/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod evidence;
 mod fleet;
 mod keys;
+mod opening;
 mod oracle;
 mod queue;
 mod schedule;
--- a/crates/membership/src/distribution/agent.rs
+++ b/crates/membership/src/distribution/agent.rs
@@ -3,7 +3,7 @@
 mod exchange;
 mod service;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -17,15 +17,20 @@
 use super::peers::Peers;
 use super::pursuit::Source;
 use super::replica::Replica;
-use super::roles::{Role, candidates, role};
+use super::roles::{Near, Role, near, ranked, role};
 use super::settings::DistributionSettings;
 use super::survey::Survey;
 use super::watch::ServiceWatch;
 
-/// The time after which a host without a configuration, or without any peer
-/// that answers, reads the service whatever its role is.
+/// The time after which a host that no peer answers reads the service whatever
+/// its role is.
 const ALONE_AFTER: Duration = Duration::from_secs(10);
 
+/// The longest time after which a host without a configuration reads the
+/// service. Hosts that start together do so one after the other, and the first
+/// one that succeeds tells the others.
+const MAX_LATE: Duration = Duration::from_secs(60);
+
 /// How long a fresh host waits for a version that a peer said to have.
 const CLAIM_AGE: Duration = Duration::from_secs(10);
 
@@ -75,6 +80,7 @@
     candidates: Vec<HostId>,
     survey: Option<Survey>,
     started_at: Instant,
+    late_after: Duration,
     next_observation: Instant,
     next_ticket: u64,
     counters: AgentCounters,
@@ -91,11 +97,13 @@
         settings: DistributionSettings,
     ) -> Self {
         let now = clock.now();
+        let mut rng = fastrand::Rng::with_seed(seed);
         let mut agent = Self {
+            late_after: ALONE_AFTER + (MAX_LATE - ALONE_AFTER).mul_f64(rng.f64()),
             self_id,
             failure_domain,
             clock,
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
             config: Replica::new(),
             hosts: Replica::new(),
             config_watch: ServiceWatch::new(MANIFEST_KEY, now),
@@ -111,7 +119,7 @@
             settings,
         };
         let seeds = agent.settings.seeds.clone();
-        agent.set_peers(seeds, Vec::new(), now);
+        agent.set_peers(seeds, Near::default(), now);
         agent
     }
 
@@ -168,6 +176,15 @@
         self.counters
     }
 
+    /// Returns the version of the configuration that each peer last told of.
+    #[must_use]
+    pub fn config_versions(&self) -> BTreeMap<HostId, u64> {
+        let heard = self.peers.heard_since(self.started_at);
+        heard
+            .map(|(host, summary)| (host.clone(), summary.config.version))
+            .collect()
+    }
+
     /// Returns the evidence that the host list in force is current.
     #[must_use]
     pub fn list_freshness(&self) -> ListFreshness {
@@ -198,7 +215,7 @@
         of_peers.chain(self.hosts_watch.confirmed_at(stamp)).max()
     }
 
-    fn set_peers(&mut self, all: Vec<HostId>, near: Vec<HostId>, now: Instant) {
+    fn set_peers(&mut self, all: Vec<HostId>, near: Near, now: Instant) {
         if let Some(survey) = &mut self.survey {
             let timeout = self.settings.survey_timeout;
             survey.add(all.iter().cloned(), timeout, now);
@@ -213,14 +230,11 @@
         };
         let others = || list.hosts.iter().filter(|host| host.id != self.self_id);
         let all = others().map(|host| host.id.clone()).collect();
-        self.candidates = candidates(&list, &self.failure_domain, &self.settings);
-        // Readers are asked most, as their evidence is the freshest.
-        let readers = self
-            .candidates
-            .iter()
-            .take(self.settings.readers_per_domain);
-        let near = readers.filter(|host| **host != self.self_id).cloned();
-        self.set_peers(all, near.collect(), now);
+        let mut ranked = ranked(&list, &self.failure_domain);
+        let near = near(&self.self_id, &ranked, self.settings.readers_per_domain);
+        ranked.truncate(self.settings.candidates_per_domain);
+        self.candidates = ranked;
+        self.set_peers(all, near, now);
     }
 
     fn role(&self, now: Instant) -> Role {
@@ -228,13 +242,15 @@
         role(&self.self_id, &self.candidates, &self.peers, readers, now)
     }
 
+    /// Reports whether the host watches the service: as a reader, or because
+    /// no peer can tell it what the service has.
     fn reads_service(&self, now: Instant) -> bool {
-        if self.role(now) == Role::Reader || self.hosts.newest().is_none() {
+        if self.role(now) == Role::Reader {
             return true;
         }
         let since = self.peers.answered_at().unwrap_or(self.started_at);
         let is_alone = now >= since + ALONE_AFTER;
-        let is_late = now >= self.started_at + ALONE_AFTER;
+        let is_late = now >= self.started_at + self.late_after;
         is_alone || (is_late && self.config.current().is_none())
     }
 
--- a/crates/protocol/src/health.rs
+++ b/crates/protocol/src/health.rs
@@ -127,6 +127,8 @@
     pub origins: Vec<OriginRow>,
     /// Outcomes of all other instances together.
     pub others: OutcomeCounts,
+    /// Outcomes of the whole pool over the last minutes.
+    pub usual: OutcomeCounts,
 }
 
 /// Asks all hosts to report some instances in full for a while.
@@ -153,6 +155,20 @@
     /// Everything, but some host may not know it yet: the instance still
     /// counts against the floor.
     Released,
+    /// Little at first, as trials went well and the instance starts slowly. It
+    /// still counts against the floor.
+    Returned,
+}
+
+impl EjectionPhase {
+    /// Reports whether the instance gets no ordinary requests.
+    #[must_use]
+    pub fn is_out(self) -> bool {
+        match self {
+            Self::Held | Self::Trial => true,
+            Self::Released | Self::Returned => false,
+        }
+    }
 }
 
 /// One ejected instance.
@@ -178,6 +194,9 @@
     pub ballot: Option<u64>,
     /// The ejections in the order in which they were made.
     pub ejections: Vec<EjectionRow>,
+    /// Instances that the judge or its voters know to take no work for other
+    /// reasons. They count against the floor at the receiver as well.
+    pub unavailable: Vec<InstanceKey>,
 }
 
 /// A host's vote, which binds it to one judge for a term.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,21 +1,27 @@
 //! The subcommands. Each module holds its arguments and `run`.
 
+pub mod bench;
 pub mod check;
 pub mod collect;
 pub mod demo;
 pub mod diff;
+pub mod explain;
 pub mod key;
 pub mod serve;
+pub mod status;
 
+mod operator_client;
 mod sources;
 
 use std::io::{self, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use crate::cmd::operator_client::OperatorError;
 use log::LevelFilter;
 use serde::Serialize;
 use simplelog::{ConfigBuilder, WriteLogger};
+use waxwingusher_bench::report::ReportError;
 use waxwingusher_config::DirectoryError;
 use waxwingusher_emulator::demo::DemoError;
 use waxwingusher_host::HostError;
@@ -77,6 +83,12 @@
     /// The host could not start.
     #[error(transparent)]
     Host(#[from] HostError),
+    /// A host gave no answer to an operator.
+    #[error(transparent)]
+    Operator(#[from] OperatorError),
+    /// A report could not be written.
+    #[error(transparent)]
+    Report(#[from] ReportError),
     /// The demonstration could not be run.
     #[error(transparent)]
     Demo(#[from] DemoError),
