--- a/crates/limits/src/authority.rs
+++ b/crates/limits/src/authority.rs
@@ -1,6 +1,6 @@
 //! Tells whether this host's view of the host list is current enough to act on.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -38,7 +38,7 @@
     adopted_at: Instant,
     read_at: Option<Instant>,
     vouches: bool,
-    words: HashMap<HostId, Word>,
+    words: BTreeMap<HostId, Word>,
     query_seq: u32,
     query_at: Option<Instant>,
     valid_until: Option<Instant>,
@@ -57,7 +57,7 @@
             adopted_at: now,
             read_at: None,
             vouches: false,
-            words: HashMap::new(),
+            words: BTreeMap::new(),
             query_seq: 0,
             query_at: None,
             valid_until: None,
--- a/crates/limits/src/limit_table.rs
+++ b/crates/limits/src/limit_table.rs
@@ -1,6 +1,6 @@
 //! All limits of the configuration, with this host's state of each.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Instant;
 
 use waxwingusher_config::model::{RateLimit, Snapshot};
@@ -60,7 +60,7 @@
         now: Instant,
         settings: &LimiterSettings,
     ) {
-        let mut limits = HashMap::new();
+        let mut limits = BTreeMap::new();
         for workspace in snapshot.workspaces.values() {
             limits.insert(LimitKey::Workspace(workspace.name.clone()), workspace.limit);
         }
