--- a/crates/host/src/pipeline/mod.rs
+++ b/crates/host/src/pipeline/mod.rs
@@ -99,7 +99,11 @@
     let workspace = &admitted.party.workspace;
     let code = refusal.reason().code();
     let outcome = refusal.outcome();
-    let text = format!("route {route}, workspace {workspace}, refused: {code}, {outcome}");
+    let now: Instant = state.clock.now();
+    let after_ms = now.saturating_duration_since(request.received_at).as_millis();
+    let text = format!(
+        "route {route}, workspace {workspace}, refused after {after_ms} ms: {code}, {outcome}"
+    );
     note(state, request, &text);
     state.metrics.count(&format!("refused.{code}"));
     reply.send(refusal::answer(refusal, request.id));
