--- a/crates/bench/src/config/propagation.rs
+++ b/crates/bench/src/config/propagation.rs
@@ -45,6 +45,13 @@
 /// and hosts that are restarted or replaced.
 const LIST_CHANGES_PER_DAY: f64 = 2.0 * (7.0 + 370.0);
 
+/// The measurements whose sum is what a host spends on average.
+const PARTS: [&str; 3] = [
+    "message-bytes-per-host",
+    "config-transfer-per-host",
+    "list-transfer-per-host",
+];
+
 /// Samples of the age of evidence.
 const SAMPLES: u32 = 60;
 
@@ -86,6 +93,10 @@
         measurements.extend(run.changes("one-cut-off"));
         measurements.extend(cold_start(self.hosts, self.domains, seed));
         measurements.extend(transfers(self.hosts, self.domains, seed));
+        let parts = measurements.iter().filter(|m| PARTS.contains(&&*m.name));
+        let in_all = parts.map(|part| part.value).sum();
+        let in_all = Measurement::new("bytes-per-host-in-all", in_all, "bytes/s");
+        measurements.push(in_all.bounded(Bound::AtMost(BUDGET_BYTES_PER_S)));
         ScenarioResult {
             scenario: self.name.into(),
             seed,
