--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -147,9 +147,10 @@
             admitter::run(&shared, &exchanges, &queue);
         })?;
         log::info!(
-            "host: {} serves callers on {}.",
+            "host: {} serves callers on {}, operators on {operator_addr}, peers on {}.",
             state.settings.host_id,
-            edge.local_addr()
+            edge.local_addr(),
+            peers.addr
         );
         Ok(Self {
             state,
@@ -195,10 +196,11 @@
         Some(active.snapshot.version)
     }
 
-    /// Reports whether an operator has asked the host to stop.
+    /// Reports whether the host should stop: an operator has asked for it, or
+    /// the host list calls the host leaving.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.state.draining.load(Ordering::SeqCst)
+        self.state.is_draining()
     }
 
     /// Stops gracefully: callers are sent elsewhere, every request that was
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,5 +3,7 @@
 mod commands;
 mod crashes;
 mod fleet;
+mod operators;
+mod processes;
 mod serve;
 mod whole_path;
