Wait for hand-overs to be confirmed, and tell a shed request's outcome truly

Cause: the attempt records' author found that a shed response passed on after a pause longer than the window could be a false "not run", that a worker which gave up waiting left its attempt open, and that a planned stop waited a fixed 500 ms. Before: shed meant not run; open attempts could hold a key for the window.

--- a/crates/host/src/attempt_desk.rs
+++ b/crates/host/src/attempt_desk.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use waxwingusher_attempts::{
-    AttemptRegistry, AttemptRequest, AttemptResult, AttemptTicket, Permission, PermitError,
-    UnknownCause,
+    AttemptRegistry, AttemptRequest, AttemptResult, AttemptTicket, Outcome, Permission,
+    PermitError, UnknownCause,
 };
 use waxwingusher_core::Clock;
 use waxwingusher_protocol::Message;
@@ -66,7 +66,13 @@
         inner.collect_decisions();
         drop(inner);
         peers.send_all(outgoing, Message::Attempt);
-        (ticket, self.wait_for(ticket, request.deadline))
+        if let Some(permission) = self.wait_for(ticket, request.deadline) {
+            return (ticket, permission);
+        }
+        // Nothing was sent; a permission that comes later must not hold the key.
+        self.finish(ticket, AttemptResult::NotRun, peers);
+        self.lock().permissions.remove(&ticket);
+        (ticket, Permission::Unknown(UnknownCause::Unreachable))
     }
 
     /// Checks a permission right before the first byte.
@@ -83,15 +89,36 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn wait_for(&self, ticket: AttemptTicket, deadline: Instant) -> Permission {
+    /// Reports what is known of a request that an instance says it shed.
+    pub(crate) fn shed_outcome(&self, ticket: AttemptTicket) -> Outcome {
+        self.lock().registry.shed_outcome(ticket)
+    }
+
+    /// Hands records over, and waits until peers have them or time is over.
+    pub(crate) fn hand_over(&self, peers: &PeerLink, limit: Duration) {
+        self.with(peers, AttemptRegistry::hand_over);
+        let deadline = self.clock.now() + limit;
+        let mut inner = self.lock();
+        while !inner.registry.hand_over_progress().is_done() {
+            let left = deadline.saturating_duration_since(self.clock.now());
+            if left.is_zero() {
+                log::warn!("attempts: Not all records could be handed over.");
+                return;
+            }
+            let waited = self.decided.wait_timeout(inner, left);
+            (inner, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
+    fn wait_for(&self, ticket: AttemptTicket, deadline: Instant) -> Option<Permission> {
         let mut inner = self.lock();
         loop {
             if let Some(permission) = inner.permissions.remove(&ticket) {
-                return permission;
+                return Some(permission);
             }
             let left = deadline.saturating_duration_since(self.clock.now());
             if left.is_zero() {
-                return Permission::Unknown(UnknownCause::Unreachable);
+                return None;
             }
             let (guard, _) = self
                 .decided
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -41,8 +41,10 @@
 const READ_RING: usize = 64;
 /// Fetches from peers that may wait.
 const FETCH_RING: usize = 64;
-/// How long peers may take to confirm a hand-over.
-const HAND_OVER_TIME: Duration = Duration::from_millis(500);
+/// How long peers may take to confirm that they have this host's records.
+const MAX_HAND_OVER: Duration = Duration::from_secs(5);
+/// How long rights that are given on are repeated.
+const LOAN_HAND_OVER: Duration = Duration::from_millis(300);
 
 /// A host could not start.
 #[derive(Debug, thiserror::Error)]
@@ -232,14 +234,13 @@
     }
 }
 
-/// Gives rights and records to peers and lets their answers arrive.
+/// Gives rights and records to peers.
 fn hand_over(state: &HostState) {
     let loans = state.limits.lock().hand_over();
     state.peers.send_all(loans, Message::Loan);
-    state
-        .attempts
-        .with(&state.peers, AttemptRegistry::hand_over);
-    state.stop.wait(HAND_OVER_TIME);
+    state.attempts.hand_over(&state.peers, MAX_HAND_OVER);
+    // Loans are not confirmed; they get a moment to arrive.
+    state.stop.wait(LOAN_HAND_OVER);
 }
 
 fn join(name: &str, thread: JoinHandle<()>) {
--- a/crates/host/src/pipeline/dispatch.rs
+++ b/crates/host/src/pipeline/dispatch.rs
@@ -6,7 +6,7 @@
 use waxwingusher_attempts::lifecycle::{Admitted as AdmittedState, Request};
 use waxwingusher_attempts::refusal::{Refusal, RefusalReason, is_shed_response};
 use waxwingusher_attempts::retry::RETRY_HEADER;
-use waxwingusher_attempts::{FailedRequest, Origin, Repeatability};
+use waxwingusher_attempts::{FailedRequest, Origin, Outcome, Repeatability};
 use waxwingusher_core::InstanceId;
 use waxwingusher_edge::{CallControl, Reply, UpstreamAnswer, UpstreamCall, UpstreamError, headers};
 use waxwingusher_upstreams::{
@@ -131,10 +131,13 @@
         if is_shed(&answer) {
             let retry_after = retry_after(&answer);
             self.report(choice, UpstreamResult::Shed { retry_after });
+            let outcome = self
+                .ticket
+                .map(|ticket| self.state.attempts.shed_outcome(ticket));
             return Try::Failed(
                 reply,
                 Failure {
-                    may_have_run: false,
+                    may_have_run: outcome == Some(Outcome::Unknown),
                     reason: RefusalReason::UpstreamShed,
                     error: None,
                     finding: None,
--- a/crates/host/src/pipeline/mod.rs
+++ b/crates/host/src/pipeline/mod.rs
@@ -100,7 +100,9 @@
     let code = refusal.reason().code();
     let outcome = refusal.outcome();
     let now: Instant = state.clock.now();
-    let after_ms = now.saturating_duration_since(request.received_at).as_millis();
+    let after_ms = now
+        .saturating_duration_since(request.received_at)
+        .as_millis();
     let text = format!(
         "route {route}, workspace {workspace}, refused after {after_ms} ms: {code}, {outcome}"
     );
--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -161,7 +161,10 @@
 fn the_examples_are_accepted_together() {
     let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/examples");
     let output = Command::new(env!("CARGO_BIN_EXE_waxwingusher"))
-        .args(["check", &format!("{examples}/leave-portal.waxwingusher.toml")])
+        .args([
+            "check",
+            &format!("{examples}/leave-portal.waxwingusher.toml"),
+        ])
         .arg(format!("{examples}/tailoring.waxwingusher.toml"))
         .output()
         .expect("the program runs");
