Add a load tool that measures the time a host adds

Cause: the target of 2.7 ms at p99 had no measurement over sockets. Before: none. After: `load` sends open-loop arrivals to an instance directly and through a host in turn, in one run, with HdrHistogram from the planned start.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod demo;
 pub mod fleet;
+pub mod load;
 pub mod plan;
 pub mod promises;
 
--- /dev/null
+++ b/crates/emulator/src/load.rs
@@ -0,0 +1,201 @@
+//! A load tool: requests that arrive at fixed times, whether or not earlier
+//! ones have been answered, sent in turn directly to an instance and through a
+//! host.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::caller::{Caller, Operation};
+use crate::fleet::{EmulatorError, Fleet, wait_until};
+use crate::plan::{FleetPlan, WorkspacePlan};
+
+const START_LIMIT: Duration = Duration::from_secs(60);
+const WARM_UP: Duration = Duration::from_secs(2);
+/// Callers that send at once; each has connections of its own.
+const CALLERS: u32 = 16;
+const SIGNIFICANT_DIGITS: u8 = 3;
+const HIGHEST_US: u64 = 60_000_000;
+
+/// The load to send.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadPlan {
+    /// Requests a second on each of the two ways.
+    pub rate_per_s: u32,
+    /// How long requests are sent.
+    pub duration: Duration,
+    /// How long an instance works on a request.
+    pub service_time: Duration,
+}
+
+/// The times of one way.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct WayTimes {
+    /// Whole answers of the upstream.
+    pub answered: u64,
+    /// Everything else.
+    pub failed: u64,
+    /// The median in microseconds, from the planned start of a request.
+    pub p50_us: u64,
+    /// The 99th percentile in microseconds.
+    pub p99_us: u64,
+}
+
+/// Both ways, measured in the same run.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct LoadReport {
+    /// Straight to an instance.
+    pub direct: WayTimes,
+    /// Through a host.
+    pub through_host: WayTimes,
+    /// The processor time of the process for each request, in microseconds.
+    /// It includes the callers and the instances.
+    pub cpu_us_per_pair: f64,
+}
+
+/// Starts an emulated fleet and sends the load both ways.
+///
+/// # Errors
+///
+/// Returns an error if the fleet cannot be started.
+pub fn run(load: &LoadPlan, seed: u64) -> Result<LoadReport, EmulatorError> {
+    let rate = f64::from(load.rate_per_s) * 2.0;
+    let plan = FleetPlan {
+        service_time: load.service_time,
+        slots: 64,
+        workers: 64,
+        workspaces: vec![WorkspacePlan::new("load", rate * 4.0, load.rate_per_s * 4)],
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan, seed)?;
+    fleet.wait_until_ready(START_LIMIT)?;
+    let key = fleet.plan.workspaces[0].key.clone();
+    let host = fleet.caller_addrs()[0];
+    let instance = fleet.upstreams[0].addr();
+    let caller = Caller::new();
+    wait_until("a first answer", START_LIMIT, || {
+        let operation = Operation::read("/desk/echo", &key, "warm-up");
+        caller
+            .send(host, &operation)
+            .is_ok_and(|answer| answer.status == 200)
+    })?;
+    let warm_up = LoadPlan {
+        duration: WARM_UP,
+        ..*load
+    };
+    drop(send_both_ways(&warm_up, host, instance, &key));
+    let cpu_before = cpu_time();
+    let ways = send_both_ways(load, host, instance, &key);
+    let cpu = cpu_time().saturating_sub(cpu_before);
+    let pairs = f64::from(load.rate_per_s) * load.duration.as_secs_f64();
+    Ok(LoadReport {
+        direct: ways.direct.times(),
+        through_host: ways.through_host.times(),
+        cpu_us_per_pair: cpu.as_secs_f64() * 1e6 / pairs,
+    })
+}
+
+struct Way {
+    histogram: Histogram<u64>,
+    failed: u64,
+}
+
+impl Way {
+    fn new() -> Self {
+        let histogram = Histogram::new_with_bounds(1, HIGHEST_US, SIGNIFICANT_DIGITS);
+        Self {
+            // The bounds are constants that the library accepts.
+            histogram: histogram.unwrap_or_else(|_| unreachable!("bounds are valid")),
+            failed: 0,
+        }
+    }
+
+    fn record(&mut self, time: Duration, is_answered: bool) {
+        if !is_answered {
+            self.failed += 1;
+            return;
+        }
+        let time_us = u64::try_from(time.as_micros()).unwrap_or(HIGHEST_US);
+        self.histogram.saturating_record(time_us.max(1));
+    }
+
+    fn times(&self) -> WayTimes {
+        WayTimes {
+            answered: self.histogram.len(),
+            failed: self.failed,
+            p50_us: self.histogram.value_at_quantile(0.5),
+            p99_us: self.histogram.value_at_quantile(0.99),
+        }
+    }
+}
+
+struct Ways {
+    direct: Way,
+    through_host: Way,
+}
+
+fn send_both_ways(load: &LoadPlan, host: SocketAddr, instance: SocketAddr, key: &str) -> Ways {
+    let ways = Mutex::new(Ways {
+        direct: Way::new(),
+        through_host: Way::new(),
+    });
+    let interval = Duration::from_secs(1) * CALLERS / load.rate_per_s.max(1);
+    let count = load.rate_per_s * u32::try_from(load.duration.as_secs()).unwrap_or(1) / CALLERS;
+    let start = Instant::now();
+    std::thread::scope(|scope| {
+        for index in 0..CALLERS {
+            let ways = &ways;
+            scope.spawn(move || {
+                let caller = Caller::new();
+                let offset = interval * index / CALLERS;
+                for turn in 0..count {
+                    let planned = start + offset + interval * turn;
+                    // Both ways alternate, so that neither is always first.
+                    let through_first = (turn + index) % 2 == 0;
+                    for through in [through_first, !through_first] {
+                        let addr = if through { host } else { instance };
+                        let at = if through == through_first {
+                            planned
+                        } else {
+                            planned + interval / 2
+                        };
+                        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+                        let operation = Operation::read("/desk/echo?load", key, "load");
+                        let answer = caller.send(addr, &operation);
+                        let is_answered = answer.is_ok_and(|answer| answer.status == 200);
+                        let mut ways = ways.lock().unwrap_or_else(PoisonError::into_inner);
+                        let way = if through {
+                            &mut ways.through_host
+                        } else {
+                            &mut ways.direct
+                        };
+                        way.record(at.elapsed(), is_answered);
+                    }
+                }
+            });
+        }
+    });
+    ways.into_inner().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns the processor time that the process has used, or zero where the
+/// system does not tell.
+fn cpu_time() -> Duration {
+    const TICKS_PER_S: u64 = 100;
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<u64>().ok());
+    let total = ticks(11).unwrap_or(0) + ticks(12).unwrap_or(0);
+    Duration::from_millis(total * 1_000 / TICKS_PER_S)
+}
--- /dev/null
+++ b/src/cmd/load.rs
@@ -0,0 +1,88 @@
+//! Measures the time that a host adds, against direct calls in the same run.
+
+use std::io::{self, Write};
+use std::time::Duration;
+
+use argh::FromArgs;
+use waxwingusher_emulator::load::{self, LoadPlan, WayTimes};
+
+use super::{CmdError, Outcome, print_json};
+
+/// The time that a host may add to a request for 99 in 100, in microseconds.
+const MAX_ADDED_P99_US: u64 = 2_700;
+
+/// Send requests to an emulated fleet, directly and through a host, and tell
+/// how much time the host adds. It exits with 1 if that is over 2.7 ms at p99.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct LoadArgs {
+    /// requests a second on each of the two ways (300)
+    #[argh(option, default = "300")]
+    rate: u32,
+    /// how long requests are sent, in seconds (10)
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// how long an instance works on a request, in milliseconds (2)
+    #[argh(option, default = "2")]
+    service_ms: u64,
+    /// print the result as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl LoadArgs {
+    pub fn run(&self) -> Result<Outcome, CmdError> {
+        if !(1..=5_000).contains(&self.rate) || !(1..=600).contains(&self.seconds) {
+            return Err(CmdError::Usage(
+                "allowed are rates of 1 to 5000 and 1 to 600 seconds",
+            ));
+        }
+        let plan = LoadPlan {
+            rate_per_s: self.rate,
+            duration: Duration::from_secs(self.seconds),
+            service_time: Duration::from_millis(self.service_ms),
+        };
+        let report = load::run(&plan, 1)?;
+        let added_p99_us = report
+            .through_host
+            .p99_us
+            .saturating_sub(report.direct.p99_us);
+        if self.json {
+            print_json(&report)?;
+        } else {
+            print_way("direct", &report.direct)?;
+            print_way("through a host", &report.through_host)?;
+            let added_p50_us = report
+                .through_host
+                .p50_us
+                .saturating_sub(report.direct.p50_us);
+            let mut out = io::stdout().lock();
+            writeln!(
+                out,
+                "added           p50 {added_p50_us:>6} us  p99 {added_p99_us:>6} us"
+            )?;
+            writeln!(
+                out,
+                "processor time of callers, host and instances {:.0} us a pair",
+                report.cpu_us_per_pair
+            )?;
+        }
+        let is_good = added_p99_us <= MAX_ADDED_P99_US && report.through_host.failed == 0;
+        Ok(if is_good {
+            Outcome::Clean
+        } else {
+            Outcome::Findings
+        })
+    }
+}
+
+fn print_way(name: &str, times: &WayTimes) -> io::Result<()> {
+    writeln!(
+        io::stdout().lock(),
+        "{name:<15} p50 {:>6} us  p99 {:>6} us  answered {}  failed {}",
+        times.p50_us,
+        times.p99_us,
+        times.answered,
+        times.failed
+    )
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod diff;
 pub mod explain;
 pub mod key;
+pub mod load;
 pub mod serve;
 pub mod status;
 
@@ -23,6 +24,7 @@
 use simplelog::{ConfigBuilder, WriteLogger};
 use waxwingusher_bench::report::ReportError;
 use waxwingusher_config::DirectoryError;
+use waxwingusher_emulator::EmulatorError;
 use waxwingusher_emulator::demo::DemoError;
 use waxwingusher_host::HostError;
 use waxwingusher_host::settings::SettingError;
@@ -86,6 +88,9 @@
     /// A host gave no answer to an operator.
     #[error(transparent)]
     Operator(#[from] OperatorError),
+    /// The emulated fleet could not be started.
+    #[error(transparent)]
+    Emulator(#[from] EmulatorError),
     /// A report could not be written.
     #[error(transparent)]
     Report(#[from] ReportError),
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 
 use crate::cmd::{
-    CmdError, Outcome, bench, check, collect, demo, diff, explain, key, serve, status,
+    CmdError, Outcome, bench, check, collect, demo, diff, explain, key, load, serve, status,
 };
 
 /// A proxy fleet for upstreams with gray failures.
@@ -32,6 +32,7 @@
     Diff(diff::DiffArgs),
     Explain(explain::ExplainArgs),
     Key(key::KeyArgs),
+    Load(load::LoadArgs),
     Serve(serve::ServeArgs),
     Status(status::StatusArgs),
 }
@@ -46,6 +47,7 @@
             Self::Diff(args) => args.run(),
             Self::Explain(args) => args.run(),
             Self::Key(args) => args.run(),
+            Self::Load(args) => args.run(),
             Self::Serve(args) => args.run(),
             Self::Status(args) => args.run(),
         }
