--- a/crates/bench/src/upstreams/balance.rs
+++ b/crates/bench/src/upstreams/balance.rs
@@ -178,7 +178,7 @@
         if self.servers[index].busy < self.shape.slots {
             self.start(index, running, now);
         } else {
-            self.queued += 1;
+            self.queued += u64::from(self.clock.elapsed() > WARM_UP);
             self.servers[index].queue.push_back(running);
         }
     }
--- a/crates/bench/src/upstreams/curve.rs
+++ b/crates/bench/src/upstreams/curve.rs
@@ -6,8 +6,8 @@
 //! left out.
 
 use waxwingusher_config::Detection;
-use waxwingusher_upstreams::score::TestSteps;
 use waxwingusher_upstreams::settings::TestThresholds;
+use waxwingusher_upstreams::steps::TestSteps;
 
 use crate::{Bound, Measurement, Scenario, ScenarioResult};
 
--- a/crates/bench/src/upstreams/detection.rs
+++ b/crates/bench/src/upstreams/detection.rs
@@ -2,16 +2,18 @@
 
 use std::time::Duration;
 
-use waxwingusher_core::InstanceId;
 use waxwingusher_upstreams::{Blame, RequestOrigin, UpstreamResult, UpstreamSettings};
 
 use super::fleet::Fleet;
-use super::pool::{APPROVAL_DESK, ORDER_SERVICE, PoolShape, instance_id, service_name};
+use super::pool::{
+    APPROVAL_DESK, ORDER_SERVICE, PoolShape, instance_id, instance_index, service_name,
+};
 use super::rivals::{Rival, RivalFleet};
 use crate::{Bound, Measurement, Scenario, ScenarioResult};
 
 const WARM_UP: Duration = Duration::from_secs(60);
 const RUNS: u64 = 20;
+const FLAPPING_RUNS: u64 = 4;
 const RIVAL_STEP: Duration = Duration::from_millis(5);
 const SICK: usize = 3;
 const BASE_FAILURES: f64 = 0.001;
@@ -135,7 +137,7 @@
     fn run(&self, seed: u64) -> ScenarioResult {
         let mut measurements = Vec::new();
         let mut runs: Vec<RunOutcome> = Vec::new();
-        for run in 0..RUNS {
+        for run in 0..self.runs() {
             runs.push(self.run_fleet(seed.wrapping_mul(1_000) + run));
         }
         self.summarise("", &runs, &mut measurements);
@@ -143,7 +145,7 @@
             ("consecutive-", Rival::ConsecutiveFailures),
             ("probes-", Rival::ProbesOnly),
         ] {
-            let runs: Vec<_> = (0..RUNS)
+            let runs: Vec<_> = (0..self.runs())
                 .map(|run| self.run_rival(rival, seed.wrapping_mul(1_000) + run))
                 .collect();
             self.summarise(label, &runs, &mut measurements);
@@ -164,6 +166,13 @@
         )
     }
 
+    fn runs(&self) -> u64 {
+        match self.fault {
+            Fault::Flapping(_) => FLAPPING_RUNS,
+            _ => RUNS,
+        }
+    }
+
     fn rate_per_s(&self) -> f64 {
         self.rate_per_instance * self.shape.instances as f64
     }
@@ -240,7 +249,7 @@
             let origin = fleet.origin();
             let from = origin.clone();
             let result = fleet.request(host, &service_name(), origin, |instance, rng| {
-                self.outcome(since, (host, &from), index_of(instance), rng)
+                self.outcome(since, (host, &from), instance_index(instance), rng)
             });
             outcome.requests += 1;
             let good = matches!(result, Ok(UpstreamResult::Success { .. }));
@@ -383,11 +392,6 @@
     }
 }
 
-fn index_of(instance: &InstanceId) -> usize {
-    let digits = instance.as_str().rsplit('-').next();
-    digits.and_then(|text| text.parse().ok()).unwrap_or(0)
-}
-
 /// Draws a latency factor around one with a tail to the right.
 fn noise(rng: &mut fastrand::Rng) -> f64 {
     let normal: f64 = (0..12).map(|_| rng.f64()).sum::<f64>() - 6.0;
--- a/crates/bench/src/upstreams/pool.rs
+++ b/crates/bench/src/upstreams/pool.rs
@@ -57,6 +57,12 @@
     InstanceId::new(&format!("instance-{index:03}"))
 }
 
+/// Returns the index in an instance's name.
+pub fn instance_index(instance: &InstanceId) -> usize {
+    let digits = instance.as_str().rsplit('-').next();
+    digits.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
 impl PoolShape {
     /// Returns a failure domain; hosts and instances go round them.
     pub fn domain(&self, index: usize) -> FailureDomain {
--- a/crates/upstreams/src/casebook.rs
+++ b/crates/upstreams/src/casebook.rs
@@ -1,6 +1,6 @@
 //! The pooled evidence that a judge holds on one pool.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -109,10 +109,10 @@
 /// The evidence on all instances of one pool.
 #[derive(Debug)]
 pub struct Casebook {
-    cases: HashMap<InstanceKey, Case>,
-    origins: HashMap<OriginKey, Generations<u32>>,
+    cases: BTreeMap<InstanceKey, Case>,
+    origins: BTreeMap<OriginKey, Generations<u32>>,
     others: Generations<OutcomeCounts>,
-    usual: HashMap<HostId, OutcomeCounts>,
+    usual: BTreeMap<HostId, OutcomeCounts>,
 }
 
 impl Casebook {
@@ -120,10 +120,10 @@
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
-            cases: HashMap::new(),
-            origins: HashMap::new(),
+            cases: BTreeMap::new(),
+            origins: BTreeMap::new(),
             others: Generations::new(now, OTHERS_SPAN),
-            usual: HashMap::new(),
+            usual: BTreeMap::new(),
         }
     }
 
--- /dev/null
+++ b/crates/upstreams/src/context.rs
@@ -0,0 +1,44 @@
+//! What a judge knows of its surroundings.
+
+use std::time::Instant;
+
+use waxwingusher_core::HostId;
+use waxwingusher_protocol::health::EjectionRow;
+
+use crate::capacity::PoolCapacity;
+use crate::settings::{TestThresholds, UpstreamSettings};
+
+/// Whether a host is the first or a later choice as a service's judge.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum JudgeRank {
+    /// The host that the list names first.
+    First,
+    /// Any other host.
+    Deputy,
+}
+
+/// What a judge knows of its surroundings as it acts.
+#[derive(Debug, Clone, Copy)]
+pub struct JudgeContext<'a> {
+    /// The time.
+    pub now: Instant,
+    /// The judge itself.
+    pub self_id: &'a HostId,
+    /// All listed hosts.
+    pub hosts: &'a [HostId],
+    /// The pool's slots, and what is out of use in the judge's own view.
+    pub capacity: &'a PoolCapacity,
+    /// The host's rank.
+    pub rank: JudgeRank,
+    /// Whether the host's own vote may go to itself.
+    pub may_vote_for_self: bool,
+    /// The ejections that the host applies as a voter, and their end.
+    pub applied: (&'a [EjectionRow], Instant),
+    /// The settings.
+    pub settings: &'a UpstreamSettings,
+    /// The requests a second that each instance gets, if all hosts send as
+    /// many as this one.
+    pub expected_per_s: f64,
+    /// The thresholds of the service.
+    pub thresholds: TestThresholds,
+}
--- a/crates/upstreams/src/ejection.rs
+++ b/crates/upstreams/src/ejection.rs
@@ -1,13 +1,13 @@
 //! The ejections that a judge has made on one pool, within the floor.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use log::info;
 use waxwingusher_core::ServiceName;
 use waxwingusher_protocol::health::{EjectionPhase, EjectionRow, Evidence, InstanceKey};
 
-use crate::floor::CapacityFloor;
+use crate::capacity::PoolCapacity;
 use crate::score::Score;
 use crate::settings::{EJECTION_TERM, UpstreamSettings};
 
@@ -18,70 +18,6 @@
 const SWAP_MARGIN: f64 = 0.3;
 const SILENT_TRIAL_FACTOR: u32 = 3;
 
-/// The slots of a pool in one host's view.
-#[derive(Debug, Clone, Default)]
-pub struct PoolCapacity {
-    /// The floor in percent of all slots.
-    pub floor_percent: u8,
-    /// The slots of each instance.
-    pub slots: BTreeMap<InstanceKey, u32>,
-    /// Instances that are leaving, draining or cold.
-    pub unavailable: Vec<InstanceKey>,
-}
-
-impl PoolCapacity {
-    /// Returns the number of instances.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.slots.len()
-    }
-
-    /// Reports whether the pool has no instances.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.slots.is_empty()
-    }
-
-    /// Returns the floor without the unavailable instances and `lost`.
-    #[must_use]
-    pub fn floor_without(&self, lost: impl Iterator<Item = InstanceKey>) -> CapacityFloor {
-        let total = self.slots.values().map(|slots| u64::from(*slots)).sum();
-        let mut floor = CapacityFloor::new(total, self.floor_percent);
-        let gone: HashSet<_> = self.unavailable.iter().copied().chain(lost).collect();
-        for instance in gone {
-            floor.lose(self.slots_of(instance));
-        }
-        floor
-    }
-
-    /// Returns those of the rows, in their order, that the floor allows.
-    ///
-    /// Rows never change places while a host may hold an older list, so hosts
-    /// with different lists of one judge keep to the same first few.
-    #[must_use]
-    pub fn allowed(&self, ejections: &[EjectionRow]) -> Vec<EjectionRow> {
-        let mut floor = self.floor_without(std::iter::empty());
-        let gone: HashSet<_> = self.unavailable.iter().collect();
-        let mut allowed = Vec::new();
-        for row in ejections {
-            if gone.contains(&row.instance) || !self.slots.contains_key(&row.instance) {
-                continue;
-            }
-            if !floor.try_eject(self.slots_of(row.instance)) {
-                break;
-            }
-            allowed.push(*row);
-        }
-        allowed
-    }
-
-    /// Returns the slots of an instance, none if it is unknown.
-    #[must_use]
-    pub fn slots_of(&self, instance: InstanceKey) -> u32 {
-        self.slots.get(&instance).copied().unwrap_or(0)
-    }
-}
-
 /// What an update changed.
 #[derive(Debug, Default)]
 pub struct EjectionChanges {
@@ -113,7 +49,7 @@
 pub struct EjectionBook {
     service: ServiceName,
     rows: Vec<Ejection>,
-    strikes: HashMap<InstanceKey, Strikes>,
+    strikes: BTreeMap<InstanceKey, Strikes>,
 }
 
 impl EjectionBook {
@@ -123,7 +59,7 @@
         Self {
             service: service.clone(),
             rows: Vec::new(),
-            strikes: HashMap::new(),
+            strikes: BTreeMap::new(),
         }
     }
 
@@ -191,7 +127,7 @@
         let mut changes = EjectionChanges::default();
         self.advance_phases(now, settings, &mut changes);
         let mut floor = capacity.floor_without(lost.iter().copied());
-        let unavailable: HashSet<_> = capacity.unavailable.iter().chain(lost).copied().collect();
+        let unavailable: BTreeSet<_> = capacity.unavailable.iter().chain(lost).copied().collect();
         let mut fits = true;
         for mut ejection in std::mem::take(&mut self.rows) {
             let instance = ejection.row.instance;
--- a/crates/upstreams/src/judge.rs
+++ b/crates/upstreams/src/judge.rs
@@ -3,7 +3,7 @@
 //! A judge pools the evidence, asks all hosts for their votes once it has a
 //! reason to, and grants ejections only while a quorum is bound to it.
 
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use log::info;
@@ -13,11 +13,11 @@
 };
 
 use crate::casebook::{Casebook, Vantage};
-use crate::ejection::{EjectionBook, PoolCapacity};
+use crate::context::{JudgeContext, JudgeRank};
+use crate::ejection::EjectionBook;
+use crate::quorum::quorum;
 use crate::score::{SUSPICION_SHARE, Score, Scores, Scoring, Verdict, score_all};
-use crate::settings::{
-    EJECTION_TERM, RENEWAL_INTERVAL, TestThresholds, UpstreamSettings, VOTE_TERM,
-};
+use crate::settings::{EJECTION_TERM, RENEWAL_INTERVAL, VOTE_TERM};
 
 const WATCH_SETTLE: Duration = Duration::from_millis(150);
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
@@ -25,41 +25,6 @@
 const REMEMBERED_ROUNDS: usize = 8;
 const MAX_WATCH_ORIGINS: usize = 16;
 
-/// Whether a host is the first or a later choice as a service's judge.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum JudgeRank {
-    /// The host that the list names first.
-    First,
-    /// Any other host.
-    Deputy,
-}
-
-/// What a judge knows of its surroundings as it acts.
-#[derive(Debug, Clone, Copy)]
-pub struct JudgeContext<'a> {
-    /// The time.
-    pub now: Instant,
-    /// The judge itself.
-    pub self_id: &'a HostId,
-    /// All listed hosts.
-    pub hosts: &'a [HostId],
-    /// The pool's slots, and what is out of use in the judge's own view.
-    pub capacity: &'a PoolCapacity,
-    /// The host's rank.
-    pub rank: JudgeRank,
-    /// Whether the host's own vote may go to itself.
-    pub may_vote_for_self: bool,
-    /// The ejections that the host applies as a voter, and their end.
-    pub applied: (&'a [EjectionRow], Instant),
-    /// The settings.
-    pub settings: &'a UpstreamSettings,
-    /// The requests a second that each instance gets, if all hosts send as
-    /// many as this one.
-    pub expected_per_s: f64,
-    /// The thresholds of the service.
-    pub thresholds: TestThresholds,
-}
-
 /// A message and its receiver.
 pub type Addressed = (HostId, HealthMessage);
 
@@ -76,10 +41,10 @@
     name: ServiceName,
     book: Casebook,
     ejections: EjectionBook,
-    votes: HashMap<HostId, VoteSeen>,
+    votes: BTreeMap<HostId, VoteSeen>,
     /// Hosts that the current round has shown a vote of theirs.
-    shown: HashSet<HostId>,
-    unavailable: HashMap<InstanceKey, Instant>,
+    shown: BTreeSet<HostId>,
+    unavailable: BTreeMap<InstanceKey, Instant>,
     round: u64,
     rounds: VecDeque<(u64, Instant)>,
     last_evaluation: Instant,
@@ -99,9 +64,9 @@
             name: name.clone(),
             book: Casebook::new(now),
             ejections: EjectionBook::new(name),
-            votes: HashMap::new(),
-            shown: HashSet::new(),
-            unavailable: HashMap::new(),
+            votes: BTreeMap::new(),
+            shown: BTreeSet::new(),
+            unavailable: BTreeMap::new(),
             round: 0,
             rounds: VecDeque::new(),
             last_evaluation: now,
@@ -407,11 +372,3 @@
         out
     }
 }
-
-/// Returns the number of votes of which any two sets share a host, also when
-/// they are counted over lists that differ by a tenth of the hosts.
-#[must_use]
-pub fn quorum(hosts: usize) -> usize {
-    let margin = (hosts / 5).max(1);
-    hosts.min((hosts + margin) / 2 + 1)
-}
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -6,18 +6,23 @@
 //! is bound to it by votes, so that the capacity floor holds over the fleet.
 
 pub mod balance;
+pub mod capacity;
 pub mod casebook;
 pub mod choice;
+pub mod context;
 pub mod ejection;
 pub mod floor;
 pub mod judge;
 pub mod latency;
 pub mod member;
 pub mod pool;
+pub mod quorum;
 pub mod reporter;
 pub mod score;
+pub mod service;
 pub mod set;
 pub mod settings;
+pub mod steps;
 pub mod subset;
 pub mod view;
 pub mod voter;
--- a/crates/upstreams/src/member.rs
+++ b/crates/upstreams/src/member.rs
@@ -4,9 +4,10 @@
 
 use waxwingusher_config::{Instance, InstanceState};
 use waxwingusher_core::InstanceId;
-use waxwingusher_protocol::health::InstanceKey;
+use waxwingusher_protocol::health::{FailureKind, InstanceKey};
 
-use crate::settings::DRAIN_DEFERRAL;
+use crate::choice::{Blame, UpstreamResult};
+use crate::settings::{DRAIN_DEFERRAL, UpstreamSettings};
 
 const LIMIT_DECREASE: f64 = 0.7;
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
@@ -211,8 +212,43 @@
         self.latency_s
     }
 
+    /// Notes the result of a request, and returns what it tells of the
+    /// instance, if anything.
+    pub fn on_result(
+        &mut self,
+        result: UpstreamResult,
+        settings: &UpstreamSettings,
+        jitter: f64,
+        now: Instant,
+    ) -> Option<Result<Duration, FailureKind>> {
+        match result {
+            UpstreamResult::Success { latency, load } => {
+                self.on_success(latency, load, now);
+                Some(Ok(latency))
+            }
+            UpstreamResult::ErrorStatus => Some(Err(FailureKind::Instance)),
+            UpstreamResult::Timeout => {
+                self.on_overload();
+                Some(Err(FailureKind::Path))
+            }
+            UpstreamResult::ConnectFailure => Some(Err(FailureKind::Path)),
+            UpstreamResult::Died { blame } => {
+                (blame == Blame::Instance).then_some(Err(FailureKind::Instance))
+            }
+            UpstreamResult::Shed { retry_after } => {
+                self.on_shed(retry_after, jitter, now);
+                None
+            }
+            UpstreamResult::Draining => {
+                self.on_draining(now, settings.drain_memory);
+                None
+            }
+            UpstreamResult::Cancelled => None,
+        }
+    }
+
     /// Notes a successful request.
-    pub fn on_success(&mut self, latency: Duration, load: Option<u32>, now: Instant) {
+    fn on_success(&mut self, latency: Duration, load: Option<u32>, now: Instant) {
         self.failures_in_row = 0;
         self.avoidance = FIRST_AVOIDANCE;
         self.avoid_until = now;
@@ -240,12 +276,12 @@
     }
 
     /// Lowers the concurrency limit.
-    pub fn on_overload(&mut self) {
+    fn on_overload(&mut self) {
         self.limit = (self.limit * LIMIT_DECREASE).max(1.0);
     }
 
     /// Backs off after a shed request.
-    pub fn on_shed(&mut self, retry_after: Option<Duration>, jitter: f64, now: Instant) {
+    fn on_shed(&mut self, retry_after: Option<Duration>, jitter: f64, now: Instant) {
         self.on_overload();
         let term = retry_after
             .unwrap_or(self.backoff)
@@ -256,7 +292,7 @@
     }
 
     /// Notes that the instance says that it drains.
-    pub fn on_draining(&mut self, now: Instant, memory: Duration) {
+    fn on_draining(&mut self, now: Instant, memory: Duration) {
         let since = self
             .draining
             .filter(|(_, until)| now < *until)
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -1,27 +1,27 @@
 //! One host's view of one service's instances.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use log::{debug, info};
+use log::info;
 use waxwingusher_config::Service;
 use waxwingusher_core::{FailureDomain, HostId, InstanceId};
 use waxwingusher_protocol::health::{
-    EjectionPhase, EjectionRow, FailureKind, Grant, InstanceKey, OriginKey, ServiceKey, Watch,
+    EjectionPhase, EjectionRow, Grant, InstanceKey, OriginKey, ServiceKey, Watch,
 };
 
 use crate::balance::{self, BalanceContext};
+use crate::capacity::PoolCapacity;
 use crate::choice::{
-    Blame, ChoiceReason, ChooseError, ChooseRequest, HealthHint, RequestOrigin, UpstreamResult,
+    ChoiceReason, ChooseError, ChooseRequest, HealthHint, RequestOrigin, UpstreamResult,
 };
-use crate::ejection::PoolCapacity;
 use crate::member::{Availability, Member};
 use crate::reporter::{Outcome, Reporter};
 use crate::score::Score;
 use crate::settings::UpstreamSettings;
 use crate::subset;
-use crate::view::{InstanceStatus, InstanceView, ServiceView, millis};
+use crate::view::{ServiceView, millis, view_member};
 use crate::voter::Voter;
 
 const CROSS_CHECKS: usize = 16;
@@ -36,7 +36,7 @@
     /// Outcomes that the judges do not know yet.
     pub reporter: Reporter,
     members: Vec<Member>,
-    by_key: HashMap<InstanceKey, usize>,
+    by_key: BTreeMap<InstanceKey, usize>,
     subset: Vec<usize>,
     turn: usize,
 }
@@ -56,7 +56,7 @@
             voter,
             reporter: Reporter::new(key, now, settings.report_interval),
             members: Vec::new(),
-            by_key: HashMap::new(),
+            by_key: BTreeMap::new(),
             subset: Vec::new(),
             turn: 0,
         };
@@ -192,35 +192,14 @@
         };
         let member = &mut self.members[*index];
         member.in_flight = member.in_flight.saturating_sub(1);
-        let outcome = match result {
-            UpstreamResult::Success { latency, load } => {
-                member.on_success(latency, load, now);
-                Some(Ok(latency))
-            }
-            UpstreamResult::ErrorStatus => Some(Err(FailureKind::Instance)),
-            UpstreamResult::Timeout => {
-                member.on_overload();
-                Some(Err(FailureKind::Path))
-            }
-            UpstreamResult::ConnectFailure => Some(Err(FailureKind::Path)),
-            UpstreamResult::Died { blame } => {
-                (blame == Blame::Instance).then_some(Err(FailureKind::Instance))
-            }
-            UpstreamResult::Shed { retry_after } => {
-                member.on_shed(retry_after, rng.f64(), now);
-                None
-            }
-            UpstreamResult::Draining => {
-                member.on_draining(now, context.settings.drain_memory);
-                info!(
-                    "health: service {} instance {} drains",
-                    self.service.name,
-                    member.id()
-                );
-                None
-            }
-            UpstreamResult::Cancelled => None,
-        };
+        if result == UpstreamResult::Draining {
+            info!(
+                "health: service {} instance {} drains",
+                self.service.name,
+                member.id()
+            );
+        }
+        let outcome = member.on_result(result, context.settings, rng.f64(), now);
         let Some(result) = outcome else {
             return;
         };
@@ -340,10 +319,11 @@
         let Some(index) = self.by_key.get(&row.instance) else {
             return;
         };
-        debug!(
-            "health: service {} instance {} ejected ({:?}, strike {})",
+        info!(
+            "health: service {} instance {} ({:?}) is {:?}, strike {}",
             self.service.name,
             self.members[*index].id(),
+            row.instance,
             row.phase,
             row.strikes
         );
@@ -375,7 +355,7 @@
     }
 
     fn set_members(&mut self, service: &Arc<Service>, now: Instant, cold_term: Option<Duration>) {
-        let mut old: HashMap<InstanceId, Member> = std::mem::take(&mut self.members)
+        let mut old: BTreeMap<InstanceId, Member> = std::mem::take(&mut self.members)
             .into_iter()
             .map(|member| (member.id().clone(), member))
             .collect();
@@ -423,36 +403,6 @@
     pub settings: &'a UpstreamSettings,
 }
 
-fn view_member(
-    member: &Member,
-    now: Instant,
-    row: Option<&EjectionRow>,
-    score: Option<&Score>,
-) -> InstanceView {
-    let status = match (row.map(|row| row.phase), member.availability(now)) {
-        (Some(EjectionPhase::Held), _) => InstanceStatus::Ejected,
-        (Some(EjectionPhase::Trial), _) => InstanceStatus::Trial,
-        (Some(EjectionPhase::Returned), Availability::Ready) => InstanceStatus::Cold,
-        (_, Availability::Ready) => InstanceStatus::InUse,
-        (_, Availability::Cold) => InstanceStatus::Cold,
-        (_, Availability::Closing) => InstanceStatus::Closing,
-        (_, Availability::Closed) => InstanceStatus::Closed,
-    };
-    InstanceView {
-        instance: member.id().clone(),
-        slots: member.instance.slots,
-        status,
-        avoided: member.is_avoided(now),
-        in_flight: member.in_flight,
-        limit: member.limit(),
-        backoff_ms: member.backoff_left(now).as_millis() as u64,
-        strikes: row.map_or(0, |row| row.strikes),
-        failure_score: score.map(|score| score.failure),
-        slow_score: score.map(|score| score.slow),
-        bad_share: score.map(|score| score.bad_share),
-    }
-}
-
 fn needs_more(chosen: &Result<(usize, ChoiceReason), ChooseError>) -> bool {
     matches!(chosen, Err(_) | Ok((_, ChoiceReason::LastResort)))
 }
--- a/crates/upstreams/src/reporter.rs
+++ b/crates/upstreams/src/reporter.rs
@@ -1,6 +1,6 @@
 //! What one host has seen of one pool and not yet told the judges.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use waxwingusher_protocol::health::{
@@ -93,10 +93,10 @@
     service: ServiceKey,
     interval: Duration,
     last_flush: Instant,
-    rows: HashMap<InstanceKey, History>,
+    rows: BTreeMap<InstanceKey, History>,
     failures: Vec<FailureRow>,
-    origins: HashMap<OriginKey, OriginMemory>,
-    watched: HashMap<InstanceKey, Instant>,
+    origins: BTreeMap<OriginKey, OriginMemory>,
+    watched: BTreeMap<InstanceKey, Instant>,
     latencies: LatencyWindow,
     usual: Generations<OutcomeCounts>,
     requests: Generations<u32>,
@@ -112,10 +112,10 @@
             service,
             interval,
             last_flush: now,
-            rows: HashMap::new(),
+            rows: BTreeMap::new(),
             failures: Vec::new(),
-            origins: HashMap::new(),
-            watched: HashMap::new(),
+            origins: BTreeMap::new(),
+            watched: BTreeMap::new(),
             latencies: LatencyWindow::default(),
             usual: Generations::new(now, USUAL_SPAN),
             requests: Generations::new(now, RATE_SPAN),
--- a/crates/upstreams/src/score.rs
+++ b/crates/upstreams/src/score.rs
@@ -5,30 +5,19 @@
 //! is the median over instances, and for each failure the rate at which the
 //! same workspace or route fails elsewhere.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use waxwingusher_protocol::health::{FailureKind, InstanceKey, OriginKey};
 
 use crate::casebook::{Case, Casebook, Failure, Vantage};
 use crate::settings::TestThresholds;
+use crate::steps::TestSteps;
 
-const MIN_FAILURE_RATE: f64 = 0.02;
-const MIN_SLOW_RATE: f64 = 0.05;
-const SICK_FAILURE_RATE: f64 = 0.25;
-const SICK_SLOW_RATE: f64 = 0.5;
 /// What is assumed while too little is known of a pool.
 const UNKNOWN_FAILURE_RATE: f64 = 0.005;
-const LEAST_FAILURE_RATE: f64 = 0.000_5;
-/// More failures than this are needed whatever the rate.
-const LEAST_FAILURES: f64 = 2.2;
-const MOST_ADJUSTMENT: f64 = 5.0;
-const LEAST_ADJUSTMENT: f64 = 0.5;
-const ADJUSTMENT_STEPS: usize = 30;
 /// The part of the slowness threshold that makes an instance a suspect.
 pub const SUSPICION_SHARE: f64 = 0.55;
-const POOL_FACTOR: f64 = 2.0;
-const HOPELESS_RATE: f64 = 0.45;
 const ORIGIN_PRIOR: f64 = 0.3;
 const SPREAD_FAILURES: u32 = 2;
 const SPREAD_FACTOR: f64 = 4.0;
@@ -80,59 +69,6 @@
     pub verdict: Verdict,
 }
 
-/// The steps of one cumulative sum against a base rate.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TestSteps {
-    /// What a good outcome adds, a negative number.
-    pub good: f64,
-    /// What a bad outcome adds.
-    pub bad: f64,
-}
-
-impl TestSteps {
-    /// Returns the steps for failures in a pool that fails at this rate.
-    #[must_use]
-    pub fn for_failures(pool_rate: f64) -> Self {
-        let base = (pool_rate * POOL_FACTOR).max(MIN_FAILURE_RATE);
-        Self::new(base, SICK_FAILURE_RATE)
-    }
-
-    /// Returns the steps for slow answers in a pool that is slow at this rate.
-    #[must_use]
-    pub fn for_slow(pool_rate: f64) -> Self {
-        let base = (pool_rate * POOL_FACTOR).max(MIN_SLOW_RATE);
-        Self::new(base, SICK_SLOW_RATE)
-    }
-
-    /// Returns the threshold that a healthy instance passes with a chance of
-    /// about `exp(-exponent)` at each outcome, if a share `bad_rate` of its
-    /// outcomes is bad.
-    #[must_use]
-    pub fn threshold(self, exponent: f64, bad_rate: f64) -> f64 {
-        let bad_rate = bad_rate.max(LEAST_FAILURE_RATE);
-        let mut low = 0.0;
-        let mut high = MOST_ADJUSTMENT;
-        for _ in 0..ADJUSTMENT_STEPS {
-            let middle = f64::midpoint(low, high);
-            let growth = bad_rate * (middle * self.bad).exp()
-                + (1.0 - bad_rate) * (middle * self.good).exp();
-            if growth > 1.0 {
-                high = middle;
-            } else {
-                low = middle;
-            }
-        }
-        (exponent / low.max(LEAST_ADJUSTMENT)).max(self.bad * LEAST_FAILURES)
-    }
-
-    fn new(base: f64, sick: f64) -> Self {
-        Self {
-            good: ok_step(base, sick),
-            bad: bad_step(base, sick),
-        }
-    }
-}
-
 /// What the scores go by beside the evidence.
 #[derive(Debug, Clone, Copy)]
 pub struct Scoring {
@@ -156,7 +92,7 @@
         .usual_failure_rate(worst_failures(book, scoring.pool_size))
         .unwrap_or(UNKNOWN_FAILURE_RATE);
     let usual = usual.max(reference.failure);
-    let nothing = HashMap::new();
+    let nothing = BTreeMap::new();
     let mut suspects: Vec<(InstanceKey, f64)> = book
         .cases()
         .into_iter()
@@ -166,7 +102,7 @@
         .collect();
     suspects.sort_by(|a, b| b.1.total_cmp(&a.1));
     suspects.truncate(((scoring.pool_size as f64 * MOST_SUSPECTS) as usize).max(1));
-    let suspects: HashSet<InstanceKey> = suspects.into_iter().map(|(key, _)| key).collect();
+    let suspects: BTreeSet<InstanceKey> = suspects.into_iter().map(|(key, _)| key).collect();
     let origins = origin_records(book, scoring.now, &suspects);
     let cases = book.cases().into_iter();
     Scores {
@@ -193,7 +129,7 @@
 fn score_case(
     instance: InstanceKey,
     case: &Case,
-    origins: &HashMap<OriginKey, OriginRecord>,
+    origins: &BTreeMap<OriginKey, OriginRecord>,
     reference: Rates,
     scoring: &Scoring,
 ) -> Score {
@@ -206,7 +142,7 @@
     let watched = case.is_watched(scoring.now, Duration::ZERO);
     let unseen_per_s = if watched { 0.0 } else { scoring.expected_per_s };
     let mut last_at = None;
-    let base = (reference.failure * POOL_FACTOR).max(MIN_FAILURE_RATE);
+    let base = TestSteps::failure_base(reference.failure);
     let failure_steps = TestSteps::for_failures(reference.failure);
     let slow_steps = TestSteps::for_slow(reference.slow);
     let mut failure = 0.0_f64;
@@ -223,7 +159,7 @@
         suspicion = ((suspicion + unseen).max(0.0) + good + bad).max(0.0);
         let mut step = good;
         for failed in &entry.failures {
-            step += bad_step(explained.base(failed, base), SICK_FAILURE_RATE);
+            step += TestSteps::failure_at(explained.base(failed, base));
         }
         failure = (failure + step).max(0.0);
         let quick = f64::from(entry.ok.saturating_sub(entry.slow));
@@ -245,8 +181,8 @@
 
 /// The rates that the origins of an instance's failures explain.
 struct ExplainedRates<'a> {
-    own: &'a HashMap<OriginKey, u32>,
-    origins: &'a HashMap<OriginKey, OriginRecord>,
+    own: &'a BTreeMap<OriginKey, u32>,
+    origins: &'a BTreeMap<OriginKey, OriginRecord>,
     pool_size: usize,
 }
 
@@ -271,24 +207,6 @@
     }
 }
 
-fn sick_rate(base: f64, sick: f64) -> f64 {
-    if base * POOL_FACTOR < sick { sick } else { 0.9 }
-}
-
-fn bad_step(base: f64, sick: f64) -> f64 {
-    if base > HOPELESS_RATE {
-        return 0.0;
-    }
-    (sick_rate(base, sick) / base).ln()
-}
-
-fn ok_step(base: f64, sick: f64) -> f64 {
-    if base > HOPELESS_RATE {
-        return -1.0;
-    }
-    ((1.0 - sick_rate(base, sick)) / (1.0 - base)).ln()
-}
-
 /// Returns the recent failures of the instances that fail most, which say
 /// nothing of how the pool usually fails.
 fn worst_failures(book: &Casebook, pool_size: usize) -> u32 {
@@ -341,9 +259,9 @@
 fn origin_records(
     book: &mut Casebook,
     now: Instant,
-    suspects: &HashSet<InstanceKey>,
-) -> HashMap<OriginKey, OriginRecord> {
-    let mut failed: HashMap<OriginKey, (u32, u32)> = HashMap::new();
+    suspects: &BTreeSet<InstanceKey>,
+) -> BTreeMap<OriginKey, OriginRecord> {
+    let mut failed: BTreeMap<OriginKey, (u32, u32)> = BTreeMap::new();
     for (instance, case) in book.cases() {
         for (origin, count) in failures_by_origin(case) {
             let (all, elsewhere) = failed.entry(origin).or_default();
@@ -353,7 +271,7 @@
             }
         }
     }
-    let mut rates = HashMap::with_capacity(failed.len());
+    let mut rates = BTreeMap::new();
     for (origin, (all, elsewhere)) in failed {
         if all <= UNEXPLAINED_FAILURES {
             continue;
@@ -371,8 +289,8 @@
     rates
 }
 
-fn failures_by_origin(case: &Case) -> HashMap<OriginKey, u32> {
-    let mut counts = HashMap::new();
+fn failures_by_origin(case: &Case) -> BTreeMap<OriginKey, u32> {
+    let mut counts = BTreeMap::new();
     for entry in &case.entries {
         for failure in &entry.failures {
             *counts.entry(failure.workspace).or_insert(0) += 1;
@@ -385,7 +303,7 @@
 /// Tells a cut path from a sick instance: the requests of all vantages but the
 /// worst must fail on the path as well.
 fn path_verdict(case: &Case) -> Verdict {
-    let mut vantages: HashMap<&Vantage, (u32, u32)> = HashMap::new();
+    let mut vantages: BTreeMap<&Vantage, (u32, u32)> = BTreeMap::new();
     let mut path_failures = 0;
     let mut instance_failures = 0;
     for entry in &case.entries {
--- a/crates/upstreams/src/set.rs
+++ b/crates/upstreams/src/set.rs
@@ -1,38 +1,30 @@
 //! One host's view of all services.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Instant;
 
 use log::debug;
 use waxwingusher_config::{Service, Snapshot};
-use waxwingusher_core::{
-    Clock, FailureDomain, HostId, HostList, InstanceId, ServiceName, rendezvous,
-};
+use waxwingusher_core::{Clock, FailureDomain, HostId, HostList, InstanceId, ServiceName};
 use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::health::{
     Evidence, Grant, HealthMessage, InstanceKey, ServiceKey, Vote, Watch,
 };
 
+use crate::capacity::PoolCapacity;
 use crate::casebook::Vantage;
 use crate::choice::{
     Choice, ChooseError, ChooseRequest, HealthHint, PickId, RequestOrigin, UpstreamResult,
 };
-use crate::judge::{Addressed, Judge, JudgeContext, JudgeRank};
+use crate::context::{JudgeContext, JudgeRank};
+use crate::judge::{Addressed, Judge};
 use crate::pool::{Pool, PoolContext};
+use crate::service::ServiceState;
 use crate::settings::{TestThresholds, UpstreamSettings};
 use crate::view::ServiceView;
 use crate::voter::Voter;
 
-const JUDGES: usize = 2;
-
-#[derive(Debug)]
-struct ServiceState {
-    pool: Pool,
-    judge: Judge,
-    judges: Vec<HostId>,
-}
-
 #[derive(Debug)]
 struct Pick {
     service: ServiceKey,
@@ -53,9 +45,9 @@
     started: Instant,
     hosts: Vec<HostId>,
     near_host_share: f64,
-    vantages: HashMap<HostId, Vantage>,
-    services: HashMap<ServiceKey, ServiceState>,
-    picks: HashMap<PickId, Pick>,
+    vantages: BTreeMap<HostId, Vantage>,
+    services: BTreeMap<ServiceKey, ServiceState>,
+    picks: BTreeMap<PickId, Pick>,
     next_pick: u64,
 }
 
@@ -81,9 +73,9 @@
             settings,
             started,
             near_host_share: 1.0,
-            vantages: HashMap::new(),
-            services: HashMap::new(),
-            picks: HashMap::new(),
+            vantages: BTreeMap::new(),
+            services: BTreeMap::new(),
+            picks: BTreeMap::new(),
             next_pick: 0,
         }
     }
@@ -229,7 +221,7 @@
         let mut services = std::mem::take(&mut self.services);
         for state in services.values_mut() {
             state.pool.tick(now);
-            out.extend(flush(state, now));
+            out.extend(state.flush(now));
             let (applied, _) = state.pool.voter.last_ejections();
             if !state.judge.is_due(now, applied) {
                 continue;
@@ -309,12 +301,7 @@
     }
 
     fn place(&self, state: &mut ServiceState) {
-        let name = state.pool.service.name.as_str();
-        let ranked = rendezvous::rank(name, self.hosts.iter(), HostId::as_str);
-        state.judges = ranked.into_iter().take(JUDGES).cloned().collect();
-        state
-            .pool
-            .update_subset(&self.self_id, &self.hosts, self.settings.subset_size);
+        state.place(&self.self_id, &self.hosts, self.settings.subset_size);
     }
 
     /// Handles messages to the host itself and returns the others.
@@ -370,7 +357,7 @@
             return Vec::new();
         };
         state.pool.on_watch(&context, watch, &mut self.rng);
-        flush(state, now)
+        state.flush(now)
     }
 
     fn on_grant(
@@ -417,7 +404,7 @@
         &'a self,
         state: &'a mut ServiceState,
         now: Instant,
-        capacity: &'a crate::ejection::PoolCapacity,
+        capacity: &'a PoolCapacity,
     ) -> (&'a mut Judge, JudgeContext<'a>) {
         let requests_per_s = state.pool.reporter.requests_per_s(now);
         let instances = capacity.len().max(1) as f64;
@@ -442,19 +429,3 @@
         (&mut state.judge, context)
     }
 }
-
-fn flush(state: &mut ServiceState, now: Instant) -> Vec<Addressed> {
-    let ejected: Vec<InstanceKey> = state
-        .pool
-        .voter
-        .ejections(now)
-        .iter()
-        .map(|row| row.instance)
-        .collect();
-    let Some(evidence) = state.pool.reporter.flush(now, &ejected) else {
-        return Vec::new();
-    };
-    let message = HealthMessage::Evidence(evidence);
-    let judges = state.judges.iter();
-    judges.map(|host| (host.clone(), message.clone())).collect()
-}
--- /dev/null
+++ b/crates/upstreams/src/steps.rs
@@ -0,0 +1,96 @@
+//! The steps and thresholds of the sequential test.
+
+const MIN_FAILURE_RATE: f64 = 0.02;
+const MIN_SLOW_RATE: f64 = 0.05;
+const SICK_FAILURE_RATE: f64 = 0.25;
+const SICK_SLOW_RATE: f64 = 0.5;
+const POOL_FACTOR: f64 = 2.0;
+const HOPELESS_RATE: f64 = 0.45;
+const LEAST_FAILURE_RATE: f64 = 0.000_5;
+/// More failures than this are needed whatever the rate.
+const LEAST_FAILURES: f64 = 2.2;
+const MOST_ADJUSTMENT: f64 = 5.0;
+const LEAST_ADJUSTMENT: f64 = 0.5;
+const ADJUSTMENT_STEPS: usize = 30;
+
+/// The steps of one cumulative sum against a base rate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TestSteps {
+    /// What a good outcome adds, a negative number.
+    pub good: f64,
+    /// What a bad outcome adds.
+    pub bad: f64,
+}
+
+impl TestSteps {
+    /// Returns the steps for failures in a pool that fails at this rate.
+    #[must_use]
+    pub fn for_failures(pool_rate: f64) -> Self {
+        Self::new(Self::failure_base(pool_rate), SICK_FAILURE_RATE)
+    }
+
+    /// Returns the steps for slow answers in a pool that is slow at this rate.
+    #[must_use]
+    pub fn for_slow(pool_rate: f64) -> Self {
+        let base = (pool_rate * POOL_FACTOR).max(MIN_SLOW_RATE);
+        Self::new(base, SICK_SLOW_RATE)
+    }
+
+    /// Returns the threshold that a healthy instance passes with a chance of
+    /// about `exp(-exponent)` at each outcome, if a share `bad_rate` of its
+    /// outcomes is bad.
+    #[must_use]
+    pub fn threshold(self, exponent: f64, bad_rate: f64) -> f64 {
+        let bad_rate = bad_rate.max(LEAST_FAILURE_RATE);
+        let mut low = 0.0;
+        let mut high = MOST_ADJUSTMENT;
+        for _ in 0..ADJUSTMENT_STEPS {
+            let middle = f64::midpoint(low, high);
+            let growth = bad_rate * (middle * self.bad).exp()
+                + (1.0 - bad_rate) * (middle * self.good).exp();
+            if growth > 1.0 {
+                high = middle;
+            } else {
+                low = middle;
+            }
+        }
+        (exponent / low.max(LEAST_ADJUSTMENT)).max(self.bad * LEAST_FAILURES)
+    }
+
+    /// Returns the least rate at which a pool is taken to fail.
+    #[must_use]
+    pub fn failure_base(pool_rate: f64) -> f64 {
+        (pool_rate * POOL_FACTOR).max(MIN_FAILURE_RATE)
+    }
+
+    /// Returns what a failure adds that is expected at a rate of its own.
+    #[must_use]
+    pub fn failure_at(base: f64) -> f64 {
+        bad_step(base, SICK_FAILURE_RATE)
+    }
+
+    fn new(base: f64, sick: f64) -> Self {
+        Self {
+            good: ok_step(base, sick),
+            bad: bad_step(base, sick),
+        }
+    }
+}
+
+fn sick_rate(base: f64, sick: f64) -> f64 {
+    if base * POOL_FACTOR < sick { sick } else { 0.9 }
+}
+
+fn bad_step(base: f64, sick: f64) -> f64 {
+    if base > HOPELESS_RATE {
+        return 0.0;
+    }
+    (sick_rate(base, sick) / base).ln()
+}
+
+fn ok_step(base: f64, sick: f64) -> f64 {
+    if base > HOPELESS_RATE {
+        return -1.0;
+    }
+    ((1.0 - sick_rate(base, sick)) / (1.0 - base)).ln()
+}
--- a/crates/upstreams/src/view.rs
+++ b/crates/upstreams/src/view.rs
@@ -1,9 +1,13 @@
 //! A read-only view for operators.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use waxwingusher_core::{InstanceId, ServiceName};
+use waxwingusher_protocol::health::{EjectionPhase, EjectionRow};
+
+use crate::member::{Availability, Member};
+use crate::score::Score;
 
 /// Why an instance takes no or little work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
@@ -70,3 +74,33 @@
 pub(crate) fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
+
+pub(crate) fn view_member(
+    member: &Member,
+    now: Instant,
+    row: Option<&EjectionRow>,
+    score: Option<&Score>,
+) -> InstanceView {
+    let status = match (row.map(|row| row.phase), member.availability(now)) {
+        (Some(EjectionPhase::Held), _) => InstanceStatus::Ejected,
+        (Some(EjectionPhase::Trial), _) => InstanceStatus::Trial,
+        (Some(EjectionPhase::Returned), Availability::Ready) => InstanceStatus::Cold,
+        (_, Availability::Ready) => InstanceStatus::InUse,
+        (_, Availability::Cold) => InstanceStatus::Cold,
+        (_, Availability::Closing) => InstanceStatus::Closing,
+        (_, Availability::Closed) => InstanceStatus::Closed,
+    };
+    InstanceView {
+        instance: member.id().clone(),
+        slots: member.instance.slots,
+        status,
+        avoided: member.is_avoided(now),
+        in_flight: member.in_flight,
+        limit: member.limit(),
+        backoff_ms: member.backoff_left(now).as_millis() as u64,
+        strikes: row.map_or(0, |row| row.strikes),
+        failure_score: score.map(|score| score.failure),
+        slow_score: score.map(|score| score.slow),
+        bad_share: score.map(|score| score.bad_share),
+    }
+}
--- a/crates/upstreams/tests/testsuite/floor.rs
+++ b/crates/upstreams/tests/testsuite/floor.rs
@@ -7,6 +7,7 @@
 use waxwingusher_config::{Detection, InstanceState, Service, Snapshot};
 use waxwingusher_core::{HostList, InstanceId};
 use waxwingusher_standins::LinkFaults;
+use waxwingusher_upstreams::settings::EJECTION_TERM;
 use waxwingusher_upstreams::{Choice, UpstreamResult};
 
 use crate::fleet::{Fleet, STEP, host_list, instance, service, service_name, snapshot, success};
@@ -14,8 +15,9 @@
 const HOSTS: usize = 12;
 const RATE_PER_S: f64 = 150.0;
 const CONFIG_LAG: Duration = Duration::from_secs(1);
-/// The last three are schedules that once broke the floor.
-const SEEDS: [u64; 9] = [0, 1, 2, 3, 4, 5, 78, 251, 398];
+/// The last five are schedules that broke the floor, or break it if hosts vote
+/// for two judges or forget released instances.
+const SEEDS: [u64; 10] = [0, 1, 2, 3, 4, 28, 68, 78, 251, 398];
 const STEPS_BETWEEN_EVENTS: usize = 20;
 
 /// A fleet with a schedule of faults, and what the oracle knows.
@@ -26,6 +28,8 @@
     failing: HashMap<(usize, InstanceId), f64>,
     list_version: u64,
     drained: BTreeSet<InstanceId>,
+    /// Since when each host has held an ejection without a break.
+    judged_since: Vec<Option<Duration>>,
     steps_with_ejection: usize,
     most_ejected: usize,
     added: usize,
@@ -45,6 +49,7 @@
             failing: HashMap::new(),
             list_version: 1,
             drained: BTreeSet::new(),
+            judged_since: vec![None; HOSTS],
             steps_with_ejection: 0,
             most_ejected: 0,
             added: 10,
@@ -230,8 +235,9 @@
     }
 
     /// The oracle: each host's own view, and the union over all hosts. A drain
-    /// that only hosts without a judge know of is not in the union: nobody
-    /// could have told the judge.
+    /// that only hosts without a judge know of is not in the union before one
+    /// ejection term after they reach a judge: nobody could have told it, and
+    /// what it granted before holds that long.
     fn check(&mut self, context: &str) {
         let elapsed = self.fleet.clock.elapsed();
         let in_force = self
@@ -255,7 +261,13 @@
                 &out,
                 &format!("{context} host {index}"),
             );
-            if ejected.is_empty() {
+            let since = &mut self.judged_since[index];
+            *since = if ejected.is_empty() {
+                None
+            } else {
+                since.or(Some(elapsed))
+            };
+            if since.is_none_or(|since| elapsed < since + EJECTION_TERM) {
                 out.retain(|instance| !self.drained.contains(instance));
             }
             ejected_union.extend(ejected);
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -5,3 +5,4 @@
 mod floor;
 mod recovery;
 mod subsets;
+mod voter;
--- /dev/null
+++ b/crates/upstreams/tests/testsuite/voter.rs
@@ -0,0 +1,107 @@
+//! One host's vote and the ejections that rest on it.
+
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{HostId, InstanceId};
+use waxwingusher_protocol::health::{EjectionPhase, EjectionRow, Grant, InstanceKey, ServiceKey};
+use waxwingusher_upstreams::quorum::quorum;
+use waxwingusher_upstreams::settings::{EJECTION_TERM, VOTE_TERM};
+use waxwingusher_upstreams::voter::Voter;
+
+use crate::fleet::{host_id, service_name};
+
+const TICK: Duration = Duration::from_millis(1);
+
+fn grant(round: u64, ballot: Option<u64>) -> Grant {
+    Grant {
+        service: ServiceKey::of(&service_name()),
+        round,
+        ballot,
+        ejections: vec![EjectionRow {
+            instance: InstanceKey::of(&InstanceId::new("instance-03")),
+            phase: EjectionPhase::Held,
+            strikes: 1,
+        }],
+        unavailable: Vec::new(),
+    }
+}
+
+/// Returns a voter that may vote, and the time.
+fn voter() -> (Voter, Instant) {
+    let started = Instant::now();
+    (Voter::new(started, 100), started + VOTE_TERM)
+}
+
+fn judge() -> HostId {
+    host_id(1)
+}
+
+#[test]
+fn vote_outlasts_every_ejection_that_rests_on_it() {
+    // An ejection may be sent at the end of one term after the request for the
+    // vote, and then holds for another.
+    assert!(VOTE_TERM > 2 * EJECTION_TERM);
+    let (mut voter, now) = voter();
+    assert!(voter.on_grant(now, &judge(), 1, &grant(1, None)).is_some());
+    let bound = now + VOTE_TERM - TICK;
+    assert_eq!(voter.on_grant(bound, &host_id(2), 1, &grant(1, None)), None);
+    assert_eq!(voter.on_grant(bound, &judge(), 2, &grant(1, None)), None);
+    let free = now + VOTE_TERM;
+    assert!(
+        voter
+            .on_grant(free, &host_id(2), 1, &grant(1, None))
+            .is_some()
+    );
+}
+
+#[test]
+fn ejection_needs_a_vote_that_the_judge_shows() {
+    let (mut voter, now) = voter();
+    let ballot = voter.on_grant(now, &judge(), 1, &grant(1, None));
+    assert!(voter.ejections(now).is_empty());
+    voter.on_grant(now + TICK, &judge(), 1, &grant(2, Some(7)));
+    assert!(voter.ejections(now + TICK).is_empty());
+    voter.on_grant(now + TICK, &judge(), 1, &grant(3, ballot));
+    assert_eq!(voter.ejections(now + TICK).len(), 1);
+}
+
+#[test]
+fn ejection_ends_one_term_after_the_vote_shown() {
+    let (mut voter, now) = voter();
+    let ballot = voter.on_grant(now, &judge(), 1, &grant(1, None));
+    let late = now + EJECTION_TERM - TICK;
+    voter.on_grant(late, &judge(), 1, &grant(2, ballot));
+    assert_eq!(voter.ejections(late).len(), 1);
+    assert!(voter.ejections(now + EJECTION_TERM).is_empty());
+    voter.on_grant(now + EJECTION_TERM, &judge(), 1, &grant(3, ballot));
+    assert!(voter.ejections(now + EJECTION_TERM).is_empty());
+}
+
+#[test]
+fn late_round_changes_nothing() {
+    let (mut voter, now) = voter();
+    let ballot = voter.on_grant(now, &judge(), 1, &grant(5, None));
+    let mut newer = grant(6, ballot);
+    newer.ejections.clear();
+    voter.on_grant(now, &judge(), 1, &newer);
+    assert_eq!(voter.on_grant(now, &judge(), 1, &grant(4, ballot)), None);
+    assert!(voter.ejections(now).is_empty());
+}
+
+#[test]
+fn fresh_process_does_not_vote() {
+    let started = Instant::now();
+    let mut voter = Voter::new(started, 100);
+    let early = started + VOTE_TERM - TICK;
+    assert_eq!(voter.on_grant(early, &judge(), 1, &grant(1, None)), None);
+}
+
+#[test]
+fn quorums_of_lists_that_differ_by_a_tenth_share_a_host() {
+    for hosts in 1..500 {
+        let gone = hosts / 10;
+        let union = hosts + gone;
+        assert!(2 * quorum(hosts) > union, "{hosts} hosts");
+        assert!(quorum(hosts) <= hosts);
+    }
+}
