Give the limiter reads of the host list only, and allow for differing wall clocks at an opening

Cause: the limiter's author found that word from a majority of failure domains was passed on to it as if it were a read, which can break the bound on rates, and that the opening of a new fleet left no margin for wall clocks that differ. Before: one instant served both. After: reads go to the limiter, reads and word to the attempt records; the rule is in the membership package with three tests.

--- a/crates/host/src/duties/ticker.rs
+++ b/crates/host/src/duties/ticker.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_attempts::AttemptRegistry;
+use waxwingusher_membership::distribution::{ConfigAgent, ListEvidence};
 use waxwingusher_membership::liveness::{LivenessEvent, TICK_INTERVAL};
 use waxwingusher_protocol::Message;
 
-use crate::list_evidence;
 use crate::state::HostState;
 
 /// The time between two ticks of the work that requests wait for.
@@ -45,14 +45,16 @@
 /// The slower ticks of membership.
 struct MembershipTicks {
     next_at: Instant,
-    confirmed_at: Option<Instant>,
+    read_at: Option<Instant>,
+    known_at: Option<Instant>,
 }
 
 impl MembershipTicks {
     fn new(state: &HostState) -> Self {
         Self {
             next_at: state.clock.now(),
-            confirmed_at: None,
+            read_at: None,
+            known_at: None,
         }
     }
 
@@ -62,10 +64,7 @@
             return;
         }
         self.next_at = now + TICK_INTERVAL;
-        state.config.with(
-            state,
-            waxwingusher_membership::distribution::ConfigAgent::tick,
-        );
+        state.config.with(state, ConfigAgent::tick);
         if let Some(known) = state.config.lock().known_hosts() {
             state.peers.set_hosts(&known);
         }
@@ -80,22 +79,22 @@
         self.pass_on_evidence(state, now);
     }
 
-    /// Tells the holders of rights that the host list is current.
+    /// Tells the holders of rights that the host list is current. The limiter
+    /// gets reads only, as it gathers the word of its own failure domain.
     fn pass_on_evidence(&mut self, state: &HostState, now: Instant) {
         let freshness = state.config.lock().list_freshness();
         let list = state.host_list();
-        let id = &state.settings.host_id;
-        let Some(at) = list_evidence::confirmed_at(&freshness, &list, id, now) else {
-            return;
-        };
-        if self.confirmed_at.is_some_and(|known| at <= known) {
-            return;
+        let evidence = ListEvidence::new(&freshness, &list, &state.settings.host_id, now);
+        if let Some(at) = evidence.read_at.filter(|at| Some(*at) > self.read_at) {
+            self.read_at = Some(at);
+            state.limits.lock().confirm_host_list(list.version, at);
         }
-        self.confirmed_at = Some(at);
-        state.limits.lock().confirm_host_list(list.version, at);
-        if now.saturating_duration_since(at) <= MAX_EVIDENCE_AGE {
-            let mut attempts = state.attempts.lock();
-            attempts.registry.confirm_host_list(list.version);
+        if let Some(at) = evidence.known_at.filter(|at| Some(*at) > self.known_at) {
+            self.known_at = Some(at);
+            if now.saturating_duration_since(at) <= MAX_EVIDENCE_AGE {
+                let mut attempts = state.attempts.lock();
+                attempts.registry.confirm_host_list(list.version);
+            }
         }
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -17,7 +17,6 @@
 mod crash_guard;
 mod duties;
 mod limit_desk;
-mod list_evidence;
 mod peer_link;
 mod pipeline;
 mod service_client;
--- a/crates/limits/src/authority.rs
+++ b/crates/limits/src/authority.rs
@@ -146,10 +146,11 @@
 
     /// Reports whether the list in use was published before an instant and no
     /// newer one was: it was adopted by then, and a read that started at least
-    /// the list lag later still returned it.
+    /// twice the list lag later still returned it. The second lag allows for
+    /// wall clocks that differ between hosts.
     #[must_use]
     pub fn stood_at(&self, instant: Instant, settings: &LimiterSettings) -> bool {
-        let settled = instant + settings.with_drift(settings.list_lag);
+        let settled = instant + settings.with_drift(settings.list_lag * 2);
         self.adopted_at <= instant && self.read_at.is_some_and(|read| read >= settled)
     }
 
--- a/crates/membership/src/distribution.rs
+++ b/crates/membership/src/distribution.rs
@@ -8,6 +8,7 @@
 mod action;
 mod agent;
 mod document;
+mod evidence;
 mod freshness;
 mod peers;
 mod pursuit;
@@ -19,5 +20,6 @@
 
 pub use action::{AgentAction, DocumentKind, Refusal, ServiceRead, Watch};
 pub use agent::{AgentCounters, ConfigAgent};
+pub use evidence::ListEvidence;
 pub use freshness::{ListFreshness, PeerWord};
 pub use settings::DistributionSettings;
--- a/crates/host/src/list_evidence.rs
+++ b/crates/membership/src/distribution/evidence.rs
@@ -3,24 +3,38 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+use super::freshness::ListFreshness;
 use waxwingusher_core::{FailureDomain, HostId, HostList};
-use waxwingusher_membership::distribution::ListFreshness;
 
-/// Returns the latest instant at which the list in force was surely the newest
-/// one: a reader had it from the configuration service, or, if the service is
-/// away, hosts in a majority of the failure domains had heard of no newer one.
-#[must_use]
-pub(crate) fn confirmed_at(
-    freshness: &ListFreshness,
-    list: &HostList,
-    self_id: &HostId,
-    now: Instant,
-) -> Option<Instant> {
-    if freshness.seen_version > freshness.version || list.version != freshness.version {
-        return None;
+/// What is known of how current the list in force is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListEvidence {
+    /// The latest instant at which a reader surely had the list from the
+    /// configuration service.
+    pub read_at: Option<Instant>,
+    /// The same, or the instant since which hosts in a majority of the failure
+    /// domains have heard of no newer list. It serves while the configuration
+    /// service is away.
+    pub known_at: Option<Instant>,
+}
+
+impl ListEvidence {
+    /// Weighs what this host and its peers know.
+    #[must_use]
+    pub fn new(freshness: &ListFreshness, list: &HostList, self_id: &HostId, now: Instant) -> Self {
+        if freshness.seen_version > freshness.version || list.version != freshness.version {
+            return Self {
+                read_at: None,
+                known_at: None,
+            };
+        }
+        let read_at = freshness.confirmed_at;
+        let by_peers = majority_word(freshness, list, self_id, now);
+        Self {
+            read_at,
+            known_at: read_at.into_iter().chain(by_peers).max(),
+        }
     }
-    let by_peers = majority_word(freshness, list, self_id, now);
-    freshness.confirmed_at.into_iter().chain(by_peers).max()
 }
 
 /// Returns the instant since which a majority of the failure domains has given
--- a/crates/membership/tests/testsuite/distribution.rs
+++ b/crates/membership/tests/testsuite/distribution.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod bad_publications;
+mod evidence;
 mod lab;
 mod readers;
 mod restarts;
--- /dev/null
+++ b/crates/membership/tests/testsuite/distribution/evidence.rs
@@ -0,0 +1,92 @@
+//! What counts as evidence that the host list is current.
+
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{FailureDomain, HostEntry, HostId, HostList, HostState};
+use waxwingusher_membership::distribution::{ListEvidence, ListFreshness, PeerWord};
+
+const VERSION: u64 = 7;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Two hosts in each of four failure domains; this one is `0-0`.
+fn list() -> HostList {
+    let mut hosts = Vec::new();
+    for domain in 0..4 {
+        for index in 0..2 {
+            hosts.push(HostEntry {
+                id: HostId::new(&format!("{domain}-{index}")),
+                peer_addr: ([127, 0, 0, 1], 1).into(),
+                failure_domain: FailureDomain::new(&domain.to_string()),
+                state: HostState::Live,
+            });
+        }
+    }
+    HostList {
+        version: VERSION,
+        hosts,
+    }
+}
+
+fn word(host: &str, seen_version: u64, asked_at: Instant) -> PeerWord {
+    PeerWord {
+        host: HostId::new(host),
+        seen_version,
+        asked_at,
+    }
+}
+
+fn evidence(freshness: &ListFreshness, now: Instant) -> ListEvidence {
+    ListEvidence::new(freshness, &list(), &HostId::new("0-0"), now)
+}
+
+fn freshness(confirmed_at: Option<Instant>, words: Vec<PeerWord>) -> ListFreshness {
+    ListFreshness {
+        version: VERSION,
+        seen_version: VERSION,
+        confirmed_at,
+        words,
+    }
+}
+
+#[test]
+fn word_counts_only_from_a_majority_of_the_failure_domains() {
+    let start = Instant::now();
+    let now = start + SECOND * 10;
+    let own_domain = word("0-1", VERSION, start + SECOND * 9);
+    let second = word("1-0", VERSION, start + SECOND * 8);
+    let third = word("2-0", VERSION, start + SECOND * 5);
+    let half = freshness(None, vec![own_domain.clone(), second.clone()]);
+    assert_eq!(evidence(&half, now).known_at, None);
+    let majority = freshness(None, vec![own_domain, second, third]);
+    let weighed = evidence(&majority, now);
+    assert_eq!(
+        weighed.known_at,
+        Some(start + SECOND * 5),
+        "the oldest of the three"
+    );
+    assert_eq!(weighed.read_at, None, "word is not a read");
+}
+
+#[test]
+fn a_read_counts_alone() {
+    let start = Instant::now();
+    let weighed = evidence(&freshness(Some(start), Vec::new()), start + SECOND);
+    assert_eq!(weighed.read_at, Some(start));
+    assert_eq!(weighed.known_at, Some(start));
+}
+
+#[test]
+fn a_newer_list_that_anyone_has_heard_of_ends_all_evidence() {
+    let start = Instant::now();
+    let mut told = freshness(Some(start), Vec::new());
+    told.seen_version = VERSION + 1;
+    let weighed = evidence(&told, start + SECOND);
+    assert_eq!((weighed.read_at, weighed.known_at), (None, None));
+    let words = ["1-0", "2-0", "3-0"].map(|host| word(host, VERSION, start));
+    let mut words = words.to_vec();
+    words.push(word("3-1", VERSION + 1, start));
+    assert_eq!(
+        evidence(&freshness(None, words), start + SECOND).known_at,
+        None
+    );
+}
