--- a/crates/attempts/src/lists.rs
+++ b/crates/attempts/src/lists.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use waxwingusher_core::{Clock, HostList};
+use waxwingusher_core::{Clock, HostId, HostList};
+use waxwingusher_protocol::attempt::{FormerHost, MAX_FORMER_HOSTS};
 
 use crate::lease::Stamp;
 use crate::settings::AttemptSettings;
@@ -57,11 +58,12 @@
             return;
         }
         self.note_gap(list.version, clock);
+        let skipped = list.version > self.newest_version + 1;
         self.newest_version = list.version;
         self.seen = Some(Stamp::now(clock));
         let topology = Topology::new(list);
         if let Some(pending) = &self.pending {
-            if *pending.topology == topology {
+            if *pending.topology == topology && !skipped {
                 return;
             }
         } else if self.active.as_deref() == Some(&topology) {
@@ -133,21 +135,57 @@
     }
 
     /// Returns all lists that hosts may have used within the coverage.
-    pub(crate) fn in_coverage(&self) -> impl Iterator<Item = &Arc<Topology>> {
+    pub(crate) fn in_coverage(&self) -> impl DoubleEndedIterator<Item = &Arc<Topology>> {
         let past = self.past.iter().map(|past| &past.topology);
         past.chain(&self.active)
     }
 
     /// Returns all lists that a claimant may use now or soon.
-    pub(crate) fn known(&self) -> impl Iterator<Item = &Arc<Topology>> {
+    pub(crate) fn known(&self) -> impl DoubleEndedIterator<Item = &Arc<Topology>> {
         let pending = self.pending.iter().map(|pending| &pending.topology);
         self.in_coverage().chain(pending)
     }
 
-    /// Returns since when no list can have come into use unseen, if any may
-    /// have before.
-    pub(crate) const fn unbroken_since(&self) -> Option<Instant> {
-        self.unbroken_since
+    /// Takes the peers' word that all lists in use within the coverage were
+    /// the present one, or had some of these hosts besides.
+    pub(crate) fn recover(&mut self, former_hosts: &[FormerHost], clock: &dyn Clock) {
+        self.unbroken_since = None;
+        let Some(active) = self.active.as_ref().filter(|_| !former_hosts.is_empty()) else {
+            return;
+        };
+        self.past.push_back(Past {
+            topology: Arc::new(active.with_hosts(former_hosts)),
+            superseded: clock.now(),
+        });
+    }
+
+    /// Returns the hosts of earlier lists within the coverage that the present
+    /// one lacks, if these describe well enough how long `host` has been the
+    /// witness of a key.
+    pub(crate) fn former_hosts(&self, host: &HostId, clock: &dyn Clock) -> Option<Vec<FormerHost>> {
+        let active = self.trusted(clock)?;
+        if !self.is_unbroken(clock.now()) {
+            return None;
+        }
+        let count = self.settings.plan.witnesses();
+        let mut former = Vec::new();
+        for known in self.known() {
+            let is_same = known == active;
+            if !known.contains(host) || !is_same && !known.has_same_domains(active, count) {
+                return None;
+            }
+            former.extend(known.hosts_missing_in(active));
+        }
+        former.sort();
+        former.dedup();
+        (former.len() <= MAX_FORMER_HOSTS).then_some(former)
+    }
+
+    /// Reports whether all lists are known that were in use within the coverage.
+    pub(crate) fn is_unbroken(&self, now: Instant) -> bool {
+        let coverage = self.settings.coverage();
+        let since = self.unbroken_since;
+        since.is_none_or(|since| now.saturating_duration_since(since) >= coverage)
     }
 
     fn note_gap(&mut self, version: u64, clock: &dyn Clock) {
--- a/crates/attempts/src/witnesses.rs
+++ b/crates/attempts/src/witnesses.rs
@@ -7,7 +7,7 @@
 
 use waxwingusher_core::rendezvous;
 use waxwingusher_core::{FailureDomain, HostId, HostList};
-use waxwingusher_protocol::attempt::AttemptKey;
+use waxwingusher_protocol::attempt::{AttemptKey, FormerHost};
 
 /// A key in the form that stable hashing takes.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,6 +51,29 @@
         self.witnesses_without(key, count, None)
     }
 
+    /// Reports whether a host is one of a key's witnesses, without looking at
+    /// the hosts of other failure domains where there are enough of them.
+    pub(crate) fn is_witness(&self, key: &HashKey, count: usize, host: &HostId) -> bool {
+        if self.domains.len() < count {
+            return self.witnesses(key, count).contains(host);
+        }
+        let Some((domain, hosts)) = self.domains.iter().find(|(_, hosts)| hosts.contains(host))
+        else {
+            return false;
+        };
+        let ranked = self.ranked_domains(key);
+        if !ranked.into_iter().take(count).any(|top| top == domain) {
+            return false;
+        }
+        let first = rendezvous::pick(key.as_str(), hosts.iter(), |host| host.as_str());
+        first == Some(host)
+    }
+
+    /// Returns the number of witnesses of each key.
+    pub(crate) fn witness_count(&self, count: usize) -> usize {
+        self.hosts().take(count).count()
+    }
+
     /// Returns the host that becomes a witness of the key once `leaving` is
     /// dropped from the list.
     pub(crate) fn successor(
@@ -76,6 +99,48 @@
         others.cloned().collect()
     }
 
+    /// Returns the hosts with their failure domains that `other` lacks.
+    pub(crate) fn hosts_missing_in(&self, other: &Self) -> Vec<FormerHost> {
+        let mut missing = Vec::new();
+        for (domain, hosts) in &self.domains {
+            let others = other.domains.get(domain);
+            for host in hosts {
+                if others.is_some_and(|others| others.contains(host)) {
+                    continue;
+                }
+                missing.push(FormerHost {
+                    id: host.clone(),
+                    failure_domain: domain.clone(),
+                });
+            }
+        }
+        missing
+    }
+
+    /// Returns the list with further hosts added.
+    pub(crate) fn with_hosts(&self, further: &[FormerHost]) -> Self {
+        let mut domains = self.domains.clone();
+        for host in further {
+            let hosts = domains.entry(host.failure_domain.clone()).or_default();
+            if !hosts.contains(&host.id) {
+                hosts.push(host.id.clone());
+            }
+        }
+        Self { domains }
+    }
+
+    /// Reports whether both lists have the same failure domains, and enough of
+    /// them for `count` witnesses. A host that is a witness in a list is then
+    /// one in each smaller list that holds it, too.
+    pub(crate) fn has_same_domains(&self, other: &Self, count: usize) -> bool {
+        self.domains.len() >= count && self.domains.keys().eq(other.domains.keys())
+    }
+
+    /// Reports whether the host is in the list.
+    pub(crate) fn contains(&self, host: &HostId) -> bool {
+        self.hosts().any(|listed| listed == host)
+    }
+
     /// Returns a hash of all hosts and their failure domains.
     pub(crate) fn fingerprint(&self) -> u64 {
         let mut text = String::new();
@@ -101,7 +166,7 @@
         count: usize,
         excluded: Option<&HostId>,
     ) -> WitnessSet {
-        let ranked = rendezvous::rank(key.as_str(), self.domains.keys(), |domain| domain.as_str());
+        let ranked = self.ranked_domains(key);
         let mut hosts: Vec<HostId> = Vec::with_capacity(count);
         for domain in ranked {
             if hosts.len() == count {
@@ -118,6 +183,10 @@
         WitnessSet { hosts }
     }
 
+    fn ranked_domains(&self, key: &HashKey) -> Vec<&FailureDomain> {
+        rendezvous::rank(key.as_str(), self.domains.keys(), |domain| domain.as_str())
+    }
+
     fn fill(
         &self,
         key: &HashKey,
@@ -135,10 +204,15 @@
     }
 }
 
+/// Returns how many of `witnesses` must grant: two such groups always share one.
+pub(crate) const fn quorum_of(witnesses: usize) -> usize {
+    witnesses / 2 + 1
+}
+
 impl WitnessSet {
-    /// Returns how many witnesses must grant: two such groups always share one.
+    /// Returns how many witnesses must grant.
     pub(crate) fn quorum(&self) -> usize {
-        self.hosts.len() / 2 + 1
+        quorum_of(self.hosts.len())
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/bench/src/config/propagation.rs
+++ b/crates/bench/src/config/propagation.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use waxwingusher_config::publication::publish_hosts;
+use waxwingusher_config::publication::{Packing, publish_hosts, publish_with};
 use waxwingusher_config::{Publication, Snapshot, publish};
 use waxwingusher_core::{Clock, HostId};
 use waxwingusher_standins::LinkFaults;
@@ -23,6 +23,18 @@
 /// The longest time that a version is waited for.
 const LIMIT: Duration = Duration::from_secs(60);
 
+/// The calls a second that the configuration service serves.
+const SERVICE_CALLS_PER_S: f64 = 2_000.0;
+
+/// A configuration with about as many rows as there are packs at the design
+/// size.
+const COLD_SIZE: Size = Size {
+    services: 5,
+    instances: 20,
+    routes: 20,
+    workspaces: 120,
+};
+
 /// Seconds without changes, over which calls and bytes are counted.
 const QUIET: Duration = Duration::from_secs(120);
 
@@ -33,6 +45,16 @@
 /// and hosts that are restarted or replaced.
 const LIST_CHANGES_PER_DAY: f64 = 2.0 * (7.0 + 370.0);
 
+/// The measurements whose sum is what a host spends on average.
+const PARTS: [&str; 3] = [
+    "message-bytes-per-host",
+    "config-transfer-per-host",
+    "list-transfer-per-host",
+];
+
+/// Samples of the age of evidence.
+const SAMPLES: u32 = 60;
+
 const SECONDS_PER_DAY: f64 = 86_400.0;
 
 /// Publishes changes to a healthy fleet.
@@ -69,7 +91,12 @@
         measurements.extend(run.changes("all"));
         run.isolate(0, 1);
         measurements.extend(run.changes("one-cut-off"));
+        measurements.extend(cold_start(self.hosts, self.domains, seed));
         measurements.extend(transfers(self.hosts, self.domains, seed));
+        let parts = measurements.iter().filter(|m| PARTS.contains(&&*m.name));
+        let in_all = parts.map(|part| part.value).sum();
+        let in_all = Measurement::new("bytes-per-host-in-all", in_all, "bytes/s");
+        measurements.push(in_all.bounded(Bound::AtMost(BUDGET_BYTES_PER_S)));
         ScenarioResult {
             scenario: self.name.into(),
             seed,
@@ -100,6 +127,39 @@
     }
 }
 
+/// Starts all hosts at once before a configuration of many packs.
+fn cold_start(hosts: usize, domains: usize, seed: u64) -> Vec<Measurement> {
+    let list = host_list(hosts, domains, 1);
+    let mut fleet = Fleet::new(&list, seed, LinkFaults::default());
+    let packing = Packing {
+        rows_per_pack: 1,
+        ..Packing::default()
+    };
+    let Ok(publication) = publish_with(&snapshot(COLD_SIZE, 1, seed), packing) else {
+        return Vec::new();
+    };
+    fleet.service.publish(&publication);
+    let taken = fleet.run_until_version(1, LIMIT);
+    let seconds = taken.map_or(f64::MAX, |taken| taken.as_secs_f64());
+    vec![
+        Measurement::new("cold-start-packs", publication.packs.len() as f64, "packs"),
+        Measurement::new("cold-start", seconds, "s"),
+        Measurement::new("cold-start-calls", fleet.service.calls() as f64, "calls"),
+        Measurement::new(
+            "cold-start-peak",
+            fleet.service.peak_calls() as f64,
+            "calls/s",
+        )
+        .bounded(Bound::AtMost(SERVICE_CALLS_PER_S)),
+    ]
+}
+
+/// Measures a quiet fleet of a size.
+pub(crate) fn measure_hosts(hosts: usize, seed: u64) -> Vec<Measurement> {
+    let domains = Propagation::DESIGN.domains;
+    Run::start(hosts, domains, seed, LinkFaults::default()).quiet()
+}
+
 struct Run {
     fleet: Fleet,
     snapshot: Snapshot,
@@ -140,16 +200,25 @@
 
     /// Measures bytes and calls while nothing changes.
     fn quiet(&mut self) -> Vec<Measurement> {
-        let bytes_before = self.message_bytes();
+        let before = self.message_bytes();
         let calls_before = self.fleet.service.calls();
         self.fleet.run(QUIET);
         let seconds = QUIET.as_secs_f64();
-        let bytes = self.message_bytes() - bytes_before;
-        // Each message leaves one host and arrives at another.
-        let per_host = 2.0 * bytes as f64 / seconds / self.hosts as f64;
+        let after = self.message_bytes();
+        let spent = after
+            .iter()
+            .zip(before)
+            .map(|(after, before)| after - before);
+        let per_s: Vec<f64> = spent.map(|bytes| bytes as f64 / seconds).collect();
+        let mean = per_s.iter().sum::<f64>() / self.hosts as f64;
+        let busiest = per_s.iter().copied().fold(0.0, f64::max);
         let calls = (self.fleet.service.calls() - calls_before) as f64 / seconds;
+        let oldest = self.oldest_confirmation().as_secs_f64();
         vec![
-            Measurement::new("message-bytes-per-host", per_host, "bytes/s")
+            Measurement::new("list-confirmation-oldest", oldest, "s"),
+            Measurement::new("message-bytes-per-host", mean, "bytes/s")
+                .bounded(Bound::AtMost(BUDGET_BYTES_PER_S)),
+            Measurement::new("message-bytes-busiest-host", busiest, "bytes/s")
                 .bounded(Bound::AtMost(BUDGET_BYTES_PER_S)),
             Measurement::new("service-calls", calls, "calls/s").bounded(Bound::AtMost(20.0)),
         ]
@@ -197,12 +266,28 @@
         ]
     }
 
-    fn message_bytes(&self) -> u64 {
-        self.fleet
-            .nodes
-            .values()
-            .map(|node| node.message_bytes)
-            .sum()
+    /// Samples how old the evidence is that the host list is current, and
+    /// returns the oldest of any host.
+    fn oldest_confirmation(&mut self) -> Duration {
+        let mut oldest = Duration::ZERO;
+        for _ in 0..SAMPLES {
+            self.fleet.run(Duration::from_millis(700));
+            let now = self.fleet.clock.now();
+            for node in self.fleet.nodes.values() {
+                let confirmed = node.agent.list_freshness().confirmed_at;
+                let age = confirmed.map_or(Duration::MAX, |at| now - at);
+                oldest = oldest.max(age);
+            }
+        }
+        oldest
+    }
+
+    /// Returns the bytes of datagrams that each host sent and received.
+    fn message_bytes(&self) -> Vec<u64> {
+        let nodes = self.fleet.nodes.values();
+        nodes
+            .map(|node| node.message_bytes + node.received_bytes)
+            .collect()
     }
 }
 
@@ -210,11 +295,14 @@
 /// from the bytes of one change at the design size.
 fn transfers(hosts: usize, domains: usize, seed: u64) -> Vec<Measurement> {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let old = snapshot(Size::DESIGN, 1, seed);
-    let mut new = old.clone();
-    change(&mut new, &mut rng);
-    new.version += 1;
-    let config = new_bytes(publish(&old).ok(), publish(&new).ok());
+    let mut snapshot = snapshot(Size::DESIGN, 1, seed);
+    let mut config = 0.0;
+    for _ in 0..CHANGES {
+        let old = publish(&snapshot).ok();
+        change(&mut snapshot, &mut rng);
+        snapshot.version += 1;
+        config += new_bytes(old, publish(&snapshot).ok()) / f64::from(CHANGES);
+    }
     let old = host_list(hosts, domains, 1);
     let mut new = host_list(hosts, domains, 2);
     new.hosts.swap_remove(rng.usize(..hosts));
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use waxwingusher_config::resolve::{TeamText, resolve};
 use waxwingusher_config::{CheckErrors, Pack, PublicationError, publish};
@@ -11,9 +11,8 @@
     CancelToken, FailureDomain, HostEntry, HostId, HostList, HostState, KeyDigest, SystemClock,
 };
 use waxwingusher_edge::EdgeSettings;
-use waxwingusher_host::settings::Bootstrap;
 use waxwingusher_host::{Host, HostError, HostSettings};
-use waxwingusher_protocol::secret::FleetSecret;
+use waxwingusher_protocol::secret::{FleetSecret, SecretTooShort};
 use waxwingusher_standins::{ConfigService, StandinError, UpstreamServer, UpstreamSettings};
 
 use crate::plan::{FleetPlan, WorkspacePlan};
@@ -21,6 +20,9 @@
 /// The service of an emulated fleet.
 pub const SERVICE: &str = "desk";
 
+/// The operators' token of an emulated fleet.
+pub const OPERATOR_TOKEN: &str = "emulated-operator-token";
+
 const SECRET: &str = "a secret of an emulated fleet, not of a real one";
 const LOOPBACK: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -35,6 +37,9 @@
     /// A host could not start.
     #[error(transparent)]
     Host(#[from] HostError),
+    /// The fleet secret is not allowed.
+    #[error(transparent)]
+    Secret(#[from] SecretTooShort),
     /// The configuration was refused.
     #[error("{0}")]
     Config(#[from] CheckErrors),
@@ -72,6 +77,7 @@
     config_version: u64,
     list_version: u64,
     next_incarnation: u64,
+    opens_at: SystemTime,
     _token: CancelToken,
 }
 
@@ -95,13 +101,14 @@
             upstreams.push(UpstreamServer::start(settings, &token)?);
         }
         let mut fleet = Self {
-            plan,
             service,
             upstreams,
             hosts: Vec::new(),
             config_version: 0,
             list_version: 0,
             next_incarnation: seed.wrapping_mul(1_000_003).wrapping_add(1),
+            opens_at: SystemTime::now() + plan.opens_after,
+            plan,
             _token: token,
         };
         fleet.publish_config()?;
@@ -178,6 +185,19 @@
         })
     }
 
+    /// Waits until every running host takes callers, and returns how long it
+    /// took.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it takes longer than the limit.
+    pub fn wait_until_ready(&self, limit: Duration) -> Result<Duration, EmulatorError> {
+        wait_until("readiness of all hosts", limit, || {
+            let mut running = self.hosts.iter().filter_map(|host| host.host.as_ref());
+            running.all(Host::is_ready)
+        })
+    }
+
     /// Stops a host as planned: it is listed as leaving, drains and ends.
     ///
     /// # Errors
@@ -252,17 +272,15 @@
             operator_addr: LOOPBACK,
             peer_addr: LOOPBACK,
             config_service: self.service.addr(),
-            fleet_secret: FleetSecret::new(SECRET).map_err(|_| EmulatorError::TooSlow {
-                what: "the secret",
-                limit: Duration::ZERO,
-            })?,
-            operator_token: None,
+            fleet_secret: FleetSecret::new(SECRET)?,
+            operator_token: Some(Arc::from(OPERATOR_TOKEN)),
             statsd_addr: None,
             workers: self.plan.workers,
             queue_per_workspace: 256,
             loan_term: self.plan.loan_term,
             attempt_window: self.plan.attempt_window,
-            bootstrap: Bootstrap::NewFleet,
+            fleet_opens_at: Some(self.opens_at),
+            seed_peers: Vec::new(),
         };
         let clock = Arc::new(SystemClock);
         Ok(Host::start(settings, clock, self.next_incarnation)?)
--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -5,7 +5,9 @@
 
 use http::HeaderMap;
 use http::uri::PathAndQuery;
+use waxwingusher_attempts::Origin;
 use waxwingusher_attempts::refusal::RefusalReason;
+use waxwingusher_attempts::retry::RETRY_HEADER;
 use waxwingusher_config::{Access, Route};
 use waxwingusher_core::{KeyDigest, WorkspaceName};
 use waxwingusher_edge::{CallerRequest, headers};
@@ -24,6 +26,8 @@
 pub(crate) struct Party {
     /// The workspace, or a fixed name on open routes.
     pub(crate) workspace: WorkspaceName,
+    /// The weight in fair queues.
+    pub(crate) weight: u32,
     /// What the request's token is taken from.
     pub(crate) limit: LimitKey,
     /// The digest of the key, on keyed routes.
@@ -39,8 +43,10 @@
     /// What goes to the upstream, without the key.
     pub(crate) target: PathAndQuery,
     pub(crate) headers: HeaderMap,
-    /// Whether the caller marked the request as another host's retry.
+    /// The caller's name for an operation that must run at most once.
     pub(crate) idempotency_key: Option<String>,
+    /// Whether the request is another host's retry.
+    pub(crate) origin: Origin,
 }
 
 /// Decides whether a request may be worked on.
@@ -67,6 +73,11 @@
         target,
         headers: forwarded,
         idempotency_key,
+        origin: if request.headers.contains_key(RETRY_HEADER) {
+            Origin::Retry
+        } else {
+            Origin::Caller
+        },
     })
 }
 
@@ -85,6 +96,7 @@
 fn open_party(route: &Route) -> Party {
     Party {
         workspace: WorkspaceName::new(OPEN_WORKSPACE),
+        weight: 1,
         limit: LimitKey::OpenRoute(route.name.clone()),
         key: None,
     }
@@ -118,6 +130,7 @@
     let target = scrub(&key, request, forwarded)?;
     let party = Party {
         workspace: workspace.name.clone(),
+        weight: workspace.weight,
         limit: LimitKey::Workspace(workspace.name.clone()),
         key: Some(KeyDigest::of_key(key.as_bytes())),
     };
--- a/crates/host/src/duties/peer_receiver.rs
+++ b/crates/host/src/duties/peer_receiver.rs
@@ -2,6 +2,7 @@
 
 use std::sync::mpsc::Receiver;
 
+use waxwingusher_protocol::attempt::AttemptMessage;
 use waxwingusher_protocol::{Envelope, Message};
 
 use crate::state::HostState;
@@ -25,6 +26,10 @@
             state.limits.notify();
             state.peers.send_all(replies, Message::Loan);
         }
+        Message::Attempt(AttemptMessage::Quarantine(message)) => {
+            let replies = state.crashes.lock().on_message(message);
+            state.peers.send_all(replies, Message::Attempt);
+        }
         Message::Attempt(attempt) => {
             state.attempts.with(&state.peers, |registry| {
                 registry.on_message(&from, incarnation, attempt)
@@ -36,6 +41,16 @@
                 .on_message(&from, incarnation, &health);
             state.peers.send_all(replies, Message::Health);
         }
-        Message::Gossip(_) | Message::Config(_) => {}
+        Message::Gossip(gossip) => {
+            let replies = state
+                .lock_liveness()
+                .on_message(&from, incarnation, &gossip);
+            state.peers.send_all(replies, Message::Gossip);
+        }
+        Message::Config(config) => {
+            state
+                .config
+                .with(state, |agent| agent.on_message(&from, incarnation, &config));
+        }
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,10 +10,14 @@
 pub mod settings;
 
 mod active;
+mod admin;
 mod admission;
 mod attempt_desk;
+mod config_desk;
+mod crash_guard;
 mod duties;
 mod limit_desk;
+mod list_evidence;
 mod peer_link;
 mod pipeline;
 mod service_client;
--- a/crates/limits/src/limiter.rs
+++ b/crates/limits/src/limiter.rs
@@ -1,34 +1,45 @@
 //! One host's limiter: spends, borrows and lends tokens.
 
-use std::collections::{BTreeMap, HashMap};
+mod holding;
+mod loans;
+mod reports;
+
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use waxwingusher_config::model::Snapshot;
 use waxwingusher_core::{Clock, HostId, HostList, RouteName, WorkspaceName};
 use waxwingusher_protocol::Outgoing;
-use waxwingusher_protocol::loan::{
-    LoanGrant, LoanMessage, LoanRequest, MAX_LOAN_ENTRIES, ShareTransfer,
-};
+use waxwingusher_protocol::loan::{LoanMessage, ShareTransfer};
+
+use reports::report_limit;
 
 use crate::authority::Authority;
-use crate::decision::{LimitReport, LimiterReport, RefusalCounts, RefusalReason, SpendDecision};
+use crate::decision::{LimiterReport, RefusalCounts, RefusalReason, SpendDecision};
 use crate::holders::Holders;
 use crate::limit_key::LimitKey;
 use crate::limit_table::{LimitIndex, LimitState, LimitTable};
-use crate::loan_part::Wanted;
-use crate::role::Role;
 use crate::settings::LimiterSettings;
-use crate::share::{Borrower, Outstanding, Share, narrow};
-use crate::shares::ShareLimit;
-use crate::stock::{PlanContext, Stock};
+use crate::stock::Stock;
 
 /// How far the wall clock may run ahead of the monotonic one between two
 /// calls before the machine counts as having been suspended.
 const SUSPENSION_SLACK: Duration = Duration::from_secs(1);
+/// The shortest time between two offers of a share.
+const OFFER_INTERVAL: Duration = Duration::from_millis(100);
+/// The number of a query whose answer is no evidence on the host list.
+const OFFER_SEQ: u32 = 0;
 /// The shortest time that a refused caller is told to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// What was last heard of another host.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    incarnation: u64,
+    heard_at: Instant,
+}
+
 /// One host's share of the work that keeps every rate and burst over the
 /// whole fleet. It neither reads sockets nor starts threads.
 pub struct Limiter {
@@ -38,6 +49,7 @@
     settings: Arc<LimiterSettings>,
     rng: fastrand::Rng,
     started_at: Instant,
+    opening: Option<Instant>,
     last_seen: (Instant, SystemTime),
     authority: Authority,
     holders: Holders,
@@ -46,7 +58,8 @@
     active: Vec<LimitIndex>,
     waiting: Vec<LimitIndex>,
     leaving: Vec<LimitIndex>,
-    incarnations: HashMap<HostId, u64>,
+    peers: HashMap<HostId, Peer>,
+    offered_at: Instant,
     early_transfers: Vec<(HostId, ShareTransfer)>,
     snapshot_version: u64,
     seq: u32,
@@ -63,6 +76,8 @@
         settings: LimiterSettings,
     ) -> Self {
         let now = clock.now();
+        let opens_in = settings.opened_at.map(|at| at.duration_since(clock.wall()));
+        let opening = opens_in.and_then(Result::ok).map(|wait| now + wait);
         Self {
             authority: Authority::new(self_id.clone(), now),
             self_id,
@@ -72,13 +87,15 @@
             settings: Arc::new(settings),
             rng: fastrand::Rng::with_seed(incarnation),
             started_at: now,
+            opening,
             holders: Holders::default(),
             near_share: None,
             table: LimitTable::default(),
             active: Vec::new(),
             waiting: Vec::new(),
             leaving: Vec::new(),
-            incarnations: HashMap::new(),
+            peers: HashMap::new(),
+            offered_at: now,
             early_transfers: Vec::new(),
             snapshot_version: 0,
             seq: 0,
@@ -156,7 +173,11 @@
         message: LoanMessage,
     ) -> Vec<Outgoing<LoanMessage>> {
         let now = self.now();
-        self.incarnations.insert(from.clone(), incarnation);
+        let peer = Peer {
+            incarnation,
+            heard_at: now,
+        };
+        self.peers.insert(from.clone(), peer);
         match message {
             LoanMessage::Requests(requests) => self.lend(from, incarnation, &requests, now),
             LoanMessage::Grants(grants) => {
@@ -165,7 +186,7 @@
             }
             LoanMessage::Transfers(transfers) => {
                 for transfer in transfers {
-                    self.accept_transfer(from, transfer, now);
+                    self.accept_transfer(from, &transfer, now);
                 }
                 Vec::new()
             }
@@ -195,26 +216,6 @@
         out
     }
 
-    /// Gives all loans back and all shares on, before a planned stop. The host
-    /// list should already call this host leaving.
-    pub fn hand_over(&mut self) -> Vec<Outgoing<LoanMessage>> {
-        let now = self.now();
-        let mut out = self.give_shares(now);
-        let mut requests = BTreeMap::new();
-        let settings = Arc::clone(&self.settings);
-        let valid_until = self.authority.valid_until();
-        for index in std::mem::take(&mut self.active) {
-            let state = self.table.get_mut(index);
-            let ctx = plan_context(state, self.near_share, valid_until, now, &settings);
-            let Some(mut stock) = state.stock.take() else {
-                continue;
-            };
-            collect(&mut requests, stock.give_back(ctx, &mut self.seq));
-        }
-        out.extend(into_requests(requests));
-        out
-    }
-
     /// Returns what operators want to see.
     #[must_use]
     pub fn report(&self) -> LimiterReport {
@@ -229,7 +230,7 @@
                 .table
                 .iter()
                 .filter(used)
-                .map(|state| report_limit(state, now))
+                .map(|state| report_limit(state, now, self.authority.valid_until()))
                 .collect(),
         }
     }
@@ -327,318 +328,4 @@
             reason: RefusalReason::UnknownLimit,
         }
     }
-
-    fn lend(
-        &mut self,
-        from: &HostId,
-        incarnation: u64,
-        requests: &[LoanRequest],
-        now: Instant,
-    ) -> Vec<Outgoing<LoanMessage>> {
-        let mut grants = Vec::new();
-        for request in requests {
-            grants.extend(self.lend_one(from, incarnation, request, now));
-        }
-        if grants.is_empty() {
-            return Vec::new();
-        }
-        vec![Outgoing {
-            to: from.clone(),
-            message: LoanMessage::Grants(grants),
-        }]
-    }
-
-    fn lend_one(
-        &mut self,
-        from: &HostId,
-        incarnation: u64,
-        request: &LoanRequest,
-        now: Instant,
-    ) -> Option<LoanGrant> {
-        let valid = self.authority.is_valid(now);
-        let state = self.table.get_mut(self.table.by_id(request.limit)?);
-        let Role::Holder(share) = &mut state.role else {
-            return None;
-        };
-        let stock = state.stock.as_ref();
-        let borrower = Borrower {
-            host: from,
-            incarnation,
-            lender_demand_millis_per_s: stock.map_or(0, |stock| stock.demand_millis_per_s(now)),
-            now,
-        };
-        if !valid || !share.reconcile(request, borrower) {
-            return None;
-        }
-        let wants_nothing =
-            request.wanted_tokens_millis == 0 && request.wanted_rate_millis_per_s == 0;
-        if request.terms != state.terms || wants_nothing {
-            return None;
-        }
-        let grant = share.lend(request, borrower, &self.settings);
-        let (tokens, rate) = (grant.added_tokens_millis, grant.rate_millis_per_s);
-        log::debug!(
-            "limits: {} lends {from} {tokens} millitokens and {rate} milli/s",
-            state.key
-        );
-        Some(grant)
-    }
-
-    fn accept_grants(&mut self, from: &HostId, grants: &[LoanGrant], now: Instant) {
-        for grant in grants {
-            let Some(index) = self.table.by_id(grant.limit) else {
-                continue;
-            };
-            let state = self.table.get_mut(index);
-            let (true, Some(stock)) = (state.terms == grant.terms, &mut state.stock) else {
-                continue;
-            };
-            let lender = |part: &&mut crate::loan_part::LoanPart| part.lender() == Some(from);
-            let Some(part) = stock.parts_mut().iter_mut().find(lender) else {
-                continue;
-            };
-            part.accept(grant, now);
-            log::debug!("limits: {} has a loan from {from}", state.key);
-        }
-    }
-
-    fn accept_transfer(&mut self, from: &HostId, transfer: ShareTransfer, now: Instant) {
-        if transfer.to_incarnation != self.incarnation {
-            return;
-        }
-        let version = self.authority.list().version;
-        if transfer.list_version > version && self.early_transfers.len() < u16::MAX.into() {
-            self.early_transfers.push((from.clone(), transfer));
-            return;
-        }
-        let (Some(index), Some(near)) = (self.table.by_id(transfer.limit), self.near_share) else {
-            return;
-        };
-        let state = self.table.get_mut(index);
-        if transfer.list_version != version || !matches!(state.role, Role::Waiting) {
-            return;
-        }
-        let outstanding = Outstanding {
-            room_millis: transfer.lent_room_millis.into(),
-            rate_millis_per_s: transfer.lent_rate_millis_per_s.into(),
-            lasts: self
-                .settings
-                .with_drift(Duration::from_millis(transfer.lent_for_ms.into())),
-        };
-        let limit = ShareLimit::of(state.limit, near, &self.settings);
-        let tokens = transfer.tokens_millis.into();
-        let share = Share::transferred(limit, tokens, outstanding, from, now);
-        log::info!("limits: {} is held here, given by {from}", state.key);
-        state.role = Role::Holder(Box::new(share));
-        self.waiting.retain(|other| *other != index);
-    }
-
-    fn accept_early_transfers(&mut self, now: Instant) {
-        for (from, transfer) in std::mem::take(&mut self.early_transfers) {
-            self.accept_transfer(&from, transfer, now);
-        }
-    }
-
-    /// Sets the role for each limit under the current list. `unbroken` tells
-    /// whether no other host can have been a holder under a list that this
-    /// host has missed.
-    fn place_shares(&mut self, now: Instant, unbroken: bool) {
-        let until = self.authority.valid_until();
-        self.waiting.clear();
-        self.leaving.clear();
-        let in_list = self.authority.domain().is_some();
-        let Some(near) = self.near_share else {
-            return;
-        };
-        for (index, state) in self.table.iter_mut() {
-            let holder = self.holders.of_share(&state.key, near);
-            let is_self = in_list && holder == Some(&self.self_id);
-            let role = std::mem::take(&mut state.role);
-            let was_holder = matches!(role, Role::Holder(_));
-            let until = until.filter(|until| now < *until);
-            state.role = match holder.filter(|_| !is_self) {
-                None if is_self => role.named(now, unbroken),
-                to => role.not_named(now, until, to),
-            };
-            match &state.role {
-                Role::Waiting => self.waiting.push(index),
-                Role::Leaving(_) => self.leaving.push(index),
-                Role::Borrower if was_holder => {
-                    log::info!("limits: {} is no longer held here", state.key);
-                }
-                Role::Borrower | Role::Holder(_) => {}
-            }
-        }
-    }
-
-    /// Starts shares whose former holders have certainly stopped.
-    fn take_over(&mut self, now: Instant) {
-        let Some(near) = self.near_share else {
-            return;
-        };
-        if self.waiting.is_empty() || now < self.started_at + self.settings.quarantine() {
-            return;
-        }
-        if !self.authority.may_take_over(now, &self.settings) {
-            return;
-        }
-        for index in std::mem::take(&mut self.waiting) {
-            let state = self.table.get_mut(index);
-            let limit = ShareLimit::of(state.limit, near, &self.settings);
-            log::info!(
-                "limits: {} is held here, former holder has stopped",
-                state.key
-            );
-            state.role = Role::Holder(Box::new(Share::new(limit, now)));
-        }
-    }
-
-    /// Gives shares to their next holders.
-    fn give_shares(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
-        let list_version = self.authority.list().version;
-        let mut transfers = BTreeMap::new();
-        for index in std::mem::take(&mut self.leaving) {
-            let state = self.table.get_mut(index);
-            let Role::Leaving(leaving) = &mut state.role else {
-                continue;
-            };
-            let to = leaving.to.clone();
-            let to = to.and_then(|to| Some((self.incarnations.get(&to).copied()?, to)));
-            if let (Some((to_incarnation, to)), true) = (to.clone(), now < leaving.until) {
-                let share = &mut leaving.share;
-                share.settle(now);
-                let transfer = transfer(state.id, share, list_version, to_incarnation, now);
-                log::info!("limits: {} is given to {to}", state.key);
-                collect(&mut transfers, vec![(to, transfer)]);
-                state.role = Role::Borrower;
-            } else if now >= leaving.until {
-                log::info!("limits: {} is no longer held here", state.key);
-                state.role = Role::Borrower;
-            } else {
-                self.leaving.push(index);
-            }
-        }
-        into_messages(transfers, LoanMessage::Transfers)
-    }
-
-    fn borrow_ahead(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
-        let mut requests = BTreeMap::new();
-        let settings = Arc::clone(&self.settings);
-        let valid_until = self.authority.valid_until();
-        for index in std::mem::take(&mut self.active) {
-            let state = self.table.get_mut(index);
-            let ctx = plan_context(state, self.near_share, valid_until, now, &settings);
-            let Some(stock) = &mut state.stock else {
-                continue;
-            };
-            if stock.is_idle(now, &self.settings) {
-                state.stock = None;
-                continue;
-            }
-            if stock.list_version() != self.holders.version() {
-                let lenders = self.holders.of_all(&state.key, &self.self_id);
-                stock.set_lenders(self.holders.version(), &lenders, now);
-            }
-            collect(&mut requests, stock.plan(ctx, &mut self.seq));
-            self.active.push(index);
-        }
-        into_requests(requests)
-    }
-}
-
-fn plan_context<'a>(
-    state: &mut LimitState,
-    near_share: Option<usize>,
-    valid_until: Option<Instant>,
-    now: Instant,
-    settings: &'a LimiterSettings,
-) -> PlanContext<'a> {
-    let own = state.role.spendable(now, valid_until).map(|share| {
-        share.settle(now);
-        Wanted {
-            tokens_millis: share.bucket().tokens_millis(),
-            rate_millis_per_s: share.bucket().rate_millis_per_s(),
-        }
-    });
-    PlanContext {
-        limit: state.id,
-        terms: state.terms,
-        near_share: near_share.unwrap_or_default(),
-        own: own.unwrap_or_default(),
-        now,
-        settings,
-    }
-}
-
-fn transfer(
-    limit: waxwingusher_protocol::loan::LimitId,
-    share: &Share,
-    list_version: u64,
-    to_incarnation: u64,
-    now: Instant,
-) -> ShareTransfer {
-    let outstanding = share.outstanding(now);
-    ShareTransfer {
-        limit,
-        list_version,
-        to_incarnation,
-        tokens_millis: narrow(share.bucket().tokens_millis()),
-        lent_room_millis: narrow(outstanding.room_millis),
-        lent_rate_millis_per_s: narrow(outstanding.rate_millis_per_s),
-        lent_for_ms: u32::try_from(outstanding.lasts.as_millis() + 1).unwrap_or(u32::MAX),
-    }
-}
-
-fn report_limit(state: &LimitState, now: Instant) -> LimitReport {
-    let share = state.role.share();
-    let lent = share
-        .map(|share| share.outstanding(now))
-        .unwrap_or_default();
-    let parts = state.stock.iter().flat_map(|stock| stock.parts());
-    let mut borrowed = Wanted::default();
-    for part in parts {
-        borrowed.tokens_millis += part.bucket().tokens_millis();
-        borrowed.rate_millis_per_s += part.bucket().rate_millis_per_s();
-    }
-    let demand = state
-        .stock
-        .as_ref()
-        .map(|stock| stock.demand_millis_per_s(now));
-    LimitReport {
-        key: state.key.clone(),
-        is_holder: matches!(state.role, Role::Holder(_)),
-        share_tokens_millis: share.map_or(0, |share| share.bucket().tokens_millis()),
-        lent_room_millis: lent.room_millis,
-        lent_rate_millis_per_s: lent.rate_millis_per_s,
-        borrowers: share.map_or(0, Share::borrowers),
-        borrowed_tokens_millis: borrowed.tokens_millis,
-        borrowed_rate_millis_per_s: borrowed.rate_millis_per_s,
-        demand_millis_per_s: demand.unwrap_or_default(),
-    }
-}
-
-fn collect<E>(by_host: &mut BTreeMap<HostId, Vec<E>>, entries: Vec<(HostId, E)>) {
-    for (host, entry) in entries {
-        by_host.entry(host).or_default().push(entry);
-    }
-}
-
-fn into_requests(by_host: BTreeMap<HostId, Vec<LoanRequest>>) -> Vec<Outgoing<LoanMessage>> {
-    into_messages(by_host, LoanMessage::Requests)
-}
-
-fn into_messages<E: Clone>(
-    by_host: BTreeMap<HostId, Vec<E>>,
-    message: impl Fn(Vec<E>) -> LoanMessage,
-) -> Vec<Outgoing<LoanMessage>> {
-    let mut out = Vec::new();
-    for (to, entries) in by_host {
-        for chunk in entries.chunks(MAX_LOAN_ENTRIES) {
-            out.push(Outgoing {
-                to: to.clone(),
-                message: message(chunk.to_vec()),
-            });
-        }
-    }
-    out
 }
--- a/crates/limits/src/loan_part.rs
+++ b/crates/limits/src/loan_part.rs
@@ -15,11 +15,16 @@
 /// The part of a term after which a loan is renewed, in percent.
 const RENEW_PERCENT: u32 = 65;
 
+/// How long a lender that gave too little rate is not asked for more.
+const SHORT_TIME: Duration = Duration::from_secs(1);
+/// The shortest term of a loan that is held for later requests.
+const MIN_LASTING_TERM: Duration = Duration::from_millis(500);
+
 /// What a borrower would like to hold from one lender.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Wanted {
-    /// Tokens, and the room for them.
-    pub tokens_millis: u64,
+    /// Room, which the lender fills with tokens as far as it can.
+    pub room_millis: u64,
     /// The rate.
     pub rate_millis_per_s: u64,
 }
@@ -73,13 +78,17 @@
         }
     }
 
-    /// Sets the host to borrow from. What another one lent is given up.
+    /// Sets the host to borrow from. A loan goes on when its lender passes the
+    /// share on.
     pub fn set_lender(&mut self, lender: Option<&HostId>, now: Instant) {
         if self.lender.as_ref() == lender {
             return;
         }
-        *self = Self::new(now);
         self.lender = lender.cloned();
+        self.pending = None;
+        self.unanswered = 0;
+        self.retry_at = now;
+        self.short_until = now;
     }
 
     /// Returns the host to borrow from.
@@ -114,6 +123,12 @@
         self.bucket.room_millis() > 0 || self.bucket.rate_millis_per_s() > 0
     }
 
+    /// Reports whether the loan may be used at `now`.
+    #[must_use]
+    pub fn is_in_force(&self, now: Instant) -> bool {
+        now < self.until
+    }
+
     /// Reports whether an answer is awaited.
     #[must_use]
     pub fn is_awaited(&self, now: Instant, settings: &LimiterSettings) -> bool {
@@ -145,13 +160,11 @@
         self.holds_anything() && now >= self.renew_at
     }
 
-    /// Reports whether a short loan is spent, so that its room should go back.
+    /// Reports whether the lender lends for short terms only, because it has
+    /// too little room for all borrowers.
     #[must_use]
-    pub fn is_spent(&self, settings: &LimiterSettings) -> bool {
-        let short = self.term < settings.loan_term;
-        short
-            && self.holds_anything()
-            && self.bucket.tokens_nanos() < crate::bucket::NANOS_PER_TOKEN
+    pub fn is_scarce(&self) -> bool {
+        self.term > Duration::ZERO && self.term < MIN_LASTING_TERM
     }
 
     /// Reduces the loan after the share it comes from has shrunk.
@@ -179,7 +192,11 @@
             .bucket
             .rate_millis_per_s()
             .min(wanted.rate_millis_per_s);
-        let room = self.bucket.room_millis().min(wanted.tokens_millis);
+        let mut room = self.bucket.room_millis().min(wanted.room_millis);
+        if self.is_scarce() {
+            // Others need the room that has been spent.
+            room = room.min(self.bucket.tokens_millis());
+        }
         let excess = self.bucket.tokens_millis().saturating_sub(room);
         let returned = self.bucket.remove(excess);
         self.bucket.set_rate(now, rate);
@@ -201,7 +218,7 @@
             held_tokens_millis: narrow(self.bucket.tokens_millis()),
             held_rate_millis_per_s: narrow(rate),
             returned_tokens_millis: narrow(returned),
-            wanted_tokens_millis: narrow(wanted.tokens_millis),
+            wanted_tokens_millis: narrow(wanted.room_millis),
             wanted_rate_millis_per_s: narrow(wanted.rate_millis_per_s),
         }
     }
@@ -221,8 +238,11 @@
         let term = Duration::from_millis(grant.term_ms.into());
         let until = pending.asked_at + term;
         self.retry_at = now + Duration::from_millis(grant.retry_after_ms.into());
-        if u64::from(grant.rate_millis_per_s) < pending.wanted.rate_millis_per_s {
-            self.short_until = now + Duration::from_secs(1);
+        let wanted_rate = pending.wanted.rate_millis_per_s;
+        if grant.rate_millis_per_s == 0 && wanted_rate > 0 {
+            self.short_until = until;
+        } else if u64::from(grant.rate_millis_per_s) < wanted_rate {
+            self.short_until = now + SHORT_TIME;
         }
         if now >= until {
             return;
--- a/crates/limits/src/stock.rs
+++ b/crates/limits/src/stock.rs
@@ -5,21 +5,23 @@
 use waxwingusher_core::HostId;
 use waxwingusher_protocol::loan::{LimitId, LoanRequest};
 
-use crate::bucket::NANOS_PER_TOKEN;
+use crate::bucket::{Bucket, NANOS_PER_TOKEN};
 use crate::demand::Demand;
 use crate::loan_part::{LoanPart, RequestHeader, Wanted};
 use crate::settings::LimiterSettings;
 use crate::share::Share;
-use crate::shares::MILLIS_PER_TOKEN;
+use crate::shares::{MILLIS_PER_TOKEN, TINY_SHARE_MILLIS};
 
 /// Demand below which tokens are borrowed but no rate, in requests a second.
 const MIN_RATE_DEMAND_PER_S: f64 = 0.3;
 /// The rate that a borrower wants, in percent of its demand.
-const RATE_PERCENT: f64 = 125.0;
+const RATE_PERCENT: f64 = 95.0;
 /// The part of the wanted tokens below which a borrower asks for more.
 const LOW_WATER_PERCENT: u64 = 40;
-/// The part of the demand below which the rate is too low, in percent.
-const LOW_RATE_PERCENT: u64 = 95;
+/// The part of the wanted rate below which a borrower asks for more.
+const LOW_RATE_PERCENT: u64 = 75;
+/// The part of the wanted rate below which it is not worth a loan of its own.
+const MIN_RATE_PERCENT: u64 = 10;
 /// The shortest time between requests to a lender while no request waits.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// The time without requests after which a loan is given back.
@@ -34,14 +36,36 @@
     pub terms: u16,
     /// The index of the share of this host's failure domain.
     pub near_share: usize,
-    /// Tokens in this host's own share, if it is a holder.
-    pub own: Wanted,
+    /// The room of one share.
+    pub share_room_millis: u64,
+    /// What is left in this host's own share, if it is a holder.
+    pub own: Holding,
     /// The time.
     pub now: Instant,
     /// The settings.
     pub settings: &'a LimiterSettings,
 }
 
+/// Tokens, room and rate that a host holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Holding {
+    /// Tokens.
+    pub tokens_millis: u64,
+    /// Room for tokens.
+    pub room_millis: u64,
+    /// The rate.
+    pub rate_millis_per_s: u64,
+}
+
+impl Holding {
+    /// Adds what a bucket holds.
+    pub fn add(&mut self, bucket: &Bucket) {
+        self.tokens_millis += bucket.tokens_millis();
+        self.room_millis += bucket.room_millis();
+        self.rate_millis_per_s += bucket.rate_millis_per_s();
+    }
+}
+
 /// The borrowed stock of one limit.
 #[derive(Debug)]
 pub struct Stock {
@@ -66,12 +90,6 @@
         }
     }
 
-    /// Returns the loans, by share.
-    #[must_use]
-    pub fn parts(&self) -> &[LoanPart] {
-        &self.parts
-    }
-
     /// Returns the loans, by share.
     pub fn parts_mut(&mut self) -> &mut [LoanPart] {
         &mut self.parts
@@ -88,6 +106,16 @@
         (self.demand.per_s(now) * RATE_PERCENT * 10.0) as u64
     }
 
+    /// Returns what is borrowed and may be used at `now`.
+    #[must_use]
+    pub fn borrowed(&self, now: Instant) -> Holding {
+        let mut borrowed = Holding::default();
+        for part in self.parts.iter().filter(|part| part.is_in_force(now)) {
+            borrowed.add(part.bucket());
+        }
+        borrowed
+    }
+
     /// Counts a request that waits for a loan.
     pub fn add_waiting(&mut self) {
         self.waiting += 1;
@@ -166,9 +194,9 @@
                 self.ask(index, wanted, ctx, seq, &mut requests);
             }
         }
-        let asked_long_ago = ctx.now >= self.asked_at + REQUEST_INTERVAL;
-        let needs_more = self.waiting > 0 || (asked_long_ago && self.is_low(ctx));
-        if let Some(index) = self.next_lender(ctx).filter(|_| needs_more) {
+        if ctx.share_room_millis < TINY_SHARE_MILLIS {
+            self.ask_all(ctx, seq, &mut requests);
+        } else if let Some(index) = self.next_lender(ctx).filter(|_| self.needs_more(ctx)) {
             let wanted = self.wanted(index, ctx);
             self.asked_at = ctx.now;
             self.ask(index, wanted, ctx, seq, &mut requests);
@@ -210,14 +238,46 @@
         requests.push((lender, request));
     }
 
+    /// Asks all lenders for equal parts of the tokens that requests wait for.
+    fn ask_all(
+        &mut self,
+        ctx: PlanContext<'_>,
+        seq: &mut u32,
+        requests: &mut Vec<(HostId, LoanRequest)>,
+    ) {
+        let waiting = u64::from(self.waiting) * MILLIS_PER_TOKEN;
+        let lacking = waiting.saturating_sub(self.held(ctx).tokens_millis);
+        let awaited = |part: &LoanPart| part.is_awaited(ctx.now, ctx.settings);
+        if lacking == 0 || self.parts.iter().any(awaited) {
+            return;
+        }
+        let askable = |part: &LoanPart| part.retry_at().is_some_and(|at| at <= ctx.now);
+        let mut indexes: Vec<_> = (0..self.parts.len())
+            .map(|step| (ctx.near_share + step) % self.parts.len())
+            .filter(|index| askable(&self.parts[*index]))
+            .collect();
+        if indexes.len() * 2 < self.parts.len() {
+            // Parts that do not add up to a token help nobody.
+            indexes.truncate(1);
+        }
+        for index in &indexes {
+            let held = self.parts[*index].bucket().tokens_millis();
+            let wanted = Wanted {
+                room_millis: held + lacking.div_ceil(indexes.len() as u64),
+                rate_millis_per_s: 0,
+            };
+            self.ask(*index, wanted, ctx, seq, requests);
+        }
+    }
+
     /// Returns what to ask for at the renewal of a loan, if it is due.
     fn renewal(&self, index: usize, ctx: PlanContext<'_>) -> Option<Wanted> {
         let part = &self.parts[index];
         if part.is_awaited(ctx.now, ctx.settings) || part.retry_at()? > ctx.now {
             return None;
         }
-        if part.is_spent(ctx.settings) && self.waiting == 0 {
-            return Some(Wanted::default());
+        if part.is_scarce() && part.holds_anything() {
+            return (self.waiting == 0).then_some(Wanted::default());
         }
         if !part.is_due(ctx.now) {
             return None;
@@ -225,18 +285,30 @@
         if self.demand.idle(ctx.now) > IDLE_TIME {
             return Some(Wanted::default());
         }
-        Some(self.wanted(index, ctx))
+        let wanted = self.wanted(index, ctx);
+        let useful = wanted.rate_millis_per_s > 0 || part.bucket().rate_millis_per_s() > 0;
+        Some(if useful { wanted } else { Wanted::default() })
     }
 
-    fn is_low(&self, ctx: PlanContext<'_>) -> bool {
-        if self.demand.idle(ctx.now) > IDLE_TIME {
-            return false;
+    /// Reports whether another lender should be asked.
+    fn needs_more(&self, ctx: PlanContext<'_>) -> bool {
+        if self.waiting > 0 {
+            let awaited = |part: &&LoanPart| part.is_awaited(ctx.now, ctx.settings);
+            return self.waiting as usize > self.parts.iter().filter(awaited).count();
         }
+        let asked_lately = ctx.now < self.asked_at + REQUEST_INTERVAL;
         let target = self.target(ctx);
+        if asked_lately || target.rate_millis_per_s == 0 {
+            return false;
+        }
         let held = self.held(ctx);
-        let low_tokens = held.tokens_millis * 100 < target.tokens_millis * LOW_WATER_PERCENT;
-        let needed_rate = target.rate_millis_per_s * LOW_RATE_PERCENT / RATE_PERCENT as u64;
-        low_tokens || held.rate_millis_per_s < needed_rate
+        let low_rate = target.rate_millis_per_s * LOW_RATE_PERCENT / 100;
+        self.has_low_tokens(ctx) || held.rate_millis_per_s < low_rate
+    }
+
+    fn has_low_tokens(&self, ctx: PlanContext<'_>) -> bool {
+        let low = self.target(ctx).room_millis * LOW_WATER_PERCENT / 100;
+        self.held(ctx).tokens_millis < low.max(MILLIS_PER_TOKEN)
     }
 
     /// Returns the nearest lender that may be asked now.
@@ -251,7 +323,7 @@
             if retry_at > ctx.now || part.is_awaited(ctx.now, ctx.settings) {
                 continue;
             }
-            if self.waiting == 0 && part.is_short(ctx.now) {
+            if self.waiting == 0 && !self.lends_ahead(index, ctx) {
                 continue;
             }
             return Some(index);
@@ -259,45 +331,65 @@
         None
     }
 
+    /// Reports whether a lender should be asked while no request waits: the near
+    /// one for tokens, and any that may still have rate for more rate.
+    fn lends_ahead(&self, index: usize, ctx: PlanContext<'_>) -> bool {
+        let part = &self.parts[index];
+        let near = &self.parts[ctx.near_share];
+        if part.is_scarce() {
+            return false;
+        }
+        if index == ctx.near_share {
+            return self.has_low_tokens(ctx) || !part.is_short(ctx.now);
+        }
+        let near_is_used_up = near.bucket().rate_millis_per_s() > 0 && near.is_short(ctx.now);
+        let near_lends = near.has_answered() && !near_is_used_up;
+        !near_lends && !part.is_short(ctx.now)
+    }
+
     /// Returns what to hold from one lender, given what the others lend.
     fn wanted(&self, index: usize, ctx: PlanContext<'_>) -> Wanted {
         let target = self.target(ctx);
-        let held = self.held(ctx);
         let part = self.parts[index].bucket();
-        let others = Wanted {
-            tokens_millis: held.tokens_millis - part.tokens_millis(),
-            rate_millis_per_s: held.rate_millis_per_s - part.rate_millis_per_s(),
-        };
-        let tokens = target.tokens_millis.saturating_sub(others.tokens_millis);
-        let rate = target
+        let mut others = self.held(ctx);
+        others.room_millis -= part.room_millis();
+        others.rate_millis_per_s -= part.rate_millis_per_s();
+        let mut rate = target
             .rate_millis_per_s
             .saturating_sub(others.rate_millis_per_s);
+        if rate * 100 < target.rate_millis_per_s * MIN_RATE_PERCENT {
+            rate = 0;
+        }
+        let mut room = target.room_millis.saturating_sub(others.room_millis);
+        if rate > 0 {
+            room = room.max(MILLIS_PER_TOKEN);
+        }
+        if self.waiting > 0 {
+            let waiting = u64::from(self.waiting) * MILLIS_PER_TOKEN;
+            room = room.max(part.tokens_millis() + waiting);
+        }
         Wanted {
-            tokens_millis: tokens.max(MILLIS_PER_TOKEN),
+            room_millis: room,
             rate_millis_per_s: rate,
         }
     }
 
+    /// Returns what to hold from all lenders together.
     fn target(&self, ctx: PlanContext<'_>) -> Wanted {
         let per_s = self.demand.per_s(ctx.now);
         let horizon = per_s * ctx.settings.stock_horizon.as_secs_f64();
-        let tokens = (horizon * 1000.0) as u64 + (u64::from(self.waiting) + 1) * MILLIS_PER_TOKEN;
-        let rate = if per_s < MIN_RATE_DEMAND_PER_S {
-            0
-        } else {
-            self.demand_millis_per_s(ctx.now)
-        };
+        let has_rate = per_s >= MIN_RATE_DEMAND_PER_S;
+        let rate = self.demand_millis_per_s(ctx.now);
         Wanted {
-            tokens_millis: tokens,
-            rate_millis_per_s: rate,
+            room_millis: (horizon * 1000.0) as u64 + MILLIS_PER_TOKEN,
+            rate_millis_per_s: if has_rate { rate } else { 0 },
         }
     }
 
-    fn held(&self, ctx: PlanContext<'_>) -> Wanted {
+    fn held(&self, ctx: PlanContext<'_>) -> Holding {
         let mut held = ctx.own;
         for part in &self.parts {
-            held.tokens_millis += part.bucket().tokens_millis();
-            held.rate_millis_per_s += part.bucket().rate_millis_per_s();
+            held.add(part.bucket());
         }
         held
     }
--- a/crates/limits/tests/testsuite/main.rs
+++ b/crates/limits/tests/testsuite/main.rs
@@ -1,7 +1,11 @@
 //! Tests of keys, limits and fair shares.
 
 mod bound;
+mod evidence;
 mod fleet;
 mod keys;
+mod opening;
 mod oracle;
+mod queue;
 mod schedule;
+mod service;
--- a/crates/membership/src/distribution/agent.rs
+++ b/crates/membership/src/distribution/agent.rs
@@ -3,7 +3,7 @@
 mod exchange;
 mod service;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -17,15 +17,20 @@
 use super::peers::Peers;
 use super::pursuit::Source;
 use super::replica::Replica;
-use super::roles::{Role, candidates, role};
+use super::roles::{Near, Role, near, ranked, role};
 use super::settings::DistributionSettings;
 use super::survey::Survey;
 use super::watch::ServiceWatch;
 
-/// The time after which a host without a configuration, or without any peer
-/// that answers, reads the service whatever its role is.
+/// The time after which a host that no peer answers reads the service whatever
+/// its role is.
 const ALONE_AFTER: Duration = Duration::from_secs(10);
 
+/// The longest time after which a host without a configuration reads the
+/// service. Hosts that start together do so one after the other, and the first
+/// one that succeeds tells the others.
+const MAX_LATE: Duration = Duration::from_secs(60);
+
 /// How long a fresh host waits for a version that a peer said to have.
 const CLAIM_AGE: Duration = Duration::from_secs(10);
 
@@ -75,6 +80,7 @@
     candidates: Vec<HostId>,
     survey: Option<Survey>,
     started_at: Instant,
+    late_after: Duration,
     next_observation: Instant,
     next_ticket: u64,
     counters: AgentCounters,
@@ -91,11 +97,13 @@
         settings: DistributionSettings,
     ) -> Self {
         let now = clock.now();
+        let mut rng = fastrand::Rng::with_seed(seed);
         let mut agent = Self {
+            late_after: ALONE_AFTER + (MAX_LATE - ALONE_AFTER).mul_f64(rng.f64()),
             self_id,
             failure_domain,
             clock,
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
             config: Replica::new(),
             hosts: Replica::new(),
             config_watch: ServiceWatch::new(MANIFEST_KEY, now),
@@ -111,7 +119,7 @@
             settings,
         };
         let seeds = agent.settings.seeds.clone();
-        agent.set_peers(seeds, Vec::new(), now);
+        agent.set_peers(seeds, Near::default(), now);
         agent
     }
 
@@ -168,27 +176,46 @@
         self.counters
     }
 
+    /// Returns the version of the configuration that each peer last told of.
+    #[must_use]
+    pub fn config_versions(&self) -> BTreeMap<HostId, u64> {
+        let heard = self.peers.heard_since(self.started_at);
+        heard
+            .map(|(host, summary)| (host.clone(), summary.config.version))
+            .collect()
+    }
+
     /// Returns the evidence that the host list in force is current.
     #[must_use]
     pub fn list_freshness(&self) -> ListFreshness {
-        let words = self.peers.near().iter().filter_map(|host| {
-            let answered = self.peers.answered(host)?;
-            Some(PeerWord {
-                host: host.clone(),
-                seen_version: answered.summary.seen_hosts_version,
-                asked_at: answered.asked_at,
-            })
+        let words = self.peers.answers().map(|(host, answered)| PeerWord {
+            host: host.clone(),
+            seen_version: answered.summary.seen_hosts_version,
+            asked_at: answered.asked_at,
         });
-        let stamp = self.hosts.stamp();
         ListFreshness {
-            version: stamp.version,
+            version: self.hosts.stamp().version,
             seen_version: self.hosts.seen_version(),
-            confirmed_at: self.hosts_watch.confirmed_at(stamp),
+            confirmed_at: self.hosts_confirmed_at(),
             words: words.collect(),
         }
     }
 
-    fn set_peers(&mut self, all: Vec<HostId>, near: Vec<HostId>, now: Instant) {
+    /// Returns the latest instant at which a reader surely had the host list
+    /// in force from the service. A peer's evidence is at least as old as the
+    /// poll that it answers.
+    fn hosts_confirmed_at(&self) -> Option<Instant> {
+        let stamp = self.hosts.stamp();
+        let of_peers = self.peers.answers().filter_map(|(_, answered)| {
+            let summary = &answered.summary;
+            let age_ms = summary.hosts_age_ms.filter(|_| summary.hosts == stamp)?;
+            let age = Duration::from_millis(u64::from(age_ms));
+            answered.asked_at.checked_sub(age)
+        });
+        of_peers.chain(self.hosts_watch.confirmed_at(stamp)).max()
+    }
+
+    fn set_peers(&mut self, all: Vec<HostId>, near: Near, now: Instant) {
         if let Some(survey) = &mut self.survey {
             let timeout = self.settings.survey_timeout;
             survey.add(all.iter().cloned(), timeout, now);
@@ -203,9 +230,10 @@
         };
         let others = || list.hosts.iter().filter(|host| host.id != self.self_id);
         let all = others().map(|host| host.id.clone()).collect();
-        let near = others().filter(|host| host.failure_domain == self.failure_domain);
-        let near = near.map(|host| host.id.clone()).collect();
-        self.candidates = candidates(&list, &self.failure_domain, &self.settings);
+        let mut ranked = ranked(&list, &self.failure_domain);
+        let near = near(&self.self_id, &ranked, self.settings.readers_per_domain);
+        ranked.truncate(self.settings.candidates_per_domain);
+        self.candidates = ranked;
         self.set_peers(all, near, now);
     }
 
@@ -214,13 +242,15 @@
         role(&self.self_id, &self.candidates, &self.peers, readers, now)
     }
 
+    /// Reports whether the host watches the service: as a reader, or because
+    /// no peer can tell it what the service has.
     fn reads_service(&self, now: Instant) -> bool {
-        if self.role(now) == Role::Reader || self.hosts.newest().is_none() {
+        if self.role(now) == Role::Reader {
             return true;
         }
         let since = self.peers.answered_at().unwrap_or(self.started_at);
         let is_alone = now >= since + ALONE_AFTER;
-        let is_late = now >= self.started_at + ALONE_AFTER;
+        let is_late = now >= self.started_at + self.late_after;
         is_alone || (is_late && self.config.current().is_none())
     }
 
@@ -233,9 +263,16 @@
             hosts: self.hosts.stamp(),
             seen_hosts_version: self.hosts.seen_version(),
             service_age_ms: age.map(|age| u32::try_from(age).unwrap_or(u32::MAX)),
+            hosts_age_ms: self.hosts_age_ms(now),
         }
     }
 
+    fn hosts_age_ms(&self, now: Instant) -> Option<u32> {
+        let age = now.saturating_duration_since(self.hosts_confirmed_at()?);
+        // Rounded up, as evidence may only seem older than it is.
+        u32::try_from(age.as_millis() + 1).ok()
+    }
+
     fn refuse(&mut self, refusal: Refusal, actions: &mut Vec<AgentAction>) {
         self.counters.refused += 1;
         actions.push(AgentAction::Refuse(refusal));
--- a/crates/protocol/src/attempt.rs
+++ b/crates/protocol/src/attempt.rs
@@ -4,17 +4,25 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use waxwingusher_core::{BodyDigest, HostId, WorkspaceName};
+use waxwingusher_core::{
+    BodyDigest, FailureDomain, HostId, InstanceId, ServiceName, WorkspaceName,
+};
 
 /// The largest body of an answer that is stored for repeats, in bytes.
 pub const MAX_STORED_BODY_BYTES: usize = 768;
 
 /// The largest sum of header names and values of a stored answer, in bytes.
-pub const MAX_STORED_HEADER_BYTES: usize = 256;
+pub const MAX_STORED_HEADER_BYTES: usize = 192;
 
 /// The size at which a hand-over part is closed, in bytes of its records.
 pub const HAND_OVER_PART_BYTES: usize = 900;
 
+/// The most former hosts in one hand-over part.
+pub const MAX_FORMER_HOSTS: usize = 16;
+
+/// The most requests in one crash report.
+pub const MAX_REPORTED_SUSPECTS: usize = 40;
+
 /// The size of a record without its answer in a hand-over, in bytes.
 pub const HANDED_RECORD_BYTES: usize = 46;
 
@@ -183,6 +191,15 @@
     }
 }
 
+/// A host of a list that is no longer in use.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct FormerHost {
+    /// The host's name.
+    pub id: HostId,
+    /// The host's failure domain.
+    pub failure_domain: FailureDomain,
+}
+
 /// A part of the records of one witness, on their way to another host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HandOver {
@@ -196,8 +213,11 @@
     pub part: u32,
     /// How many parts the receiver gets.
     pub parts: u32,
-    /// A hash of the host list by which records were assigned.
+    /// A hash of the sender's host list.
     pub topology: u64,
+    /// Hosts of the sender's earlier lists within the coverage, when records
+    /// return to their witness.
+    pub former_hosts: Vec<FormerHost>,
     /// How many hosts share the witness's records.
     pub receivers: u32,
     /// Whether the records are all that the witness granted in the window.
@@ -206,6 +226,48 @@
     pub records: Vec<HandedRecord>,
 }
 
+/// A request that was in flight when an instance was lost.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request's fingerprint.
+    pub fingerprint: AttemptKey,
+    /// Whether a request with this fingerprint completed at the sender lately.
+    pub completes: bool,
+}
+
+/// The requests of one host that were in flight when an instance was lost.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The service.
+    pub service: ServiceName,
+    /// The instance.
+    pub instance: InstanceId,
+    /// The requests.
+    pub suspects: Vec<Suspect>,
+}
+
+/// A request that may not run for a while.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineNotice {
+    /// The request's fingerprint.
+    pub fingerprint: AttemptKey,
+    /// The time left, in milliseconds.
+    pub left_ms: u32,
+    /// How often the notice has been spread anew.
+    pub round: u8,
+    /// The instances that it crashed.
+    pub instances: Vec<InstanceId>,
+}
+
+/// A message on crashing requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuarantineMessage {
+    /// Tells the hosts that judge a service's crashes.
+    Report(CrashReport),
+    /// Tells a peer of a quarantined request.
+    Notice(QuarantineNotice),
+}
+
 /// A message for attempt records and quarantine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptMessage {
@@ -242,5 +304,10 @@
         id: u64,
     },
     /// A process that has just started asks for the records of its host.
-    Recover,
+    Recover {
+        /// A hash of its host list.
+        topology: u64,
+    },
+    /// Crashing requests.
+    Quarantine(QuarantineMessage),
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,9 @@
 
 use argh::FromArgs;
 
-use crate::cmd::{CmdError, Outcome, check, collect, demo, diff, key, serve};
+use crate::cmd::{
+    CmdError, Outcome, bench, check, collect, demo, diff, explain, key, load, serve, status,
+};
 
 /// A proxy fleet for upstreams with gray failures.
 #[derive(Debug, FromArgs)]
@@ -23,23 +25,31 @@
     reason = "there is one value in the process"
 )]
 enum Command {
+    Bench(bench::BenchArgs),
     Check(check::CheckArgs),
     Collect(collect::CollectArgs),
     Demo(demo::DemoArgs),
     Diff(diff::DiffArgs),
+    Explain(explain::ExplainArgs),
     Key(key::KeyArgs),
+    Load(load::LoadArgs),
     Serve(serve::ServeArgs),
+    Status(status::StatusArgs),
 }
 
 impl Command {
     fn run(&self) -> Result<Outcome, CmdError> {
         match self {
+            Self::Bench(args) => args.run(),
             Self::Check(args) => args.run(),
             Self::Collect(args) => args.run(),
             Self::Demo(args) => args.run(),
             Self::Diff(args) => args.run(),
+            Self::Explain(args) => args.run(),
             Self::Key(args) => args.run(),
+            Self::Load(args) => args.run(),
             Self::Serve(args) => args.run(),
+            Self::Status(args) => args.run(),
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,9 @@
 //! Tests of the binary, by concern.
 
 mod commands;
+mod crashes;
+mod fleet;
+mod operators;
+mod processes;
+mod serve;
+mod whole_path;
