--- a/crates/upstreams/tests/testsuite/floor.rs
+++ b/crates/upstreams/tests/testsuite/floor.rs
@@ -20,8 +20,18 @@
 const SEEDS: [u64; 10] = [0, 1, 2, 3, 4, 8, 68, 78, 251, 398];
 const STEPS_BETWEEN_EVENTS: usize = 20;
 
+/// Which drains count in the union over all hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UnionRule {
+    /// Those that some host has told a judge of.
+    Told,
+    /// All that any host has seen.
+    Seen,
+}
+
 /// A fleet with a schedule of faults, and what the oracle knows.
 struct Schedule {
+    rule: UnionRule,
     fleet: Fleet,
     versions: Vec<(Duration, Service)>,
     applied: Vec<usize>,
@@ -36,13 +46,14 @@
 }
 
 impl Schedule {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, rule: UnionRule) -> Self {
         let first = service(10, Detection::Fast);
         let faults = LinkFaults {
             max_delay: Duration::from_millis(40),
             ..LinkFaults::default()
         };
         Self {
+            rule,
             fleet: Fleet::new(HOSTS, seed, faults, &snapshot(1, first.clone())),
             versions: vec![(Duration::ZERO, first)],
             applied: vec![0; HOSTS],
@@ -267,7 +278,8 @@
             } else {
                 since.or(Some(elapsed))
             };
-            if since.is_none_or(|since| elapsed < since + EJECTION_TERM) {
+            let has_told = since.is_some_and(|since| elapsed >= since + EJECTION_TERM);
+            if self.rule == UnionRule::Told && !has_told {
                 out.retain(|instance| !self.drained.contains(instance));
             }
             ejected_union.extend(ejected);
@@ -302,8 +314,8 @@
     );
 }
 
-fn run_schedule(seed: u64, events: usize) -> Schedule {
-    let mut schedule = Schedule::new(seed);
+fn run_schedule(seed: u64, events: usize, rule: UnionRule) -> Schedule {
+    let mut schedule = Schedule::new(seed, rule);
     for _ in 0..500 {
         schedule.step();
     }
@@ -322,10 +334,18 @@
     let mut steps_with_ejection = 0;
     let mut most_ejected = 0;
     for seed in SEEDS {
-        let schedule = run_schedule(seed, 150);
+        let schedule = run_schedule(seed, 150, UnionRule::Told);
         steps_with_ejection += schedule.steps_with_ejection;
         most_ejected = most_ejected.max(schedule.most_ejected);
     }
     assert!(steps_with_ejection >= 1_000);
     assert_eq!(most_ejected, 3, "the floor was never reached");
 }
+
+#[test]
+#[ignore = "KNOWN-RED: issue 6, seeds 68 and 251: a drain that no judge has heard of passes the floor in the union"]
+fn floor_holds_for_drains_that_no_judge_has_heard_of() {
+    for seed in [68, 251] {
+        run_schedule(seed, 150, UnionRule::Seen);
+    }
+}
