Tell others of new processes, so that their death is noticed sooner

A suspicion names a process, and hosts that had never heard the dead one could not pass theirs on. A process that is heard for the first time is now news, which only takes bytes that nothing else needs.

--- a/crates/membership/src/liveness/broadcast.rs
+++ b/crates/membership/src/liveness/broadcast.rs
@@ -7,6 +7,18 @@
 
 const TRANSMISSIONS_PER_DECADE: u32 = 3;
 
+// Who misses a new process hears of it from the process itself.
+const NEW_PROCESS_DIVISOR: u32 = 3;
+
+/// Which news a message has room for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Room {
+    /// All news.
+    Ample,
+    /// Suspicions, deaths and objections, but not new processes.
+    Urgent,
+}
+
 #[derive(Debug)]
 struct Entry {
     update: LivenessUpdate,
@@ -26,37 +38,56 @@
         self.entries.insert(entry.update.host.clone(), entry);
     }
 
-    /// Reports whether there is news that was never sent.
+    /// Reports whether there is urgent news that was never sent.
     pub(super) fn has_unsent(&self) -> bool {
-        self.entries.values().any(|entry| entry.sent == 0)
+        let mut urgent = self.entries.values().filter(|entry| entry.is_urgent());
+        urgent.any(|entry| entry.sent == 0)
     }
 
     pub(super) fn forget(&mut self, host: &HostId) {
         self.entries.remove(host);
     }
 
-    /// Takes the news that was sent the least, for one message. Suspicions and
-    /// objections go before restarts.
-    pub(super) fn take(&mut self, count: usize, fleet_size: usize) -> Vec<LivenessUpdate> {
+    /// Takes the news that was sent the least, for one message. Urgent
+    /// news goes first.
+    pub(super) fn take(
+        &mut self,
+        count: usize,
+        room: Room,
+        fleet_size: usize,
+    ) -> Vec<LivenessUpdate> {
         if self.entries.is_empty() {
             return Vec::new();
         }
         let limit = transmissions(fleet_size);
-        let mut chosen: Vec<_> = self.entries.values_mut().collect();
-        chosen.sort_by_key(|entry| (entry.sent, is_restart(&entry.update)));
+        let has_room = |entry: &Entry| room == Room::Ample || entry.is_urgent();
+        let entries = self.entries.values_mut();
+        let mut chosen: Vec<_> = entries.filter(|entry| has_room(entry)).collect();
+        chosen.sort_by_key(|entry| (!entry.is_urgent(), entry.sent));
         chosen.truncate(count);
         let mut updates = Vec::with_capacity(chosen.len());
         for entry in chosen {
             entry.sent += 1;
             updates.push(entry.update.clone());
         }
-        self.entries.retain(|_, entry| entry.sent < limit);
+        self.entries
+            .retain(|_, entry| entry.sent < entry.limit(limit));
         updates
     }
 }
 
-fn is_restart(update: &LivenessUpdate) -> bool {
-    update.liveliness == Liveliness::Alive && update.refutation == 0
+impl Entry {
+    fn is_urgent(&self) -> bool {
+        self.update.liveliness != Liveliness::Alive || self.update.refutation > 0
+    }
+
+    fn limit(&self, transmissions: u32) -> u32 {
+        if self.is_urgent() {
+            transmissions
+        } else {
+            transmissions / NEW_PROCESS_DIVISOR
+        }
+    }
 }
 
 // Grows with the logarithm of the fleet, so that news reaches every host.
--- a/crates/membership/src/liveness/budget.rs
+++ b/crates/membership/src/liveness/budget.rs
@@ -2,6 +2,9 @@
 
 use std::time::Instant;
 
+const PUSH_SHARE: f64 = 0.5;
+const WAITING_NEWS_SHARE: f64 = 0.85;
+
 /// A token bucket of bytes that may be overdrawn by answers.
 #[derive(Debug)]
 pub(super) struct GossipBudget {
@@ -38,8 +41,14 @@
         self.available_bytes >= 0.0
     }
 
-    /// Reports whether there is room for news that could also wait.
+    /// Reports whether there is room for messages that only carry news.
     pub(super) fn is_ample(&self) -> bool {
-        self.available_bytes >= self.burst_bytes / 2.0
+        self.available_bytes >= self.burst_bytes * PUSH_SHARE
+    }
+
+    /// Reports whether there is room for news that can wait, so much that
+    /// messages with urgent news find room after it.
+    pub(super) fn is_nearly_full(&self) -> bool {
+        self.available_bytes >= self.burst_bytes * WAITING_NEWS_SHARE
     }
 }
--- a/crates/membership/src/liveness/news.rs
+++ b/crates/membership/src/liveness/news.rs
@@ -5,6 +5,7 @@
 use waxwingusher_core::HostId;
 use waxwingusher_protocol::gossip::{GossipMessage, Liveliness, LivenessUpdate};
 
+use super::broadcast::Room;
 use super::record::Effect;
 use super::state::PeerState;
 use super::{Liveness, Sent, outgoing};
@@ -89,7 +90,12 @@
         } else {
             UPDATES_WHEN_SHORT
         };
-        self.broadcasts.take(count, self.members.len())
+        let room = if self.budget.is_nearly_full() {
+            Room::Ample
+        } else {
+            Room::Urgent
+        };
+        self.broadcasts.take(count, room, self.members.len())
     }
 
     pub(super) fn announce(&mut self, host: &HostId) {
--- a/crates/membership/src/liveness/record.rs
+++ b/crates/membership/src/liveness/record.rs
@@ -75,8 +75,7 @@
         }
     }
 
-    /// Takes an authenticated message from the process itself. That a process
-    /// is heard for the first time is no news to others.
+    /// Takes an authenticated message from the process itself.
     pub(super) fn on_contact(&mut self, incarnation: u64) -> Effect {
         let is_same = |process: Process| process.incarnation == incarnation;
         if self.process.is_some_and(is_same) {
@@ -85,15 +84,10 @@
             }
             return Effect::Ignored;
         }
-        let is_restart = self.process.is_some();
         self.set_process(incarnation, 0);
         self.failed_rounds = 0;
         self.state = PeerState::Alive;
-        if is_restart {
-            Effect::Changed
-        } else {
-            Effect::Ignored
-        }
+        Effect::Changed
     }
 
     /// Takes an answer of the process to a probe of this host.
--- a/crates/membership/tests/testsuite/liveness_faults.rs
+++ b/crates/membership/tests/testsuite/liveness_faults.rs
@@ -108,6 +108,21 @@
     }
 }
 
+#[test]
+fn a_new_host_that_dies_soon_is_noticed_everywhere() {
+    for seed in 0..3 {
+        let mut fleet = Fleet::new(300, seed);
+        fleet.run_s(20);
+        fleet.fleet.kill(&name(7));
+        fleet.run_s(12);
+        let is_noticed = |state: &PeerState| !state.is_usable();
+        assert!(
+            fleet.views_of(&name(7)).iter().all(is_noticed),
+            "seed {seed}"
+        );
+    }
+}
+
 #[test]
 fn a_one_way_cut_between_two_hosts_accuses_neither() {
     let mut fleet = Fleet::new(SIZE, 5);
