--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,9 +4,13 @@
 //! are exactly repeatable. Each topic contributes its own list.
 
 pub mod attempts;
+pub mod capacity;
 pub mod config;
 pub mod limits;
 pub mod membership;
+pub mod report;
+pub mod runner;
 pub mod scenario;
+pub mod upstreams;
 
 pub use scenario::{Bound, Measurement, Scenario, ScenarioResult};
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -8,7 +8,9 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use waxwingusher_attempts::{AttemptRegistry, AttemptSettings};
+use waxwingusher_attempts::{
+    AttemptRegistry, AttemptSettings, Quarantine, QuarantineSettings, RetryBudget, RetrySettings,
+};
 use waxwingusher_core::{CancelToken, Clock, HostEntry, HostList, HostState as HostEntryState};
 use waxwingusher_edge::{CallerEdge, EdgeError, UpstreamClient};
 use waxwingusher_limits::{Limiter, LimiterSettings};
@@ -21,6 +23,7 @@
 
 use crate::attempt_desk::AttemptDesk;
 use crate::config_desk::{ConfigDesk, PeerFetch, PeerFiles};
+use crate::crash_guard::CrashGuard;
 use crate::duties::operators::{Operators, OperatorsError};
 use crate::duties::{admitter, peer_fetcher, peer_receiver, service_reader, spawn, ticker, worker};
 use crate::limit_desk::LimitDesk;
@@ -38,8 +41,10 @@
 const READ_RING: usize = 64;
 /// Fetches from peers that may wait.
 const FETCH_RING: usize = 64;
-/// How long peers may take to confirm a hand-over.
-const HAND_OVER_TIME: Duration = Duration::from_millis(500);
+/// How long peers may take to confirm that they have this host's records.
+const MAX_HAND_OVER: Duration = Duration::from_secs(5);
+/// How long rights that are given on are repeated.
+const LOAN_HAND_OVER: Duration = Duration::from_millis(300);
 
 /// A host could not start.
 #[derive(Debug, thiserror::Error)]
@@ -107,6 +112,12 @@
             limits: LimitDesk::new(new_limiter(&settings, &clock, incarnation), clock.clone()),
             attempts: AttemptDesk::new(new_registry(&settings, &clock, incarnation), clock.clone()),
             upstreams: new_upstreams(&settings, &clock, incarnation),
+            crashes: CrashGuard::new(new_quarantine(&settings, &clock, incarnation)),
+            retries: RetryBudget::new(
+                RetrySettings::default(),
+                clock.clone(),
+                fastrand::Rng::with_seed(incarnation),
+            ),
             config: ConfigDesk::new(agent, reads, fetches),
             liveness: new_liveness(&settings, &clock, incarnation),
             peers: PeerLink::new(peers.socket),
@@ -138,9 +149,10 @@
             admitter::run(&shared, &exchanges, &queue);
         })?;
         log::info!(
-            "host: {} serves callers on {}.",
+            "host: {} serves callers on {}, operators on {operator_addr}, peers on {}.",
             state.settings.host_id,
-            edge.local_addr()
+            edge.local_addr(),
+            peers.addr
         );
         Ok(Self {
             state,
@@ -186,10 +198,11 @@
         Some(active.snapshot.version)
     }
 
-    /// Reports whether an operator has asked the host to stop.
+    /// Reports whether the host should stop: an operator has asked for it, or
+    /// the host list calls the host leaving.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.state.draining.load(Ordering::SeqCst)
+        self.state.is_draining()
     }
 
     /// Stops gracefully: callers are sent elsewhere, every request that was
@@ -221,14 +234,13 @@
     }
 }
 
-/// Gives rights and records to peers and lets their answers arrive.
+/// Gives rights and records to peers.
 fn hand_over(state: &HostState) {
     let loans = state.limits.lock().hand_over();
     state.peers.send_all(loans, Message::Loan);
-    state
-        .attempts
-        .with(&state.peers, AttemptRegistry::hand_over);
-    state.stop.wait(HAND_OVER_TIME);
+    state.attempts.hand_over(&state.peers, MAX_HAND_OVER);
+    // Loans are not confirmed; they get a moment to arrive.
+    state.stop.wait(LOAN_HAND_OVER);
 }
 
 fn join(name: &str, thread: JoinHandle<()>) {
@@ -422,6 +434,12 @@
     AttemptRegistry::new(id, incarnation, clock.clone(), incarnation, attempts)
 }
 
+fn new_quarantine(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> Quarantine {
+    let rng = fastrand::Rng::with_seed(incarnation);
+    let id = settings.host_id.clone();
+    Quarantine::new(id, clock.clone(), rng, QuarantineSettings::default())
+}
+
 fn new_upstreams(settings: &HostSettings, clock: &Arc<dyn Clock>, incarnation: u64) -> UpstreamSet {
     UpstreamSet::new(
         settings.host_id.clone(),
--- a/crates/upstreams/src/set.rs
+++ b/crates/upstreams/src/set.rs
@@ -1,38 +1,30 @@
 //! One host's view of all services.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Instant;
 
 use log::debug;
 use waxwingusher_config::{Service, Snapshot};
-use waxwingusher_core::{
-    Clock, FailureDomain, HostId, HostList, InstanceId, ServiceName, rendezvous,
-};
+use waxwingusher_core::{Clock, FailureDomain, HostId, HostList, InstanceId, ServiceName};
 use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::health::{
     Evidence, Grant, HealthMessage, InstanceKey, ServiceKey, Vote, Watch,
 };
 
+use crate::capacity::PoolCapacity;
 use crate::casebook::Vantage;
 use crate::choice::{
     Choice, ChooseError, ChooseRequest, HealthHint, PickId, RequestOrigin, UpstreamResult,
 };
-use crate::judge::{Addressed, Judge, JudgeContext, JudgeRank};
+use crate::context::{JudgeContext, JudgeRank};
+use crate::judge::{Addressed, Judge};
 use crate::pool::{Pool, PoolContext};
+use crate::service::ServiceState;
 use crate::settings::{TestThresholds, UpstreamSettings};
 use crate::view::ServiceView;
 use crate::voter::Voter;
 
-const JUDGES: usize = 2;
-
-#[derive(Debug)]
-struct ServiceState {
-    pool: Pool,
-    judge: Judge,
-    judges: Vec<HostId>,
-}
-
 #[derive(Debug)]
 struct Pick {
     service: ServiceKey,
@@ -52,9 +44,10 @@
     settings: UpstreamSettings,
     started: Instant,
     hosts: Vec<HostId>,
-    vantages: HashMap<HostId, Vantage>,
-    services: HashMap<ServiceKey, ServiceState>,
-    picks: HashMap<PickId, Pick>,
+    near_host_share: f64,
+    vantages: BTreeMap<HostId, Vantage>,
+    services: BTreeMap<ServiceKey, ServiceState>,
+    picks: BTreeMap<PickId, Pick>,
     next_pick: u64,
 }
 
@@ -79,9 +72,10 @@
             rng: fastrand::Rng::with_seed(seed),
             settings,
             started,
-            vantages: HashMap::new(),
-            services: HashMap::new(),
-            picks: HashMap::new(),
+            near_host_share: 1.0,
+            vantages: BTreeMap::new(),
+            services: BTreeMap::new(),
+            picks: BTreeMap::new(),
             next_pick: 0,
         }
     }
@@ -113,6 +107,12 @@
         let mut hosts: Vec<HostId> = list.hosts.iter().map(|entry| entry.id.clone()).collect();
         hosts.sort();
         hosts.dedup();
+        let near = list
+            .hosts
+            .iter()
+            .filter(|entry| entry.failure_domain == self.failure_domain)
+            .count();
+        self.near_host_share = near.max(1) as f64 / list.hosts.len().max(1) as f64;
         let single_domain = list.failure_domains().len() < 2;
         self.vantages = list
             .hosts
@@ -153,6 +153,7 @@
             now,
             near: &self.failure_domain,
             hosts: self.hosts.len(),
+            near_host_share: self.near_host_share,
             settings: &self.settings,
         };
         let state = self.services.get_mut(&key).ok_or(ChooseError::NoInstance)?;
@@ -189,6 +190,7 @@
             now: self.clock.now(),
             near: &self.failure_domain,
             hosts: self.hosts.len(),
+            near_host_share: self.near_host_share,
             settings: &self.settings,
         };
         let Some(state) = self.services.get_mut(&held.service) else {
@@ -219,7 +221,11 @@
         let mut services = std::mem::take(&mut self.services);
         for state in services.values_mut() {
             state.pool.tick(now);
-            out.extend(flush(state, now));
+            out.extend(state.flush(now));
+            let (applied, _) = state.pool.voter.last_ejections();
+            if !state.judge.is_due(now, applied) {
+                continue;
+            }
             let capacity = state.pool.capacity(now);
             let (judge, context) = self.judge_parts(state, now, &capacity);
             out.extend(judge.tick(&context));
@@ -295,12 +301,7 @@
     }
 
     fn place(&self, state: &mut ServiceState) {
-        let name = state.pool.service.name.as_str();
-        let ranked = rendezvous::rank(name, self.hosts.iter(), HostId::as_str);
-        state.judges = ranked.into_iter().take(JUDGES).cloned().collect();
-        state
-            .pool
-            .update_subset(&self.self_id, &self.hosts, self.settings.subset_size);
+        state.place(&self.self_id, &self.hosts, self.settings.subset_size);
     }
 
     /// Handles messages to the host itself and returns the others.
@@ -340,7 +341,7 @@
         ) else {
             return Vec::new();
         };
-        state.judge.on_evidence(now, vantage, evidence);
+        state.judge.on_evidence(now, from, vantage, evidence);
         Vec::new()
     }
 
@@ -349,13 +350,14 @@
             now,
             near: &self.failure_domain,
             hosts: self.hosts.len(),
+            near_host_share: self.near_host_share,
             settings: &self.settings,
         };
         let Some(state) = self.services.get_mut(&watch.service) else {
             return Vec::new();
         };
         state.pool.on_watch(&context, watch, &mut self.rng);
-        flush(state, now)
+        state.flush(now)
     }
 
     fn on_grant(
@@ -369,6 +371,7 @@
             now,
             near: &self.failure_domain,
             hosts: self.hosts.len(),
+            near_host_share: self.near_host_share,
             settings: &self.settings,
         };
         let Some(state) = self.services.get_mut(&grant.service) else {
@@ -401,8 +404,10 @@
         &'a self,
         state: &'a mut ServiceState,
         now: Instant,
-        capacity: &'a crate::ejection::PoolCapacity,
+        capacity: &'a PoolCapacity,
     ) -> (&'a mut Judge, JudgeContext<'a>) {
+        let requests_per_s = state.pool.reporter.requests_per_s(now);
+        let instances = capacity.len().max(1) as f64;
         let voter = &state.pool.voter;
         let rank = if state.judges.first() == Some(&self.self_id) {
             JudgeRank::First
@@ -418,24 +423,9 @@
             may_vote_for_self: voter.may_vote_for(now, &self.self_id, self.incarnation),
             applied: voter.last_ejections(),
             settings: &self.settings,
+            expected_per_s: requests_per_s * self.hosts.len() as f64 / instances,
             thresholds: TestThresholds::of(state.pool.service.detection),
         };
         (&mut state.judge, context)
     }
 }
-
-fn flush(state: &mut ServiceState, now: Instant) -> Vec<Addressed> {
-    let ejected: Vec<InstanceKey> = state
-        .pool
-        .voter
-        .ejections(now)
-        .iter()
-        .map(|row| row.instance)
-        .collect();
-    let Some(evidence) = state.pool.reporter.flush(now, &ejected) else {
-        return Vec::new();
-    };
-    let message = HealthMessage::Evidence(evidence);
-    let judges = state.judges.iter();
-    judges.map(|host| (host.clone(), message.clone())).collect()
-}
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -3,3 +3,6 @@
 mod detection;
 mod fleet;
 mod floor;
+mod recovery;
+mod subsets;
+mod voter;
