--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use waxwingusher_emulator::fleet::wait_until;
+use waxwingusher_emulator::plan::WorkspacePlan;
 use waxwingusher_emulator::{Caller, Fleet, FleetPlan, Operation};
 
 /// Nothing here takes longer unless it hangs.
@@ -14,7 +15,14 @@
 pub fn fleet() -> &'static Fleet {
     static FLEET: OnceLock<Fleet> = OnceLock::new();
     FLEET.get_or_init(|| {
-        let fleet = Fleet::start(FleetPlan::default(), 7).expect("the fleet starts");
+        // The tests run side by side; none of them is about rates.
+        let plan = FleetPlan {
+            workspaces: ["lecturers", "payroll"]
+                .map(|name| WorkspacePlan::new(name, 20_000.0, 10_000))
+                .to_vec(),
+            ..FleetPlan::default()
+        };
+        let fleet = Fleet::start(plan, 7).expect("the fleet starts");
         fleet.wait_until_ready(HANG).expect("all hosts get ready");
         wait_until("a first answer from every host", HANG, || {
             let mut addrs = fleet.caller_addrs().into_iter();
