--- a/crates/host/src/duties/ticker.rs
+++ b/crates/host/src/duties/ticker.rs
@@ -8,11 +8,13 @@
 use super::membership_ticks::MembershipTicks;
 use crate::state::HostState;
 
-/// How often the thread looks what is due. Attempts are ticked as often, as
-/// requests wait for their repeated messages.
+/// The time between two ticks of the attempt records while an attempt is open.
 const ATTEMPT_INTERVAL: Duration = Duration::from_millis(10);
-/// The time between two ticks of the limiter.
-const LIMIT_INTERVAL: Duration = Duration::from_millis(20);
+/// The same while none is. Each wake-up costs, also if nothing is due.
+const IDLE_INTERVAL: Duration = Duration::from_millis(25);
+/// The time between two ticks of the limiter. A request that must wait for a
+/// loan does not wait for it.
+const LIMIT_INTERVAL: Duration = Duration::from_millis(25);
 /// The time between two ticks of the upstream instances.
 const HEALTH_INTERVAL: Duration = Duration::from_millis(50);
 /// The time between two ticks of the quarantine.
@@ -25,7 +27,7 @@
     let mut health = Cadence::new(HEALTH_INTERVAL, now);
     let mut quarantine = Cadence::new(QUARANTINE_INTERVAL, now);
     let mut membership = MembershipTicks::new(now);
-    while !state.stop.wait(ATTEMPT_INTERVAL) {
+    while !state.stop.wait(attempt_interval(state)) {
         let now = state.clock.now();
         state.attempts.with(&state.peers, AttemptRegistry::tick);
         if limits.is_due(now) {
@@ -66,6 +68,15 @@
     }
 }
 
+fn attempt_interval(state: &HostState) -> Duration {
+    let is_open = state.attempts.lock().registry.next_tick().is_some();
+    if is_open {
+        ATTEMPT_INTERVAL
+    } else {
+        IDLE_INTERVAL
+    }
+}
+
 fn tick_limits(state: &HostState) {
     let loans = state.limits.lock().tick();
     state.limits.notify();
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -82,6 +82,7 @@
     peer_addr: SocketAddr,
     _rpc: PeerServer,
     work_done: CancelToken,
+    queue: Arc<WorkQueue>,
     admitter: JoinHandle<()>,
     workers: Vec<JoinHandle<()>>,
     duties: Vec<JoinHandle<()>>,
@@ -145,8 +146,9 @@
         let (ring, exchanges) = sync_channel(EDGE_RING);
         let edge = CallerEdge::start(state.settings.edge.clone(), ring, clock, incarnation)?;
         let shared = state.clone();
+        let taken = queue.clone();
         let admitter = spawn("admitter", move || {
-            admitter::run(&shared, &exchanges, &queue);
+            admitter::run(&shared, &exchanges, &taken);
         })?;
         log::info!(
             "host: {} serves callers on {}, operators on {operator_addr}, peers on {}.",
@@ -161,6 +163,7 @@
             peer_addr: peers.addr,
             _rpc: rpc,
             work_done,
+            queue,
             admitter,
             workers,
             duties,
@@ -214,6 +217,7 @@
         self.edge.shut_down();
         join("admitter", self.admitter);
         self.work_done.cancel();
+        self.queue.wake_all();
         for worker in self.workers {
             join("worker", worker);
         }
--- a/crates/host/src/work_queue.rs
+++ b/crates/host/src/work_queue.rs
@@ -10,7 +10,7 @@
 use crate::pipeline::Job;
 
 /// How long a worker waits before it looks whether the host stops.
-const POP_TIMEOUT: Duration = Duration::from_millis(200);
+const POP_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Fair queues that workers wait at.
 pub(crate) struct WorkQueue {
@@ -41,16 +41,21 @@
         Ok(())
     }
 
-    /// Takes the next job, or nothing after a while.
+    /// Takes the next job, or nothing after a while or a wake-up.
     pub(crate) fn pop(&self) -> Option<Next<Job>> {
-        let queue = self.lock();
-        let (mut queue, _) = self
-            .arrived
-            .wait_timeout_while(queue, POP_TIMEOUT, |queue| queue.is_empty())
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut queue = self.lock();
+        if queue.is_empty() {
+            let waited = self.arrived.wait_timeout(queue, POP_TIMEOUT);
+            (queue, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        }
         queue.pop()
     }
 
+    /// Wakes all workers, so that they look whether the host stops.
+    pub(crate) fn wake_all(&self) {
+        self.arrived.notify_all();
+    }
+
     fn lock(&self) -> MutexGuard<'_, FairQueue<Job>> {
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/limits/src/limiter/holding.rs
+++ b/crates/limits/src/limiter/holding.rs
@@ -92,13 +92,17 @@
         if !is_settled && !self.opens_now(now) {
             return;
         }
-        for index in std::mem::take(&mut self.waiting) {
+        let taken = std::mem::take(&mut self.waiting);
+        // One line for all: a first start takes thousands over, with the
+        // limiter locked.
+        log::info!(
+            "limits: {} limits are held here, their former holders have stopped",
+            taken.len()
+        );
+        for index in taken {
             let state = self.table.get_mut(index);
             let limit = ShareLimit::of(state.limit, near, &self.settings);
-            log::info!(
-                "limits: {} is held here, former holder has stopped",
-                state.key
-            );
+            log::debug!("limits: {} is held here", state.key);
             state.role = Role::Holder(Box::new(Share::new(limit, now)));
         }
     }
