Raise the cap on datagrams above what requests need

Cause: each host dropped its datagrams above 3 KB a second, also those that requests wait for. The debug log of the demo shows "the cap on sent bytes is reached" right before shares, polls and verdicts were lost. The new test fails with the old cap and passes with the new one. Conclusion: 3 KB a second is a target of the design; the cap only ends a runaway.

--- a/crates/host/src/admin/views.rs
+++ b/crates/host/src/admin/views.rs
@@ -27,6 +27,7 @@
     attempt_memory_bytes: usize,
     vouches_for_attempts: bool,
     quarantined_requests: usize,
+    capped_peer_messages: u64,
 }
 
 /// A host of the fleet, as this host sees it.
@@ -99,6 +100,7 @@
         attempt_memory_bytes: attempts.memory_bytes,
         vouches_for_attempts: attempts.is_covered,
         quarantined_requests: state.crashes.lock().report().quarantined,
+        capped_peer_messages: state.peers.capped_messages(),
     }
 }
 
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -35,6 +35,12 @@
 
 /// Requests that may wait between the edge and the admitter.
 const EDGE_RING: usize = 1_024;
+/// The cap on datagrams to peers. Loans and attempts grow with the requests of
+/// callers, and each that is dropped costs a request its time, so the cap stands
+/// far above the traffic of a busy host and only ends a runaway.
+const MAX_BYTES_PER_S: u32 = 1_000_000;
+/// Bytes that may be sent to peers at once after a quiet time.
+const MAX_BURST_BYTES: u32 = 1_000_000;
 /// How often a free port is looked for that both transports can have.
 const FREE_PORT_TRIES: u32 = 16;
 /// Calls to the configuration service that may wait.
@@ -316,7 +322,11 @@
 ) -> io::Result<Peers> {
     let secret = settings.fleet_secret.clone();
     let id = settings.host_id.clone();
-    let datagrams = SocketSettings::new(id, incarnation, settings.peer_addr, secret);
+    let datagrams = SocketSettings {
+        bytes_per_s: MAX_BYTES_PER_S,
+        burst_bytes: MAX_BURST_BYTES,
+        ..SocketSettings::new(id, incarnation, settings.peer_addr, secret)
+    };
     let (socket, envelopes) = PeerSocket::open(&datagrams, clock.clone(), stop)?;
     let addr = socket.local_addr()?;
     let listener = TcpListener::bind(addr)?;
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use waxwingusher_core::{HostId, HostList};
-use waxwingusher_protocol::socket::PeerSocket;
+use waxwingusher_protocol::socket::{DropCause, PeerSocket, SendError};
 use waxwingusher_protocol::{Message, Outgoing};
 
 /// A shared way to all peers.
@@ -29,11 +29,20 @@
         self.socket.address_of(host)
     }
 
+    /// Returns how many messages the cap on sent bytes has dropped.
+    pub(crate) fn capped_messages(&self) -> u64 {
+        self.socket.counters().dropped(DropCause::RateCap)
+    }
+
     /// Sends all messages, wrapped for the wire.
     pub(crate) fn send_all<M>(&self, outgoing: Vec<Outgoing<M>>, wrap: fn(M) -> Message) {
         for Outgoing { to, message } in outgoing {
-            if let Err(e) = self.socket.send(&to, &wrap(message)) {
-                log::debug!("peers: A message to {to} was not sent: {e}.");
+            match self.socket.send(&to, &wrap(message)) {
+                Ok(()) => {}
+                Err(e @ SendError::RateCap) => {
+                    log::warn!("peers: A message to {to} was not sent: {e}.");
+                }
+                Err(e) => log::debug!("peers: A message to {to} was not sent: {e}."),
             }
         }
     }
--- a/tests/testsuite/operators.rs
+++ b/tests/testsuite/operators.rs
@@ -89,3 +89,24 @@
     let output = run(&["explain", "0-0"]);
     assert_eq!(output.status.code(), Some(1));
 }
+
+#[test]
+fn a_burst_of_submissions_drops_no_message_between_hosts() {
+    const SUBMISSIONS: usize = 1_800;
+    let addrs = fleet().caller_addrs();
+    std::thread::scope(|scope| {
+        for (index, addr) in addrs.iter().enumerate() {
+            scope.spawn(move || {
+                let caller = Caller::new();
+                for turn in 0..SUBMISSIONS / 6 {
+                    let id = format!("burst-{index}-{turn}");
+                    let operation = Operation::submission("/desk/echo", key(), &id);
+                    caller.send(*addr, &operation).expect("an answer");
+                }
+            });
+        }
+    });
+    let (_, host) = get("/v1/host", Some(OPERATOR_TOKEN));
+    let host: serde_json::Value = serde_json::from_str(&host).expect("JSON");
+    assert_eq!(host["capped-peer-messages"], 0, "{host}");
+}
