--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -47,6 +47,9 @@
     /// The configuration could not be published.
     #[error(transparent)]
     Publication(#[from] PublicationError),
+    /// A caller's connection failed.
+    #[error("a caller's connection failed: {0}")]
+    Caller(#[from] std::io::Error),
     /// Something did not happen in time.
     #[error("{what} took longer than {} s", limit.as_secs())]
     TooSlow {
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -2,7 +2,8 @@
 //! ones have been answered, sent in turn directly to an instance and through a
 //! host.
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::{Duration, Instant};
@@ -18,6 +19,8 @@
 const WARM_UP: Duration = Duration::from_secs(2);
 /// Callers that send at once; each has connections of its own.
 const CALLERS: u32 = 16;
+const HALF_A_REQUEST: &[u8] =
+    b"POST /desk/echo HTTP/1.1\r\nhost: slow\r\ncontent-length: 1000\r\n\r\nhalf";
 const SIGNIFICANT_DIGITS: u8 = 3;
 const HIGHEST_US: u64 = 60_000_000;
 
@@ -30,6 +33,8 @@
     pub duration: Duration,
     /// How long an instance works on a request.
     pub service_time: Duration,
+    /// Callers of the host that send half a body and then nothing.
+    pub slow_callers: usize,
 }
 
 /// The times of one way.
@@ -90,8 +95,10 @@
         ..*load
     };
     drop(send_both_ways(&warm_up, host, instance, &key));
+    let slow = open_slow_callers(host, load.slow_callers)?;
     let cpu_before = cpu_time();
     let ways = send_both_ways(load, host, instance, &key);
+    drop(slow);
     let cpu = cpu_time().saturating_sub(cpu_before);
     let pairs = f64::from(load.rate_per_s) * load.duration.as_secs_f64();
     Ok(LoadReport {
@@ -101,6 +108,17 @@
     })
 }
 
+/// Opens connections that send half a request.
+fn open_slow_callers(host: SocketAddr, count: usize) -> Result<Vec<TcpStream>, EmulatorError> {
+    let mut slow = Vec::with_capacity(count);
+    for _ in 0..count {
+        let mut stream = TcpStream::connect(host)?;
+        stream.write_all(HALF_A_REQUEST)?;
+        slow.push(stream);
+    }
+    Ok(slow)
+}
+
 struct Way {
     histogram: Histogram<u64>,
     failed: u64,
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -25,6 +25,9 @@
     /// how long an instance works on a request, in milliseconds (2)
     #[argh(option, default = "2")]
     service_ms: u64,
+    /// callers of the host that send half a body and then nothing (0)
+    #[argh(option, default = "0")]
+    slow_callers: usize,
     /// print the result as JSON
     #[argh(switch)]
     json: bool,
@@ -41,6 +44,7 @@
             rate_per_s: self.rate,
             duration: Duration::from_secs(self.seconds),
             service_time: Duration::from_millis(self.service_ms),
+            slow_callers: self.slow_callers,
         };
         let report = load::run(&plan, 1)?;
         let added_p99_us = report
