Hash a caller's key once, and drop what nothing calls

Cause: the last read of the change found that admission hashed each key twice, once to find the workspace and once to keep its digest; that a wrapper in the pipeline only sent a reply; and that two header names in the attempts package stood again in the edge's list, where they are used. Behaviour and tests are as they were.

--- a/crates/attempts/src/refusal.rs
+++ b/crates/attempts/src/refusal.rs
@@ -6,13 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The response header that carries the [`Outcome`] of a refusal.
-pub const OUTCOME_HEADER: &str = "x-waxwingusher-outcome";
-
-/// The response header by which an upstream states that it shed a request.
-pub const SHED_HEADER: &str = "x-waxwingusher-shed";
-
-/// The value of [`SHED_HEADER`] that states that the request was not run.
+/// The value of an upstream's shed header that states that the request was not run.
 pub const SHED_NOT_RUN: &str = "not-run";
 
 /// The status that a shed response must have.
--- a/crates/host/src/active.rs
+++ b/crates/host/src/active.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use waxwingusher_config::{Snapshot, Workspace};
+use waxwingusher_config::Snapshot;
 use waxwingusher_limits::KeyIndex;
 
 use crate::route_table::RouteTable;
@@ -23,9 +23,4 @@
             snapshot,
         }
     }
-
-    /// Returns the workspace of a key.
-    pub(crate) fn workspace_of(&self, key: &[u8]) -> Option<Arc<Workspace>> {
-        self.keys.lookup(key)
-    }
 }
--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -120,8 +120,10 @@
     forwarded: &mut HeaderMap,
 ) -> Result<(Party, PathAndQuery), RefusalReason> {
     let key = credentials::take_key(forwarded).map_err(refusal_of)?;
+    let digest = KeyDigest::of_key(key.as_bytes());
     let workspace = active
-        .workspace_of(key.as_bytes())
+        .keys
+        .lookup_digest(&digest)
         .ok_or(RefusalReason::Unauthorized)?;
     let is_allowed = route.workspaces.is_empty() || route.workspaces.contains(&workspace.name);
     if !is_allowed {
@@ -132,7 +134,7 @@
         workspace: workspace.name.clone(),
         weight: workspace.weight,
         limit: LimitKey::Workspace(workspace.name.clone()),
-        key: Some(KeyDigest::of_key(key.as_bytes())),
+        key: Some(digest),
     };
     Ok((party, target))
 }
--- a/crates/host/src/pipeline/mod.rs
+++ b/crates/host/src/pipeline/mod.rs
@@ -13,7 +13,7 @@
 use waxwingusher_attempts::refusal::{Refusal, RefusalReason};
 use waxwingusher_attempts::{AttemptRequest, AttemptResult, AttemptTicket, Permission};
 use waxwingusher_core::BodyDigest;
-use waxwingusher_edge::{Answer, CallerRequest, Exchange, Reply, UpstreamClient};
+use waxwingusher_edge::{CallerRequest, Exchange, Reply, UpstreamClient};
 use waxwingusher_protocol::attempt::StoredAnswer;
 
 use crate::admission::Admitted;
@@ -211,9 +211,4 @@
         self.finish_attempt(result);
         refuse(self.state, self.request, self.admitted, reply, refusal);
     }
-
-    /// Answers the caller.
-    pub(crate) fn answer(&self, reply: Reply, answer: Answer) {
-        reply.send(answer);
-    }
 }
--- a/crates/host/src/pipeline/relay.rs
+++ b/crates/host/src/pipeline/relay.rs
@@ -90,7 +90,7 @@
     if has_body {
         headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
-    flow.answer(reply, Answer::whole(status, headers, body));
+    reply.send(Answer::whole(status, headers, body));
 }
 
 fn stream(
