Keep a flood or a hanging service from occupying all workers

Cause: a worker waits as long as its request does, and the queue shares only the workers that become free. The queue's tests call finish() after each pop, which is new; their assertions are as they were. Three tests are new; two of them fail without the reserve and without the reserved places.

--- a/crates/bench/src/limits/mod.rs
+++ b/crates/bench/src/limits/mod.rs
@@ -4,6 +4,7 @@
 pub mod compare;
 pub mod cost;
 pub mod design_size;
+pub mod fair_queue;
 pub mod faults;
 pub mod fleet;
 pub mod load;
@@ -17,6 +18,7 @@
     let mut all: Vec<Box<dyn Scenario>> = Vec::new();
     all.extend(compare::scenarios());
     all.extend(faults::scenarios());
+    all.extend(fair_queue::scenarios());
     all.push(Box::new(design_size::DesignSize::SLICE));
     all.push(Box::new(cost::Cost));
     all
--- a/crates/host/src/duties/worker.rs
+++ b/crates/host/src/duties/worker.rs
@@ -20,7 +20,11 @@
     loop {
         match queue.pop() {
             // The pipeline refuses what has expired.
-            Some(Next::Run(job) | Next::Expired(job)) => pipeline::run(state, client, job),
+            Some(Next::Run(job) | Next::Expired(job)) => {
+                let class = job.class();
+                pipeline::run(state, client, job);
+                queue.finish(&class);
+            }
             None if stop.is_cancelled() => return,
             None => {}
         }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -146,6 +146,7 @@
         let queue = Arc::new(WorkQueue::new(
             clock.clone(),
             state.settings.queue_per_workspace,
+            state.settings.workers,
         ));
         let work_done = CancelToken::new();
         let workers = start_workers(&state, &queue, &work_done)?;
--- a/crates/host/src/pipeline/mod.rs
+++ b/crates/host/src/pipeline/mod.rs
@@ -14,6 +14,7 @@
 use waxwingusher_attempts::{AttemptRequest, AttemptResult, AttemptTicket, Permission};
 use waxwingusher_core::BodyDigest;
 use waxwingusher_edge::{CallerRequest, Exchange, Reply, UpstreamClient};
+use waxwingusher_limits::RequestClass;
 use waxwingusher_protocol::attempt::StoredAnswer;
 
 use crate::admission::Admitted;
@@ -30,6 +31,17 @@
     pub(crate) admitted: Admitted,
 }
 
+impl Job {
+    /// Returns what the work queue counts the request by.
+    pub(crate) fn class(&self) -> RequestClass {
+        RequestClass {
+            workspace: self.admitted.party.workspace.clone(),
+            service: self.admitted.route.service.clone(),
+            weight: self.admitted.party.weight,
+        }
+    }
+}
+
 /// A request on its way through the pipeline.
 pub(crate) struct Flow<'a> {
     pub(crate) state: &'a Arc<HostState>,
--- a/crates/host/src/work_queue.rs
+++ b/crates/host/src/work_queue.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use waxwingusher_core::Clock;
-use waxwingusher_limits::{FairQueue, FairQueueSettings, Next, QueueRefusal};
+use waxwingusher_limits::{FairQueue, FairQueueSettings, Next, QueueRefusal, RequestClass};
 
 use crate::pipeline::Job;
 
@@ -19,9 +19,10 @@
 }
 
 impl WorkQueue {
-    pub(crate) fn new(clock: Arc<dyn Clock>, per_workspace: usize) -> Self {
+    pub(crate) fn new(clock: Arc<dyn Clock>, per_workspace: usize, workers: usize) -> Self {
         let settings = FairQueueSettings {
             per_workspace,
+            workers,
             ..FairQueueSettings::default()
         };
         Self {
@@ -32,25 +33,35 @@
 
     /// Adds a job, or gives it back with the reason why it may not wait.
     pub(crate) fn push(&self, job: Job) -> Result<(), Box<RefusedJob>> {
-        let workspace = job.admitted.party.workspace.clone();
-        let weight = job.admitted.party.weight;
+        let class = job.class();
         let deadline = job.admitted.deadline;
-        let pushed = self.lock().push(&workspace, weight, deadline, job);
+        let pushed = self.lock().push(&class, deadline, job);
         pushed.map_err(|(job, reason)| Box::new(RefusedJob { job, reason }))?;
         self.arrived.notify_one();
         Ok(())
     }
 
-    /// Takes the next job, or nothing after a while or a wake-up.
+    /// Takes the next job that may run, or nothing after a while or a wake-up.
+    /// Call [`Self::finish`] with the job's class after it.
     pub(crate) fn pop(&self) -> Option<Next<Job>> {
         let mut queue = self.lock();
-        if queue.is_empty() {
-            let waited = self.arrived.wait_timeout(queue, POP_TIMEOUT);
-            (queue, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        if let Some(next) = queue.pop() {
+            return Some(next);
         }
+        let waited = self.arrived.wait_timeout(queue, POP_TIMEOUT);
+        (queue, _) = waited.unwrap_or_else(PoisonError::into_inner);
         queue.pop()
     }
 
+    /// Records that a job has left its worker. Another one may run now.
+    pub(crate) fn finish(&self, class: &RequestClass) {
+        let mut queue = self.lock();
+        queue.finish(class);
+        if !queue.is_empty() {
+            self.arrived.notify_one();
+        }
+    }
+
     /// Wakes all workers, so that they look whether the host stops.
     pub(crate) fn wake_all(&self) {
         self.arrived.notify_all();
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -24,5 +24,5 @@
 pub use keys::KeyIndex;
 pub use limit_key::LimitKey;
 pub use limiter::Limiter;
-pub use queue::{FairQueue, FairQueueSettings, Next, QueueRefusal};
+pub use queue::{FairQueue, FairQueueSettings, Next, QueueRefusal, RequestClass};
 pub use settings::LimiterSettings;
--- a/crates/limits/src/queue.rs
+++ b/crates/limits/src/queue/mod.rs
@@ -2,13 +2,20 @@
 //!
 //! Each workspace has a bounded queue; weighted deficit round robin chooses
 //! which queue is served next. A request that cannot meet its deadline is
-//! refused when it arrives, before it has cost anything.
+//! refused when it arrives, before it has cost anything. The last free workers
+//! are left to workspaces and services that occupy less than their shares.
+
+mod lane;
+mod occupancy;
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use waxwingusher_core::{Clock, WorkspaceName};
+use waxwingusher_core::{Clock, ServiceName, WorkspaceName};
+
+use lane::{Entry, Lane};
+use occupancy::Occupancy;
 
 /// The deficit that a queue of weight one gains in a round, in cost units.
 const QUANTUM: u64 = 1000;
@@ -25,6 +32,8 @@
 pub struct FairQueueSettings {
     /// The most requests of one workspace that wait.
     pub per_workspace: usize,
+    /// The requests that can run at the same time.
+    pub workers: usize,
     /// The expected time between two requests that leave the queue, until it
     /// has been observed.
     pub service_interval: Duration,
@@ -34,6 +43,7 @@
     fn default() -> Self {
         Self {
             per_workspace: 64,
+            workers: 128,
             service_interval: Duration::from_millis(3),
         }
     }
@@ -50,6 +60,17 @@
     TooLate,
 }
 
+/// What a request is counted by.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestClass {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// The service that works on the request.
+    pub service: ServiceName,
+    /// The workspace's share relative to others.
+    pub weight: u32,
+}
+
 /// A request that has left the queue.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Next<T> {
@@ -59,31 +80,17 @@
     Expired(T),
 }
 
-#[derive(Debug)]
-struct Entry<T> {
-    item: T,
-    deadline: Instant,
-}
-
-#[derive(Debug)]
-struct Lane<T> {
-    entries: VecDeque<Entry<T>>,
-    weight: u64,
-    deficit: u64,
-    has_turn: bool,
-    interval_s: f64,
-    last_served: Instant,
-}
-
 /// Bounded queues of all workspaces, served by weighted deficit round robin.
 pub struct FairQueue<T> {
     clock: Arc<dyn Clock>,
     settings: FairQueueSettings,
     lanes: HashMap<WorkspaceName, Lane<T>>,
+    occupancy: Occupancy,
     round: VecDeque<WorkspaceName>,
     waiting_weight: u64,
     interval_s: f64,
     last_served: Option<Instant>,
+    has_idle_worker: bool,
 }
 
 impl<T> FairQueue<T> {
@@ -91,12 +98,14 @@
     #[must_use]
     pub fn new(clock: Arc<dyn Clock>, settings: FairQueueSettings) -> Self {
         Self {
+            occupancy: Occupancy::new(settings.workers, clock.now()),
             clock,
             lanes: HashMap::new(),
             round: VecDeque::new(),
             waiting_weight: 0,
             interval_s: settings.service_interval.as_secs_f64(),
             last_served: None,
+            has_idle_worker: false,
             settings,
         }
     }
@@ -109,45 +118,54 @@
     /// the request is expected to wait beyond its deadline.
     pub fn push(
         &mut self,
-        workspace: &WorkspaceName,
-        weight: u32,
+        class: &RequestClass,
         deadline: Instant,
         item: T,
     ) -> Result<(), (T, QueueRefusal)> {
-        let weight = u64::from(weight.max(1));
-        let ahead = self
-            .lanes
-            .get(workspace)
-            .map_or(0, |lane| lane.entries.len());
-        if ahead >= self.settings.per_workspace {
+        let weight = u64::from(class.weight.max(1));
+        let most = self.settings.per_workspace;
+        let lane = self.lanes.get(&class.workspace);
+        let has_place = lane.is_none_or(|lane| lane.has_place(&class.service, most));
+        let waits_for_none = lane.is_none_or(|lane| lane.waiting_for(&class.service) == 0);
+        let starts_now = self.starts_now(class);
+        let may_wait = has_place || (starts_now && waits_for_none);
+        if !may_wait {
             return Err((item, QueueRefusal::Full));
         }
         let now = self.clock.now();
-        if now + self.expected_wait(workspace, ahead, weight) > deadline {
+        if !starts_now && now + self.expected_wait(class, weight) > deadline {
             return Err((item, QueueRefusal::TooLate));
         }
-        let lane = self.lanes.entry(workspace.clone()).or_insert_with(|| {
-            self.round.push_back(workspace.clone());
-            self.waiting_weight += weight;
-            Lane {
-                entries: VecDeque::new(),
-                weight,
-                deficit: 0,
-                has_turn: false,
-                interval_s: 0.0,
-                last_served: now,
-            }
-        });
-        lane.entries.push_back(Entry { item, deadline });
+        let lane = self
+            .lanes
+            .entry(class.workspace.clone())
+            .or_insert_with(|| {
+                self.round.push_back(class.workspace.clone());
+                self.waiting_weight += weight;
+                Lane::new(weight)
+            });
+        lane.push(&class.service, Entry { item, deadline }, now);
+        self.occupancy.enqueue(class, now);
         Ok(())
     }
 
-    /// Takes the next request, if any waits. Call it when a request can run.
+    /// Takes the next request that may run, if any. Call it when a worker is
+    /// free, and [`Self::finish`] when the worker is free again.
     pub fn pop(&mut self) -> Option<Next<T>> {
         let now = self.clock.now();
-        loop {
+        let entitlement = self.occupancy.entitlement();
+        let mut held_back = 0;
+        while held_back < self.round.len() {
             let workspace = self.round.front()?.clone();
             let lane = self.lanes.get_mut(&workspace)?;
+            let may_start = |service: &ServiceName| entitlement.may_start(&workspace, service);
+            let Some(position) = lane.next_service(now, may_start) else {
+                lane.has_turn = false;
+                lane.deficit = 0;
+                self.round.rotate_left(1);
+                held_back += 1;
+                continue;
+            };
             if !lane.has_turn {
                 lane.has_turn = true;
                 lane.deficit += lane.weight * QUANTUM;
@@ -157,22 +175,30 @@
                 self.round.rotate_left(1);
                 continue;
             }
-            return self.take(&workspace, now);
+            self.has_idle_worker = false;
+            return self.take(&workspace, position, now);
         }
+        self.has_idle_worker = true;
+        self.last_served = None;
+        None
+    }
+
+    /// Records that a request which was taken has left its worker, whether it
+    /// ran or had expired.
+    pub fn finish(&mut self, class: &RequestClass) {
+        self.occupancy.finish(&class.workspace, &class.service);
     }
 
     /// Removes the requests that a predicate selects, such as those of callers
     /// that have hung up.
     pub fn remove_if(&mut self, mut is_gone: impl FnMut(&T) -> bool) {
         for lane in self.lanes.values_mut() {
-            lane.entries.retain(|entry| !is_gone(&entry.item));
+            lane.remove_if(&mut is_gone);
         }
         let lanes = &mut self.lanes;
         let waiting_weight = &mut self.waiting_weight;
         self.round.retain(|workspace| {
-            let empty = lanes
-                .get(workspace)
-                .is_none_or(|lane| lane.entries.is_empty());
+            let empty = lanes.get(workspace).is_none_or(|lane| lane.len() == 0);
             if let Some(lane) = lanes.get(workspace).filter(|_| empty) {
                 *waiting_weight -= lane.weight;
                 lanes.remove(workspace);
@@ -184,7 +210,7 @@
     /// Returns the number of waiting requests.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.lanes.values().map(|lane| lane.entries.len()).sum()
+        self.lanes.values().map(Lane::len).sum()
     }
 
     /// Reports whether no request waits.
@@ -193,40 +219,48 @@
         self.round.is_empty()
     }
 
-    /// Returns how long a request is expected to wait behind `ahead` requests
-    /// of its own workspace: as long as these lately took, and at least as long
-    /// as they take while all waiting workspaces get their shares.
-    fn expected_wait(&self, workspace: &WorkspaceName, ahead: usize, weight: u64) -> Duration {
-        if self.is_empty() {
-            return Duration::ZERO;
-        }
-        let lane = self.lanes.get(workspace);
+    /// Reports whether a worker waits that may take a request at once.
+    fn starts_now(&self, class: &RequestClass) -> bool {
+        let may_start = || {
+            let entitlement = self.occupancy.entitlement();
+            entitlement.may_start(&class.workspace, &class.service)
+        };
+        self.is_empty() || (self.has_idle_worker && may_start())
+    }
+
+    /// Returns how long a request is expected to wait: as long as those of its
+    /// workspace to its service lately took, and at least as long as these take
+    /// while all waiting workspaces get their shares.
+    fn expected_wait(&self, class: &RequestClass, weight: u64) -> Duration {
+        let lane = self.lanes.get(&class.workspace);
         let own = lane.map_or(0, |lane| lane.weight);
+        let ahead = lane.map_or(0, |lane| lane.turns_before(&class.service));
         let round = self.waiting_weight - own + weight;
         let turns = ahead as f64 / weight as f64 + 1.0;
         let by_share = self.interval_s * turns * round as f64;
-        let observed = lane.map_or(0.0, |lane| lane.interval_s) * (ahead + 1) as f64;
+        let observed = lane.map_or(0.0, |lane| lane.observed_wait_s(&class.service));
         Duration::from_secs_f64(by_share.max(observed) * WAIT_MARGIN)
     }
 
-    /// Takes the first request of the workspace whose turn it is.
-    fn take(&mut self, workspace: &WorkspaceName, now: Instant) -> Option<Next<T>> {
+    /// Takes a request of the workspace whose turn it is.
+    fn take(
+        &mut self,
+        workspace: &WorkspaceName,
+        position: usize,
+        now: Instant,
+    ) -> Option<Next<T>> {
         let lane = self.lanes.get_mut(workspace)?;
-        let entry = lane.entries.pop_front()?;
+        let (service, entry) = lane.take(position, now)?;
         let expired = now > entry.deadline;
         if !expired {
             lane.deficit -= REQUEST_COST;
-            let interval = now
-                .saturating_duration_since(lane.last_served)
-                .as_secs_f64();
-            lane.interval_s += (interval - lane.interval_s) * SMOOTHING;
-            lane.last_served = now;
         }
-        if lane.entries.is_empty() {
+        if lane.len() == 0 {
             self.waiting_weight -= lane.weight;
             self.lanes.remove(workspace);
             self.round.pop_front();
         }
+        self.occupancy.start(workspace, &service);
         if expired {
             return Some(Next::Expired(entry.item));
         }
--- /dev/null
+++ b/crates/limits/src/queue/occupancy.rs
@@ -0,0 +1,215 @@
+//! Counts which workspaces and services keep the workers busy.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::{ServiceName, WorkspaceName};
+
+use super::RequestClass;
+
+/// The part of the workers that is kept for those below their share.
+const RESERVE_DIVISOR: usize = 4;
+/// How long a workspace or service without requests counts for the shares of
+/// the others. Its next request finds a worker.
+const MEMORY: Duration = Duration::from_secs(60);
+/// The time between two searches for what has not been used for long.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The requests of one workspace to one service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Class {
+    workspace: WorkspaceName,
+    service: ServiceName,
+}
+
+/// The workers that run requests, and whose.
+///
+/// While more than a quarter of the workers is free, anybody may take one. The
+/// last quarter is left to requests whose workspace and whose service occupy
+/// less than their fair shares of the workers, among all that were seen within
+/// a minute. What a workspace occupies at one service counts there up to its
+/// fair share only, so that neither is blamed for the other's excess.
+#[derive(Debug)]
+pub(super) struct Occupancy {
+    workers: u64,
+    running: u64,
+    by_class: HashMap<Class, u64>,
+    workspaces: Presence<WorkspaceName>,
+    services: Presence<ServiceName>,
+    next_sweep: Instant,
+}
+
+impl Occupancy {
+    pub(super) fn new(workers: usize, now: Instant) -> Self {
+        Self {
+            workers: workers as u64,
+            running: 0,
+            by_class: HashMap::new(),
+            workspaces: Presence::default(),
+            services: Presence::default(),
+            next_sweep: now + SWEEP_INTERVAL,
+        }
+    }
+
+    /// Records a request that waits.
+    pub(super) fn enqueue(&mut self, class: &RequestClass, now: Instant) {
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP_INTERVAL;
+            self.forget_unused(now);
+        }
+        let weight = u64::from(class.weight.max(1));
+        self.workspaces.note(&class.workspace, weight, now);
+        self.services.note(&class.service, 1, now);
+    }
+
+    /// Records that a request has a worker.
+    pub(super) fn start(&mut self, workspace: &WorkspaceName, service: &ServiceName) {
+        let class = Class {
+            workspace: workspace.clone(),
+            service: service.clone(),
+        };
+        self.running += 1;
+        *self.by_class.entry(class).or_default() += 1;
+    }
+
+    /// Records that a request has left its worker.
+    pub(super) fn finish(&mut self, workspace: &WorkspaceName, service: &ServiceName) {
+        let class = Class {
+            workspace: workspace.clone(),
+            service: service.clone(),
+        };
+        let Some(count) = self.by_class.get_mut(&class) else {
+            return;
+        };
+        self.running -= 1;
+        *count -= 1;
+        if *count == 0 {
+            self.by_class.remove(&class);
+        }
+    }
+
+    /// Forgets what has neither come nor run lately.
+    fn forget_unused(&mut self, now: Instant) {
+        for class in self.by_class.keys() {
+            self.workspaces.touch(&class.workspace, now);
+            self.services.touch(&class.service, now);
+        }
+        self.workspaces.forget_unused(now);
+        self.services.forget_unused(now);
+    }
+
+    /// Returns who may take a worker now.
+    pub(super) fn entitlement(&self) -> Entitlement<'_> {
+        let mut entitlement = Entitlement {
+            occupancy: self,
+            is_reserve: self.workers.saturating_sub(self.running)
+                <= self.workers / RESERVE_DIVISOR as u64,
+            by_workspace: HashMap::new(),
+            by_service: HashMap::new(),
+        };
+        if !entitlement.is_reserve {
+            return entitlement;
+        }
+        for (class, running) in &self.by_class {
+            let counted = (*running).min(self.class_share(&class.workspace));
+            *entitlement
+                .by_workspace
+                .entry(&class.workspace)
+                .or_default() += counted;
+            *entitlement.by_service.entry(&class.service).or_default() += counted;
+        }
+        entitlement
+    }
+
+    /// Returns a workspace's fair share of the workers at one service.
+    fn class_share(&self, workspace: &WorkspaceName) -> u64 {
+        let weight = self.workspaces.weight_of(workspace);
+        let classes = self.workspaces.weight * self.services.weight;
+        (self.workers * weight / classes.max(1)).max(1)
+    }
+}
+
+/// Who may take a worker, as of one instant.
+pub(super) struct Entitlement<'a> {
+    occupancy: &'a Occupancy,
+    is_reserve: bool,
+    by_workspace: HashMap<&'a WorkspaceName, u64>,
+    by_service: HashMap<&'a ServiceName, u64>,
+}
+
+impl Entitlement<'_> {
+    /// Reports whether a free worker may take a request.
+    pub(super) fn may_start(&self, workspace: &WorkspaceName, service: &ServiceName) -> bool {
+        if !self.is_reserve {
+            return true;
+        }
+        let class = Class {
+            workspace: workspace.clone(),
+            service: service.clone(),
+        };
+        let occupancy = self.occupancy;
+        let running = occupancy.by_class.get(&class).copied().unwrap_or(0);
+        let by_workspace = self.by_workspace.get(workspace).copied().unwrap_or(0);
+        let by_service = self.by_service.get(service).copied().unwrap_or(0);
+        let workers = occupancy.workers;
+        running < occupancy.class_share(workspace)
+            && occupancy
+                .workspaces
+                .is_below_share(workspace, by_workspace, workers)
+            && occupancy
+                .services
+                .is_below_share(service, by_service, workers)
+    }
+}
+
+/// When something was last seen, and its share relative to others.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    weight: u64,
+    at: Instant,
+}
+
+/// All workspaces, or all services, that were seen lately.
+#[derive(Debug)]
+struct Presence<K> {
+    by_key: HashMap<K, Seen>,
+    weight: u64,
+}
+
+impl<K> Default for Presence<K> {
+    fn default() -> Self {
+        Self {
+            by_key: HashMap::new(),
+            weight: 0,
+        }
+    }
+}
+
+impl<K: Clone + Eq + Hash> Presence<K> {
+    fn note(&mut self, key: &K, weight: u64, now: Instant) {
+        let seen = Seen { weight, at: now };
+        let former = self.by_key.insert(key.clone(), seen);
+        self.weight -= former.map_or(0, |former| former.weight);
+        self.weight += weight;
+    }
+
+    fn touch(&mut self, key: &K, now: Instant) {
+        if let Some(seen) = self.by_key.get_mut(key) {
+            seen.at = now;
+        }
+    }
+
+    fn weight_of(&self, key: &K) -> u64 {
+        self.by_key.get(key).map_or(1, |seen| seen.weight)
+    }
+
+    fn forget_unused(&mut self, now: Instant) {
+        self.by_key.retain(|_, seen| now < seen.at + MEMORY);
+        self.weight = self.by_key.values().map(|seen| seen.weight).sum();
+    }
+
+    fn is_below_share(&self, key: &K, occupied: u64, workers: u64) -> bool {
+        occupied * self.weight < workers * self.weight_of(key)
+    }
+}
--- a/crates/limits/tests/testsuite/queue.rs
+++ b/crates/limits/tests/testsuite/queue.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
-use waxwingusher_core::{Clock, ManualClock, WorkspaceName};
-use waxwingusher_limits::{FairQueue, FairQueueSettings, Next, QueueRefusal};
+use waxwingusher_core::{Clock, ManualClock, ServiceName, WorkspaceName};
+use waxwingusher_limits::{FairQueue, FairQueueSettings, Next, QueueRefusal, RequestClass};
 
 /// The time that the host takes for one request.
 const SERVICE: Duration = Duration::from_millis(5);
@@ -23,6 +23,14 @@
     FairQueue::new(Arc::new(clock.clone()), settings)
 }
 
+fn class(workspace: &str, service: &str, weight: u32) -> RequestClass {
+    RequestClass {
+        workspace: WorkspaceName::new(workspace),
+        service: ServiceName::new(service),
+        weight,
+    }
+}
+
 #[derive(Debug, Default, Clone, PartialEq)]
 struct Served {
     count: u64,
@@ -44,14 +52,18 @@
                 *due -= 1.0;
                 let deadline = clock.now() + PATIENCE;
                 let item = (*name, clock.elapsed());
-                let pushed = queue.push(&WorkspaceName::new(name), *weight, deadline, item);
+                let pushed = queue.push(&class(name, "desk", *weight), deadline, item);
                 served.entry(*name).or_default().refused += u64::from(pushed.is_err());
             }
         }
         while let Some(next) = queue.pop() {
             let (name, since) = match next {
-                Next::Run(item) => item,
+                Next::Run(item) => {
+                    queue.finish(&class(item.0, "desk", 1));
+                    item
+                }
                 Next::Expired((name, _)) => {
+                    queue.finish(&class(name, "desk", 1));
                     served.entry(name).or_default().expired += 1;
                     continue;
                 }
@@ -94,13 +106,13 @@
 fn what_cannot_meet_its_deadline_is_refused_at_once() {
     let clock = ManualClock::new();
     let mut queue = queue(&clock);
-    let name = WorkspaceName::new("a");
+    let class = class("a", "desk", 1);
     let soon = clock.now() + SERVICE * 7 / 2;
     for _ in 0..3 {
-        assert_matches!(queue.push(&name, 1, soon, ("a", SERVICE)), Ok(()));
+        assert_matches!(queue.push(&class, soon, ("a", SERVICE)), Ok(()));
     }
     assert_matches!(
-        queue.push(&name, 1, soon, ("a", SERVICE)),
+        queue.push(&class, soon, ("a", SERVICE)),
         Err((_, QueueRefusal::TooLate))
     );
     clock.advance(SERVICE * 4);
@@ -114,11 +126,81 @@
 fn a_queue_is_bounded() {
     let clock = ManualClock::new();
     let mut queue = queue(&clock);
-    let name = WorkspaceName::new("a");
+    let class = class("a", "desk", 1);
     let late = clock.now() + Duration::from_secs(60);
     for _ in 0..FairQueueSettings::default().per_workspace {
-        assert_matches!(queue.push(&name, 1, late, ("a", SERVICE)), Ok(()));
+        assert_matches!(queue.push(&class, late, ("a", SERVICE)), Ok(()));
     }
-    let refused = queue.push(&name, 1, late, ("a", SERVICE));
+    let refused = queue.push(&class, late, ("a", SERVICE));
     assert_matches!(refused, Err((_, QueueRefusal::Full)));
 }
+
+/// Pushes requests of one class until one is refused, and starts all it can.
+fn occupy(queue: &mut Queue, class: &RequestClass, deadline: Instant) -> usize {
+    while queue.push(class, deadline, ("busy", SERVICE)).is_ok() {}
+    let mut started = 0;
+    while let Some(Next::Run(_)) = queue.pop() {
+        started += 1;
+        let _ = queue.push(class, deadline, ("busy", SERVICE));
+    }
+    started
+}
+
+#[test]
+fn neither_a_workspace_nor_a_service_occupies_all_workers() {
+    let clock = ManualClock::new();
+    let mut queue = queue(&clock);
+    let workers = FairQueueSettings::default().workers;
+    let late = clock.now() + Duration::from_secs(600);
+    let others = [class("a", "other", 1), class("b", "hanging", 1)];
+    // Both are present, so that nobody's share is all of the workers.
+    for other in &others {
+        assert_matches!(queue.push(other, late, ("present", SERVICE)), Ok(()));
+        assert_matches!(queue.pop(), Some(Next::Run(_)));
+    }
+    let started = occupy(&mut queue, &class("a", "hanging", 1), late);
+    assert_eq!(started, workers * 3 / 4 - others.len());
+
+    let unaffected = class("b", "other", 1);
+    for _ in 0..workers / 4 {
+        assert_matches!(queue.push(&unaffected, late, ("free", SERVICE)), Ok(()));
+        assert_matches!(queue.pop(), Some(Next::Run(("free", _))));
+    }
+    assert_matches!(queue.pop(), None);
+    queue.finish(&unaffected);
+    assert_matches!(queue.pop(), None, "the last quarter is kept");
+}
+
+#[test]
+fn a_hanging_service_leaves_its_workspace_places_in_the_queue() {
+    let clock = ManualClock::new();
+    let mut queue = queue(&clock);
+    let late = clock.now() + Duration::from_secs(600);
+    let other = class("a", "other", 1);
+    let hanging = class("a", "hanging", 1);
+    assert_matches!(queue.push(&other, late, ("first", SERVICE)), Ok(()));
+    while queue.push(&hanging, late, ("busy", SERVICE)).is_ok() {}
+    let most = FairQueueSettings::default().per_workspace;
+    assert_eq!(queue.len(), most * 3 / 4);
+    assert_matches!(queue.push(&other, late, ("second", SERVICE)), Ok(()));
+}
+
+#[test]
+fn what_can_start_at_once_is_not_refused_because_others_wait() {
+    let clock = ManualClock::new();
+    let mut queue = queue(&clock);
+    let late = clock.now() + Duration::from_secs(600);
+    let other = class("a", "other", 1);
+    assert_matches!(queue.push(&other, late, ("seen", SERVICE)), Ok(()));
+    assert_matches!(queue.pop(), Some(Next::Run(_)));
+    queue.finish(&other);
+    occupy(&mut queue, &class("a", "hanging", 1), late);
+    for _ in 0..100 {
+        clock.advance(Duration::from_secs(1));
+        let soon = clock.now() + Duration::from_millis(1);
+        assert_matches!(queue.push(&other, soon, ("soon", SERVICE)), Ok(()));
+        assert_matches!(queue.pop(), Some(Next::Run(("soon", _))));
+        assert_matches!(queue.pop(), None);
+        queue.finish(&other);
+    }
+}
