--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -383,11 +383,12 @@
 }
 
 fn workspace_table(workspace: &WorkspacePlan) -> String {
-    let digests = if workspace.key.is_empty() {
-        String::new()
-    } else {
-        format!("\"{}\"", KeyDigest::of_key(workspace.key.as_bytes()))
-    };
+    let keys = std::iter::once(&workspace.key).chain(&workspace.other_keys);
+    let digests: Vec<String> = keys
+        .filter(|key| !key.is_empty())
+        .map(|key| format!("\"{}\"", KeyDigest::of_key(key.as_bytes())))
+        .collect();
+    let digests = digests.join(", ");
     format!(
         "\n[workspace.{}]\nkey-digests = [{digests}]\nrate-per-s = {}\nburst = {}\n",
         workspace.name, workspace.rate_per_s, workspace.burst
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -38,6 +38,8 @@
     pub name: String,
     /// The caller's key.
     pub key: String,
+    /// Further keys that are valid as well.
+    pub other_keys: Vec<String>,
     /// Requests a second.
     pub rate_per_s: f64,
     /// Requests at once.
@@ -51,6 +53,7 @@
         Self {
             name: name.to_owned(),
             key: format!("emulated-key-of-{name}"),
+            other_keys: Vec::new(),
             rate_per_s,
             burst,
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod commands;
 mod crashes;
 mod fleet;
+mod keys;
 mod opening;
 mod operators;
 mod processes;
