Keep the floor when hosts out of reach have seen a drain

The hosts that apply it send it nothing and never see the drain.

Mended: hosts that may not vote answer a grant as well, without a ballot, with what they know to be unavailable. A released or returned instance counts until every listed host has told since, for at most the memory of a drain. While a listed host is silent, a tighter floor ends all ejections, at the judge and at each host, and no instance makes room for a worse one. A judge no longer takes over its own released rows, which it would have done for ever.

Ruled out: to leave a drained instance a last resort at a host that is cut off (it gets no new work within 5 s), and to eject nothing while a listed host is silent (one dead host would end detection).

The ignored test runs now. The tests of the ejection book pass the surroundings as one value; what they assert is unchanged.

--- a/crates/protocol/src/health.rs
+++ b/crates/protocol/src/health.rs
@@ -197,17 +197,22 @@
     /// Instances that the judge or its voters know to take no work for other
     /// reasons. They count against the floor at the receiver as well.
     pub unavailable: Vec<InstanceKey>,
+    /// Whether every listed host has told the judge so lately what it knows to
+    /// be unavailable that nothing else closes before the ejections end. If
+    /// not, the receiver applies all ejections or none.
+    pub all_heard: bool,
 }
 
-/// A host's vote, which binds it to one judge for a term.
+/// A host's answer to a judge. A vote binds it to one judge for a term.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Vote {
     /// The service.
     pub service: ServiceKey,
     /// The judge's round that is answered.
     pub round: u64,
-    /// The number of this vote.
-    pub ballot: u64,
+    /// The number of this vote, or nothing from a host that may not vote for
+    /// this judge now.
+    pub ballot: Option<u64>,
     /// Instances that take no work for other reasons than ejection.
     pub unavailable: Vec<InstanceKey>,
 }
--- a/crates/upstreams/src/context.rs
+++ b/crates/upstreams/src/context.rs
@@ -32,8 +32,9 @@
     pub rank: JudgeRank,
     /// Whether the host's own vote may go to itself.
     pub may_vote_for_self: bool,
-    /// The ejections that the host applies as a voter, and their end.
-    pub applied: (&'a [EjectionRow], Instant),
+    /// The ejections that another judge has granted to this host, and their
+    /// end.
+    pub inheritable: (&'a [EjectionRow], Instant),
     /// The settings.
     pub settings: &'a UpstreamSettings,
     /// The requests a second that each instance gets, if all hosts send as
--- a/crates/upstreams/src/ejection.rs
+++ b/crates/upstreams/src/ejection.rs
@@ -1,6 +1,6 @@
 //! The ejections that a judge has made on one pool, within the floor.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use log::info;
@@ -8,6 +8,7 @@
 use waxwingusher_protocol::health::{EjectionPhase, EjectionRow, Evidence, InstanceKey};
 
 use crate::capacity::PoolCapacity;
+use crate::floor::CapacityFloor;
 use crate::score::Score;
 use crate::settings::{EJECTION_TERM, UpstreamSettings};
 
@@ -27,6 +28,25 @@
     pub settled: Vec<InstanceKey>,
 }
 
+/// What a judge goes by as it updates its ejections.
+#[derive(Debug, Clone, Copy)]
+pub struct Surroundings<'a> {
+    /// The time.
+    pub now: Instant,
+    /// The settings.
+    pub settings: &'a UpstreamSettings,
+    /// The pool's slots, and what is out of use in the judge's own view.
+    pub capacity: &'a PoolCapacity,
+    /// What other hosts know to be out of use.
+    pub lost: &'a [InstanceKey],
+    /// The time since which every listed host has told what it knows to be
+    /// out of use, if every one has.
+    pub heard_since: Option<Instant>,
+    /// Whether that is so recent that nothing else closes before the next
+    /// ejections end.
+    pub all_heard: bool,
+}
+
 #[derive(Debug, Clone)]
 struct Ejection {
     row: EjectionRow,
@@ -107,8 +127,8 @@
                 phase_since: now,
                 trial_ok: 0,
                 trial_failed: 0,
-                granted_at: None,
-                released_until: None,
+                granted_at: Some(now),
+                released_until: (!row.phase.is_out()).then_some(now),
             });
         }
         !rows.is_empty()
@@ -116,58 +136,77 @@
 
     /// Moves ejections through their phases, gives up those that the floor no
     /// longer allows, and adds `wanted` ones as far as it allows them.
-    pub fn update(
-        &mut self,
-        now: Instant,
-        settings: &UpstreamSettings,
-        capacity: &PoolCapacity,
-        lost: &[InstanceKey],
-        wanted: &[Score],
-    ) -> EjectionChanges {
+    pub fn update(&mut self, around: &Surroundings<'_>, wanted: &[Score]) -> EjectionChanges {
         let mut changes = EjectionChanges::default();
-        self.advance_phases(now, settings, &mut changes);
-        let mut floor = capacity.floor_without(lost.iter().copied());
-        let unavailable: BTreeSet<_> = capacity.unavailable.iter().chain(lost).copied().collect();
-        let mut fits = true;
-        for mut ejection in std::mem::take(&mut self.rows) {
+        self.advance_phases(around, &mut changes);
+        let mut floor = around.capacity.floor_without(around.lost.iter().copied());
+        let kept = self.kept_within(&mut floor, around);
+        let fits = kept == self.rows.len();
+        if !fits {
+            changes.any |= self.release_from(if around.all_heard { kept } else { 0 });
+        }
+        for score in wanted {
+            if around.is_unavailable(score.instance) || !fits {
+                continue;
+            }
+            if floor.try_eject(around.capacity.slots_of(score.instance)) {
+                self.eject(around.now, score);
+                changes.any = true;
+                continue;
+            }
+            changes.any |= around.all_heard && self.make_room_for(score);
+            break;
+        }
+        changes
+    }
+
+    /// Takes the rows out of `floor` in their order, and returns the number of
+    /// those before the first that does not fit. A released one that does not
+    /// fit matters only while some host's drains are unknown.
+    fn kept_within(&self, floor: &mut CapacityFloor, around: &Surroundings<'_>) -> usize {
+        let mut kept = None;
+        for (index, ejection) in self.rows.iter().enumerate() {
             let instance = ejection.row.instance;
-            let slots = capacity.slots_of(instance);
+            let slots = around.capacity.slots_of(instance);
             if !ejection.row.phase.is_out() {
-                if !unavailable.contains(&instance) {
-                    floor.lose(slots);
+                if around.is_unavailable(instance) || floor.try_eject(slots) {
+                    continue;
+                }
+                floor.lose(slots);
+                if !around.all_heard {
+                    kept = kept.or(Some(index));
                 }
-                self.rows.push(ejection);
                 continue;
             }
-            fits &= capacity.slots.contains_key(&instance);
-            fits &= unavailable.contains(&instance) || floor.try_eject(slots);
-            if fits {
+            let known = around.capacity.slots.contains_key(&instance);
+            let fits = known && (around.is_unavailable(instance) || floor.try_eject(slots));
+            if !fits {
+                kept = kept.or(Some(index));
+            }
+        }
+        kept.unwrap_or(self.rows.len())
+    }
+
+    /// Returns all ejected instances from the row `first` on to work, and
+    /// reports whether there was one.
+    fn release_from(&mut self, first: usize) -> bool {
+        let mut any = false;
+        for (index, mut ejection) in std::mem::take(&mut self.rows).into_iter().enumerate() {
+            if index < first || !ejection.row.phase.is_out() {
                 self.rows.push(ejection);
                 continue;
             }
-            changes.any = true;
+            any = true;
             info!(
-                "health: service {} keeps {instance:?} for the floor",
-                self.service
+                "health: service {} keeps {:?} for the floor",
+                self.service, ejection.row.instance
             );
             if ejection.granted_at.is_some() {
                 release(&mut ejection);
                 self.rows.push(ejection);
             }
         }
-        for score in wanted {
-            if unavailable.contains(&score.instance) || !fits {
-                continue;
-            }
-            if floor.try_eject(capacity.slots_of(score.instance)) {
-                self.eject(now, score);
-                changes.any = true;
-                continue;
-            }
-            changes.any |= self.make_room_for(score);
-            break;
-        }
-        changes
+        any
     }
 
     /// Returns the rows to grant, and notes that they leave now.
@@ -231,14 +270,10 @@
         true
     }
 
-    fn advance_phases(
-        &mut self,
-        now: Instant,
-        settings: &UpstreamSettings,
-        changes: &mut EjectionChanges,
-    ) {
+    fn advance_phases(&mut self, around: &Surroundings<'_>, changes: &mut EjectionChanges) {
+        let now = around.now;
         for mut ejection in std::mem::take(&mut self.rows) {
-            match next_step(&ejection, now, settings) {
+            match next_step(&ejection, around) {
                 Step::Stay => {}
                 Step::StartTrial => {
                     changes.any = true;
@@ -260,7 +295,7 @@
                 Step::Return => {
                     changes.any = true;
                     changes.settled.push(ejection.row.instance);
-                    self.return_instance(&mut ejection, now, settings);
+                    self.return_instance(&mut ejection, now, around.settings);
                 }
                 Step::Forget => continue,
             }
@@ -289,7 +324,9 @@
 }
 
 /// Lets an instance work again at once. It counts until the last grant that
-/// ejected it has surely ended.
+/// ejected it has surely ended, and every host has since told what it knows to
+/// be out of use: hosts that did not apply the ejection may have seen the
+/// instance drain.
 fn release(ejection: &mut Ejection) {
     ejection.row.phase = EjectionPhase::Released;
     ejection.released_until = ejection.granted_at.map(|granted| granted + EJECTION_TERM);
@@ -303,13 +340,30 @@
     Forget,
 }
 
-fn next_step(ejection: &Ejection, now: Instant, settings: &UpstreamSettings) -> Step {
+impl Surroundings<'_> {
+    fn is_unavailable(&self, instance: InstanceKey) -> bool {
+        self.capacity.unavailable.contains(&instance) || self.lost.contains(&instance)
+    }
+
+    /// Reports whether no host can keep an instance out of use for a drain
+    /// that it saw before `until`, without a judge that has heard of it.
+    fn is_heard(&self, until: Instant) -> bool {
+        self.heard_since.is_some_and(|since| since >= until)
+            || self.now >= until + self.settings.drain_memory
+    }
+}
+
+fn next_step(ejection: &Ejection, around: &Surroundings<'_>) -> Step {
+    let now = around.now;
+    let settings = around.settings;
     let age = now.saturating_duration_since(ejection.phase_since);
     match ejection.row.phase {
         EjectionPhase::Held if age >= held_term(ejection.row.strikes, settings) => Step::StartTrial,
         EjectionPhase::Held => Step::Stay,
         EjectionPhase::Released | EjectionPhase::Returned => {
-            let over = ejection.released_until.is_none_or(|until| now >= until);
+            let over = ejection
+                .released_until
+                .is_none_or(|until| now >= until && around.is_heard(until));
             if over { Step::Forget } else { Step::Stay }
         }
         EjectionPhase::Trial if ejection.trial_failed >= TRIAL_FAILURES => Step::EjectAgain,
--- a/crates/upstreams/src/judge.rs
+++ b/crates/upstreams/src/judge.rs
@@ -14,10 +14,10 @@
 
 use crate::casebook::{Casebook, Vantage};
 use crate::context::{JudgeContext, JudgeRank};
-use crate::ejection::EjectionBook;
+use crate::ejection::{EjectionBook, Surroundings};
 use crate::quorum::quorum;
 use crate::score::{SUSPICION_SHARE, Score, Scores, Scoring, Verdict, score_all};
-use crate::settings::{EJECTION_TERM, RENEWAL_INTERVAL, VOTE_TERM};
+use crate::settings::{DRAIN_DEFERRAL, EJECTION_TERM, RENEWAL_INTERVAL, VOTE_TERM};
 
 const WATCH_SETTLE: Duration = Duration::from_millis(150);
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
@@ -32,6 +32,7 @@
 struct VoteSeen {
     ballot: u64,
     asked_at: Instant,
+    received_at: Instant,
 }
 
 /// The judge of one service.
@@ -45,6 +46,8 @@
     /// Hosts that the current round has shown a vote of theirs.
     shown: BTreeSet<HostId>,
     unavailable: BTreeMap<InstanceKey, Instant>,
+    /// When each host was asked what it last told to be unavailable.
+    heard: BTreeMap<HostId, Instant>,
     round: u64,
     rounds: VecDeque<(u64, Instant)>,
     last_evaluation: Instant,
@@ -67,6 +70,7 @@
             votes: BTreeMap::new(),
             shown: BTreeSet::new(),
             unavailable: BTreeMap::new(),
+            heard: BTreeMap::new(),
             round: 0,
             rounds: VecDeque::new(),
             last_evaluation: now,
@@ -91,7 +95,7 @@
         self.book.set_usual(from, evidence.usual);
     }
 
-    /// Takes a vote, and acts on it if it completes a quorum.
+    /// Takes a host's answer, and acts on it if it completes a quorum.
     pub fn on_vote(
         &mut self,
         context: &JudgeContext<'_>,
@@ -105,10 +109,17 @@
         let Some((_, asked_at)) = asked else {
             return Vec::new();
         };
+        let asked_at = *asked_at;
+        let heard = self.heard.entry(from.clone()).or_insert(asked_at);
+        *heard = asked_at.max(*heard);
+        let Some(ballot) = vote.ballot else {
+            return Vec::new();
+        };
         let had_quorum = self.has_quorum(context);
         let seen = VoteSeen {
-            ballot: vote.ballot,
-            asked_at: *asked_at,
+            ballot,
+            asked_at,
+            received_at: context.now,
         };
         let newer = self
             .votes
@@ -130,7 +141,7 @@
 
     /// Weighs the evidence and renews votes and ejections that are due.
     pub fn tick(&mut self, context: &JudgeContext<'_>) -> Vec<Addressed> {
-        if !self.is_due(context.now, context.applied.0) {
+        if !self.is_due(context.now, context.inheritable.0) {
             return Vec::new();
         }
         self.last_evaluation = context.now;
@@ -159,15 +170,15 @@
         out
     }
 
-    /// Reports whether there is something to weigh; `applied` are the
-    /// ejections that the host applies as a voter.
+    /// Reports whether there is something to weigh; `inheritable` are the
+    /// ejections that another judge has granted to this host.
     #[must_use]
-    pub fn is_due(&self, now: Instant, applied: &[EjectionRow]) -> bool {
+    pub fn is_due(&self, now: Instant, inheritable: &[EjectionRow]) -> bool {
         let age = now.saturating_duration_since(self.last_evaluation);
         let idle = self.book.is_empty()
             && self.ejections.is_idle()
             && self.scores.scores.is_empty()
-            && applied.is_empty();
+            && inheritable.is_empty();
         !idle && age >= EVALUATION_INTERVAL
     }
 
@@ -264,7 +275,7 @@
     }
 
     fn can_inherit(&self, context: &JudgeContext<'_>) -> bool {
-        let (rows, until) = context.applied;
+        let (rows, until) = context.inheritable;
         let recent = context.now < until + 2 * VOTE_TERM;
         self.ejections.is_idle() && !rows.is_empty() && recent
     }
@@ -291,26 +302,48 @@
     /// whether the set changed.
     fn decide(&mut self, context: &JudgeContext<'_>) -> bool {
         let inherited = if self.can_inherit(context) {
-            self.ejections.inherit(context.now, context.applied.0)
+            self.ejections.inherit(context.now, context.inheritable.0)
         } else {
             false
         };
         let lost: Vec<InstanceKey> = self.unavailable.keys().copied().collect();
         let mut wanted: Vec<Score> = self.candidates(context).copied().collect();
         wanted.sort_by(|a, b| b.bad_share.total_cmp(&a.bad_share));
-        let changes = self.ejections.update(
-            context.now,
-            context.settings,
-            context.capacity,
-            &lost,
-            &wanted,
-        );
+        let surroundings = Surroundings {
+            now: context.now,
+            settings: context.settings,
+            capacity: context.capacity,
+            lost: &lost,
+            heard_since: self.heard_since(context),
+            all_heard: self.all_heard(context),
+        };
+        let changes = self.ejections.update(&surroundings, &wanted);
         for instance in &changes.settled {
             self.book.clear(*instance);
         }
         inherited || changes.any
     }
 
+    /// Returns the time since which every listed host has told what it knows
+    /// to be unavailable.
+    fn heard_since(&self, context: &JudgeContext<'_>) -> Option<Instant> {
+        let mut since = context.now;
+        for host in context.hosts {
+            since = since.min(*self.heard.get(host)?);
+        }
+        Some(since)
+    }
+
+    /// Reports whether no drain that the judge has not heard of closes an
+    /// instance before the ejections end that rest on the votes so far.
+    fn all_heard(&self, context: &JudgeContext<'_>) -> bool {
+        let last_vote = self.votes.values().map(|vote| vote.received_at).max();
+        let (Some(since), Some(last_vote)) = (self.heard_since(context), last_vote) else {
+            return false;
+        };
+        last_vote + EJECTION_TERM <= since + DRAIN_DEFERRAL
+    }
+
     fn renewal_is_due(&self, context: &JudgeContext<'_>) -> bool {
         self.rounds
             .back()
@@ -346,6 +379,7 @@
             ballot: self.votes.get(host).map(|vote| vote.ballot),
             ejections,
             unavailable: known.into_iter().collect(),
+            all_heard: self.all_heard(context),
         };
         (host.clone(), HealthMessage::Grant(grant))
     }
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -133,7 +133,7 @@
         }
         let mut capacity = self.capacity(now);
         capacity.unavailable.extend(self.voter.unavailable());
-        capacity.allowed(rows)
+        capacity.allowed(rows, self.voter.all_heard())
     }
 
     /// Chooses a member and counts the request there.
--- a/crates/upstreams/src/set.rs
+++ b/crates/upstreams/src/set.rs
@@ -222,8 +222,9 @@
         for state in services.values_mut() {
             state.pool.tick(now);
             out.extend(state.flush(now));
-            let (applied, _) = state.pool.voter.last_ejections();
-            if !state.judge.is_due(now, applied) {
+            let voter = &state.pool.voter;
+            let (inheritable, _) = voter.inheritable(&self.self_id, self.incarnation);
+            if !state.judge.is_due(now, inheritable) {
                 continue;
             }
             let capacity = state.pool.capacity(now);
@@ -377,9 +378,7 @@
         let Some(state) = self.services.get_mut(&grant.service) else {
             return Vec::new();
         };
-        let Some(ballot) = state.pool.on_grant(&context, from, incarnation, grant) else {
-            return Vec::new();
-        };
+        let ballot = state.pool.on_grant(&context, from, incarnation, grant);
         let vote = Vote {
             service: grant.service,
             round: grant.round,
@@ -421,7 +420,7 @@
             capacity,
             rank,
             may_vote_for_self: voter.may_vote_for(now, &self.self_id, self.incarnation),
-            applied: voter.last_ejections(),
+            inheritable: voter.inheritable(&self.self_id, self.incarnation),
             settings: &self.settings,
             expected_per_s: requests_per_s * self.hosts.len() as f64 / instances,
             thresholds: TestThresholds::of(state.pool.service.detection),
--- a/crates/upstreams/src/voter.rs
+++ b/crates/upstreams/src/voter.rs
@@ -37,7 +37,9 @@
     next_ballot: u64,
     binding: Option<Binding>,
     ejections: Vec<EjectionRow>,
+    granted_by: Option<JudgeId>,
     unavailable: Vec<InstanceKey>,
+    all_heard: bool,
     ejections_until: Instant,
 }
 
@@ -51,7 +53,9 @@
             next_ballot: first_ballot,
             binding: None,
             ejections: Vec::new(),
+            granted_by: None,
             unavailable: Vec::new(),
+            all_heard: false,
             ejections_until: started,
         }
     }
@@ -122,11 +126,23 @@
         &self.unavailable
     }
 
-    /// Returns the ejections that were granted last, with their end, whether
-    /// or not they still hold.
+    /// Reports whether the judge had heard of all drains as it granted the
+    /// ejections.
     #[must_use]
-    pub fn last_ejections(&self) -> (&[EjectionRow], Instant) {
-        (&self.ejections, self.ejections_until)
+    pub fn all_heard(&self) -> bool {
+        self.all_heard
+    }
+
+    /// Returns the ejections that another judge than this one granted last,
+    /// with their end, whether or not they still hold.
+    #[must_use]
+    pub fn inheritable(&self, host: &HostId, incarnation: u64) -> (&[EjectionRow], Instant) {
+        let own = self
+            .granted_by
+            .as_ref()
+            .is_some_and(|judge| judge.host == *host && judge.incarnation == incarnation);
+        let rows = if own { &[][..] } else { &self.ejections };
+        (rows, self.ejections_until)
     }
 
     /// Reports whether the host may vote for a judge with this identity.
@@ -157,7 +173,9 @@
             return;
         }
         self.ejections = grant.ejections.clone();
+        self.granted_by = Some(binding.judge.clone());
         self.unavailable = grant.unavailable.clone();
+        self.all_heard = grant.all_heard;
         self.ejections_until = *voted + EJECTION_TERM;
     }
 }
--- /dev/null
+++ b/crates/upstreams/tests/testsuite/drains.rs
@@ -0,0 +1,107 @@
+//! The capacity floor where some hosts alone have seen an instance drain.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use waxwingusher_config::Detection;
+use waxwingusher_core::InstanceId;
+use waxwingusher_standins::LinkFaults;
+use waxwingusher_upstreams::UpstreamResult;
+
+use crate::fleet::{
+    Fleet, STEP, host_id, host_list, instance, service, service_name, snapshot, success,
+};
+
+const HOSTS: usize = 12;
+const INSTANCES: usize = 10;
+/// The instances that a floor of 70% leaves in use.
+const REQUIRED: usize = 7;
+const RATE_PER_S: f64 = 60.0;
+const SICK: [usize; 3] = [0, 1, 2];
+/// The host that sees what the others do not.
+const WITNESS: usize = 5;
+
+fn name(index: usize) -> InstanceId {
+    instance(index, 6).id
+}
+
+/// Runs the fleet and checks the floor over all hosts after every step.
+fn run(fleet: &mut Fleet, span: Duration, sick: &[usize]) {
+    let sick: BTreeSet<InstanceId> = sick.iter().map(|index| name(*index)).collect();
+    for _ in 0..span.as_millis() / STEP.as_millis() {
+        fleet.traffic(RATE_PER_S, |_, choice, _| {
+            if sick.contains(&choice.instance) {
+                UpstreamResult::ErrorStatus
+            } else {
+                success()
+            }
+        });
+        fleet.step();
+        check_floor(fleet);
+    }
+}
+
+fn check_floor(fleet: &Fleet) {
+    let mut out = fleet.ejected_anywhere();
+    if out.is_empty() {
+        return;
+    }
+    for host in &fleet.hosts {
+        out.extend(host.set.unavailable(&service_name()));
+    }
+    let elapsed = fleet.clock.elapsed();
+    assert!(out.len() + REQUIRED <= INSTANCES, "{elapsed:?}: {out:?}");
+}
+
+fn drain(fleet: &mut Fleet, hosts: impl Iterator<Item = usize>, drains: usize) {
+    let others: Vec<InstanceId> = (0..INSTANCES).filter(|i| *i != drains).map(name).collect();
+    for host in hosts {
+        let seen = fleet.request_excluding(host, 0, &others, |_, _| UpstreamResult::Draining);
+        assert!(seen.is_some(), "host {host}");
+    }
+}
+
+/// A fleet that has ejected as many instances as the floor allows.
+fn fleet_at_the_floor(witness_is_cut: bool) -> Fleet {
+    let snapshot = snapshot(1, service(INSTANCES, Detection::Fast));
+    let mut fleet = Fleet::new(HOSTS, 1, LinkFaults::default(), &snapshot);
+    run(&mut fleet, Duration::from_secs(10), &[]);
+    for host in (0..HOSTS).filter(|host| witness_is_cut && *host != WITNESS) {
+        fleet.links.cut(&host_id(host), &host_id(WITNESS));
+        fleet.links.cut(&host_id(WITNESS), &host_id(host));
+    }
+    for sick in 1..=SICK.len() {
+        run(&mut fleet, Duration::from_secs(3), &SICK[..sick]);
+    }
+    assert_eq!(fleet.ejected_anywhere().len(), SICK.len());
+    fleet
+}
+
+#[test]
+fn released_instance_may_be_closed_at_a_host_that_is_cut_off() {
+    let mut fleet = fleet_at_the_floor(true);
+    drain(&mut fleet, WITNESS..=WITNESS, SICK[2]);
+    run(&mut fleet, Duration::from_secs(1), &SICK);
+    let others = (0..HOSTS).filter(|host| *host != WITNESS);
+    drain(&mut fleet, others, 9);
+    run(&mut fleet, Duration::from_secs(20), &SICK);
+    fleet.links.mend_all();
+    run(&mut fleet, Duration::from_secs(20), &SICK);
+    assert!(!fleet.ejected_anywhere().is_empty());
+}
+
+#[test]
+fn host_that_may_not_vote_tells_of_drains() {
+    let mut fleet = fleet_at_the_floor(false);
+    let list = host_list(1, 0..HOSTS);
+    let snapshot = snapshot(1, service(INSTANCES, Detection::Fast));
+    fleet.restart(WITNESS, &list, &snapshot);
+    drain(&mut fleet, WITNESS..=WITNESS, SICK[2]);
+    run(&mut fleet, Duration::from_secs(1), &SICK);
+    let others = (0..HOSTS).filter(|host| *host != WITNESS);
+    drain(&mut fleet, others, 9);
+    for _ in 0..100 {
+        run(&mut fleet, STEP, &SICK);
+        assert!(!fleet.ejected_anywhere().is_empty());
+    }
+}
--- a/crates/upstreams/tests/testsuite/ejection.rs
+++ b/crates/upstreams/tests/testsuite/ejection.rs
@@ -5,7 +5,7 @@
 use waxwingusher_protocol::health::{EjectionPhase, InstanceKey};
 use waxwingusher_upstreams::UpstreamSettings;
 use waxwingusher_upstreams::capacity::PoolCapacity;
-use waxwingusher_upstreams::ejection::EjectionBook;
+use waxwingusher_upstreams::ejection::{EjectionBook, Surroundings};
 use waxwingusher_upstreams::score::{Score, Verdict};
 use waxwingusher_upstreams::settings::EJECTION_TERM;
 
@@ -26,6 +26,23 @@
     }
 }
 
+/// The surroundings of a judge that hears of every host at once.
+fn heard<'a>(
+    now: Instant,
+    settings: &'a UpstreamSettings,
+    capacity: &'a PoolCapacity,
+    lost: &'a [InstanceKey],
+) -> Surroundings<'a> {
+    Surroundings {
+        now,
+        settings,
+        capacity,
+        lost,
+        heard_since: Some(now),
+        all_heard: true,
+    }
+}
+
 fn bad(index: usize) -> Score {
     Score {
         instance: key(index),
@@ -44,19 +61,22 @@
     let capacity = capacity();
     let mut book = EjectionBook::new(&service_name());
     let now = Instant::now();
-    book.update(now, &settings, &capacity, &[], &[bad(0), bad(1), bad(2)]);
+    book.update(
+        &heard(now, &settings, &capacity, &[]),
+        &[bad(0), bad(1), bad(2)],
+    );
     assert_eq!(book.grant(now).len(), 3);
-    book.update(now + TICK, &settings, &capacity, &[key(9)], &[]);
+    book.update(&heard(now + TICK, &settings, &capacity, &[key(9)]), &[]);
     let rows = book.grant(now + TICK);
     assert_eq!(rows[2].phase, EjectionPhase::Released);
     let last = now + EJECTION_TERM - TICK;
-    book.update(last, &settings, &capacity, &[], &[bad(5)]);
+    book.update(&heard(last, &settings, &capacity, &[]), &[bad(5)]);
     assert!(
         !book.contains(key(5)),
         "four instances may be out at some host"
     );
     let over = now + EJECTION_TERM;
-    book.update(over, &settings, &capacity, &[], &[bad(5)]);
+    book.update(&heard(over, &settings, &capacity, &[]), &[bad(5)]);
     assert!(book.contains(key(5)));
 }
 
@@ -66,13 +86,16 @@
     let mut smaller = capacity();
     let mut book = EjectionBook::new(&service_name());
     let now = Instant::now();
-    book.update(now, &settings, &smaller, &[], &[bad(0), bad(1), bad(2)]);
+    book.update(
+        &heard(now, &settings, &smaller, &[]),
+        &[bad(0), bad(1), bad(2)],
+    );
     let older = book.grant(now);
     smaller.unavailable.push(key(9));
-    book.update(now + TICK, &settings, &smaller, &[], &[]);
+    book.update(&heard(now + TICK, &settings, &smaller, &[]), &[]);
     let newer = book.grant(now + TICK);
     let allowed = |rows| -> Vec<_> {
-        let allowed = smaller.allowed(rows).into_iter();
+        let allowed = smaller.allowed(rows, true).into_iter();
         allowed
             .filter(|row| row.phase.is_out())
             .map(|row| row.instance)
@@ -81,3 +104,30 @@
     assert_eq!(allowed(&older), [key(0), key(1)]);
     assert_eq!(allowed(&newer), [key(0), key(1)]);
 }
+
+#[test]
+fn nothing_stays_out_at_a_tighter_floor_while_a_host_is_silent() {
+    let settings = UpstreamSettings::default();
+    let capacity = capacity();
+    let mut book = EjectionBook::new(&service_name());
+    let now = Instant::now();
+    book.update(&heard(now, &settings, &capacity, &[]), &[bad(0), bad(1)]);
+    let older = book.grant(now);
+    let lost = [key(8), key(9)];
+    let mut silent = heard(now + TICK, &settings, &capacity, &lost);
+    silent.heard_since = None;
+    silent.all_heard = false;
+    book.update(&silent, &[]);
+    let rows = book.grant(now + TICK);
+    assert!(rows.iter().all(|row| row.phase == EjectionPhase::Released));
+    let mut smaller = capacity.clone();
+    smaller.unavailable.extend(lost);
+    assert!(smaller.allowed(&older, false).is_empty());
+    silent.lost = &[];
+    silent.now = now + EJECTION_TERM;
+    book.update(&silent, &[bad(4), bad(5)]);
+    assert!(book.contains(key(4)) && !book.contains(key(5)));
+    silent.now = now + EJECTION_TERM + settings.drain_memory;
+    book.update(&silent, &[bad(5)]);
+    assert!(book.contains(key(5)));
+}
--- a/crates/upstreams/tests/testsuite/floor.rs
+++ b/crates/upstreams/tests/testsuite/floor.rs
@@ -343,7 +343,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED: issue 6, seeds 68 and 251: a drain that no judge has heard of passes the floor in the union"]
 fn floor_holds_for_drains_that_no_judge_has_heard_of() {
     for seed in [68, 251] {
         run_schedule(seed, 150, UnionRule::Seen);
