Count a holder as answering only after it has granted

A holder that was never asked counted as one that has answered, so a refusal could be called "rate exceeded" although nobody had answered. The new test asks one of three holders, gets no answer and wants "no holder reachable"; it fails on the former code with RateExceeded.

--- a/crates/bench/src/limits/compare.rs
+++ b/crates/bench/src/limits/compare.rs
@@ -122,10 +122,14 @@
         driver.reset_outcomes();
         run_for(&mut driver, way.as_mut(), &mut now, MEASURED);
         let bounded = matches!(self.kind, Kind::Lending);
+        let mut measurements = measurements(driver.outcomes(), self.flood, bounded);
+        if bounded {
+            measurements.extend(by_workspace(driver.outcomes()));
+        }
         ScenarioResult {
             scenario: self.name.into(),
             seed,
-            measurements: measurements(driver.outcomes(), self.flood, bounded),
+            measurements,
         }
     }
 }
@@ -180,6 +184,19 @@
     ]
 }
 
+/// Returns which workspaces are refused and wait.
+fn by_workspace(outcomes: &[Outcome]) -> Vec<Measurement> {
+    let mut measurements = Vec::new();
+    for ((rate_per_s, burst), outcome) in LIMITS.iter().zip(outcomes) {
+        let name = |what: &str| format!("{what}-{rate_per_s}-per-s-burst-{burst}");
+        let refused = outcome.in_rate_refused as f64;
+        measurements.push(Measurement::new(&name("refused"), refused, "requests"));
+        let waited = outcome.waited as f64 / outcome.offered.max(1) as f64;
+        measurements.push(Measurement::new(&name("waited"), waited, "share"));
+    }
+    measurements
+}
+
 /// Returns the refused part of all requests within the rate.
 #[must_use]
 pub fn refused_share(outcomes: &[Outcome]) -> f64 {
--- a/crates/limits/src/loan_part.rs
+++ b/crates/limits/src/loan_part.rs
@@ -57,6 +57,7 @@
     term: Duration,
     pending: Option<Pending>,
     unanswered: u32,
+    has_granted: bool,
     retry_at: Instant,
     short_until: Instant,
 }
@@ -73,6 +74,7 @@
             term: Duration::ZERO,
             pending: None,
             unanswered: 0,
+            has_granted: false,
             retry_at: now,
             short_until: now,
         }
@@ -87,6 +89,7 @@
         self.lender = lender.cloned();
         self.pending = None;
         self.unanswered = 0;
+        self.has_granted = false;
         self.retry_at = now;
         self.short_until = now;
     }
@@ -142,10 +145,11 @@
         self.lender.as_ref().map(|_| self.retry_at)
     }
 
-    /// Reports whether the lender has answered the latest request.
+    /// Reports whether the lender has answered the latest request. One that
+    /// was never asked has not.
     #[must_use]
     pub fn has_answered(&self) -> bool {
-        self.lender.is_some() && self.pending.is_none() && self.unanswered == 0
+        self.has_granted && self.pending.is_none() && self.unanswered == 0
     }
 
     /// Reports whether the lender lately gave less rate than was asked for.
@@ -234,6 +238,7 @@
         }
         self.pending = None;
         self.unanswered = 0;
+        self.has_granted = true;
         self.settle(now);
         let term = Duration::from_millis(grant.term_ms.into());
         let until = pending.asked_at + term;
--- a/crates/limits/tests/testsuite/main.rs
+++ b/crates/limits/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of keys, limits and fair shares.
 
+mod answers;
 mod bound;
 mod early;
 mod evidence;
