Let a watch prove only what its answer names

Cause: a watch that ended without news moved the evidence for the host list to its issue plus its wait, whichever replica ended it. Holders of limits and homes of attempts act on that evidence. A replica older than the known revision holds such a watch to its end, and plain reads would have shown it.

Now a watch is evidence only if its answer names the known revision, and only since its issue, as the service may end it early. An older revision counts as a stale read and a plain read follows; an answer without a revision, and a watch of a missing value, prove nothing. While a peer has heard of a newer list, no evidence is used or told on. The stand-in names the revision with 304.

The stand-in's test of 304 now checks the revision as well.

Left: a part that is cut off from all who know a newer list, and reads a replica staler than list_lag, both at once.

--- a/crates/bench/src/config/fleet.rs
+++ b/crates/bench/src/config/fleet.rs
@@ -216,7 +216,9 @@
                 Answer::Value { revision, bytes } => {
                     agent.on_service_value(call.ticket, *revision, bytes)
                 }
-                Answer::Unchanged => agent.on_service_unchanged(call.ticket),
+                Answer::Unchanged { revision } => {
+                    agent.on_service_unchanged(call.ticket, *revision)
+                }
                 Answer::Error => agent.on_service_error(call.ticket),
             });
         }
--- a/crates/bench/src/config/service.rs
+++ b/crates/bench/src/config/service.rs
@@ -49,7 +49,10 @@
         bytes: Arc<[u8]>,
     },
     /// The watch ended without a newer value.
-    Unchanged,
+    Unchanged {
+        /// The value's revision, if the service names it.
+        revision: Option<u64>,
+    },
     /// There is no value, or no service.
     Error,
 }
@@ -65,6 +68,10 @@
     pub answer: Answer,
 }
 
+/// The values of one moment, as a replica holds them that has fallen behind.
+#[derive(Debug, Clone)]
+pub struct OldValues(BTreeMap<String, Value>);
+
 /// A configuration service in virtual time.
 #[derive(Debug, Default)]
 pub struct FakeService {
@@ -77,6 +84,8 @@
     calls: u64,
     second: Option<(Instant, u64)>,
     peak_calls: u64,
+    hides_revisions: bool,
+    longest_wait: Option<Duration>,
 }
 
 impl FakeService {
@@ -125,6 +134,28 @@
         };
     }
 
+    /// Returns the values of now.
+    #[must_use]
+    pub fn snapshot(&self) -> OldValues {
+        OldValues(self.values.clone())
+    }
+
+    /// Serves old values to all hosts, also to those that have read newer ones.
+    pub fn serve_old(&mut self, values: &OldValues) {
+        self.mode = ServiceMode::Stale;
+        self.stale = Some(values.0.clone());
+    }
+
+    /// Sets whether a watch that ends without news names no revision.
+    pub fn set_hides_revisions(&mut self, hides: bool) {
+        self.hides_revisions = hides;
+    }
+
+    /// Sets a limit above which the service does not hold a watch.
+    pub fn set_longest_wait(&mut self, limit: Duration) {
+        self.longest_wait = Some(limit);
+    }
+
     /// Cuts a host off.
     pub fn cut(&mut self, host: &HostId) {
         self.cut.insert(host.clone());
@@ -173,6 +204,7 @@
         self.second = Some((start, count + 1));
         self.peak_calls = self.peak_calls.max(count + 1);
         let wait = read.watch.map_or(Duration::ZERO, |watch| watch.wait);
+        let wait = wait.min(self.longest_wait.unwrap_or(wait));
         self.pending.push(PendingCall {
             host: host.clone(),
             read,
@@ -217,6 +249,7 @@
                 bytes: value.bytes.clone(),
             });
         }
-        (now >= call.give_up_at).then_some(Answer::Unchanged)
+        let revision = (!self.hides_revisions).then_some(value.revision);
+        (now >= call.give_up_at).then_some(Answer::Unchanged { revision })
     }
 }
--- a/crates/host/src/duties/service_reader.rs
+++ b/crates/host/src/duties/service_reader.rs
@@ -6,7 +6,7 @@
 
 use waxwingusher_membership::distribution::ServiceRead;
 
-use crate::service_client::{ServiceClient, ServiceError, ServiceValue};
+use crate::service_client::{ServiceAnswer, ServiceClient, ServiceError};
 use crate::state::HostState;
 
 /// Calls that may be under way at once: a watch of the configuration, a watch
@@ -26,9 +26,13 @@
         let result = call(&client, &read);
         let ticket = read.ticket;
         state.config.with(state, |agent| match result {
-            Ok(Some(value)) => agent.on_service_value(ticket, value.revision, &value.bytes.into()),
-            Ok(None) if read.watch.is_some() => agent.on_service_unchanged(ticket),
-            Ok(None) => agent.on_service_error(ticket),
+            Ok(ServiceAnswer::Value(value)) => {
+                agent.on_service_value(ticket, value.revision, &value.bytes.into())
+            }
+            Ok(ServiceAnswer::Unchanged { revision }) => {
+                agent.on_service_unchanged(ticket, revision)
+            }
+            Ok(ServiceAnswer::Missing) => agent.on_service_error(ticket),
             Err(e) => {
                 log::warn!("config: The service gave no {}: {e}.", read.key);
                 agent.on_service_error(ticket)
@@ -37,7 +41,7 @@
     }
 }
 
-fn call(client: &ServiceClient, read: &ServiceRead) -> Result<Option<ServiceValue>, ServiceError> {
+fn call(client: &ServiceClient, read: &ServiceRead) -> Result<ServiceAnswer, ServiceError> {
     match &read.watch {
         Some(watch) => client.watch(&read.key, watch.after_revision, watch.wait),
         None => client.read(&read.key),
--- a/crates/host/src/service_client.rs
+++ b/crates/host/src/service_client.rs
@@ -21,6 +21,20 @@
     pub(crate) bytes: Vec<u8>,
 }
 
+/// What the service answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ServiceAnswer {
+    /// The value.
+    Value(ServiceValue),
+    /// A watch ended without a newer value.
+    Unchanged {
+        /// The revision at which it ended, if the answer names it.
+        revision: Option<u64>,
+    },
+    /// There is no such value.
+    Missing,
+}
+
 /// The service gave no value.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ServiceError {
@@ -53,38 +67,39 @@
         }
     }
 
-    /// Reads a value, if there is one.
-    pub(crate) fn read(&self, key: &str) -> Result<Option<ServiceValue>, ServiceError> {
+    /// Reads a value.
+    pub(crate) fn read(&self, key: &str) -> Result<ServiceAnswer, ServiceError> {
         let url = format!("http://{}/v1/values/{key}", self.addr);
         self.call(&url, READ_TIMEOUT)
     }
 
-    /// Waits for a revision after `after`; `None` if there was none in time.
+    /// Waits for a revision after `after`.
     pub(crate) fn watch(
         &self,
         key: &str,
         after: u64,
         wait: Duration,
-    ) -> Result<Option<ServiceValue>, ServiceError> {
+    ) -> Result<ServiceAnswer, ServiceError> {
         let wait_ms = wait.as_millis();
         let addr = self.addr;
         let url = format!("http://{addr}/v1/values/{key}?after={after}&wait-ms={wait_ms}");
         self.call(&url, wait + WATCH_MARGIN)
     }
 
-    fn call(&self, url: &str, timeout: Duration) -> Result<Option<ServiceValue>, ServiceError> {
+    fn call(&self, url: &str, timeout: Duration) -> Result<ServiceAnswer, ServiceError> {
         let request = self.agent.get(url).config().timeout_global(Some(timeout));
         let mut response = request.build().call()?;
+        let revision = response.headers().get(REVISION_HEADER);
+        let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
         match response.status().as_u16() {
             200 => {}
-            304 | 404 => return Ok(None),
+            304 => return Ok(ServiceAnswer::Unchanged { revision }),
+            404 => return Ok(ServiceAnswer::Missing),
             status => return Err(ServiceError::Status(status)),
         }
-        let revision = response.headers().get(REVISION_HEADER);
-        let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
         let revision = revision.ok_or(ServiceError::NoRevision)?;
         let body = response.body_mut().with_config().limit(MAX_VALUE_BYTES);
         let bytes = body.read_to_vec()?;
-        Ok(Some(ServiceValue { revision, bytes }))
+        Ok(ServiceAnswer::Value(ServiceValue { revision, bytes }))
     }
 }
--- a/crates/membership/src/distribution/agent.rs
+++ b/crates/membership/src/distribution/agent.rs
@@ -209,9 +209,12 @@
 
     /// Returns the latest instant at which a reader surely had the host list
     /// in force from the service. A peer's evidence is at least as old as the
-    /// poll that it answers.
+    /// poll that it answers. There is none while a newer list is known of.
     fn hosts_confirmed_at(&self) -> Option<Instant> {
         let stamp = self.hosts.stamp();
+        if self.hosts.seen_version() > stamp.version {
+            return None;
+        }
         let of_peers = self.peers.answers().filter_map(|(_, answered)| {
             let summary = &answered.summary;
             let age_ms = summary.hosts_age_ms.filter(|_| summary.hosts == stamp)?;
--- a/crates/membership/src/distribution/agent/service.rs
+++ b/crates/membership/src/distribution/agent/service.rs
@@ -11,6 +11,7 @@
 use crate::distribution::action::{AgentAction, DocumentKind, ServiceRead, Watch};
 use crate::distribution::pursuit::Source;
 use crate::distribution::replica::ServiceOffer;
+use crate::distribution::watch::WatchEnd;
 
 impl ConfigAgent {
     /// Takes a value that the configuration service gave.
@@ -35,11 +36,15 @@
         actions
     }
 
-    /// Takes the end of a watch without a newer value.
-    pub fn on_service_unchanged(&mut self, ticket: u64) -> Vec<AgentAction> {
+    /// Takes the end of a watch without a newer value, with the value's revision
+    /// if the answer names it.
+    pub fn on_service_unchanged(&mut self, ticket: u64, revision: Option<u64>) -> Vec<AgentAction> {
         let now = self.clock.now();
-        if !self.config_watch.on_unchanged(ticket, now) {
-            self.hosts_watch.on_unchanged(ticket, now);
+        let config = self.config_watch.on_unchanged(ticket, revision, now);
+        let end = config.or_else(|| self.hosts_watch.on_unchanged(ticket, revision, now));
+        if end == Some(WatchEnd::Older) {
+            self.counters.stale_reads += 1;
+            log::warn!("config: a watch ended at an older revision than the known one");
         }
         Vec::new()
     }
--- a/crates/membership/src/distribution/settings.rs
+++ b/crates/membership/src/distribution/settings.rs
@@ -19,8 +19,8 @@
     pub fanout: usize,
     /// How long the configuration service holds a watch of the manifest.
     pub watch_wait: Duration,
-    /// How long it holds a watch of the host list. Each end of a watch is fresh
-    /// evidence that the list is current.
+    /// How long it holds a watch of the host list. Each end of a watch that
+    /// names the revision is evidence that the list was current at its start.
     pub list_watch_wait: Duration,
     /// How long a host waits for a pack before it asks the next peer. A pack
     /// that comes later is still taken.
@@ -40,7 +40,7 @@
             answer_timeout: Duration::from_millis(500),
             fanout: 8,
             watch_wait: Duration::from_secs(10),
-            list_watch_wait: Duration::from_secs(2),
+            list_watch_wait: Duration::from_millis(1_500),
             fetch_timeout: Duration::from_millis(300),
             survey_timeout: Duration::from_secs(3),
             seeds: Vec::new(),
--- a/crates/membership/src/distribution/watch.rs
+++ b/crates/membership/src/distribution/watch.rs
@@ -34,6 +34,27 @@
     at: Instant,
 }
 
+/// What a watch proves that ended without a newer value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WatchEnd {
+    /// The service had the known revision as its newest.
+    Confirmed,
+    /// The call ended at a replica that has an older revision than the known.
+    Older,
+    /// The answer does not tell at which revision the watch ended.
+    Nothing,
+}
+
+impl WatchEnd {
+    fn new(ended_at: Option<u64>, known: Option<u64>) -> Self {
+        match (ended_at, known) {
+            (Some(ended_at), Some(known)) if ended_at == known => Self::Confirmed,
+            (Some(ended_at), Some(known)) if ended_at < known => Self::Older,
+            _ => Self::Nothing,
+        }
+    }
+}
+
 /// The state of the watch of one value.
 #[derive(Debug)]
 pub struct ServiceWatch {
@@ -113,17 +134,28 @@
         Some(call.issued_at)
     }
 
-    /// Takes the end of a watch without a newer value.
-    pub fn on_unchanged(&mut self, ticket: u64, now: Instant) -> bool {
-        let Some(call) = self.take(ticket) else {
-            return false;
-        };
+    /// Takes the end of a watch without a newer value, and returns what it
+    /// proves, if it is the call that is waited for.
+    pub fn on_unchanged(
+        &mut self,
+        ticket: u64,
+        ended_at_revision: Option<u64>,
+        now: Instant,
+    ) -> Option<WatchEnd> {
+        let call = self.take(ticket)?;
         self.succeed(now);
-        if let Some(confirmation) = &mut self.confirmation {
-            // The service began to wait after the call was issued.
-            confirmation.at = call.issued_at + call.wait;
+        // A service that ends watches early is not called more often for it.
+        self.next_at = now.max(call.issued_at + call.wait);
+        let end = WatchEnd::new(ended_at_revision, self.revision);
+        match (end, &mut self.confirmation) {
+            // The service may have looked at any time since the call was issued.
+            (WatchEnd::Confirmed, Some(confirmation)) => confirmation.at = call.issued_at,
+            // The next read tells whether the replica has fallen behind, or
+            // revisions have started anew.
+            (WatchEnd::Older, _) => self.plain_at = now,
+            _ => {}
         }
-        true
+        Some(end)
     }
 
     /// Takes a failed call.
--- a/crates/membership/tests/testsuite/distribution.rs
+++ b/crates/membership/tests/testsuite/distribution.rs
@@ -9,3 +9,4 @@
 mod restarts;
 mod schedule;
 mod service;
+mod stale_replica;
--- /dev/null
+++ b/crates/membership/tests/testsuite/distribution/stale_replica.rs
@@ -0,0 +1,100 @@
+//! What a replica of the service that has fallen behind may prove.
+
+use std::time::{Duration, Instant};
+
+use waxwingusher_bench::config::sample::{host_id, host_list};
+use waxwingusher_bench::config::service::{OldValues, ServiceMode};
+use waxwingusher_core::Clock;
+use waxwingusher_protocol::{ConfigMessage, Summary};
+
+use super::lab::{DOMAINS, Lab, TARGET};
+
+const HOSTS: usize = 12;
+
+/// The age of evidence that users of the host list accept.
+const FENCE: Duration = Duration::from_secs(10);
+
+/// A fleet with list 2 in force, and the service's values before it.
+fn lab(seed: u64) -> (Lab, OldValues) {
+    let mut lab = Lab::new(HOSTS, seed);
+    let old = lab.fleet.service.snapshot();
+    lab.fleet.service.put_hosts(&host_list(HOSTS, DOMAINS, 2));
+    lab.fleet.run(TARGET);
+    assert_eq!(list_versions(&lab), vec![2; HOSTS]);
+    (lab, old)
+}
+
+fn list_versions(lab: &Lab) -> Vec<u64> {
+    let nodes = lab.fleet.nodes.values();
+    nodes
+        .map(|node| node.agent.list_freshness().version)
+        .collect()
+}
+
+/// Returns the latest evidence of any host that its list is current.
+fn latest_evidence(lab: &Lab) -> Option<Instant> {
+    let nodes = lab.fleet.nodes.values();
+    let evidence = nodes.map(|node| node.agent.list_freshness().confirmed_at);
+    evidence.max().flatten()
+}
+
+#[test]
+fn a_watch_that_ends_at_an_older_revision_is_no_evidence() {
+    let (mut lab, old) = lab(61);
+    lab.fleet.service.serve_old(&old);
+    // A newer list that no host can see.
+    lab.fleet.service.put_hosts(&host_list(HOSTS, DOMAINS, 3));
+    let stale_since = lab.fleet.clock.now();
+    lab.fleet.run(Duration::from_secs(60));
+    assert_eq!(list_versions(&lab), vec![2; HOSTS]);
+    let latest = latest_evidence(&lab);
+    assert!(
+        latest <= Some(stale_since),
+        "{:?} too late",
+        latest.map(|at| at - stale_since)
+    );
+
+    lab.fleet.service.set_mode(ServiceMode::Current);
+    lab.fleet.run(TARGET);
+    assert_eq!(list_versions(&lab), vec![3; HOSTS]);
+    let now = lab.fleet.clock.now();
+    for node in lab.fleet.nodes.values() {
+        let confirmed = node.agent.list_freshness().confirmed_at;
+        assert!(confirmed.is_some_and(|at| now - at < FENCE));
+    }
+}
+
+#[test]
+fn a_watch_whose_answer_names_no_revision_is_no_evidence() {
+    let (mut lab, _) = lab(62);
+    lab.fleet.service.set_hides_revisions(true);
+    let since = lab.fleet.clock.now();
+    lab.fleet.run(Duration::from_secs(60));
+    assert!(latest_evidence(&lab) <= Some(since));
+}
+
+#[test]
+fn a_watch_that_ends_early_is_no_evidence_for_the_rest_of_its_wait() {
+    let (mut lab, _) = lab(63);
+    lab.fleet
+        .service
+        .set_longest_wait(Duration::from_millis(100));
+    for _ in 0..100 {
+        lab.fleet.run(Duration::from_millis(150));
+        assert!(latest_evidence(&lab) <= Some(lab.fleet.clock.now()));
+    }
+}
+
+#[test]
+fn evidence_of_a_list_ends_when_a_peer_has_heard_of_a_newer_one() {
+    let (mut lab, _) = lab(64);
+    let node = lab.fleet.nodes.get_mut(&host_id(0)).expect("it runs");
+    let agent = &mut node.agent;
+    assert!(agent.list_freshness().confirmed_at.is_some());
+    let summary = Summary {
+        seen_hosts_version: 3,
+        ..Summary::default()
+    };
+    agent.on_message(&host_id(1), 1, &ConfigMessage::Announce { summary });
+    assert_eq!(agent.list_freshness().confirmed_at, None);
+}
--- a/crates/standins/src/config_service.rs
+++ b/crates/standins/src/config_service.rs
@@ -108,7 +108,7 @@
 ///
 /// `GET /v1/values/<key>` answers 200 with the value and its revision, or 404.
 /// With `?after=N&wait-ms=M` it waits until the revision is above `N`, and
-/// answers 304 once the time is over. Nothing can be written over HTTP.
+/// answers 304 with the revision once the time is over. Nothing can be written over HTTP.
 #[derive(Debug)]
 pub struct ConfigService {
     shared: Arc<Shared>,
@@ -254,8 +254,9 @@
             }
             let left = limit.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                let status = if value.is_some() { 304 } else { 404 };
-                return Watched::Answer(HttpResponse::new(status, Vec::new()));
+                return Watched::Answer(
+                    value.map_or(HttpResponse::new(404, Vec::new()), unchanged),
+                );
             }
             state = self
                 .changed
@@ -276,6 +277,10 @@
         .with_header(REVISION_HEADER, &value.revision.to_string())
 }
 
+fn unchanged(value: &Value) -> HttpResponse {
+    HttpResponse::new(304, Vec::new()).with_header(REVISION_HEADER, &value.revision.to_string())
+}
+
 fn serve_connection(shared: &Shared, control: &ServerControl, stream: TcpStream) {
     let Ok(mut writer) = stream.try_clone() else {
         return;
--- a/crates/standins/tests/testsuite/config_service.rs
+++ b/crates/standins/tests/testsuite/config_service.rs
@@ -85,7 +85,9 @@
     let service = start();
     let revision = service.put("key", b"old").expect("small");
     let waiting = watch(&service, "key", revision, Duration::from_millis(20));
-    assert_eq!(client::receive(waiting).expect("an answer").status(), 304);
+    let ended = client::receive(waiting).expect("an answer");
+    assert_eq!(ended.status(), 304);
+    assert_eq!(ended.header("x-revision"), Some(&*revision.to_string()));
     let waiting = watch(&service, "absent", 0, Duration::from_millis(20));
     assert_eq!(client::receive(waiting).expect("an answer").status(), 404);
 }
