Fuzz the fleet's decision logic as one state machine

Added: a package `proof`. A process is assembled as in the host package, without sockets and threads; links, service and clock are the fakes that the other tests use. One oracle holds the promises. Actions cover each fault that the users name. Schedules come from `proptest-state-machine` with fixed seeds and shrink to a short trace; PROOF_CASES and PROOF_SEED ask for more. Ruled out: quick settings as in the limiter's schedules, as the evidence on the host list comes from polls every 2 s and many terms of the upstreams are constants; the defaults of all parts are used, with an attempt window of 20 s. A first draft let the fleet run 14 s before the first action: in about a third of the schedules a new host list then took the rights of the opening away and nothing ran; the fleet now runs 32 s first, and a test fails if schedules reach too little. Left out: gossip of liveness, which decides nothing here; framing, sockets and the retry budget, which other tests cover.

--- /dev/null
+++ b/crates/proof/src/fleet.rs
@@ -0,0 +1,363 @@
+//! All hosts, links, the platform and the upstreams in virtual time.
+
+mod host;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use waxwingusher_bench::config::service::FakeService;
+use waxwingusher_config::{Publication, Snapshot, publish};
+use waxwingusher_core::{Clock, HostEntry, HostId, HostList, HostState, ManualClock};
+use waxwingusher_standins::{LinkFaults, Links};
+
+use crate::call::{Call, CallKind};
+use crate::flow::{Flow, Surroundings};
+use crate::oracle::{Conditions, Oracle};
+use crate::process::{Packet, Process};
+use crate::sample::{self, DOMAINS};
+use crate::upstream::Upstreams;
+pub use host::Host;
+use host::{Input, new_host, on_service, sight_of};
+
+/// The time between two ticks of all hosts.
+pub const STEP: Duration = Duration::from_millis(50);
+/// The hosts of each failure domain.
+pub const HOSTS_PER_DOMAIN: usize = 2;
+/// All hosts.
+pub const HOSTS: usize = DOMAINS * HOSTS_PER_DOMAIN;
+/// The largest drift of a clock, in millionths.
+const MAX_DRIFT_PPM: i32 = 9_000;
+/// Peers that a fresh process knows.
+const SEEDS: usize = 2;
+
+/// A packet with its sender's incarnation.
+type Letter = (u64, Packet);
+
+/// The whole fleet with its surroundings.
+pub struct Fleet {
+    /// All hosts.
+    pub hosts: Vec<Host>,
+    /// The configuration service.
+    pub service: FakeService,
+    /// The instances.
+    pub upstreams: Upstreams,
+    /// The promises.
+    pub oracle: Oracle,
+    pub(crate) links: Links<Letter>,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) snapshot: Snapshot,
+    pub(crate) publications: Vec<Publication>,
+    pub(crate) states: Vec<Option<HostState>>,
+    pub(crate) conditions: Conditions,
+    list_version: u64,
+    time: ManualClock,
+    next_call: u64,
+}
+
+impl Fleet {
+    /// Starts a fleet and lets it run until it takes callers.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        let time = ManualClock::new();
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let snapshot = sample::first_snapshot();
+        let mut hosts = Vec::new();
+        for index in 0..HOSTS {
+            hosts.push(new_host(index, &time, &mut rng));
+        }
+        let mut fleet = Self {
+            hosts,
+            service: FakeService::default(),
+            upstreams: Upstreams::new(seed),
+            oracle: Oracle::new(&Arc::new(snapshot.clone())),
+            links: Links::new(seed, LinkFaults::default()),
+            rng,
+            snapshot,
+            publications: Vec::new(),
+            states: vec![Some(HostState::Live); HOSTS],
+            conditions: Conditions {
+                stable_since: Duration::ZERO,
+                linked_since: Duration::ZERO,
+                is_lossy: false,
+            },
+            list_version: 0,
+            time,
+            next_call: 0,
+        };
+        fleet.publish_list();
+        fleet.publish_again();
+        for index in 0..HOSTS {
+            fleet.start(index);
+        }
+        fleet.run(sample::WARM_UP);
+        fleet
+    }
+
+    /// Returns the true time since the start.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        self.time.elapsed()
+    }
+
+    /// Starts a process without memory on a host, in place of a running one.
+    pub fn start(&mut self, index: usize) {
+        self.stop(index);
+        let incarnation = self.rng.u64(1..);
+        let host = &mut self.hosts[index];
+        host.process = Some(Process::start(&host.place, incarnation));
+        self.conditions.linked_since = self.elapsed();
+    }
+
+    /// Kills the process of a host.
+    pub fn stop(&mut self, index: usize) {
+        self.wake(index);
+        let host = &mut self.hosts[index];
+        host.process = None;
+        host.inbox.clear();
+        self.service.forget(&host.place.id);
+        self.note_link_change();
+    }
+
+    /// Pauses a process. With its machine suspended its monotonic clock stands.
+    pub fn pause(&mut self, index: usize, is_suspended: bool) {
+        let now = self.elapsed();
+        let host = &mut self.hosts[index];
+        if host.is_paused || host.process.is_none() {
+            return;
+        }
+        host.is_paused = true;
+        host.suspended_since = is_suspended.then_some(now);
+        self.conditions.stable_since = now;
+    }
+
+    /// Lets a paused process go on. Its requests go first, before it hears of
+    /// what has happened.
+    pub fn wake(&mut self, index: usize) {
+        let now = self.elapsed();
+        let host = &mut self.hosts[index];
+        if !host.is_paused {
+            return;
+        }
+        host.is_paused = false;
+        if let Some(since) = host.suspended_since.take() {
+            host.clock.suspend(now - since);
+        }
+        self.conditions.stable_since = now;
+        self.progress(index);
+    }
+
+    /// Cuts or mends the link between two hosts in one direction.
+    pub fn set_link(&mut self, from: usize, to: usize, is_cut: bool) {
+        let (from, to) = (&self.hosts[from].place.id, &self.hosts[to].place.id);
+        if is_cut {
+            self.links.cut(from, to);
+        } else {
+            self.links.mend(from, to);
+        }
+        self.note_link_change();
+    }
+
+    /// Mends all links and makes them quick.
+    pub fn mend_links(&mut self) {
+        self.links.mend_all();
+        self.set_faults(LinkFaults::default());
+    }
+
+    /// Sets how all links behave.
+    pub fn set_faults(&mut self, faults: LinkFaults) {
+        self.links.set_faults(faults);
+        self.conditions.is_lossy = faults.loss > 0.0;
+        self.note_link_change();
+    }
+
+    /// Publishes the configuration under the next version.
+    pub fn publish(&mut self) {
+        self.snapshot.version += 1;
+        self.oracle.on_published(&Arc::new(self.snapshot.clone()));
+        self.publish_again();
+    }
+
+    /// Publishes the host list under the next version.
+    pub fn publish_list(&mut self) {
+        self.list_version += 1;
+        let mut hosts = Vec::new();
+        for (host, state) in self.hosts.iter().zip(&self.states) {
+            let Some(state) = state else {
+                continue;
+            };
+            hosts.push(HostEntry {
+                id: host.place.id.clone(),
+                peer_addr: ([127, 0, 0, 1], 1).into(),
+                failure_domain: host.place.domain.clone(),
+                state: *state,
+            });
+        }
+        let version = self.list_version;
+        self.service.put_hosts(&HostList { version, hosts });
+    }
+
+    /// Sends a request to a host.
+    pub fn request(&mut self, index: usize, workspace: usize, key: usize, kind: CallKind) {
+        self.next_call += 1;
+        let call = Call {
+            id: self.next_call,
+            workspace,
+            key,
+            kind,
+        };
+        let now = self.elapsed();
+        let host = &mut self.hosts[index];
+        if !host.is_awake() {
+            return;
+        }
+        let Some(process) = &mut host.process else {
+            return;
+        };
+        match Flow::admit(process, call) {
+            Ok(flow) => process.flows.push(flow),
+            Err(reason) => self.oracle.on_refusal(&call, reason.outcome(), false, now),
+        }
+        self.progress(index);
+    }
+
+    /// Lets time pass, or less if a promise is broken.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.elapsed() + time;
+        while self.elapsed() < end && self.oracle.violations().is_empty() {
+            self.step();
+        }
+    }
+
+    /// Runs to the next tick of all hosts.
+    pub fn step(&mut self) {
+        let end = self.time.now() + STEP;
+        while let Some(at) = self.links.next_arrival().filter(|at| *at <= end) {
+            let ahead = at.saturating_duration_since(self.time.now());
+            self.time.advance(ahead);
+            self.deliver();
+        }
+        let ahead = end.saturating_duration_since(self.time.now());
+        self.time.advance(ahead);
+        for call in self.service.answers(end) {
+            self.take(&call.host.clone(), Input::Service(call));
+        }
+        for index in 0..self.hosts.len() {
+            self.tick(index);
+        }
+        self.observe();
+    }
+
+    fn publish_again(&mut self) {
+        let Ok(publication) = publish(&self.snapshot) else {
+            return;
+        };
+        self.service.publish(&publication);
+        self.publications.push(publication);
+    }
+
+    fn note_link_change(&mut self) {
+        let now = self.elapsed();
+        self.conditions.linked_since = now;
+        self.conditions.stable_since = now;
+    }
+
+    fn deliver(&mut self) {
+        while let Some(delivery) = self.links.receive(self.time.now()) {
+            self.take(&delivery.to.clone(), Input::Letter(delivery));
+        }
+    }
+
+    fn take(&mut self, id: &HostId, input: Input) {
+        let found = self.hosts.iter().position(|host| host.place.id == *id);
+        let Some(index) = found.filter(|at| self.hosts[*at].process.is_some()) else {
+            return;
+        };
+        self.hosts[index].inbox.push_back(input);
+        self.drain_inbox(index);
+    }
+
+    fn drain_inbox(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        if host.is_paused {
+            return;
+        }
+        let Some(process) = &mut host.process else {
+            return;
+        };
+        for input in host.inbox.drain(..) {
+            match input {
+                Input::Letter(delivery) => {
+                    let (incarnation, packet) = delivery.message;
+                    process.on_packet(&delivery.from, incarnation, packet);
+                }
+                Input::Service(call) => on_service(process, &call),
+            }
+        }
+        self.progress(index);
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.drain_inbox(index);
+        let host = &mut self.hosts[index];
+        if host.is_paused {
+            return;
+        }
+        if let Some(process) = &mut host.process {
+            process.tick();
+        }
+        self.progress(index);
+    }
+
+    /// Works on the requests of a host, and sends what it wants sent.
+    fn progress(&mut self, index: usize) {
+        let now = self.elapsed();
+        let host = &mut self.hosts[index];
+        let Some(process) = &mut host.process else {
+            return;
+        };
+        let mut around = Surroundings {
+            host: &host.place.id,
+            upstreams: &mut self.upstreams,
+            oracle: &mut self.oracle,
+            now,
+        };
+        process.progress(&mut around);
+        for (to, packet) in process.outbox.drain(..) {
+            let letter = (process.incarnation, packet);
+            self.links
+                .send(self.time.now(), &host.place.id, &to, letter);
+        }
+        for read in process.reads.drain(..) {
+            self.service.call(&host.place.id, read, self.time.now());
+        }
+    }
+
+    fn observe(&mut self) {
+        let mut indexes = Vec::new();
+        for (index, host) in self.hosts.iter().enumerate() {
+            if host.process.is_some() {
+                indexes.push(index);
+            }
+        }
+        let mut sights = Vec::new();
+        for index in &indexes {
+            let Some(process) = &self.hosts[*index].process else {
+                continue;
+            };
+            let mut sight = sight_of(&self.hosts[*index], process);
+            for (at, other) in indexes.iter().enumerate() {
+                if other != index && self.reaches(*index, *other) {
+                    sight.reaches.push(at);
+                }
+            }
+            sights.push(sight);
+        }
+        let now = self.elapsed();
+        self.oracle.observe(&sights, self.conditions, now);
+    }
+
+    fn reaches(&self, a: usize, b: usize) -> bool {
+        let (a, b) = (&self.hosts[a].place.id, &self.hosts[b].place.id);
+        !self.links.is_cut(a, b) && !self.links.is_cut(b, a)
+    }
+}
--- /dev/null
+++ b/crates/proof/src/oracle.rs
@@ -0,0 +1,240 @@
+//! The users' promises as invariants, against the true time and all hosts.
+
+mod floor;
+mod rates;
+mod sight;
+mod versions;
+mod violation;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use waxwingusher_attempts::Outcome;
+use waxwingusher_config::Snapshot;
+use waxwingusher_core::{HostId, InstanceId, WorkspaceName};
+use waxwingusher_protocol::attempt::StoredAnswer;
+
+use crate::call::{Call, CallKind, Operation};
+use crate::sample;
+use floor::FloorWatch;
+use rates::RateWatch;
+pub use sight::{Conditions, Sight};
+use versions::HostWatch;
+pub use violation::Violation;
+
+/// The time in which an accepted configuration must be in force, and a
+/// withdrawn key must be dead.
+pub const CONFIG_TARGET: Duration = Duration::from_secs(6);
+/// The time after which a leaving instance gets no new work.
+pub const LEAVING_TARGET: Duration = Duration::from_secs(5);
+/// The time for which a host takes an instance at its word that it drains.
+const DRAIN_MEMORY: Duration = Duration::from_secs(55);
+
+/// One send of a request to an instance.
+#[derive(Debug, Clone, Copy)]
+pub struct Run<'a> {
+    /// The host that sends.
+    pub host: &'a HostId,
+    /// The instance.
+    pub instance: &'a InstanceId,
+    /// The version in force at the host.
+    pub version: u64,
+    /// Whether the instance runs it.
+    pub is_run: bool,
+    /// The true time.
+    pub now: Duration,
+}
+
+#[derive(Debug, Default)]
+struct OperationRuns {
+    runs: Vec<Duration>,
+    answers: Vec<StoredAnswer>,
+}
+
+/// What runs, holds and was said over the whole fleet.
+#[derive(Debug)]
+pub struct Oracle {
+    published: BTreeMap<u64, Arc<Snapshot>>,
+    accepted_at: BTreeMap<u64, Duration>,
+    hosts: BTreeMap<HostId, HostWatch>,
+    operations: BTreeMap<Operation, OperationRuns>,
+    runs: BTreeMap<u64, u32>,
+    told_not_run: BTreeSet<u64>,
+    linked_since: Duration,
+    rates: RateWatch,
+    floor: FloorWatch,
+    violations: Vec<Violation>,
+    /// What has happened, to show that schedules reach what they must.
+    pub counts: Counts,
+}
+
+/// How much a schedule has reached.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests that ran.
+    pub runs: u64,
+    /// Requests that got an answer.
+    pub answers: u64,
+    /// Requests that were refused as not run.
+    pub not_run: u64,
+    /// Requests whose fate is unknown.
+    pub unknown: u64,
+    /// Repeats that got the first answer.
+    pub first_answers: u64,
+    /// Steps in which an instance was ejected somewhere.
+    pub ejected_steps: u64,
+}
+
+impl Counts {
+    /// Adds what another schedule has reached.
+    pub fn add(&mut self, other: &Self) {
+        self.runs += other.runs;
+        self.answers += other.answers;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.first_answers += other.first_answers;
+        self.ejected_steps += other.ejected_steps;
+    }
+}
+
+impl Oracle {
+    /// Creates an oracle for a fleet that starts with this configuration.
+    #[must_use]
+    pub fn new(first: &Arc<Snapshot>) -> Self {
+        let mut oracle = Self {
+            published: BTreeMap::new(),
+            accepted_at: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            operations: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            told_not_run: BTreeSet::new(),
+            linked_since: Duration::ZERO,
+            rates: RateWatch::default(),
+            floor: FloorWatch::default(),
+            violations: Vec::new(),
+            counts: Counts::default(),
+        };
+        oracle.on_published(first);
+        oracle
+    }
+
+    /// Returns all broken promises.
+    #[must_use]
+    pub fn violations(&self) -> &[Violation] {
+        &self.violations
+    }
+
+    /// Notes a published configuration.
+    pub fn on_published(&mut self, snapshot: &Arc<Snapshot>) {
+        self.published.insert(snapshot.version, snapshot.clone());
+    }
+
+    /// Notes a spent token.
+    pub fn on_token(&mut self, workspace: &WorkspaceName, now: Duration) {
+        if !self.rates.on_token(workspace, now) {
+            self.break_promise(Violation::OverRate(workspace.clone()));
+        }
+    }
+
+    /// Notes that a request was sent to an instance.
+    pub fn on_sent(&mut self, call: &Call, run: &Run<'_>) {
+        self.check_key(call, run);
+        self.check_leaving(run);
+        if run.is_run {
+            self.on_run(call, run.now);
+        }
+    }
+
+    /// Notes that an instance told a host that it drains.
+    pub fn on_drains(&mut self, host: &HostId, instance: &InstanceId, now: Duration) {
+        let watch = self.hosts.entry(host.clone()).or_default();
+        watch.drains_since.entry(instance.clone()).or_insert(now);
+    }
+
+    /// Notes the answer that is kept for an operation.
+    pub fn on_stored(&mut self, operation: Operation, answer: StoredAnswer) {
+        let entry = self.operations.entry(operation).or_default();
+        entry.answers.push(answer);
+    }
+
+    /// Notes that a repeat got the first answer.
+    pub fn on_first_answer(&mut self, call: &Call, answer: &StoredAnswer) {
+        self.counts.first_answers += 1;
+        let known = call.operation().and_then(|one| self.operations.get(&one));
+        if !known.is_some_and(|known| known.answers.contains(answer)) {
+            self.break_promise(Violation::CrossedAnswer(call.id));
+        }
+    }
+
+    /// Notes an answer to a caller.
+    pub fn on_answer(&mut self, _call: &Call) {
+        self.counts.answers += 1;
+    }
+
+    /// Notes a refusal. One that comes after the attempt records were asked
+    /// also speaks of earlier attempts with the same idempotency key.
+    pub fn on_refusal(&mut self, call: &Call, outcome: Outcome, has_asked: bool, now: Duration) {
+        if outcome == Outcome::Unknown {
+            self.counts.unknown += 1;
+            return;
+        }
+        self.counts.not_run += 1;
+        self.told_not_run.insert(call.id);
+        let has_run = self.runs.get(&call.id).is_some_and(|runs| *runs > 0);
+        let operation = call.operation().filter(|_| has_asked);
+        let earlier = operation.and_then(|one| self.operations.get(&one));
+        let is_recent = |run: &Duration| now - *run < sample::ATTEMPT_WINDOW;
+        let has_earlier = earlier.is_some_and(|known| known.runs.iter().any(is_recent));
+        if has_run || has_earlier {
+            self.break_promise(Violation::FalseNotRun(call.id));
+        }
+    }
+
+    /// Looks at all processes.
+    pub fn observe(&mut self, sights: &[Sight], conditions: Conditions, now: Duration) {
+        self.linked_since = conditions.linked_since;
+        for sight in sights {
+            self.observe_version(sight, sights, conditions, now);
+        }
+        let newest = self.published.values().cloned().collect::<Vec<_>>();
+        let in_force = |version: u64| newest.iter().find(|one| one.version == version).cloned();
+        let violations = self.rates.observe(sights, in_force, now);
+        self.violations.extend(violations);
+        if sights.iter().any(|sight| !sight.ejected.is_empty()) {
+            self.counts.ejected_steps += 1;
+        }
+        let settled = self.settled(sights, now);
+        let violations = self.floor.observe(sights, settled.as_deref(), now);
+        self.violations.extend(violations);
+    }
+
+    fn on_run(&mut self, call: &Call, now: Duration) {
+        self.counts.runs += 1;
+        if self.told_not_run.contains(&call.id) {
+            self.break_promise(Violation::FalseNotRun(call.id));
+        }
+        let runs = self.runs.entry(call.id).or_default();
+        *runs += 1;
+        let is_repeated = *runs > 1 && call.method() == "POST";
+        if is_repeated {
+            self.break_promise(Violation::DoubledRequest(call.id));
+        }
+        let CallKind::Keyed(_) = call.kind else {
+            return;
+        };
+        let Some(operation) = call.operation() else {
+            return;
+        };
+        let entry = self.operations.entry(operation).or_default();
+        let gap = entry.runs.last().map(|last| now - *last);
+        entry.runs.push(now);
+        if let Some(gap) = gap.filter(|gap| *gap < sample::ATTEMPT_WINDOW) {
+            self.break_promise(Violation::DoubledOperation { operation, gap });
+        }
+    }
+
+    fn break_promise(&mut self, violation: Violation) {
+        self.violations.push(violation);
+    }
+}
--- /dev/null
+++ b/crates/proof/src/oracle/floor.rs
@@ -0,0 +1,84 @@
+//! The capacity floor in each host's view and over all hosts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use waxwingusher_config::{InstanceState, Service, Snapshot};
+use waxwingusher_core::{HostId, InstanceId};
+use waxwingusher_upstreams::settings::EJECTION_TERM;
+
+use super::{Sight, Violation};
+use crate::sample;
+
+/// Watches the floor.
+#[derive(Debug, Default)]
+pub(super) struct FloorWatch {
+    /// Since when each host has held an ejection without a break.
+    judged_since: BTreeMap<HostId, Duration>,
+}
+
+impl FloorWatch {
+    /// Checks each host's view, and the union over all hosts against the
+    /// configuration that all of them act on.
+    ///
+    /// What a host alone knows to be out of use is in the union once it has
+    /// held an ejection for one term: before that it may have reached no judge.
+    pub(super) fn observe(
+        &mut self,
+        sights: &[Sight],
+        settled: Option<&Snapshot>,
+        now: Duration,
+    ) -> Vec<Violation> {
+        let mut broken = Vec::new();
+        let mut all_ejected = BTreeSet::new();
+        let mut all_out = BTreeSet::new();
+        for sight in sights.iter().filter(|sight| sight.is_awake) {
+            let Some(service) = service_of(sight.snapshot.as_deref()) else {
+                continue;
+            };
+            if sight.ejected.is_empty() {
+                self.judged_since.remove(&sight.host);
+                continue;
+            }
+            let mut out: BTreeSet<_> = sight.unavailable.iter().cloned().collect();
+            out.extend(sight.ejected.iter().cloned());
+            broken.extend(check(sight.host.as_str(), service, &out));
+            let since = *self.judged_since.entry(sight.host.clone()).or_insert(now);
+            if now >= since + EJECTION_TERM {
+                all_out.extend(out);
+            }
+            all_ejected.extend(sight.ejected.iter().cloned());
+        }
+        let Some(service) = service_of(settled).filter(|_| !all_ejected.is_empty()) else {
+            return broken;
+        };
+        all_out.extend(all_ejected);
+        let instances = service.instances.iter();
+        let leaving = instances.filter(|one| one.state == InstanceState::Leaving);
+        all_out.extend(leaving.map(|one| one.id.clone()));
+        broken.extend(check("all hosts", service, &all_out));
+        broken
+    }
+}
+
+fn service_of(snapshot: Option<&Snapshot>) -> Option<&Service> {
+    let service = snapshot?.services.get(&sample::service_name())?;
+    Some(service)
+}
+
+fn check(view: &str, service: &Service, out: &BTreeSet<InstanceId>) -> Option<Violation> {
+    let mut total = 0;
+    let mut in_use = 0;
+    for instance in &service.instances {
+        total += instance.slots;
+        if !out.contains(&instance.id) {
+            in_use += instance.slots;
+        }
+    }
+    let is_below = in_use * 100 < total * u32::from(service.floor_percent);
+    is_below.then(|| Violation::BelowFloor {
+        view: view.to_owned(),
+        in_use,
+        total,
+    })
+}
--- /dev/null
+++ b/crates/proof/src/oracle/versions.rs
@@ -0,0 +1,181 @@
+//! Versions of the configuration at each host, and what follows from them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use waxwingusher_config::{InstanceState, Snapshot};
+use waxwingusher_core::InstanceId;
+
+use super::{
+    CONFIG_TARGET, Conditions, DRAIN_MEMORY, LEAVING_TARGET, Oracle, Run, Sight, Violation,
+};
+use crate::call::Call;
+use crate::sample;
+
+#[derive(Debug, Default)]
+pub(super) struct HostWatch {
+    incarnation: u64,
+    started_at: Duration,
+    best_at_start: u64,
+    version: u64,
+    behind_since: Option<Duration>,
+    leaving_since: BTreeMap<InstanceId, Duration>,
+    pub(super) drains_since: BTreeMap<InstanceId, Duration>,
+    /// The newest version among the processes that it reaches, with its age.
+    reachable: Vec<u64>,
+}
+
+impl Oracle {
+    pub(super) fn check_key(&mut self, call: &Call, run: &Run<'_>) {
+        if !self.has_key(run.version, call) {
+            self.break_promise(Violation::ForeignKey {
+                host: run.host.clone(),
+                call: call.id,
+                version: run.version,
+            });
+        }
+        let watch = self.hosts.get(run.host);
+        let reachable = watch.map_or(&[][..], |watch| &watch.reachable);
+        let newest = reachable.iter().max().copied().unwrap_or(0);
+        let is_linked = run.now >= self.linked_since + CONFIG_TARGET;
+        if !is_linked || newest <= run.version {
+            return;
+        }
+        let accepted = self.accepted_at.range(run.version + 1..=newest);
+        let mut withdrawn_at = None;
+        for (version, at) in accepted {
+            if self.has_key(*version, call) {
+                withdrawn_at = None;
+            } else {
+                withdrawn_at = withdrawn_at.or(Some(*at));
+            }
+        }
+        let age = withdrawn_at.map(|at| run.now - at);
+        if let Some(age) = age.filter(|age| *age > CONFIG_TARGET) {
+            self.break_promise(Violation::WithdrawnKey {
+                host: run.host.clone(),
+                call: call.id,
+                version: run.version,
+                age,
+            });
+        }
+    }
+
+    fn has_key(&self, version: u64, call: &Call) -> bool {
+        let snapshot = self.published.get(&version);
+        let name = sample::workspace_name(call.workspace);
+        let workspace = snapshot.and_then(|one| one.workspaces.get(&name));
+        workspace.is_some_and(|one| one.key_digests.contains(&call.key_digest()))
+    }
+
+    pub(super) fn check_leaving(&mut self, run: &Run<'_>) {
+        let Some(watch) = self.hosts.get(run.host) else {
+            return;
+        };
+        let leaving = watch.leaving_since.get(run.instance);
+        let drains = watch.drains_since.get(run.instance);
+        let drains = drains.filter(|since| run.now < **since + DRAIN_MEMORY);
+        let since = leaving.into_iter().chain(drains).min();
+        let age = since.map(|since| run.now - *since);
+        if let Some(age) = age.filter(|age| *age > LEAVING_TARGET) {
+            self.break_promise(Violation::WorkForLeaving {
+                host: run.host.clone(),
+                instance: run.instance.clone(),
+                age,
+            });
+        }
+    }
+
+    pub(super) fn observe_version(
+        &mut self,
+        sight: &Sight,
+        sights: &[Sight],
+        conditions: Conditions,
+        now: Duration,
+    ) {
+        let version = sight.version();
+        let awake = sight.reaches.iter().filter(|at| sights[**at].is_awake);
+        let reachable: Vec<u64> = awake.map(|at| sights[*at].version()).collect();
+        let newest = reachable.iter().max().copied().unwrap_or(0);
+        let watch = self.hosts.entry(sight.host.clone()).or_default();
+        if watch.incarnation != sight.incarnation {
+            *watch = HostWatch {
+                incarnation: sight.incarnation,
+                started_at: now,
+                best_at_start: newest,
+                ..HostWatch::default()
+            };
+        }
+        watch.reachable = reachable;
+        let mut broken = Vec::new();
+        let is_first = watch.version == 0 && version > 0;
+        let was_linked = conditions.linked_since <= watch.started_at && !conditions.is_lossy;
+        let least = if is_first && was_linked {
+            watch.best_at_start
+        } else {
+            watch.version
+        };
+        if version < least && (version > 0 || watch.version > 0) {
+            broken.push(Violation::Reverted {
+                host: sight.host.clone(),
+                from: least,
+                to: version,
+            });
+        }
+        if version != watch.version {
+            self.accepted_at.entry(version).or_insert(now);
+        }
+        watch.version = version;
+        watch.note_leaving(sight.snapshot.as_deref(), now);
+        let is_behind = sight.is_awake && newest > version;
+        watch.behind_since = watch.behind_since.or(Some(now)).filter(|_| is_behind);
+        let since = watch.behind_since.map(|at| at.max(conditions.stable_since));
+        if since.is_some_and(|since| now > since + CONFIG_TARGET) {
+            broken.push(Violation::LateConfiguration {
+                host: sight.host.clone(),
+                version,
+                newer: newest,
+            });
+        }
+        let published = self.published.get(&version);
+        if sight.snapshot.is_some() && sight.snapshot.as_ref() != published {
+            broken.push(Violation::Altered {
+                host: sight.host.clone(),
+                version,
+            });
+        }
+        self.violations.extend(broken);
+    }
+
+    /// Returns the configuration that all processes have had for long enough
+    /// to act on it.
+    pub(super) fn settled(&self, sights: &[Sight], now: Duration) -> Option<Arc<Snapshot>> {
+        let lowest = sights.iter().map(Sight::version).min()?;
+        let accepted = self.accepted_at.get(&lowest)?;
+        if now < *accepted + LEAVING_TARGET {
+            return None;
+        }
+        self.published.get(&lowest).cloned()
+    }
+}
+
+impl HostWatch {
+    fn note_leaving(&mut self, snapshot: Option<&Snapshot>, now: Duration) {
+        let service = snapshot.and_then(|one| one.services.get(&sample::service_name()));
+        let Some(service) = service else {
+            return;
+        };
+        for instance in &service.instances {
+            match instance.state {
+                InstanceState::Leaving => {
+                    let since = self.leaving_since.entry(instance.id.clone());
+                    since.or_insert(now);
+                }
+                InstanceState::Live => {
+                    self.leaving_since.remove(&instance.id);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proof/src/upstream.rs
@@ -0,0 +1,172 @@
+//! Instances that fail in the ways that interfaces show.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use waxwingusher_core::{HostId, InstanceId};
+
+use crate::call::Call;
+use crate::sample::{INSTANCES, instance_id};
+
+/// How long an instance is down after a crash.
+const RESTART_TIME: Duration = Duration::from_secs(3);
+/// The usual time of an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(30);
+/// The time of an answer of a slow instance.
+const SLOW_ANSWER_TIME: Duration = Duration::from_millis(900);
+
+/// How an instance behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers.
+    Well,
+    /// It fails this part of its work, in percent.
+    Failing(u8),
+    /// It answers late.
+    Slow,
+    /// It runs requests, and its answers are lost.
+    Silent,
+    /// It states that it does not run requests, as it has too much to do.
+    Shedding,
+    /// It states that it does not run requests, as it is about to stop.
+    Draining,
+}
+
+/// What an instance does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Treatment {
+    /// Runs it and answers.
+    Answers,
+    /// Runs it and answers with an error.
+    Fails,
+    /// Runs it, and the answer is lost.
+    Loses,
+    /// Does not run it and says so.
+    Sheds,
+    /// Does not run it and says that it drains.
+    Drains,
+    /// Takes no connection.
+    Refuses,
+    /// Ends the connection while it runs it.
+    Dies,
+}
+
+impl Treatment {
+    /// Reports whether the request runs.
+    #[must_use]
+    pub const fn runs(self) -> bool {
+        match self {
+            Self::Answers | Self::Fails | Self::Loses | Self::Dies => true,
+            Self::Sheds | Self::Drains | Self::Refuses => false,
+        }
+    }
+}
+
+/// One instance.
+#[derive(Debug, Clone)]
+struct FakeInstance {
+    mode: Mode,
+    down_until: Duration,
+    crashes: u64,
+    /// Hosts whose requests arrive and that get no answers.
+    cut_from: BTreeSet<HostId>,
+}
+
+/// All instances of the service.
+#[derive(Debug)]
+pub struct Upstreams {
+    instances: Vec<FakeInstance>,
+    rng: fastrand::Rng,
+}
+
+impl Upstreams {
+    /// Creates instances that are well.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        let instance = FakeInstance {
+            mode: Mode::Well,
+            down_until: Duration::ZERO,
+            crashes: 0,
+            cut_from: BTreeSet::new(),
+        };
+        Self {
+            instances: vec![instance; INSTANCES],
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Changes how an instance behaves.
+    pub fn set_mode(&mut self, instance: usize, mode: Mode) {
+        self.instances[instance].mode = mode;
+    }
+
+    /// Cuts the way from an instance to a host, or mends it.
+    pub fn toggle_cut(&mut self, instance: usize, host: &HostId) {
+        let cuts = &mut self.instances[instance].cut_from;
+        if !cuts.remove(host) {
+            cuts.insert(host.clone());
+        }
+    }
+
+    /// Ends all faults of instances.
+    pub fn mend_all(&mut self) {
+        for instance in &mut self.instances {
+            instance.mode = Mode::Well;
+            instance.cut_from.clear();
+        }
+    }
+
+    /// Returns how often an instance has crashed.
+    #[must_use]
+    pub fn crashes(&self, id: &InstanceId) -> u64 {
+        self.index(id).map_or(0, |at| self.instances[at].crashes)
+    }
+
+    /// Reports whether an instance takes connections.
+    #[must_use]
+    pub fn connects(&self, id: &InstanceId, now: Duration) -> bool {
+        self.index(id)
+            .is_some_and(|at| now >= self.instances[at].down_until)
+    }
+
+    /// Treats a request whose bytes have arrived, and returns when it ends.
+    pub fn treat(
+        &mut self,
+        host: &HostId,
+        id: &InstanceId,
+        call: &Call,
+        now: Duration,
+    ) -> (Treatment, Duration) {
+        let Some(index) = self.index(id) else {
+            return (Treatment::Refuses, now);
+        };
+        let draw = self.rng.u8(..100);
+        let instance = &mut self.instances[index];
+        if now < instance.down_until {
+            return (Treatment::Refuses, now);
+        }
+        let treatment = match instance.mode {
+            Mode::Shedding => Treatment::Sheds,
+            Mode::Draining => Treatment::Drains,
+            _ if call.is_crashing() => Treatment::Dies,
+            _ if instance.cut_from.contains(host) => Treatment::Loses,
+            Mode::Silent => Treatment::Loses,
+            Mode::Failing(percent) if draw < percent => Treatment::Fails,
+            Mode::Well | Mode::Slow | Mode::Failing(_) => Treatment::Answers,
+        };
+        if treatment == Treatment::Dies {
+            instance.crashes += 1;
+            instance.down_until = now + RESTART_TIME;
+        }
+        let takes = if instance.mode == Mode::Slow {
+            SLOW_ANSWER_TIME
+        } else {
+            ANSWER_TIME.mul_f64(0.5 + self.rng.f64())
+        };
+        (treatment, now + takes)
+    }
+
+    fn index(&self, id: &InstanceId) -> Option<usize> {
+        (0..self.instances.len()).find(|index| instance_id(*index) == *id)
+    }
+}
--- /dev/null
+++ b/crates/proof/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Stateful fuzzing of the fleet's decision logic.
+
+mod machine;
+mod schedules;
