Compare the bench with a committed baseline

Added: `--baseline FILE` names values with a bound that are worse than the file by more than 10%, or 2% of the bound if that is more, and values that are gone, and ends with 1. `--write-baseline FILE` puts the results of a run into the file. Values that a real clock or the process itself measures are marked as timed and left out. Ruled out: a gate that fails on any changed figure; it would also stop what gets better. Bounds stay as they were.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -99,6 +99,7 @@
 struct Series {
     name: String,
     unit: String,
+    is_timed: bool,
     points: Vec<Point>,
 }
 
@@ -120,6 +121,9 @@
         let name = format!("{}-slope", self.name);
         let unit = format!("{} for each", self.unit);
         measurements.push(Measurement::new(&name, slope, &unit));
+        for measurement in &mut measurements {
+            measurement.is_timed = self.is_timed;
+        }
         measurements
     }
 
@@ -155,6 +159,7 @@
     series.push(Series {
         name: measurement.name.to_string(),
         unit: measurement.unit.to_string(),
+        is_timed: measurement.is_timed,
         points: vec![point],
     });
 }
@@ -187,6 +192,6 @@
     vec![
         Measurement::new("published", packs as f64, "bytes"),
         Measurement::new("packs", publication.packs.len() as f64, "packs"),
-        Measurement::new("assembly", assembly_ms, "ms"),
+        Measurement::new("assembly", assembly_ms, "ms").timed(),
     ]
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! are exactly repeatable. Each topic contributes its own list.
 
 pub mod attempts;
+pub mod baseline;
 pub mod capacity;
 pub mod config;
 pub mod limits;
--- a/crates/bench/src/limits/cost.rs
+++ b/crates/bench/src/limits/cost.rs
@@ -53,9 +53,11 @@
             scenario: self.name().into(),
             seed,
             measurements: vec![
-                Measurement::new("local-spend", spend, "ns").bounded(Bound::AtMost(1000.0)),
-                Measurement::new("tick-with-100-active", tick, "ns"),
-                Measurement::new("memory-per-workspace", bytes as f64, "bytes"),
+                Measurement::new("local-spend", spend, "ns")
+                    .bounded(Bound::AtMost(1000.0))
+                    .timed(),
+                Measurement::new("tick-with-100-active", tick, "ns").timed(),
+                Measurement::new("memory-per-workspace", bytes as f64, "bytes").timed(),
             ],
         }
     }
--- a/crates/bench/src/limits/design_size.rs
+++ b/crates/bench/src/limits/design_size.rs
@@ -98,9 +98,9 @@
         let mut measurements = traffic(&mut fleet, hosts);
         measurements.extend(outcomes(&driver));
         let core = fleet.busy().as_secs_f64() / (MEASURED.as_secs_f64() * hosts as f64);
-        let core = Measurement::new("control-of-a-core", core * 100.0, "percent");
+        let core = Measurement::new("control-of-a-core", core * 100.0, "percent").timed();
         measurements.push(core.bounded(Bound::AtMost(CORE_PERCENT)));
-        measurements.push(Measurement::new("run-time", elapsed.as_secs_f64(), "s"));
+        measurements.push(Measurement::new("run-time", elapsed.as_secs_f64(), "s").timed());
         ScenarioResult {
             scenario: self.name().into(),
             seed,
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -37,6 +37,10 @@
     pub unit: Arc<str>,
     /// The bound, unless the value is there for comparison only.
     pub bound: Option<Bound>,
+    /// Whether a real clock or the process itself was measured, so that the
+    /// value does not repeat.
+    #[serde(default)]
+    pub is_timed: bool,
 }
 
 impl Measurement {
@@ -48,6 +52,7 @@
             value,
             unit: Arc::from(unit),
             bound: None,
+            is_timed: false,
         }
     }
 
@@ -58,6 +63,13 @@
         self
     }
 
+    /// Marks a value that does not repeat exactly.
+    #[must_use]
+    pub fn timed(mut self) -> Self {
+        self.is_timed = true;
+        self
+    }
+
     /// Reports whether the value keeps its bound, if it has one.
     #[must_use]
     pub fn holds(&self) -> bool {
--- a/crates/bench/src/upstreams/cost.rs
+++ b/crates/bench/src/upstreams/cost.rs
@@ -49,8 +49,8 @@
                 (ejecting - calm) / SIMULATED_SERVICES as f64,
                 "B/s",
             ),
-            Measurement::new("tick-of-250-services", tick_core * 100.0, "percent-of-core"),
-            Measurement::new("choose-and-report", choose_us, "us"),
+            Measurement::new("tick-of-250-services", tick_core * 100.0, "percent-of-core").timed(),
+            Measurement::new("choose-and-report", choose_us, "us").timed(),
         ];
         ScenarioResult {
             scenario: self.name().into(),
--- a/crates/bench/src/upstreams/subsets.rs
+++ b/crates/bench/src/upstreams/subsets.rs
@@ -55,7 +55,7 @@
             Measurement::new("moved-over-least-host-leaves", moved.0, "ratio"),
             Measurement::new("moved-over-least-instance-added", moved.1, "ratio"),
             Measurement::new("moved-share-host-leaves", moved.2, "share"),
-            Measurement::new("placement-wall", placement_s, "s"),
+            Measurement::new("placement-wall", placement_s, "s").timed(),
         ];
         ScenarioResult {
             scenario: self.name().into(),
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -4,12 +4,13 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use waxwingusher_bench::baseline::{Baseline, Regression};
 use waxwingusher_bench::{report, runner};
 
 use super::{CmdError, Outcome, print_json};
 
 /// Run seeded scenarios in virtual time, and report the values that fall short
-/// of their bounds.
+/// of their bounds or are worse than a baseline.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "bench")]
 pub struct BenchArgs {
@@ -28,6 +29,13 @@
     /// print the results as JSON
     #[argh(switch)]
     json: bool,
+    /// compare with the figures of this file
+    #[argh(option)]
+    baseline: Option<PathBuf>,
+    /// put the results into this file, in place of those of the same scenarios
+    /// and seed
+    #[argh(option)]
+    write_baseline: Option<PathBuf>,
 }
 
 impl BenchArgs {
@@ -64,13 +72,52 @@
             let runner::Shortfall { name, value, bound } = shortfall;
             eprintln!("bench: {name} is {value}, allowed is {bound:?}.");
         }
-        Ok(if shortfalls.is_empty() {
+        let is_level = self.compare(&results)?;
+        if let Some(path) = &self.write_baseline {
+            let mut baseline = if path.exists() {
+                Baseline::read(path)?
+            } else {
+                Baseline::default()
+            };
+            baseline.take(&results);
+            baseline.write(path)?;
+        }
+        Ok(if shortfalls.is_empty() && is_level {
             Outcome::Clean
         } else {
             Outcome::Findings
         })
     }
 
+    /// Compares with the baseline, if one is given, and reports whether nothing
+    /// is worse.
+    fn compare(&self, results: &runner::BenchResults) -> Result<bool, CmdError> {
+        let Some(path) = &self.baseline else {
+            return Ok(true);
+        };
+        let comparison = Baseline::read(path)?.compare(results);
+        for regression in &comparison.regressions {
+            let Regression {
+                name,
+                seed,
+                before,
+                now,
+            } = regression;
+            eprintln!("bench: {name} (seed {seed}) is {now}, the baseline has {before}.");
+        }
+        for name in &comparison.missing {
+            eprintln!("bench: {name} is in the baseline and was not measured.");
+        }
+        eprintln!(
+            "bench: {} values are as in the baseline, {} differ, {} are worse, {} are new.",
+            comparison.equal,
+            comparison.changed,
+            comparison.regressions.len(),
+            comparison.new
+        );
+        Ok(comparison.holds())
+    }
+
     fn selects(&self, name: &str) -> bool {
         self.names.is_empty() || self.names.iter().any(|start| name.starts_with(start))
     }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -22,6 +22,7 @@
 use log::LevelFilter;
 use serde::Serialize;
 use simplelog::{ConfigBuilder, WriteLogger};
+use waxwingusher_bench::baseline::BaselineError;
 use waxwingusher_bench::report::ReportError;
 use waxwingusher_config::DirectoryError;
 use waxwingusher_emulator::EmulatorError;
@@ -94,6 +95,9 @@
     /// A report could not be written.
     #[error(transparent)]
     Report(#[from] ReportError),
+    /// A baseline could not be read or written.
+    #[error(transparent)]
+    Baseline(#[from] BaselineError),
     /// The demonstration could not be run.
     #[error(transparent)]
     Demo(#[from] DemoError),
