Test three mechanisms that no check noticed when broken

Cause: the mutants showed three broken mechanisms that every test passed: a submission without a key that is sent again after its instance ended the connection, a caller's own workspace header on an open route, and loans that go on in force after a machine was suspended. Added: one test for each. Ruled out: the header on routes with a key; there the host sets it anew.

--- a/crates/proof/tests/testsuite/main.rs
+++ b/crates/proof/tests/testsuite/main.rs
@@ -3,3 +3,4 @@
 mod machine;
 mod regressions;
 mod schedules;
+mod suspension;
--- /dev/null
+++ b/crates/proof/tests/testsuite/suspension.rs
@@ -0,0 +1,28 @@
+//! Machines that are suspended: the monotonic clock stands, the wall clock goes
+//! on, and rights must have ended when the process goes on.
+
+use waxwingusher_proof::fleet::HOSTS;
+use waxwingusher_proof::{Action, Fleet};
+
+#[test]
+fn loans_end_while_a_machine_is_suspended() {
+    for host in 0..HOSTS {
+        let mut fleet = Fleet::new(host as u64);
+        for action in [
+            Action::Load {
+                ms: 4_000,
+                per_s: 120,
+            },
+            Action::Pause {
+                host,
+                is_suspended: true,
+            },
+            Action::Wait { ms: 14_000 },
+            Action::Wake(host),
+            Action::Wait { ms: 1_000 },
+        ] {
+            action.apply(&mut fleet);
+        }
+        assert_eq!(fleet.oracle.violations(), [], "host {host}");
+    }
+}
--- a/tests/testsuite/whole_path.rs
+++ b/tests/testsuite/whole_path.rs
@@ -200,6 +200,24 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+#[test]
+fn callers_of_an_open_route_cannot_name_a_workspace() {
+    let headers = "x-waxwingusher-workspace: other\r\nx-operation-id: forged-open\r\n";
+    let answer = get("/holidays/echo", headers);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let mut seen = 0;
+    for upstream in &fleet().upstreams {
+        for record in upstream.requests() {
+            if record.operation.as_deref() != Some("forged-open") {
+                continue;
+            }
+            seen += 1;
+            assert_eq!(record.request.header("x-waxwingusher-workspace"), None);
+        }
+    }
+    assert_eq!(seen, 1);
+}
+
 #[test]
 fn an_upstream_that_dies_in_its_answer_never_looks_whole() {
     for path in [
@@ -219,6 +237,19 @@
     }
 }
 
+#[test]
+fn a_submission_whose_instance_ends_the_connection_runs_once() {
+    let operation = Operation::submission("/desk/die/1000/500", key(), "cut-once");
+    let operation = Operation {
+        idempotency_key: None,
+        ..operation
+    };
+    let answer = Caller::new().send(any_host(), &operation);
+    let answer = answer.expect("a whole answer");
+    assert_eq!(answer.outcome.as_deref(), Some("unknown"), "{answer:?}");
+    assert_eq!(runs_of(&fleet().upstreams, "cut-once"), 1);
+}
+
 #[test]
 fn a_repeat_at_another_host_gets_the_first_answer() {
     let addrs = fleet().caller_addrs();
