--- a/crates/proof/src/oracle.rs
+++ b/crates/proof/src/oracle.rs
@@ -128,7 +128,8 @@
     }
 
     /// Returns promises broken in a way that is listed as a known failure: a
-    /// withdrawn key that is taken by a process which has just woken.
+    /// withdrawn key that is taken by a process which has just woken, and a
+    /// fresh process without a configuration that hears more than it reaches.
     #[must_use]
     pub fn known_failures(&self) -> &[Violation] {
         &self.known_failures
@@ -214,7 +215,13 @@
             self.counts.ejected_steps += 1;
         }
         let settled = self.settled(sights, now);
-        let violations = self.floor.observe(sights, settled.as_deref(), now);
+        let hosts = &self.hosts;
+        let is_closed = |host: &HostId, instance: &InstanceId| {
+            let watch = hosts.get(host);
+            watch.is_some_and(|watch| watch.is_closed(instance))
+        };
+        let settled = settled.as_deref();
+        let violations = self.floor.observe(sights, settled, is_closed, now);
         self.violations.extend(violations);
     }
 
