Ask peers after a pause before a key is taken

Nothing in the last check asked how old the process's knowledge was. Ruled out: an age limit on evidence, renewed all the time (bytes at all times, and it would stop hosts when the service is away for hours); a survey of all peers as after a start (440 polls, 3 s for a dead peer). Before: the regression test failed, and the oracle kept this kind apart. After: when more than 3 s have passed between two ticks, by either clock, keyed requests are refused as not run until half of eight peers have answered and nothing newer is known that is not in force, 3 s at most. The list of refusals in the lifecycle tests has one more reason. A host that wakes up and reaches nobody takes such a key until its loans end, 12 s at most; that test stays ignored.

--- a/crates/attempts/src/refusal.rs
+++ b/crates/attempts/src/refusal.rs
@@ -90,6 +90,13 @@
     /// The permission to run ended before the request could be sent.
     #[error("the permission to run ended before the request could be sent")]
     PermissionExpired,
+    /// The process was paused, and has not yet heard whether the configuration
+    /// is still the newest.
+    #[error("the host has not confirmed its configuration since a pause")]
+    ConfigUnconfirmed {
+        /// When the host should have heard.
+        retry_after: Duration,
+    },
     /// The request has crashed several instances.
     #[error("the request is quarantined")]
     Quarantined,
@@ -122,6 +129,7 @@
             Self::Overloaded
             | Self::PermissionExpired
             | Self::NoHealthyInstance
+            | Self::ConfigUnconfirmed { .. }
             | Self::Quarantined
             | Self::Draining
             | Self::UpstreamShed => 503,
@@ -147,6 +155,7 @@
             Self::AttemptUnknown => "attempt-unknown",
             Self::AttemptInProgress { .. } => "attempt-in-progress",
             Self::PermissionExpired => "permission-expired",
+            Self::ConfigUnconfirmed { .. } => "config-unconfirmed",
             Self::Quarantined => "quarantined",
             Self::Draining => "draining",
             Self::UpstreamFailed => "upstream-failed",
@@ -170,9 +179,9 @@
     #[must_use]
     pub const fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::OverRate { retry_after } | Self::AttemptInProgress { retry_after } => {
-                Some(retry_after)
-            }
+            Self::OverRate { retry_after }
+            | Self::AttemptInProgress { retry_after }
+            | Self::ConfigUnconfirmed { retry_after } => Some(retry_after),
             _ => None,
         }
     }
--- a/crates/attempts/tests/testsuite/lifecycle.rs
+++ b/crates/attempts/tests/testsuite/lifecycle.rs
@@ -9,7 +9,7 @@
 
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
-const REASONS: [(RefusalReason, u16, Outcome); 15] = [
+const REASONS: [(RefusalReason, u16, Outcome); 16] = [
     (RefusalReason::UnknownRoute, 404, Outcome::NotRun),
     (RefusalReason::Unauthorized, 401, Outcome::NotRun),
     (
@@ -35,6 +35,13 @@
     ),
     (RefusalReason::Quarantined, 503, Outcome::NotRun),
     (RefusalReason::Draining, 503, Outcome::NotRun),
+    (
+        RefusalReason::ConfigUnconfirmed {
+            retry_after: RETRY_AFTER,
+        },
+        503,
+        Outcome::NotRun,
+    ),
     (RefusalReason::UpstreamFailed, 502, Outcome::NotRun),
     (RefusalReason::UpstreamShed, 503, Outcome::NotRun),
 ];
@@ -89,7 +96,9 @@
     for (reason, _, _) in REASONS {
         let expected = matches!(
             reason,
-            RefusalReason::OverRate { .. } | RefusalReason::AttemptInProgress { .. }
+            RefusalReason::OverRate { .. }
+                | RefusalReason::AttemptInProgress { .. }
+                | RefusalReason::ConfigUnconfirmed { .. }
         );
         assert_eq!(reason.retry_after(), expected.then_some(RETRY_AFTER));
     }
--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -12,6 +12,7 @@
 use waxwingusher_core::{KeyDigest, WorkspaceName};
 use waxwingusher_edge::{CallerRequest, headers};
 use waxwingusher_limits::LimitKey;
+use waxwingusher_membership::distribution::ConfigTrust;
 
 use crate::active::Active;
 use crate::credentials::{self, CredentialError, PresentedKey};
@@ -61,6 +62,11 @@
     let mut forwarded = request.headers.clone();
     let (party, target) = match route.access {
         Access::Open => (open_party(&route), open_target(request, &mut forwarded)?),
+        Access::Keyed if !state.config.is_trusted() => {
+            return Err(RefusalReason::ConfigUnconfirmed {
+                retry_after: ConfigTrust::CHECK_TIME,
+            });
+        }
         Access::Keyed => keyed_party(&active, &route, request, &mut forwarded)?,
     };
     let deadline = request.received_at + allowed_time(&route, request);
--- a/crates/host/src/config_desk.rs
+++ b/crates/host/src/config_desk.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
 use waxwingusher_core::{ContentDigest, HostId, HostList};
-use waxwingusher_membership::distribution::{AgentAction, ConfigAgent, ServiceRead};
+use waxwingusher_membership::distribution::{AgentAction, ConfigAgent, ConfigTrust, ServiceRead};
 use waxwingusher_protocol::{Message, PeerService};
 
 use crate::state::HostState;
@@ -20,6 +20,7 @@
 /// The agent with the rings to the threads that read and fetch for it.
 pub(crate) struct ConfigDesk {
     agent: Mutex<ConfigAgent>,
+    trust: Arc<ConfigTrust>,
     reads: SyncSender<ServiceRead>,
     fetches: SyncSender<PeerFetch>,
 }
@@ -31,6 +32,7 @@
         fetches: SyncSender<PeerFetch>,
     ) -> Self {
         Self {
+            trust: agent.trust(),
             agent: Mutex::new(agent),
             reads,
             fetches,
@@ -41,6 +43,12 @@
         self.agent.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Reports whether keys may be taken for valid that the configuration in
+    /// force names. It does not wait for the agent.
+    pub(crate) fn is_trusted(&self) -> bool {
+        self.trust.holds()
+    }
+
     /// Runs `work` on the agent and carries out what it wants.
     pub(crate) fn with<F>(&self, state: &HostState, work: F)
     where
--- a/crates/host/src/pipeline/last_check.rs
+++ b/crates/host/src/pipeline/last_check.rs
@@ -6,6 +6,7 @@
 use waxwingusher_attempts::refusal::RefusalReason;
 use waxwingusher_attempts::{AttemptTicket, Outcome, PermitError};
 use waxwingusher_edge::CallControl;
+use waxwingusher_membership::distribution::ConfigTrust;
 
 use crate::admission::{self, Party};
 use crate::limit_desk::SpentToken;
@@ -23,6 +24,8 @@
     TokenExpired,
     #[error("the key was withdrawn")]
     KeyWithdrawn,
+    #[error("the configuration is not confirmed since a pause")]
+    ConfigUnconfirmed,
     #[error("the permission to run: {0}")]
     Permit(PermitError),
 }
@@ -34,6 +37,9 @@
             Self::DeadlineExceeded => RefusalReason::DeadlineExceeded,
             Self::TokenExpired => RefusalReason::Overloaded,
             Self::KeyWithdrawn => RefusalReason::Unauthorized,
+            Self::ConfigUnconfirmed => RefusalReason::ConfigUnconfirmed {
+                retry_after: ConfigTrust::CHECK_TIME,
+            },
             Self::Permit(error) => match error.outcome() {
                 Outcome::NotRun => RefusalReason::PermissionExpired,
                 Outcome::Unknown => RefusalReason::AttemptUnknown,
@@ -80,6 +86,9 @@
     if token_age > MAX_TOKEN_AGE {
         return Err(LastCheckError::TokenExpired);
     }
+    if rights.party.key.is_some() && !state.config.is_trusted() {
+        return Err(LastCheckError::ConfigUnconfirmed);
+    }
     if !admission::is_still_valid(state, &rights.party) {
         return Err(LastCheckError::KeyWithdrawn);
     }
--- a/crates/membership/src/distribution.rs
+++ b/crates/membership/src/distribution.rs
@@ -18,6 +18,7 @@
 mod roles;
 mod settings;
 mod survey;
+mod trust;
 mod watch;
 
 pub use action::{AgentAction, DocumentKind, Refusal, ServiceRead, Watch};
@@ -25,3 +26,4 @@
 pub use evidence::ListEvidence;
 pub use freshness::{ListFreshness, PeerWord};
 pub use settings::DistributionSettings;
+pub use trust::ConfigTrust;
--- a/crates/membership/src/distribution/agent.rs
+++ b/crates/membership/src/distribution/agent.rs
@@ -22,6 +22,7 @@
 use super::roles::{Role, parent, ranked, role};
 use super::settings::DistributionSettings;
 use super::survey::Survey;
+use super::trust::{ConfigTrust, TrustCheck};
 use super::watch::ServiceWatch;
 
 /// The time after which a host that no peer answers reads the service whatever
@@ -83,6 +84,8 @@
     followers: Followers,
     candidates: Vec<HostId>,
     survey: Option<Survey>,
+    trust: Arc<ConfigTrust>,
+    trust_check: Option<TrustCheck>,
     started_at: Instant,
     late_after: Duration,
     next_observation: Instant,
@@ -106,6 +109,8 @@
             late_after: ALONE_AFTER + (MAX_LATE - ALONE_AFTER).mul_f64(rng.f64()),
             self_id,
             failure_domain,
+            trust: Arc::new(ConfigTrust::new(clock.clone())),
+            trust_check: None,
             clock,
             rng,
             config: Replica::new(),
@@ -133,12 +138,23 @@
     pub fn tick(&mut self) -> Vec<AgentAction> {
         let now = self.clock.now();
         let mut actions = Vec::new();
+        if self.trust.tick() {
+            log::warn!("config: the process was paused, peers are asked for a newer version");
+            self.trust_check = Some(TrustCheck::new(now));
+        }
         self.poll_peers(now, &mut actions);
         self.read_service(now, &mut actions);
         self.progress(now, &mut actions);
         actions
     }
 
+    /// Returns what tells at any time whether the configuration may be relied
+    /// on, or the process has woken from a pause and must ask first.
+    #[must_use]
+    pub fn trust(&self) -> Arc<ConfigTrust> {
+        self.trust.clone()
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn current(&self) -> Option<Arc<Snapshot>> {
@@ -302,11 +318,33 @@
         if self.adopt(now, actions) {
             self.announce(now, actions);
         }
+        self.check_trust(now);
         self.tell_followers(now, actions);
         self.fetch(DocumentKind::Config, now, actions);
         self.fetch(DocumentKind::Hosts, now, actions);
     }
 
+    /// Ends the check after a pause once enough peers have answered, and what
+    /// they have that is newer is in force here.
+    fn check_trust(&mut self, now: Instant) {
+        let Some(check) = &self.trust_check else {
+            return;
+        };
+        let own = self.config.stamp().version;
+        let since = check.since;
+        let answers = self.peers.answers();
+        let answered = answers
+            .filter(|(_, answer)| answer.asked_at >= since)
+            .filter(|(_, answer)| answer.summary.config.version >= own);
+        let is_over = check.is_over(answered.count(), now);
+        if !is_over || self.config_is_behind(now) {
+            return;
+        }
+        self.trust_check = None;
+        self.trust.restore();
+        log::info!("config: configuration version {own} is relied on again");
+    }
+
     /// Puts whole versions in force, and reports whether there was one.
     fn adopt(&mut self, now: Instant, actions: &mut Vec<AgentAction>) -> bool {
         if self
--- a/crates/membership/src/distribution/agent/exchange.rs
+++ b/crates/membership/src/distribution/agent/exchange.rs
@@ -136,6 +136,7 @@
             targets.extend(above.filter(is_silent).cloned());
         }
         targets.extend(self.follow_peer(now, actions));
+        targets.extend(self.trust_check_targets(now));
         for host in targets {
             let nonce = self.rng.u32(1..);
             self.peers.on_poll(&host, nonce, now);
@@ -144,6 +145,19 @@
         }
     }
 
+    /// Returns the peers to ask after a pause.
+    fn trust_check_targets(&mut self, now: Instant) -> Vec<HostId> {
+        let Some(check) = &mut self.trust_check else {
+            return Vec::new();
+        };
+        if !check.is_due(now) {
+            return Vec::new();
+        }
+        let targets = self.peers.sample(self.settings.fanout, &mut self.rng);
+        check.on_asked(targets.len());
+        targets
+    }
+
     /// Asks the followed host again if it is time to, and returns a host to poll
     /// in its place.
     fn follow_peer(&mut self, now: Instant, actions: &mut Vec<AgentAction>) -> Option<HostId> {
--- /dev/null
+++ b/crates/membership/src/distribution/trust.rs
@@ -0,0 +1,127 @@
+//! Whether a host may rely on its configuration after its process was paused.
+//!
+//! A process that wakes up late knows nothing of the versions that came in
+//! force meanwhile, such as one that withdraws a key. It asks peers before it
+//! relies on its own again.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+use waxwingusher_core::Clock;
+
+/// The time without a tick above which the process counts as paused. With the
+/// time that a change takes to spread, it stays below the time within which a
+/// change is in force everywhere.
+const PAUSE_LIMIT: Duration = Duration::from_secs(3);
+/// The time after which a host relies on its configuration again although too
+/// few peers have answered.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(3);
+/// The time between two rounds of questions to peers.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Tells at any time whether the configuration may be relied on. The last check
+/// of a request reads it without waiting for the distribution.
+pub struct ConfigTrust {
+    clock: Arc<dyn Clock>,
+    state: Mutex<TrustState>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct TrustState {
+    ticked_at: Instant,
+    ticked_wall: SystemTime,
+    is_checking: bool,
+}
+
+impl ConfigTrust {
+    /// The time after which a host that reaches peers has asked them.
+    pub const CHECK_TIME: Duration = Duration::from_secs(1);
+
+    /// Creates the trust of a process that has just started.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        let state = TrustState {
+            ticked_at: clock.now(),
+            ticked_wall: clock.wall(),
+            is_checking: false,
+        };
+        Self {
+            clock,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Reports whether the process has run without a long pause, or has asked
+    /// peers since.
+    #[must_use]
+    pub fn holds(&self) -> bool {
+        let state = self.lock();
+        !state.is_checking && !self.was_paused(&state)
+    }
+
+    /// Records a tick, and reports whether a pause has ended before it.
+    pub(super) fn tick(&self) -> bool {
+        let mut state = self.lock();
+        let was_paused = self.was_paused(&state);
+        state.ticked_at = self.clock.now();
+        state.ticked_wall = self.clock.wall();
+        state.is_checking |= was_paused;
+        was_paused
+    }
+
+    /// Records that peers know of nothing newer.
+    pub(super) fn restore(&self) {
+        self.lock().is_checking = false;
+    }
+
+    /// A suspended machine shows on the wall clock only.
+    fn was_paused(&self, state: &TrustState) -> bool {
+        let counted = self.clock.now().saturating_duration_since(state.ticked_at);
+        let passed = self.clock.wall().duration_since(state.ticked_wall);
+        counted.max(passed.unwrap_or_default()) > PAUSE_LIMIT
+    }
+
+    fn lock(&self) -> MutexGuard<'_, TrustState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The questions to peers after a pause.
+#[derive(Debug)]
+pub(super) struct TrustCheck {
+    /// When the process woke up.
+    pub(super) since: Instant,
+    asked: usize,
+    next_at: Instant,
+}
+
+impl TrustCheck {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            asked: 0,
+            next_at: now,
+        }
+    }
+
+    /// Reports whether peers should be asked now, and plans the next round.
+    pub(super) fn is_due(&mut self, now: Instant) -> bool {
+        if now < self.next_at {
+            return false;
+        }
+        self.next_at = now + ASK_INTERVAL;
+        true
+    }
+
+    /// Records how many peers were asked in a round.
+    pub(super) fn on_asked(&mut self, peers: usize) {
+        self.asked = self.asked.max(peers);
+    }
+
+    /// Reports whether half of the peers asked in a round have answered, or
+    /// have had the time to.
+    pub(super) fn is_over(&self, answered: usize, now: Instant) -> bool {
+        let enough = self.asked > 0 && answered * 2 >= self.asked;
+        enough || now >= self.since + CHECK_TIMEOUT
+    }
+}
--- a/crates/proof/src/fleet/host.rs
+++ b/crates/proof/src/fleet/host.rs
@@ -63,7 +63,7 @@
 pub(super) fn on_service(process: &mut Process, call: &AnsweredCall) {
     process.with_agent(|agent| match &call.answer {
         Answer::Value { revision, bytes } => agent.on_service_value(call.ticket, *revision, bytes),
-        Answer::Unchanged => agent.on_service_unchanged(call.ticket),
+        Answer::Unchanged { revision } => agent.on_service_unchanged(call.ticket, *revision),
         Answer::Error => agent.on_service_error(call.ticket),
     });
 }
--- a/crates/proof/src/flow.rs
+++ b/crates/proof/src/flow.rs
@@ -7,6 +7,7 @@
 use waxwingusher_attempts::{AttemptRequest, AttemptTicket, Permission, Quarantine, RefusalReason};
 use waxwingusher_core::{HostId, InstanceId, WorkspaceName};
 use waxwingusher_limits::{LimitKey, SpendDecision};
+use waxwingusher_membership::distribution::ConfigTrust;
 use waxwingusher_protocol::attempt::AttemptKey;
 use waxwingusher_upstreams::{Choice, ChooseError, ChooseRequest, RequestOrigin, UpstreamResult};
 
@@ -94,6 +95,11 @@
         if process.is_draining || process.active.is_none() {
             return Err(RefusalReason::Draining);
         }
+        if !process.agent.trust().holds() {
+            return Err(RefusalReason::ConfigUnconfirmed {
+                retry_after: ConfigTrust::CHECK_TIME,
+            });
+        }
         let workspace = process.workspace_of(&call.key_digest());
         let workspace = workspace.ok_or(RefusalReason::Unauthorized)?.name.clone();
         let fingerprint = fingerprint(&call, &workspace);
--- a/crates/proof/src/flow/dispatch.rs
+++ b/crates/proof/src/flow/dispatch.rs
@@ -1,6 +1,7 @@
 //! From the first byte to the answer or the refusal.
 
 use waxwingusher_attempts::{AttemptResult, Outcome, Received, RefusalReason, Request};
+use waxwingusher_membership::distribution::ConfigTrust;
 use waxwingusher_protocol::attempt::StoredAnswer;
 use waxwingusher_upstreams::{Blame, Choice, UpstreamResult};
 
@@ -41,6 +42,10 @@
                 until: None,
                 again: true,
             });
+        } else if !process.agent.trust().holds() {
+            Some(RefusalReason::ConfigUnconfirmed {
+                retry_after: ConfigTrust::CHECK_TIME,
+            })
         } else if !is_valid {
             Some(RefusalReason::Unauthorized)
         } else {
--- a/crates/proof/src/oracle.rs
+++ b/crates/proof/src/oracle.rs
@@ -128,7 +128,6 @@
     }
 
     /// Returns promises broken in a way that is listed as a known failure: a
-    /// withdrawn key that is taken by a process which has just woken, and a
     /// fresh process without a configuration that hears more than it reaches.
     #[must_use]
     pub fn known_failures(&self) -> &[Violation] {
--- a/crates/proof/src/oracle/versions.rs
+++ b/crates/proof/src/oracle/versions.rs
@@ -19,8 +19,6 @@
     started_at: Duration,
     best_at_start: u64,
     version: u64,
-    /// Since when the process has run without a pause.
-    awake_since: Option<Duration>,
     behind_since: Option<Duration>,
     leaving_since: BTreeMap<InstanceId, Duration>,
     pub(super) drains_since: BTreeMap<InstanceId, Duration>,
@@ -40,8 +38,6 @@
         let watch = self.hosts.get(run.host);
         let reachable = watch.map_or(&[][..], |watch| &watch.reachable);
         let newest = reachable.iter().max().copied().unwrap_or(0);
-        let awake_since = watch.and_then(|watch| watch.awake_since);
-        let has_just_woken = awake_since.is_none_or(|at| run.now < at + CONFIG_TARGET);
         let is_linked = run.now >= self.linked_since + CONFIG_TARGET;
         if !is_linked || newest <= run.version {
             return;
@@ -59,17 +55,12 @@
         let Some(age) = age.filter(|age| *age > CONFIG_TARGET) else {
             return;
         };
-        let violation = Violation::WithdrawnKey {
+        self.break_promise(Violation::WithdrawnKey {
             host: run.host.clone(),
             call: call.id,
             version: run.version,
             age,
-        };
-        if has_just_woken {
-            self.known_failures.push(violation);
-        } else {
-            self.break_promise(violation);
-        }
+        });
     }
 
     fn has_key(&self, version: u64, call: &Call) -> bool {
@@ -128,7 +119,6 @@
             };
         }
         watch.reachable = reachable;
-        watch.awake_since = watch.awake_since.or(Some(now)).filter(|_| sight.is_awake);
         let mut broken = Vec::new();
         let is_first = watch.version == 0 && version > 0;
         let was_linked = conditions.linked_since <= watch.started_at && !conditions.is_lossy;
--- a/crates/proof/tests/testsuite/regressions.rs
+++ b/crates/proof/tests/testsuite/regressions.rs
@@ -13,7 +13,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED: issue 8, seed 1: a process that wakes from a pause takes withdrawn keys until it hears of the newer configuration"]
 fn a_key_withdrawn_during_a_pause_is_dead_when_the_process_wakes() {
     let host = 1;
     let fleet = run(
