Accept a second fleet secret, and bound connections between hosts

Secret: WAXWINGUSHER_FLEET_SECRET_ACCEPTED names a second secret whose codes a host accepts; it signs with the first one only. A change takes three rounds of restarts. Weighed: two tags in each datagram, 16 bytes more for one round fewer.

Slow bodies: the library limits the time to the first request only, so slow bodies, idle connections and slow readers held the 64 connections. The server now accepts connections itself and ends each after 2 s, the time of a call; a client makes one call on a connection. Ruled out: a timeout around each request, which does not see idle connections; a cap for each address, as the port is to be reached by hosts only.

--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -163,6 +163,12 @@
     None,
     "at least 32 bytes, in the environment only",
 );
+const FLEET_SECRET_ACCEPTED: Setting = setting(
+    "fleet-secret-accepted",
+    "WAXWINGUSHER_FLEET_SECRET_ACCEPTED",
+    Some("none"),
+    "at least 32 bytes, in the environment only, or `none`",
+);
 const OPERATOR_TOKEN: Setting = setting(
     "operator-token",
     "WAXWINGUSHER_OPERATOR_TOKEN",
@@ -232,6 +238,7 @@
         CONFIG_SERVICE,
         STATSD_ADDR,
         FLEET_SECRET,
+        FLEET_SECRET_ACCEPTED,
         OPERATOR_TOKEN,
         WORKERS,
         QUEUE,
@@ -289,7 +296,7 @@
         let peer_addr = self.parse(PEER_ADDR, from_str);
         let config_service = self.parse(CONFIG_SERVICE, from_str);
         let statsd_addr = self.parse(STATSD_ADDR, optional);
-        let fleet_secret = self.fleet_secret();
+        let fleet_secret = self.fleet_secrets();
         let operator_token = self.operator_token();
         let workers = self.parse(WORKERS, |text| in_range(text, 1, 2_048));
         let queue_per_workspace = self.parse(QUEUE, |text| in_range(text, 1, 65_536));
@@ -359,16 +366,28 @@
         text
     }
 
-    /// Reads the fleet's secret, which is taken from the environment only so
-    /// that it does not show in a list of processes.
-    fn fleet_secret(&mut self) -> Option<FleetSecret> {
+    /// Reads the fleet's secret and the one that is accepted beside it. Both are
+    /// taken from the environment only, so that they do not show in a list of
+    /// processes.
+    fn fleet_secrets(&mut self) -> Option<FleetSecret> {
+        let accepted = self.source.variable(FLEET_SECRET_ACCEPTED.variable);
+        let accepted = accepted.filter(|text| text != "none");
+        let accepted = accepted.map(|text| self.secret(FLEET_SECRET_ACCEPTED, &text));
         let Some(text) = self.source.variable(FLEET_SECRET.variable) else {
             self.refuse(FLEET_SECRET, SettingProblem::Missing);
             return None;
         };
-        let secret = FleetSecret::new(&text);
+        let secret = self.secret(FLEET_SECRET, &text)?;
+        match accepted {
+            Some(accepted) => Some(secret.accepting(&accepted?)),
+            None => Some(secret),
+        }
+    }
+
+    fn secret(&mut self, setting: Setting, text: &str) -> Option<FleetSecret> {
+        let secret = FleetSecret::new(text);
         if secret.is_err() {
-            self.refuse(FLEET_SECRET, SettingProblem::InvalidSecret);
+            self.refuse(setting, SettingProblem::InvalidSecret);
         }
         secret.ok()
     }
--- a/crates/protocol/src/rpc/server.rs
+++ b/crates/protocol/src/rpc/server.rs
@@ -5,11 +5,11 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use jsonrpsee::server::{BatchRequestConfig, Server, ServerConfig};
+use jsonrpsee::server::{BatchRequestConfig, Server, ServerConfig, stop_channel};
 use jsonrpsee::types::{ErrorObjectOwned, Params};
-use jsonrpsee::{Extensions, RpcModule};
+use jsonrpsee::{Extensions, Methods, RpcModule};
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use waxwingusher_core::{CancelToken, HostId};
 
 use super::auth::{Answer, Call};
@@ -19,6 +19,9 @@
 };
 use crate::secret::FleetSecret;
 
+/// The pause after the operating system refused a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// The settings of the serving side.
 #[derive(Debug, Clone)]
 pub struct ServerSettings {
@@ -30,8 +33,8 @@
     pub secret: FleetSecret,
     /// Connections that are open at once; more are refused.
     pub max_connections: u32,
-    /// How long a connection may take for its first request.
-    pub first_request_timeout: Duration,
+    /// How long a connection may last, whatever is under way on it.
+    pub connection_timeout: Duration,
 }
 
 impl ServerSettings {
@@ -43,7 +46,7 @@
             listen_addr,
             secret,
             max_connections: DEFAULT_CONNECTIONS,
-            first_request_timeout: DEFAULT_TIMEOUT,
+            connection_timeout: DEFAULT_TIMEOUT,
         }
     }
 }
@@ -98,19 +101,18 @@
             secret: settings.secret.clone(),
             service,
         })?;
-        let server = {
+        let listener = {
             let _guard = runtime.enter();
-            Server::builder()
-                .set_config(config(settings))
-                .build_from_tcp(listener)?
+            tokio::net::TcpListener::from_std(listener)?
         };
+        let limits = settings.clone();
         let token = token.child();
         let stop = Arc::new(Notify::new());
         let stopping = stop.clone();
         token.on_cancel(move || stopping.notify_one());
         let thread = std::thread::Builder::new()
             .name("peer-rpc-server".to_owned())
-            .spawn(move || serve(&runtime, server, module, &stop))?;
+            .spawn(move || serve(&runtime, &listener, &limits, module, &stop))?;
         Ok(Self {
             addr,
             token,
@@ -141,20 +143,59 @@
         .max_request_body_size(MAX_REQUEST_BYTES)
         .max_response_body_size(MAX_RESPONSE_BYTES)
         .set_batch_request_config(BatchRequestConfig::Disabled)
-        .set_first_request_timeout(Some(settings.first_request_timeout))
-        .set_tcp_no_delay(true)
         .build()
 }
 
 // Connections that are still open end with the runtime.
-fn serve(runtime: &Runtime, server: Server, module: RpcModule<Context>, stop: &Notify) {
+fn serve(
+    runtime: &Runtime,
+    listener: &tokio::net::TcpListener,
+    settings: &ServerSettings,
+    module: RpcModule<Context>,
+    stop: &Notify,
+) {
     runtime.block_on(async {
-        let handle = server.start(module);
-        stop.notified().await;
-        drop(handle);
+        tokio::select! {
+            () = accept(listener, settings, module) => {}
+            () = stop.notified() => {}
+        }
     });
 }
 
+/// Accepts connections for ever. A client makes one call on each, so that a
+/// limit on the whole connection bounds silent clients, slow bodies, slow
+/// readers and idle connections alike.
+async fn accept(
+    listener: &tokio::net::TcpListener,
+    settings: &ServerSettings,
+    module: RpcModule<Context>,
+) {
+    let methods = Methods::from(module);
+    let services = Server::builder()
+        .set_config(config(settings))
+        .to_service_builder();
+    let (stop_handle, _server_handle) = stop_channel();
+    let slots = Arc::new(Semaphore::new(settings.max_connections as usize));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(slot) = slots.clone().try_acquire_owned() else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let service = services.clone().build(methods.clone(), stop_handle.clone());
+        let connection = jsonrpsee::server::serve(stream, service);
+        let limited = tokio::time::timeout(settings.connection_timeout, connection);
+        tokio::spawn(async move {
+            // A client that fails or is too slow is its own concern.
+            let _ = limited.await;
+            drop(slot);
+        });
+    }
+}
+
 fn methods(context: Context) -> Result<RpcModule<Context>, StartError> {
     let mut module = RpcModule::new(context);
     module.register_method(Method::Ping.name(), |params, context, _: &Extensions| {
--- a/crates/protocol/src/secret.rs
+++ b/crates/protocol/src/secret.rs
@@ -14,10 +14,16 @@
 // The block of SHA-256. A shorter key is the same key with zeros at its end.
 const KEY_BYTES: usize = 64;
 
+type Key = [u8; KEY_BYTES];
+
 /// A secret that all hosts of the fleet share. It is never printed.
+///
+/// While the fleet changes its secret, a host accepts codes made with a second
+/// one. It makes codes with the first one only.
 #[derive(Clone)]
 pub struct FleetSecret {
-    key: [u8; KEY_BYTES],
+    key: Key,
+    accepted: Option<Key>,
 }
 
 /// A fleet secret is too short.
@@ -43,30 +49,47 @@
         let digest = Sha256::digest(text.as_bytes());
         let mut key = [0; KEY_BYTES];
         key[..digest.len()].copy_from_slice(&digest);
-        Ok(Self { key })
+        Ok(Self {
+            key,
+            accepted: None,
+        })
+    }
+
+    /// Returns the secret with another one whose codes are accepted as well.
+    #[must_use]
+    pub fn accepting(&self, other: &Self) -> Self {
+        Self {
+            key: self.key,
+            accepted: Some(other.key),
+        }
     }
 
     /// Returns the code of several parts, each bound with its length.
     pub(crate) fn tag(&self, parts: &[&[u8]]) -> [u8; TAG_BYTES] {
-        let full = self.mac(parts).finalize().into_bytes();
+        let full = mac(&self.key, parts).finalize().into_bytes();
         let mut tag = [0; TAG_BYTES];
         tag.copy_from_slice(&full[..TAG_BYTES]);
         tag
     }
 
-    /// Compares a code in constant time.
+    /// Compares a code with those of the secrets that are accepted, with each
+    /// in constant time.
     pub(crate) fn verifies(&self, parts: &[&[u8]], tag: &[u8]) -> bool {
-        tag.len() == TAG_BYTES && self.mac(parts).verify_truncated_left(tag).is_ok()
+        if tag.len() != TAG_BYTES {
+            return false;
+        }
+        let mut keys = std::iter::once(&self.key).chain(&self.accepted);
+        keys.any(|key| mac(key, parts).verify_truncated_left(tag).is_ok())
     }
+}
 
-    fn mac(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
-        let mut mac = <Hmac<Sha256> as KeyInit>::new(&self.key.into());
-        for part in parts {
-            mac.update(&(part.len() as u64).to_le_bytes());
-            mac.update(part);
-        }
-        mac
+fn mac(key: &Key, parts: &[&[u8]]) -> Hmac<Sha256> {
+    let mut mac = <Hmac<Sha256> as KeyInit>::new(&(*key).into());
+    for part in parts {
+        mac.update(&(part.len() as u64).to_le_bytes());
+        mac.update(part);
     }
+    mac
 }
 
 impl fmt::Debug for FleetSecret {
--- a/crates/protocol/tests/testsuite/codec.rs
+++ b/crates/protocol/tests/testsuite/codec.rs
@@ -11,7 +11,9 @@
 use waxwingusher_protocol::secret::MIN_SECRET_BYTES;
 use waxwingusher_protocol::{FleetSecret, Message, wire_len_bytes};
 
-use crate::samples::{OTHER_SECRET, authenticate, host, pair, ping, update};
+use crate::samples::{
+    OTHER_SECRET, authenticate, host, pair, ping, secret, steps_of_a_change, update,
+};
 
 #[test]
 fn a_message_arrives_with_its_sender_and_incarnation() {
@@ -111,6 +113,27 @@
     assert_eq!(receiver.decode(&datagram), Err(DecodeError::FromSelf));
 }
 
+#[test]
+fn hosts_with_the_old_and_the_new_secret_hear_each_other_at_each_step_of_a_change() {
+    let (a, b) = (host("host-a"), host("host-b"));
+    for [from, to] in steps_of_a_change() {
+        let (mut sender, _) = codec_pair(&a, 1, &from);
+        let (_, mut receiver) = codec_pair(&b, 2, &to);
+        let datagram = sender.encode(&b, &ping(1)).expect("fits");
+        assert_matches!(receiver.decode(&datagram), Ok(_));
+    }
+    let old = secret();
+    let new = FleetSecret::new(OTHER_SECRET).expect("long enough");
+    let (mut sender, _) = codec_pair(&a, 1, &old.accepting(&new));
+    let (_, mut receiver) = codec_pair(&b, 2, &new);
+    let datagram = sender.encode(&b, &ping(1)).expect("fits");
+    assert_eq!(
+        receiver.decode(&datagram),
+        Err(DecodeError::BadTag),
+        "the second secret is never used to sign"
+    );
+}
+
 #[test]
 fn a_short_secret_is_refused_and_none_is_printed() {
     let short = "x".repeat(MIN_SECRET_BYTES - 1);
--- a/crates/protocol/tests/testsuite/samples.rs
+++ b/crates/protocol/tests/testsuite/samples.rs
@@ -14,6 +14,26 @@
     FleetSecret::new(SECRET).expect("long enough")
 }
 
+/// Returns the secrets of two hosts, in both directions, at each moment of a
+/// change of the secret at which hosts differ.
+pub fn steps_of_a_change() -> Vec<[FleetSecret; 2]> {
+    let old = secret();
+    let new = FleetSecret::new(OTHER_SECRET).expect("long enough");
+    let steps = [
+        old.clone(),
+        old.accepting(&new),
+        new.accepting(&old),
+        new.clone(),
+    ];
+    let pairs = steps.windows(2);
+    pairs
+        .flat_map(|pair| {
+            let (a, b) = (pair[0].clone(), pair[1].clone());
+            [[a.clone(), b.clone()], [b, a]]
+        })
+        .collect()
+}
+
 pub fn host(name: &str) -> HostId {
     HostId::new(name)
 }
