Let the longest path prefix win whatever its methods are

The route table went on to shorter prefixes if the longest one did not take the method, so that DELETE /leave/1 with routes GET and POST /leave ran on the route of `/`, which may belong to another team. Now it is refused with 405, not run.

--- a/crates/host/src/route_table.rs
+++ b/crates/host/src/route_table.rs
@@ -5,7 +5,7 @@
 
 use waxwingusher_config::{Route, Snapshot};
 
-/// Routes by path prefix; the longest prefix wins.
+/// Routes by path prefix; the longest prefix that has the path wins.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     by_prefix: HashMap<Arc<str>, Vec<Arc<Route>>>,
@@ -37,28 +37,31 @@
         Self { by_prefix }
     }
 
-    /// Returns the route with the longest prefix that takes the request.
+    /// Returns the route with the longest prefix of a path, if it takes the
+    /// method. A shorter prefix does not take what a longer one leaves out.
     #[must_use]
     pub fn find(&self, method: &str, path: &str) -> RouteMatch {
-        let mut path_known = false;
+        let Some(routes) = self.routes_of(path) else {
+            return RouteMatch::NotFound;
+        };
+        for route in routes {
+            if route.matches(method, path) {
+                return RouteMatch::Found(route.clone());
+            }
+        }
+        RouteMatch::MethodNotAllowed
+    }
+
+    /// Returns the routes with the longest prefix of a path.
+    fn routes_of(&self, path: &str) -> Option<&[Arc<Route>]> {
         let mut prefix = trimmed(path);
         loop {
-            for route in self.by_prefix.get(prefix).into_iter().flatten() {
-                if route.matches(method, path) {
-                    return RouteMatch::Found(route.clone());
-                }
-                path_known = true;
+            if let Some(routes) = self.by_prefix.get(prefix) {
+                return Some(routes);
             }
-            let Some(cut) = prefix.rfind('/') else {
-                break;
-            };
+            let cut = prefix.rfind('/')?;
             prefix = &prefix[..cut];
         }
-        if path_known {
-            RouteMatch::MethodNotAllowed
-        } else {
-            RouteMatch::NotFound
-        }
     }
 }
 
--- /dev/null
+++ b/crates/host/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the host.
+
+mod routes;
