Tell followers of fresher evidence by its advance, not by a timer

Cause: with watches of 1.5 s and updates at least 1.9 s apart, each level of the tree could hold evidence back for the rest of its interval, as polls of other peers moved its phase: the oldest evidence at 440 hosts was 7.5 s, with a fence of 10 s.

Now followers are told when evidence has advanced by 1.9 s, which bounds their rate as well, and watches of the list are held for 1 s.

--- a/crates/membership/src/distribution/followers.rs
+++ b/crates/membership/src/distribution/followers.rs
@@ -12,8 +12,12 @@
 /// How long a host is told of updates after its question.
 const TERM: Duration = Duration::from_secs(40);
 
-/// The shortest time between two updates.
-const MIN_INTERVAL: Duration = Duration::from_millis(1_900);
+/// How much fresher evidence becomes until followers are told of it. As it
+/// becomes fresher with time only, this is the shortest time between updates.
+const MIN_ADVANCE: Duration = Duration::from_millis(1_900);
+
+/// The shortest time between two looks at the evidence.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The time after which followers are told that nothing is new.
 const MAX_INTERVAL: Duration = Duration::from_secs(4);
@@ -35,6 +39,7 @@
 #[derive(Debug)]
 pub struct Followers {
     by_host: BTreeMap<HostId, Follower>,
+    looked_at: Instant,
     told_at: Instant,
     told_evidence: Option<Instant>,
 }
@@ -44,6 +49,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             by_host: BTreeMap::new(),
+            looked_at: now,
             told_at: now,
             told_evidence: None,
         }
@@ -68,7 +74,7 @@
     pub fn is_due(&self, config: Stamp, hosts: Stamp, now: Instant) -> bool {
         let knows_all = |follower: &Follower| follower.knows(config, hosts);
         !self.by_host.is_empty()
-            && (now >= self.told_at + MIN_INTERVAL || !self.by_host.values().all(knows_all))
+            && (now >= self.looked_at + LOOK_INTERVAL || !self.by_host.values().all(knows_all))
     }
 
     /// Returns what to tell now: a whole answer to those that do not know the
@@ -82,9 +88,12 @@
     ) -> Vec<Outgoing<ConfigMessage>> {
         self.by_host
             .retain(|_, follower| now < follower.asked_at + TERM);
-        let is_fresher = evidence > self.told_evidence;
-        let tells = (is_fresher && now >= self.told_at + MIN_INTERVAL)
-            || now >= self.told_at + MAX_INTERVAL;
+        self.looked_at = now;
+        let is_fresher = match (evidence, self.told_evidence) {
+            (Some(evidence), Some(told)) => evidence >= told + MIN_ADVANCE,
+            (evidence, told) => evidence > told,
+        };
+        let tells = is_fresher || now >= self.told_at + MAX_INTERVAL;
         if tells {
             self.told_at = now;
             self.told_evidence = evidence;
--- a/crates/membership/src/distribution/settings.rs
+++ b/crates/membership/src/distribution/settings.rs
@@ -40,7 +40,7 @@
             answer_timeout: Duration::from_millis(500),
             fanout: 8,
             watch_wait: Duration::from_secs(10),
-            list_watch_wait: Duration::from_millis(1_500),
+            list_watch_wait: Duration::from_secs(1),
             fetch_timeout: Duration::from_millis(300),
             survey_timeout: Duration::from_secs(3),
             seeds: Vec::new(),
