Use one fleet of liveness views for the bench and the tests

The bench and the tests of membership each had a fleet of liveness views with the same hosts, starts and seeds. The tests now use the bench's, which takes the host list in place of its size; names and order of the tests' hosts are as before, and no check has changed.

--- a/crates/bench/src/membership/fleet.rs
+++ b/crates/bench/src/membership/fleet.rs
@@ -16,29 +16,32 @@
 
 /// How many hosts a fleet has, in how many failure domains.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Sizes {
-    pub(super) hosts: usize,
-    pub(super) failure_domains: usize,
+pub struct Sizes {
+    /// Hosts.
+    pub hosts: usize,
+    /// Failure domains.
+    pub failure_domains: usize,
 }
 
 impl Sizes {
     /// The users' fleets of today.
-    pub(super) const TODAY: Self = Self {
+    pub const TODAY: Self = Self {
         hosts: 40,
         failure_domains: 4,
     };
     /// The size that decides the design.
-    pub(super) const DESIGN: Self = Self {
+    pub const DESIGN: Self = Self {
         hosts: 440,
         failure_domains: 7,
     };
 }
 
 /// One host's view.
-pub(super) struct Member {
+pub struct Member {
     id: HostId,
     incarnation: u64,
-    liveness: Liveness,
+    /// The view.
+    pub liveness: Liveness,
 }
 
 impl VirtualHost for Member {
@@ -68,47 +71,54 @@
 }
 
 /// A change that one host saw.
-pub(super) struct Seen {
-    pub(super) by: HostId,
-    pub(super) event: LivenessEvent,
+pub struct Seen {
+    /// The host that saw it.
+    pub by: HostId,
+    /// The change.
+    pub event: LivenessEvent,
 }
 
 /// A fleet whose hosts only track each other's liveness.
-pub(super) struct LivenessFleet {
-    pub(super) fleet: VirtualFleet<Member>,
-    sizes: Sizes,
-    list: HostList,
+pub struct LivenessFleet {
+    /// The hosts and their links.
+    pub fleet: VirtualFleet<Member>,
+    /// The list that all hosts start with.
+    pub list: HostList,
     clock: ManualClock,
     rng: fastrand::Rng,
 }
 
 impl LivenessFleet {
-    pub(super) fn new(sizes: Sizes, seed: u64, faults: LinkFaults) -> Self {
+    /// Starts all hosts of a list.
+    #[must_use]
+    pub fn new(list: HostList, seed: u64, faults: LinkFaults) -> Self {
         let clock = ManualClock::new();
         let mut fleet = Self {
             fleet: VirtualFleet::new(seed, faults, clock.clone(), TICK_INTERVAL),
-            sizes,
-            list: list(sizes),
+            list,
             clock,
             rng: fastrand::Rng::with_seed(seed),
         };
-        for i in 0..sizes.hosts {
+        for i in 0..fleet.list.hosts.len() {
             fleet.start(&fleet.id(i));
         }
         fleet
     }
 
-    pub(super) fn id(&self, i: usize) -> HostId {
+    /// Returns the name of a host by its place in the list.
+    #[must_use]
+    pub fn id(&self, i: usize) -> HostId {
         self.list.hosts[i].id.clone()
     }
 
-    pub(super) fn random_id(&mut self) -> HostId {
-        let i = self.rng.usize(0..self.sizes.hosts);
+    /// Returns the name of a listed host.
+    pub fn random_id(&mut self) -> HostId {
+        let i = self.rng.usize(0..self.list.hosts.len());
         self.id(i)
     }
 
     /// Starts a host, or restarts it as a new process.
-    pub(super) fn start(&mut self, id: &HostId) {
+    pub fn start(&mut self, id: &HostId) {
         let incarnation = self.rng.u64(..);
         let mut liveness = Liveness::new(
             id.clone(),
@@ -126,16 +136,28 @@
         self.fleet.start(id, member);
     }
 
-    pub(super) fn elapsed(&self) -> Duration {
+    /// Returns the time since the fleet started.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
         self.clock.elapsed()
     }
 
-    pub(super) fn run_s(&mut self, seconds: u64) {
+    /// Runs for some seconds.
+    pub fn run_s(&mut self, seconds: u64) {
         self.fleet.run_for(Duration::from_secs(seconds));
     }
 
+    /// Returns what each other running host knows of a host.
+    #[must_use]
+    pub fn views_of(&self, id: &HostId) -> Vec<PeerState> {
+        let others = self.fleet.hosts().filter(|(other, _)| *other != id);
+        others
+            .map(|(_, member)| member.liveness.state(id))
+            .collect()
+    }
+
     /// Returns how many of some running hosts see a host in a state like this.
-    pub(super) fn count_views(
+    pub fn count_views(
         &self,
         id: &HostId,
         is_asked: impl Fn(&HostId) -> bool,
@@ -148,7 +170,7 @@
     }
 
     /// Takes all changes since the last call.
-    pub(super) fn take_seen(&mut self) -> Vec<Seen> {
+    pub fn take_seen(&mut self) -> Vec<Seen> {
         let mut seen = Vec::new();
         for (id, member) in self.fleet.hosts_mut() {
             for event in member.liveness.events() {
@@ -162,13 +184,16 @@
     }
 
     /// Returns the bytes that each host has sent.
-    pub(super) fn sent_bytes(&self) -> Vec<u64> {
+    #[must_use]
+    pub fn sent_bytes(&self) -> Vec<u64> {
         let ids = self.list.hosts.iter();
         ids.map(|entry| self.fleet.sent_bytes(&entry.id)).collect()
     }
 }
 
-fn list(sizes: Sizes) -> HostList {
+/// Returns a list of a size, ordered by failure domain.
+#[must_use]
+pub fn list(sizes: Sizes) -> HostList {
     let domain = |i: usize| format!("domain-{}", i % sizes.failure_domains);
     let entry = |i: usize| HostEntry {
         id: HostId::new(&format!("{}-host-{i:03}", domain(i))),
--- a/crates/bench/src/membership/mod.rs
+++ b/crates/bench/src/membership/mod.rs
@@ -1,6 +1,6 @@
 //! Scenarios of liveness: detection time, false suspicion, bytes.
 
-mod fleet;
+pub mod fleet;
 mod scenarios;
 mod watch;
 
--- a/crates/bench/src/membership/scenarios.rs
+++ b/crates/bench/src/membership/scenarios.rs
@@ -10,7 +10,7 @@
 
 use crate::scenario::{Bound, Measurement, Scenario, ScenarioResult};
 
-use super::fleet::{LivenessFleet, Seen};
+use super::fleet::{LivenessFleet, Seen, list};
 use super::watch::{Accusations, Meter, Times};
 
 pub(super) use super::fleet::Sizes;
@@ -287,7 +287,7 @@
 }
 
 fn warm_fleet(sizes: Sizes, seed: u64, faults: LinkFaults) -> LivenessFleet {
-    let mut fleet = LivenessFleet::new(sizes, seed, faults);
+    let mut fleet = LivenessFleet::new(list(sizes), seed, faults);
     fleet.run_s(WARM_UP_S);
     fleet.take_seen();
     fleet
--- a/crates/membership/tests/testsuite/liveness_faults.rs
+++ b/crates/membership/tests/testsuite/liveness_faults.rs
@@ -3,7 +3,7 @@
 use waxwingusher_membership::liveness::PeerState;
 use waxwingusher_standins::LinkFaults;
 
-use crate::liveness_fleet::{Fleet, name};
+use crate::liveness_fleet::{Fleet, Observe, name, start_fleet};
 
 const SIZE: usize = 40;
 
@@ -17,7 +17,7 @@
 
 #[test]
 fn nobody_is_accused_in_a_sound_fleet() {
-    let mut fleet = Fleet::new(SIZE, 1);
+    let mut fleet = start_fleet(SIZE, 1);
     fleet.run_s(300);
     assert_eq!(fleet.accused(), Vec::new());
     for i in 0..SIZE {
@@ -29,7 +29,7 @@
 #[test]
 fn a_dead_host_is_dead_everywhere_and_nobody_else_is_accused() {
     for seed in 0..10 {
-        let mut fleet = Fleet::new(SIZE, seed);
+        let mut fleet = start_fleet(SIZE, seed);
         fleet.run_s(60);
         fleet.fleet.kill(&name(7));
         fleet.run_s(30);
@@ -42,7 +42,7 @@
 #[test]
 fn a_paused_host_is_suspected_but_suspects_nobody_when_it_wakes() {
     for seed in 0..10 {
-        let mut fleet = Fleet::new(SIZE, seed);
+        let mut fleet = start_fleet(SIZE, seed);
         fleet.run_s(60);
         fleet.events();
         fleet.fleet.pause(&name(7));
@@ -64,7 +64,7 @@
 #[test]
 fn a_host_that_wakes_does_not_hold_old_suspects_for_dead() {
     for seed in 0..10 {
-        let mut fleet = Fleet::new(SIZE, seed);
+        let mut fleet = start_fleet(SIZE, seed);
         fleet.run_s(60);
         fleet.fleet.pause(&name(7));
         let view = |fleet: &Fleet| {
@@ -93,7 +93,7 @@
 #[test]
 fn a_restarted_host_is_known_as_its_new_process() {
     for down_s in [0, 2, 30] {
-        let mut fleet = Fleet::new(SIZE, 4);
+        let mut fleet = start_fleet(SIZE, 4);
         fleet.run_s(60);
         fleet.fleet.kill(&name(7));
         fleet.run_s(down_s);
@@ -111,7 +111,7 @@
 #[test]
 fn a_new_host_that_dies_soon_is_noticed_everywhere() {
     for seed in 0..3 {
-        let mut fleet = Fleet::new(300, seed);
+        let mut fleet = start_fleet(300, seed);
         fleet.run_s(20);
         fleet.fleet.kill(&name(7));
         fleet.run_s(12);
@@ -125,7 +125,7 @@
 
 #[test]
 fn a_one_way_cut_between_two_hosts_accuses_neither() {
-    let mut fleet = Fleet::new(SIZE, 5);
+    let mut fleet = start_fleet(SIZE, 5);
     fleet.fleet.cut(&name(0), &name(4));
     fleet.run_s(300);
     assert_eq!(fleet.accused(), Vec::new());
@@ -133,7 +133,7 @@
 
 #[test]
 fn a_host_that_hears_nobody_accuses_nobody() {
-    let mut fleet = Fleet::new(SIZE, 6);
+    let mut fleet = start_fleet(SIZE, 6);
     fleet.run_s(60);
     for i in 1..SIZE {
         fleet.fleet.cut(&name(i), &name(0));
@@ -149,7 +149,7 @@
 
 #[test]
 fn a_fleet_that_was_split_finds_together_again() {
-    let mut fleet = Fleet::new(SIZE, 8);
+    let mut fleet = start_fleet(SIZE, 8);
     fleet.run_s(60);
     for i in 0..SIZE / 2 {
         for j in SIZE / 2..SIZE {
@@ -179,7 +179,7 @@
 fn the_bytes_stay_within_the_budget_when_most_hosts_are_gone() {
     const BUDGET_BYTES_PER_S: u64 = 400;
     const SECONDS: u64 = 200;
-    let mut fleet = Fleet::new(100, 14);
+    let mut fleet = start_fleet(100, 14);
     fleet.fleet.set_faults(lossy(0.2));
     for i in 10..100 {
         fleet.fleet.kill(&name(i));
@@ -194,7 +194,7 @@
 #[test]
 fn loss_lets_nobody_die() {
     for (loss, seed) in [(0.01, 9), (0.2, 10), (0.2, 11)] {
-        let mut fleet = Fleet::new(SIZE, seed);
+        let mut fleet = start_fleet(SIZE, seed);
         fleet.fleet.set_faults(lossy(loss));
         fleet.run_s(600);
         let died = fleet.events().into_iter();
@@ -205,7 +205,7 @@
 
 #[test]
 fn a_host_outside_the_list_is_known_once_heard_and_one_that_leaves_is_forgotten() {
-    let mut fleet = Fleet::new(SIZE, 12);
+    let mut fleet = start_fleet(SIZE, 12);
     fleet.start(&name(SIZE));
     fleet.run_s(60);
     let is_alive = |state: &PeerState| *state == PeerState::Alive;
@@ -220,7 +220,7 @@
 
 #[test]
 fn two_hosts_notice_each_others_death() {
-    let mut fleet = Fleet::new(2, 13);
+    let mut fleet = start_fleet(2, 13);
     fleet.run_s(10);
     fleet.fleet.kill(&name(1));
     fleet.run_s(20);
--- a/crates/membership/tests/testsuite/liveness_fuzz.rs
+++ b/crates/membership/tests/testsuite/liveness_fuzz.rs
@@ -8,7 +8,7 @@
 use waxwingusher_membership::liveness::PeerState;
 use waxwingusher_standins::LinkFaults;
 
-use crate::liveness_fleet::{Fleet, name};
+use crate::liveness_fleet::{Fleet, Observe, name, start_fleet};
 
 const SIZE: usize = 16;
 const SEEDS: u64 = 30;
@@ -78,7 +78,7 @@
 fn views_agree_with_the_truth_once_faults_have_ended() {
     for seed in 0..SEEDS {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let mut fleet = Fleet::new(SIZE, seed);
+        let mut fleet = start_fleet(SIZE, seed);
         let mut truth = Truth::default();
         fleet.run_s(20);
         for _ in 0..ACTIONS {
@@ -108,7 +108,7 @@
 fn the_same_seed_gives_the_same_history() {
     let history = |seed: u64| {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let mut fleet = Fleet::new(SIZE, seed);
+        let mut fleet = start_fleet(SIZE, seed);
         let mut truth = Truth::default();
         let mut changes = Vec::new();
         for _ in 0..ACTIONS {
