Replace every host of the emulated fleet under load

The emulator's hosts share one process, so a successor on the same ports waits until the threads of the former host, which hold them while they watch the service, have ended. A real process frees its ports when it exits.

--- a/crates/emulator/src/demo.rs
+++ b/crates/emulator/src/demo.rs
@@ -12,7 +12,7 @@
 use waxwingusher_standins::{Faults, GrayFailure, GrayKind, ServiceMode};
 
 use crate::caller::{Caller, CallerAnswer, CallerError, Operation};
-use crate::fleet::{EmulatorError, Fleet, wait_until};
+use crate::fleet::{EmulatorError, Fleet};
 use crate::plan::FleetPlan;
 use crate::promises::{Breach, Ledger, Tally};
 
@@ -55,7 +55,7 @@
     )?;
     fleet.wait_for_config(1, START_LIMIT)?;
     fleet.wait_until_ready(START_LIMIT)?;
-    wait_for_rights(&fleet)?;
+    fleet.wait_for_rights(START_LIMIT)?;
     writeln!(
         out,
         "all hosts admitted requests after {:.1} s",
@@ -195,32 +195,6 @@
     }
 }
 
-/// Waits until every host admits requests of every workspace.
-fn wait_for_rights(fleet: &Fleet) -> Result<(), EmulatorError> {
-    let caller = Caller::new();
-    wait_until("rights in force everywhere", START_LIMIT, || {
-        let mut pairs = fleet.caller_addrs().into_iter().flat_map(|addr| {
-            let workspaces = fleet.plan.workspaces.iter();
-            workspaces.map(move |workspace| (addr, workspace))
-        });
-        pairs.all(|(addr, workspace)| {
-            let probe = Operation::submission("/desk/echo", &workspace.key, "probe");
-            let probe = Operation {
-                idempotency_key: Some(format!(
-                    "probe-{addr}-{}-{}",
-                    workspace.name,
-                    fastrand::u64(..)
-                )),
-                ..probe
-            };
-            caller
-                .send(addr, &probe)
-                .is_ok_and(|answer| answer.status == 200)
-        })
-    })?;
-    Ok(())
-}
-
 fn report(out: &mut dyn Write, phase: &str, load: &Load) -> io::Result<()> {
     let tally = load.tally();
     writeln!(
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -16,6 +16,7 @@
 use waxwingusher_protocol::secret::{FleetSecret, SecretTooShort};
 use waxwingusher_standins::{ConfigService, StandinError, UpstreamServer, UpstreamSettings};
 
+use crate::caller::{Caller, Operation};
 use crate::plan::{FleetPlan, WorkspacePlan};
 
 /// The service of an emulated fleet.
@@ -27,6 +28,8 @@
 const SECRET: &str = "a secret of an emulated fleet, not of a real one";
 const LOOPBACK: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// How long the ports of a host that has ended may still be taken.
+const FREE_PORT_LIMIT: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(10);
 
 /// An emulated fleet could not be started or changed.
@@ -64,10 +67,30 @@
 pub struct FleetHost {
     /// The host's entry in the host list.
     pub entry: HostEntry,
+    /// Where callers connect.
+    pub caller_addr: SocketAddr,
+    /// Where operators and the balancer connect.
+    pub operator_addr: SocketAddr,
     /// The host, while it runs.
     pub host: Option<Host>,
 }
 
+/// Where a host listens; port 0 is any free port.
+#[derive(Debug, Clone, Copy)]
+struct Addresses {
+    caller: SocketAddr,
+    operator: SocketAddr,
+    peer: SocketAddr,
+}
+
+impl Addresses {
+    const ANY: Self = Self {
+        caller: LOOPBACK,
+        operator: LOOPBACK,
+        peer: LOOPBACK,
+    };
+}
+
 /// A running fleet with its surroundings.
 pub struct Fleet {
     /// What the fleet was built from.
@@ -202,6 +225,31 @@
         })
     }
 
+    /// Waits until every host admits requests of every workspace.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it takes longer than the limit.
+    pub fn wait_for_rights(&self, limit: Duration) -> Result<Duration, EmulatorError> {
+        let caller = Caller::new();
+        wait_until("rights in force everywhere", limit, || {
+            let mut pairs = self.caller_addrs().into_iter().flat_map(|addr| {
+                let workspaces = self.plan.workspaces.iter();
+                workspaces.map(move |workspace| (addr, workspace))
+            });
+            pairs.all(|(addr, workspace)| {
+                let name = &workspace.name;
+                let probe = Operation::submission("/desk/echo", &workspace.key, "probe");
+                let probe = Operation {
+                    idempotency_key: Some(format!("probe-{addr}-{name}-{}", fastrand::u64(..))),
+                    ..probe
+                };
+                let answer = caller.send(addr, &probe);
+                answer.is_ok_and(|answer| answer.status == 200)
+            })
+        })
+    }
+
     /// Begins to stop a host as planned: it is listed as leaving, drains and
     /// ends. The thread that is returned ends with the host.
     ///
@@ -226,36 +274,100 @@
         }
     }
 
-    /// Starts a host anew, at the place of one that was stopped or killed and
-    /// without its memory.
+    /// Starts a host anew, under the name of one that was stopped or killed,
+    /// on other ports and without its memory.
     ///
     /// # Errors
     ///
     /// Returns an error if the host cannot start.
     pub fn restart_host(&mut self, index: usize) -> Result<(), EmulatorError> {
-        let entry = self.hosts[index].entry.clone();
-        let host = self.start_host(&entry.id, &entry.failure_domain)?;
-        let place = &mut self.hosts[index];
-        place.entry.peer_addr = host.peer_addr();
-        place.entry.state = HostState::Live;
-        place.host = Some(host);
+        self.restart_host_on(index, Addresses::ANY)
+    }
+
+    /// Starts a host anew, under the name and on the ports of one that was
+    /// stopped or killed, and without its memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host cannot start.
+    pub fn restart_host_in_place(&mut self, index: usize) -> Result<(), EmulatorError> {
+        let place = &self.hosts[index];
+        let addresses = Addresses {
+            caller: place.caller_addr,
+            operator: place.operator_addr,
+            peer: place.entry.peer_addr,
+        };
+        self.restart_host_on(index, addresses)
+    }
+
+    /// Starts a host under a name that the fleet has not had.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host cannot start.
+    pub fn add_host(&mut self, id: HostId, domain: &FailureDomain) -> Result<(), EmulatorError> {
+        let place = self.start_place(id, domain, Addresses::ANY)?;
+        self.hosts.push(place);
+        self.publish_hosts()
+    }
+
+    /// Drops a stopped host from the list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the list cannot be published.
+    pub fn drop_host(&mut self, index: usize) -> Result<(), EmulatorError> {
+        self.hosts.remove(index);
         self.publish_hosts()
     }
 
+    fn restart_host_on(&mut self, index: usize, addresses: Addresses) -> Result<(), EmulatorError> {
+        let former = self.hosts[index].entry.clone();
+        let started = Instant::now();
+        let place = loop {
+            let place = self.start_place(former.id.clone(), &former.failure_domain, addresses);
+            // Threads of the former host may hold its ports for a moment, as
+            // both are in one process here.
+            match place {
+                Err(EmulatorError::Host(e)) if started.elapsed() < FREE_PORT_LIMIT => {
+                    log::debug!("emulator: {} cannot start yet: {e}.", former.id);
+                    std::thread::sleep(POLL);
+                }
+                other => break other?,
+            }
+        };
+        self.hosts[index] = place;
+        self.publish_hosts()
+    }
+
+    fn start_place(
+        &mut self,
+        id: HostId,
+        domain: &FailureDomain,
+        addresses: Addresses,
+    ) -> Result<FleetHost, EmulatorError> {
+        let host = self.start_host(&id, domain, addresses)?;
+        let entry = HostEntry {
+            id,
+            peer_addr: host.peer_addr(),
+            failure_domain: domain.clone(),
+            state: HostState::Live,
+        };
+        Ok(FleetHost {
+            entry,
+            caller_addr: host.caller_addr(),
+            operator_addr: host.operator_addr(),
+            host: Some(host),
+        })
+    }
+
     fn start_hosts(&mut self) -> Result<(), EmulatorError> {
         for domain in self.plan.failure_domains.clone() {
             for index in 0..self.plan.hosts_per_domain {
                 let id = HostId::new(&format!("{domain}-{index}"));
                 let failure_domain = FailureDomain::new(&domain);
-                let host = self.start_host(&id, &failure_domain)?;
-                let entry = HostEntry {
-                    id,
-                    peer_addr: host.peer_addr(),
-                    failure_domain,
-                    state: HostState::Live,
-                };
-                let host = Some(host);
-                self.hosts.push(FleetHost { entry, host });
+                let place = self.start_place(id, &failure_domain, Addresses::ANY)?;
+                self.hosts.push(place);
             }
         }
         Ok(())
@@ -265,6 +377,7 @@
         &mut self,
         id: &HostId,
         failure_domain: &FailureDomain,
+        addresses: Addresses,
     ) -> Result<Host, EmulatorError> {
         self.next_incarnation = self.next_incarnation.wrapping_add(7_919);
         let domains = self.plan.failure_domains.iter();
@@ -273,11 +386,12 @@
             failure_domain: failure_domain.clone(),
             failure_domains: domains.map(|name| FailureDomain::new(name)).collect(),
             edge: EdgeSettings {
+                listen: addresses.caller,
                 drain_notice: Duration::from_secs(2),
                 ..EdgeSettings::default()
             },
-            operator_addr: LOOPBACK,
-            peer_addr: LOOPBACK,
+            operator_addr: addresses.operator,
+            peer_addr: addresses.peer,
             config_service: self.service.addr(),
             fleet_secret: FleetSecret::new(SECRET)?,
             operator_token: Some(Arc::from(OPERATOR_TOKEN)),
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,12 +1,15 @@
 //! A small fleet in one process: hosts, stand-ins for the platform and the
 //! upstreams, callers, faults, and checks of what must always hold.
 
+pub mod balancer;
 pub mod caller;
 pub mod demo;
 pub mod fleet;
 pub mod load;
 pub mod plan;
 pub mod promises;
+pub mod rolling;
+pub mod steady;
 
 pub use caller::{Caller, CallerAnswer, CallerError, Operation};
 pub use fleet::{EmulatorError, Fleet};
--- /dev/null
+++ b/crates/emulator/src/rolling.rs
@@ -0,0 +1,259 @@
+//! Replaces every host of a fleet, one after the other, under load.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use waxwingusher_core::HostId;
+
+use crate::balancer::{Balancer, Target};
+use crate::demo::DemoError;
+use crate::fleet::{EmulatorError, Fleet, wait_until};
+use crate::plan::{FleetPlan, WorkspacePlan};
+use crate::promises::{Breach, CodeCount};
+use crate::steady::{SendCounts, SteadyCallers, SteadyCounts, SteadyLoad};
+
+const START_LIMIT: Duration = Duration::from_secs(60);
+const CALM: Duration = Duration::from_secs(2);
+
+/// How a host goes and comes back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Replacement {
+    /// It stops gracefully; its successor has its name and addresses.
+    StoppedSameName,
+    /// It stops gracefully once a host of another name is ready.
+    StoppedNewName,
+    /// It is killed; its successor has its name and addresses.
+    Killed,
+}
+
+/// A rolling replacement.
+#[derive(Debug, Clone)]
+pub struct RollingPlan {
+    /// The fleet.
+    pub fleet: FleetPlan,
+    /// How each host is replaced.
+    pub replacement: Replacement,
+    /// How long the balancer goes on after a host has stopped being ready.
+    pub drop_delay: Duration,
+    /// What callers send.
+    pub load: SteadyLoad,
+}
+
+impl RollingPlan {
+    /// Creates the plan for a fleet of a size.
+    #[must_use]
+    pub fn new(replacement: Replacement, domains: &[&str], hosts_per_domain: usize) -> Self {
+        let names = domains.iter().map(|name| (*name).to_owned());
+        let fleet = FleetPlan {
+            failure_domains: names.collect(),
+            hosts_per_domain,
+            workspaces: vec![
+                WorkspacePlan::new("lecturers", 150.0, 60),
+                WorkspacePlan::new("payroll", 50.0, 30),
+            ],
+            attempt_window: Duration::from_secs(300),
+            ..FleetPlan::default()
+        };
+        Self {
+            fleet,
+            replacement,
+            drop_delay: Duration::from_secs(1),
+            load: SteadyLoad {
+                callers_per_workspace: 8,
+                part_of_rate: 0.6,
+            },
+        }
+    }
+}
+
+/// What a rolling replacement did to callers.
+#[derive(Debug, Clone)]
+pub struct RollingReport {
+    /// How sends ended.
+    pub counts: SteadyCounts,
+    /// Codes of refusals.
+    pub codes: Vec<CodeCount>,
+    /// How long it took.
+    pub took: Duration,
+    /// Promises that did not hold.
+    pub breaches: Vec<Breach>,
+}
+
+/// Runs the replacement and returns what callers were told.
+///
+/// # Errors
+///
+/// Returns an error if a part cannot be run.
+pub fn run(out: &mut dyn Write, plan: RollingPlan, seed: u64) -> Result<RollingReport, DemoError> {
+    let started = Instant::now();
+    let mut fleet = Fleet::start(plan.fleet, seed)?;
+    fleet.wait_until_ready(START_LIMIT)?;
+    fleet.wait_for_rights(START_LIMIT)?;
+    let balancer = Arc::new(Balancer::start(plan.drop_delay, targets(&fleet)));
+    wait_until("a balancer that knows all hosts", START_LIMIT, || {
+        balancer.callers().len() == fleet.hosts.len()
+    })?;
+    let workspaces = &fleet.plan.workspaces;
+    let mut callers = SteadyCallers::start(plan.load, workspaces, balancer.clone(), seed);
+    std::thread::sleep(CALM);
+    let names: Vec<_> = fleet.hosts.iter().map(|one| one.entry.id.clone()).collect();
+    for (number, name) in names.iter().enumerate() {
+        let began = Instant::now();
+        match plan.replacement {
+            Replacement::StoppedSameName => replace_in_place(&mut fleet, name)?,
+            Replacement::StoppedNewName => replace_renamed(&mut fleet, name, number, &balancer)?,
+            Replacement::Killed => replace_killed(&mut fleet, name)?,
+        }
+        wait_until_settled(&fleet)?;
+        let seconds = began.elapsed().as_secs_f64();
+        writeln!(out, "{name} was replaced after {seconds:.1} s")?;
+    }
+    std::thread::sleep(CALM);
+    callers.stop();
+    let took = started.elapsed();
+    let report = judge(&fleet, &callers, plan.replacement, took);
+    print(out, &report)?;
+    Ok(report)
+}
+
+fn targets(fleet: &Fleet) -> Vec<Target> {
+    let places = fleet.hosts.iter();
+    places
+        .map(|place| Target {
+            caller_addr: place.caller_addr,
+            operator_addr: place.operator_addr,
+        })
+        .collect()
+}
+
+fn position(fleet: &Fleet, name: &HostId) -> usize {
+    let mut places = fleet.hosts.iter();
+    let found = places.position(|place| &place.entry.id == name);
+    found.unwrap_or_default()
+}
+
+/// Waits until every host would bear the stop of another one.
+fn wait_until_settled(fleet: &Fleet) -> Result<(), EmulatorError> {
+    fleet.wait_until_ready(START_LIMIT)?;
+    Ok(())
+}
+
+fn stop(fleet: &mut Fleet, index: usize) -> Result<(), EmulatorError> {
+    if fleet.begin_stop(index)?.join().is_err() {
+        log::error!("rolling: A host panicked.");
+    }
+    Ok(())
+}
+
+fn replace_in_place(fleet: &mut Fleet, name: &HostId) -> Result<(), EmulatorError> {
+    let index = position(fleet, name);
+    stop(fleet, index)?;
+    fleet.restart_host_in_place(index)
+}
+
+fn replace_renamed(
+    fleet: &mut Fleet,
+    name: &HostId,
+    number: usize,
+    balancer: &Balancer,
+) -> Result<(), EmulatorError> {
+    let domain = fleet.hosts[position(fleet, name)]
+        .entry
+        .failure_domain
+        .clone();
+    fleet.add_host(HostId::new(&format!("{domain}-new-{number}")), &domain)?;
+    balancer.set_targets(targets(fleet));
+    wait_until_settled(fleet)?;
+    let index = position(fleet, name);
+    stop(fleet, index)?;
+    fleet.drop_host(index)?;
+    balancer.set_targets(targets(fleet));
+    Ok(())
+}
+
+fn replace_killed(fleet: &mut Fleet, name: &HostId) -> Result<(), EmulatorError> {
+    let index = position(fleet, name);
+    fleet.kill_host(index);
+    fleet.restart_host_in_place(index)
+}
+
+fn judge(
+    fleet: &Fleet,
+    callers: &SteadyCallers,
+    replacement: Replacement,
+    took: Duration,
+) -> RollingReport {
+    let workspaces = &fleet.plan.workspaces;
+    let mut breaches = callers.ledger().check(&fleet.upstreams, workspaces, took);
+    let counts = callers.counts();
+    if replacement != Replacement::Killed {
+        breaches.extend(planned_breaches(&counts));
+    }
+    RollingReport {
+        codes: callers.ledger().codes(),
+        counts,
+        took,
+        breaches,
+    }
+}
+
+/// Planned stops cut, refuse and forget nothing.
+fn planned_breaches(counts: &SteadyCounts) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    for (kind, count) in kinds(counts) {
+        let SendCounts {
+            broken,
+            not_run,
+            unknown,
+            ..
+        } = count;
+        let found = [
+            (*broken, "planned stops cut nothing"),
+            (*not_run, "planned stops refuse nothing within the rate"),
+            (*unknown, "planned stops leave nothing unknown"),
+        ];
+        for (number, promise) in found {
+            if number == 0 {
+                continue;
+            }
+            let seen = format!("{number} of {} sends: {kind}", count.sends);
+            breaches.push(Breach { promise, seen });
+        }
+    }
+    breaches
+}
+
+fn kinds(counts: &SteadyCounts) -> [(&'static str, &SendCounts); 4] {
+    [
+        ("reads", &counts.reads),
+        ("submissions with a key", &counts.keyed),
+        ("repeats", &counts.repeats),
+        ("submissions without", &counts.unkeyed),
+    ]
+}
+
+fn print(out: &mut dyn Write, report: &RollingReport) -> io::Result<()> {
+    for (kind, count) in kinds(&report.counts) {
+        let times = &count.times_us;
+        writeln!(
+            out,
+            "{kind:<22} {:>6} sent, {} answered, {} not run, {} unknown ({:.2}%), {} broken, p99 {} ms, longest {} ms",
+            count.sends,
+            count.answered,
+            count.not_run,
+            count.unknown,
+            100.0 * count.unknown_share(),
+            count.broken,
+            times.value_at_quantile(0.99) / 1_000,
+            times.max() / 1_000,
+        )?;
+    }
+    for refused in &report.codes {
+        writeln!(out, "  {} {}", refused.count, refused.code)?;
+    }
+    for breach in &report.breaches {
+        writeln!(out, "BROKEN PROMISE {breach}")?;
+    }
+    writeln!(out, "took {:.1} s", report.took.as_secs_f64())
+}
