--- a/crates/emulator/src/rolling.rs
+++ b/crates/emulator/src/rolling.rs
@@ -35,6 +35,8 @@
     pub fleet: FleetPlan,
     /// How each host is replaced.
     pub replacement: Replacement,
+    /// How many hosts are replaced, if not all.
+    pub max_replaced: Option<usize>,
     /// How long the balancer goes on after a host has stopped being ready.
     pub drop_delay: Duration,
     /// What callers send.
@@ -59,6 +61,7 @@
         Self {
             fleet,
             replacement,
+            max_replaced: None,
             drop_delay: Duration::from_secs(1),
             load: SteadyLoad {
                 callers_per_workspace: 8,
@@ -95,11 +98,13 @@
     wait_until("a balancer that knows all hosts", START_LIMIT, || {
         balancer.callers().len() == fleet.hosts.len()
     })?;
+    let load_started = Instant::now();
     let workspaces = &fleet.plan.workspaces;
     let mut callers = SteadyCallers::start(plan.load, workspaces, balancer.clone(), seed);
     std::thread::sleep(CALM);
     let names: Vec<_> = fleet.hosts.iter().map(|one| one.entry.id.clone()).collect();
-    for (number, name) in names.iter().enumerate() {
+    let count = plan.max_replaced.unwrap_or(names.len());
+    for (number, name) in names.iter().take(count).enumerate() {
         let began = Instant::now();
         match plan.replacement {
             Replacement::StoppedSameName => replace_in_place(&mut fleet, name)?,
@@ -116,7 +121,8 @@
     std::thread::sleep(CALM);
     callers.stop();
     let took = started.elapsed();
-    let report = judge(&fleet, &callers, plan.replacement, took);
+    let loaded = load_started.elapsed();
+    let report = judge(&fleet, &callers, plan.replacement, loaded, took);
     print(out, &report)?;
     Ok(report)
 }
@@ -190,10 +196,11 @@
     fleet: &Fleet,
     callers: &SteadyCallers,
     replacement: Replacement,
+    loaded: Duration,
     took: Duration,
 ) -> RollingReport {
     let workspaces = &fleet.plan.workspaces;
-    let mut breaches = callers.ledger().check(&fleet.upstreams, workspaces, took);
+    let mut breaches = callers.ledger().check(&fleet.upstreams, workspaces, loaded);
     let counts = callers.counts();
     if replacement != Replacement::Killed {
         breaches.extend(planned_breaches(&counts));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod fleet;
 mod operators;
 mod processes;
+mod rolling;
 mod serve;
 mod whole_path;
--- /dev/null
+++ b/tests/testsuite/rolling.rs
@@ -0,0 +1,51 @@
+//! Hosts that are replaced under load.
+
+use waxwingusher_emulator::rolling::{self, Replacement, RollingPlan, RollingReport};
+use waxwingusher_emulator::steady::SteadyLoad;
+
+const DOMAINS: [&str; 2] = ["north", "south"];
+const HOSTS_PER_DOMAIN: usize = 2;
+
+fn replace_one(replacement: Replacement, part_of_rate: f64) -> RollingReport {
+    let plan = RollingPlan::new(replacement, &DOMAINS, HOSTS_PER_DOMAIN);
+    let plan = RollingPlan {
+        max_replaced: Some(1),
+        load: SteadyLoad {
+            part_of_rate,
+            ..plan.load
+        },
+        ..plan
+    };
+    rolling::run(&mut std::io::sink(), plan, 5).expect("the fleet runs")
+}
+
+#[test]
+fn a_planned_stop_cuts_nothing_and_leaves_nothing_unknown() {
+    let report = replace_one(Replacement::StoppedSameName, 0.4);
+    let counts = &report.counts;
+    for count in [
+        &counts.reads,
+        &counts.keyed,
+        &counts.repeats,
+        &counts.unkeyed,
+    ] {
+        assert!(count.answered > 0);
+        assert_eq!((count.broken, count.unknown), (0, 0), "{report:?}");
+    }
+    // Refusals within the rate depend on how busy the machine is; the
+    // demonstration counts them.
+    let is_refusal = |promise: &str| promise.contains("refuse");
+    let mut others = report.breaches.iter();
+    assert!(
+        others.all(|breach| is_refusal(breach.promise)),
+        "{report:?}"
+    );
+}
+
+#[test]
+fn a_holder_that_is_killed_lets_nothing_pass_the_rate_or_run_twice() {
+    let report = replace_one(Replacement::Killed, 2.0);
+    assert_eq!(report.breaches, []);
+    let counts = &report.counts;
+    assert!(counts.reads.answered > 0 && counts.reads.not_run > 0);
+}
