--- /dev/null
+++ b/crates/emulator/src/connections.rs
@@ -0,0 +1,179 @@
+//! Compares ways to connect to an upstream that closes idle connections:
+//! pooled, pooled and checked, and fresh connections, in one run.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+
+use crate::fleet::EmulatorError;
+
+const ROUNDS: usize = 400;
+const THREADS: u64 = 8;
+/// The longest time that a connection or a caller is idle.
+const MAX_IDLE_US: u64 = 10_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+const HIGHEST_US: u64 = 60_000_000;
+const TIMEOUT: Duration = Duration::from_secs(10);
+const REQUEST: &[u8] = b"POST /desk/echo HTTP/1.1\r\nhost: desk\r\ncontent-length: 0\r\n\r\n";
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+/// How a request gets its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// The last connection is used again.
+    Pooled,
+    /// The last connection is used again if it is open by a look at it.
+    Checked,
+    /// Each request has a connection of its own.
+    Fresh,
+}
+
+/// How the requests of one way ended.
+#[derive(Debug, Clone)]
+pub struct WayCounts {
+    /// The way.
+    pub way: Way,
+    /// Requests with a whole answer.
+    pub answered: u64,
+    /// Requests that left and got no answer: the outcome is unknown.
+    pub unknown: u64,
+    /// Microseconds from the request to its answer.
+    pub times_us: Histogram<u64>,
+}
+
+impl WayCounts {
+    fn new(way: Way) -> Self {
+        let histogram = Histogram::new_with_bounds(1, HIGHEST_US, SIGNIFICANT_DIGITS);
+        Self {
+            way,
+            answered: 0,
+            unknown: 0,
+            // The bounds are constants that the library accepts.
+            times_us: histogram.unwrap_or_else(|_| unreachable!("bounds are valid")),
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.answered += other.answered;
+        self.unknown += other.unknown;
+        // Both have the same bounds.
+        let _ = self.times_us.add(&other.times_us);
+    }
+}
+
+/// Runs all ways in turn and writes a table.
+///
+/// # Errors
+///
+/// Returns an error if no upstream can be opened or the table not be written.
+pub fn run(out: &mut dyn Write, seed: u64) -> Result<(), EmulatorError> {
+    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let addr = listener.local_addr()?;
+    // The upstream lasts as long as the process.
+    std::thread::spawn(move || accept(&listener, seed));
+    let mut all = [Way::Pooled, Way::Checked, Way::Fresh].map(WayCounts::new);
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS)
+            .map(|index| scope.spawn(move || call_in_turn(addr, seed ^ index << 32)))
+            .collect();
+        for thread in threads {
+            let Ok(counts) = thread.join() else {
+                log::error!("connections: A caller panicked.");
+                continue;
+            };
+            for (total, count) in all.iter_mut().zip(&counts) {
+                total.add(count);
+            }
+        }
+    });
+    for count in &all {
+        writeln!(
+            out,
+            "{:<8} answered {}, unknown {}, p50 {} us, p99 {} us",
+            format!("{:?}", count.way),
+            count.answered,
+            count.unknown,
+            count.times_us.value_at_quantile(0.5),
+            count.times_us.value_at_quantile(0.99),
+        )?;
+    }
+    Ok(())
+}
+
+fn accept(listener: &TcpListener, seed: u64) {
+    for (number, stream) in listener.incoming().enumerate() {
+        let Ok(stream) = stream else {
+            continue;
+        };
+        let rng = fastrand::Rng::with_seed(seed.wrapping_add(number as u64));
+        std::thread::spawn(move || answer_until_idle(stream, rng));
+    }
+}
+
+/// Answers requests until none comes within a random time.
+fn answer_until_idle(mut stream: TcpStream, mut rng: fastrand::Rng) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut request = [0; REQUEST.len()];
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    loop {
+        stream.read_exact(&mut request)?;
+        stream.write_all(ANSWER)?;
+        let idle = Duration::from_micros(rng.u64(1..MAX_IDLE_US));
+        stream.set_read_timeout(Some(idle))?;
+    }
+}
+
+fn call_in_turn(addr: SocketAddr, seed: u64) -> [WayCounts; 3] {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut counts = [Way::Pooled, Way::Checked, Way::Fresh].map(WayCounts::new);
+    let mut pools: [Option<TcpStream>; 3] = [None, None, None];
+    for _ in 0..ROUNDS {
+        for (count, pool) in counts.iter_mut().zip(&mut pools) {
+            std::thread::sleep(Duration::from_micros(rng.u64(..MAX_IDLE_US / 3)));
+            let started = Instant::now();
+            let Ok(stream) = take(addr, count.way, pool) else {
+                continue;
+            };
+            match exchange(&stream) {
+                Ok(()) => {
+                    count.answered += 1;
+                    let time_us = u64::try_from(started.elapsed().as_micros());
+                    let time_us = time_us.unwrap_or(HIGHEST_US).max(1);
+                    count.times_us.saturating_record(time_us);
+                    *pool = Some(stream);
+                }
+                Err(_) => count.unknown += 1,
+            }
+        }
+    }
+    counts
+}
+
+fn take(addr: SocketAddr, way: Way, pool: &mut Option<TcpStream>) -> io::Result<TcpStream> {
+    let pooled = pool.take().filter(|stream| match way {
+        Way::Pooled => true,
+        Way::Checked => is_open(stream).unwrap_or(false),
+        Way::Fresh => false,
+    });
+    if let Some(stream) = pooled {
+        return Ok(stream);
+    }
+    let stream = TcpStream::connect(addr)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    Ok(stream)
+}
+
+fn is_open(mut stream: &TcpStream) -> io::Result<bool> {
+    stream.set_nonblocking(true)?;
+    let read = stream.read(&mut [0]);
+    stream.set_nonblocking(false)?;
+    Ok(matches!(read, Err(e) if e.kind() == ErrorKind::WouldBlock))
+}
+
+fn exchange(mut stream: &TcpStream) -> io::Result<()> {
+    stream.write_all(REQUEST)?;
+    stream.read_exact(&mut [0; ANSWER.len()])
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod balancer;
 pub mod caller;
+pub mod connections;
 pub mod demo;
 pub mod fleet;
 pub mod load;
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 use log::LevelFilter;
+use waxwingusher_emulator::connections;
 use waxwingusher_emulator::demo;
 use waxwingusher_emulator::rolling::{self, Replacement, RollingPlan};
 
@@ -20,11 +21,12 @@
 enum DemoScenario {
     Faults,
     Rolling(Replacement),
+    Connections,
 }
 
 /// The name of a scenario is not known.
 #[derive(Debug, thiserror::Error)]
-#[error("allowed are faults, rolling, rolling-renamed and rolling-killed")]
+#[error("allowed are faults, rolling, rolling-renamed, rolling-killed and connections")]
 struct UnknownScenario;
 
 impl FromStr for DemoScenario {
@@ -36,6 +38,7 @@
             "rolling" => Ok(Self::Rolling(Replacement::StoppedSameName)),
             "rolling-renamed" => Ok(Self::Rolling(Replacement::StoppedNewName)),
             "rolling-killed" => Ok(Self::Rolling(Replacement::Killed)),
+            "connections" => Ok(Self::Connections),
             _ => Err(UnknownScenario),
         }
     }
@@ -47,7 +50,8 @@
 #[argh(subcommand, name = "demo")]
 pub struct DemoArgs {
     /// what happens: faults, rolling (every host stops and comes back),
-    /// rolling-renamed (under another name) or rolling-killed (faults)
+    /// rolling-renamed (under another name) or rolling-killed (faults), or
+    /// connections (ways to connect to upstreams that close idle connections)
     #[argh(option, default = "DemoScenario::Faults")]
     scenario: DemoScenario,
     /// the seed of the callers' choices
@@ -64,6 +68,10 @@
         let mut out = io::stdout().lock();
         let breaches = match self.scenario {
             DemoScenario::Faults => demo::run(&mut out, self.seed)?,
+            DemoScenario::Connections => {
+                connections::run(&mut out, self.seed)?;
+                Vec::new()
+            }
             DemoScenario::Rolling(replacement) => {
                 let plan = RollingPlan::new(replacement, &DOMAINS, HOSTS_PER_DOMAIN);
                 rolling::run(&mut out, plan, self.seed)?.breaches
