--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,5 +7,6 @@
 mod opening;
 mod operators;
 mod processes;
+mod rolling;
 mod serve;
 mod whole_path;
