--- a/crates/limits/src/lending.rs
+++ b/crates/limits/src/lending.rs
@@ -10,13 +10,13 @@
 /// The term of a loan of one token while there is too little room for more.
 const SCARCE_TERM: Duration = Duration::from_millis(400);
 /// The term of a loan of tokens without rate.
-const TOKEN_TERM: Duration = Duration::from_secs(5);
+const TOKEN_TERM: Duration = Duration::from_secs(10);
 /// The part of the room that is lent for long; the rest buffers what refills
 /// here.
 const LENDABLE_PERCENT: u64 = 70;
 /// The room below which no rate is lent: a small bucket is full most of the
 /// time and wastes its refill.
-const MIN_RATE_ROOM_MILLIS: u64 = 3 * MILLIS_PER_TOKEN;
+const MIN_RATE_ROOM_MILLIS: u64 = 8 * MILLIS_PER_TOKEN;
 /// The part of the tokens that one borrower may get.
 const LEND_DIVISOR: u64 = 2;
 /// The part of the lender's demand, and of its room, that even a borrower that
@@ -47,6 +47,8 @@
     pub own_demand_millis_per_s: u64,
     /// The demand of all borrowers and of the lender's own callers.
     pub demand_millis_per_s: u64,
+    /// Whether other borrowers hold tokens ahead of demand.
+    pub can_recall: bool,
 }
 
 /// What a borrower gets.
@@ -69,39 +71,59 @@
     #[must_use]
     pub fn offer(&self, request: &LoanRequest, settings: &LimiterSettings) -> Offer {
         let room = self.long_room(request);
-        let lasts = request.wanted_rate_millis_per_s > 0 && room >= MILLIS_PER_TOKEN;
-        let mut offer = if !lasts {
-            self.scarce_offer(request)
+        let has_rate = request.wanted_rate_millis_per_s > 0;
+        let mut offer = if has_rate && room >= MIN_RATE_ROOM_MILLIS {
+            self.rate_offer(request, room, settings)
         } else {
-            self.long_offer(request, room, settings)
+            let ahead = has_rate.then(|| self.token_offer(request)).flatten();
+            ahead.unwrap_or_else(|| self.scarce_offer(request))
         };
         offer.term = offer.term.min(settings.loan_term);
         offer.retry_after_ms = self.retry_after_ms(request, offer.tokens_millis);
         offer
     }
 
-    fn long_offer(&self, request: &LoanRequest, room: u64, settings: &LimiterSettings) -> Offer {
-        let rate = if room < MIN_RATE_ROOM_MILLIS.min(self.lendable() / 2) {
-            0
-        } else {
-            self.rate(request)
-        };
+    fn rate_offer(&self, request: &LoanRequest, room: u64, settings: &LimiterSettings) -> Offer {
         let vacant = room.saturating_sub(request.held_tokens_millis.into());
         let free = self.tokens_millis.saturating_sub(self.reserve(request));
         let most = (free / LEND_DIVISOR).max(free.min(MILLIS_PER_TOKEN));
         Offer {
             room_millis: room,
-            rate_millis_per_s: rate,
+            rate_millis_per_s: self.rate(request),
             tokens_millis: vacant.min(most),
-            term: if rate > 0 {
-                settings.loan_term
-            } else {
-                TOKEN_TERM
-            },
+            term: settings.loan_term,
             retry_after_ms: 0,
         }
     }
 
+    /// Offers whole tokens ahead of demand, and only the room that they fill,
+    /// or nothing if there is no room for that.
+    fn token_offer(&self, request: &LoanRequest) -> Option<Offer> {
+        if self.limit.room_millis < TINY_SHARE_MILLIS {
+            return None;
+        }
+        let held = u64::from(request.held_tokens_millis);
+        let spare = self.limit.room_millis - MILLIS_PER_TOKEN;
+        let others = self.lent_room_millis - u64::from(request.held_room_millis);
+        let fair = whole(spare / (self.borrowers + 1)).max(MILLIS_PER_TOKEN);
+        let most = fair.min(spare.saturating_sub(others));
+        let wanted = u64::from(request.wanted_tokens_millis).min(most);
+        let kept = if held < MILLIS_PER_TOKEN {
+            0
+        } else {
+            MILLIS_PER_TOKEN
+        };
+        let free = whole(self.tokens_millis.saturating_sub(kept));
+        let tokens = whole(wanted.saturating_sub(held)).min(free);
+        (held + tokens >= MILLIS_PER_TOKEN).then_some(Offer {
+            room_millis: held + tokens,
+            rate_millis_per_s: 0,
+            tokens_millis: tokens,
+            term: TOKEN_TERM,
+            retry_after_ms: 0,
+        })
+    }
+
     /// Offers what is wanted, but of scarce tokens one at most, or nothing.
     fn scarce_offer(&self, request: &LoanRequest) -> Offer {
         let held = u64::from(request.held_tokens_millis);
@@ -176,6 +198,9 @@
         if held + tokens >= wanted {
             return 0;
         }
+        if self.can_recall {
+            return MIN_RETRY_MS;
+        }
         let share = self.limit.rate_millis_per_s;
         if self.demand_millis_per_s * 100 > share * OVERRUN_PERCENT {
             return OVERRUN_RETRY_MS;
@@ -185,3 +210,7 @@
         (lacking * 1000 / share.max(1)).max(MIN_RETRY_MS)
     }
 }
+
+fn whole(tokens_millis: u64) -> u64 {
+    tokens_millis / MILLIS_PER_TOKEN * MILLIS_PER_TOKEN
+}
--- a/crates/limits/src/limiter.rs
+++ b/crates/limits/src/limiter.rs
@@ -191,6 +191,7 @@
                 }
                 Vec::new()
             }
+            LoanMessage::Recalls(limits) => self.give_back(from, &limits, now),
             LoanMessage::ListQuery { seq } => vec![Outgoing {
                 to: from.clone(),
                 message: self.authority.answer(seq, now),
--- a/crates/limits/src/limiter/loans.rs
+++ b/crates/limits/src/limiter/loans.rs
@@ -6,14 +6,14 @@
 
 use waxwingusher_core::HostId;
 use waxwingusher_protocol::Outgoing;
-use waxwingusher_protocol::loan::{LoanGrant, LoanMessage, LoanRequest, MAX_LOAN_ENTRIES};
+use waxwingusher_protocol::loan::{LimitId, LoanGrant, LoanMessage, LoanRequest, MAX_LOAN_ENTRIES};
 
 use super::Limiter;
 use crate::limit_table::LimitState;
 use crate::loan_part::LoanPart;
 use crate::settings::LimiterSettings;
-use crate::share::{Borrower, is_return};
-use crate::shares::ShareLimit;
+use crate::share::{Borrower, is_dry, is_return};
+use crate::shares::{MILLIS_PER_TOKEN, ShareLimit};
 use crate::stock::{Holding, PlanContext};
 
 impl Limiter {
@@ -45,16 +45,58 @@
         now: Instant,
     ) -> Vec<Outgoing<LoanMessage>> {
         let mut grants = Vec::new();
+        let mut recalls = BTreeMap::new();
         for request in requests {
-            grants.extend(self.lend_one(from, incarnation, request, now));
+            let Some(grant) = self.lend_one(from, incarnation, request, now) else {
+                continue;
+            };
+            if is_dry(request, &grant) {
+                collect(&mut recalls, self.recall(request.limit, from, now));
+            }
+            grants.push(grant);
+        }
+        let mut out = into_recalls(recalls);
+        if !grants.is_empty() {
+            out.push(Outgoing {
+                to: from.clone(),
+                message: LoanMessage::Grants(grants),
+            });
         }
-        if grants.is_empty() {
+        out
+    }
+
+    /// Chooses who gives a token back, for a host whose requests wait.
+    fn recall(&mut self, limit: LimitId, waits: &HostId, now: Instant) -> Vec<(HostId, LimitId)> {
+        let Some(index) = self.table.by_id(limit) else {
             return Vec::new();
+        };
+        let share = self.table.get_mut(index).role.share_mut();
+        let host = share.and_then(|share| share.recall(waits, now));
+        host.into_iter().map(|host| (host, limit)).collect()
+    }
+
+    /// Gives back what is held ahead of demand, unless it is needed here.
+    pub(super) fn give_back(
+        &mut self,
+        to: &HostId,
+        limits: &[LimitId],
+        now: Instant,
+    ) -> Vec<Outgoing<LoanMessage>> {
+        let mut requests = BTreeMap::new();
+        let settings = Arc::clone(&self.settings);
+        let valid_until = self.authority.valid_until();
+        for limit in limits {
+            let Some(index) = self.table.by_id(*limit) else {
+                continue;
+            };
+            let state = self.table.get_mut(index);
+            let ctx = plan_context(state, self.near_share, valid_until, now, &settings);
+            let Some(stock) = &mut state.stock else {
+                continue;
+            };
+            collect(&mut requests, stock.give_back_to(to, ctx, &mut self.seq));
         }
-        vec![Outgoing {
-            to: from.clone(),
-            message: LoanMessage::Grants(grants),
-        }]
+        into_requests(requests)
     }
 
     pub(super) fn lend_one(
@@ -109,6 +151,7 @@
 
     pub(super) fn borrow_ahead(&mut self, now: Instant) -> Vec<Outgoing<LoanMessage>> {
         let mut requests = BTreeMap::new();
+        let mut recalls = BTreeMap::new();
         let settings = Arc::clone(&self.settings);
         let valid_until = self.authority.valid_until();
         for index in std::mem::take(&mut self.active) {
@@ -125,10 +168,17 @@
                 let lenders = self.holders.of_all(&state.key, &self.self_id);
                 stock.set_lenders(self.holders.version(), &lenders, now);
             }
+            if stock.has_waiting() && ctx.own.tokens_millis < MILLIS_PER_TOKEN {
+                let share = state.role.share_mut();
+                let host = share.and_then(|share| share.recall(&self.self_id, now));
+                collect(&mut recalls, host.map(|host| (host, state.id)));
+            }
             collect(&mut requests, stock.plan(ctx, &mut self.seq));
             self.active.push(index);
         }
-        into_requests(requests)
+        let mut out = into_recalls(recalls);
+        out.extend(into_requests(requests));
+        out
     }
 }
 
@@ -158,12 +208,28 @@
     }
 }
 
-fn collect<E>(by_host: &mut BTreeMap<HostId, Vec<E>>, entries: Vec<(HostId, E)>) {
+fn collect<E>(
+    by_host: &mut BTreeMap<HostId, Vec<E>>,
+    entries: impl IntoIterator<Item = (HostId, E)>,
+) {
     for (host, entry) in entries {
         by_host.entry(host).or_default().push(entry);
     }
 }
 
+fn into_recalls(by_host: BTreeMap<HostId, Vec<LimitId>>) -> Vec<Outgoing<LoanMessage>> {
+    let mut out = Vec::new();
+    for (to, limits) in by_host {
+        for chunk in limits.chunks(MAX_LOAN_ENTRIES) {
+            out.push(Outgoing {
+                to: to.clone(),
+                message: LoanMessage::Recalls(chunk.to_vec()),
+            });
+        }
+    }
+    out
+}
+
 fn into_requests(by_host: BTreeMap<HostId, Vec<LoanRequest>>) -> Vec<Outgoing<LoanMessage>> {
     let mut out = Vec::new();
     for (to, requests) in by_host {
--- a/crates/limits/src/loan_part.rs
+++ b/crates/limits/src/loan_part.rs
@@ -8,7 +8,7 @@
 use crate::bucket::Bucket;
 use crate::settings::LimiterSettings;
 use crate::share::narrow;
-use crate::shares::ShareLimit;
+use crate::shares::{MILLIS_PER_TOKEN, ShareLimit};
 
 /// The most times that the wait for an unanswering lender is doubled.
 const MAX_DOUBLINGS: u32 = 6;
@@ -60,6 +60,7 @@
     has_granted: bool,
     retry_at: Instant,
     short_until: Instant,
+    tokens_only_millis: Option<u64>,
 }
 
 impl LoanPart {
@@ -77,6 +78,7 @@
             has_granted: false,
             retry_at: now,
             short_until: now,
+            tokens_only_millis: None,
         }
     }
 
@@ -92,6 +94,7 @@
         self.has_granted = false;
         self.retry_at = now;
         self.short_until = now;
+        self.tokens_only_millis = None;
     }
 
     /// Returns the host to borrow from.
@@ -158,6 +161,26 @@
         now < self.short_until
     }
 
+    /// Keeps the lender from being asked ahead of demand for a while.
+    pub fn set_short(&mut self, now: Instant) {
+        self.short_until = now + SHORT_TIME;
+    }
+
+    /// Returns the room of the latest loan if it came without the rate that
+    /// was asked for.
+    #[must_use]
+    pub fn tokens_only(&self) -> Option<u64> {
+        self.tokens_only_millis
+    }
+
+    /// Reports whether there is room that neither holds a token nor refills.
+    #[must_use]
+    pub fn is_spent(&self) -> bool {
+        self.holds_anything()
+            && self.bucket.rate_millis_per_s() == 0
+            && self.bucket.tokens_millis() < MILLIS_PER_TOKEN
+    }
+
     /// Reports whether the loan should be renewed.
     #[must_use]
     pub fn is_due(&self, now: Instant) -> bool {
@@ -197,7 +220,7 @@
             .rate_millis_per_s()
             .min(wanted.rate_millis_per_s);
         let mut room = self.bucket.room_millis().min(wanted.room_millis);
-        if self.is_scarce() {
+        if self.bucket.rate_millis_per_s() == 0 {
             // Others need the room that has been spent.
             room = room.min(self.bucket.tokens_millis());
         }
@@ -244,9 +267,14 @@
         let until = pending.asked_at + term;
         self.retry_at = now + Duration::from_millis(grant.retry_after_ms.into());
         let wanted_rate = pending.wanted.rate_millis_per_s;
-        if grant.rate_millis_per_s == 0 && wanted_rate > 0 {
-            self.short_until = until;
-        } else if u64::from(grant.rate_millis_per_s) < wanted_rate {
+        let gives_tokens = grant.rate_millis_per_s == 0 && wanted_rate > 0;
+        self.tokens_only_millis = gives_tokens.then_some(grant.room_millis.into());
+        let is_short = if gives_tokens {
+            term < MIN_LASTING_TERM
+        } else {
+            u64::from(grant.rate_millis_per_s) < wanted_rate
+        };
+        if is_short {
             self.short_until = now + SHORT_TIME;
         }
         if now >= until {
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -25,6 +25,8 @@
     room_millis: u64,
     rate_millis_per_s: u64,
     asked_millis_per_s: u64,
+    lent_at: Instant,
+    is_recalled: bool,
     until: Instant,
     forget_at: Instant,
 }
@@ -39,6 +41,12 @@
         self.rate_millis_per_s = 0;
     }
 
+    /// Reports whether the borrower holds tokens ahead of demand, as far as is
+    /// known, and was not asked for them yet.
+    fn is_ahead(&self) -> bool {
+        self.room_millis >= MILLIS_PER_TOKEN && self.rate_millis_per_s == 0 && !self.is_recalled
+    }
+
     fn next_change(&self, now: Instant) -> Instant {
         if self.until > now {
             self.until
@@ -111,6 +119,8 @@
                 room_millis: loan.room_millis.into(),
                 rate_millis_per_s: loan.rate_millis_per_s.into(),
                 asked_millis_per_s: loan.rate_millis_per_s.into(),
+                lent_at: now,
+                is_recalled: false,
                 until,
                 forget_at: until + BORROWER_MEMORY,
             };
@@ -272,6 +282,8 @@
             room_millis: offer.room_millis.max(held_room),
             rate_millis_per_s: offer.rate_millis_per_s.max(held_rate),
             asked_millis_per_s: asked,
+            lent_at: borrower.now,
+            is_recalled: false,
             until,
             forget_at: until + BORROWER_MEMORY,
         };
@@ -292,11 +304,28 @@
         }
     }
 
+    /// Chooses the host that should give back what it holds ahead of demand:
+    /// the one that has not used it for the longest time.
+    pub fn recall(&mut self, except: &HostId, now: Instant) -> Option<HostId> {
+        self.settle(now);
+        let others = self.loans.iter_mut();
+        let ahead = others.filter(|((host, _), loan)| host != except && loan.is_ahead());
+        let ((host, _), loan) =
+            ahead.min_by_key(|((host, _), loan)| (loan.lent_at, host.clone()))?;
+        loan.is_recalled = true;
+        Some(host.clone())
+    }
+
     /// Returns what the decision on a loan depends on.
     fn pool(&self, request: &LoanRequest, borrower: Borrower<'_>) -> Pool {
         let is_new = request.held_room_millis == 0 && request.held_rate_millis_per_s == 0;
         let holds = |loan: &&Loan| loan.room_millis > 0 || loan.rate_millis_per_s > 0;
         let holding = self.loans.values().filter(holds).count() as u64;
+        let others = self
+            .loans
+            .iter()
+            .filter(|((host, _), _)| host != borrower.host);
+        let can_recall = others.map(|(_, loan)| loan).any(Loan::is_ahead);
         let own_demand = borrower.lender_demand_millis_per_s;
         let wanted_rate = u64::from(request.wanted_rate_millis_per_s);
         Pool {
@@ -307,6 +336,7 @@
             borrowers: holding + u64::from(is_new),
             own_demand_millis_per_s: own_demand,
             demand_millis_per_s: self.asked_millis_per_s + wanted_rate + own_demand,
+            can_recall,
         }
     }
 
@@ -369,6 +399,14 @@
     !held && !wants
 }
 
+/// Reports whether a request for callers that wait stays without a token.
+#[must_use]
+pub fn is_dry(request: &LoanRequest, grant: &LoanGrant) -> bool {
+    let held = u64::from(request.held_tokens_millis) + u64::from(grant.added_tokens_millis);
+    let wanted = u64::from(request.wanted_tokens_millis);
+    request.wanted_rate_millis_per_s == 0 && wanted >= MILLIS_PER_TOKEN && held < MILLIS_PER_TOKEN
+}
+
 /// Returns when a loan ends for the lender. A borrower that still holds something
 /// may miss this grant and go on until the end of an earlier one.
 fn loan_end(former: Option<Loan>, request: &LoanRequest, end: Instant) -> Instant {
--- a/crates/limits/src/stock.rs
+++ b/crates/limits/src/stock.rs
@@ -12,8 +12,6 @@
 use crate::share::Share;
 use crate::shares::{MILLIS_PER_TOKEN, TINY_SHARE_MILLIS};
 
-/// Demand below which tokens are borrowed but no rate, in requests a second.
-const MIN_RATE_DEMAND_PER_S: f64 = 0.3;
 /// The rate that a borrower wants, in percent of its demand.
 const RATE_PERCENT: f64 = 95.0;
 /// The part of the wanted tokens below which a borrower asks for more.
@@ -23,9 +21,9 @@
 /// The part of the wanted rate below which it is not worth a loan of its own.
 const MIN_RATE_PERCENT: u64 = 10;
 /// The shortest time between requests to a lender while no request waits.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 /// The time without requests after which a loan is given back.
-const IDLE_TIME: Duration = Duration::from_secs(3);
+const IDLE_TIME: Duration = Duration::from_secs(30);
 
 /// What a plan to borrow depends on.
 #[derive(Debug, Clone, Copy)]
@@ -125,7 +123,7 @@
     #[must_use]
     pub fn is_idle(&self, now: Instant, settings: &LimiterSettings) -> bool {
         let held = self.parts.iter().any(LoanPart::holds_anything);
-        !held && self.demand.idle(now) > settings.loan_term
+        !held && self.demand.idle(now) > IDLE_TIME.max(settings.loan_term)
     }
 
     /// Takes the token of one request out of the loans and the own share.
@@ -189,14 +187,20 @@
             part.settle(ctx.now);
         }
         let mut requests = Vec::new();
+        let is_tiny = ctx.share_room_millis < TINY_SHARE_MILLIS;
+        let more = self.next_lender(ctx).filter(|_| self.needs_more(ctx));
+        let more = more.filter(|_| !is_tiny);
         for index in 0..self.parts.len() {
+            if more == Some(index) {
+                continue;
+            }
             if let Some(wanted) = self.renewal(index, ctx) {
                 self.ask(index, wanted, ctx, seq, &mut requests);
             }
         }
-        if ctx.share_room_millis < TINY_SHARE_MILLIS {
+        if is_tiny {
             self.ask_all(ctx, seq, &mut requests);
-        } else if let Some(index) = self.next_lender(ctx).filter(|_| self.needs_more(ctx)) {
+        } else if let Some(index) = more {
             let wanted = self.wanted(index, ctx);
             self.asked_at = ctx.now;
             self.ask(index, wanted, ctx, seq, &mut requests);
@@ -216,6 +220,35 @@
         requests
     }
 
+    /// Gives back the whole tokens of a lender that has asked for them, unless
+    /// requests wait here or an answer of the lender is under way.
+    pub fn give_back_to(
+        &mut self,
+        lender: &HostId,
+        ctx: PlanContext<'_>,
+        seq: &mut u32,
+    ) -> Vec<(HostId, LoanRequest)> {
+        let mut requests = Vec::new();
+        let is_lender = |part: &LoanPart| part.lender() == Some(lender);
+        let Some(index) = self.parts.iter().position(is_lender) else {
+            return requests;
+        };
+        let part = &mut self.parts[index];
+        part.settle(ctx.now);
+        let is_ahead = part.bucket().rate_millis_per_s() == 0 && part.holds_anything();
+        if self.waiting == 0 && is_ahead && !part.is_awaited(ctx.now, ctx.settings) {
+            part.set_short(ctx.now);
+            self.ask(index, Wanted::default(), ctx, seq, &mut requests);
+        }
+        requests
+    }
+
+    /// Reports whether requests have waited since the last plan.
+    #[must_use]
+    pub fn has_waiting(&self) -> bool {
+        self.waiting > 0
+    }
+
     fn ask(
         &mut self,
         index: usize,
@@ -276,7 +309,7 @@
         if part.is_awaited(ctx.now, ctx.settings) || part.retry_at()? > ctx.now {
             return None;
         }
-        if part.is_scarce() && part.holds_anything() {
+        if part.is_spent() || part.is_scarce() && part.holds_anything() {
             return (self.waiting == 0).then_some(Wanted::default());
         }
         if !part.is_due(ctx.now) {
@@ -298,16 +331,25 @@
         }
         let asked_lately = ctx.now < self.asked_at + REQUEST_INTERVAL;
         let target = self.target(ctx);
-        if asked_lately || target.rate_millis_per_s == 0 {
+        if asked_lately {
+            return false;
+        }
+        if self.has_low_tokens(ctx) {
+            return true;
+        }
+        if self.parts[ctx.near_share].tokens_only().is_some() {
             return false;
         }
         let held = self.held(ctx);
         let low_rate = target.rate_millis_per_s * LOW_RATE_PERCENT / 100;
-        self.has_low_tokens(ctx) || held.rate_millis_per_s < low_rate
+        held.rate_millis_per_s < low_rate
     }
 
     fn has_low_tokens(&self, ctx: PlanContext<'_>) -> bool {
-        let low = self.target(ctx).room_millis * LOW_WATER_PERCENT / 100;
+        let low = match self.parts[ctx.near_share].tokens_only() {
+            Some(granted) => granted,
+            None => self.target(ctx).room_millis * LOW_WATER_PERCENT / 100,
+        };
         self.held(ctx).tokens_millis < low.max(MILLIS_PER_TOKEN)
     }
 
@@ -334,17 +376,13 @@
     /// Reports whether a lender should be asked while no request waits: the near
     /// one for tokens, and any that may still have rate for more rate.
     fn lends_ahead(&self, index: usize, ctx: PlanContext<'_>) -> bool {
-        let part = &self.parts[index];
-        let near = &self.parts[ctx.near_share];
-        if part.is_scarce() {
-            return false;
+        if self.parts[index].is_short(ctx.now) {
+            return index == ctx.near_share
+                && self.parts[index].tokens_only().is_none()
+                && self.has_low_tokens(ctx);
         }
-        if index == ctx.near_share {
-            return self.has_low_tokens(ctx) || !part.is_short(ctx.now);
-        }
-        let near_is_used_up = near.bucket().rate_millis_per_s() > 0 && near.is_short(ctx.now);
-        let near_lends = near.has_answered() && !near_is_used_up;
-        !near_lends && !part.is_short(ctx.now)
+        let near = &self.parts[ctx.near_share];
+        index == ctx.near_share || !near.has_answered() || near.is_short(ctx.now)
     }
 
     /// Returns what to hold from one lender, given what the others lend.
@@ -367,6 +405,10 @@
         if self.waiting > 0 {
             let waiting = u64::from(self.waiting) * MILLIS_PER_TOKEN;
             room = room.max(part.tokens_millis() + waiting);
+            if part.rate_millis_per_s() == 0 && self.parts[index].is_short(ctx.now) {
+                // The lender has nothing ahead of demand; these requests wait.
+                rate = 0;
+            }
         }
         Wanted {
             room_millis: room,
@@ -378,11 +420,10 @@
     fn target(&self, ctx: PlanContext<'_>) -> Wanted {
         let per_s = self.demand.per_s(ctx.now);
         let horizon = per_s * ctx.settings.stock_horizon.as_secs_f64();
-        let has_rate = per_s >= MIN_RATE_DEMAND_PER_S;
         let rate = self.demand_millis_per_s(ctx.now);
         Wanted {
             room_millis: (horizon * 1000.0) as u64 + MILLIS_PER_TOKEN,
-            rate_millis_per_s: if has_rate { rate } else { 0 },
+            rate_millis_per_s: rate.max(1),
         }
     }
 
--- a/crates/limits/tests/testsuite/main.rs
+++ b/crates/limits/tests/testsuite/main.rs
@@ -9,5 +9,6 @@
 mod opening;
 mod oracle;
 mod queue;
+mod recall;
 mod schedule;
 mod service;
--- a/crates/protocol/src/loan.rs
+++ b/crates/protocol/src/loan.rs
@@ -131,4 +131,7 @@
     },
     /// Answers a [`LoanMessage::ListQuery`].
     ListWord(ListWord),
+    /// Asks a borrower to give back tokens that it holds ahead of demand,
+    /// because requests wait elsewhere.
+    Recalls(Vec<LimitId>),
 }
