Build a pool's context in one place and split the large modules

What a host knows of itself and the others is now HostContext, which builds the contexts of pools and judges; the choice of watched instances is watch.rs.

--- a/crates/upstreams/src/context.rs
+++ b/crates/upstreams/src/context.rs
@@ -1,8 +1,8 @@
-//! What a judge knows of its surroundings.
+//! What a pool and a judge know of their surroundings.
 
 use std::time::Instant;
 
-use waxwingusher_core::HostId;
+use waxwingusher_core::{FailureDomain, HostId};
 use waxwingusher_protocol::health::EjectionRow;
 
 use crate::capacity::PoolCapacity;
@@ -43,3 +43,18 @@
     /// The thresholds of the service.
     pub thresholds: TestThresholds,
 }
+
+/// What a pool needs of its host.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolContext<'a> {
+    /// The time.
+    pub now: Instant,
+    /// The host's failure domain.
+    pub near: &'a FailureDomain,
+    /// The number of listed hosts.
+    pub hosts: usize,
+    /// The part of them in the host's failure domain.
+    pub near_host_share: f64,
+    /// The settings.
+    pub settings: &'a UpstreamSettings,
+}
--- /dev/null
+++ b/crates/upstreams/src/host_context.rs
@@ -0,0 +1,130 @@
+//! What one host knows of itself and of the other hosts.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use waxwingusher_core::{FailureDomain, HostId, HostList};
+
+use crate::capacity::PoolCapacity;
+use crate::casebook::Vantage;
+use crate::context::{JudgeContext, JudgeRank, PoolContext};
+use crate::judge::Judge;
+use crate::service::ServiceState;
+use crate::settings::{TestThresholds, UpstreamSettings};
+
+/// One host's identity, its settings, and the listed hosts.
+#[derive(Debug)]
+pub struct HostContext {
+    /// The host itself.
+    pub self_id: HostId,
+    /// The number of this process among those of the host.
+    pub incarnation: u64,
+    /// The settings.
+    pub settings: UpstreamSettings,
+    /// All listed hosts.
+    pub hosts: Vec<HostId>,
+    /// From where each host looks at the instances.
+    pub vantages: BTreeMap<HostId, Vantage>,
+    failure_domain: FailureDomain,
+    near_host_share: f64,
+}
+
+impl HostContext {
+    /// Creates the context of a host that knows no other.
+    #[must_use]
+    pub fn new(
+        self_id: HostId,
+        failure_domain: FailureDomain,
+        incarnation: u64,
+        settings: UpstreamSettings,
+    ) -> Self {
+        Self {
+            hosts: vec![self_id.clone()],
+            self_id,
+            incarnation,
+            settings,
+            vantages: BTreeMap::new(),
+            failure_domain,
+            near_host_share: 1.0,
+        }
+    }
+
+    /// Takes the platform's list of hosts, and reports whether other hosts are
+    /// on it than before.
+    pub fn apply_host_list(&mut self, list: &HostList) -> bool {
+        let near = list
+            .hosts
+            .iter()
+            .filter(|entry| entry.failure_domain == self.failure_domain)
+            .count();
+        self.near_host_share = near.max(1) as f64 / list.hosts.len().max(1) as f64;
+        self.vantages = vantages(list);
+        let mut hosts: Vec<HostId> = list.hosts.iter().map(|entry| entry.id.clone()).collect();
+        hosts.sort();
+        hosts.dedup();
+        if hosts == self.hosts {
+            return false;
+        }
+        self.hosts = hosts;
+        true
+    }
+
+    /// Returns what a pool needs of the host.
+    #[must_use]
+    pub fn pool_context(&self, now: Instant) -> PoolContext<'_> {
+        PoolContext {
+            now,
+            near: &self.failure_domain,
+            hosts: self.hosts.len(),
+            near_host_share: self.near_host_share,
+            settings: &self.settings,
+        }
+    }
+
+    /// Returns a service's judge with what it needs to act.
+    pub fn judge_parts<'a>(
+        &'a self,
+        state: &'a mut ServiceState,
+        now: Instant,
+        capacity: &'a PoolCapacity,
+    ) -> (&'a mut Judge, JudgeContext<'a>) {
+        let requests_per_s = state.pool.reporter.requests_per_s(now);
+        let instances = capacity.len().max(1) as f64;
+        let voter = &state.pool.voter;
+        let rank = if state.judges.first() == Some(&self.self_id) {
+            JudgeRank::First
+        } else {
+            JudgeRank::Deputy
+        };
+        let context = JudgeContext {
+            now,
+            self_id: &self.self_id,
+            hosts: &self.hosts,
+            capacity,
+            rank,
+            may_vote_for_self: voter.may_vote_for(now, &self.self_id, self.incarnation),
+            inheritable: voter.inheritable(&self.self_id, self.incarnation),
+            settings: &self.settings,
+            expected_per_s: requests_per_s * self.hosts.len() as f64 / instances,
+            thresholds: TestThresholds::of(state.pool.service.detection),
+        };
+        (&mut state.judge, context)
+    }
+}
+
+/// Returns the failure domain of each host, or the host itself if the fleet
+/// has a single failure domain.
+fn vantages(list: &HostList) -> BTreeMap<HostId, Vantage> {
+    let single_domain = list.failure_domains().len() < 2;
+    let mut vantages = BTreeMap::new();
+    for entry in &list.hosts {
+        let name = if single_domain {
+            entry.id.as_str()
+        } else {
+            entry.failure_domain.as_str()
+        };
+        vantages.insert(entry.id.clone(), Vantage(Arc::from(name)));
+    }
+    vantages
+}
--- a/crates/upstreams/src/judge.rs
+++ b/crates/upstreams/src/judge.rs
@@ -9,21 +9,21 @@
 use log::info;
 use waxwingusher_core::{HostId, ServiceName};
 use waxwingusher_protocol::health::{
-    EjectionRow, Evidence, Grant, HealthMessage, InstanceKey, ServiceKey, Vote, Watch,
+    EjectionRow, Evidence, Grant, HealthMessage, InstanceKey, ServiceKey, Vote,
 };
 
 use crate::casebook::{Casebook, Vantage};
 use crate::context::{JudgeContext, JudgeRank};
 use crate::ejection::{EjectionBook, Surroundings};
 use crate::quorum::quorum;
-use crate::score::{SUSPICION_SHARE, Score, Scores, Scoring, Verdict, score_all};
+use crate::score::{Score, Scores, Scoring, Verdict, score_all};
 use crate::settings::{DRAIN_DEFERRAL, EJECTION_TERM, RENEWAL_INTERVAL, VOTE_TERM};
+use crate::watch::watch_suspects;
 
 const WATCH_SETTLE: Duration = Duration::from_millis(150);
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
 const CAMPAIGN_TERM: Duration = Duration::from_millis(1_500);
 const REMEMBERED_ROUNDS: usize = 8;
-const MAX_WATCH_ORIGINS: usize = 16;
 
 /// A message and its receiver.
 pub type Addressed = (HostId, HealthMessage);
@@ -155,7 +155,13 @@
             thresholds: context.thresholds,
         };
         self.scores = score_all(&mut self.book, &scoring);
-        let mut out = self.watch_suspects(context);
+        let watch = watch_suspects(self.service, &mut self.book, &self.scores.scores, context);
+        let mut out: Vec<Addressed> = Vec::new();
+        if let Some(watch) = watch {
+            let message = HealthMessage::Watch(watch);
+            let hosts = context.hosts.iter();
+            out.extend(hosts.map(|host| (host.clone(), message.clone())));
+        }
         if !self.wants_to_act(context) {
             self.campaign_since = None;
             return out;
@@ -200,47 +206,6 @@
         valid >= quorum(context.hosts.len())
     }
 
-    fn watch_suspects(&mut self, context: &JudgeContext<'_>) -> Vec<Addressed> {
-        let mut instances = Vec::new();
-        let mut origins = BTreeSet::new();
-        let mut cross_check = false;
-        for score in &self.scores.scores {
-            let suspicious = score.suspicion >= context.thresholds.suspicion
-                || score.slow >= context.thresholds.slow * SUSPICION_SHARE;
-            let Some(case) = self.book.case_mut(score.instance) else {
-                continue;
-            };
-            let ends_soon = case
-                .watch
-                .is_none_or(|(_, until)| context.now + Duration::from_secs(1) >= until);
-            if !suspicious || !ends_soon {
-                continue;
-            }
-            let since = case
-                .watch
-                .filter(|(_, until)| context.now < *until)
-                .map_or(context.now, |(since, _)| since);
-            case.watch = Some((since, context.now + context.settings.watch_term));
-            instances.push(score.instance);
-            cross_check |= score.verdict == Verdict::Unclear;
-            for failure in case.entries.iter().flat_map(|entry| &entry.failures) {
-                origins.insert(failure.workspace);
-                origins.insert(failure.route);
-            }
-        }
-        if instances.is_empty() {
-            return Vec::new();
-        }
-        let watch = HealthMessage::Watch(Watch {
-            service: self.service,
-            instances,
-            origins: origins.into_iter().take(MAX_WATCH_ORIGINS).collect(),
-            cross_check,
-        });
-        let hosts = context.hosts.iter();
-        hosts.map(|host| (host.clone(), watch.clone())).collect()
-    }
-
     fn wants_to_act(&mut self, context: &JudgeContext<'_>) -> bool {
         if !context.may_vote_for_self || context.now < self.quiet_until {
             return false;
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod context;
 pub mod ejection;
 pub mod floor;
+pub mod host_context;
 pub mod judge;
 pub mod latency;
 pub mod member;
@@ -26,6 +27,7 @@
 pub mod subset;
 pub mod view;
 pub mod voter;
+pub mod watch;
 pub mod window;
 
 pub use balance::BalancePolicy;
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -6,7 +6,7 @@
 
 use log::info;
 use waxwingusher_config::Service;
-use waxwingusher_core::{FailureDomain, HostId, InstanceId};
+use waxwingusher_core::{HostId, InstanceId};
 use waxwingusher_protocol::health::{
     EjectionPhase, EjectionRow, Grant, InstanceKey, OriginKey, ServiceKey, Watch,
 };
@@ -16,6 +16,7 @@
 use crate::choice::{
     ChoiceReason, ChooseError, ChooseRequest, HealthHint, RequestOrigin, UpstreamResult,
 };
+use crate::context::PoolContext;
 use crate::member::{Availability, Member};
 use crate::reporter::{Outcome, Reporter};
 use crate::score::Score;
@@ -388,21 +389,6 @@
     }
 }
 
-/// What a pool needs of its host.
-#[derive(Debug, Clone, Copy)]
-pub struct PoolContext<'a> {
-    /// The time.
-    pub now: Instant,
-    /// The host's failure domain.
-    pub near: &'a FailureDomain,
-    /// The number of listed hosts.
-    pub hosts: usize,
-    /// The part of them in the host's failure domain.
-    pub near_host_share: f64,
-    /// The settings.
-    pub settings: &'a UpstreamSettings,
-}
-
 fn needs_more(chosen: &Result<(usize, ChoiceReason), ChooseError>) -> bool {
     matches!(chosen, Err(_) | Ok((_, ChoiceReason::LastResort)))
 }
--- a/crates/upstreams/src/set.rs
+++ b/crates/upstreams/src/set.rs
@@ -12,16 +12,14 @@
     Evidence, Grant, HealthMessage, InstanceKey, ServiceKey, Vote, Watch,
 };
 
-use crate::capacity::PoolCapacity;
-use crate::casebook::Vantage;
 use crate::choice::{
     Choice, ChooseError, ChooseRequest, HealthHint, PickId, RequestOrigin, UpstreamResult,
 };
-use crate::context::{JudgeContext, JudgeRank};
+use crate::host_context::HostContext;
 use crate::judge::{Addressed, Judge};
-use crate::pool::{Pool, PoolContext};
+use crate::pool::Pool;
 use crate::service::ServiceState;
-use crate::settings::{TestThresholds, UpstreamSettings};
+use crate::settings::UpstreamSettings;
 use crate::view::ServiceView;
 use crate::voter::Voter;
 
@@ -36,16 +34,10 @@
 /// The object does no input or output: the caller reports results, delivers
 /// messages, and calls [`UpstreamSet::tick`] a few times a second.
 pub struct UpstreamSet {
-    self_id: HostId,
-    failure_domain: FailureDomain,
-    incarnation: u64,
+    host: HostContext,
     clock: Arc<dyn Clock>,
     rng: fastrand::Rng,
-    settings: UpstreamSettings,
     started: Instant,
-    hosts: Vec<HostId>,
-    near_host_share: f64,
-    vantages: BTreeMap<HostId, Vantage>,
     services: BTreeMap<ServiceKey, ServiceState>,
     picks: BTreeMap<PickId, Pick>,
     next_pick: u64,
@@ -64,16 +56,10 @@
     ) -> Self {
         let started = clock.now();
         Self {
-            hosts: vec![self_id.clone()],
-            self_id,
-            failure_domain,
-            incarnation,
+            host: HostContext::new(self_id, failure_domain, incarnation, settings),
             clock,
             rng: fastrand::Rng::with_seed(seed),
-            settings,
             started,
-            near_host_share: 1.0,
-            vantages: BTreeMap::new(),
             services: BTreeMap::new(),
             picks: BTreeMap::new(),
             next_pick: 0,
@@ -88,7 +74,7 @@
             let key = ServiceKey::of(name);
             let mut state = match old.remove(&key) {
                 Some(mut state) => {
-                    let cold_term = self.settings.cold_term;
+                    let cold_term = self.host.settings.cold_term;
                     if !Arc::ptr_eq(&state.pool.service, service) && state.pool.service != *service
                     {
                         state.pool.configure(service, now, cold_term);
@@ -104,32 +90,9 @@
 
     /// Takes the platform's list of hosts.
     pub fn apply_host_list(&mut self, list: &HostList) {
-        let mut hosts: Vec<HostId> = list.hosts.iter().map(|entry| entry.id.clone()).collect();
-        hosts.sort();
-        hosts.dedup();
-        let near = list
-            .hosts
-            .iter()
-            .filter(|entry| entry.failure_domain == self.failure_domain)
-            .count();
-        self.near_host_share = near.max(1) as f64 / list.hosts.len().max(1) as f64;
-        let single_domain = list.failure_domains().len() < 2;
-        self.vantages = list
-            .hosts
-            .iter()
-            .map(|entry| {
-                let name = if single_domain {
-                    entry.id.as_str()
-                } else {
-                    entry.failure_domain.as_str()
-                };
-                (entry.id.clone(), Vantage(Arc::from(name)))
-            })
-            .collect();
-        if hosts == self.hosts {
+        if !self.host.apply_host_list(list) {
             return;
         }
-        self.hosts = hosts;
         let mut services = std::mem::take(&mut self.services);
         for state in services.values_mut() {
             self.place(state);
@@ -149,13 +112,7 @@
     ) -> Result<Choice, ChooseError> {
         let key = ServiceKey::of(service);
         let now = self.clock.now();
-        let context = PoolContext {
-            now,
-            near: &self.failure_domain,
-            hosts: self.hosts.len(),
-            near_host_share: self.near_host_share,
-            settings: &self.settings,
-        };
+        let context = self.host.pool_context(now);
         let state = self.services.get_mut(&key).ok_or(ChooseError::NoInstance)?;
         let (member, reason) = state.pool.choose(&context, request, &mut self.rng)?;
         let pick = PickId(self.next_pick);
@@ -186,13 +143,7 @@
         let Some(held) = self.picks.remove(&pick) else {
             return;
         };
-        let context = PoolContext {
-            now: self.clock.now(),
-            near: &self.failure_domain,
-            hosts: self.hosts.len(),
-            near_host_share: self.near_host_share,
-            settings: &self.settings,
-        };
+        let context = self.host.pool_context(self.clock.now());
         let Some(state) = self.services.get_mut(&held.service) else {
             return;
         };
@@ -223,12 +174,12 @@
             state.pool.tick(now);
             out.extend(state.flush(now));
             let voter = &state.pool.voter;
-            let (inheritable, _) = voter.inheritable(&self.self_id, self.incarnation);
+            let (inheritable, _) = voter.inheritable(&self.host.self_id, self.host.incarnation);
             if !state.judge.is_due(now, inheritable) {
                 continue;
             }
             let capacity = state.pool.capacity(now);
-            let (judge, context) = self.judge_parts(state, now, &capacity);
+            let (judge, context) = self.host.judge_parts(state, now, &capacity);
             out.extend(judge.tick(&context));
         }
         self.services = services;
@@ -295,14 +246,18 @@
     fn new_service(&mut self, service: &Arc<Service>, now: Instant) -> ServiceState {
         let voter = Voter::new(self.started, self.rng.u64(..));
         ServiceState {
-            pool: Pool::new(service, now, voter, &self.settings),
+            pool: Pool::new(service, now, voter, &self.host.settings),
             judge: Judge::new(&service.name, now, self.rng.fork()),
             judges: Vec::new(),
         }
     }
 
     fn place(&self, state: &mut ServiceState) {
-        state.place(&self.self_id, &self.hosts, self.settings.subset_size);
+        state.place(
+            &self.host.self_id,
+            &self.host.hosts,
+            self.host.settings.subset_size,
+        );
     }
 
     /// Handles messages to the host itself and returns the others.
@@ -310,12 +265,12 @@
         let mut queue = VecDeque::from(messages);
         let mut out = Vec::with_capacity(queue.len());
         while let Some((to, message)) = queue.pop_front() {
-            if to != self.self_id {
+            if to != self.host.self_id {
                 out.push(Outgoing { to, message });
                 continue;
             }
-            let self_id = self.self_id.clone();
-            queue.extend(self.handle(&self_id, self.incarnation, &message));
+            let self_id = self.host.self_id.clone();
+            queue.extend(self.handle(&self_id, self.host.incarnation, &message));
         }
         out
     }
@@ -338,7 +293,7 @@
     fn on_evidence(&mut self, from: &HostId, evidence: &Evidence, now: Instant) -> Vec<Addressed> {
         let (Some(state), Some(vantage)) = (
             self.services.get_mut(&evidence.service),
-            self.vantages.get(from),
+            self.host.vantages.get(from),
         ) else {
             return Vec::new();
         };
@@ -347,13 +302,7 @@
     }
 
     fn on_watch(&mut self, watch: &Watch, now: Instant) -> Vec<Addressed> {
-        let context = PoolContext {
-            now,
-            near: &self.failure_domain,
-            hosts: self.hosts.len(),
-            near_host_share: self.near_host_share,
-            settings: &self.settings,
-        };
+        let context = self.host.pool_context(now);
         let Some(state) = self.services.get_mut(&watch.service) else {
             return Vec::new();
         };
@@ -368,13 +317,7 @@
         grant: &Grant,
         now: Instant,
     ) -> Vec<Addressed> {
-        let context = PoolContext {
-            now,
-            near: &self.failure_domain,
-            hosts: self.hosts.len(),
-            near_host_share: self.near_host_share,
-            settings: &self.settings,
-        };
+        let context = self.host.pool_context(now);
         let Some(state) = self.services.get_mut(&grant.service) else {
             return Vec::new();
         };
@@ -393,38 +336,9 @@
             return Vec::new();
         };
         let capacity = state.pool.capacity(now);
-        let (judge, context) = self.judge_parts(&mut state, now, &capacity);
+        let (judge, context) = self.host.judge_parts(&mut state, now, &capacity);
         let out = judge.on_vote(&context, from, vote);
         self.services.insert(vote.service, state);
         out
     }
-
-    fn judge_parts<'a>(
-        &'a self,
-        state: &'a mut ServiceState,
-        now: Instant,
-        capacity: &'a PoolCapacity,
-    ) -> (&'a mut Judge, JudgeContext<'a>) {
-        let requests_per_s = state.pool.reporter.requests_per_s(now);
-        let instances = capacity.len().max(1) as f64;
-        let voter = &state.pool.voter;
-        let rank = if state.judges.first() == Some(&self.self_id) {
-            JudgeRank::First
-        } else {
-            JudgeRank::Deputy
-        };
-        let context = JudgeContext {
-            now,
-            self_id: &self.self_id,
-            hosts: &self.hosts,
-            capacity,
-            rank,
-            may_vote_for_self: voter.may_vote_for(now, &self.self_id, self.incarnation),
-            inheritable: voter.inheritable(&self.self_id, self.incarnation),
-            settings: &self.settings,
-            expected_per_s: requests_per_s * self.hosts.len() as f64 / instances,
-            thresholds: TestThresholds::of(state.pool.service.detection),
-        };
-        (&mut state.judge, context)
-    }
 }
--- /dev/null
+++ b/crates/upstreams/src/watch.rs
@@ -0,0 +1,66 @@
+//! The choice of instances that all hosts report in full.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use waxwingusher_protocol::health::{ServiceKey, Watch};
+
+use crate::casebook::Casebook;
+use crate::context::JudgeContext;
+use crate::score::{SUSPICION_SHARE, Score, Verdict};
+
+const MAX_WATCH_ORIGINS: usize = 16;
+const RENEWAL_MARGIN: Duration = Duration::from_secs(1);
+
+/// Starts or renews the watch of suspects, and returns what to ask of all
+/// hosts, if anything.
+pub fn watch_suspects(
+    service: ServiceKey,
+    book: &mut Casebook,
+    scores: &[Score],
+    context: &JudgeContext<'_>,
+) -> Option<Watch> {
+    let now = context.now;
+    let mut instances = Vec::new();
+    let mut origins = BTreeSet::new();
+    let mut cross_check = false;
+    for score in scores {
+        if !is_suspicious(score, context) {
+            continue;
+        }
+        let Some(case) = book.case_mut(score.instance) else {
+            continue;
+        };
+        let ends_soon = case
+            .watch
+            .is_none_or(|(_, until)| now + RENEWAL_MARGIN >= until);
+        if !ends_soon {
+            continue;
+        }
+        let since = case
+            .watch
+            .filter(|(_, until)| now < *until)
+            .map_or(now, |(since, _)| since);
+        case.watch = Some((since, now + context.settings.watch_term));
+        instances.push(score.instance);
+        cross_check |= score.verdict == Verdict::Unclear;
+        for failure in case.entries.iter().flat_map(|entry| &entry.failures) {
+            origins.insert(failure.workspace);
+            origins.insert(failure.route);
+        }
+    }
+    if instances.is_empty() {
+        return None;
+    }
+    Some(Watch {
+        service,
+        instances,
+        origins: origins.into_iter().take(MAX_WATCH_ORIGINS).collect(),
+        cross_check,
+    })
+}
+
+fn is_suspicious(score: &Score, context: &JudgeContext<'_>) -> bool {
+    score.suspicion >= context.thresholds.suspicion
+        || score.slow >= context.thresholds.slow * SUSPICION_SHARE
+}
