Name the ejections that outlast a suspension

Ruled out: a pause without suspension; there the term has passed when the process wakes. Conclusion: it stands as an ignored test (KNOWN-RED). Schedules pass over a floor that only a process breaks whose machine was suspended within the last ejection term. The limits and the attempts compare the wall clock for this; the upstreams would have to.

--- a/crates/proof/src/fleet/host.rs
+++ b/crates/proof/src/fleet/host.rs
@@ -32,6 +32,7 @@
     pub is_paused: bool,
     pub(super) clock: Arc<DriftingClock>,
     pub(super) suspended_since: Option<Duration>,
+    pub(super) resumed_at: Option<Duration>,
     pub(super) inbox: VecDeque<Input>,
 }
 
@@ -56,6 +57,7 @@
         is_paused: false,
         clock,
         suspended_since: None,
+        resumed_at: None,
         inbox: VecDeque::new(),
     }
 }
@@ -92,5 +94,6 @@
         rights,
         reaches: Vec::new(),
         is_half_cut: false,
+        has_resumed: false,
     }
 }
--- a/crates/proof/src/oracle.rs
+++ b/crates/proof/src/oracle.rs
@@ -128,8 +128,9 @@
     }
 
     /// Returns promises broken in a way that is listed as a known failure: a
-    /// withdrawn key that is taken by a process which has just woken, and a
-    /// fresh process without a configuration that hears more than it reaches.
+    /// withdrawn key that is taken by a process which has just woken, a
+    /// fresh process without a configuration that hears more than it reaches,
+    /// and ejections that outlast the suspension of a machine.
     #[must_use]
     pub fn known_failures(&self) -> &[Violation] {
         &self.known_failures
@@ -221,8 +222,9 @@
             watch.is_some_and(|watch| watch.is_closed(instance))
         };
         let settled = settled.as_deref();
-        let violations = self.floor.observe(sights, settled, is_closed, now);
-        self.violations.extend(violations);
+        let findings = self.floor.observe(sights, settled, is_closed, now);
+        self.violations.extend(findings.broken);
+        self.known_failures.extend(findings.known);
     }
 
     fn on_run(&mut self, call: &Call, now: Duration) {
