--- a/tests/testsuite/serve.rs
+++ b/tests/testsuite/serve.rs
@@ -17,6 +17,7 @@
         .args(["--failure-domains", "north,south", "--host-id", "host 1"])
         .env_remove("WAXWINGUSHER_FLEET_SECRET")
         .env_remove("WAXWINGUSHER_CONFIG_SERVICE")
+        .env("WAXWINGUSHER_FLEET_SECRET_ACCEPTED", "too-short")
         .env("WAXWINGUSHER_OPERATOR_TOKEN", "too-short")
         .output()
         .expect("the program runs");
@@ -27,7 +28,8 @@
         "--caller-addr",
         "--failure-domain",
         "--host-id",
-        "--fleet-secret",
+        "--fleet-secret (",
+        "--fleet-secret-accepted",
         "--config-service",
         "--operator-token",
     ] {
