End ejections when the machine was suspended

A host whose machine was suspended for 5.6 s went on with ejections whose terms count on the monotonic clock, which stood, while the others had turned to another instance. Ruled out by the trace: a pause without suspension. After: the upstreams compare the wall clock at each choice, message and tick. After a suspension ejections end, and older votes count for nothing at the voter and the judge; a vote still binds for its term. The comparison of clocks now stands in the core package.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod hosts;
 pub mod names;
 pub mod rendezvous;
+pub mod suspension;
 
 pub use cancel::CancelToken;
 pub use clock::{Clock, ManualClock, SystemClock};
@@ -15,3 +16,4 @@
 pub use digest::{BodyDigest, KeyDigest};
 pub use hosts::{HostEntry, HostList, HostState};
 pub use names::{FailureDomain, HostId, InstanceId, RouteName, ServiceName, WorkspaceName};
+pub use suspension::SuspensionWatch;
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -3,3 +3,4 @@
 mod cancel;
 mod digest;
 mod rendezvous;
+mod suspension;
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -9,7 +9,6 @@
 use waxwingusher_config::{Publication, Snapshot, publish};
 use waxwingusher_core::{Clock, HostEntry, HostId, HostList, HostState, ManualClock};
 use waxwingusher_standins::{LinkFaults, Links};
-use waxwingusher_upstreams::settings::EJECTION_TERM;
 
 use crate::call::{Call, CallKind};
 use crate::flow::{Flow, Surroundings};
@@ -142,7 +141,6 @@
         host.is_paused = false;
         if let Some(since) = host.suspended_since.take() {
             host.clock.suspend(now - since);
-            host.resumed_at = Some(now);
         }
         self.conditions.stable_since = now;
         self.progress(index);
@@ -341,15 +339,12 @@
                 indexes.push(index);
             }
         }
-        let now = self.elapsed();
         let mut sights = Vec::new();
         for index in &indexes {
             let Some(process) = &self.hosts[*index].process else {
                 continue;
             };
             let mut sight = sight_of(&self.hosts[*index], process);
-            let resumed_at = self.hosts[*index].resumed_at;
-            sight.has_resumed = resumed_at.is_some_and(|at| now < at + EJECTION_TERM);
             sight.is_half_cut = indexes.iter().any(|other| self.hears_only(*index, *other));
             for (at, other) in indexes.iter().enumerate() {
                 let is_known = process.knows(&self.hosts[*other].place.id);
@@ -359,6 +354,7 @@
             }
             sights.push(sight);
         }
+        let now = self.elapsed();
         self.oracle.observe(&sights, self.conditions, now);
     }
 
--- a/crates/proof/src/fleet/host.rs
+++ b/crates/proof/src/fleet/host.rs
@@ -32,7 +32,6 @@
     pub is_paused: bool,
     pub(super) clock: Arc<DriftingClock>,
     pub(super) suspended_since: Option<Duration>,
-    pub(super) resumed_at: Option<Duration>,
     pub(super) inbox: VecDeque<Input>,
 }
 
@@ -57,7 +56,6 @@
         is_paused: false,
         clock,
         suspended_since: None,
-        resumed_at: None,
         inbox: VecDeque::new(),
     }
 }
@@ -94,6 +92,5 @@
         rights,
         reaches: Vec::new(),
         is_half_cut: false,
-        has_resumed: false,
     }
 }
--- a/crates/proof/src/oracle.rs
+++ b/crates/proof/src/oracle.rs
@@ -128,8 +128,7 @@
     }
 
     /// Returns promises broken in a way that is listed as a known failure: a
-    /// fresh process without a configuration that hears more than it reaches,
-    /// and ejections that outlast the suspension of a machine.
+    /// fresh process without a configuration that hears more than it reaches.
     #[must_use]
     pub fn known_failures(&self) -> &[Violation] {
         &self.known_failures
@@ -221,9 +220,8 @@
             watch.is_some_and(|watch| watch.is_closed(instance))
         };
         let settled = settled.as_deref();
-        let findings = self.floor.observe(sights, settled, is_closed, now);
-        self.violations.extend(findings.broken);
-        self.known_failures.extend(findings.known);
+        let violations = self.floor.observe(sights, settled, is_closed, now);
+        self.violations.extend(violations);
     }
 
     fn on_run(&mut self, call: &Call, now: Duration) {
--- a/crates/proof/src/oracle/floor.rs
+++ b/crates/proof/src/oracle/floor.rs
@@ -20,13 +20,6 @@
     unavailable: BTreeMap<InstanceId, Span>,
 }
 
-/// What was found at one instant.
-pub(super) struct FloorFindings {
-    pub(super) broken: Vec<Violation>,
-    /// A floor that is broken only by a process whose machine was suspended.
-    pub(super) known: Option<Violation>,
-}
-
 /// A time in which something was seen without a long break.
 #[derive(Debug, Clone, Copy)]
 struct Span {
@@ -48,11 +41,10 @@
         settled: Option<&Snapshot>,
         is_closed: impl Fn(&HostId, &InstanceId) -> bool,
         now: Duration,
-    ) -> FloorFindings {
+    ) -> Vec<Violation> {
         let mut broken = Vec::new();
         let mut all_ejected = BTreeSet::new();
         let mut all_out = BTreeSet::new();
-        let mut resumed = BTreeSet::new();
         for sight in sights.iter().filter(|sight| sight.is_awake) {
             let Some(service) = service_of(sight.snapshot.as_deref()) else {
                 continue;
@@ -65,10 +57,6 @@
             let mut out: BTreeSet<_> = sight.unavailable.iter().cloned().collect();
             out.extend(sight.ejected.iter().cloned());
             broken.extend(check(sight.host.as_str(), service, &out));
-            if sight.has_resumed {
-                resumed.extend(sight.ejected.iter().cloned());
-                continue;
-            }
             let since = *self.judged_since.entry(sight.host.clone()).or_insert(now);
             if now >= since + EJECTION_TERM {
                 out.retain(|id| starting.contains(id) || is_closed(&sight.host, id));
@@ -77,19 +65,14 @@
             all_ejected.extend(sight.ejected.iter().cloned());
         }
         let Some(service) = service_of(settled).filter(|_| !all_ejected.is_empty()) else {
-            return FloorFindings {
-                broken,
-                known: None,
-            };
+            return broken;
         };
         all_out.extend(all_ejected);
         let instances = service.instances.iter();
         let leaving = instances.filter(|one| one.state == InstanceState::Leaving);
         all_out.extend(leaving.map(|one| one.id.clone()));
         broken.extend(check("all hosts", service, &all_out));
-        all_out.extend(resumed);
-        let known = check("all hosts", service, &all_out).filter(|_| broken.is_empty());
-        FloorFindings { broken, known }
+        broken
     }
 
     /// Returns the instances that a host calls unavailable and that have been
--- a/crates/proof/src/oracle/sight.rs
+++ b/crates/proof/src/oracle/sight.rs
@@ -15,8 +15,6 @@
     pub incarnation: u64,
     /// Whether the process runs at this instant.
     pub is_awake: bool,
-    /// Whether its machine was suspended up to a moment ago.
-    pub has_resumed: bool,
     /// The configuration in force.
     pub snapshot: Option<Arc<Snapshot>>,
     /// Instances that the process takes for ejected.
--- a/crates/proof/tests/testsuite/regressions.rs
+++ b/crates/proof/tests/testsuite/regressions.rs
@@ -92,7 +92,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED: issue 8, seed 969: ejections outlast the suspension of a machine, 36 of 60 slots in use with a floor of 42"]
 fn ejections_end_while_a_machine_is_suspended() {
     let wait = |ms| Action::Wait { ms };
     let load = |ms, per_s| Action::Load { ms, per_s };
--- a/crates/upstreams/src/judge.rs
+++ b/crates/upstreams/src/judge.rs
@@ -139,6 +139,12 @@
         self.grant_round(context)
     }
 
+    /// Forgets all votes and what hosts have told, as their age is not known.
+    pub fn revoke(&mut self) {
+        self.votes.clear();
+        self.heard.clear();
+    }
+
     /// Weighs the evidence and renews votes and ejections that are due.
     pub fn tick(&mut self, context: &JudgeContext<'_>) -> Vec<Addressed> {
         if !self.is_due(context.now, context.inheritable.0) {
--- a/crates/upstreams/src/set.rs
+++ b/crates/upstreams/src/set.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use log::debug;
+use log::{debug, warn};
 use waxwingusher_config::{Service, Snapshot};
-use waxwingusher_core::{Clock, FailureDomain, HostId, HostList, InstanceId, ServiceName};
+use waxwingusher_core::{
+    Clock, FailureDomain, HostId, HostList, InstanceId, ServiceName, SuspensionWatch,
+};
 use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::health::{
     Evidence, Grant, HealthMessage, InstanceKey, ServiceKey, Vote, Watch,
@@ -36,6 +38,7 @@
 pub struct UpstreamSet {
     host: HostContext,
     clock: Arc<dyn Clock>,
+    suspension: SuspensionWatch,
     rng: fastrand::Rng,
     started: Instant,
     services: BTreeMap<ServiceKey, ServiceState>,
@@ -57,6 +60,7 @@
         let started = clock.now();
         Self {
             host: HostContext::new(self_id, failure_domain, incarnation, settings),
+            suspension: SuspensionWatch::new(&*clock),
             clock,
             rng: fastrand::Rng::with_seed(seed),
             started,
@@ -111,7 +115,7 @@
         request: &ChooseRequest<'_>,
     ) -> Result<Choice, ChooseError> {
         let key = ServiceKey::of(service);
-        let now = self.clock.now();
+        let now = self.now();
         let context = self.host.pool_context(now);
         let state = self.services.get_mut(&key).ok_or(ChooseError::NoInstance)?;
         let (member, reason) = state.pool.choose(&context, request, &mut self.rng)?;
@@ -160,6 +164,7 @@
         incarnation: u64,
         message: &HealthMessage,
     ) -> Vec<Outgoing<HealthMessage>> {
+        self.now();
         let replies = self.handle(from, incarnation, message);
         self.deliver(replies)
     }
@@ -167,7 +172,7 @@
     /// Sends evidence and renews votes and ejections that are due.
     #[must_use]
     pub fn tick(&mut self) -> Vec<Outgoing<HealthMessage>> {
-        let now = self.clock.now();
+        let now = self.now();
         let mut out = Vec::new();
         let mut services = std::mem::take(&mut self.services);
         for state in services.values_mut() {
@@ -243,6 +248,19 @@
         views
     }
 
+    /// Returns the time, and ends all ejections if the machine was suspended.
+    fn now(&mut self) -> Instant {
+        let now = self.clock.now();
+        if let Some(passed) = self.suspension.look(&*self.clock) {
+            warn!("health: machine was suspended for about {passed:?}, ejections end");
+            for state in self.services.values_mut() {
+                state.pool.voter.revoke(now);
+                state.judge.revoke();
+            }
+        }
+        now
+    }
+
     fn new_service(&mut self, service: &Arc<Service>, now: Instant) -> ServiceState {
         let voter = Voter::new(self.started, self.rng.u64(..));
         ServiceState {
--- a/crates/upstreams/src/voter.rs
+++ b/crates/upstreams/src/voter.rs
@@ -109,6 +109,15 @@
         Some(ballot)
     }
 
+    /// Ends the ejections, and forgets the votes that later grants could show,
+    /// as their terms have not been counted. The binding lasts.
+    pub fn revoke(&mut self, now: Instant) {
+        self.ejections_until = now;
+        if let Some(binding) = &mut self.binding {
+            binding.ballots.clear();
+        }
+    }
+
     /// Returns the ejections that hold now, in the order of the judge.
     #[must_use]
     pub fn ejections(&self, now: Instant) -> &[EjectionRow] {
--- a/crates/upstreams/tests/testsuite/voter.rs
+++ b/crates/upstreams/tests/testsuite/voter.rs
@@ -106,3 +106,21 @@
         assert!(quorum(hosts) <= hosts);
     }
 }
+
+#[test]
+fn nothing_that_was_granted_holds_after_a_suspension() {
+    let (mut voter, now) = voter();
+    let ballot = voter.on_grant(now, &judge(), 1, &grant(1, None));
+    voter.on_grant(now + TICK, &judge(), 1, &grant(2, ballot));
+    assert_eq!(voter.ejections(now + TICK).len(), 1);
+    voter.revoke(now + TICK);
+    assert!(voter.ejections(now + TICK).is_empty());
+    voter.on_grant(now + TICK, &judge(), 1, &grant(3, ballot));
+    assert!(
+        voter.ejections(now + TICK).is_empty(),
+        "the vote is too old"
+    );
+    // The vote itself binds for no less than its term.
+    let bound = now + VOTE_TERM - TICK;
+    assert_eq!(voter.on_grant(bound, &host_id(2), 1, &grant(1, None)), None);
+}
