--- a/crates/proof/src/flow/dispatch.rs
+++ b/crates/proof/src/flow/dispatch.rs
@@ -72,6 +72,7 @@
         let run = Run {
             host,
             instance: &choice.instance,
+            workspace: &self.workspace,
             version: process.version(),
             is_run: treatment.runs(),
             now,
--- a/crates/proof/src/oracle.rs
+++ b/crates/proof/src/oracle.rs
@@ -38,6 +38,8 @@
     pub host: &'a HostId,
     /// The instance.
     pub instance: &'a InstanceId,
+    /// The workspace that the request is sent for.
+    pub workspace: &'a WorkspaceName,
     /// The version in force at the host.
     pub version: u64,
     /// Whether the instance runs it.
--- a/crates/proof/src/oracle/versions.rs
+++ b/crates/proof/src/oracle/versions.rs
@@ -30,7 +30,8 @@
 
 impl Oracle {
     pub(super) fn check_key(&mut self, call: &Call, run: &Run<'_>) {
-        if !self.has_key(run.version, call) {
+        let is_own = *run.workspace == sample::workspace_name(call.workspace);
+        if !is_own || !self.has_key(run.version, call) {
             self.break_promise(Violation::ForeignKey {
                 host: run.host.clone(),
                 call: call.id,
