--- a/crates/attempts/src/claimant.rs
+++ b/crates/attempts/src/claimant.rs
@@ -126,6 +126,11 @@
         self.resends >= MAX_CONTENDED_RESENDS && self.count(is_contended) > 0
     }
 
+    /// Reports whether the list in use names other witnesses by now.
+    pub(crate) fn is_outdated(&self, witnesses: &WitnessSet) -> bool {
+        self.witnesses.hosts() != witnesses.hosts()
+    }
+
     /// Returns all witnesses that may have recorded the claim.
     pub(crate) fn asked(&self) -> impl Iterator<Item = &HostId> {
         self.asked.iter().map(|asked| &asked.host)
--- a/crates/attempts/src/rounds.rs
+++ b/crates/attempts/src/rounds.rs
@@ -206,7 +206,29 @@
         }
     }
 
+    /// Reports whether an open claim waits for witnesses that the list in use
+    /// no longer names.
+    fn is_outdated(&self, attempt: &Attempt) -> bool {
+        let Stage::Asking(round) = &attempt.stage else {
+            return false;
+        };
+        if self.clock.now() < round.resend_at {
+            return false;
+        }
+        let Some(topology) = self.lists.trusted(&*self.clock) else {
+            return false;
+        };
+        let key = HashKey::of_bucket(self.bucket_of(&attempt.key));
+        let witnesses = topology.witnesses(&key, self.settings.plan.witnesses());
+        round.is_outdated(&witnesses)
+    }
+
     pub(crate) fn tick_attempt(&mut self, ticket: AttemptTicket, now: Instant) {
+        let open = self.attempts.get(&ticket);
+        if open.is_some_and(|attempt| now < attempt.give_up_at && self.is_outdated(attempt)) {
+            self.end_claim(ticket, Conclusion::Unsettled, false);
+            return;
+        }
         let Some(attempt) = self.attempts.get_mut(&ticket) else {
             return;
         };
--- a/crates/attempts/tests/testsuite/adoption.rs
+++ b/crates/attempts/tests/testsuite/adoption.rs
@@ -152,3 +152,31 @@
     assert!(!cluster.registry(&host(HOSTS)).vouches_for_all());
     assert_eq!(runs_again(&mut cluster), 0);
 }
+
+#[test]
+fn a_claim_on_a_stopped_witness_is_made_anew_once_the_list_drops_it() {
+    let mut cluster = Cluster::warm(HOSTS, DOMAINS);
+    let outgoing = cluster.registry(&host(0)).hand_over();
+    cluster.deliver(&host(0), outgoing);
+    cluster.pass(Duration::from_secs(1));
+    cluster.hosts.remove(&host(0));
+    for other in others(0) {
+        cluster.start(&other);
+    }
+    cluster.list.version += 1;
+    cluster.list.hosts.remove(0);
+    let settle = cluster.settings.list_settle;
+    cluster.pass(settle.saturating_sub(Duration::from_millis(500)));
+    let via = host(2);
+    for key in 0..KEYS {
+        let first = request(&key.to_string(), "x", &cluster.clock);
+        let (_, outgoing) = cluster.registry(&via).begin(&first);
+        cluster.deliver(&via, outgoing);
+    }
+    cluster.pass(Duration::from_secs(2));
+    let decisions = cluster.registry(&via).decisions();
+    let runs = decisions
+        .iter()
+        .filter(|one| one.permission == Permission::Run);
+    assert_eq!(runs.count(), KEYS);
+}
