Keep the form of messages that the previous release sends

Cause: the read of today's changes found fields added to grants, votes and the parts of records that are handed over. A host of the previous release would read them wrongly, against the rule that variants are only ever appended. Before: `Vote.ballot` had become optional and two structs had grown fields in place. After: the messages in memory stay, and crates/protocol/src/wire keeps the forms that are sent: what the previous release knows has its former bytes, what is new has a number of its own, which that release drops and counts. Three tests compare the bytes. Ruled out: a third layout of datagrams, which would cut old and new hosts off from each other. Still true: old and new hosts place witnesses differently.

--- a/crates/protocol/src/attempt.rs
+++ b/crates/protocol/src/attempt.rs
@@ -8,6 +8,8 @@
     BodyDigest, FailureDomain, HostId, InstanceId, ServiceName, WorkspaceName,
 };
 
+use crate::wire::attempt as wire;
+
 /// The largest body of an answer that is stored for repeats, in bytes.
 pub const MAX_STORED_BODY_BYTES: usize = 768;
 
@@ -201,7 +203,7 @@
 }
 
 /// A part of the records of one witness, on their way to another host.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HandOver {
     /// The witness whose records these are.
     pub of: HostId,
@@ -275,6 +277,7 @@
 
 /// A message for attempt records and quarantine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "wire::AttemptMessage", into = "wire::AttemptMessage")]
 pub enum AttemptMessage {
     /// Asks a witness for its grant.
     Claim(Claim),
--- a/crates/protocol/src/health.rs
+++ b/crates/protocol/src/health.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use waxwingusher_core::{InstanceId, RouteName, ServiceName, WorkspaceName, rendezvous};
 
+use crate::wire::health as wire;
+
 macro_rules! key_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
@@ -184,7 +186,7 @@
 
 /// A judge's request for a host's vote, with the ejections that it grants to
 /// a host that has voted for it before.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Grant {
     /// The service.
     pub service: ServiceKey,
@@ -204,7 +206,7 @@
 }
 
 /// A host's answer to a judge. A vote binds it to one judge for a term.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Vote {
     /// The service.
     pub service: ServiceKey,
@@ -219,6 +221,7 @@
 
 /// A message for evidence on instances and ejections.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "wire::HealthMessage", into = "wire::HealthMessage")]
 pub enum HealthMessage {
     /// Outcomes of real requests.
     Evidence(Evidence),
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod rpc;
 pub mod secret;
 pub mod socket;
+mod wire;
 
 pub use codec::{MAX_DATAGRAM_BYTES, wire_len_bytes};
 pub use config::{ConfigMessage, ConfigUpdate, Stamp, Summary};
--- /dev/null
+++ b/crates/protocol/src/wire/health.rs
@@ -0,0 +1,129 @@
+//! Messages for evidence on instances and ejections, as they are sent.
+
+use serde::{Deserialize, Serialize};
+
+use crate::health::{EjectionRow, Evidence, InstanceKey, ServiceKey, Vote, Watch};
+use crate::health::{Grant as HealthGrant, HealthMessage as Message};
+
+/// A grant without the word on what hosts have told.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Grant {
+    service: ServiceKey,
+    round: u64,
+    ballot: Option<u64>,
+    ejections: Vec<EjectionRow>,
+    unavailable: Vec<InstanceKey>,
+}
+
+/// A vote.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Ballot {
+    service: ServiceKey,
+    round: u64,
+    ballot: u64,
+    unavailable: Vec<InstanceKey>,
+}
+
+/// The answer of a host that may not vote.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Abstention {
+    service: ServiceKey,
+    round: u64,
+    unavailable: Vec<InstanceKey>,
+}
+
+/// The messages in the order of their numbers. Append only.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum HealthMessage {
+    Evidence(Evidence),
+    Watch(Watch),
+    Grant(Grant),
+    Vote(Ballot),
+    /// A grant of a judge that has heard of every host's drains.
+    HeardGrant(Grant),
+    Abstention(Abstention),
+}
+
+impl From<Message> for HealthMessage {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::Evidence(evidence) => Self::Evidence(evidence),
+            Message::Watch(watch) => Self::Watch(watch),
+            Message::Grant(grant) if grant.all_heard => Self::HeardGrant(grant.into()),
+            Message::Grant(grant) => Self::Grant(grant.into()),
+            Message::Vote(vote) => Self::from_vote(vote),
+        }
+    }
+}
+
+impl From<HealthMessage> for Message {
+    fn from(message: HealthMessage) -> Self {
+        match message {
+            HealthMessage::Evidence(evidence) => Self::Evidence(evidence),
+            HealthMessage::Watch(watch) => Self::Watch(watch),
+            HealthMessage::Grant(grant) => Self::Grant(grant.into_message(false)),
+            HealthMessage::HeardGrant(grant) => Self::Grant(grant.into_message(true)),
+            HealthMessage::Vote(vote) => Self::Vote(Vote {
+                service: vote.service,
+                round: vote.round,
+                ballot: Some(vote.ballot),
+                unavailable: vote.unavailable,
+            }),
+            HealthMessage::Abstention(answer) => Self::Vote(Vote {
+                service: answer.service,
+                round: answer.round,
+                ballot: None,
+                unavailable: answer.unavailable,
+            }),
+        }
+    }
+}
+
+impl HealthMessage {
+    fn from_vote(vote: Vote) -> Self {
+        let Vote {
+            service,
+            round,
+            ballot,
+            unavailable,
+        } = vote;
+        match ballot {
+            Some(ballot) => Self::Vote(Ballot {
+                service,
+                round,
+                ballot,
+                unavailable,
+            }),
+            None => Self::Abstention(Abstention {
+                service,
+                round,
+                unavailable,
+            }),
+        }
+    }
+}
+
+impl Grant {
+    fn into_message(self, all_heard: bool) -> HealthGrant {
+        HealthGrant {
+            service: self.service,
+            round: self.round,
+            ballot: self.ballot,
+            ejections: self.ejections,
+            unavailable: self.unavailable,
+            all_heard,
+        }
+    }
+}
+
+impl From<HealthGrant> for Grant {
+    fn from(grant: HealthGrant) -> Self {
+        Self {
+            service: grant.service,
+            round: grant.round,
+            ballot: grant.ballot,
+            ejections: grant.ejections,
+            unavailable: grant.unavailable,
+        }
+    }
+}
--- a/crates/protocol/tests/testsuite/main.rs
+++ b/crates/protocol/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod codec;
+mod former;
 mod fuzz;
 mod rpc;
 mod samples;
