--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -9,7 +9,7 @@
 use waxwingusher_config::resolve::{TeamText, resolve};
 use waxwingusher_config::{CheckErrors, Pack, PublicationError, publish};
 use waxwingusher_core::{
-    CancelToken, FailureDomain, HostEntry, HostId, HostList, HostState, KeyDigest, SystemClock,
+    CancelToken, FailureDomain, HostEntry, HostId, HostList, HostState, SystemClock,
 };
 use waxwingusher_edge::EdgeSettings;
 use waxwingusher_host::{Host, HostError, HostSettings};
@@ -17,7 +17,8 @@
 use waxwingusher_standins::{ConfigService, StandinError, UpstreamServer, UpstreamSettings};
 
 use crate::caller::{Caller, Operation};
-use crate::plan::{FleetPlan, WorkspacePlan};
+use crate::plan::FleetPlan;
+use crate::team_file;
 
 /// The service of an emulated fleet.
 pub const SERVICE: &str = "desk";
@@ -193,7 +194,7 @@
         self.config_version += 1;
         let file = TeamText {
             path: PathBuf::from("emulated.toml"),
-            text: self.team_file(),
+            text: team_file::write(&self.plan, &self.upstreams),
         };
         let snapshot = resolve(&[file], self.config_version)?;
         let publication = publish(&snapshot)?;
@@ -448,32 +449,6 @@
         let clock = Arc::new(SystemClock);
         Ok(Host::start(settings, clock, self.next_incarnation)?)
     }
-
-    /// Writes the plan as a team's file.
-    fn team_file(&self) -> String {
-        let floor = self.plan.floor_percent;
-        let mut text = format!(
-            "owner = \"emulator\"\n\n[service.{SERVICE}]\nfloor-percent = {floor}\ndetection = \"fast\"\n"
-        );
-        for (index, upstream) in self.upstreams.iter().enumerate() {
-            let domain = &self.plan.failure_domains[index % self.plan.failure_domains.len()];
-            text += &format!(
-                "\n[service.{SERVICE}.instance.desk-{index}]\naddr = \"{}\"\nslots = {}\nfailure-domain = \"{domain}\"\n",
-                upstream.addr(),
-                self.plan.slots,
-            );
-        }
-        text += &format!(
-            "\n[route.desk]\nservice = \"{SERVICE}\"\npath-prefix = \"/desk\"\ndeadline-ms = 5000\n"
-        );
-        text += &format!(
-            "\n[route.holidays]\nservice = \"{SERVICE}\"\npath-prefix = \"/holidays\"\nmethods = [\"GET\"]\naccess = \"open\"\nopen-rate-per-s = 50\nopen-burst = 20\n"
-        );
-        for workspace in &self.plan.workspaces {
-            text += &workspace_table(workspace);
-        }
-        text
-    }
 }
 
 /// Waits until a condition holds, and returns how long it took.
@@ -495,16 +470,3 @@
     }
     Ok(started.elapsed())
 }
-
-fn workspace_table(workspace: &WorkspacePlan) -> String {
-    let keys = std::iter::once(&workspace.key).chain(&workspace.other_keys);
-    let digests: Vec<String> = keys
-        .filter(|key| !key.is_empty())
-        .map(|key| format!("\"{}\"", KeyDigest::of_key(key.as_bytes())))
-        .collect();
-    let digests = digests.join(", ");
-    format!(
-        "\n[workspace.{}]\nkey-digests = [{digests}]\nrate-per-s = {}\nburst = {}\n",
-        workspace.name, workspace.rate_per_s, workspace.burst
-    )
-}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod promises;
 pub mod rolling;
 pub mod steady;
+mod team_file;
 
 pub use caller::{Caller, CallerAnswer, CallerError, Operation};
 pub use fleet::{EmulatorError, Fleet};
--- a/crates/limits/src/limiter.rs
+++ b/crates/limits/src/limiter.rs
@@ -6,10 +6,10 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use waxwingusher_config::model::Snapshot;
-use waxwingusher_core::{Clock, HostId, HostList, RouteName, WorkspaceName};
+use waxwingusher_core::{Clock, HostId, HostList, RouteName, SuspensionWatch, WorkspaceName};
 use waxwingusher_protocol::Outgoing;
 use waxwingusher_protocol::loan::{LoanMessage, ShareTransfer};
 
@@ -23,9 +23,6 @@
 use crate::settings::LimiterSettings;
 use crate::stock::Stock;
 
-/// How far the wall clock may run ahead of the monotonic one between two
-/// calls before the machine counts as having been suspended.
-const SUSPENSION_SLACK: Duration = Duration::from_secs(1);
 /// The shortest time between two offers of a share.
 const OFFER_INTERVAL: Duration = Duration::from_millis(100);
 /// The number of a query whose answer is no evidence on the host list.
@@ -50,7 +47,7 @@
     rng: fastrand::Rng,
     started_at: Instant,
     opening: Option<Instant>,
-    last_seen: (Instant, SystemTime),
+    suspension: SuspensionWatch,
     authority: Authority,
     holders: Holders,
     near_share: Option<usize>,
@@ -82,7 +79,7 @@
             authority: Authority::new(self_id.clone(), now),
             self_id,
             incarnation,
-            last_seen: (now, clock.wall()),
+            suspension: SuspensionWatch::new(&*clock),
             clock,
             settings: Arc::new(settings),
             rng: fastrand::Rng::with_seed(incarnation),
@@ -241,12 +238,7 @@
     /// suspended.
     fn now(&mut self) -> Instant {
         let now = self.clock.now();
-        let wall = self.clock.wall();
-        let (last_now, last_wall) = self.last_seen;
-        self.last_seen = (now, wall);
-        let counted = now.saturating_duration_since(last_now);
-        let passed = wall.duration_since(last_wall).unwrap_or_default();
-        if passed > counted + SUSPENSION_SLACK {
+        if let Some(passed) = self.suspension.look(&*self.clock) {
             log::warn!("limits: machine was suspended for about {passed:?}, rights are given up");
             self.authority.revoke();
             for index in std::mem::take(&mut self.active) {
