--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -50,7 +50,7 @@
 #[argh(subcommand, name = "demo")]
 pub struct DemoArgs {
     /// what happens: faults, rolling (every host stops and comes back),
-    /// rolling-renamed (under another name) or rolling-killed (faults), or
+    /// rolling-renamed (under another name) or rolling-killed (by crashes), or
     /// connections (ways to connect to upstreams that close idle connections)
     #[argh(option, default = "DemoScenario::Faults")]
     scenario: DemoScenario,
