Send a repeatable request on its last try where one that must not repeat would go

Change: placement knows how many tries are left by the route and by the budget for repeats; only a try that another may follow is a trial. The new test in upstreams::placement chooses 'unknown' instead of 'well' without the change.

--- a/crates/attempts/src/window_budget.rs
+++ b/crates/attempts/src/window_budget.rs
@@ -61,6 +61,15 @@
     /// Spends one repeated send, and reports whether the budget allowed it.
     /// `known_hosts` is the number of hosts that share the fixed part.
     pub fn spend(&mut self, now: Instant, service: &ServiceName, known_hosts: usize) -> bool {
+        let is_allowed = self.allows(now, service, known_hosts);
+        if is_allowed {
+            self.step(now, service).repeats += 1;
+        }
+        is_allowed
+    }
+
+    /// Reports whether the budget allows one more repeated send now.
+    pub fn allows(&mut self, now: Instant, service: &ServiceName, known_hosts: usize) -> bool {
         let settings = self.settings;
         self.step(now, service);
         let steps = &self.services[service];
@@ -69,11 +78,7 @@
         let hosts = u32::try_from(known_hosts.max(1)).unwrap_or(u32::MAX);
         let allowed =
             settings.ratio * f64::from(requests) + settings.fleet_slack / f64::from(hosts);
-        if f64::from(repeats + 1) > allowed {
-            return false;
-        }
-        self.step(now, service).repeats += 1;
-        true
+        f64::from(repeats + 1) <= allowed
     }
 
     /// Gives back a repeated send that did not reach any instance.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -116,6 +116,16 @@
         self.sends < self.route.max_attempts
     }
 
+    /// Returns how many more instances may get the request, as far as its route
+    /// and the budget for repeats allow.
+    fn tries_left(&self) -> u32 {
+        let left = self.route.max_attempts.saturating_sub(self.sends);
+        let known_hosts = self.state.peers.borrow().known_hosts();
+        let mut budget = self.state.budget.borrow_mut();
+        let may_repeat = budget.allows(self.state.now(), &self.sent.service, known_hosts);
+        if may_repeat { left } else { left.min(1) }
+    }
+
     /// Sends the request to an instance. A request that may be repeated and
     /// takes suspiciously long goes to a second instance beside the first.
     async fn send(&mut self, placement: Placement) -> TryEnd {
@@ -199,6 +209,7 @@
         let request = PlacementRequest {
             service: &self.sent.service,
             is_idempotent: self.sent.is_idempotent,
+            tries_left: self.tries_left(),
             tried: &self.tried,
             failure_domain: &self.state.failure_domain,
             priority: self.priority,
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -1,8 +1,9 @@
 //! Choice of the instance for a request, by what failing or waiting there would
 //! cost.
 //!
-//! Requests that may be repeated try instances of which little is known, so
-//! that requests that must not repeat find instances that have just succeeded.
+//! Requests that may be sent again try instances of which little is known, so
+//! that requests on their only or last try find instances that have just
+//! succeeded.
 //! While instances that seem well are all busy, a request rather waits for one
 //! of them than fail at one that is known to be sick.
 
@@ -18,8 +19,7 @@
 /// What a step into another failure domain costs: bytes between domains are
 /// dear, and the way is longer.
 const OTHER_DOMAIN_COST: f64 = 0.08;
-/// What a failure costs a request that may be repeated: the time of the first
-/// try.
+/// What a failure costs a request that may be sent again: the time of this try.
 const REPEATABLE_FAILURE_COST: f64 = 0.3;
 /// What is gained by trying an instance of which nothing was heard for
 /// [`NEWS_AGE_S`], and in proportion for other ages. It outweighs load and
@@ -42,11 +42,11 @@
 const SLOWNESS_COST: f64 = 0.3;
 /// The greatest cost of slowness.
 const MAX_SLOWNESS_COST: f64 = 1.5;
-/// What trying a suspect costs a request that may be repeated. It is little:
+/// What trying a suspect costs a request that may be sent again. It is little:
 /// sick instances mostly fail at once, and those that have recovered take part
 /// again soon.
 const TRIAL_COST: f64 = 0.05;
-/// The risk above which a suspect gets no request that must not repeat.
+/// The risk above which a suspect gets no request on its only or last try.
 const MAX_SUSPECT_RISK: f64 = 0.5;
 /// The part of the latency target that may pass in an instance's queue.
 const MAX_QUEUE_SHARE: f64 = 0.6;
@@ -60,6 +60,8 @@
     pub service: &'a ServiceName,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
+    /// How many instances the request may still be sent to, this one included.
+    pub tries_left: u32,
     /// Instances that the request was sent to already.
     pub tried: &'a [InstanceId],
     /// Where this host runs.
@@ -72,6 +74,14 @@
     pub latency_target: Duration,
 }
 
+impl PlacementRequest<'_> {
+    /// Reports whether another instance may run the request if this one fails
+    /// it.
+    fn may_fail(&self) -> bool {
+        self.is_idempotent && self.tries_left > 1
+    }
+}
+
 /// An instance was chosen.
 #[derive(Debug, Clone)]
 pub struct Placement {
@@ -154,7 +164,7 @@
     }
     // A few requests at a time try a suspect; slow ones must not end the trials.
     let is_tried = standing.in_flight * 2 > listed.entry.slots;
-    !is_tried && (request.is_idempotent || standing.risk < MAX_SUSPECT_RISK)
+    !is_tried && (request.may_fail() || standing.risk < MAX_SUSPECT_RISK)
 }
 
 fn occupancy(listed: &Listed, standing: &Standing) -> f64 {
@@ -180,11 +190,11 @@
         cost += COLD_COST;
     }
     cost += (SLOWNESS_COST * (standing.slowness - 1.0)).clamp(0.0, MAX_SLOWNESS_COST);
-    cost + risk_cost(standing, request.is_idempotent)
+    cost + risk_cost(standing, request.may_fail())
 }
 
-fn risk_cost(standing: &Standing, is_idempotent: bool) -> f64 {
-    if !is_idempotent {
+fn risk_cost(standing: &Standing, may_fail: bool) -> f64 {
+    if !may_fail {
         return standing.risk;
     }
     let (failure_cost, news_value) = if standing.is_suspect {
--- a/crates/upstreams/tests/testsuite/placement.rs
+++ b/crates/upstreams/tests/testsuite/placement.rs
@@ -33,6 +33,7 @@
     rng: fastrand::Rng,
     now: Instant,
     priority: u32,
+    tries_left: u32,
 }
 
 impl Bench {
@@ -46,6 +47,7 @@
             rng: fastrand::Rng::with_seed(7),
             now,
             priority: 0,
+            tries_left: 2,
         }
     }
 
@@ -57,6 +59,7 @@
         let request = PlacementRequest {
             service: &ServiceName::new("svc"),
             is_idempotent,
+            tries_left: self.tries_left,
             tried,
             failure_domain: &FailureDomain::new("north"),
             priority: self.priority,
@@ -112,6 +115,24 @@
     assert_eq!(bench.chosen(false), "well");
 }
 
+/// Massgate scale-2: one in ten repeatable requests failed for good at an
+/// instance that was known to be sick, since its last try was a trial, too.
+#[test]
+fn the_last_try_of_a_repeatable_request_follows_fresh_successes() {
+    let near = |id| entry(id, "north", Duration::ZERO);
+    let mut bench = Bench::new(vec![near("well"), near("sick"), near("unknown")]);
+    bench.see("sick", Observation::Failure);
+    bench.see("sick", Observation::Failure);
+    bench.now += Duration::from_secs(1);
+    bench.see("well", SUCCESS);
+    let first = bench.chosen(true);
+    assert_ne!(first, "well", "the first try brings news");
+    bench.tries_left = 1;
+    for _ in 0..20 {
+        assert_eq!(bench.chosen(true), "well");
+    }
+}
+
 /// Massgate scale-2: with half of the instances sick and the others full,
 /// every second request was sent to an instance that was known to be sick.
 #[test]
