--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -182,7 +182,8 @@
         end
     }
 
-    /// Finds an instance, and waits a while if all are busy.
+    /// Finds an instance, and waits a while if all are busy and there is a
+    /// prospect of room.
     async fn find_instance(&self) -> Result<Placement, PlacementError> {
         let arrived_at = self.state.now();
         let max_wait = self.route.latency_target.mul_f64(MAX_WAIT_SHARE);
@@ -194,10 +195,15 @@
             if waiting.is_first() {
                 match self.place() {
                     Err(PlacementError::AllBusy) => {}
-                    result => return result,
+                    Ok(placement) => {
+                        waiting.note_served();
+                        return Ok(placement);
+                    }
+                    Err(error) => return Err(error),
                 }
             }
-            if self.state.now() >= give_up_at {
+            let patience = give_up_at.saturating_duration_since(self.state.now());
+            if patience.is_zero() || waiting.is_hopeless(patience) {
                 return Err(PlacementError::AllBusy);
             }
             // Time-out and wake-up alike lead to another look.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -300,6 +300,20 @@
             .borrow()
             .is_first(&self.service, self.place)
     }
+
+    /// Records that the request got room.
+    pub(crate) fn note_served(&self) {
+        let now = self.state.now();
+        let mut waiting = self.state.waiting.borrow_mut();
+        waiting.note_served(now, &self.service);
+    }
+
+    /// Reports whether the request will hardly get room within `patience`.
+    pub(crate) fn is_hopeless(&self, patience: Duration) -> bool {
+        let now = self.state.now();
+        let mut waiting = self.state.waiting.borrow_mut();
+        waiting.is_hopeless(now, &self.service, self.place, patience)
+    }
 }
 
 impl Drop for Waiting {
--- a/crates/limits/src/waiting_line.rs
+++ b/crates/limits/src/waiting_line.rs
@@ -1,10 +1,12 @@
-//! The order in which waiting requests get room at a service.
+//! The order in which waiting requests get room at a service, and which of them
+//! wait in vain.
 //!
 //! A request's rank is the time since which it waits, moved back by a step for
 //! each level of its priority. So an urgent request goes first, and no request
-//! is passed for ever.
+//! is passed for ever. A request with more others before it than the service
+//! lately gave room to has no prospect, and its caller should know at once.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::ServiceName;
@@ -14,6 +16,12 @@
 const PRIORITY_STEP: Duration = Duration::from_millis(150);
 /// Lower priorities than this are all the same.
 const LOWEST_PRIORITY: u32 = 8;
+/// The span over which the rate is measured at which requests get room; several
+/// usual answer times of the users' routes.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+/// Requests that may wait before another whatever the rate is, so that the first
+/// room after a standstill is used.
+const ALWAYS_AHEAD: f64 = 1.0;
 
 /// A place in the line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -25,10 +33,17 @@
 /// Requests that wait for room, by service.
 #[derive(Debug, Default)]
 pub struct WaitingLine {
-    services: HashMap<ServiceName, BTreeSet<WaitingPlace>>,
+    services: HashMap<ServiceName, ServiceLine>,
     next_number: u64,
 }
 
+#[derive(Debug, Default)]
+struct ServiceLine {
+    places: BTreeSet<WaitingPlace>,
+    /// When requests got room, within [`RATE_SPAN`].
+    served_at: VecDeque<Instant>,
+}
+
 impl WaitingLine {
     /// Adds a request that has waited since `since`.
     pub fn join(&mut self, service: &ServiceName, since: Instant, priority: u32) -> WaitingPlace {
@@ -37,34 +52,69 @@
             number: self.next_number,
         };
         self.next_number += 1;
-        self.services
-            .entry(service.clone())
-            .or_default()
-            .insert(place);
+        let line = self.services.entry(service.clone()).or_default();
+        line.places.insert(place);
         place
     }
 
     /// Removes a request, whether it got room or not.
     pub fn leave(&mut self, service: &ServiceName, place: WaitingPlace) {
-        let Some(places) = self.services.get_mut(service) else {
-            return;
-        };
-        places.remove(&place);
-        if places.is_empty() {
-            self.services.remove(service);
+        if let Some(line) = self.services.get_mut(service) {
+            line.places.remove(&place);
+        }
+    }
+
+    /// Records that a request of the service got room.
+    pub fn note_served(&mut self, now: Instant, service: &ServiceName) {
+        if let Some(line) = self.services.get_mut(service) {
+            line.forget_before(now);
+            line.served_at.push_back(now);
         }
     }
 
     /// Reports whether no other request of the service goes before this one.
     #[must_use]
     pub fn is_first(&self, service: &ServiceName, place: WaitingPlace) -> bool {
-        let first = self.services.get(service).and_then(BTreeSet::first);
+        let line = self.services.get(service);
+        let first = line.and_then(|line| line.places.first());
         first.is_none_or(|first| *first >= place)
     }
 
+    /// Reports whether a request that will wait for `patience` more has so many
+    /// others before it that it will hardly get room.
+    pub fn is_hopeless(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        place: WaitingPlace,
+        patience: Duration,
+    ) -> bool {
+        let Some(line) = self.services.get_mut(service) else {
+            return false;
+        };
+        line.forget_before(now);
+        let ahead = count(line.places.range(..place).count());
+        let served = count(line.served_at.len());
+        let expected = served * patience.as_secs_f64() / RATE_SPAN.as_secs_f64();
+        ahead > expected + ALWAYS_AHEAD
+    }
+
     /// Reports whether no request waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.services.is_empty()
+        self.services.values().all(|line| line.places.is_empty())
+    }
+}
+
+impl ServiceLine {
+    fn forget_before(&mut self, now: Instant) {
+        let is_old = |at: &Instant| now.saturating_duration_since(*at) >= RATE_SPAN;
+        while self.served_at.front().is_some_and(is_old) {
+            self.served_at.pop_front();
+        }
     }
 }
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- a/crates/limits/tests/testsuite/waiting_line.rs
+++ b/crates/limits/tests/testsuite/waiting_line.rs
@@ -42,3 +42,42 @@
     line.leave(&b, other);
     assert!(line.is_empty());
 }
+
+/// Massgate scale-2, one workspace at eight times its rate: 640 requests waited
+/// for half of their latency target and were refused then.
+#[test]
+fn a_request_behind_more_than_get_room_meanwhile_is_told_at_once() {
+    const PATIENCE: Duration = Duration::from_millis(300);
+    let (start, service) = (Instant::now(), ServiceName::new("svc"));
+    let mut line = WaitingLine::default();
+    let mut now = start;
+    // Ten get room in a second, so three in the time that a request waits.
+    for _ in 0..10 {
+        let place = line.join(&service, now, 0);
+        line.leave(&service, place);
+        line.note_served(now, &service);
+        now += Duration::from_millis(100);
+    }
+    now -= Duration::from_millis(50);
+    let mut places: Vec<_> = (0..6).map(|_| line.join(&service, now, 1)).collect();
+    let mut is_hopeless = |place| line.is_hopeless(now, &service, place, PATIENCE);
+    assert!(places[..5].iter().all(|place| !is_hopeless(*place)));
+    assert!(is_hopeless(places[5]));
+    // An urgent one goes first, and the last one before the hopeless one is now
+    // hopeless, too.
+    let urgent = line.join(&service, now, 0);
+    assert!(!line.is_hopeless(now, &service, urgent, PATIENCE));
+    assert!(line.is_hopeless(now, &service, places.remove(4), PATIENCE));
+}
+
+/// Pattern: no instance takes anything for seconds.
+#[test]
+fn a_few_requests_wait_through_a_standstill() {
+    let (now, service) = (Instant::now(), ServiceName::new("svc"));
+    let mut line = WaitingLine::default();
+    let places: Vec<_> = (0..3).map(|_| line.join(&service, now, 0)).collect();
+    let mut is_hopeless =
+        |place| line.is_hopeless(now, &service, place, Duration::from_millis(300));
+    assert!(!is_hopeless(places[0]) && !is_hopeless(places[1]));
+    assert!(is_hopeless(places[2]));
+}
