Count hosts that ended as planned no more, and a host that starts alone as a part

Cause: a peer was never forgotten while a process lived, and a host grants the part of each rate that it hears of all it knows. And a host that was restarted while it was cut off knew nobody and granted the whole of every rate.

Change: a host that ends as planned tells its peers, which pass departures on with their tables for two hours; a peer that falls silent still counts. A host that has seeds and has heard none of them takes a fleet of 32 for granted. A log line 'peers' says how much of the fleet is heard when that changes. Three tests in membership::seeded failed first (28 known hosts of 16; 1 known host alone).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use tokio::task::LocalSet;
 use tokio::time::{Instant, MissedTickBehavior};
 use waxwingusher_core::Clock;
+use waxwingusher_limits::FleetView;
 use waxwingusher_membership::seeded::{PeerCard, PeerTable};
 
 use crate::feed::{self, FeedSource};
@@ -203,7 +204,8 @@
         in_flight: state.in_flight.get(),
     });
     state.journal.report_suppressed();
-    // Lets the last answers leave and the journal's thread write.
+    state.outbox.say_farewell();
+    // Lets the last answers and messages leave and the journal's thread write.
     tokio::time::sleep(Duration::from_millis(60)).await;
 }
 
@@ -229,14 +231,29 @@
 async fn tick(state: Rc<State>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut view = state.fleet_view();
     loop {
         ticks.tick().await;
+        report_peers(&state, &mut view);
         feed::expire_roster(&state);
         state.pool.sweep();
         state.journal.report_suppressed();
     }
 }
 
+/// Logs how much of the fleet is heard, if that has changed: rates and repeats
+/// are granted by it.
+fn report_peers(state: &State, former: &mut FleetView) {
+    let view = state.fleet_view();
+    if view != *former {
+        *former = view;
+        state.journal.write(&Event::Peers {
+            heard: view.heard_hosts,
+            known: view.known_hosts,
+        });
+    }
+}
+
 fn listen(addr: SocketAddr, purpose: &'static str) -> Result<TcpListener, GatewayError> {
     let open = || -> io::Result<TcpListener> {
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -54,6 +54,13 @@
         /// What was seen.
         cause: &'a str,
     },
+    /// Another part of the fleet is heard than before.
+    Peers {
+        /// Hosts heard lately, this one included.
+        heard: usize,
+        /// Hosts that are thought to be there, this one included.
+        known: usize,
+    },
     /// A configuration is in force, or was refused.
     Configuration {
         /// The version.
@@ -132,6 +139,7 @@
             Self::Stopping { .. } => "stopping",
             Self::Reloaded => "reloaded",
             Self::Dependency { .. } => "dependency",
+            Self::Peers { .. } => "peers",
             Self::Configuration { .. } => "configuration",
             Self::Instance { .. } => "instance",
             Self::Attempt { .. } => "attempt",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -125,6 +125,12 @@
     /// Tells what is due, and returns when more will be.
     fn flush(&mut self) -> Option<Instant> {
         let is_urgent = self.state.outbox.is_urgent.take();
+        if self.state.outbox.is_farewell_due.take() {
+            self.flush_far();
+            let farewell = self.state.peers.borrow().farewell();
+            self.send_all(farewell);
+            return None;
+        }
         self.flush_near();
         let counts_at = self.far_at + COUNTS_INTERVAL;
         let counts_soon = self.state.outbox.counts_soon.get();
@@ -240,6 +246,14 @@
             }
             PeerMessage::Members(cards) => self.state.peers.borrow_mut().on_members(now, cards),
             PeerMessage::News(news) => self.receive_news(news),
+            PeerMessage::Departed(departed) => {
+                let gone = self.state.peers.borrow_mut().on_departed(now, &departed);
+                for peer in gone {
+                    self.heard.remove(&peer);
+                    self.state.evidence.borrow_mut().forget_peer(peer);
+                }
+                Vec::new()
+            }
         };
         self.send_all(out);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -82,6 +82,8 @@
     pub(crate) is_urgent: Cell<bool>,
     /// Whether other failure domains should soon hear what was admitted.
     pub(crate) counts_soon: Cell<bool>,
+    /// Whether the process ends and peers should not count it any more.
+    pub(crate) is_farewell_due: Cell<bool>,
     pub(crate) changed: Notify,
 }
 
@@ -92,6 +94,12 @@
         self.changed.notify_one();
     }
 
+    /// Lets peers know that the process ends as planned.
+    pub(crate) fn say_farewell(&self) {
+        self.is_farewell_due.set(true);
+        self.tell_at_once();
+    }
+
     pub(crate) fn tell_counts_soon(&self) {
         self.counts_soon.set(true);
         self.changed.notify_one();
--- a/crates/membership/src/seeded/message.rs
+++ b/crates/membership/src/seeded/message.rs
@@ -17,6 +17,15 @@
     pub incarnation: u64,
 }
 
+/// A process that has ended as planned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Where it took messages.
+    pub addr: SocketAddr,
+    /// The process; a later one at the same address is there.
+    pub incarnation: u64,
+}
+
 /// A message between hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -32,6 +41,8 @@
     Members(Vec<PeerCard>),
     /// What a host has seen and done.
     News(News),
+    /// Processes that have ended as planned; a host that ends names itself.
+    Departed(Vec<Departure>),
 }
 
 /// What a host has seen and done. All figures are absolute, so a lost message
--- a/crates/membership/src/seeded/table.rs
+++ b/crates/membership/src/seeded/table.rs
@@ -6,7 +6,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::seeded::message::{PeerCard, PeerMessage};
+use crate::seeded::message::{Departure, PeerCard, PeerMessage};
 
 /// How often a host compares its table with a random peer.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
@@ -14,6 +14,15 @@
 const SEEK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a peer counts as heard after its last message; three beats.
 const HEARD_FOR: Duration = Duration::from_millis(1_600);
+/// Hosts that the fleet of a host is taken to have that has heard none of its
+/// peers since it started; the users' smallest fleet. What the fleet grants
+/// together, such a host must grant its own part of only.
+const ASSUMED_HOSTS: usize = 32;
+/// How long a departure is remembered. Parts of a fleet that lost each other for
+/// an hour may still hold the card.
+const DEPARTURE_KEPT_FOR: Duration = Duration::from_secs(2 * 60 * 60);
+/// Departures told in one message, so that it fits into one datagram.
+const MAX_DEPARTURES: usize = 64;
 
 /// A message and where it goes.
 pub type Outgoing = (SocketAddr, PeerMessage);
@@ -41,6 +50,8 @@
     me: PeerCard,
     seeds: Vec<SocketAddr>,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// Processes that have ended as planned, and when that was heard.
+    departed: BTreeMap<SocketAddr, (u64, Instant)>,
     seek_at: Option<Instant>,
     compare_at: Option<Instant>,
     rng: fastrand::Rng,
@@ -54,6 +65,7 @@
             me,
             seeds,
             peers: BTreeMap::new(),
+            departed: BTreeMap::new(),
             seek_at: None,
             compare_at: None,
             rng,
@@ -105,12 +117,45 @@
         self.learn(card, Some(now));
         match table_digest {
             Some(digest) if digest != self.digest() => {
-                vec![(addr, PeerMessage::Members(self.cards()))]
+                let mut out = vec![(addr, PeerMessage::Members(self.cards()))];
+                out.extend(self.departures(now).map(|message| (addr, message)));
+                out
             }
             _ => Vec::new(),
         }
     }
 
+    /// Returns the messages with which this host's process ends as planned.
+    #[must_use]
+    pub fn farewell(&self) -> Vec<Outgoing> {
+        let me = Departure {
+            addr: self.me.addr,
+            incarnation: self.me.incarnation,
+        };
+        let peers = self.peers.keys();
+        peers
+            .map(|peer| (*peer, PeerMessage::Departed(vec![me])))
+            .collect()
+    }
+
+    /// Takes word of processes that have ended, and returns the peers that count
+    /// no more for it.
+    pub fn on_departed(&mut self, now: Instant, departed: &[Departure]) -> Vec<SocketAddr> {
+        let mut gone = Vec::new();
+        for departure in departed {
+            let known = self.peers.get(&departure.addr);
+            if known.is_some_and(|peer| peer.card.incarnation != departure.incarnation) {
+                continue;
+            }
+            self.departed
+                .insert(departure.addr, (departure.incarnation, now));
+            if self.peers.remove(&departure.addr).is_some() {
+                gone.push(departure.addr);
+            }
+        }
+        gone
+    }
+
     /// Takes a peer's cards, the sender's own first, and greets those that are
     /// new.
     pub fn on_members(&mut self, now: Instant, cards: Vec<PeerCard>) -> Vec<Outgoing> {
@@ -160,9 +205,15 @@
             .map(|peer| &peer.card)
     }
 
-    /// Returns the number of hosts that were ever heard of, this one included.
+    /// Returns the number of hosts that were ever heard of and have not ended as
+    /// planned, this one included. A host that has seeds and knows no peer yet
+    /// may be cut off from a fleet; it takes one of the usual size for granted.
     #[must_use]
     pub fn known_hosts(&self) -> usize {
+        let has_seeds = self.seeds.iter().any(|seed| *seed != self.me.addr);
+        if self.peers.is_empty() && self.departed.is_empty() && has_seeds {
+            return ASSUMED_HOSTS;
+        }
         self.peers.len() + 1
     }
 
@@ -196,6 +247,22 @@
         relays
     }
 
+    /// Returns the latest departures as a message, if there are any.
+    fn departures(&mut self, now: Instant) -> Option<PeerMessage> {
+        self.departed
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < DEPARTURE_KEPT_FOR);
+        let mut latest: Vec<_> = self.departed.iter().collect();
+        latest.sort_by_key(|(_, (_, at))| std::cmp::Reverse(*at));
+        let departures = latest.into_iter().take(MAX_DEPARTURES);
+        let departures: Vec<Departure> = departures
+            .map(|(addr, (incarnation, _))| Departure {
+                addr: *addr,
+                incarnation: *incarnation,
+            })
+            .collect();
+        (!departures.is_empty()).then_some(PeerMessage::Departed(departures))
+    }
+
     fn cards(&self) -> Vec<PeerCard> {
         let peers = self.peers.values().map(|peer| peer.card.clone());
         std::iter::once(self.me.clone()).chain(peers).collect()
@@ -214,7 +281,12 @@
         if card.addr == self.me.addr {
             return false;
         }
+        let departed = self.departed.get(&card.addr);
+        if departed.is_some_and(|(incarnation, _)| *incarnation == card.incarnation) {
+            return false;
+        }
         let Some(peer) = self.peers.get_mut(&card.addr) else {
+            self.departed.remove(&card.addr);
             self.peers.insert(card.addr, Peer { card, heard_at });
             return true;
         };
--- a/crates/membership/tests/testsuite/seeded.rs
+++ b/crates/membership/tests/testsuite/seeded.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::FailureDomain;
-use waxwingusher_membership::seeded::{PeerCard, PeerMessage, PeerNews, PeerTable};
+use waxwingusher_membership::seeded::{Departure, PeerCard, PeerMessage, PeerNews, PeerTable};
 
 const DOMAINS: [&str; 4] = ["north", "south", "east", "west"];
 const STEP: Duration = Duration::from_millis(100);
@@ -79,6 +79,10 @@
                         table.on_hello(self.now, card, table_digest)
                     }
                     PeerMessage::Members(cards) => table.on_members(self.now, cards),
+                    PeerMessage::Departed(departed) => {
+                        table.on_departed(self.now, &departed);
+                        Vec::new()
+                    }
                     PeerMessage::News(_) => Vec::new(),
                 };
                 queue.extend(out.into_iter().map(|(next, m)| (to, next, m)));
@@ -102,6 +106,23 @@
         }
     }
 
+    /// Ends a host as planned. Its word reaches only some of its peers.
+    fn depart(&mut self, number: usize, reached: usize) {
+        let table = self.tables.remove(&addr(number)).expect("a host");
+        for (to, message) in table.farewell().into_iter().take(reached) {
+            let PeerMessage::Departed(departed) = message else {
+                panic!("a farewell is a departure");
+            };
+            let peer = self.tables.get_mut(&to).expect("a host");
+            peer.on_departed(self.now, &departed);
+        }
+    }
+
+    fn most_known(&self) -> usize {
+        let known = self.tables.values().map(PeerTable::known_hosts);
+        known.max().unwrap_or(0)
+    }
+
     fn least_known(&self) -> usize {
         self.tables
             .values()
@@ -188,6 +209,57 @@
     assert!(table.heard(fleet.now).all(|card| card.addr != addr(3)));
 }
 
+/// Pattern: hosts are replaced one after the other, as most are each day. A host
+/// that counted those before would take its fleet for a part of one.
+#[test]
+fn hosts_that_end_as_planned_count_no_more() {
+    let mut fleet = Fleet::new(16, &[0, 1, 2]);
+    fleet.run(Duration::from_secs(4));
+    for number in 4..16 {
+        fleet.depart(number, 3);
+        let replacement = table(number + 40, 1, &[0, 1, 2]);
+        fleet.tables.insert(addr(number + 40), replacement);
+        fleet.run(Duration::from_secs(4));
+    }
+    fleet.run(Duration::from_secs(20));
+    assert_eq!((fleet.least_known(), fleet.most_known()), (16, 16));
+    fleet.messages = 0;
+    fleet.run(Duration::from_secs(10));
+    assert!(fleet.messages <= 16 * 10 * 2, "{} messages", fleet.messages);
+}
+
+#[test]
+fn a_host_that_ended_and_started_again_counts_though_its_farewell_comes_late() {
+    let mut fleet = Fleet::new(8, &[0]);
+    fleet.run(Duration::from_secs(4));
+    let farewell = Departure {
+        addr: addr(5),
+        incarnation: 1,
+    };
+    fleet.depart(5, 2);
+    fleet.tables.insert(addr(5), table(5, 2, &[0]));
+    fleet.run(Duration::from_secs(4));
+    assert_eq!((fleet.least_known(), fleet.most_known()), (8, 8));
+    let now = fleet.now;
+    let peer = fleet.tables.get_mut(&addr(0)).expect("a host");
+    assert!(peer.on_departed(now, &[farewell]).is_empty());
+    assert_eq!(peer.known_hosts(), 8);
+}
+
+/// Pattern: hosts are cut off from all others and restarted meanwhile. Each one
+/// that took itself for the whole fleet would grant the whole of every rate.
+#[test]
+fn a_host_that_starts_alone_takes_itself_for_a_part_of_a_fleet() {
+    let now = Instant::now();
+    let mut alone = table(4, 1, &[0, 1, 2]);
+    alone.tick(now);
+    assert!(alone.known_hosts() >= 32, "{}", alone.known_hosts());
+    alone.on_hello(now, table(1, 1, &[]).me().clone(), None);
+    assert_eq!(alone.known_hosts(), 2);
+    let only_host = table(0, 1, &[0]);
+    assert_eq!(only_host.known_hosts(), 1);
+}
+
 #[test]
 fn a_new_process_at_the_same_address_is_noticed() {
     let now = Instant::now();
