Follow a request through the logs of all hosts

Cause: on call there are only logs; a request's lines had to be picked out by hand, and the configuration, dependencies and part of the fleet that its host believed in at that time stood in lines without its id.

--- /dev/null
+++ b/crates/gateway/src/explain.rs
@@ -0,0 +1,256 @@
+//! Follows one request through the logs of all hosts.
+//!
+//! Each step is told with what its host believed then: the configuration in
+//! force, the part of the fleet that it heard, dependencies that it had lost, and
+//! the last change of the instance that was tried.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io;
+
+use serde::Deserialize;
+
+/// One step of a request at a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Step {
+    /// When the line was written, by the clock of its host.
+    pub unix_ms: u64,
+    /// The host.
+    pub host: String,
+    /// What happened.
+    pub what: String,
+    /// What the host believed at that time, a fact each.
+    pub context: Vec<String>,
+}
+
+/// The way of one request.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Explanation {
+    /// The steps in the order of their times.
+    pub steps: Vec<Step>,
+    /// Lines that are no records of a host.
+    pub unreadable: usize,
+    /// Records that hosts left out, as they report. The request may be among
+    /// them.
+    pub suppressed: u64,
+}
+
+/// Collects the steps of a request from lines of logs, in the order of each
+/// host. Text before a record, such as a collector's prefix, is passed over.
+///
+/// # Errors
+///
+/// Returns an error if the lines cannot be read.
+pub fn explain(
+    request_id: &str,
+    lines: impl IntoIterator<Item = io::Result<String>>,
+) -> io::Result<Explanation> {
+    let mut explanation = Explanation::default();
+    let mut hosts: BTreeMap<String, HostContext> = BTreeMap::new();
+    for line in lines {
+        let line = line?;
+        let record = line.find('{').and_then(|start| line.get(start..));
+        let record = record.and_then(|text| serde_json::from_str::<Record>(text).ok());
+        let Some(record) = record else {
+            explanation.unreadable += 1;
+            continue;
+        };
+        let context = hosts.entry(record.host.clone()).or_default();
+        explanation.suppressed += context.note(&record);
+        if record.event.request() != Some(request_id) {
+            continue;
+        }
+        explanation.steps.push(Step {
+            unix_ms: record.unix_ms,
+            context: context.facts(&record),
+            what: record.event.to_string(),
+            host: record.host,
+        });
+    }
+    explanation.steps.sort_by_key(|step| step.unix_ms);
+    Ok(explanation)
+}
+
+#[derive(Debug, Deserialize)]
+struct Record {
+    unix_ms: u64,
+    host: String,
+    #[serde(flatten)]
+    event: LoggedEvent,
+}
+
+/// The records of [`Event`](crate::journal::Event) that tell of a request or of
+/// what decided on it.
+#[derive(Debug, Deserialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
+enum LoggedEvent {
+    Attempt {
+        request: String,
+        number: usize,
+        instance: String,
+        risk: f64,
+        load: u32,
+        word_age_ms: Option<u64>,
+        outcome: String,
+        took_ms: u64,
+    },
+    Request {
+        request: String,
+        route: String,
+        workspace: String,
+        version: u64,
+        status: u16,
+        outcome: String,
+        tries: usize,
+        took_ms: u64,
+        left_ms: u64,
+        tokens: Option<f64>,
+    },
+    Configuration {
+        version: u64,
+        outcome: String,
+    },
+    Peers {
+        heard: usize,
+        known: usize,
+    },
+    Dependency {
+        name: String,
+        state: String,
+        cause: String,
+    },
+    Instance {
+        instance: String,
+        change: String,
+    },
+    Suppressed {
+        beyond_rate: u64,
+        ring_full: u64,
+    },
+    #[serde(other)]
+    Other,
+}
+
+impl LoggedEvent {
+    fn request(&self) -> Option<&str> {
+        match self {
+            Self::Attempt { request, .. } | Self::Request { request, .. } => Some(request),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for LoggedEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Attempt {
+                number,
+                instance,
+                risk,
+                load,
+                word_age_ms,
+                outcome,
+                took_ms,
+                ..
+            } => {
+                write!(
+                    f,
+                    "try {number} at {instance}: {outcome} after {took_ms} ms"
+                )?;
+                write!(f, " (risk {risk}, {load} requests there, ")?;
+                match word_age_ms {
+                    Some(age_ms) => write!(f, "last heard of {age_ms} ms before)"),
+                    None => f.write_str("nothing heard of it yet)"),
+                }
+            }
+            Self::Request {
+                route,
+                workspace,
+                version,
+                status,
+                outcome,
+                tries,
+                took_ms,
+                left_ms,
+                tokens,
+                ..
+            } => {
+                write!(f, "answer {status}, {outcome}, after {took_ms} ms")?;
+                write!(f, " and {tries} tries, {left_ms} ms left")?;
+                write!(f, " (route '{route}', workspace '{workspace}'")?;
+                write!(f, ", configuration {version}")?;
+                match tokens {
+                    Some(tokens) => write!(f, ", {tokens:.1} tokens)"),
+                    None => f.write_str(")"),
+                }
+            }
+            _ => f.write_str("no step of a request"),
+        }
+    }
+}
+
+/// What a host believed, by the records so far.
+#[derive(Debug, Default)]
+struct HostContext {
+    in_force: Option<(u64, u64)>,
+    peers: Option<(u64, usize, usize)>,
+    /// When each dependency that is away was lost, and why.
+    lost: BTreeMap<String, (u64, String)>,
+    instances: BTreeMap<String, (u64, String)>,
+}
+
+impl HostContext {
+    /// Takes a record, and returns how many others it says were left out.
+    fn note(&mut self, record: &Record) -> u64 {
+        let at = record.unix_ms;
+        match &record.event {
+            LoggedEvent::Configuration { version, outcome } if outcome == "in-force" => {
+                self.in_force = Some((at, *version));
+            }
+            LoggedEvent::Peers { heard, known } => self.peers = Some((at, *heard, *known)),
+            LoggedEvent::Dependency { name, state, .. } if state == "regained" => {
+                self.lost.remove(name);
+            }
+            LoggedEvent::Dependency { name, state, cause } if state == "lost" => {
+                self.lost.insert(name.clone(), (at, cause.clone()));
+            }
+            LoggedEvent::Instance { instance, change } => {
+                self.instances
+                    .insert(instance.clone(), (at, change.clone()));
+            }
+            LoggedEvent::Suppressed {
+                beyond_rate,
+                ring_full,
+            } => return beyond_rate + ring_full,
+            _ => {}
+        }
+        0
+    }
+
+    fn facts(&self, record: &Record) -> Vec<String> {
+        let age = |at: u64| record.unix_ms.saturating_sub(at);
+        let mut facts = Vec::new();
+        if let LoggedEvent::Attempt { instance, .. } = &record.event {
+            if let Some((at, change)) = self.instances.get(instance) {
+                facts.push(format!("{instance}: {change} {} ms before", age(*at)));
+            }
+            return facts;
+        }
+        if let Some((at, version)) = self.in_force {
+            facts.push(format!(
+                "configuration {version}: in force since {} ms",
+                age(at)
+            ));
+        }
+        if let Some((at, heard, known)) = self.peers {
+            facts.push(format!(
+                "fleet: {heard} of {known} hosts heard since {} ms",
+                age(at)
+            ));
+        }
+        for (name, (at, cause)) in &self.lost {
+            facts.push(format!("{name}: lost {} ms before, {cause}", age(*at)));
+        }
+        facts
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! instances come from, and what headers are called, is plugged in through
 //! [`ports`].
 
+pub mod explain;
 pub mod gateway;
 pub mod journal;
 pub mod metrics;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/explain.rs
@@ -0,0 +1,149 @@
+//! From a request's identity to its cause, in the logs of several hosts.
+
+use std::io;
+use std::sync::Arc;
+
+use waxwingusher_core::SystemClock;
+use waxwingusher_gateway::explain::{Explanation, explain};
+use waxwingusher_gateway::journal::{Event, Journal};
+
+fn from_text(id: &str, text: &str) -> Explanation {
+    let lines = text.lines().map(|line| io::Result::Ok(line.to_owned()));
+    explain(id, lines).expect("the text is there")
+}
+
+fn attempt<'a>(request: &'a str, outcome: &'a str) -> Event<'a> {
+    Event::Attempt {
+        request,
+        number: 1,
+        instance: "i-1",
+        risk: 0.25,
+        load: 2,
+        word_age_ms: None,
+        outcome,
+        took_ms: 3,
+    }
+}
+
+fn answer(request: &str) -> Event<'_> {
+    Event::Request {
+        request,
+        route: "book",
+        workspace: "acme",
+        version: 7,
+        status: 500,
+        outcome: "upstream-failed",
+        tries: 1,
+        took_ms: 4,
+        left_ms: 1_200,
+        tokens: None,
+    }
+}
+
+/// Returns what a host writes for the events.
+fn log(host: &str, events: &[Event<'_>]) -> String {
+    let (journal, lines) = Journal::new(host, Arc::new(SystemClock));
+    for event in events {
+        journal.write(event);
+    }
+    drop(journal);
+    lines.iter().map(|line| line + "\n").collect()
+}
+
+#[test]
+fn the_steps_of_a_request_come_with_what_its_host_believed() {
+    let text = log(
+        "host-1",
+        &[
+            Event::Configuration {
+                version: 7,
+                routes: 4,
+                outcome: "in-force",
+                cause: "",
+            },
+            Event::Peers {
+                heard: 20,
+                known: 32,
+            },
+            Event::Dependency {
+                name: "feed",
+                state: "lost",
+                cause: "no answer in time",
+            },
+            Event::Instance {
+                instance: "i-1",
+                change: "joined",
+                entry_age_ms: 0,
+            },
+            attempt("other", "answered"),
+            attempt("mine", "failed"),
+            answer("mine"),
+        ],
+    );
+    let explanation = from_text("mine", &text);
+    let [attempt, answer] = explanation.steps.as_slice() else {
+        panic!("{explanation:?}");
+    };
+    assert!(attempt.what.starts_with("try 1 at i-1: failed after 3 ms"));
+    assert!(attempt.what.contains("nothing heard of it yet"));
+    assert!(attempt.context[0].starts_with("i-1: joined"));
+    assert!(answer.what.starts_with("answer 500, upstream-failed"));
+    let context = answer.context.join("\n");
+    for fact in [
+        "configuration 7: in force",
+        "20 of 32 hosts",
+        "feed: lost",
+        "no answer in time",
+    ] {
+        assert!(context.contains(fact), "{fact}: {context}");
+    }
+}
+
+#[test]
+fn a_dependency_that_is_back_and_other_hosts_beliefs_are_not_told() {
+    let lost = |state| Event::Dependency {
+        name: "feed",
+        state,
+        cause: "x",
+    };
+    let text = log("host-1", &[lost("lost"), lost("regained"), answer("mine")])
+        + &log("host-2", &[lost("lost"), answer("other")]);
+    let explanation = from_text("mine", &text);
+    assert_eq!(explanation.steps[0].context, Vec::<String>::new());
+}
+
+#[test]
+fn prefixes_are_passed_over_and_what_cannot_be_told_is_counted() {
+    let text = log("host-1", &[answer("mine")]);
+    let suppressed = log(
+        "host-1",
+        &[Event::Suppressed {
+            beyond_rate: 3,
+            ring_full: 4,
+        }],
+    );
+    let explanation = from_text(
+        "mine",
+        &format!("   0.0258 host-1 {text}{suppressed}a line of something else\n{{\"a\":1}}\n"),
+    );
+    assert_eq!(explanation.steps.len(), 1);
+    assert_eq!((explanation.unreadable, explanation.suppressed), (2, 7));
+}
+
+#[test]
+fn every_record_that_a_host_writes_can_be_read() {
+    let events = [
+        Event::Started {
+            callers: "a",
+            failure_domain: "north",
+            incarnation: 1,
+        },
+        Event::Stopping {
+            phase: "draining",
+            in_flight: 1,
+        },
+        Event::Reloaded,
+    ];
+    let explanation = from_text("mine", &log("host-1", &events));
+    assert_eq!(explanation, Explanation::default());
+}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod callers;
+mod explain;
 mod journal;
 mod rig;
 mod stops;
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,15 +1,18 @@
 //! Tells why a request went where it did.
 
-use std::io::{self, Write};
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 use argh::FromArgs;
 use serde::{Deserialize, Serialize};
+use waxwingusher_gateway::explain::{Explanation, explain};
 
 use super::operator_client::OperatorClient;
 use super::{CmdError, Outcome, print_json};
 
-/// Tell what a host decided on a request. The request id is in the header
+/// Tell what hosts decided on a request. The request id is in the header
 /// x-waxwingusher-request-id of a refusal and in the log.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
@@ -17,6 +20,10 @@
     /// the request's id
     #[argh(positional)]
     request_id: String,
+    /// logs of `gateway` hosts to read instead of asking a host; - for standard
+    /// input
+    #[argh(option)]
+    logs: Option<PathBuf>,
     /// the operators' address of the host that took the request
     #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 8081))")]
     operator_addr: SocketAddr,
@@ -33,13 +40,16 @@
 }
 
 impl ExplainArgs {
+    /// Prints the decisions. The outcome has findings if logs do not tell of the
+    /// request.
     pub fn run(&self) -> Result<Outcome, CmdError> {
-        let client = OperatorClient::new(self.operator_addr)?;
-        let path = format!("/v1/decisions/{}", self.request_id);
-        let decisions: Vec<Decision> = client.get(&path)?;
+        let (decisions, outcome) = match &self.logs {
+            Some(path) => self.read_logs(path)?,
+            None => (self.ask_host()?, Outcome::Clean),
+        };
         if self.json {
             print_json(&decisions)?;
-            return Ok(Outcome::Clean);
+            return Ok(outcome);
         }
         let mut out = io::stdout().lock();
         let start_ms = decisions.first().map_or(0, |first| first.at_epoch_ms);
@@ -47,6 +57,54 @@
             let after_ms = decision.at_epoch_ms.saturating_sub(start_ms);
             writeln!(out, "+{after_ms:>6} ms  {}", decision.text)?;
         }
-        Ok(Outcome::Clean)
+        Ok(outcome)
+    }
+
+    fn ask_host(&self) -> Result<Vec<Decision>, CmdError> {
+        let client = OperatorClient::new(self.operator_addr)?;
+        let path = format!("/v1/decisions/{}", self.request_id);
+        Ok(client.get(&path)?)
+    }
+
+    fn read_logs(&self, path: &Path) -> Result<(Vec<Decision>, Outcome), CmdError> {
+        let read = |source| CmdError::Read {
+            path: path.to_owned(),
+            source,
+        };
+        let explanation = if path == Path::new("-") {
+            explain(&self.request_id, io::stdin().lock().lines())
+        } else {
+            let file = File::open(path).map_err(read)?;
+            explain(&self.request_id, BufReader::new(file).lines())
+        };
+        let explanation = explanation.map_err(read)?;
+        report_gaps(&explanation);
+        let outcome = if explanation.steps.is_empty() {
+            eprintln!("no record of request '{}'", self.request_id);
+            Outcome::Findings
+        } else {
+            Outcome::Clean
+        };
+        let steps = explanation.steps.into_iter().map(|step| {
+            let mut text = format!("{}: {}", step.host, step.what);
+            for fact in step.context {
+                text += &format!("\n{:13}{fact}", "");
+            }
+            Decision {
+                at_epoch_ms: step.unix_ms,
+                text,
+            }
+        });
+        Ok((steps.collect(), outcome))
+    }
+}
+
+/// Says what the logs do not hold; records of the request may be among it.
+fn report_gaps(explanation: &Explanation) {
+    if explanation.unreadable > 0 {
+        eprintln!("{} lines are no records of a host", explanation.unreadable);
+    }
+    if explanation.suppressed > 0 {
+        eprintln!("{} records were left out by hosts", explanation.suppressed);
     }
 }
