Ask a source that was lost with a short question first, and spread the long ones

All 32 hosts had started together and asked in step, so all lost the store at 7.15 s; the question that each asked anew fell into the end of the silence and was waited for for its 10 s and 1.5 s more. The store was well from 7.5 s on, but nobody was ahead of the others to say so.

Change: the first question after a loss is held for 500 ms, so its answer is due within 2 s; questions are held for 5 to 10 s, so hosts fall out of step. The new test in gateway::feed waits more than the 5 s of the users' bounds without the change.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -20,9 +20,12 @@
 use crate::journal::Event;
 use crate::state::State;
 
-/// How long the source holds a question for changes. It bounds how long a host
-/// that hears no peer waits behind a connection that has gone silent.
+/// How long the source holds a question for changes at most. It bounds how long a
+/// host that hears no peer waits behind a connection that has gone silent.
 const CHANGES_WAIT: Duration = Duration::from_secs(10);
+/// How long the source holds the first question after it was lost. The question
+/// may be lost, too, so its answer must be due soon.
+const RETURN_WAIT: Duration = Duration::from_millis(500);
 /// What an answer may take beside the time that the source holds the question.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The pause between two questions, so that changes in quick succession come
@@ -160,8 +163,9 @@
     }
 
     async fn ask(&mut self, position: u64) -> Result<(), SourceError> {
-        let asking = self.source.changes(position, CHANGES_WAIT);
-        let asking = tokio::time::timeout(CHANGES_WAIT + ANSWER_TIMEOUT, asking);
+        let wait = self.changes_wait();
+        let asking = self.source.changes(position, wait);
+        let asking = tokio::time::timeout(wait + ANSWER_TIMEOUT, asking);
         let changes = tokio::select! {
             changes = asking => changes.map_err(|_| no_answer())??,
             () = peers_are_ahead(&self.state, position) => {
@@ -186,6 +190,16 @@
         Ok(())
     }
 
+    /// Returns how long the source should hold the next question. Hosts that
+    /// started together differ, so that not all of them wait behind the same
+    /// silence: the first to ask anew leads the others on.
+    fn changes_wait(&self) -> Duration {
+        if self.is_lost {
+            return RETURN_WAIT;
+        }
+        CHANGES_WAIT.mul_f64(1.0 - 0.5 * self.state.rng.borrow_mut().f64())
+    }
+
     fn move_to(&mut self, position: u64) {
         self.position = Some(position);
         self.state.feed_position.set(position);
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod callers;
 mod explain;
+mod feed;
 mod journal;
 mod rig;
 mod stops;
--- a/crates/gateway/tests/testsuite/rig.rs
+++ b/crates/gateway/tests/testsuite/rig.rs
@@ -103,6 +103,23 @@
     fn reconnect(&self) {}
 }
 
+/// Returns the entries of instances.
+pub fn roster(instances: &[&Instance]) -> Vec<RosterEntry> {
+    let numbered = instances.iter().enumerate();
+    let entries = numbered.map(|(number, instance)| RosterEntry {
+        id: InstanceId::new(&format!("i-{number}")),
+        incarnation: 1,
+        service: ServiceName::new("svc"),
+        addr: instance.addr,
+        failure_domain: FailureDomain::new("north"),
+        software: Arc::from("v1"),
+        slots: 8,
+        state: RosterState::Ready,
+        cold_for: Duration::ZERO,
+    });
+    entries.collect()
+}
+
 /// A request as an instance received it.
 #[derive(Debug, Clone)]
 pub struct Received {
@@ -214,24 +231,15 @@
 
     /// Starts a host with a configuration of the test's own.
     pub fn start_with(document: RoutingDocument, instances: &[&Instance], grace: Duration) -> Self {
-        let roster = instances
-            .iter()
-            .enumerate()
-            .map(|(number, instance)| RosterEntry {
-                id: InstanceId::new(&format!("i-{number}")),
-                incarnation: 1,
-                service: ServiceName::new("svc"),
-                addr: instance.addr,
-                failure_domain: FailureDomain::new("north"),
-                software: Arc::from("v1"),
-                slots: 8,
-                state: RosterState::Ready,
-                cold_for: Duration::ZERO,
-            });
         let source = FixedSource {
             document,
-            roster: roster.collect(),
+            roster: roster(instances),
         };
+        Self::start_with_source(source, grace)
+    }
+
+    /// Starts a host that follows a source of the test's own.
+    pub fn start_with_source(source: impl FeedSource + Send + 'static, grace: Duration) -> Self {
         let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         let settings = GatewaySettings {
             host_name: "host".to_owned(),
