Take from the buckets only what peers admitted while they were heard

Cause: a host that stood still, was cut off, or was restarted beside peers that had run for long took all that they had admitted meanwhile (or ever, for workspaces that their first message did not name) from its buckets at once, while its own refills were capped at the burst.

Change: peers tell their totals with what was admitted in the last one to two seconds. The first message after a silence only says where counting goes on, since the listener left that peer out of its refills meanwhile; and no message takes more than what is recent. The counting is a module of its own without sockets, limits::peer_counts; the tables of what was told to whom are gone.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,9 +12,10 @@
 
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior};
-use waxwingusher_core::{InstanceId, WorkspaceName};
+use waxwingusher_core::InstanceId;
+use waxwingusher_limits::{Admissions, PeerCounts};
 use waxwingusher_membership::seeded::{
-    InstanceNews, News, Outgoing, PeerMessage, PeerNews, name_hash,
+    AdmittedNews, InstanceNews, News, Outgoing, PeerMessage, PeerNews, name_hash,
 };
 use waxwingusher_upstreams::InstanceWord;
 
@@ -30,8 +31,6 @@
 /// The least time between two words to other failure domains on admissions from
 /// a bucket that is running low.
 const COUNTS_INTERVAL: Duration = Duration::from_millis(50);
-/// How long an admission count is repeated, in case a datagram is lost.
-const REPEAT_COUNTS_FOR: Duration = Duration::from_secs(2);
 /// The largest message that is taken.
 const MAX_MESSAGE_BYTES: usize = 60_000;
 /// Words on instances that fit into one datagram without fragments.
@@ -43,8 +42,6 @@
         state,
         socket,
         sequence: 0,
-        near_counts: HashMap::new(),
-        far_counts: HashMap::new(),
         far_at: Instant::now(),
         heard: HashMap::new(),
     };
@@ -82,21 +79,13 @@
 struct Heard {
     incarnation: u64,
     sequence: u32,
-    admitted: HashMap<u32, u32>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Told {
-    count: u32,
-    changed_at: Instant,
+    admitted: PeerCounts,
 }
 
 struct Exchange {
     state: Rc<State>,
     socket: UdpSocket,
     sequence: u32,
-    near_counts: HashMap<WorkspaceName, Told>,
-    far_counts: HashMap<WorkspaceName, Told>,
     /// When other failure domains were last told.
     far_at: Instant,
     heard: HashMap<SocketAddr, Heard>,
@@ -143,9 +132,7 @@
 
     fn flush_near(&mut self) {
         let changed = std::mem::take(&mut *self.state.outbox.instances.borrow_mut());
-        let mut counts = std::mem::take(&mut self.near_counts);
-        let mut news = self.news(changed, &mut counts);
-        self.near_counts = counts;
+        let mut news = self.news(changed);
         news.crashes = self.state.outbox.crashes.borrow().clone();
         news.disowned = self.state.outbox.disowned.borrow().clone();
         let neighbours: Vec<SocketAddr> = self.state.peers.borrow().neighbours().collect();
@@ -156,9 +143,7 @@
         self.far_at = Instant::now();
         self.state.outbox.counts_soon.set(false);
         let changed = std::mem::take(&mut *self.state.outbox.far_instances.borrow_mut());
-        let mut counts = std::mem::take(&mut self.far_counts);
-        let mut news = self.news(changed, &mut counts);
-        self.far_counts = counts;
+        let mut news = self.news(changed);
         news.relay = true;
         news.crashes = std::mem::take(&mut *self.state.outbox.crashes.borrow_mut());
         news.disowned = std::mem::take(&mut *self.state.outbox.disowned.borrow_mut());
@@ -166,11 +151,7 @@
         self.send_to(&relays, &PeerMessage::News(news));
     }
 
-    fn news(
-        &mut self,
-        changed: impl IntoIterator<Item = InstanceId>,
-        counts: &mut HashMap<WorkspaceName, Told>,
-    ) -> News {
+    fn news(&mut self, changed: impl IntoIterator<Item = InstanceId>) -> News {
         self.sequence += 1;
         let now = self.state.now();
         let evidence = self.state.evidence.borrow();
@@ -195,42 +176,24 @@
             feed_position: self.state.feed_position.get(),
             gapless_position: self.state.gapless_position(),
             instances: words.collect(),
-            admitted: self.counts(counts),
+            admitted: self.admitted(),
             crashes: Vec::new(),
             disowned: Vec::new(),
         }
     }
 
-    /// Returns the admission counts that have changed lately.
-    fn counts(&self, told: &mut HashMap<WorkspaceName, Told>) -> Vec<(u32, u32)> {
-        let now = Instant::now();
-        let mut counts = Vec::new();
-        for (name, count) in self.state.limits.borrow().admitted() {
-            let known = told.get_mut(name);
-            let changed_at = match known {
-                Some(known) if known.count == count => known.changed_at,
-                Some(known) => {
-                    *known = Told {
-                        count,
-                        changed_at: now,
-                    };
-                    now
-                }
-                None if count == 0 => continue,
-                None => {
-                    let first = Told {
-                        count,
-                        changed_at: now,
-                    };
-                    told.insert(name.clone(), first);
-                    now
-                }
-            };
-            if now - changed_at < REPEAT_COUNTS_FOR {
-                counts.push((name_hash(name.as_str()), count));
-            }
-        }
-        counts
+    /// Returns what was admitted lately.
+    fn admitted(&self) -> Vec<AdmittedNews> {
+        let mut limits = self.state.limits.borrow_mut();
+        let admitted = limits.admitted(self.state.now());
+        let lately = admitted.filter(|(_, admissions)| admissions.recent > 0);
+        lately
+            .map(|(name, admissions)| AdmittedNews {
+                workspace: name_hash(name.as_str()),
+                total: admissions.total,
+                recent: admissions.recent,
+            })
+            .collect()
     }
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
@@ -290,9 +253,15 @@
         let heard = self.heard.entry(news.origin).or_default();
         if heard.incarnation != news.incarnation {
             self.state.evidence.borrow_mut().forget_peer(news.origin);
+            let admitted = if is_first {
+                PeerCounts::default()
+            } else {
+                PeerCounts::of_restarted(now)
+            };
             *heard = Heard {
                 incarnation: news.incarnation,
-                ..Heard::default()
+                sequence: 0,
+                admitted,
             };
         }
         for word in &news.crashes {
@@ -306,7 +275,7 @@
         }
         let is_late = news.sequence <= heard.sequence;
         heard.sequence = heard.sequence.max(news.sequence);
-        debit(&self.state, heard, news, is_first);
+        debit(&self.state, heard, news);
         if is_late {
             return;
         }
@@ -358,27 +327,23 @@
     }
 }
 
-/// Takes from the buckets what a peer has admitted since its last word. What an
-/// unknown peer admitted before it was first heard is in no bucket.
-fn debit(state: &State, heard: &mut Heard, news: &News, is_first: bool) {
-    if news.admitted.is_empty() {
-        return;
-    }
+/// Takes from the buckets what a peer has admitted since its last word.
+fn debit(state: &State, heard: &mut Heard, news: &News) {
     let now = state.now();
     let view = state.fleet_view();
-    let hashes = state.workspace_hashes.borrow();
-    for (hash, count) in &news.admitted {
-        let known = heard.admitted.insert(*hash, *count);
-        let known = known.unwrap_or(if is_first { *count } else { 0 });
-        // A late datagram holds a smaller count, a refund makes one too.
-        let Some(fresh) = count.checked_sub(known) else {
-            heard.admitted.insert(*hash, known);
-            continue;
+    let told = news.admitted.iter().map(|item| {
+        let admissions = Admissions {
+            total: item.total,
+            recent: item.recent,
         };
-        let Some(name) = hashes.get(hash).filter(|_| fresh > 0) else {
-            continue;
-        };
-        state.limits.borrow_mut().debit(now, name, fresh, view);
+        (item.workspace, admissions)
+    });
+    let hashes = state.workspace_hashes.borrow();
+    let mut limits = state.limits.borrow_mut();
+    for (workspace, count) in heard.admitted.take(now, told) {
+        if let Some(name) = hashes.get(&workspace) {
+            limits.debit(now, name, count, view);
+        }
     }
 }
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod keys;
 pub mod limit_key;
 pub mod limiter;
+pub mod peer_counts;
 pub mod queue;
 pub mod replicated;
 pub mod settings;
@@ -26,7 +27,10 @@
 pub use keys::KeyIndex;
 pub use limit_key::LimitKey;
 pub use limiter::Limiter;
+pub use peer_counts::PeerCounts;
 pub use queue::{FairQueue, FairQueueSettings, Next, QueueRefusal, RequestClass};
-pub use replicated::{Admitted, FleetView, OverRate, ReplicatedLimits, ReplicatedSettings};
+pub use replicated::{
+    Admissions, Admitted, FleetView, OverRate, ReplicatedLimits, ReplicatedSettings,
+};
 pub use settings::LimiterSettings;
 pub use waiting_line::{WaitingLine, WaitingPlace};
--- a/crates/limits/src/replicated.rs
+++ b/crates/limits/src/replicated.rs
@@ -75,6 +75,19 @@
     pub is_running_low: bool,
 }
 
+/// What a host has admitted for a workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Admissions {
+    /// Requests since the host started.
+    pub total: u32,
+    /// Those of the last one to two seconds.
+    pub recent: u32,
+}
+
+/// The resolution of [`Admissions::recent`]. Peers are told a few times within
+/// it, in case a message is lost.
+const RECENT_STEP: Duration = Duration::from_secs(1);
+
 /// The part of a bucket's room below which it is running low.
 const LOW_SHARE: f64 = 0.75;
 
@@ -96,6 +109,9 @@
     returns_until: Instant,
     /// What this host has admitted since it started.
     admitted: u32,
+    /// The value of `admitted` at the last two steps, the later one first.
+    admitted_at_steps: [u32; 2],
+    stepped_at: Instant,
 }
 
 impl ReplicatedLimits {
@@ -120,6 +136,8 @@
             settled_at: now,
             returns_until: now,
             admitted: 0,
+            admitted_at_steps: [0; 2],
+            stepped_at: now,
         });
         bucket.rate_per_s = rate_per_s;
         bucket.burst = room;
@@ -149,6 +167,7 @@
         let Some(bucket) = self.buckets.get_mut(name) else {
             return Ok(unlimited);
         };
+        bucket.step(now);
         if bucket.rate_per_s <= 0.0 {
             bucket.admitted = bucket.admitted.wrapping_add(1);
             return Ok(unlimited);
@@ -184,14 +203,42 @@
         bucket.tokens = (bucket.tokens - f64::from(count)).max(floor);
     }
 
-    /// Returns what this host has admitted for each workspace since it started.
-    pub fn admitted(&self) -> impl Iterator<Item = (&WorkspaceName, u32)> {
-        let buckets = self.buckets.iter();
-        buckets.map(|(name, bucket)| (name, bucket.admitted))
+    /// Returns what this host has admitted for each workspace.
+    pub fn admitted(&mut self, now: Instant) -> impl Iterator<Item = (&WorkspaceName, Admissions)> {
+        let buckets = self.buckets.iter_mut();
+        buckets.map(move |(name, bucket)| {
+            bucket.step(now);
+            (name, bucket.admissions())
+        })
     }
 }
 
 impl FleetBucket {
+    /// Moves to the present step of [`Admissions::recent`].
+    fn step(&mut self, now: Instant) {
+        let age = now.saturating_duration_since(self.stepped_at);
+        if age < RECENT_STEP {
+            return;
+        }
+        let [last, _] = self.admitted_at_steps;
+        let before = if age < 2 * RECENT_STEP {
+            last
+        } else {
+            self.admitted
+        };
+        self.admitted_at_steps = [self.admitted, before];
+        self.stepped_at = now;
+    }
+
+    fn admissions(&self) -> Admissions {
+        let [_, before] = self.admitted_at_steps;
+        // Refunds may have taken back more than was admitted since.
+        Admissions {
+            total: self.admitted,
+            recent: self.admitted.saturating_sub(before),
+        }
+    }
+
     fn settle(&mut self, now: Instant, settings: &ReplicatedSettings, view: FleetView) {
         let elapsed = now.saturating_duration_since(self.settled_at);
         self.settled_at = self.settled_at.max(now);
--- a/crates/limits/tests/testsuite/replicated.rs
+++ b/crates/limits/tests/testsuite/replicated.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::WorkspaceName;
-use waxwingusher_limits::{FleetView, ReplicatedLimits, ReplicatedSettings};
+use waxwingusher_limits::{
+    Admissions, FleetView, PeerCounts, ReplicatedLimits, ReplicatedSettings,
+};
 
 const RATE_PER_S: f64 = 40.0;
 const BURST: f64 = 40.0;
@@ -18,7 +20,9 @@
     hosts: Vec<ReplicatedLimits>,
     /// The side of each host; hosts of different sides do not hear each other.
     sides: Vec<usize>,
-    told: Vec<Vec<u32>>,
+    told: Vec<Vec<PeerCounts>>,
+    /// A host that neither serves nor hears.
+    standing_still: Option<usize>,
     name: WorkspaceName,
     now: Instant,
     admitted: Vec<Instant>,
@@ -34,7 +38,8 @@
         let mut fleet = Self {
             hosts: Vec::new(),
             sides: vec![0; hosts],
-            told: vec![vec![0; hosts]; hosts],
+            told: (0..hosts).map(|_| peers(hosts)).collect(),
+            standing_still: None,
             name,
             now,
             admitted: Vec::new(),
@@ -71,17 +76,19 @@
     /// Lets hosts of one side hear what the others have admitted.
     fn beat(&mut self) {
         for speaker in 0..self.hosts.len() {
-            let counts: Vec<u32> = self.hosts[speaker]
-                .admitted()
-                .map(|(_, count)| count)
-                .collect();
-            let count = counts.first().copied().unwrap_or(0);
+            let mut admitted = self.hosts[speaker].admitted(self.now);
+            let Some((_, told)) = admitted.next() else {
+                continue;
+            };
+            drop(admitted);
             for listener in 0..self.hosts.len() {
-                if listener == speaker || self.sides[listener] != self.sides[speaker] {
+                let is_apart = self.sides[listener] != self.sides[speaker];
+                let stands = [Some(listener), Some(speaker)].contains(&self.standing_still);
+                if listener == speaker || is_apart || stands {
                     continue;
                 }
-                let fresh = count - self.told[listener][speaker];
-                self.told[listener][speaker] = count;
+                let fresh = self.told[listener][speaker].take(self.now, [(0, told)]);
+                let fresh = fresh.first().map_or(0, |(_, count)| *count);
                 let view = self.view(listener);
                 self.hosts[listener].debit(self.now, &self.name, fresh, view);
             }
@@ -97,7 +104,9 @@
             let mut due = per_s * STEP.as_secs_f64();
             while rng.f64() < due {
                 let host = rng.usize(..self.hosts.len());
-                self.request(host);
+                if self.standing_still != Some(host) {
+                    self.request(host);
+                }
                 due -= 1.0;
             }
             let is_pressed = step % 5 == 4 && std::mem::take(&mut self.is_pressed);
@@ -117,6 +126,10 @@
     }
 }
 
+fn peers(hosts: usize) -> Vec<PeerCounts> {
+    (0..hosts).map(|_| PeerCounts::default()).collect()
+}
+
 fn bound() -> f64 {
     (RATE_PER_S * WINDOW.as_secs_f64() + BURST) * (1.0 + OVERSHOOT) + SLACK
 }
@@ -169,6 +182,84 @@
     }
 }
 
+/// Chhutighar frozen-hosts, varied with seed 2: hosts woke up to all that the
+/// others had admitted meanwhile, and refused their callers for four seconds.
+#[test]
+fn a_host_that_stood_still_refuses_nothing_within_the_rate() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(32);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        fleet.run(5, RATE_PER_S * 0.6, &mut rng);
+        fleet.standing_still = Some(3);
+        fleet.run(10, RATE_PER_S * 0.6, &mut rng);
+        fleet.standing_still = None;
+        fleet.run(5, RATE_PER_S * 0.6, &mut rng);
+        assert_eq!(fleet.refused, 0, "seed {seed}");
+    }
+}
+
+/// Pattern: hosts are restarted in turn while the others have served for long.
+#[test]
+fn a_host_that_starts_anew_refuses_nothing_within_the_rate() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(32);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        fleet.run(60, RATE_PER_S * 0.6, &mut rng);
+        fleet.hosts[3] = ReplicatedLimits::new(ReplicatedSettings::default());
+        fleet.hosts[3].set_right(fleet.now, &fleet.name, RATE_PER_S, BURST);
+        fleet.told[3] = peers(32);
+        for listener in &mut fleet.told {
+            listener[3] = PeerCounts::of_restarted(fleet.now);
+        }
+        fleet.run(20, RATE_PER_S * 0.6, &mut rng);
+        assert_eq!(fleet.refused, 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_fleet_that_is_whole_again_refuses_nothing_within_the_rate() {
+    let mut fleet = Fleet::new(32);
+    let mut rng = fastrand::Rng::with_seed(1);
+    fleet.run(5, RATE_PER_S * 0.6, &mut rng);
+    for host in 0..fleet.hosts.len() {
+        fleet.sides[host] = host % 2;
+    }
+    fleet.run(20, RATE_PER_S * 0.6, &mut rng);
+    fleet.sides.fill(0);
+    fleet.refused = 0;
+    fleet.run(10, RATE_PER_S * 0.6, &mut rng);
+    assert_eq!(fleet.refused, 0);
+}
+
+#[test]
+fn a_peers_totals_count_once_and_only_while_it_is_heard() {
+    let start = Instant::now();
+    let mut counts = PeerCounts::default();
+    let mut take = |after_ms, total, recent| {
+        let now = start + Duration::from_millis(after_ms);
+        let fresh = counts.take(now, [(1, Admissions { total, recent })]);
+        fresh.first().map_or(0, |(_, count)| *count)
+    };
+    assert_eq!(take(0, 1_000, 3), 0, "admitted before it was heard");
+    assert_eq!(take(400, 1_000, 3), 0, "told again");
+    assert_eq!(take(800, 1_004, 6), 4);
+    assert_eq!(take(1_200, 1_002, 4), 0, "a late message");
+    assert_eq!(take(9_000, 1_100, 7), 0, "admitted during a silence");
+    assert_eq!(take(9_400, 1_101, 7), 1);
+    assert_eq!(take(9_800, 1_300, 9), 9, "this clock stood still meanwhile");
+}
+
+#[test]
+fn all_that_a_restarted_peer_admits_counts() {
+    let now = Instant::now();
+    let mut counts = PeerCounts::of_restarted(now);
+    let told = Admissions {
+        total: 2,
+        recent: 2,
+    };
+    assert_eq!(counts.take(now, [(1, told), (2, told)]), [(1, 2), (2, 2)]);
+}
+
 #[test]
 fn a_rate_of_zero_is_no_limit_and_a_lower_rate_binds_at_once() {
     let (now, name) = (Instant::now(), WorkspaceName::new("acme"));
@@ -223,6 +314,7 @@
     limits.set_right(now, &name, 1.0, 1.0);
     limits.admit(now, &name, view).expect("the first token");
     limits.refund(&name);
-    assert_eq!(limits.admitted().next().map(|(_, count)| count), Some(0));
+    let told = limits.admitted(now).next().map(|(_, told)| told);
+    assert_eq!(told.map(|told| told.total), Some(0));
     limits.admit(now, &name, view).expect("the token is back");
 }
--- a/crates/membership/src/seeded.rs
+++ b/crates/membership/src/seeded.rs
@@ -9,5 +9,7 @@
 mod message;
 mod table;
 
-pub use message::{CrashWord, Departure, InstanceNews, News, PeerCard, PeerMessage, name_hash};
+pub use message::{
+    AdmittedNews, CrashWord, Departure, InstanceNews, News, PeerCard, PeerMessage, name_hash,
+};
 pub use table::{Outgoing, PeerNews, PeerTable};
--- a/crates/membership/src/seeded/message.rs
+++ b/crates/membership/src/seeded/message.rs
@@ -64,14 +64,25 @@
     pub gapless_position: u64,
     /// Words on instances that have changed.
     pub instances: Vec<InstanceNews>,
-    /// Requests admitted since the start, by the hash of the workspace.
-    pub admitted: Vec<(u32, u32)>,
+    /// Requests admitted for the workspaces that had some lately.
+    pub admitted: Vec<AdmittedNews>,
     /// Requests at which an instance's connection died.
     pub crashes: Vec<CrashWord>,
     /// Instances at whose addresses another one answers.
     pub disowned: Vec<u32>,
 }
 
+/// What a host has admitted for a workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdmittedNews {
+    /// The hash of the workspace's name.
+    pub workspace: u32,
+    /// Requests since the host started.
+    pub total: u32,
+    /// Requests of the last seconds.
+    pub recent: u32,
+}
+
 /// A host's word on an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceNews {
--- a/crates/membership/src/seeded/table.rs
+++ b/crates/membership/src/seeded/table.rs
@@ -12,7 +12,8 @@
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 /// How often a host that knows no peer asks its seeds.
 const SEEK_INTERVAL: Duration = Duration::from_millis(200);
-/// How long a peer counts as heard after its last message; three beats.
+/// How long a peer counts as heard after its last message; four beats. What peers
+/// admit is counted as long (`limits::peer_counts::SILENT_AFTER`).
 const HEARD_FOR: Duration = Duration::from_millis(1_600);
 /// Hosts that the fleet of a host is taken to have that has heard none of its
 /// peers since it started; the users' smallest fleet. What the fleet grants
