Show how many hosts a host knows, and name the beliefs that explain a request

Cause: whether rates are divided was visible as heard hosts only, without the number that they are compared with; and the explanation of a request held its context in bare tuples.

Change: metric known_hosts; a test of two hosts over loopback, one of which stops and then counts no more; a type for what a host believed and since when. No decision changes.

--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -189,34 +189,59 @@
     }
 }
 
+/// A belief, and since when a host held it.
+#[derive(Debug)]
+struct Belief {
+    since_unix_ms: u64,
+    text: String,
+}
+
+impl Belief {
+    fn of(record: &Record, text: String) -> Self {
+        Self {
+            since_unix_ms: record.unix_ms,
+            text,
+        }
+    }
+
+    fn at(&self, unix_ms: u64) -> String {
+        let age_ms = unix_ms.saturating_sub(self.since_unix_ms);
+        format!("{} {age_ms} ms before", self.text)
+    }
+}
+
 /// What a host believed, by the records so far.
 #[derive(Debug, Default)]
 struct HostContext {
-    in_force: Option<(u64, u64)>,
-    peers: Option<(u64, usize, usize)>,
-    /// When each dependency that is away was lost, and why.
-    lost: BTreeMap<String, (u64, String)>,
-    instances: BTreeMap<String, (u64, String)>,
+    in_force: Option<Belief>,
+    peers: Option<Belief>,
+    /// The dependencies that are away.
+    lost: BTreeMap<String, Belief>,
+    /// The last change of each instance.
+    instances: BTreeMap<String, Belief>,
 }
 
 impl HostContext {
     /// Takes a record, and returns how many others it says were left out.
     fn note(&mut self, record: &Record) -> u64 {
-        let at = record.unix_ms;
+        let belief = |text| Belief::of(record, text);
         match &record.event {
             LoggedEvent::Configuration { version, outcome } if outcome == "in-force" => {
-                self.in_force = Some((at, *version));
+                self.in_force = Some(belief(format!("configuration {version}: in force")));
+            }
+            LoggedEvent::Peers { heard, known } => {
+                self.peers = Some(belief(format!("fleet: {heard} of {known} hosts heard")));
             }
-            LoggedEvent::Peers { heard, known } => self.peers = Some((at, *heard, *known)),
             LoggedEvent::Dependency { name, state, .. } if state == "regained" => {
                 self.lost.remove(name);
             }
             LoggedEvent::Dependency { name, state, cause } if state == "lost" => {
-                self.lost.insert(name.clone(), (at, cause.clone()));
+                let text = format!("{name}: lost ({cause})");
+                self.lost.insert(name.clone(), belief(text));
             }
             LoggedEvent::Instance { instance, change } => {
-                self.instances
-                    .insert(instance.clone(), (at, change.clone()));
+                let text = format!("{instance}: {change}");
+                self.instances.insert(instance.clone(), belief(text));
             }
             LoggedEvent::Suppressed {
                 beyond_rate,
@@ -227,30 +252,21 @@
         0
     }
 
+    /// Returns what the host believed that bears on a record.
     fn facts(&self, record: &Record) -> Vec<String> {
-        let age = |at: u64| record.unix_ms.saturating_sub(at);
-        let mut facts = Vec::new();
-        if let LoggedEvent::Attempt { instance, .. } = &record.event {
-            if let Some((at, change)) = self.instances.get(instance) {
-                facts.push(format!("{instance}: {change} {} ms before", age(*at)));
+        let beliefs: Vec<&Belief> = match &record.event {
+            LoggedEvent::Attempt { instance, .. } => {
+                self.instances.get(instance).into_iter().collect()
             }
-            return facts;
-        }
-        if let Some((at, version)) = self.in_force {
-            facts.push(format!(
-                "configuration {version}: in force since {} ms",
-                age(at)
-            ));
-        }
-        if let Some((at, heard, known)) = self.peers {
-            facts.push(format!(
-                "fleet: {heard} of {known} hosts heard since {} ms",
-                age(at)
-            ));
-        }
-        for (name, (at, cause)) in &self.lost {
-            facts.push(format!("{name}: lost {} ms before, {cause}", age(*at)));
-        }
-        facts
+            _ => {
+                let in_force = self.in_force.iter();
+                in_force
+                    .chain(&self.peers)
+                    .chain(self.lost.values())
+                    .collect()
+            }
+        };
+        let facts = beliefs.into_iter().map(|belief| belief.at(record.unix_ms));
+        facts.collect()
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use waxwingusher_limits::FleetView;
 
 /// The bounds of the latency histograms: from 1 ms, each twice the former.
 const FIRST_BUCKET_S: f64 = 0.001;
@@ -40,6 +41,7 @@
     config_version: Gauge,
     in_flight: Gauge,
     heard_hosts: Gauge,
+    known_hosts: Gauge,
 }
 
 impl Metrics {
@@ -54,6 +56,7 @@
         let config_version = Gauge::default();
         let in_flight = Gauge::default();
         let heard_hosts = Gauge::default();
+        let known_hosts = Gauge::default();
         let mut registry = Registry::with_prefix("waxwingusher");
         registry.register(
             "requests",
@@ -78,6 +81,11 @@
             in_flight.clone(),
         );
         registry.register("heard_hosts", "Hosts heard lately", heard_hosts.clone());
+        registry.register(
+            "known_hosts",
+            "Hosts that are thought to be there",
+            known_hosts.clone(),
+        );
         Self {
             registry,
             requests,
@@ -87,6 +95,7 @@
             config_version,
             in_flight,
             heard_hosts,
+            known_hosts,
         }
     }
 
@@ -119,13 +128,20 @@
     /// # Errors
     ///
     /// Returns an error if a value cannot be formatted.
-    pub fn render(&self, version: u64, in_flight: usize, heard: usize) -> Result<String, Error> {
+    pub fn render(
+        &self,
+        version: u64,
+        in_flight: usize,
+        fleet: FleetView,
+    ) -> Result<String, Error> {
         self.config_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
         self.in_flight
             .set(i64::try_from(in_flight).unwrap_or(i64::MAX));
         self.heard_hosts
-            .set(i64::try_from(heard).unwrap_or(i64::MAX));
+            .set(i64::try_from(fleet.heard_hosts).unwrap_or(i64::MAX));
+        self.known_hosts
+            .set(i64::try_from(fleet.known_hosts).unwrap_or(i64::MAX));
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
--- a/crates/gateway/src/side_door.rs
+++ b/crates/gateway/src/side_door.rs
@@ -52,10 +52,10 @@
         return respond(status, String::new());
     }
     if path == state.dialect.metrics_path {
-        let heard = state.fleet_view().heard_hosts;
+        let fleet = state.fleet_view();
         let text = state
             .metrics
-            .render(state.config_version(), state.in_flight.get(), heard);
+            .render(state.config_version(), state.in_flight.get(), fleet);
         return match text {
             Ok(text) => respond(StatusCode::OK, text),
             Err(error) => respond(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
--- a/crates/gateway/tests/testsuite/rig.rs
+++ b/crates/gateway/tests/testsuite/rig.rs
@@ -82,9 +82,9 @@
 }
 
 /// Lists one document and some instances, and never changes.
-struct FixedSource {
-    document: RoutingDocument,
-    roster: Vec<RosterEntry>,
+pub struct FixedSource {
+    pub document: RoutingDocument,
+    pub roster: Vec<RosterEntry>,
 }
 
 impl FeedSource for FixedSource {
@@ -219,6 +219,7 @@
 pub struct Rig {
     pub callers: SocketAddr,
     pub side: SocketAddr,
+    pub peers: SocketAddr,
     pub orders: UnboundedSender<Order>,
     pub host: JoinHandle<()>,
 }
@@ -240,6 +241,15 @@
 
     /// Starts a host that follows a source of the test's own.
     pub fn start_with_source(source: impl FeedSource + Send + 'static, grace: Duration) -> Self {
+        Self::start_among(&[], source, grace)
+    }
+
+    /// Starts a host that asks `seeds` for its peers.
+    pub fn start_among(
+        seeds: &[SocketAddr],
+        source: impl FeedSource + Send + 'static,
+        grace: Duration,
+    ) -> Self {
         let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         let settings = GatewaySettings {
             host_name: "host".to_owned(),
@@ -247,7 +257,7 @@
             caller_addr: any,
             side_addr: any,
             peer_addr: any,
-            seeds: Vec::new(),
+            seeds: seeds.to_vec(),
             retry_budget: WindowBudgetSettings {
                 ratio: 0.2,
                 window: Duration::from_secs(10),
@@ -258,15 +268,24 @@
         let gateway = Gateway::bind(settings).expect("free ports");
         let callers = gateway.caller_addr().expect("an address");
         let side = gateway.side_addr().expect("an address");
+        let peers = gateway.peer_addr().expect("an address");
         let (orders, receiver) = unbounded_channel();
+        let incarnation = u64::from(peers.port());
         let host = std::thread::spawn(move || {
             gateway
-                .run(dialect(), source, Arc::new(SystemClock), 7, receiver)
+                .run(
+                    dialect(),
+                    source,
+                    Arc::new(SystemClock),
+                    incarnation,
+                    receiver,
+                )
                 .expect("the event loop runs");
         });
         let rig = Self {
             callers,
             side,
+            peers,
             orders,
             host,
         };
--- a/crates/gateway/tests/testsuite/stops.rs
+++ b/crates/gateway/tests/testsuite/stops.rs
@@ -2,14 +2,16 @@
 
 use std::io::Write;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use waxwingusher_gateway::Order;
 
-use crate::rig::{Instance, Rig, proven, read_reply, request};
+use crate::rig::{FixedSource, Instance, Rig, document, proven, read_reply, request};
 
 /// The time from the order to stop to the end of the process.
 const GRACE: Duration = Duration::from_secs(5);
+/// How long a test waits for what peers tell each other before it fails.
+const PATIENCE: Duration = Duration::from_secs(10);
 
 #[test]
 fn a_request_that_is_being_read_as_the_host_closes_is_answered() {
@@ -45,3 +47,36 @@
     assert_eq!(reply.header("connection"), Some("close"));
     rig.host.join().expect("the host stops");
 }
+
+/// Returns the hosts that a host knows, itself included.
+fn known_hosts(rig: &Rig) -> Option<usize> {
+    let (_, metrics) = rig.ask_side("/metrics");
+    let known = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("waxwingusher_known_hosts "));
+    known.and_then(|known| known.parse().ok())
+}
+
+fn wait_until_known(rig: &Rig, hosts: usize) {
+    let started = Instant::now();
+    while known_hosts(rig) != Some(hosts) {
+        assert!(started.elapsed() < PATIENCE, "{:?}", known_hosts(rig));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn a_host_that_has_stopped_counts_no_more_at_its_peers() {
+    let source = || FixedSource {
+        document: document(),
+        roster: Vec::new(),
+    };
+    let grace = Duration::from_secs(1);
+    let first = Rig::start_among(&[], source(), grace);
+    let second = Rig::start_among(&[first.peers], source(), grace);
+    wait_until_known(&first, 2);
+    wait_until_known(&second, 2);
+    second.orders.send(Order::Stop).expect("the host runs");
+    second.host.join().expect("the host stops");
+    wait_until_known(&first, 1);
+}
