Let a standstill of the own host take nothing from its buckets

Cause: a host that stood still for five seconds found the messages of five seconds waiting. Before it read them it also took itself for alone, and cut its buckets to a part of their burst.

Change: messages within 100 ms after a silence only say where counting goes on; within a second no more is taken than what a peer admitted lately, for hosts whose clock stood still, too; and a standstill of the own host, seen by its own pause, silences no peer.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,10 @@
 use crate::settings::GatewaySettings;
 use crate::upstream::ConnectionPool;
 
+/// The pause after which a host has stood still; it looks at its peers four times
+/// a second at least.
+const STANDSTILL: Duration = Duration::from_secs(1);
+
 /// The stages of a host's life, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -69,6 +73,8 @@
     /// Connections of callers; on each a request may be being read.
     pub(crate) connections: Cell<usize>,
     pub(crate) rng: RefCell<fastrand::Rng>,
+    /// When this host was last seen to run.
+    ran_at: Cell<Instant>,
 }
 
 /// What is to be told to peers.
@@ -116,6 +122,7 @@
         rng: fastrand::Rng,
     ) -> Rc<Self> {
         let limits = ReplicatedLimits::new(ReplicatedSettings::default());
+        let ran_at = Cell::new(clock.now());
         Rc::new(Self {
             dialect,
             clock,
@@ -144,6 +151,7 @@
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             rng: RefCell::new(rng),
+            ran_at,
         })
     }
 
@@ -187,7 +195,18 @@
             .map_or_else(CallerLimits::default, |table| table.limits())
     }
 
+    /// Excuses peers for the time that this host stood still. Called more often
+    /// than each [`STANDSTILL`].
+    fn note_running(&self) {
+        let now = self.now();
+        let pause = now.saturating_duration_since(self.ran_at.replace(now));
+        if pause >= STANDSTILL {
+            self.peers.borrow_mut().excuse_standstill(pause);
+        }
+    }
+
     pub(crate) fn fleet_view(&self) -> FleetView {
+        self.note_running();
         let peers = self.peers.borrow();
         FleetView {
             heard_hosts: peers.heard(self.now()).count() + 1,
--- a/crates/limits/src/peer_counts.rs
+++ b/crates/limits/src/peer_counts.rs
@@ -3,9 +3,10 @@
 //! A peer tells totals, so that a lost message is made up for by the next one.
 //! What it admitted while it was not heard was paid by refills that the listener
 //! left out meanwhile, or before the listener's own buckets were made. So the
-//! first message after a silence only says where counting goes on. The listener's
-//! clock may have stood still with the listener; therefore no more is ever taken
-//! than what the peer admitted lately.
+//! messages that come first after a silence only say where counting goes on; a
+//! listener that stood still finds many of them waiting. Its clock may have stood
+//! still, too; therefore no more is taken within a second than what the peer
+//! admitted lately.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -16,12 +17,28 @@
 /// leaves the peer out of its refills, too.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1_600);
 
+/// How long after a silence messages that waited for the listener are taken for
+/// old; reading all of them takes a few milliseconds.
+const CATCH_UP: Duration = Duration::from_millis(100);
+/// The span within which no more is taken than what a peer admitted lately; the
+/// least span of [`Admissions::recent`].
+const TAKEN_SPAN: Duration = Duration::from_secs(1);
+
 /// The totals that one process of a peer has told.
 #[derive(Debug, Default)]
 pub struct PeerCounts {
     heard_at: Option<Instant>,
+    caught_up_at: Option<Instant>,
     /// By the short name of the workspace.
-    totals: HashMap<u32, u32>,
+    workspaces: HashMap<u32, WorkspaceCount>,
+}
+
+#[derive(Debug)]
+struct WorkspaceCount {
+    total: u32,
+    /// What was taken since `span_started_at`.
+    taken: u32,
+    span_started_at: Instant,
 }
 
 impl PeerCounts {
@@ -31,7 +48,7 @@
     pub fn of_restarted(now: Instant) -> Self {
         Self {
             heard_at: Some(now),
-            totals: HashMap::new(),
+            ..Self::default()
         }
     }
 
@@ -43,28 +60,42 @@
         message: impl IntoIterator<Item = (u32, Admissions)>,
     ) -> Vec<(u32, u32)> {
         let is_heard = |at: Instant| now.saturating_duration_since(at) < SILENT_AFTER;
-        let was_silent = !self.heard_at.is_some_and(is_heard);
+        if !self.heard_at.is_some_and(is_heard) {
+            self.caught_up_at = Some(now + CATCH_UP);
+        }
         self.heard_at = Some(now);
+        let is_old = self.caught_up_at.is_some_and(|at| now < at);
         let mut fresh = Vec::new();
         for (workspace, told) in message {
-            let count = self.count(workspace, told);
-            if count > 0 && !was_silent {
+            let count = self.count(now, workspace, told, is_old);
+            if count > 0 {
                 fresh.push((workspace, count));
             }
         }
         fresh
     }
 
-    fn count(&mut self, workspace: u32, told: Admissions) -> u32 {
-        let Some(total) = self.totals.get_mut(&workspace) else {
-            self.totals.insert(workspace, told.total);
-            return told.recent;
-        };
+    fn count(&mut self, now: Instant, workspace: u32, told: Admissions, is_old: bool) -> u32 {
+        let entry = self.workspaces.entry(workspace);
+        let known = entry.or_insert_with(|| WorkspaceCount {
+            total: told.total - told.recent.min(told.total),
+            taken: 0,
+            span_started_at: now,
+        });
         // A late message holds a smaller total, a refund makes one, too.
-        let Some(fresh) = told.total.checked_sub(*total) else {
+        let Some(fresh) = told.total.checked_sub(known.total) else {
             return 0;
         };
-        *total = told.total;
-        fresh.min(told.recent)
+        known.total = told.total;
+        if is_old {
+            return 0;
+        }
+        if now.saturating_duration_since(known.span_started_at) >= TAKEN_SPAN {
+            known.span_started_at = now;
+            known.taken = 0;
+        }
+        let fresh = fresh.min(told.recent.saturating_sub(known.taken));
+        known.taken += fresh;
+        fresh
     }
 }
--- a/crates/membership/src/seeded/table.rs
+++ b/crates/membership/src/seeded/table.rs
@@ -189,6 +189,14 @@
         PeerNews::Restarted
     }
 
+    /// Lets a standstill of this host be no sign that peers were silent: their
+    /// messages wait to be read.
+    pub fn excuse_standstill(&mut self, length: Duration) {
+        for peer in self.peers.values_mut() {
+            peer.heard_at = peer.heard_at.map(|at| at + length);
+        }
+    }
+
     /// Returns the greeting that asks for the receiver's cards.
     #[must_use]
     pub fn hello(&self) -> PeerMessage {
--- a/crates/membership/tests/testsuite/seeded.rs
+++ b/crates/membership/tests/testsuite/seeded.rs
@@ -260,6 +260,18 @@
     assert_eq!(only_host.known_hosts(), 1);
 }
 
+#[test]
+fn a_standstill_of_the_own_host_silences_no_peer() {
+    let start = Instant::now();
+    let mut me = table(0, 1, &[]);
+    me.on_hello(start, table(1, 1, &[]).me().clone(), None);
+    let wake = start + Duration::from_secs(5);
+    assert_eq!(me.heard(wake).count(), 0);
+    me.excuse_standstill(Duration::from_secs(5));
+    assert_eq!(me.heard(wake).count(), 1);
+    assert_eq!(me.heard(wake + Duration::from_secs(2)).count(), 0);
+}
+
 #[test]
 fn a_new_process_at_the_same_address_is_noticed() {
     let now = Instant::now();
