Search the soak's logs for keys, and keep the logs of a seed that failed

Cause: that no key reaches a log was stated and not tested, and the soak threw away what its hosts wrote, so a broken seed could not be explained afterwards.

Change: hosts of the soak write to files over their restarts; all keys that were in force are searched for in them, and a host without a log counts as broken.

--- a/tests/soak/hosts.rs
+++ b/tests/soak/hosts.rs
@@ -1,8 +1,9 @@
 //! Hosts as processes: started, signalled and started again.
 
+use std::fs::File;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -14,6 +15,8 @@
 pub struct Host {
     pub callers: SocketAddr,
     settings: PathBuf,
+    /// What all processes of the host have written.
+    log: PathBuf,
     child: Option<Child>,
     /// Whether the process was asked to stop.
     is_stopping: bool,
@@ -59,6 +62,7 @@
         let host = Self {
             callers,
             settings,
+            log: dir.join(format!("host-{number}.log")),
             child: None,
             is_stopping: false,
         };
@@ -66,18 +70,27 @@
     }
 
     pub fn start(&mut self) {
+        let log = File::options().append(true).create(true).open(&self.log);
+        let log = log.expect("a writable directory");
+        let errors = log.try_clone().expect("a descriptor");
         let child = Command::new(env!("CARGO_BIN_EXE_waxwingusher"))
             .arg("gateway")
             .arg("--settings")
             .arg(&self.settings)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
             .spawn()
             .expect("the program was built");
         self.child = Some(child);
         self.is_stopping = false;
     }
 
+    /// Returns what all processes of the host have written.
+    pub fn log(&self) -> String {
+        let bytes = std::fs::read(&self.log).expect("a log of the host");
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     /// Asks the process to stop.
     pub fn stop(&mut self) {
         self.signal(Signal::TERM);
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -91,6 +91,13 @@
     report.broken.extend(ledger.broken.iter().cloned());
     report.broken.append(&mut world.broken);
     report.broken.extend(check_rate(&ledger.run_times));
+    report.broken.extend(world.check_logs());
+    if report.broken.is_empty() {
+        // Directories that stay behind do no harm.
+        let _ = std::fs::remove_dir_all(&world.dir);
+    } else {
+        println!("the logs of seed {seed} are in {}", world.dir.display());
+    }
     report
 }
 
@@ -121,7 +128,7 @@
         }
         let shared = Arc::new(Shared {
             fronts: hosts.iter().map(|host| host.callers).collect(),
-            key: Mutex::new("key-1".to_owned()),
+            key: Mutex::new(key_of(1)),
             stop: false.into(),
             outcomes: Mutex::default(),
         });
@@ -145,9 +152,25 @@
         world
     }
 
+    /// Searches all that hosts wrote for the keys that were in force.
+    fn check_logs(&self) -> Vec<String> {
+        let mut broken = Vec::new();
+        for (number, host) in self.hosts.iter().enumerate() {
+            let log = host.log();
+            if !log.contains(r#""event":"started""#) {
+                broken.push(format!("host {number} wrote no log"));
+            }
+            let keys = (1..=self.version).map(key_of);
+            for key in keys.filter(|key| log.contains(key)) {
+                broken.push(format!("host {number} wrote {key}"));
+            }
+        }
+        broken
+    }
+
     /// Publishes the configuration of the present version, and returns its key.
     fn publish(&self) -> String {
-        let key = format!("key-{}", self.version);
+        let key = key_of(self.version);
         let text = String::from_utf8(config(self.version, &key)).expect("text");
         let rate = format!("\"requests-per-s\":{RATE_PER_S}");
         let text = text.replace("\"requests-per-s\":40", &rate);
@@ -298,11 +321,9 @@
     }
 }
 
-impl Drop for World {
-    fn drop(&mut self) {
-        // Settings files that stay behind do no harm.
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
+/// Returns the workspace's key in a version of the configuration.
+fn key_of(version: u64) -> String {
+    format!("key-{version}")
 }
 
 /// Holds what callers got against what instances ran.
