Excuse no peer beyond the present for a standstill

Cause: a message that was read before the host noticed its standstill had set its sender as heard just now; the excuse then moved that into the future, so that a peer that died soon after would have counted as heard for the length of the standstill and more. Found by reading.

The test of the standstill covers such a peer now (it stayed heard two seconds later before).

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -208,8 +208,8 @@
         let pause = now.saturating_duration_since(self.ran_at.replace(now));
         if pause >= STANDSTILL {
             self.woke_at.set(Some(now));
-            self.peers.borrow_mut().excuse_standstill(pause);
-            self.limits.borrow_mut().excuse_standstill(pause);
+            self.peers.borrow_mut().excuse_standstill(now, pause);
+            self.limits.borrow_mut().excuse_standstill(now, pause);
         }
     }
 
--- a/crates/membership/src/seeded/table.rs
+++ b/crates/membership/src/seeded/table.rs
@@ -203,9 +203,10 @@
 
     /// Lets a standstill of this host be no sign that peers were silent: their
     /// messages wait to be read.
-    pub fn excuse_standstill(&mut self, length: Duration) {
+    pub fn excuse_standstill(&mut self, now: Instant, length: Duration) {
         for peer in self.peers.values_mut() {
-            peer.heard_at = peer.heard_at.map(|at| at + length);
+            // One that was heard since the standstill needs no excuse.
+            peer.heard_at = peer.heard_at.map(|at| (at + length).min(now));
         }
     }
 
--- a/crates/membership/tests/testsuite/seeded.rs
+++ b/crates/membership/tests/testsuite/seeded.rs
@@ -280,8 +280,10 @@
     me.on_hello(start, table(1, 1, &[]).me().clone(), None);
     let wake = start + Duration::from_secs(5);
     assert_eq!(me.heard(wake).count(), 0);
-    me.excuse_standstill(Duration::from_secs(5));
-    assert_eq!(me.heard(wake).count(), 1);
+    // This one was heard before the host noticed that it had stood still.
+    me.on_hello(wake, table(2, 1, &[]).me().clone(), None);
+    me.excuse_standstill(wake, Duration::from_secs(5));
+    assert_eq!(me.heard(wake).count(), 2);
     assert_eq!(me.heard(wake + Duration::from_secs(2)).count(), 0);
 }
 
