--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,11 +1,12 @@
 //! Types that all crates of waxwingusher share: the clock interface, names,
-//! digests, the host list, cancellation tokens, rendezvous hashing and the
-//! detection of suspensions.
+//! digests, positions in the feed, the host list, cancellation tokens, rendezvous
+//! hashing and the detection of suspensions.
 
 pub mod cancel;
 pub mod clock;
 pub mod content;
 pub mod digest;
+pub mod feed_position;
 pub mod hosts;
 pub mod names;
 pub mod rendezvous;
@@ -15,6 +16,7 @@
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use content::ContentDigest;
 pub use digest::{BodyDigest, KeyDigest};
+pub use feed_position::FeedPosition;
 pub use hosts::{HostEntry, HostList, HostState};
 pub use names::{FailureDomain, HostId, InstanceId, RouteName, ServiceName, WorkspaceName};
 pub use suspension::SuspensionDetector;
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod cancel;
 mod digest;
+mod feed_position;
 mod rendezvous;
 mod suspension;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use waxwingusher_upstreams::{Observation, Placement};
 
 use crate::journal::Event;
+use crate::ports::Dialect;
 use crate::state::{InFlightGuard, State};
 use crate::upstream::{Call, CallError, InstanceAnswer};
 
@@ -18,6 +19,9 @@
 /// The shortest time after which an attempt counts against its instance.
 const MIN_OVERDUE_AFTER: Duration = Duration::from_millis(300);
 
+/// The longest time for which an instance may ask for no requests.
+const MAX_BACK_OFF: Duration = Duration::from_secs(10 * 60);
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(crate) enum AttemptOutcome {
@@ -110,6 +114,7 @@
     let guard = InFlightGuard::start(state, &entry.id);
     let mut record = AttemptRecord::start(state, request, placement, number);
     let result = await_call(state.pool.call(call), &guard, request).await;
+    let notice = InstanceNotice::of(&state.dialect, &result);
     let outcome = classify(state, &request.request_id, result);
     record.outcome = outcome.label();
     guard.finish(observation(
@@ -118,9 +123,66 @@
         request.expected_latency,
     ));
     apply_outcome(state, request, placement, &outcome);
+    if outcome.is_from_instance() {
+        apply_notice(state, placement, &notice);
+    }
     outcome
 }
 
+/// What an instance says about itself in the head of an answer.
+#[derive(Debug, Default)]
+struct InstanceNotice {
+    /// It leaves and wants no more requests.
+    is_leaving: bool,
+    /// For how long it wants no requests from this host, as it wrote it.
+    retry_after: Option<String>,
+}
+
+impl InstanceNotice {
+    fn of(dialect: &Dialect, result: &Result<InstanceAnswer, CallError>) -> Self {
+        let Ok(answer) = result else {
+            return Self::default();
+        };
+        let leaving = answer.headers.get(&dialect.leaving);
+        let is_refusal = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        let retry_after = answer.headers.get(header::RETRY_AFTER);
+        let retry_after = retry_after.filter(|_| is_refusal);
+        Self {
+            is_leaving: leaving.is_some_and(|value| value.as_bytes() == b"1"),
+            retry_after: retry_after.map(|value| String::from_utf8_lossy(value.as_bytes()).into()),
+        }
+    }
+}
+
+/// Parses a `Retry-After` in seconds, which may have a fraction. Returns `None` for
+/// what is no number, negative or longer than [`MAX_BACK_OFF`].
+fn parse_back_off(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    let time = Duration::try_from_secs_f64(seconds).ok()?;
+    (time <= MAX_BACK_OFF).then_some(time)
+}
+
+fn apply_notice(state: &State, placement: &Placement, notice: &InstanceNotice) {
+    let entry = &placement.instance.entry;
+    if notice.is_leaving {
+        state.report_leaving(&entry.id, entry.incarnation);
+    }
+    let Some(text) = &notice.retry_after else {
+        return;
+    };
+    let Some(time) = parse_back_off(text) else {
+        let id = &entry.id;
+        log::warn!("gateway: Instance {id} sent an unusable Retry-After: `{text}`.");
+        return;
+    };
+    let mut evidence = state.evidence.borrow_mut();
+    evidence.record_back_off(state.now(), &entry.id, time);
+    state.journal.write(&Event::BackOff {
+        instance: entry.id.as_str(),
+        time_ms: millis(time),
+    });
+}
+
 /// Writes the log record of an attempt on drop, so that an abandoned attempt is
 /// logged, too.
 struct AttemptRecord<'a> {
@@ -192,6 +254,15 @@
 }
 
 impl AttemptOutcome {
+    /// Reports whether the answer comes from the instance that the request was sent
+    /// to.
+    fn is_from_instance(&self) -> bool {
+        matches!(
+            self,
+            Self::Answered(_) | Self::Failed(_) | Self::NotRun(NotRun::Refused)
+        )
+    }
+
     fn label(&self) -> &'static str {
         match self {
             Self::Answered(_) => "answered",
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,10 +7,12 @@
 use http::StatusCode;
 use waxwingusher_config::routing::Route;
 use waxwingusher_core::InstanceId;
+use waxwingusher_upstreams::placement::exclusions;
 use waxwingusher_upstreams::{Placement, PlacementError, PlacementRequest, place};
 
 use crate::answer::Answer;
 use crate::attempt::{AnswerLoss, AttemptOutcome, NotRun, OutboundRequest, run_attempt};
+use crate::journal::Event;
 use crate::state::{QueueTicket, State};
 use crate::upstream::InstanceAnswer;
 
@@ -84,7 +86,10 @@
         loop {
             let placement = match self.wait_for_instance().await {
                 Ok(placement) => placement,
-                Err(error) => return self.give_up(error.into()),
+                Err(error) => {
+                    self.log_exclusions();
+                    return self.give_up(error.into());
+                }
             };
             if self.connected_attempts > 0 && !self.spend_retry() {
                 return self.give_up(GiveUpReason::NoRetryBudget);
@@ -223,7 +228,15 @@
     }
 
     fn place(&self) -> Result<Placement, PlacementError> {
-        let request = PlacementRequest {
+        let request = self.placement_request();
+        let roster = self.state.roster.borrow();
+        let evidence = self.state.evidence.borrow();
+        let mut rng = self.state.rng.borrow_mut();
+        place(self.state.now(), &roster, &evidence, &request, &mut rng)
+    }
+
+    fn placement_request(&self) -> PlacementRequest<'_> {
+        PlacementRequest {
             service: &self.request.service,
             is_idempotent: self.request.is_idempotent,
             attempts_left: self.attempts_left(),
@@ -232,11 +245,19 @@
             priority: self.priority,
             usual_time: self.request.expected_latency,
             latency_target: self.route.latency_target,
-        };
+        }
+    }
+
+    /// Logs why no instance got the request.
+    fn log_exclusions(&self) {
+        let request = self.placement_request();
         let roster = self.state.roster.borrow();
         let evidence = self.state.evidence.borrow();
-        let mut rng = self.state.rng.borrow_mut();
-        place(self.state.now(), &roster, &evidence, &request, &mut rng)
+        self.state.journal.write(&Event::Unplaced {
+            request: &self.request.request_id,
+            service: self.request.service.as_str(),
+            exclusions: exclusions(self.state.now(), &roster, &evidence, &request),
+        });
     }
 
     fn spend_retry(&self) -> bool {
@@ -274,8 +295,11 @@
         if self.may_have_run() {
             return Answer::own(StatusCode::BAD_GATEWAY, reason.outcome());
         }
-        let jitter = 0.5 + self.state.rng.borrow_mut().f64();
-        let retry_after = BUSY_RETRY_AFTER.mul_f64(jitter);
+        let jitter = BUSY_RETRY_AFTER.mul_f64(0.5 + self.state.rng.borrow_mut().f64());
+        let retry_after = match reason {
+            GiveUpReason::AllBackOff(earliest) => earliest + jitter,
+            _ => jitter,
+        };
         Answer::refusal(
             StatusCode::SERVICE_UNAVAILABLE,
             reason.outcome(),
@@ -296,6 +320,8 @@
 enum GiveUpReason {
     NoInstance,
     AllBusy,
+    /// The first instance takes requests again after this time.
+    AllBackOff(Duration),
     NoRetryBudget,
     AttemptsUsed,
     NoTime,
@@ -307,6 +333,7 @@
         match self {
             Self::NoInstance => "no-instance",
             Self::AllBusy => "all-busy",
+            Self::AllBackOff(_) => "all-back-off",
             Self::NoRetryBudget => "retry-budget",
             Self::AttemptsUsed => "attempts-used",
             Self::NoTime => "no-time",
@@ -323,6 +350,7 @@
         match error {
             PlacementError::NoInstance => Self::NoInstance,
             PlacementError::AllBusy => Self::AllBusy,
+            PlacementError::AllBackOff { retry_after } => Self::AllBackOff(retry_after),
         }
     }
 }
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -9,6 +9,7 @@
 use std::io;
 
 use serde::Deserialize;
+use waxwingusher_upstreams::placement::Exclusions;
 
 /// One step of a request at a host.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -108,6 +109,12 @@
         left_ms: u64,
         tokens: Option<f64>,
     },
+    Unplaced {
+        request: String,
+        service: String,
+        #[serde(flatten)]
+        exclusions: Exclusions,
+    },
     Configuration {
         version: u64,
         outcome: String,
@@ -138,7 +145,9 @@
 impl LoggedEvent {
     fn request(&self) -> Option<&str> {
         match self {
-            Self::Attempt { request, .. } | Self::Request { request, .. } => Some(request),
+            Self::Attempt { request, .. }
+            | Self::Unplaced { request, .. }
+            | Self::Request { request, .. } => Some(request),
             _ => None,
         }
     }
@@ -167,6 +176,27 @@
                     None => f.write_str("no outcome yet)"),
                 }
             }
+            Self::Unplaced {
+                service,
+                exclusions,
+                ..
+            } => {
+                write!(f, "no instance of {service}: ")?;
+                let Exclusions {
+                    attempted,
+                    leaving,
+                    back_off,
+                    paused,
+                    suspect,
+                    full,
+                } = exclusions;
+                write!(f, "{attempted} attempted, {leaving} leaving, ")?;
+                write!(
+                    f,
+                    "{back_off} that asked for no requests, {paused} paused, "
+                )?;
+                write!(f, "{suspect} suspects, {full} full")
+            }
             Self::Request {
                 route,
                 workspace,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,6 +3,10 @@
 //! A source lists everything once and then reports changes. It may be slow, down,
 //! unresponsive or without history. Every retry is jittered, so that hosts that
 //! lost the source at the same time do not return to it at the same time.
+//!
+//! A few hosts read the source and pass the changes on; see
+//! [`waxwingusher_membership::seeded::readers`]. The others read it only when they
+//! have missed changes or hear from no reader.
 
 use std::collections::HashMap;
 use std::future::Future;
@@ -10,19 +14,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use waxwingusher_config::routing::{RoutingDocument, RoutingTable};
-use waxwingusher_core::InstanceId;
-use waxwingusher_membership::seeded::name_hash;
+use waxwingusher_core::{FeedPosition, InstanceId};
+use waxwingusher_membership::seeded::{FeedUpdate, name_hash};
 use waxwingusher_upstreams::{RosterChange, RosterEffect, RosterEntry};
 
 use crate::attempt::millis;
+use crate::feed_log::RevisedChange;
 use crate::journal::Event;
 use crate::state::State;
 
 /// The longest time for which the source holds a watch without changes. It bounds
 /// how long a host without reachable peers waits on a dead connection.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The same for a host that reads for others, which must notice soon when its
+/// connection is dead.
+const READER_WATCH_WAIT: Duration = Duration::from_secs(2);
+/// How long the source holds the call of a host that has missed changes.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(20);
+/// How often a host that relies on readers checks them and its own position.
+const READER_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// How long the source holds the first watch after it was lost. That watch may be
 /// lost, too, so it must time out soon.
 const RECOVERY_WATCH_WAIT: Duration = Duration::from_millis(500);
@@ -31,7 +44,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The delay before the next watch, so that changes in quick succession come in
 /// one answer.
-const BATCH_DELAY: Duration = Duration::from_millis(500);
+const BATCH_DELAY: Duration = Duration::from_millis(300);
 /// The first delay after the source failed; it doubles with each failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
 /// The longest delay after the source refused a call; each call is charged.
@@ -50,7 +63,7 @@
     /// Waits up to `wait` for changes after `position`.
     fn changes(
         &self,
-        position: u64,
+        position: FeedPosition,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, SourceError>>;
 
@@ -66,20 +79,22 @@
     /// All instances.
     pub roster: Vec<RosterEntry>,
     /// The position from which changes follow.
-    pub position: u64,
+    pub position: FeedPosition,
 }
 
 /// Published changes, in order.
 #[derive(Debug)]
 pub struct Changes {
-    /// The changes, in the order of their publication.
-    pub items: Vec<Change>,
-    /// The position from which further changes follow.
-    pub position: u64,
+    /// The changes and their revisions, in the order of their publication.
+    pub items: Vec<(u64, Change)>,
+    /// The position from which further changes follow. Its era differs from that of
+    /// the request if the source was restored from a backup; the items are then
+    /// useless.
+    pub position: FeedPosition,
 }
 
 /// One change.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Change {
     /// A configuration was published.
     Routing(PublishedConfig),
@@ -105,11 +120,11 @@
 }
 
 /// Follows the source until the host stops.
-pub(crate) async fn follow(state: Rc<State>, source: impl FeedSource) {
+pub(crate) async fn follow<S: FeedSource>(state: Rc<State>, source: Rc<S>) {
     let mut follower = Follower {
         state,
         source,
-        position: None,
+        is_listed: false,
         backoff: INITIAL_BACKOFF,
         is_feed_lost: false,
     };
@@ -120,23 +135,28 @@
 
 struct Follower<S> {
     state: Rc<State>,
-    source: S,
-    /// The position from which to watch; `None` until everything was listed.
-    position: Option<u64>,
+    source: Rc<S>,
+    /// Whether everything was listed, so that only changes are missing.
+    is_listed: bool,
     backoff: Duration,
     is_feed_lost: bool,
 }
 
 impl<S: FeedSource> Follower<S> {
     async fn step(&mut self) {
-        let result = match self.position {
-            None => self.list().await,
-            Some(position) => self.watch(position).await,
+        let result = if !self.is_listed {
+            self.list().await
+        } else if self.state.must_read_feed() {
+            self.state.is_reading.set(!self.is_feed_lost);
+            self.watch().await
+        } else {
+            self.state.is_reading.set(false);
+            self.rely_on_readers().await
         };
         match result {
             Ok(()) => self.mark_feed_regained(),
             Err(SourceError::HistoryGone) => {
-                self.position = None;
+                self.is_listed = false;
                 self.state.journal.write(&Event::Dependency {
                     name: "feed",
                     state: "history-gone",
@@ -159,38 +179,86 @@
             apply_configuration(&self.state, published);
         }
         replace_roster(&self.state, listing.roster, listing.position);
-        self.set_position(listing.position);
+        self.state.feed_position.set(listing.position);
+        self.state.feed_log.borrow_mut().restart(listing.position);
+        self.is_listed = true;
+        let now = self.state.now();
+        self.state.readers.borrow_mut().record_listing(now);
         Ok(())
     }
 
-    async fn watch(&mut self, position: u64) -> Result<(), SourceError> {
+    async fn watch(&mut self) -> Result<(), SourceError> {
+        let position = self.state.feed_position.get();
         let wait = self.watch_wait();
         let answer = self.source.changes(position, wait);
         let answer = tokio::time::timeout(wait + ANSWER_TIMEOUT, answer);
         let changes = tokio::select! {
             changes = answer => changes.map_err(|_| answer_timeout())??,
-            () = wait_until_behind_peers(&self.state, position) => {
+            () = wait_until_behind_peers(&self.state) => {
                 self.source.reconnect();
                 return Ok(());
             }
         };
-        self.notify_roster_of_return();
-        let is_empty = changes.items.is_empty();
-        let position = changes.position.max(position);
-        for change in changes.items {
-            match change {
-                Change::Routing(published) => apply_configuration(&self.state, published),
-                Change::Roster(change) => apply_roster_change(&self.state, change, position),
-            }
-        }
-        self.set_position(position);
-        if !is_empty {
-            index_instances(&self.state);
+        if self.apply(changes)? {
+            self.state.is_reading.set(true);
+            self.state.outbox.send_feed_update_soon();
             tokio::time::sleep(BATCH_DELAY).await;
         }
         Ok(())
     }
 
+    /// Waits while readers pass the changes on. If this host has missed some, it
+    /// reads them from the source.
+    async fn rely_on_readers(&mut self) -> Result<(), SourceError> {
+        let mut behind_since = None;
+        loop {
+            self.sleep_with_jitter(READER_CHECK_INTERVAL).await;
+            if self.is_feed_lost && self.state.is_fed() {
+                self.mark_feed_regained();
+            }
+            if self.state.must_read_feed() {
+                return Ok(());
+            }
+            if !self.state.is_behind_peers() {
+                behind_since = None;
+                continue;
+            }
+            let since = *behind_since.get_or_insert_with(Instant::now);
+            if since.elapsed() >= MAX_LAG_TIME {
+                // The connection may be dead after so long a time.
+                self.source.reconnect();
+                return self.catch_up().await;
+            }
+        }
+    }
+
+    async fn catch_up(&mut self) -> Result<(), SourceError> {
+        let position = self.state.feed_position.get();
+        let answer = self.source.changes(position, CATCH_UP_WAIT);
+        let changes = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        self.apply(changes.map_err(|_| answer_timeout())??)?;
+        Ok(())
+    }
+
+    /// Applies the source's answer, and reports whether it contains changes.
+    fn apply(&mut self, changes: Changes) -> Result<bool, SourceError> {
+        let position = self.state.feed_position.get();
+        if changes.position.era != position.era {
+            return Err(SourceError::HistoryGone);
+        }
+        self.notify_roster_of_return();
+        let is_empty = changes.items.is_empty();
+        let until = changes.position.max(position);
+        let revised = changes.items.into_iter();
+        let revised = revised.map(|(revision, change)| RevisedChange { revision, change });
+        let revised: Vec<RevisedChange> = revised.collect();
+        let mut feed_log = self.state.feed_log.borrow_mut();
+        feed_log.add(self.state.now(), revised.iter().cloned(), until);
+        drop(feed_log);
+        apply_changes(&self.state, revised, until, true);
+        Ok(!is_empty)
+    }
+
     /// Returns how long the source should hold the next watch. The time is
     /// jittered, so that hosts that started together do not all wait on dead
     /// connections: the first one to watch again gets ahead, and the others
@@ -199,12 +267,12 @@
         if self.is_feed_lost {
             return RECOVERY_WATCH_WAIT;
         }
-        MAX_WATCH_WAIT.mul_f64(1.0 - 0.5 * self.state.rng.borrow_mut().f64())
-    }
-
-    fn set_position(&mut self, position: u64) {
-        self.position = Some(position);
-        self.state.feed_position.set(position);
+        let longest = if self.state.is_alone() {
+            MAX_WATCH_WAIT
+        } else {
+            READER_WATCH_WAIT
+        };
+        longest.mul_f64(1.0 - 0.5 * self.state.rng.borrow_mut().f64())
     }
 
     /// Notifies the roster before the source's answer is applied.
@@ -229,6 +297,7 @@
     /// Marks the feed as lost and waits before the next call to the source.
     async fn back_off(&mut self, cause: &str, max_backoff: Duration) {
         self.source.reconnect();
+        self.state.is_reading.set(false);
         self.state.roster.borrow_mut().mark_feed_lost();
         if !self.is_feed_lost {
             self.is_feed_lost = true;
@@ -252,12 +321,12 @@
     SourceError::Unreachable("no answer in time".to_owned())
 }
 
-/// Waits until peers have been ahead of `position` for [`MAX_LAG_TIME`].
-async fn wait_until_behind_peers(state: &State, position: u64) {
+/// Waits until peers have been ahead for [`MAX_LAG_TIME`].
+async fn wait_until_behind_peers(state: &State) {
     let mut since = None;
     loop {
         tokio::time::sleep(MAX_LAG_TIME / 2).await;
-        if state.max_peer_position.get() <= position {
+        if !state.is_behind_peers() {
             since = None;
             continue;
         }
@@ -268,6 +337,72 @@
     }
 }
 
+/// Applies the changes that a reader passes on, unless some before them are missing.
+pub(crate) fn apply_update(state: &State, update: &FeedUpdate) {
+    let latest = state.max_peer_position.get().max(update.until);
+    state.max_peer_position.set(latest);
+    let position = state.feed_position.get();
+    if !state.has_roster.get() || update.until.era != position.era {
+        return;
+    }
+    state.record_feed_update(update.reader);
+    if update.since > position {
+        return;
+    }
+    let changes = if update.changes.is_empty() {
+        Ok(Vec::new())
+    } else {
+        postcard::from_bytes::<Vec<RevisedChange>>(&update.changes)
+    };
+    let changes = match changes {
+        Ok(changes) => changes,
+        Err(error) => {
+            let reader = update.reader;
+            log::warn!("feed: Cannot decode the changes that {reader} passes on: {error}.");
+            return;
+        }
+    };
+    let mut roster = state.roster.borrow_mut();
+    roster.mark_feed_restored(state.now());
+    if update.is_gapless {
+        roster.confirm_position(update.until);
+    }
+    drop(roster);
+    apply_changes(
+        state,
+        changes,
+        update.until.max(position),
+        update.is_gapless,
+    );
+}
+
+/// Applies the changes after the position of this host, up to `until`.
+fn apply_changes(
+    state: &State,
+    changes: Vec<RevisedChange>,
+    until: FeedPosition,
+    is_gapless: bool,
+) {
+    let position = state.feed_position.get();
+    let mut has_roster_changes = false;
+    for RevisedChange { revision, change } in changes {
+        if revision <= position.revision {
+            continue;
+        }
+        match change {
+            Change::Routing(published) => apply_configuration(state, published),
+            Change::Roster(change) => {
+                apply_roster_change(state, change, until, is_gapless);
+                has_roster_changes = true;
+            }
+        }
+    }
+    state.feed_position.set(until);
+    if has_roster_changes {
+        index_instances(state);
+    }
+}
+
 /// Puts a configuration in force, unless it is not newer than the one in force.
 fn apply_configuration(state: &State, published: PublishedConfig) {
     let (version, routes, outcome, cause) = match published {
@@ -312,7 +447,7 @@
     *state.routing.borrow_mut() = Some(Arc::new(table));
 }
 
-fn replace_roster(state: &State, entries: Vec<RosterEntry>, position: u64) {
+fn replace_roster(state: &State, entries: Vec<RosterEntry>, position: FeedPosition) {
     let now = state.now();
     let effects = state.roster.borrow_mut().replace(now, entries, position);
     for (id, effect) in effects {
@@ -322,15 +457,23 @@
     index_instances(state);
 }
 
-fn apply_roster_change(state: &State, change: RosterChange, position: u64) {
+fn apply_roster_change(
+    state: &State,
+    change: RosterChange,
+    position: FeedPosition,
+    is_gapless: bool,
+) {
     let id = match &change {
         RosterChange::Put(entry) => entry.id.clone(),
         RosterChange::Removed(id) | RosterChange::Unusable(id) => id.clone(),
     };
-    let effect = state
-        .roster
-        .borrow_mut()
-        .apply(state.now(), change, position);
+    let mut roster = state.roster.borrow_mut();
+    let effect = if is_gapless {
+        roster.apply(state.now(), change, position)
+    } else {
+        roster.apply_unconfirmed(state.now(), change, position)
+    };
+    drop(roster);
     report_roster_change(state, &id, effect);
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,8 @@
 const DRAIN_SHARE: f64 = 0.5;
 /// The part of the shutdown time that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
+/// The delay before a task that has failed starts again.
+const TASK_RESTART_DELAY: Duration = Duration::from_millis(100);
 /// The interval of periodic maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -136,6 +138,7 @@
                 failure_domain: self.settings.failure_domain.clone(),
                 incarnation,
             },
+            self.settings.capacity,
             self.settings.seeds.clone(),
             fastrand::Rng::with_seed(incarnation),
         );
@@ -160,18 +163,64 @@
             failure_domain: self.settings.failure_domain.as_str(),
             incarnation,
         });
-        tokio::task::spawn_local(peers::run(state.clone(), socket));
-        tokio::task::spawn_local(feed::follow(state.clone(), source));
-        tokio::task::spawn_local(status_server::run(state.clone(), status_listener));
-        tokio::task::spawn_local(path_probe::run(state.clone()));
-        tokio::task::spawn_local(run_maintenance(state.clone()));
-        let accepting = tokio::task::spawn_local(accept_callers(state.clone(), callers));
+        let (socket, source) = (Rc::new(socket), Rc::new(source));
+        let (status_listener, callers) = (Rc::new(status_listener), Rc::new(callers));
+        supervise(&state, "peers", move |state| {
+            peers::run(state, socket.clone())
+        });
+        supervise(&state, "feed", move |state| {
+            feed::follow(state, source.clone())
+        });
+        supervise(&state, "status", move |state| {
+            status_server::run(state, status_listener.clone())
+        });
+        supervise(&state, "path-probe", path_probe::run);
+        supervise(&state, "maintenance", run_maintenance);
+        let accepting = supervise(&state, "callers", move |state| {
+            accept_callers(state, callers.clone())
+        });
         wait_for_stop(&state, commands).await;
         stop(&state, &accepting, self.settings.stop_grace).await;
         Ok(())
     }
 }
 
+/// Runs a task until the host stops. If an unexpected error ends it, it is logged
+/// and the task starts again.
+fn supervise<F>(
+    state: &Rc<State>,
+    name: &'static str,
+    start: impl Fn(Rc<State>) -> F + 'static,
+) -> tokio::task::JoinHandle<()>
+where
+    F: Future<Output = ()> + 'static,
+{
+    let state = state.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            let mut task = AbortOnDrop(tokio::task::spawn_local(start(state.clone())));
+            let cause = match (&mut task.0).await {
+                Ok(()) => "it has ended".to_owned(),
+                Err(error) => error.to_string(),
+            };
+            state.journal.write(&Event::TaskFailed {
+                task: name,
+                cause: &cause,
+            });
+            tokio::time::sleep(TASK_RESTART_DELAY).await;
+        }
+    })
+}
+
+/// A task that ends with its supervisor.
+struct AbortOnDrop(tokio::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Carries out commands until a stop command arrives.
 async fn wait_for_stop(state: &State, mut commands: UnboundedReceiver<Command>) {
     while let Some(command) = commands.recv().await {
@@ -219,7 +268,7 @@
     });
 }
 
-async fn accept_callers(state: Rc<State>, listener: tokio::net::TcpListener) {
+async fn accept_callers(state: Rc<State>, listener: Rc<tokio::net::TcpListener>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // No file descriptor is free; a retry may find one.
@@ -238,6 +287,8 @@
         ticks.tick().await;
         log_fleet_view(&state, &mut view);
         feed::expire_roster(&state);
+        let now = state.now();
+        state.evidence.borrow_mut().expire_reports(now);
         state.pool.close_expired();
         state.journal.report_suppressed();
     }
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -15,6 +15,7 @@
 
 use serde::Serialize;
 use waxwingusher_core::Clock;
+use waxwingusher_upstreams::placement::Exclusions;
 
 /// The number of lines that may wait for the writer.
 const RING_CAPACITY: usize = 2_048;
@@ -55,6 +56,13 @@
         /// The error or reason.
         cause: &'a str,
     },
+    /// A task of the process ended unexpectedly and starts again.
+    TaskFailed {
+        /// The task.
+        task: &'a str,
+        /// The error.
+        cause: &'a str,
+    },
     /// The number of known or reachable hosts changed.
     Peers {
         /// Reachable hosts, this one included.
@@ -79,11 +87,28 @@
     Instance {
         /// The instance's id.
         instance: &'a str,
-        /// `joined`, `draining`, `left`, `held` or `disowned`.
+        /// `joined`, `draining`, `leaving`, `left`, `held` or `disowned`.
         change: &'a str,
         /// The age of the entry in milliseconds.
         entry_age_ms: u64,
     },
+    /// An instance wants no requests from this host for some time.
+    BackOff {
+        /// The instance's id.
+        instance: &'a str,
+        /// The time in milliseconds.
+        time_ms: u64,
+    },
+    /// No instance was chosen for a request.
+    Unplaced {
+        /// The request's id.
+        request: &'a str,
+        /// The service.
+        service: &'a str,
+        /// The instances that were excluded, by reason.
+        #[serde(flatten)]
+        exclusions: Exclusions,
+    },
     /// An attempt to run a request at an instance ended.
     Attempt {
         /// The request's id.
@@ -145,9 +170,12 @@
             Self::Stopping { .. } => "stopping",
             Self::Reloaded => "reloaded",
             Self::Dependency { .. } => "dependency",
+            Self::TaskFailed { .. } => "task-failed",
             Self::Peers { .. } => "peers",
             Self::Configuration { .. } => "configuration",
             Self::Instance { .. } => "instance",
+            Self::BackOff { .. } => "back-off",
+            Self::Unplaced { .. } => "unplaced",
             Self::Attempt { .. } => "attempt",
             Self::Request { status, .. } if *status < 400 => "served",
             Self::Request { .. } => "failed",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,22 +3,23 @@
 //! Peers in the local failure domain get each change within milliseconds. Traffic
 //! between failure domains is expensive, so one random host of each remote domain
 //! gets the report and relays it to its neighbours: failures at once, the rest
-//! with the next heartbeat.
+//! with the next heartbeat. In a large domain, collectors distribute the reports;
+//! see [`waxwingusher_membership::seeded::collector`].
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, MissedTickBehavior};
-use waxwingusher_core::InstanceId;
-use waxwingusher_limits::{Admissions, PeerCounts};
+use tokio::time::MissedTickBehavior;
+use waxwingusher_membership::seeded::collector::{CollectorLink, Gatherer, MAX_DIRECT_NEIGHBOURS};
 use waxwingusher_membership::seeded::{
-    AdmissionCounts, HostReport, InstanceStats, Outgoing, PeerMessage, PeerStatus, name_hash,
+    FeedUpdate, HostReport, LeavingNotice, Outgoing, PeerMessage, PeerStatus, ReportBatch,
 };
-use waxwingusher_upstreams::InstanceReport;
 
+use crate::feed;
+use crate::reports::{PeerRecord, ReportBuilder, apply_report};
 use crate::state::State;
 
 /// The interval at which all changes are sent, also to remote failure domains.
@@ -29,32 +30,42 @@
 /// The rate of datagrams to neighbours above which the batch delay grows, so that
 /// a host of a large failure domain does not spend its processor on them.
 const MAX_LOCAL_DATAGRAMS_PER_S: u32 = 2_000;
+/// How long a collector gathers reports for remote failure domains.
+const REMOTE_BATCH_DELAY: Duration = Duration::from_millis(200);
 /// The shortest interval between reports to remote failure domains of admissions
 /// from a bucket that is running low.
 const ADMISSION_REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// The delay of a reader's update for each reader before it; the others do not send
+/// what the first one has sent.
+const READER_STAGGER: Duration = Duration::from_millis(40);
 /// The largest message that is received.
 const MAX_MESSAGE_BYTES: usize = 60_000;
-/// Reports on instances that fit into one datagram without IP fragmentation.
-const MAX_INSTANCE_REPORTS: usize = 100;
+/// The reports in one datagram, so that it fits without IP fragmentation.
+const MAX_BATCH_BYTES: usize = 1_300;
 
 /// Exchanges updates until the host stops.
-pub(crate) async fn run(state: Rc<State>, socket: UdpSocket) {
+pub(crate) async fn run(state: Rc<State>, socket: Rc<UdpSocket>) {
     let mut exchange = PeerExchange {
-        state,
         socket,
-        sequence: 0,
-        remote_sent_at: Instant::now(),
+        builder: ReportBuilder::default(),
+        remote_sent_at: state.now(),
         peer_records: HashMap::new(),
+        link: CollectorLink::default(),
+        local_gatherer: Gatherer::default(),
+        remote_gatherer: Gatherer::default(),
+        timers: Timers::default(),
+        heartbeats: 0,
+        state,
     };
     let mut buffer = vec![0; MAX_MESSAGE_BYTES];
     let mut heartbeat = tokio::time::interval(HEARTBEAT_INTERVAL);
     heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut flush_at: Option<Instant> = None;
     loop {
         let state = exchange.state.clone();
-        let flush = async {
-            match flush_at {
-                Some(at) => tokio::time::sleep_until(at).await,
+        let next_timer = exchange.next_timer();
+        let timer = async {
+            match next_timer {
+                Some(at) => tokio::time::sleep_until(at.into()).await,
                 None => std::future::pending().await,
             }
         };
@@ -65,136 +76,360 @@
                     exchange.receive(&buffer[..length], from);
                 }
             }
-            () = state.outbox.changed.notified() => {
-                let due = Instant::now() + exchange.batch_delay();
-                flush_at = Some(flush_at.map_or(due, |at| at.min(due)));
-            }
-            () = flush => flush_at = exchange.flush(),
+            () = state.outbox.changed.notified() => exchange.schedule(),
+            () = timer => exchange.run_timers(),
             _ = heartbeat.tick() => exchange.heartbeat(),
         }
     }
 }
 
-/// What was last received from a peer.
+/// When something is to be sent next.
 #[derive(Debug, Default)]
-struct PeerRecord {
-    incarnation: u64,
-    sequence: u32,
-    admitted: PeerCounts,
+struct Timers {
+    /// This host's changes.
+    flush: Option<Instant>,
+    /// Gathered reports for neighbours.
+    local_batch: Option<Instant>,
+    /// Gathered reports for remote failure domains.
+    remote_batch: Option<Instant>,
+    /// Changes that this host has read from the feed.
+    feed_update: Option<Instant>,
+}
+
+/// Moves a timer to `at` if that is earlier.
+fn advance(timer: &mut Option<Instant>, at: Instant) {
+    *timer = Some(timer.map_or(at, |known| known.min(at)));
+}
+
+/// Clears a timer that is due, and reports whether it was.
+fn expire(timer: &mut Option<Instant>, now: Instant) -> bool {
+    timer.take_if(|at| *at <= now).is_some()
 }
 
 struct PeerExchange {
     state: Rc<State>,
-    socket: UdpSocket,
-    sequence: u32,
+    socket: Rc<UdpSocket>,
+    builder: ReportBuilder,
     /// When remote failure domains were last sent a report.
     remote_sent_at: Instant,
     peer_records: HashMap<SocketAddr, PeerRecord>,
+    link: CollectorLink,
+    local_gatherer: Gatherer,
+    remote_gatherer: Gatherer,
+    timers: Timers,
+    heartbeats: u32,
 }
 
 impl PeerExchange {
-    /// Returns how long changes are batched, by the number of neighbours.
-    /// Failures get the shortest delay: every request until then may fail, too.
-    fn batch_delay(&self) -> Duration {
-        if self.state.outbox.is_urgent.get() {
-            return MIN_BATCH_DELAY;
+    fn next_timer(&self) -> Option<Instant> {
+        let timers = [
+            self.timers.flush,
+            self.timers.local_batch,
+            self.timers.remote_batch,
+            self.timers.feed_update,
+            self.link.overdue_at(),
+        ];
+        timers.into_iter().flatten().min()
+    }
+
+    /// Schedules what the outbox holds.
+    fn schedule(&mut self) {
+        let now = self.state.now();
+        let flush_at = now + self.flush_delay();
+        advance(&mut self.timers.flush, flush_at);
+        if self.state.outbox.is_feed_update_due.take() {
+            let rank = u32::try_from(self.state.reader_rank()).unwrap_or(u32::MAX);
+            let delay = READER_STAGGER.saturating_mul(rank.min(u32::from(u8::MAX)));
+            advance(&mut self.timers.feed_update, now + delay);
+        }
+    }
+
+    fn run_timers(&mut self) {
+        let now = self.state.now();
+        if expire(&mut self.timers.flush, now) {
+            self.flush();
+        }
+        if expire(&mut self.timers.local_batch, now) {
+            let reports = self.local_gatherer.take();
+            self.send_to_neighbours(reports);
+        }
+        if expire(&mut self.timers.remote_batch, now) {
+            let reports = self.remote_gatherer.take();
+            self.send_to_remote_domains(reports);
+        }
+        if expire(&mut self.timers.feed_update, now) {
+            self.send_feed_update();
         }
+        if let Some(report) = self.link.take_overdue(now) {
+            self.send_directly(report);
+        }
+    }
+
+    /// Returns how long this host's changes are batched. Failures get the shortest
+    /// delay: every request until then may fail, too.
+    fn flush_delay(&self) -> Duration {
+        if self.state.outbox.is_urgent.get() || self.uses_collectors() {
+            MIN_BATCH_DELAY
+        } else {
+            self.batch_delay()
+        }
+    }
+
+    /// Returns how long changes are batched for neighbours, by their number.
+    fn batch_delay(&self) -> Duration {
         let neighbours = self.state.peers.borrow().local_peers().count();
         let neighbours = u32::try_from(neighbours).unwrap_or(u32::MAX);
         (Duration::from_secs(1) * neighbours / MAX_LOCAL_DATAGRAMS_PER_S).max(MIN_BATCH_DELAY)
     }
 
+    /// Reports whether collectors distribute the reports of this failure domain.
+    fn uses_collectors(&self) -> bool {
+        self.state.peers.borrow().local_peers().count() > MAX_DIRECT_NEIGHBOURS
+    }
+
     fn heartbeat(&mut self) {
         let now = self.state.now();
         let due = self.state.peers.borrow_mut().tick(now);
         self.send_all(due);
-        self.send_to_local_domain();
-        self.send_to_remote_domains();
+        self.heartbeats = self.heartbeats.wrapping_add(1);
+        if self.uses_collectors() {
+            // Liveness of so many hosts is reported half as often.
+            let has_changes = !self.state.outbox.is_empty();
+            if has_changes || self.heartbeats.is_multiple_of(2) {
+                self.send_to_collector(true, true);
+            }
+        } else {
+            self.report_to_local_domain();
+            self.report_to_remote_domains();
+        }
+        if self.state.is_reading.get() {
+            self.send_feed_update();
+        }
     }
 
-    /// Sends what is due, and returns when the next report is due.
-    fn flush(&mut self) -> Option<Instant> {
+    /// Sends what is due.
+    fn flush(&mut self) {
         let is_urgent = self.state.outbox.is_urgent.take();
+        self.send_leaving_notice();
         if self.state.outbox.is_departure_notice_due.take() {
-            self.send_to_remote_domains();
+            if self.uses_collectors() {
+                let report = self.builder.build(&self.state, true, true);
+                self.send_directly(report);
+            } else {
+                self.report_to_remote_domains();
+            }
             let notice = self.state.peers.borrow().departure_notices();
             self.send_all(notice);
-            return None;
+            return;
         }
-        self.send_to_local_domain();
         let report_at = self.remote_sent_at + ADMISSION_REPORT_INTERVAL;
         let is_report_due = self.state.outbox.is_admission_report_due.get();
-        if is_urgent || (is_report_due && Instant::now() >= report_at) {
-            self.send_to_remote_domains();
-            return None;
+        let includes_remote = is_urgent || (is_report_due && self.state.now() >= report_at);
+        if self.uses_collectors() {
+            self.send_to_collector(includes_remote, false);
+        } else {
+            self.report_to_local_domain();
+            if includes_remote {
+                self.report_to_remote_domains();
+            }
+        }
+        if is_report_due && !includes_remote {
+            advance(&mut self.timers.flush, report_at);
         }
-        is_report_due.then_some(report_at)
     }
 
-    fn send_to_local_domain(&mut self) {
-        let changed = std::mem::take(&mut *self.state.outbox.local_instances.borrow_mut());
-        let mut host_report = self.build_report(changed);
-        host_report.crashes = self.state.outbox.crashes.borrow().clone();
-        host_report.disowned = self.state.outbox.disowned.borrow().clone();
+    fn report_to_local_domain(&mut self) {
+        let report = self.builder.build_local(&self.state);
         let neighbours: Vec<SocketAddr> = self.state.peers.borrow().local_peers().collect();
-        self.send_to(&neighbours, &PeerMessage::Report(host_report));
+        self.send_to(&neighbours, &PeerMessage::Report(report));
     }
 
-    fn send_to_remote_domains(&mut self) {
-        self.remote_sent_at = Instant::now();
-        self.state.outbox.is_admission_report_due.set(false);
-        let changed = std::mem::take(&mut *self.state.outbox.remote_instances.borrow_mut());
-        let mut host_report = self.build_report(changed);
-        host_report.relay = true;
-        host_report.crashes = std::mem::take(&mut *self.state.outbox.crashes.borrow_mut());
-        host_report.disowned = std::mem::take(&mut *self.state.outbox.disowned.borrow_mut());
+    fn report_to_remote_domains(&mut self) {
+        self.record_remote_report();
+        let report = self.builder.build_remote(&self.state);
         let relays = self.state.peers.borrow_mut().relays(self.state.now());
-        self.send_to(&relays, &PeerMessage::Report(host_report));
+        self.send_to(&relays, &PeerMessage::Report(report));
+    }
+
+    fn record_remote_report(&mut self) {
+        self.remote_sent_at = self.state.now();
+        self.state.outbox.is_admission_report_due.set(false);
+    }
+
+    /// Sends this host's changes through the collector of its failure domain.
+    fn send_to_collector(&mut self, includes_remote: bool, is_heartbeat: bool) {
+        if includes_remote {
+            self.record_remote_report();
+        }
+        let report = self
+            .builder
+            .build(&self.state, includes_remote, is_heartbeat);
+        let singles: Vec<SocketAddr> = {
+            let peers = self.state.peers.borrow();
+            peers.single_report_neighbours().collect()
+        };
+        let single = HostReport {
+            relay: false,
+            ..report.clone()
+        };
+        self.send_to(&singles, &PeerMessage::Report(single));
+        match self.collector() {
+            Some(collector) if collector != report.origin => {
+                let message = PeerMessage::Collect(vec![report.clone()]);
+                self.send_to(&[collector], &message);
+                let now = self.state.now();
+                self.link.record_sent(now, collector, report);
+            }
+            _ => self.gather(report),
+        }
+    }
+
+    fn collector(&mut self) -> Option<SocketAddr> {
+        let now = self.state.now();
+        let peers = self.state.peers.borrow();
+        let candidates = peers.collector_candidates(now);
+        self.link
+            .choose(now, peers.local_member().addr, &candidates)
+    }
+
+    /// Sends a report that no collector has acknowledged.
+    fn send_directly(&mut self, report: HostReport) {
+        if report.relay {
+            self.send_to_remote_domains(vec![report.clone()]);
+        }
+        self.send_to_neighbours(vec![report]);
     }
 
-    fn build_report(&mut self, changed: impl IntoIterator<Item = InstanceId>) -> HostReport {
-        self.sequence += 1;
+    /// Gathers a report as a collector.
+    fn gather(&mut self, mut report: HostReport) {
         let now = self.state.now();
-        let evidence = self.state.evidence.borrow();
-        let reports = changed.into_iter().take(MAX_INSTANCE_REPORTS).map(|id| {
-            let report = evidence.own_report(now, &id);
-            InstanceStats {
-                instance: name_hash(id.as_str()),
-                in_flight: report.in_flight,
-                successes: report.successes,
-                failures: report.failures,
-                slowness_16ths: report.slowness_16ths,
-                success_age_ms: report.success_age.and_then(age_ms),
-                failure_age_ms: report.failure_age.and_then(age_ms),
+        let is_urgent = report.is_urgent();
+        let (local_delay, remote_delay) = if is_urgent {
+            (MIN_BATCH_DELAY, MIN_BATCH_DELAY)
+        } else {
+            (self.batch_delay(), REMOTE_BATCH_DELAY)
+        };
+        if std::mem::take(&mut report.relay) {
+            self.remote_gatherer.add(report.clone());
+            advance(&mut self.timers.remote_batch, now + remote_delay);
+        }
+        self.local_gatherer.add(report);
+        advance(&mut self.timers.local_batch, now + local_delay);
+    }
+
+    /// Sends reports to the neighbours that understand batches.
+    fn send_to_neighbours(&self, reports: Vec<HostReport>) {
+        let neighbours: Vec<SocketAddr> = {
+            let peers = self.state.peers.borrow();
+            peers.batch_neighbours().collect()
+        };
+        for reports in into_batches(reports) {
+            let batch = ReportBatch {
+                relay: false,
+                reports,
+            };
+            self.send_to(&neighbours, &PeerMessage::Batch(batch));
+        }
+    }
+
+    /// Sends reports to one host of each remote failure domain.
+    fn send_to_remote_domains(&self, reports: Vec<HostReport>) {
+        let relays = self.state.peers.borrow_mut().relays(self.state.now());
+        let (modern, others): (Vec<SocketAddr>, Vec<SocketAddr>) = {
+            let peers = self.state.peers.borrow();
+            relays
+                .into_iter()
+                .partition(|relay| peers.understands_batches(*relay))
+        };
+        if !others.is_empty() {
+            for report in &reports {
+                let report = HostReport {
+                    relay: true,
+                    ..report.clone()
+                };
+                self.send_to(&others, &PeerMessage::Report(report));
+            }
+        }
+        for reports in into_batches(reports) {
+            let batch = ReportBatch {
+                relay: true,
+                reports,
+            };
+            self.send_to(&modern, &PeerMessage::Batch(batch));
+        }
+    }
+
+    /// Distributes reports of remote failure domains in the local one.
+    fn relay_reports(&mut self, mut reports: Vec<HostReport>) {
+        for report in &mut reports {
+            report.relay = false;
+        }
+        let singles: Vec<SocketAddr> = {
+            let peers = self.state.peers.borrow();
+            peers.single_report_neighbours().collect()
+        };
+        for report in &reports {
+            self.send_to(&singles, &PeerMessage::Report(report.clone()));
+        }
+        if !self.uses_collectors() {
+            self.send_to_neighbours(reports);
+            return;
+        }
+        let own_addr = self.state.peers.borrow().local_member().addr;
+        match self.collector() {
+            Some(collector) if collector != own_addr => {
+                self.send_to(&[collector], &PeerMessage::Collect(reports));
+            }
+            _ => {
+                for report in reports {
+                    self.gather(report);
+                }
             }
-        });
-        let own_member = self.state.peers.borrow().local_member().clone();
-        HostReport {
-            origin: own_member.addr,
-            incarnation: own_member.incarnation,
-            sequence: self.sequence,
-            relay: false,
-            feed_position: self.state.feed_position.get(),
-            gapless_position: self.state.gapless_position(),
-            instances: reports.collect(),
-            admitted: self.recent_admissions(),
-            crashes: Vec::new(),
-            disowned: Vec::new(),
         }
     }
 
-    /// Returns the workspaces with recent admissions.
-    fn recent_admissions(&self) -> Vec<AdmissionCounts> {
-        let mut limits = self.state.limits.borrow_mut();
-        let admitted = limits.admitted(self.state.now());
-        let recent = admitted.filter(|(_, admissions)| admissions.recent > 0);
-        recent
-            .map(|(name, admissions)| AdmissionCounts {
-                workspace: name_hash(name.as_str()),
-                total: admissions.total,
-                recent: admissions.recent,
-            })
-            .collect()
+    fn send_leaving_notice(&self) {
+        let instances = std::mem::take(&mut *self.state.outbox.leaving.borrow_mut());
+        if instances.is_empty() {
+            return;
+        }
+        let message = |relay| {
+            let instances = instances.clone();
+            PeerMessage::Leaving(LeavingNotice { relay, instances })
+        };
+        self.send_to_all_domains(&message(false), &message(true));
+    }
+
+    /// Sends the changes that this host has read, unless another reader has sent
+    /// them meanwhile.
+    fn send_feed_update(&self) {
+        let now = self.state.now();
+        let Some(update) = self.state.feed_log.borrow_mut().update(now) else {
+            return;
+        };
+        let update = FeedUpdate {
+            reader: self.state.peers.borrow().local_member().addr,
+            relay: false,
+            is_gapless: self.state.roster.borrow().trusts_removals(now),
+            ..update
+        };
+        let relayed = FeedUpdate {
+            relay: true,
+            ..update.clone()
+        };
+        self.send_to_all_domains(&PeerMessage::Feed(update), &PeerMessage::Feed(relayed));
+    }
+
+    fn send_to_all_domains(&self, local: &PeerMessage, remote: &PeerMessage) {
+        let neighbours: Vec<SocketAddr> = self.state.peers.borrow().local_peers().collect();
+        self.send_to(&neighbours, local);
+        let relays = self.state.peers.borrow_mut().relays(self.state.now());
+        self.send_to(&relays, remote);
+    }
+
+    fn forward_to_neighbours(&self, message: &PeerMessage) {
+        let neighbours: Vec<SocketAddr> = self.state.peers.borrow().local_peers().collect();
+        self.send_to(&neighbours, message);
     }
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
@@ -212,7 +447,10 @@
                 peers.on_hello(now, sender, table_digest)
             }
             PeerMessage::Members(cards) => self.state.peers.borrow_mut().on_members(now, cards),
+            PeerMessage::Profile(profile) => self.state.peers.borrow_mut().on_profile(profile),
             PeerMessage::Report(host_report) => self.receive_report(host_report),
+            PeerMessage::Collect(reports) => self.receive_collect(reports),
+            PeerMessage::Batch(batch) => self.receive_batch(batch),
             PeerMessage::Departed(departed) => {
                 let departed_peers = self.state.peers.borrow_mut().on_departed(now, &departed);
                 for peer in departed_peers {
@@ -221,101 +459,104 @@
                 }
                 Vec::new()
             }
+            PeerMessage::Leaving(notice) => {
+                self.receive_leaving_notice(notice);
+                Vec::new()
+            }
+            PeerMessage::Feed(update) => {
+                self.receive_feed_update(update);
+                Vec::new()
+            }
         };
         self.send_all(replies);
     }
 
     fn receive_report(&mut self, mut host_report: HostReport) -> Vec<Outgoing> {
-        let now = self.state.now();
-        let own_addr = self.state.peers.borrow().local_member().addr;
-        if host_report.origin == own_addr {
-            return Vec::new();
-        }
-        if std::mem::take(&mut host_report.relay) {
-            let neighbours: Vec<SocketAddr> = self.state.peers.borrow().local_peers().collect();
-            self.send_to(&neighbours, &PeerMessage::Report(host_report.clone()));
-        }
-        let origin_state = self.state.peers.borrow_mut().on_report(
-            now,
-            host_report.origin,
-            host_report.incarnation,
-        );
-        let replies = match origin_state {
-            PeerStatus::Unknown => vec![(host_report.origin, self.state.peers.borrow().hello())],
-            PeerStatus::Known | PeerStatus::Restarted => Vec::new(),
-        };
-        self.apply_report(&host_report);
-        replies
+        let is_relayed = std::mem::take(&mut host_report.relay);
+        if is_relayed && host_report.origin != self.state.peers.borrow().local_member().addr {
+            if self.uses_collectors() {
+                self.relay_reports(vec![host_report.clone()]);
+            } else {
+                self.forward_to_neighbours(&PeerMessage::Report(host_report.clone()));
+            }
+        }
+        self.apply_reports(vec![host_report])
+    }
+
+    fn receive_collect(&mut self, reports: Vec<HostReport>) -> Vec<Outgoing> {
+        for report in &reports {
+            self.gather(report.clone());
+        }
+        self.apply_reports(reports)
+    }
+
+    fn receive_batch(&mut self, batch: ReportBatch) -> Vec<Outgoing> {
+        if batch.relay {
+            self.relay_reports(batch.reports.clone());
+        }
+        self.apply_reports(batch.reports)
     }
 
-    fn apply_report(&mut self, host_report: &HostReport) {
+    /// Applies reports, and returns hellos to hosts that are not known.
+    fn apply_reports(&mut self, reports: Vec<HostReport>) -> Vec<Outgoing> {
         let now = self.state.now();
-        let position = self
-            .state
-            .max_peer_position
-            .get()
-            .max(host_report.feed_position);
-        self.state.max_peer_position.set(position);
-        self.state
-            .roster
-            .borrow_mut()
-            .confirm_position(host_report.gapless_position);
-        let is_first = !self.peer_records.contains_key(&host_report.origin);
-        let record = self.peer_records.entry(host_report.origin).or_default();
-        if record.incarnation != host_report.incarnation {
-            self.state
-                .evidence
-                .borrow_mut()
-                .forget_peer(host_report.origin);
-            let admitted = if is_first {
-                PeerCounts::default()
-            } else {
-                PeerCounts::after_restart(now)
-            };
-            *record = PeerRecord {
-                incarnation: host_report.incarnation,
-                sequence: 0,
-                admitted,
+        let own = self.state.peers.borrow().local_member().clone();
+        let mut unknown = Vec::new();
+        let mut has_outcomes = false;
+        let view = self.state.fleet_view();
+        for report in reports {
+            if report.origin == own.addr {
+                if report.incarnation == own.incarnation {
+                    self.link.record_acknowledged(report.sequence);
+                }
+                continue;
+            }
+            let status = {
+                let mut peers = self.state.peers.borrow_mut();
+                peers.on_report(now, report.origin, report.incarnation)
             };
+            if status == PeerStatus::Unknown {
+                unknown.push((report.origin, self.state.peers.borrow().hello()));
+            }
+            has_outcomes |= !report.instances.is_empty();
+            apply_report(&self.state, &mut self.peer_records, &report, view);
         }
-        for crash in &host_report.crashes {
-            self.state.crash_ledger.borrow_mut().record(now, *crash);
+        if has_outcomes {
+            self.state.capacity_freed.notify_waiters();
         }
-        for hash in &host_report.disowned {
-            let id = self.state.instances_by_hash.borrow().get(hash).cloned();
+        unknown
+    }
+
+    fn receive_leaving_notice(&self, mut notice: LeavingNotice) {
+        for item in &notice.instances {
+            let id = self
+                .state
+                .instances_by_hash
+                .borrow()
+                .get(&item.instance)
+                .cloned();
             if let Some(id) = id {
-                self.state.roster.borrow_mut().disown(&id);
+                self.state.record_leaving(&id, item.incarnation);
             }
         }
-        let is_stale = host_report.sequence <= record.sequence;
-        record.sequence = record.sequence.max(host_report.sequence);
-        debit_admissions(&self.state, record, host_report);
-        if is_stale {
-            return;
+        if std::mem::take(&mut notice.relay) {
+            self.forward_to_neighbours(&PeerMessage::Leaving(notice));
         }
-        let hashes = self.state.instances_by_hash.borrow();
-        let mut evidence = self.state.evidence.borrow_mut();
-        for item in &host_report.instances {
-            let Some(id) = hashes.get(&item.instance) else {
-                continue;
-            };
-            let report = InstanceReport {
-                in_flight: item.in_flight,
-                successes: item.successes,
-                failures: item.failures,
-                slowness_16ths: item.slowness_16ths,
-                success_age: item
-                    .success_age_ms
-                    .map(|age| Duration::from_millis(age.into())),
-                failure_age: item
-                    .failure_age_ms
-                    .map(|age| Duration::from_millis(age.into())),
-            };
-            evidence.record_peer_report(now, host_report.origin, id, report);
+    }
+
+    fn receive_feed_update(&mut self, mut update: FeedUpdate) {
+        if std::mem::take(&mut update.relay) {
+            self.forward_to_neighbours(&PeerMessage::Feed(update.clone()));
         }
-        drop(evidence);
-        if !host_report.instances.is_empty() {
-            self.state.capacity_freed.notify_waiters();
+        if update.reader == self.state.peers.borrow().local_member().addr {
+            return;
+        }
+        let until = update.until;
+        feed::apply_update(&self.state, &update);
+        // Another reader has sent what this host was about to send.
+        let own_position = self.state.feed_position.get();
+        if until.covers(own_position) && update.since < own_position {
+            self.timers.feed_update = None;
         }
     }
 
@@ -326,6 +567,9 @@
     }
 
     fn send_to(&self, targets: &[SocketAddr], message: &PeerMessage) {
+        if targets.is_empty() {
+            return;
+        }
         let bytes = match postcard::to_allocvec(message) {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -341,27 +585,22 @@
     }
 }
 
-/// Debits from the buckets what a peer has admitted since its last report.
-fn debit_admissions(state: &State, record: &mut PeerRecord, host_report: &HostReport) {
-    let now = state.now();
-    let view = state.fleet_view();
-    let reported = host_report.admitted.iter().map(|item| {
-        let admissions = Admissions {
-            total: item.total,
-            recent: item.recent,
-        };
-        (item.workspace, admissions)
-    });
-    let hashes = state.workspaces_by_hash.borrow();
-    let mut limits = state.limits.borrow_mut();
-    let is_catching_up = state.is_catching_up();
-    for (workspace, count) in record.admitted.record(now, is_catching_up, reported) {
-        if let Some(name) = hashes.get(&workspace) {
-            limits.debit(now, name, count, view);
+/// Splits reports into groups of at most [`MAX_BATCH_BYTES`].
+fn into_batches(reports: Vec<HostReport>) -> Vec<Vec<HostReport>> {
+    let mut batches = Vec::new();
+    let mut batch = Vec::new();
+    let mut batch_bytes = 0;
+    for report in reports {
+        let bytes = postcard::to_allocvec(&report).map_or(0, |bytes| bytes.len());
+        if batch_bytes + bytes > MAX_BATCH_BYTES && !batch.is_empty() {
+            batches.push(std::mem::take(&mut batch));
+            batch_bytes = 0;
         }
+        batch_bytes += bytes;
+        batch.push(report);
     }
-}
-
-fn age_ms(age: Duration) -> Option<u16> {
-    u16::try_from(age.as_millis()).ok()
+    if !batch.is_empty() {
+        batches.push(batch);
+    }
+    batches
 }
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -22,6 +22,9 @@
 /// The time left of a request that does not state it, and the `Retry-After` of a
 /// quarantined one.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
+/// The longest time left that a request may state; a longer one is capped, so that
+/// it does not overflow the clock.
+const MAX_TIME_LEFT: Duration = Duration::from_secs(24 * 60 * 60);
 /// The `Retry-After` of a host that has no configuration yet.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The share of the latency target that is expected as latency until a request of
@@ -96,6 +99,7 @@
         .parse()
         .ok();
     let time_left = time_left.map_or(DEFAULT_TIME_LEFT, Duration::from_millis);
+    let time_left = time_left.min(MAX_TIME_LEFT);
     record.time_left = time_left;
     let Some(table) = state.routing() else {
         return Answer::refusal(
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -25,6 +25,8 @@
     pub not_run: HeaderName,
     /// Set by an instance on each answer that it generates itself.
     pub proof: HeaderName,
+    /// `1` in the answers of an instance that leaves.
+    pub leaving: HeaderName,
     /// The path at which a host reports whether it is ready for callers.
     pub readiness_path: String,
     /// The path at which a host serves its metrics.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,6 +13,8 @@
     pub host_name: String,
     /// The failure domain of the host.
     pub failure_domain: FailureDomain,
+    /// How much of its peers' traffic the host can take on, relative to other hosts.
+    pub capacity: u16,
     /// The address at which callers connect.
     pub caller_addr: SocketAddr,
     /// The address at which readiness and metrics are served.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,15 +10,20 @@
 use tokio::sync::{Notify, watch};
 use waxwingusher_attempts::FleetRetryBudget;
 use waxwingusher_config::routing::{CallerLimits, RoutingTable, SplitPicker};
-use waxwingusher_core::{Clock, FailureDomain, InstanceId, RouteName, ServiceName, WorkspaceName};
+use waxwingusher_core::{
+    Clock, FailureDomain, FeedPosition, InstanceId, RouteName, ServiceName, WorkspaceName,
+};
 use waxwingusher_limits::{
     FleetView, QueuePosition, ReplicatedLimits, ReplicatedSettings, WaitQueue,
 };
-use waxwingusher_membership::seeded::{CrashReport, PeerTable, name_hash};
+use waxwingusher_membership::seeded::readers::{ReaderSchedule, reader_rank};
+use waxwingusher_membership::seeded::{CrashReport, LeavingInstance, PeerTable, name_hash};
 use waxwingusher_upstreams::{Evidence, Observation, Roster};
 
+use crate::attempt::millis;
 use crate::crash_ledger::CrashLedger;
-use crate::journal::Journal;
+use crate::feed_log::FeedLog;
+use crate::journal::{Event, Journal};
 use crate::metrics::Metrics;
 use crate::ports::Dialect;
 use crate::settings::GatewaySettings;
@@ -67,9 +73,13 @@
     pub(crate) capacity_freed: Notify,
     pub(crate) has_roster: Cell<bool>,
     /// The feed position up to which this host has applied changes.
-    pub(crate) feed_position: Cell<u64>,
-    /// The highest feed position that a peer has reported.
-    pub(crate) max_peer_position: Cell<u64>,
+    pub(crate) feed_position: Cell<FeedPosition>,
+    /// The latest feed position that a peer has reported.
+    pub(crate) max_peer_position: Cell<FeedPosition>,
+    /// Whether this host reads the feed and passes the changes on.
+    pub(crate) is_reading: Cell<bool>,
+    pub(crate) readers: RefCell<ReaderSchedule>,
+    pub(crate) feed_log: RefCell<FeedLog>,
     pub(crate) phase: watch::Sender<Phase>,
     /// Requests that were read and not answered yet.
     pub(crate) in_flight: Cell<usize>,
@@ -89,12 +99,15 @@
     pub(crate) remote_instances: RefCell<BTreeSet<InstanceId>>,
     pub(crate) crashes: RefCell<Vec<CrashReport>>,
     pub(crate) disowned: RefCell<Vec<u32>>,
+    pub(crate) leaving: RefCell<Vec<LeavingInstance>>,
     /// Whether the outbox is to be sent to remote failure domains at once, too.
     pub(crate) is_urgent: Cell<bool>,
     /// Whether admissions are to be reported to remote failure domains soon.
     pub(crate) is_admission_report_due: Cell<bool>,
     /// Whether a departure notice is to be sent, since the process ends.
     pub(crate) is_departure_notice_due: Cell<bool>,
+    /// Whether changes of the feed are to be passed on.
+    pub(crate) is_feed_update_due: Cell<bool>,
     pub(crate) changed: Notify,
 }
 
@@ -111,6 +124,20 @@
         self.request_urgent_send();
     }
 
+    /// Requests that changes of the feed are passed on.
+    pub(crate) fn send_feed_update_soon(&self) {
+        self.is_feed_update_due.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Reports whether nothing has changed since the last report.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.local_instances.borrow().is_empty()
+            && self.remote_instances.borrow().is_empty()
+            && self.crashes.borrow().is_empty()
+            && self.disowned.borrow().is_empty()
+    }
+
     pub(crate) fn report_admissions_soon(&self) {
         self.is_admission_report_due.set(true);
         self.changed.notify_one();
@@ -150,8 +177,11 @@
             wait_queue: RefCell::default(),
             capacity_freed: Notify::new(),
             has_roster: Cell::new(false),
-            feed_position: Cell::new(0),
-            max_peer_position: Cell::new(0),
+            feed_position: Cell::default(),
+            max_peer_position: Cell::default(),
+            is_reading: Cell::new(false),
+            readers: RefCell::default(),
+            feed_log: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
@@ -185,13 +215,13 @@
             .map_or(0, |table| table.version())
     }
 
-    /// Returns the position up to which the feed was applied without a gap, or 0
-    /// if the roster does not trust removals.
-    pub(crate) fn gapless_position(&self) -> u64 {
+    /// Returns the position up to which the feed was applied without a gap, or the
+    /// default if the roster does not trust removals.
+    pub(crate) fn gapless_position(&self) -> FeedPosition {
         if self.roster.borrow().trusts_removals(self.now()) {
             self.feed_position.get()
         } else {
-            0
+            FeedPosition::default()
         }
     }
 
@@ -211,6 +241,7 @@
             self.resumed_at.set(Some(now));
             self.peers.borrow_mut().exclude_pause(now, pause);
             self.limits.borrow_mut().exclude_pause(now, pause);
+            self.readers.borrow_mut().exclude_pause(now, pause);
         }
     }
 
@@ -231,6 +262,46 @@
         }
     }
 
+    /// Returns the number of reachable hosts that read the feed rather than this one.
+    pub(crate) fn reader_rank(&self) -> usize {
+        let peers = self.peers.borrow();
+        let reachable = peers.reachable_peers(self.now());
+        reader_rank(peers.local_member().addr, reachable.map(|peer| peer.addr))
+    }
+
+    /// Reports whether no peer is reachable.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.peers
+            .borrow()
+            .reachable_peers(self.now())
+            .next()
+            .is_none()
+    }
+
+    /// Reports whether this host must read the feed itself.
+    pub(crate) fn must_read_feed(&self) -> bool {
+        self.detect_pause();
+        let reads_from = self.readers.borrow().reads_from(self.reader_rank());
+        reads_from.is_none_or(|at| self.now() >= at)
+    }
+
+    /// Reports whether readers pass the changes on.
+    pub(crate) fn is_fed(&self) -> bool {
+        self.readers.borrow().is_fed(self.now())
+    }
+
+    /// Records that a reader has passed on its position in the feed.
+    pub(crate) fn record_feed_update(&self, reader: SocketAddr) {
+        let own_addr = self.peers.borrow().local_member().addr;
+        let mut readers = self.readers.borrow_mut();
+        readers.record_update(self.now(), own_addr, reader);
+    }
+
+    /// Reports whether a peer has applied changes that this host has not.
+    pub(crate) fn is_behind_peers(&self) -> bool {
+        self.max_peer_position.get() > self.feed_position.get()
+    }
+
     /// Queues an instance's state for the next update to peers.
     pub(crate) fn report_instance(&self, id: &InstanceId, is_urgent: bool) {
         self.outbox.local_instances.borrow_mut().insert(id.clone());
@@ -251,6 +322,37 @@
         self.outbox.request_urgent_send();
     }
 
+    /// Stops sending requests to an instance that has said that it leaves, and
+    /// reports that to peers if it is new.
+    pub(crate) fn report_leaving(&self, id: &InstanceId, incarnation: u64) {
+        if !self.record_leaving(id, incarnation) {
+            return;
+        }
+        self.outbox.leaving.borrow_mut().push(LeavingInstance {
+            instance: name_hash(id.as_str()),
+            incarnation,
+        });
+        self.outbox.request_urgent_send();
+    }
+
+    /// Stops sending requests to an instance that leaves, and returns whether that
+    /// is new.
+    pub(crate) fn record_leaving(&self, id: &InstanceId, incarnation: u64) -> bool {
+        let now = self.now();
+        let mut roster = self.roster.borrow_mut();
+        if !roster.mark_leaving(now, id, incarnation) {
+            return false;
+        }
+        let updated_at = roster.get(id).map(|listed| listed.updated_at);
+        let age = updated_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.journal.write(&Event::Instance {
+            instance: id.as_str(),
+            change: "leaving",
+            entry_age_ms: millis(age),
+        });
+        true
+    }
+
     /// Records that an instance crashed under a request, and reports it to peers
     /// if it is new.
     pub(crate) fn record_crash(&self, fingerprint: u64, id: &InstanceId) {
--- a/crates/gateway/src/status_server.rs
+++ b/crates/gateway/src/status_server.rs
@@ -19,7 +19,7 @@
 const MAX_CONNECTION_TIME: Duration = Duration::from_secs(60);
 
 /// Serves until the host stops.
-pub(crate) async fn run(state: Rc<State>, listener: TcpListener) {
+pub(crate) async fn run(state: Rc<State>, listener: Rc<TcpListener>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // No file descriptor is free; a retry may find one.
--- a/crates/gateway/tests/testsuite/answers.rs
+++ b/crates/gateway/tests/testsuite/answers.rs
@@ -218,3 +218,81 @@
     let reply = host.send(&request("GET", "/read/1", "hedged", ""));
     assert_eq!(reply.status, 502, "{}", reply.head);
 }
+
+/// Returns an instance that answers with an additional header line.
+fn with_header(status: &'static str, line: &'static str) -> Instance {
+    Instance::start(Arc::new(move |request, _| {
+        let answer = answer_with_proof(request, status, "done");
+        let text = String::from_utf8(answer).expect("text");
+        text.replacen("proof: p", line, 1).into_bytes()
+    }))
+}
+
+/// Sends requests until an instance has received one.
+fn send_until_received(host: &TestHost, instance: &Instance) {
+    for number in 0..100 {
+        host.send(&request("GET", "/read/1", &format!("u{number}"), ""));
+        if instance.request_count() > 0 {
+            return;
+        }
+    }
+    panic!("the instance gets no request");
+}
+
+#[test]
+fn an_instance_that_says_it_leaves_gets_no_further_request() {
+    let (leaving, healthy) = (with_header("200 OK", "proof: p\r\nleaving: 1"), healthy());
+    let host = TestHost::start(&[&leaving, &healthy], GRACE);
+    send_until_received(&host, &leaving);
+    for number in 0..20 {
+        let reply = host.send(&request("POST", "/book/1", &format!("r{number}"), "body"));
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!(leaving.request_count(), 1);
+}
+
+#[test]
+fn an_instance_that_asks_for_no_requests_gets_none_until_its_time_is_over() {
+    let line = "not-run: 1\r\nretry-after: 30";
+    let (busy, healthy) = (with_header("503 Busy", line), healthy());
+    let host = TestHost::start(&[&busy, &healthy], GRACE);
+    send_until_received(&host, &busy);
+    for number in 0..20 {
+        let reply = host.send(&request("GET", "/read/1", &format!("r{number}"), ""));
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!(busy.request_count(), 1);
+}
+
+#[test]
+fn callers_are_told_when_the_first_instance_takes_requests_again() {
+    let busy = with_header("503 Busy", "not-run: 1\r\nretry-after: 2.5");
+    let host = TestHost::start(&[&busy], GRACE);
+    let started = std::time::Instant::now();
+    assert_eq!(host.send(&request("POST", "/book/1", "a", "")).status, 503);
+    let reply = host.send(&request("POST", "/book/1", "b", ""));
+    assert_eq!(reply.status, 503);
+    let retry_after = reply.header("retry-after").expect("a time to return");
+    let retry_after_s: f64 = retry_after.parse().expect("seconds");
+    let spent_s = started.elapsed().as_secs_f64();
+    assert!(
+        retry_after_s > 2.5 - spent_s && retry_after_s < 3.5,
+        "{retry_after}"
+    );
+    assert_eq!(busy.request_count(), 1);
+}
+
+#[test]
+fn an_unusable_retry_after_of_an_instance_is_ignored() {
+    for line in ["-3", "soon", "1e30", "NaN", "inf"] {
+        let line = format!("not-run: 1\r\nretry-after: {line}");
+        let busy = with_header("503 Busy", line.leak());
+        let host = TestHost::start(&[&busy], GRACE);
+        for id in ["a", "b"] {
+            assert_eq!(host.send(&request("POST", "/book/1", id, "")).status, 503);
+            // The pause after a refusal.
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        assert!(busy.request_count() >= 2);
+    }
+}
--- a/crates/gateway/tests/testsuite/feed.rs
+++ b/crates/gateway/tests/testsuite/feed.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_config::routing::RoutingDocument;
-use waxwingusher_core::KeyDigest;
+use waxwingusher_core::{FeedPosition, KeyDigest};
 use waxwingusher_gateway::FeedSource;
 use waxwingusher_gateway::ports::{Change, Changes, Listing, SourceError};
 use waxwingusher_upstreams::RosterEntry;
@@ -28,16 +28,20 @@
         Ok(Listing {
             routing: Some(Ok(document())),
             roster: self.roster.clone(),
-            position: 1,
+            position: FeedPosition::new(0, 1),
         })
     }
 
-    async fn changes(&self, position: u64, _wait: Duration) -> Result<Changes, SourceError> {
+    async fn changes(
+        &self,
+        position: FeedPosition,
+        _wait: Duration,
+    ) -> Result<Changes, SourceError> {
         match self.watches.fetch_add(1, Ordering::SeqCst) {
             0 => Err(SourceError::Unreachable("the connection broke".to_owned())),
-            number if number > 1 && position == 1 => Ok(Changes {
-                items: vec![Change::Routing(Ok(self.changed.clone()))],
-                position: 2,
+            number if number > 1 && position.revision == 1 => Ok(Changes {
+                items: vec![(2, Change::Routing(Ok(self.changed.clone())))],
+                position: FeedPosition::new(0, 2),
             }),
             _ => std::future::pending().await,
         }
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -14,7 +14,8 @@
     CallerLimits, PublishedService, PublishedWorkspace, Route, RoutingDocument, ServiceShare,
 };
 use waxwingusher_core::{
-    FailureDomain, InstanceId, KeyDigest, RouteName, ServiceName, SystemClock, WorkspaceName,
+    FailureDomain, FeedPosition, InstanceId, KeyDigest, RouteName, ServiceName, SystemClock,
+    WorkspaceName,
 };
 use waxwingusher_gateway::ports::{Changes, Listing, SourceError};
 use waxwingusher_gateway::{Command, Dialect, FeedSource, Gateway, GatewaySettings};
@@ -35,6 +36,7 @@
         expected_instance: HeaderName::from_static("expected-instance"),
         not_run: HeaderName::from_static("not-run"),
         proof: HeaderName::from_static("proof"),
+        leaving: HeaderName::from_static("leaving"),
         readiness_path: "/ready".to_owned(),
         metrics_path: "/metrics".to_owned(),
     }
@@ -91,11 +93,15 @@
         Ok(Listing {
             routing: Some(Ok(self.document.clone())),
             roster: self.roster.clone(),
-            position: 1,
+            position: FeedPosition::new(0, 1),
         })
     }
 
-    async fn changes(&self, _position: u64, _wait: Duration) -> Result<Changes, SourceError> {
+    async fn changes(
+        &self,
+        _position: FeedPosition,
+        _wait: Duration,
+    ) -> Result<Changes, SourceError> {
         std::future::pending().await
     }
 
@@ -254,6 +260,7 @@
         let settings = GatewaySettings {
             host_name: "host".to_owned(),
             failure_domain: FailureDomain::new("north"),
+            capacity: 1,
             caller_addr: any_addr,
             status_addr: any_addr,
             peer_addr: any_addr,
--- a/crates/membership/src/seeded.rs
+++ b/crates/membership/src/seeded.rs
@@ -7,11 +7,14 @@
 //! shuts down as planned sends departure notices and is no longer counted; the
 //! others spread the notice with their tables.
 
+pub mod collector;
+pub mod readers;
+
 mod message;
 mod table;
 
 pub use message::{
-    AdmissionCounts, CrashReport, Departure, HostReport, InstanceStats, Member, PeerMessage,
-    name_hash,
+    AdmissionCounts, CrashReport, Departure, FeedUpdate, HostReport, InstanceStats,
+    LeavingInstance, LeavingNotice, Member, PeerMessage, Profile, ReportBatch, name_hash,
 };
 pub use table::{Outgoing, PeerStatus, PeerTable};
--- a/crates/membership/src/seeded/message.rs
+++ b/crates/membership/src/seeded/message.rs
@@ -3,9 +3,13 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use waxwingusher_core::FailureDomain;
+use waxwingusher_core::{FailureDomain, FeedPosition};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// The age up to which a failure is urgent; a later report of an instance may
+/// repeat an earlier failure.
+const URGENT_FAILURE_AGE_MS: u16 = 30;
+
 /// A member of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -46,6 +50,78 @@
     /// Processes that have shut down as planned; a host that shuts down names
     /// itself.
     Departed(Vec<Departure>),
+    /// Instances that have said that they leave.
+    Leaving(LeavingNotice),
+    /// Describes the sender. Hosts of earlier builds send none and understand none
+    /// of the messages below.
+    Profile(Profile),
+    /// Reports for the receiver to distribute in its failure domain.
+    Collect(Vec<HostReport>),
+    /// Reports of several hosts.
+    Batch(ReportBatch),
+    /// Published changes that a host has read from their source.
+    Feed(FeedUpdate),
+}
+
+/// What a host tells its peers about itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Profile {
+    /// The address on which it receives messages.
+    pub addr: SocketAddr,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// The version of the messages that it understands.
+    pub protocol: u8,
+    /// How much of its peers' traffic it can take on, relative to other hosts.
+    pub capacity: u16,
+    /// Whether the receiver should send its own profile.
+    pub is_reply_requested: bool,
+}
+
+/// Reports that one host has gathered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportBatch {
+    /// Whether the receiver should distribute them in its own failure domain.
+    pub relay: bool,
+    /// The reports, at most one of each host.
+    pub reports: Vec<HostReport>,
+}
+
+/// Instances that have said that they leave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingNotice {
+    /// Whether the receiver should forward it in its own failure domain.
+    pub relay: bool,
+    /// The instances.
+    pub instances: Vec<LeavingInstance>,
+}
+
+/// An instance that has said that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingInstance {
+    /// The hash of the instance's identity.
+    pub instance: u32,
+    /// The incarnation that leaves; a later one takes requests.
+    pub incarnation: u64,
+}
+
+/// Published changes that a host has read from their source, or only its position
+/// if there are none. The messages of one host overlap, so that the next one makes
+/// up for a lost one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedUpdate {
+    /// The host that reads the source.
+    pub reader: SocketAddr,
+    /// Whether the receiver should forward it in its own failure domain.
+    pub relay: bool,
+    /// The position after which the changes begin.
+    pub since: FeedPosition,
+    /// The position of the last change.
+    pub until: FeedPosition,
+    /// Whether the reader has followed the source without a gap.
+    pub is_gapless: bool,
+    /// The changes, encoded by the data path.
+    pub changes: Vec<u8>,
 }
 
 /// A host's observations and admissions. All figures are absolute, so the next
@@ -61,10 +137,10 @@
     /// Whether the receiver should forward it in its own failure domain.
     pub relay: bool,
     /// The position in the published changes that the host has applied.
-    pub feed_position: u64,
+    pub feed_position: FeedPosition,
     /// The position up to which it has followed them without a gap; 0 if it
     /// recently lost its source.
-    pub gapless_position: u64,
+    pub gapless_position: FeedPosition,
     /// Statistics of instances that have changed.
     pub instances: Vec<InstanceStats>,
     /// Requests admitted for the workspaces that recently had some.
@@ -75,6 +151,56 @@
     pub disowned: Vec<u32>,
 }
 
+impl HostReport {
+    /// Adds the content of a later report of the same process. Where both state a
+    /// figure, that of the later one counts.
+    pub fn merge(&mut self, later: Self) {
+        let mut instances = later.instances;
+        for item in std::mem::take(&mut self.instances) {
+            if !instances
+                .iter()
+                .any(|newer| newer.instance == item.instance)
+            {
+                instances.push(item);
+            }
+        }
+        let mut admitted = later.admitted;
+        for item in std::mem::take(&mut self.admitted) {
+            if !admitted
+                .iter()
+                .any(|newer| newer.workspace == item.workspace)
+            {
+                admitted.push(item);
+            }
+        }
+        let mut crashes = std::mem::take(&mut self.crashes);
+        crashes.extend(later.crashes);
+        let mut disowned = std::mem::take(&mut self.disowned);
+        disowned.extend(later.disowned);
+        *self = Self {
+            instances,
+            admitted,
+            crashes,
+            disowned,
+            relay: self.relay || later.relay,
+            ..later
+        };
+    }
+
+    /// Reports whether peers should learn of the content without delay, since their
+    /// requests may fail until then.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        let is_recent = |item: &InstanceStats| {
+            item.failure_age_ms
+                .is_some_and(|age_ms| age_ms <= URGENT_FAILURE_AGE_MS)
+        };
+        !self.crashes.is_empty()
+            || !self.disowned.is_empty()
+            || self.instances.iter().any(is_recent)
+    }
+}
+
 /// The requests that a host has admitted for a workspace.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdmissionCounts {
--- a/crates/membership/src/seeded/table.rs
+++ b/crates/membership/src/seeded/table.rs
@@ -6,7 +6,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::seeded::message::{Departure, Member, PeerMessage};
+use crate::seeded::collector::Candidate;
+use crate::seeded::message::{Departure, Member, PeerMessage, Profile};
 
 /// The interval at which a host compares its table with a random peer.
 const ANTI_ENTROPY_INTERVAL: Duration = Duration::from_secs(1);
@@ -26,6 +27,11 @@
 /// Departures in one message, so that it fits into one datagram.
 const MAX_DEPARTURES_PER_MESSAGE: usize = 64;
 
+/// The version of the messages that this build understands.
+const PROTOCOL: u8 = 1;
+/// Neighbours without a profile that are asked for it in one tick.
+const MAX_PROFILE_QUERIES: usize = 8;
+
 /// A message and its destination.
 pub type Outgoing = (SocketAddr, PeerMessage);
 
@@ -44,12 +50,16 @@
 struct Peer {
     member: Member,
     received_at: Option<Instant>,
+    /// The capacity of a peer that understands batches; `None` for one of an earlier
+    /// build, or if its profile has not arrived yet.
+    capacity: Option<u16>,
 }
 
 /// The peers that a host knows.
 #[derive(Debug)]
 pub struct PeerTable {
     local_member: Member,
+    local_capacity: u16,
     seeds: Vec<SocketAddr>,
     peers: BTreeMap<SocketAddr, Peer>,
     /// Processes that have shut down as planned, and when that was learned.
@@ -62,9 +72,15 @@
 impl PeerTable {
     /// Creates a table that knows only its seeds.
     #[must_use]
-    pub fn new(local_member: Member, seeds: Vec<SocketAddr>, rng: fastrand::Rng) -> Self {
+    pub fn new(
+        local_member: Member,
+        local_capacity: u16,
+        seeds: Vec<SocketAddr>,
+        rng: fastrand::Rng,
+    ) -> Self {
         Self {
             local_member,
+            local_capacity,
             seeds,
             peers: BTreeMap::new(),
             departed: BTreeMap::new(),
@@ -108,9 +124,86 @@
                 }
             }
         }
+        out.extend(self.profile_queries());
         out
     }
 
+    /// Returns queries to some neighbours whose profiles are missing.
+    fn profile_queries(&mut self) -> Vec<Outgoing> {
+        let mut missing: Vec<SocketAddr> = self.single_report_neighbours().collect();
+        self.rng.shuffle(&mut missing);
+        missing.truncate(MAX_PROFILE_QUERIES);
+        let query = |peer| (peer, self.profile(true));
+        missing.into_iter().map(query).collect()
+    }
+
+    fn profile(&self, is_reply_requested: bool) -> PeerMessage {
+        PeerMessage::Profile(Profile {
+            addr: self.local_member.addr,
+            incarnation: self.local_member.incarnation,
+            protocol: PROTOCOL,
+            capacity: self.local_capacity,
+            is_reply_requested,
+        })
+    }
+
+    /// Records a peer's profile, and returns this host's if it is requested.
+    pub fn on_profile(&mut self, profile: Profile) -> Vec<Outgoing> {
+        if let Some(peer) = self.peers.get_mut(&profile.addr)
+            && peer.member.incarnation == profile.incarnation
+            && profile.protocol >= PROTOCOL
+        {
+            peer.capacity = Some(profile.capacity);
+        }
+        if profile.is_reply_requested {
+            vec![(profile.addr, self.profile(false))]
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Returns the hosts of the local failure domain that may collect reports, this
+    /// one included.
+    #[must_use]
+    pub fn collector_candidates(&self, now: Instant) -> Vec<Candidate> {
+        let neighbours = self.neighbours().filter(|peer| peer.is_reachable(now));
+        let neighbours = neighbours.filter_map(|peer| {
+            let addr = peer.member.addr;
+            peer.capacity.map(|capacity| Candidate { addr, capacity })
+        });
+        let own = Candidate {
+            addr: self.local_member.addr,
+            capacity: self.local_capacity,
+        };
+        neighbours.chain([own]).collect()
+    }
+
+    /// Returns the peers of the local failure domain that understand batches.
+    pub fn batch_neighbours(&self) -> impl Iterator<Item = SocketAddr> {
+        let modern = self.neighbours().filter(|peer| peer.capacity.is_some());
+        modern.map(|peer| peer.member.addr)
+    }
+
+    /// Returns the peers of the local failure domain that get single reports only.
+    pub fn single_report_neighbours(&self) -> impl Iterator<Item = SocketAddr> {
+        let others = self.neighbours().filter(|peer| peer.capacity.is_none());
+        others.map(|peer| peer.member.addr)
+    }
+
+    /// Reports whether a peer understands batches.
+    #[must_use]
+    pub fn understands_batches(&self, addr: SocketAddr) -> bool {
+        self.peers
+            .get(&addr)
+            .is_some_and(|peer| peer.capacity.is_some())
+    }
+
+    fn neighbours(&self) -> impl Iterator<Item = &Peer> {
+        self.peers
+            .values()
+            .filter(|peer| peer.member.failure_domain == self.local_member.failure_domain)
+    }
+
     /// Returns the seeds that are not known peers. One that shut down as planned
     /// may have restarted, and may know no host but itself.
     fn unknown_seeds(&self) -> Vec<SocketAddr> {
@@ -183,6 +276,7 @@
                     table_digest: None,
                 };
                 out.push((addr, hello));
+                out.push((addr, self.profile(true)));
             }
         }
         out
@@ -198,6 +292,7 @@
             return PeerStatus::Known;
         }
         peer.member.incarnation = incarnation;
+        peer.capacity = None;
         PeerStatus::Restarted
     }
 
@@ -245,10 +340,7 @@
     /// Returns all peers of the local failure domain, silent ones included: they
     /// may receive messages although none of theirs arrive.
     pub fn local_peers(&self) -> impl Iterator<Item = SocketAddr> {
-        let peers = self.peers.values();
-        let local =
-            peers.filter(|peer| peer.member.failure_domain == self.local_member.failure_domain);
-        local.map(|peer| peer.member.addr)
+        self.neighbours().map(|peer| peer.member.addr)
     }
 
     /// Returns a random peer of each remote failure domain, a reachable one if
@@ -328,12 +420,16 @@
                 Peer {
                     member,
                     received_at,
+                    capacity: None,
                 },
             );
             return true;
         };
         // Entries from third parties may be older than the peer's own messages.
         if received_at.is_some() {
+            if peer.member.incarnation != member.incarnation {
+                peer.capacity = None;
+            }
             peer.member = member;
             peer.received_at = received_at;
         }
--- a/crates/membership/tests/testsuite/main.rs
+++ b/crates/membership/tests/testsuite/main.rs
@@ -1,8 +1,10 @@
 //! Tests of membership.
 
+mod collector;
 mod distribution;
 mod liveness_faults;
 mod liveness_fleet;
 mod liveness_fuzz;
 mod liveness_updates;
+mod readers;
 mod seeded;
--- a/crates/membership/tests/testsuite/seeded.rs
+++ b/crates/membership/tests/testsuite/seeded.rs
@@ -23,7 +23,7 @@
     };
     let seeds = seeds.iter().map(|seed| addr(*seed)).collect();
     let rng = fastrand::Rng::with_seed(incarnation * 1_000 + number as u64);
-    PeerTable::new(member, seeds, rng)
+    PeerTable::new(member, 1, seeds, rng)
 }
 
 /// Hosts whose messages arrive at once, unless their path is cut.
@@ -84,7 +84,8 @@
                         table.on_departed(self.now, &departed);
                         Vec::new()
                     }
-                    PeerMessage::Report(_) => Vec::new(),
+                    PeerMessage::Profile(profile) => table.on_profile(profile),
+                    _ => Vec::new(),
                 };
                 queue.extend(out.into_iter().map(|(next, m)| (to, next, m)));
             }
--- a/crates/upstreams/src/evidence.rs
+++ b/crates/upstreams/src/evidence.rs
@@ -15,9 +15,11 @@
 /// The probability that an unknown instance is unhealthy: in the users' pools
 /// about a quarter fail part of their requests at any time.
 const UNKNOWN_RISK: f64 = 0.25;
-/// The time constant with which a risk returns to [`UNKNOWN_RISK`]: users report
-/// that instances fail and recover within several seconds.
+/// The time constant with which a high risk returns to [`UNKNOWN_RISK`]: users
+/// report that instances fail and recover within several seconds.
 const RISK_DECAY_TIME: Duration = Duration::from_secs(4);
+/// The same for a low risk. Instances start to fail less often than they recover.
+const HEALTH_DECAY_TIME: Duration = Duration::from_secs(12);
 /// The share of requests that an unhealthy instance fails.
 const UNHEALTHY_FAILURE_SHARE: f64 = 0.8;
 /// The share of requests that a healthy instance fails: some requests fail on
@@ -38,10 +40,16 @@
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// The weight of the newest sample in the moving average of the slowness.
 const SLOWNESS_WEIGHT: f64 = 0.3;
+/// The time constant with which the slowness returns to 1. Without it, an instance
+/// that got one long request would stay without requests, and so without new samples.
+const SLOWNESS_DECAY_TIME: Duration = Duration::from_secs(3);
 /// The age up to which a peer's requests in flight count.
 const PEER_LOAD_MAX_AGE: Duration = Duration::from_secs(3);
 /// The age up to which outcomes in the first report of a peer count.
 const FIRST_REPORT_MAX_AGE: Duration = Duration::from_secs(2);
+/// How long a peer's report is kept to compare the next one with. Without it, the
+/// next report counts as the peer's first.
+const PEER_REPORT_RETENTION: Duration = Duration::from_secs(30);
 /// The most successes or failures that one report can add.
 const MAX_OUTCOMES_PER_REPORT: u8 = 8;
 
@@ -96,11 +104,18 @@
     own_failure_at: Option<Instant>,
     own_in_flight: u32,
     peers: HashMap<SocketAddr, PeerReport>,
-    slowness: Option<f64>,
+    /// The peers that have requests in flight here. They are few, so the load is
+    /// summed over them and not over all peers.
+    peer_loads: Vec<PeerLoad>,
+    /// The moving average of the slowness, as of `slowness_at`.
+    slowness: f64,
+    slowness_at: Option<Instant>,
     /// Whether no connection could be opened. Requests avoid the instance until a
     /// probe connects.
     is_path_blocked: bool,
     full_until: Option<Instant>,
+    /// Until when the instance wants no requests from this host.
+    backs_off_until: Option<Instant>,
 }
 
 /// The latest report of a peer.
@@ -110,6 +125,20 @@
     received_at: Instant,
 }
 
+/// A peer's requests in flight.
+#[derive(Debug, Clone, Copy)]
+struct PeerLoad {
+    peer: SocketAddr,
+    in_flight: u8,
+    reported_at: Instant,
+}
+
+impl PeerLoad {
+    fn counts(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.reported_at) < PEER_LOAD_MAX_AGE
+    }
+}
+
 impl Default for InstanceEstimate {
     fn default() -> Self {
         Self {
@@ -123,9 +152,12 @@
             own_failure_at: None,
             own_in_flight: 0,
             peers: HashMap::new(),
-            slowness: None,
+            peer_loads: Vec::new(),
+            slowness: 1.0,
+            slowness_at: None,
             is_path_blocked: false,
             full_until: None,
+            backs_off_until: None,
         }
     }
 }
@@ -145,6 +177,8 @@
     pub is_suspect: bool,
     /// Whether the instance gets no requests for now.
     pub is_paused: bool,
+    /// How long the instance wants no requests from this host, if it said so.
+    pub backs_off_for: Option<Duration>,
     /// The age of the newest outcome, if there is one.
     pub outcome_age: Option<Duration>,
     /// Requests in flight of all hosts.
@@ -164,6 +198,7 @@
             own: estimate.own,
             own_in_flight: estimate.own_in_flight,
             peers: std::mem::take(&mut estimate.peers),
+            peer_loads: std::mem::take(&mut estimate.peer_loads),
             ..InstanceEstimate::default()
         };
     }
@@ -179,6 +214,18 @@
     pub fn forget_peer(&mut self, peer: SocketAddr) {
         for estimate in self.estimates.values_mut() {
             estimate.peers.remove(&peer);
+            estimate.peer_loads.retain(|load| load.peer != peer);
+        }
+    }
+
+    /// Drops reports of peers that no longer matter, which bounds the memory by the
+    /// requests of the last seconds.
+    pub fn expire_reports(&mut self, now: Instant) {
+        for estimate in self.estimates.values_mut() {
+            estimate.peer_loads.retain(|load| load.counts(now));
+            estimate.peers.retain(|_, peer| {
+                now.saturating_duration_since(peer.received_at) < PEER_REPORT_RETENTION
+            });
         }
     }
 
@@ -226,6 +273,12 @@
         }
     }
 
+    /// Records that an instance wants no requests from this host for `time`.
+    pub fn record_back_off(&mut self, now: Instant, id: &InstanceId, time: Duration) {
+        let estimate = self.estimates.entry(id.clone()).or_default();
+        estimate.backs_off_until = estimate.backs_off_until.max(Some(now + time));
+    }
+
     /// Applies what a peer's report adds to its former one.
     pub fn record_peer_report(
         &mut self,
@@ -235,6 +288,7 @@
         report: InstanceReport,
     ) {
         let estimate = self.estimates.entry(id.clone()).or_default();
+        estimate.set_peer_load(now, peer, report.in_flight);
         let received_at = now;
         let former = estimate.peers.insert(
             peer,
@@ -254,7 +308,7 @@
             ),
         };
         if successes > 0 {
-            estimate.update_slowness(f64::from(report.slowness_16ths) / 16.0);
+            estimate.update_slowness(now, f64::from(report.slowness_16ths) / 16.0);
         }
         // The older outcomes are applied first, so that the newer ones weigh more.
         let is_failure_newer = match (report.success_age, report.failure_age) {
@@ -297,6 +351,7 @@
                 risk: UNKNOWN_RISK,
                 is_suspect: false,
                 is_paused: false,
+                backs_off_for: None,
                 outcome_age: None,
                 in_flight: 0,
                 slowness: 1.0,
@@ -308,11 +363,15 @@
             risk,
             is_suspect,
             is_paused: estimate.is_paused(now, is_suspect),
+            backs_off_for: estimate
+                .backs_off_until
+                .map(|until| until.saturating_duration_since(now))
+                .filter(|left| !left.is_zero()),
             outcome_age: estimate
                 .outcome_at
                 .map(|at| now.saturating_duration_since(at)),
             in_flight: estimate.in_flight(now),
-            slowness: estimate.slowness.unwrap_or(1.0),
+            slowness: estimate.slowness(now),
         }
     }
 }
@@ -339,13 +398,21 @@
         self.own_success_at = Some(now);
         self.is_path_blocked = false;
         self.own.slowness_16ths = to_16ths(slowness);
-        self.update_slowness(slowness);
+        self.update_slowness(now, slowness);
         self.apply_outcome(now, false);
     }
 
-    fn update_slowness(&mut self, slowness: f64) {
-        let former = self.slowness.unwrap_or(1.0);
-        self.slowness = Some(former + SLOWNESS_WEIGHT * (slowness - former));
+    fn update_slowness(&mut self, now: Instant, slowness: f64) {
+        let former = self.slowness(now);
+        self.slowness = former + SLOWNESS_WEIGHT * (slowness - former);
+        self.slowness_at = Some(now);
+    }
+
+    fn slowness(&self, now: Instant) -> f64 {
+        let age = self.slowness_at.map(|at| now.saturating_duration_since(at));
+        let age_s = age.unwrap_or_default().as_secs_f64();
+        let decay = (-age_s / SLOWNESS_DECAY_TIME.as_secs_f64()).exp();
+        1.0 + (self.slowness - 1.0) * decay
     }
 
     fn record_own_failure(&mut self, now: Instant) {
@@ -374,6 +441,17 @@
         }
     }
 
+    fn set_peer_load(&mut self, now: Instant, peer: SocketAddr, in_flight: u8) {
+        self.peer_loads.retain(|load| load.peer != peer);
+        if in_flight > 0 {
+            self.peer_loads.push(PeerLoad {
+                peer,
+                in_flight,
+                reported_at: now,
+            });
+        }
+    }
+
     fn is_paused(&self, now: Instant, is_suspect: bool) -> bool {
         let after = |until: Option<Instant>| until.is_some_and(|until| now < until);
         if self.is_path_blocked || after(self.full_until) {
@@ -389,17 +467,17 @@
             return UNKNOWN_RISK;
         };
         let age_s = now.saturating_duration_since(risk_at).as_secs_f64();
-        let decay = (-age_s / RISK_DECAY_TIME.as_secs_f64()).exp();
+        let decay_time = if self.risk > UNKNOWN_RISK {
+            RISK_DECAY_TIME
+        } else {
+            HEALTH_DECAY_TIME
+        };
+        let decay = (-age_s / decay_time.as_secs_f64()).exp();
         UNKNOWN_RISK + (self.risk - UNKNOWN_RISK) * decay
     }
 
     fn in_flight(&self, now: Instant) -> u32 {
-        let peers = self.peers.values();
-        let peers = peers
-            .filter(|peer| now.saturating_duration_since(peer.received_at) < PEER_LOAD_MAX_AGE);
-        self.own_in_flight
-            + peers
-                .map(|peer| u32::from(peer.report.in_flight))
-                .sum::<u32>()
+        let loads = self.peer_loads.iter().filter(|load| load.counts(now));
+        self.own_in_flight + loads.map(|load| u32::from(load.in_flight)).sum::<u32>()
     }
 }
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -8,6 +8,7 @@
 
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
 use waxwingusher_core::{FailureDomain, InstanceId, ServiceName};
 
 use crate::evidence::{Evidence, InstanceHealth};
@@ -26,6 +27,17 @@
 const EXPLORATION_VALUE: f64 = 0.35;
 /// The same for a suspect, lower so that healthy instances come first.
 const SUSPECT_EXPLORATION_VALUE: f64 = 0.15;
+/// The value of a request on its only or last attempt at an instance that is no
+/// suspect, for each second by which its newest outcome is older than
+/// [`MIN_IDLE_AGE_S`]. It keeps the healthy instances of a service without retryable
+/// requests in use.
+const IDLE_EXPLORATION_VALUE_PER_S: f64 = 0.3;
+const MIN_IDLE_AGE_S: f64 = 1.2;
+/// The largest such value: an instance gets a trial as soon as it is no suspect any
+/// more.
+const MAX_IDLE_EXPLORATION_VALUE: f64 = 0.6;
+/// The age that stands for an instance without outcomes in this respect.
+const UNKNOWN_IDLE_AGE_S: f64 = 1.7;
 /// The age of the newest outcome for which the exploration values are stated. Each
 /// healthy instance must get requests within two seconds.
 const EXPLORATION_AGE_S: f64 = 1.5;
@@ -99,6 +111,59 @@
     /// All instances have as many requests in flight as their queues allow.
     #[error("all instances of the service are busy")]
     AllBusy,
+    /// All instances want no requests from this host for some time.
+    #[error("all instances of the service want no requests for {retry_after:?}")]
+    AllBackOff {
+        /// When the first of them takes requests again.
+        retry_after: Duration,
+    },
+}
+
+/// How many instances of a service were excluded from a placement, by reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Exclusions {
+    /// The request was already sent to them.
+    pub attempted: usize,
+    /// They have said that they leave.
+    pub leaving: usize,
+    /// They want no requests from this host for some time.
+    pub back_off: usize,
+    /// They get no requests for a moment after a failure or a refusal.
+    pub paused: usize,
+    /// They are suspects, which get only few requests.
+    pub suspect: usize,
+    /// Their queues are full.
+    pub full: usize,
+}
+
+/// Counts why the instances of a service did not get a request.
+#[must_use]
+pub fn exclusions(
+    now: Instant,
+    roster: &Roster,
+    evidence: &Evidence,
+    request: &PlacementRequest<'_>,
+) -> Exclusions {
+    let mut counts = Exclusions {
+        leaving: roster.leaving_count(request.service),
+        ..Exclusions::default()
+    };
+    for listed in roster.ready(request.service) {
+        let health = evidence.health(now, &listed.entry.id);
+        let count = if request.attempted.contains(&listed.entry.id) {
+            &mut counts.attempted
+        } else if health.backs_off_for.is_some() {
+            &mut counts.back_off
+        } else if health.is_paused {
+            &mut counts.paused
+        } else if !is_eligible(listed, &health, request) {
+            &mut counts.suspect
+        } else {
+            &mut counts.full
+        };
+        *count += 1;
+    }
+    counts
 }
 
 /// Chooses the instance with the least cost.
@@ -116,11 +181,16 @@
     let mut best: Option<(f64, &ListedInstance, InstanceHealth)> = None;
     let mut last_resort: Option<(f64, &ListedInstance, InstanceHealth)> = None;
     let mut is_any_healthy = false;
+    let mut least_back_off: Option<Duration> = None;
     for listed in roster.ready(request.service) {
         if request.attempted.contains(&listed.entry.id) {
             continue;
         }
         let health = evidence.health(now, &listed.entry.id);
+        if let Some(time) = health.backs_off_for {
+            least_back_off = Some(least_back_off.map_or(time, |least| least.min(time)));
+            continue;
+        }
         // The noise makes hosts with the same information choose differently.
         let cost = cost(now, listed, &health, request) + rng.f64() * MAX_NOISE;
         if is_eligible(listed, &health, request) {
@@ -138,7 +208,11 @@
             health,
         }),
         None if is_any_healthy => Err(PlacementError::AllBusy),
-        None => Err(PlacementError::NoInstance),
+        None => Err(
+            least_back_off.map_or(PlacementError::NoInstance, |retry_after| {
+                PlacementError::AllBackOff { retry_after }
+            }),
+        ),
     }
 }
 
@@ -207,15 +281,17 @@
 }
 
 fn risk_cost(health: &InstanceHealth, can_retry: bool) -> f64 {
+    let age = health.outcome_age.map(|age| age.as_secs_f64());
     if !can_retry {
-        return health.risk;
+        let idle_s = age.unwrap_or(UNKNOWN_IDLE_AGE_S) - MIN_IDLE_AGE_S;
+        let value = (IDLE_EXPLORATION_VALUE_PER_S * idle_s).clamp(0.0, MAX_IDLE_EXPLORATION_VALUE);
+        return health.risk - if health.is_suspect { 0.0 } else { value };
     }
     let (failure_cost, exploration_value) = if health.is_suspect {
         (SUSPECT_TRIAL_COST, SUSPECT_EXPLORATION_VALUE)
     } else {
         (RETRYABLE_FAILURE_COST * health.risk, EXPLORATION_VALUE)
     };
-    let age = health.outcome_age.map(|age| age.as_secs_f64());
     let age_s = age.map_or(EXPLORATION_AGE_S, |age_s| age_s.min(MAX_EXPLORATION_AGE_S));
     failure_cost - exploration_value * age_s / EXPLORATION_AGE_S
 }
--- a/crates/upstreams/src/roster.rs
+++ b/crates/upstreams/src/roster.rs
@@ -5,20 +5,27 @@
 //! instance that is still missing then has left. If only this host had lost the
 //! feed, no entry lapsed, and a peer that received the removal without losing the
 //! feed confirms it.
+//!
+//! The feed may be restored from a backup, in which an instance is ready that has
+//! left since. Such an entry gets no requests until the instance writes it again.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use waxwingusher_core::{FailureDomain, InstanceId, ServiceName};
+use serde::{Deserialize, Serialize};
+use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName};
 
 /// How long a missing entry may reappear after the feed is restored. The feed
 /// guarantees that entries of running instances reappear within about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
+/// How long a departure is remembered. A backup of the feed is some seconds old,
+/// and the instances write their entries again within a few seconds.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(10 * 60);
 
 /// Whether an instance takes new requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RosterState {
     /// The instance takes requests.
     Ready,
@@ -27,7 +34,7 @@
 }
 
 /// The feed's entry of an instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterEntry {
     /// The identity that requests must name; the instance checks it.
     pub id: InstanceId,
@@ -50,7 +57,7 @@
 }
 
 /// A change of one entry in the feed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RosterChange {
     /// The entry was written.
     Put(RosterEntry),
@@ -85,8 +92,29 @@
     pub warm_at: Instant,
     /// When the entry was last written.
     pub updated_at: Instant,
+    /// Whether the instance itself has said that it leaves.
+    is_leaving: bool,
     /// The position of the feed at which the entry was removed, if it was.
-    removed_at_position: Option<u64>,
+    removed_at_position: Option<FeedPosition>,
+}
+
+/// An instance that takes no more requests.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    incarnation: u64,
+    noted_at: Instant,
+    /// Whether the instance itself has said that it leaves. Its entry may still be
+    /// ready then.
+    is_announced: bool,
+}
+
+/// Where an entry comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EntrySource {
+    /// The instance has written it.
+    Live,
+    /// It was listed after the feed was restored from a backup.
+    Backup,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,8 +130,12 @@
 pub struct Roster {
     instances: BTreeMap<InstanceId, ListedInstance>,
     feed: FeedHealth,
-    /// The highest position that a peer has followed without a gap.
-    confirmed_position: u64,
+    /// The latest position that a peer has followed without a gap.
+    confirmed_position: FeedPosition,
+    /// Instances that are leaving or have left.
+    departures: BTreeMap<InstanceId, Departure>,
+    /// The era of the feed at the last complete list.
+    era: Option<u16>,
 }
 
 impl Default for Roster {
@@ -111,7 +143,9 @@
         Self {
             instances: BTreeMap::new(),
             feed: FeedHealth::Lost,
-            confirmed_position: 0,
+            confirmed_position: FeedPosition::default(),
+            departures: BTreeMap::new(),
+            era: None,
         }
     }
 }
@@ -141,33 +175,63 @@
 
     /// Applies the change at `position` of the feed. Changes must come in the order
     /// of the feed.
-    pub fn apply(&mut self, now: Instant, change: RosterChange, position: u64) -> RosterEffect {
+    pub fn apply(
+        &mut self,
+        now: Instant,
+        change: RosterChange,
+        position: FeedPosition,
+    ) -> RosterEffect {
         match change {
-            RosterChange::Put(entry) => self.put(now, entry),
+            RosterChange::Put(entry) => self.put(now, entry, EntrySource::Live),
             RosterChange::Unusable(id) => self.remove_unusable(&id),
             RosterChange::Removed(id) => self.remove(now, &id, position),
         }
     }
 
+    /// Applies a removal that a peer reports, which has not followed the feed without
+    /// a gap. The entry may reappear within [`LAPSE_GRACE`].
+    pub fn apply_unconfirmed(
+        &mut self,
+        now: Instant,
+        change: RosterChange,
+        position: FeedPosition,
+    ) -> RosterEffect {
+        if matches!(change, RosterChange::Removed(_)) && self.trusts_removals(now) {
+            self.feed = FeedHealth::Restoring(now + LAPSE_GRACE);
+        }
+        self.apply(now, change, position)
+    }
+
     /// Records that a peer has followed the feed without a gap up to `position`.
-    pub fn confirm_position(&mut self, position: u64) {
+    pub fn confirm_position(&mut self, position: FeedPosition) {
         self.confirmed_position = self.confirmed_position.max(position);
     }
 
     /// Replaces all entries with a complete list; missing entries count as removed.
-    /// Returns the effects other than [`RosterEffect::Unchanged`].
+    /// In a new era of the feed, instances that have left stay excluded, and missing
+    /// entries may reappear within [`LAPSE_GRACE`]. Returns the effects other than [`RosterEffect::Unchanged`].
     pub fn replace(
         &mut self,
         now: Instant,
         entries: Vec<RosterEntry>,
-        position: u64,
+        position: FeedPosition,
     ) -> Vec<(InstanceId, RosterEffect)> {
+        let is_new_era = self
+            .era
+            .replace(position.era)
+            .is_some_and(|era| era != position.era);
+        let source = if is_new_era {
+            self.feed = FeedHealth::Restoring(now + LAPSE_GRACE);
+            EntrySource::Backup
+        } else {
+            EntrySource::Live
+        };
         let mut missing: Vec<InstanceId> = self.instances.keys().cloned().collect();
         missing.retain(|id| !entries.iter().any(|entry| entry.id == *id));
         let mut effects = Vec::new();
         for entry in entries {
             let id = entry.id.clone();
-            effects.push((id, self.put(now, entry)));
+            effects.push((id, self.put(now, entry, source)));
         }
         for id in missing {
             let effect = self.remove(now, &id, position);
@@ -187,16 +251,50 @@
         let is_gone = |listed: &ListedInstance| {
             let removed_at = listed.removed_at_position;
             removed_at
-                .is_some_and(|position| trusts_removals || position <= self.confirmed_position)
+                .is_some_and(|position| trusts_removals || self.confirmed_position.covers(position))
         };
         let gone = self.instances.iter().filter(|(_, listed)| is_gone(listed));
         let gone: Vec<InstanceId> = gone.map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.instances.remove(id);
+            self.remove_departed(now, id);
         }
+        self.departures.retain(|_, departure| {
+            now.saturating_duration_since(departure.noted_at) < DEPARTURE_RETENTION
+        });
         gone
     }
 
+    /// Records that an instance has said that it leaves, and reports whether that is
+    /// new. It gets no requests until another incarnation is listed.
+    pub fn mark_leaving(&mut self, now: Instant, id: &InstanceId, incarnation: u64) -> bool {
+        if let Some(listed) = self.instances.get_mut(id)
+            && listed.entry.incarnation == incarnation
+        {
+            listed.is_leaving = true;
+        }
+        let departure = Departure {
+            incarnation,
+            noted_at: now,
+            is_announced: true,
+        };
+        let former = self.departures.insert(id.clone(), departure);
+        former.is_none_or(|former| !former.is_announced || former.incarnation != incarnation)
+    }
+
+    /// Returns how many instances of a service have said that they leave although
+    /// their entries are ready.
+    #[must_use]
+    pub fn leaving_count(&self, service: &ServiceName) -> usize {
+        let listed = self.instances.values();
+        listed
+            .filter(|listed| {
+                listed.entry.service == *service
+                    && listed.entry.state == RosterState::Ready
+                    && listed.is_leaving
+            })
+            .count()
+    }
+
     /// Drops an instance whose address belongs to another one.
     pub fn disown(&mut self, id: &InstanceId) {
         self.instances.remove(id);
@@ -208,7 +306,9 @@
         service: &'a ServiceName,
     ) -> impl Iterator<Item = &'a ListedInstance> + 'a {
         self.instances.values().filter(move |listed| {
-            listed.entry.service == *service && listed.entry.state == RosterState::Ready
+            listed.entry.service == *service
+                && listed.entry.state == RosterState::Ready
+                && !listed.is_leaving
         })
     }
 
@@ -223,7 +323,18 @@
         self.instances.values()
     }
 
-    fn put(&mut self, now: Instant, entry: RosterEntry) -> RosterEffect {
+    fn put(&mut self, now: Instant, mut entry: RosterEntry, source: EntrySource) -> RosterEffect {
+        let departure = self.departures.get(&entry.id).copied();
+        let departure = departure.filter(|known| known.incarnation == entry.incarnation);
+        if source == EntrySource::Backup && departure.is_some() {
+            entry.state = RosterState::Draining;
+        }
+        let is_leaving = departure.is_some_and(|known| known.is_announced);
+        if entry.state == RosterState::Draining {
+            self.note_departure(now, &entry.id, entry.incarnation);
+        } else if !is_leaving {
+            self.departures.remove(&entry.id);
+        }
         let former = self.instances.get(&entry.id);
         let is_new = former.is_none_or(|former| {
             former.entry.incarnation != entry.incarnation || former.entry.addr != entry.addr
@@ -237,6 +348,7 @@
         let listed = ListedInstance {
             warm_at: now + entry.cold_for,
             updated_at: now,
+            is_leaving,
             removed_at_position: None,
             entry,
         };
@@ -244,20 +356,39 @@
         effect
     }
 
-    fn remove(&mut self, now: Instant, id: &InstanceId, position: u64) -> RosterEffect {
-        let is_confirmed = self.trusts_removals(now) || position <= self.confirmed_position;
+    fn remove(&mut self, now: Instant, id: &InstanceId, position: FeedPosition) -> RosterEffect {
+        let is_confirmed = self.trusts_removals(now) || self.confirmed_position.covers(position);
         let Some(listed) = self.instances.get_mut(id) else {
             return RosterEffect::Unchanged;
         };
         // A draining instance is expected to leave, so its entry is not held.
         if is_confirmed || listed.entry.state == RosterState::Draining {
-            self.instances.remove(id);
+            self.remove_departed(now, id);
             return RosterEffect::Left;
         }
         listed.removed_at_position.get_or_insert(position);
         RosterEffect::Held
     }
 
+    fn remove_departed(&mut self, now: Instant, id: &InstanceId) {
+        if let Some(listed) = self.instances.remove(id) {
+            self.note_departure(now, id, listed.entry.incarnation);
+        }
+    }
+
+    /// Remembers a departure that the feed shows.
+    fn note_departure(&mut self, now: Instant, id: &InstanceId, incarnation: u64) {
+        let known = self.departures.get(id);
+        let is_announced =
+            known.is_some_and(|known| known.is_announced && known.incarnation == incarnation);
+        let departure = Departure {
+            incarnation,
+            noted_at: now,
+            is_announced,
+        };
+        self.departures.insert(id.clone(), departure);
+    }
+
     fn remove_unusable(&mut self, id: &InstanceId) -> RosterEffect {
         match self.instances.remove(id) {
             Some(_) => RosterEffect::Left,
--- a/crates/upstreams/tests/testsuite/evidence.rs
+++ b/crates/upstreams/tests/testsuite/evidence.rs
@@ -188,3 +188,33 @@
     }
     assert!(evidence.health(now, &id).slowness > 4.0);
 }
+
+/// One request in a hundred takes several times the usual time. An instance that ran
+/// one got no request any more, and so no sample that would have shown that it is as
+/// fast as the others (further-grown trouble-1).
+#[test]
+fn a_single_slow_answer_is_forgotten_after_some_seconds() {
+    let (mut evidence, id, now) = (Evidence::default(), InstanceId::new("a"), Instant::now());
+    record(
+        &mut evidence,
+        now,
+        &id,
+        Observation::Success { slowness: 7.5 },
+    );
+    assert!(evidence.health(now, &id).slowness > 2.5);
+    let later = now + Duration::from_secs(8);
+    assert!(evidence.health(later, &id).slowness < 1.2);
+}
+
+/// The load was summed over all hosts that had ever used the instance.
+#[test]
+fn reports_of_idle_peers_are_dropped_and_their_next_ones_still_count() {
+    let (mut evidence, id, now) = (Evidence::default(), InstanceId::new("a"), Instant::now());
+    evidence.record_peer_report(now, peer(1), &id, report(1, 4, 0));
+    let later = now + Duration::from_secs(60);
+    evidence.expire_reports(later);
+    assert_eq!(evidence.health(later, &id).in_flight, 0);
+    evidence.record_peer_report(later, peer(1), &id, report(0, 4, 1));
+    evidence.record_peer_report(later, peer(1), &id, report(0, 4, 2));
+    assert!(evidence.health(later, &id).is_suspect);
+}
--- a/crates/upstreams/tests/testsuite/placement.rs
+++ b/crates/upstreams/tests/testsuite/placement.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use waxwingusher_core::{FailureDomain, InstanceId, ServiceName};
+use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName};
+use waxwingusher_upstreams::placement::exclusions;
 use waxwingusher_upstreams::{
     Evidence, Observation, Placement, PlacementError, PlacementRequest, Roster, RosterEntry,
     RosterState, place,
@@ -40,7 +41,7 @@
     fn new(entries: Vec<RosterEntry>) -> Self {
         let now = Instant::now();
         let mut roster = Roster::default();
-        roster.replace(now, entries, 1);
+        roster.replace(now, entries, FeedPosition::new(0, 1));
         Self {
             roster,
             evidence: Evidence::default(),
@@ -273,6 +274,22 @@
 /// as healthy from 2 s after its last failure on.
 #[test]
 fn seven_in_ten_healthy_instances_get_requests_in_two_seconds_at_light_load() {
+    check_share_of_healthy_instances_in_use(|number| number % 3 == 0, false);
+}
+
+/// Requests of a service without retryable ones crowded on the instances that had just
+/// succeeded: 41 of 65 healthy ones, most of which had succeeded when they were last
+/// used, got no request for 2 s while those in use had queues (further-grown trouble-1).
+#[test]
+fn healthy_instances_stay_in_use_by_requests_that_cannot_be_retried() {
+    check_share_of_healthy_instances_in_use(|_| false, true);
+}
+
+/// Checks that seven in ten healthy instances get requests in each span of two seconds.
+fn check_share_of_healthy_instances_in_use(
+    is_idempotent: impl Fn(usize) -> bool,
+    all_have_succeeded: bool,
+) {
     const HOSTS: usize = 8;
     const STEP: Duration = Duration::from_millis(40);
     const SPAN: Duration = Duration::from_secs(2);
@@ -290,12 +307,19 @@
             .collect()
     };
     let mut hosts: Vec<TestHost> = (0..HOSTS).map(|_| TestHost::new(entries())).collect();
+    let unhealthy = ["i-1", "i-4", "i-7", "i-8", "i-11"];
+    if all_have_succeeded {
+        for id in ids.iter().cycle().take(2 * ids.len()) {
+            hosts[0].record(id, SUCCESS);
+        }
+        exchange(&mut hosts, &ids);
+    }
     let mut requests: Vec<(Instant, String, bool)> = Vec::new();
     let start = hosts[0].now;
     for number in 0..500 {
         let host = &mut hosts[number % HOSTS];
-        let id = host.chosen(number % 3 == 0);
-        let is_unhealthy = ["i-1", "i-4", "i-7", "i-8", "i-11"].contains(&id.as_str());
+        let id = host.chosen(is_idempotent(number));
+        let is_unhealthy = unhealthy.contains(&id.as_str());
         host.record(
             &id,
             if is_unhealthy {
@@ -322,6 +346,7 @@
         let healthy: Vec<&String> = ids
             .iter()
             .filter(|id| !has(id, begin - SPAN, begin, true))
+            .filter(|id| !all_have_succeeded || !unhealthy.contains(&id.as_str()))
             .collect();
         let served = healthy
             .iter()
@@ -331,6 +356,40 @@
     }
 }
 
+/// An instance answered 503 with a time during which it wants no requests.
+#[test]
+fn an_instance_that_backs_off_gets_no_request_until_its_time_is_over() {
+    const TIME: Duration = Duration::from_secs(3);
+    let local = |id| entry(id, "north", Duration::ZERO);
+    let mut host = TestHost::new(vec![local("a"), local("b")]);
+    host.record("a", SUCCESS);
+    let (a, b) = (InstanceId::new("a"), InstanceId::new("b"));
+    host.evidence.record_back_off(host.now, &a, TIME);
+    for _ in 0..20 {
+        assert_eq!(host.chosen(false), "b");
+    }
+    let later = TIME + Duration::from_secs(1);
+    host.evidence.record_back_off(host.now, &b, later);
+    assert_eq!(
+        host.place(true, &[]).err(),
+        Some(PlacementError::AllBackOff { retry_after: TIME })
+    );
+    let request = PlacementRequest {
+        service: &ServiceName::new("svc"),
+        is_idempotent: true,
+        attempts_left: 1,
+        attempted: &[],
+        failure_domain: &FailureDomain::new("north"),
+        priority: 0,
+        usual_time: Duration::from_millis(200),
+        latency_target: Duration::from_millis(400),
+    };
+    let counts = exclusions(host.now, &host.roster, &host.evidence, &request);
+    assert_eq!(counts.back_off, 2);
+    host.now += TIME;
+    assert_eq!(host.chosen(false), "a");
+}
+
 /// Delivers every host's reports to all others.
 fn exchange(hosts: &mut [TestHost], ids: &[String]) {
     for sender in 0..hosts.len() {
