--- a/crates/gateway/tests/testsuite/answers.rs
+++ b/crates/gateway/tests/testsuite/answers.rs
@@ -296,3 +296,21 @@
         assert!(busy.request_count() >= 2);
     }
 }
+
+/// An instance sends a copy of its answer while the connection waits for the next
+/// request.
+#[test]
+fn a_late_second_copy_of_an_answer_reaches_no_other_caller() {
+    let instance = Instance::start_sending_copies(Duration::from_millis(30));
+    let host = TestHost::start(&[&instance], GRACE);
+    for number in 0..10 {
+        let id = format!("r{number}");
+        let reply = host.send(&request("GET", "/read/1", &id, ""));
+        if reply.status == 200 {
+            assert_eq!(reply.header("request-id"), Some(id.as_str()));
+            assert_eq!(reply.body, id.as_bytes());
+        }
+        std::thread::sleep(Duration::from_millis(10 * (number % 6)));
+    }
+    assert!(instance.request_count() >= 10);
+}
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -169,6 +169,22 @@
         Self { addr, received }
     }
 
+    /// Starts an instance that keeps connections open, answers each request with its
+    /// id as the body, and sends each answer a second time after `delay`.
+    pub fn start_sending_copies(delay: Duration) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let received: Arc<Mutex<Vec<Received>>> = Arc::default();
+        let log = received.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let log = log.clone();
+                std::thread::spawn(move || send_answers_twice(stream, &log, delay));
+            }
+        });
+        Self { addr, received }
+    }
+
     /// Returns the number of requests received.
     pub fn request_count(&self) -> usize {
         self.received.lock().expect("not poisoned").len()
@@ -191,6 +207,25 @@
     let _ = stream.write_all(&answer);
 }
 
+fn send_answers_twice(mut stream: TcpStream, log: &Mutex<Vec<Received>>, delay: Duration) {
+    while let Some(request) = read_request(&mut stream) {
+        log.lock().expect("not poisoned").push(request.clone());
+        let id = request.header("request-id").unwrap_or("").to_owned();
+        let answer = answer_with_proof(&request, "200 OK", &id);
+        let answer = String::from_utf8(answer).expect("text");
+        let answer = answer.replace("connection: close\r\n", "");
+        let mut copy = stream.try_clone().expect("a second handle");
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+        std::thread::spawn(move || {
+            std::thread::sleep(delay);
+            // Writing fails if the host has closed the connection.
+            let _ = copy.write_all(answer.as_bytes());
+        });
+    }
+}
+
 fn read_request(stream: &mut TcpStream) -> Option<Received> {
     let mut bytes = Vec::new();
     let mut byte = [0];
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -7,4 +7,5 @@
 mod feed;
 mod harness;
 mod journal;
+mod peers;
 mod stops;
