Keep the log of the feed without gaps on readers

All hosts now log what they apply, with the position before it; a gap starts the log anew. The former log had no tests; the new ones name the pattern.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -180,7 +180,9 @@
         }
         replace_roster(&self.state, listing.roster, listing.position);
         self.state.feed_position.set(listing.position);
-        self.state.feed_log.borrow_mut().restart(listing.position);
+        let mut feed_log = self.state.feed_log.borrow_mut();
+        feed_log.add(self.state.now(), listing.position, &[], listing.position);
+        drop(feed_log);
         self.is_listed = true;
         let now = self.state.now();
         self.state.readers.borrow_mut().record_listing(now);
@@ -199,7 +201,7 @@
                 return Ok(());
             }
         };
-        if self.apply(changes)? {
+        if self.apply(position, changes)? {
             self.state.is_reading.set(true);
             self.state.outbox.send_feed_update_soon();
             tokio::time::sleep(BATCH_DELAY).await;
@@ -236,26 +238,23 @@
         let position = self.state.feed_position.get();
         let answer = self.source.changes(position, CATCH_UP_WAIT);
         let changes = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
-        self.apply(changes.map_err(|_| answer_timeout())??)?;
+        self.apply(position, changes.map_err(|_| answer_timeout())??)?;
         Ok(())
     }
 
-    /// Applies the source's answer, and reports whether it contains changes.
-    fn apply(&mut self, changes: Changes) -> Result<bool, SourceError> {
-        let position = self.state.feed_position.get();
-        if changes.position.era != position.era {
+    /// Applies the source's answer with the changes after `since`, and reports whether
+    /// there are any.
+    fn apply(&mut self, since: FeedPosition, changes: Changes) -> Result<bool, SourceError> {
+        if changes.position.era != since.era {
             return Err(SourceError::HistoryGone);
         }
         self.notify_roster_of_return();
         let is_empty = changes.items.is_empty();
-        let until = changes.position.max(position);
+        let until = changes.position.max(since);
         let revised = changes.items.into_iter();
         let revised = revised.map(|(revision, change)| RevisedChange { revision, change });
         let revised: Vec<RevisedChange> = revised.collect();
-        let mut feed_log = self.state.feed_log.borrow_mut();
-        feed_log.add(self.state.now(), revised.iter().cloned(), until);
-        drop(feed_log);
-        apply_changes(&self.state, revised, until, true);
+        apply_changes(&self.state, since, revised, until, true);
         Ok(!is_empty)
     }
 
@@ -368,22 +367,23 @@
         roster.confirm_position(update.until);
     }
     drop(roster);
-    apply_changes(
-        state,
-        changes,
-        update.until.max(position),
-        update.is_gapless,
-    );
+    let (since, until) = (update.since, update.until);
+    apply_changes(state, since, changes, until, update.is_gapless);
 }
 
-/// Applies the changes after the position of this host, up to `until`.
+/// Applies those of all changes between two positions that this host has not applied.
 fn apply_changes(
     state: &State,
+    since: FeedPosition,
     changes: Vec<RevisedChange>,
     until: FeedPosition,
     is_gapless: bool,
 ) {
     let position = state.feed_position.get();
+    let until = until.max(position);
+    let mut feed_log = state.feed_log.borrow_mut();
+    feed_log.add(state.now(), since, &changes, until);
+    drop(feed_log);
     let mut has_roster_changes = false;
     for RevisedChange { revision, change } in changes {
         if revision <= position.revision {
--- a/crates/gateway/src/feed_log.rs
+++ b/crates/gateway/src/feed_log.rs
@@ -1,119 +1,121 @@
-//! The latest changes that this host has read, for hosts that do not read the feed.
+//! The latest changes of the feed, for hosts that do not read it themselves.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use waxwingusher_core::FeedPosition;
-use waxwingusher_membership::seeded::FeedUpdate;
 
 use crate::feed::Change;
 
 /// How long changes are repeated, so that later updates make up for a lost one.
-const REPEAT_TIME: Duration = Duration::from_secs(2);
+pub const REPEAT_TIME: Duration = Duration::from_secs(2);
 /// The largest encoded changes of one update, below the limit of a datagram. Hosts
 /// read larger ones from the feed themselves.
 const MAX_UPDATE_BYTES: usize = 48_000;
-/// Changes of this size are not repeated. Hosts that miss them read the feed.
-const MAX_REPEATED_BYTES: usize = 4_000;
 
-/// A change and its position within the era of the update.
+/// A change and its revision.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct RevisedChange {
-    pub(crate) revision: u64,
-    pub(crate) change: Change,
+pub struct RevisedChange {
+    /// The revision.
+    pub revision: u64,
+    /// The change.
+    pub change: Change,
 }
 
-#[derive(Debug)]
-struct LoggedChange {
-    learned_at: Instant,
-    bytes: usize,
-    change: RevisedChange,
+/// All changes between two positions.
+#[derive(Debug, Clone)]
+pub struct FeedExcerpt {
+    /// The position before the first change.
+    pub since: FeedPosition,
+    /// The position of the last change.
+    pub until: FeedPosition,
+    /// The changes, encoded.
+    pub changes: Vec<u8>,
 }
 
-/// The latest changes that this host has read.
+/// The latest changes, without a gap.
 #[derive(Debug, Default)]
-pub(crate) struct FeedLog {
+pub struct FeedLog {
     /// The position before the first change in the log.
     since: FeedPosition,
     until: FeedPosition,
-    changes: VecDeque<LoggedChange>,
+    changes: VecDeque<(Instant, RevisedChange)>,
 }
 
 impl FeedLog {
-    /// Starts the log anew at a position that was reached without single changes.
-    pub(crate) fn restart(&mut self, position: FeedPosition) {
-        self.since = position;
-        self.until = position;
-        self.changes.clear();
-    }
-
-    /// Adds changes up to `position`.
-    pub(crate) fn add(
+    /// Adds all changes between two positions. Those that the log contains already
+    /// are skipped; if some before them are missing, the log starts anew.
+    pub fn add(
         &mut self,
         now: Instant,
-        changes: impl IntoIterator<Item = RevisedChange>,
-        position: FeedPosition,
+        since: FeedPosition,
+        changes: &[RevisedChange],
+        until: FeedPosition,
     ) {
-        for change in changes {
-            let bytes = postcard::to_allocvec(&change).map_or(MAX_UPDATE_BYTES, |it| it.len());
-            self.changes.push_back(LoggedChange {
-                learned_at: now,
-                bytes,
-                change,
-            });
+        if since.era != self.until.era || since > self.until {
+            self.since = since;
+            self.until = since;
+            self.changes.clear();
         }
-        self.until = position;
+        let known = self.until.revision;
+        let new = changes.iter().filter(|change| change.revision > known);
+        self.changes.extend(new.map(|change| (now, change.clone())));
+        self.until = self.until.max(until);
+        self.drop_old(now);
     }
 
-    /// Returns the update to send now; `None` before the first complete list.
-    pub(crate) fn update(&mut self, now: Instant) -> Option<FeedUpdate> {
+    /// Returns the excerpt to send now; `None` before the first complete list.
+    /// Configurations are sent once, since they may be large.
+    pub fn take_excerpt(&mut self, now: Instant) -> Option<FeedExcerpt> {
         if self.until == FeedPosition::default() {
             return None;
         }
-        let is_old =
-            |logged: &LoggedChange| now.saturating_duration_since(logged.learned_at) >= REPEAT_TIME;
-        while let Some(first) = self.changes.front().filter(|first| is_old(first)) {
-            self.since.revision = first.change.revision;
+        self.drop_old(now);
+        let changes: Vec<&RevisedChange> = self.changes.iter().map(|(_, change)| change).collect();
+        let encoded = match postcard::to_allocvec(&changes) {
+            Ok(encoded) if encoded.len() <= MAX_UPDATE_BYTES => Some(encoded),
+            Ok(_) => None,
+            Err(error) => {
+                log::error!("feed: Cannot encode changes for peers: {error}.");
+                None
+            }
+        };
+        let excerpt = match encoded {
+            Some(changes) => FeedExcerpt {
+                since: self.since,
+                until: self.until,
+                changes,
+            },
+            None => FeedExcerpt {
+                since: self.until,
+                until: self.until,
+                changes: Vec::new(),
+            },
+        };
+        self.drop_configurations();
+        Some(excerpt)
+    }
+
+    fn drop_old(&mut self, now: Instant) {
+        while let Some((learned_at, change)) = self.changes.front() {
+            if now.saturating_duration_since(*learned_at) < REPEAT_TIME {
+                return;
+            }
+            self.since.revision = change.revision;
             self.changes.pop_front();
         }
-        let revised: Vec<&RevisedChange> =
-            self.changes.iter().map(|logged| &logged.change).collect();
-        let encoded = postcard::to_allocvec(&revised).unwrap_or_else(|error| {
-            log::error!("feed: Cannot encode changes for peers: {error}.");
-            Vec::new()
-        });
-        let is_sendable = !encoded.is_empty() && encoded.len() <= MAX_UPDATE_BYTES;
-        let update = FeedUpdate {
-            since: if is_sendable { self.since } else { self.until },
-            until: self.until,
-            changes: if is_sendable { encoded } else { Vec::new() },
-            ..empty_update()
-        };
-        self.forget_large();
-        Some(update)
     }
 
-    /// Drops large changes and all before them.
-    fn forget_large(&mut self) {
-        let is_large = |logged: &LoggedChange| logged.bytes > MAX_REPEATED_BYTES;
-        let Some(last) = self.changes.iter().rposition(is_large) else {
+    /// Drops the last configuration and all changes before it.
+    fn drop_configurations(&mut self) {
+        let is_configuration =
+            |(_, logged): &(Instant, RevisedChange)| matches!(logged.change, Change::Routing(_));
+        let Some(last) = self.changes.iter().rposition(is_configuration) else {
             return;
         };
-        for logged in self.changes.drain(..=last) {
-            self.since.revision = logged.change.revision;
+        for (_, change) in self.changes.drain(..=last) {
+            self.since.revision = change.revision;
         }
     }
 }
-
-/// Returns an update without changes, whose sender fills in the rest.
-fn empty_update() -> FeedUpdate {
-    FeedUpdate {
-        reader: ([0, 0, 0, 0], 0).into(),
-        relay: false,
-        since: FeedPosition::default(),
-        until: FeedPosition::default(),
-        is_gapless: false,
-        changes: Vec::new(),
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! through [`ports`].
 
 pub mod explain;
+pub mod feed_log;
 pub mod gateway;
 pub mod journal;
 pub mod metrics;
@@ -20,7 +21,6 @@
 mod crash_ledger;
 mod dispatch;
 mod feed;
-mod feed_log;
 mod path_probe;
 mod peers;
 mod pipeline;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -404,14 +404,16 @@
     /// them meanwhile.
     fn send_feed_update(&self) {
         let now = self.state.now();
-        let Some(update) = self.state.feed_log.borrow_mut().update(now) else {
+        let Some(excerpt) = self.state.feed_log.borrow_mut().take_excerpt(now) else {
             return;
         };
         let update = FeedUpdate {
             reader: self.state.peers.borrow().local_member().addr,
             relay: false,
+            since: excerpt.since,
+            until: excerpt.until,
             is_gapless: self.state.roster.borrow().trusts_removals(now),
-            ..update
+            changes: excerpt.changes,
         };
         let relayed = FeedUpdate {
             relay: true,
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod explain;
 mod feed;
+mod feed_log;
 mod harness;
 mod journal;
 mod peers;
