Let a host take over reading on a fresh connection, and pass on no stale position

The host that took over watched on a connection that had been idle for ten seconds, got no answer, and sent its old position meanwhile, so that no other host read: a configuration was in force after 2.1 s instead of 2.0.

A host that takes over opens a connection; a host sends its position only for 1.2 s after the feed's last answer. Three readers with watches of at most 1 s, so that such a loss shows sooner.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -31,7 +31,7 @@
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
 /// The same for a host that reads for others, which must notice soon when its
 /// connection is dead.
-const READER_WATCH_WAIT: Duration = Duration::from_secs(2);
+const READER_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// How long the source holds the call of a host that has missed changes.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(20);
 /// How often a host that relies on readers checks them and its own position.
@@ -147,7 +147,10 @@
         let result = if !self.is_listed {
             self.list().await
         } else if self.state.must_read_feed() {
-            self.state.is_reading.set(!self.is_feed_lost);
+            if !self.state.is_reading.get() && !self.state.is_alone() {
+                // The connection may be dead after a time without calls.
+                self.source.reconnect();
+            }
             self.watch().await
         } else {
             self.state.is_reading.set(false);
@@ -201,8 +204,10 @@
                 return Ok(());
             }
         };
-        if self.apply(position, changes)? {
-            self.state.is_reading.set(true);
+        let has_changes = self.apply(position, changes)?;
+        self.state.is_reading.set(true);
+        self.state.read_at.set(Some(self.state.now()));
+        if has_changes {
             self.state.outbox.send_feed_update_soon();
             tokio::time::sleep(BATCH_DELAY).await;
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -202,7 +202,7 @@
             self.report_to_local_domain();
             self.report_to_remote_domains();
         }
-        if self.state.is_reading.get() {
+        if self.state.is_reader() {
             self.send_feed_update();
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,6 +36,11 @@
 /// the socket; reading all of them takes a few milliseconds.
 const CATCH_UP_TIME: Duration = Duration::from_millis(100);
 
+/// The longest time since the feed's last answer for which a host passes on its
+/// position; readers get an answer at least once a second. Without it, a reader whose
+/// connection is dead would keep others from reading.
+const MAX_READER_LAG: Duration = Duration::from_millis(1_200);
+
 /// The phases of a host, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -78,6 +83,8 @@
     pub(crate) max_peer_position: Cell<FeedPosition>,
     /// Whether this host reads the feed and passes the changes on.
     pub(crate) is_reading: Cell<bool>,
+    /// When the feed last answered this host.
+    pub(crate) read_at: Cell<Option<Instant>>,
     pub(crate) readers: RefCell<ReaderSchedule>,
     pub(crate) feed_log: RefCell<FeedLog>,
     pub(crate) phase: watch::Sender<Phase>,
@@ -180,6 +187,7 @@
             feed_position: Cell::default(),
             max_peer_position: Cell::default(),
             is_reading: Cell::new(false),
+            read_at: Cell::new(None),
             readers: RefCell::default(),
             feed_log: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -269,6 +277,13 @@
         reader_rank(peers.local_member().addr, reachable.map(|peer| peer.addr))
     }
 
+    /// Reports whether other hosts may rely on this one for changes of the feed: it
+    /// reads the feed, which has answered lately.
+    pub(crate) fn is_reader(&self) -> bool {
+        let read_at = self.read_at.get().filter(|_| self.is_reading.get());
+        read_at.is_some_and(|at| self.now().saturating_duration_since(at) < MAX_READER_LAG)
+    }
+
     /// Reports whether no peer is reachable.
     pub(crate) fn is_alone(&self) -> bool {
         self.peers
--- a/crates/membership/src/seeded/readers.rs
+++ b/crates/membership/src/seeded/readers.rs
@@ -13,7 +13,7 @@
 
 /// The hosts that read the source at the same time. One of them may lose the source
 /// or stop without notice.
-pub const READERS: usize = 2;
+pub const READERS: usize = 3;
 /// How long a host waits for an update: two intervals of the readers and some delay.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 /// The additional wait for each host of a better rank.
