Log when any host last tried an instance, and how slow it seems

The lines of attempts name the time since any host last started one there and the average slowness; `explain` shows both. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -228,9 +228,11 @@
             request: &self.request.request_id,
             number: self.number,
             instance: self.placement.instance.entry.id.as_str(),
-            risk: (health.risk * 100.0).round() / 100.0,
+            risk: to_hundredths(health.risk),
             load: health.in_flight,
             outcome_age_ms: health.outcome_age.map(millis),
+            attempt_age_ms: health.attempt_age.map(millis),
+            slowness: to_hundredths(health.slowness),
             outcome: self.outcome,
             took_ms: millis(took),
         });
@@ -358,6 +360,11 @@
     }
 }
 
+/// Rounds a ratio to two decimal places.
+fn to_hundredths(ratio: f64) -> f64 {
+    (ratio * 100.0).round() / 100.0
+}
+
 /// Returns the duration in whole milliseconds, rounded down.
 pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -93,6 +93,9 @@
         load: u32,
         #[serde(rename = "word_age_ms")]
         outcome_age_ms: Option<u64>,
+        /// Older builds write neither this nor the slowness.
+        attempt_age_ms: Option<u64>,
+        slowness: Option<f64>,
         outcome: String,
         took_ms: u64,
     },
@@ -162,6 +165,8 @@
                 risk,
                 load,
                 outcome_age_ms,
+                attempt_age_ms,
+                slowness,
                 outcome,
                 took_ms,
                 ..
@@ -172,9 +177,16 @@
                 )?;
                 write!(f, " (risk {risk}, {load} requests in flight there, ")?;
                 match outcome_age_ms {
-                    Some(age_ms) => write!(f, "last outcome {age_ms} ms before)"),
-                    None => f.write_str("no outcome yet)"),
+                    Some(age_ms) => write!(f, "last outcome {age_ms} ms before")?,
+                    None => f.write_str("no outcome yet")?,
                 }
+                if let Some(age_ms) = attempt_age_ms {
+                    write!(f, ", last attempt of any host {age_ms} ms before")?;
+                }
+                if let Some(slowness) = slowness {
+                    write!(f, ", {slowness} times the usual time")?;
+                }
+                f.write_str(")")
             }
             Self::Unplaced {
                 service,
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -124,6 +124,10 @@
         /// The age of the last known outcome at the instance in milliseconds.
         #[serde(rename = "word_age_ms")]
         outcome_age_ms: Option<u64>,
+        /// The time since any host last started an attempt there in milliseconds.
+        attempt_age_ms: Option<u64>,
+        /// The moving average of the ratio of its times to the usual times.
+        slowness: f64,
         /// How the attempt ended.
         outcome: &'a str,
         /// How long the attempt took in milliseconds.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -392,7 +392,7 @@
 
 impl InFlightGuard {
     pub(crate) fn start(state: &Rc<State>, id: &InstanceId) -> Self {
-        state.evidence.borrow_mut().record_start(id);
+        state.evidence.borrow_mut().record_start(state.now(), id);
         state.report_instance(id, false);
         Self {
             state: state.clone(),
--- a/crates/gateway/tests/testsuite/explain.rs
+++ b/crates/gateway/tests/testsuite/explain.rs
@@ -20,6 +20,8 @@
         risk: 0.25,
         load: 2,
         outcome_age_ms: None,
+        attempt_age_ms: Some(40),
+        slowness: 1.5,
         outcome,
         took_ms: 3,
     }
@@ -89,7 +91,9 @@
             .description
             .starts_with("attempt 1 at i-1: failed after 3 ms")
     );
-    assert!(attempt.description.contains("no outcome yet"));
+    assert!(attempt.description.ends_with(
+        "no outcome yet, last attempt of any host 40 ms before, 1.5 times the usual time)"
+    ));
     assert!(attempt.context[0].starts_with("i-1: joined"));
     assert!(
         answer
--- a/crates/gateway/tests/testsuite/journal.rs
+++ b/crates/gateway/tests/testsuite/journal.rs
@@ -98,10 +98,12 @@
         risk: 0.25,
         load: 2,
         outcome_age_ms: Some(7),
+        attempt_age_ms: Some(5),
+        slowness: 1.25,
         outcome: "answered",
         took_ms: 3,
     });
     let lines = drain(&lines);
     assert!(lines[0].ends_with("\"event\":\"peers\",\"heard\":3,\"known\":4}"));
-    assert!(lines[1].contains("\"load\":2,\"word_age_ms\":7,\"outcome\""));
+    assert!(lines[1].contains("\"load\":2,\"word_age_ms\":7,\"attempt_age_ms\":5,"));
 }
--- a/crates/upstreams/src/evidence.rs
+++ b/crates/upstreams/src/evidence.rs
@@ -96,6 +96,8 @@
     risk: f64,
     risk_at: Option<Instant>,
     outcome_at: Option<Instant>,
+    /// When this host or a peer last started an attempt.
+    attempt_at: Option<Instant>,
     failure_at: Option<Instant>,
     /// Failures since the last success.
     consecutive_failures: u32,
@@ -145,6 +147,7 @@
             risk: UNKNOWN_RISK,
             risk_at: None,
             outcome_at: None,
+            attempt_at: None,
             failure_at: None,
             consecutive_failures: 0,
             own: InstanceReport::default(),
@@ -181,6 +184,8 @@
     pub backs_off_for: Option<Duration>,
     /// The age of the newest outcome, if there is one.
     pub outcome_age: Option<Duration>,
+    /// The time since this host or a peer last started an attempt, if one has.
+    pub attempt_age: Option<Duration>,
     /// Requests in flight of all hosts.
     pub in_flight: u32,
     /// The moving average of the ratio of its times to the usual times.
@@ -230,8 +235,10 @@
     }
 
     /// Counts a request that is about to be sent.
-    pub fn record_start(&mut self, id: &InstanceId) {
-        self.estimates.entry(id.clone()).or_default().own_in_flight += 1;
+    pub fn record_start(&mut self, now: Instant, id: &InstanceId) {
+        let estimate = self.estimates.entry(id.clone()).or_default();
+        estimate.own_in_flight += 1;
+        estimate.attempt_at = Some(now);
     }
 
     /// Records that a probe could connect to an instance.
@@ -307,6 +314,14 @@
                 counts_on_first_report(report.failure_age).into(),
             ),
         };
+        let former_in_flight = former.map_or(0, |former| former.report.in_flight);
+        // More have ended or are in flight than were in flight before.
+        let has_new_attempt =
+            u32::from(successes) + u32::from(failures) + u32::from(report.in_flight)
+                > u32::from(former_in_flight);
+        if has_new_attempt {
+            estimate.attempt_at = estimate.attempt_at.max(Some(now));
+        }
         if successes > 0 {
             estimate.update_slowness(now, f64::from(report.slowness_16ths) / 16.0);
         }
@@ -331,14 +346,13 @@
     /// Returns this host's report on an instance for its peers.
     #[must_use]
     pub fn own_report(&self, now: Instant, id: &InstanceId) -> InstanceReport {
-        let age = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at));
         let Some(estimate) = self.estimates.get(id) else {
             return InstanceReport::default();
         };
         InstanceReport {
             in_flight: u8::try_from(estimate.own_in_flight).unwrap_or(u8::MAX),
-            success_age: age(estimate.own_success_at),
-            failure_age: age(estimate.own_failure_at),
+            success_age: age(now, estimate.own_success_at),
+            failure_age: age(now, estimate.own_failure_at),
             ..estimate.own
         }
     }
@@ -353,6 +367,7 @@
                 is_paused: false,
                 backs_off_for: None,
                 outcome_age: None,
+                attempt_age: None,
                 in_flight: 0,
                 slowness: 1.0,
             };
@@ -367,15 +382,18 @@
                 .backs_off_until
                 .map(|until| until.saturating_duration_since(now))
                 .filter(|left| !left.is_zero()),
-            outcome_age: estimate
-                .outcome_at
-                .map(|at| now.saturating_duration_since(at)),
+            outcome_age: age(now, estimate.outcome_at),
+            attempt_age: age(now, estimate.attempt_at),
             in_flight: estimate.in_flight(now),
             slowness: estimate.slowness(now),
         }
     }
 }
 
+fn age(now: Instant, at: Option<Instant>) -> Option<Duration> {
+    at.map(|at| now.saturating_duration_since(at))
+}
+
 fn counts_on_first_report(age: Option<Duration>) -> bool {
     age.is_some_and(|age| age < FIRST_REPORT_MAX_AGE)
 }
--- a/crates/upstreams/tests/testsuite/evidence.rs
+++ b/crates/upstreams/tests/testsuite/evidence.rs
@@ -26,7 +26,7 @@
 }
 
 fn record(evidence: &mut Evidence, now: Instant, id: &InstanceId, observation: Observation) {
-    evidence.record_start(id);
+    evidence.record_start(now, id);
     evidence.record_end(now, id, observation);
 }
 
@@ -132,7 +132,7 @@
 #[test]
 fn an_overdue_request_counts_against_its_instance() {
     let (mut evidence, id, now) = (Evidence::default(), InstanceId::new("a"), Instant::now());
-    evidence.record_start(&id);
+    evidence.record_start(now, &id);
     evidence.record_overdue(now, &id);
     assert!(evidence.health(now, &id).is_suspect);
     assert_eq!(evidence.health(now, &id).in_flight, 1);
@@ -141,7 +141,7 @@
 #[test]
 fn requests_in_flight_of_peers_count_until_their_reports_are_too_old() {
     let (mut evidence, id, now) = (Evidence::default(), InstanceId::new("a"), Instant::now());
-    evidence.record_start(&id);
+    evidence.record_start(now, &id);
     evidence.record_peer_report(now, peer(1), &id, report(3, 0, 0));
     evidence.record_peer_report(now, peer(2), &id, report(2, 0, 0));
     assert_eq!(evidence.health(now, &id).in_flight, 6);
@@ -154,7 +154,7 @@
 #[test]
 fn a_blocked_path_is_paused_and_does_not_count_against_the_instance() {
     let (mut evidence, id, now) = (Evidence::default(), InstanceId::new("a"), Instant::now());
-    evidence.record_start(&id);
+    evidence.record_start(now, &id);
     evidence.record_end(now, &id, Observation::Unreachable);
     let health = evidence.health(now, &id);
     assert!(health.is_paused && !health.is_suspect);
@@ -167,8 +167,8 @@
 #[test]
 fn a_new_incarnation_starts_without_earlier_outcomes() {
     let (mut evidence, id, now) = (Evidence::default(), InstanceId::new("a"), Instant::now());
-    evidence.record_start(&id);
-    evidence.record_start(&id);
+    evidence.record_start(now, &id);
+    evidence.record_start(now, &id);
     evidence.record_end(now, &id, Observation::Failure);
     evidence.reset(&id);
     let health = evidence.health(now, &id);
@@ -218,3 +218,28 @@
     evidence.record_peer_report(later, peer(1), &id, report(0, 4, 2));
     assert!(evidence.health(later, &id).is_suspect);
 }
+
+/// Which instances no host had tried for seconds could not be told from the logs of an
+/// incident, as an attempt was known by its outcome only.
+#[test]
+fn attempts_of_all_hosts_are_dated_from_their_start() {
+    let (mut evidence, id, now) = (Evidence::default(), InstanceId::new("a"), Instant::now());
+    let attempt_age =
+        |evidence: &Evidence, steps: u32| evidence.health(now + steps * STEP, &id).attempt_age;
+    assert_eq!(attempt_age(&evidence, 0), None);
+    evidence.record_start(now, &id);
+    evidence.record_end(now + 2 * STEP, &id, SUCCESS);
+    assert_eq!(attempt_age(&evidence, 3), Some(3 * STEP));
+    let reports = [
+        (4, report(2, 0, 0)),
+        (5, report(1, 1, 0)),
+        (6, report(1, 2, 0)),
+    ];
+    for (steps, report) in reports {
+        evidence.record_peer_report(now + steps * STEP, peer(1), &id, report);
+    }
+    // The second report only tells of an end, the third one of an end and a start.
+    assert_eq!(attempt_age(&evidence, 6), Some(Duration::ZERO));
+    evidence.record_peer_report(now + 7 * STEP, peer(1), &id, report(0, 3, 0));
+    assert_eq!(attempt_age(&evidence, 7), Some(STEP));
+}
--- a/crates/upstreams/tests/testsuite/placement.rs
+++ b/crates/upstreams/tests/testsuite/placement.rs
@@ -78,7 +78,7 @@
 
     fn record(&mut self, id: &str, observation: Observation) {
         let id = InstanceId::new(id);
-        self.evidence.record_start(&id);
+        self.evidence.record_start(self.now, &id);
         self.evidence.record_end(self.now, &id, observation);
     }
 
@@ -145,7 +145,8 @@
     host.record("unhealthy", Observation::Failure);
     host.record("unhealthy", Observation::Failure);
     for _ in 0..2 * SLOTS {
-        host.evidence.record_start(&InstanceId::new("healthy"));
+        host.evidence
+            .record_start(host.now, &InstanceId::new("healthy"));
     }
     assert_eq!(host.place(false, &[]).err(), Some(PlacementError::AllBusy));
     assert_eq!(host.place(true, &[]).err(), Some(PlacementError::AllBusy));
@@ -157,7 +158,8 @@
         "a retryable request tries a suspect"
     );
     for _ in 0..SLOTS {
-        host.evidence.record_start(&InstanceId::new("unhealthy"));
+        host.evidence
+            .record_start(host.now, &InstanceId::new("unhealthy"));
     }
     host.now += Duration::from_secs(2);
     assert_eq!(host.place(true, &[]).err(), Some(PlacementError::AllBusy));
@@ -183,7 +185,8 @@
     host.record("remote", SUCCESS);
     assert_eq!(host.chosen(false), "local");
     for _ in 0..SLOTS {
-        host.evidence.record_start(&InstanceId::new("local"));
+        host.evidence
+            .record_start(host.now, &InstanceId::new("local"));
     }
     assert_eq!(host.chosen(false), "remote");
 }
@@ -211,7 +214,8 @@
     let mut host = TestHost::new(vec![entry("only", "north", Duration::ZERO)]);
     host.record("only", SUCCESS);
     for _ in 0..SLOTS + 2 {
-        host.evidence.record_start(&InstanceId::new("only"));
+        host.evidence
+            .record_start(host.now, &InstanceId::new("only"));
     }
     assert!(host.place(false, &[]).is_ok());
     host.priority = 2;
@@ -227,7 +231,7 @@
         Some(PlacementError::NoInstance)
     );
     for _ in 0..2 * SLOTS {
-        host.evidence.record_start(&only);
+        host.evidence.record_start(host.now, &only);
     }
     assert_eq!(host.place(true, &[]).err(), Some(PlacementError::AllBusy));
 }
@@ -257,7 +261,7 @@
     for number in 0..REQUESTS {
         let host = &mut hosts[number % HOSTS];
         let id = host.chosen(false);
-        host.evidence.record_start(&InstanceId::new(&id));
+        host.evidence.record_start(host.now, &InstanceId::new(&id));
         *load.entry(id).or_default() += 1;
         if number % HOSTS == HOSTS - 1 {
             exchange(&mut hosts, &ids);
