Keep what a host has applied of the feed in a type without sockets

No decision changes. `FeedReplica` holds positions, the schedule of readers and the log of changes, which were fields of the shared state; the event loop passes answers and updates in and puts what was applied in force.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -22,7 +22,7 @@
 use waxwingusher_upstreams::{RosterChange, RosterEffect, RosterEntry};
 
 use crate::attempt::millis;
-use crate::feed_log::RevisedChange;
+use crate::feed_replica::Applied;
 use crate::journal::Event;
 use crate::state::State;
 
@@ -147,13 +147,13 @@
         let result = if !self.is_listed {
             self.list().await
         } else if self.state.must_read_feed() {
-            if !self.state.is_reading.get() && !self.state.is_alone() {
+            if !self.state.feed.borrow().is_reading() && !self.state.is_alone() {
                 // The connection may be dead after a time without calls.
                 self.source.reconnect();
             }
             self.watch().await
         } else {
-            self.state.is_reading.set(false);
+            self.state.feed.borrow_mut().stop_reading();
             self.rely_on_readers().await
         };
         match result {
@@ -177,23 +177,19 @@
     async fn list(&mut self) -> Result<(), SourceError> {
         let listing = tokio::time::timeout(ANSWER_TIMEOUT, self.source.list()).await;
         let listing = listing.map_err(|_| answer_timeout())??;
-        self.notify_roster_of_return();
-        if let Some(published) = listing.routing {
-            apply_configuration(&self.state, published);
-        }
-        replace_roster(&self.state, listing.roster, listing.position);
-        self.state.feed_position.set(listing.position);
-        let mut feed_log = self.state.feed_log.borrow_mut();
-        feed_log.add(self.state.now(), listing.position, &[], listing.position);
-        drop(feed_log);
-        self.is_listed = true;
         let now = self.state.now();
-        self.state.readers.borrow_mut().record_listing(now);
+        let mut roster = self.state.roster.borrow_mut();
+        let mut feed = self.state.feed.borrow_mut();
+        let applied = feed.on_listing(now, listing, &mut roster);
+        drop((roster, feed));
+        put_in_force(&self.state, applied);
+        index_instances(&self.state);
+        self.is_listed = true;
         Ok(())
     }
 
     async fn watch(&mut self) -> Result<(), SourceError> {
-        let position = self.state.feed_position.get();
+        let position = self.state.feed.borrow().position();
         let wait = self.watch_wait();
         let answer = self.source.changes(position, wait);
         let answer = tokio::time::timeout(wait + ANSWER_TIMEOUT, answer);
@@ -205,8 +201,7 @@
             }
         };
         let has_changes = self.apply(position, changes)?;
-        self.state.is_reading.set(true);
-        self.state.read_at.set(Some(self.state.now()));
+        self.state.feed.borrow_mut().record_read(self.state.now());
         if has_changes {
             self.state.outbox.send_feed_update_soon();
             tokio::time::sleep(BATCH_DELAY).await;
@@ -220,13 +215,13 @@
         let mut behind_since = None;
         loop {
             self.sleep_with_jitter(READER_CHECK_INTERVAL).await;
-            if self.is_feed_lost && self.state.is_fed() {
+            if self.is_feed_lost && self.is_fed() {
                 self.mark_feed_regained();
             }
             if self.state.must_read_feed() {
                 return Ok(());
             }
-            if !self.state.is_behind_peers() {
+            if !self.state.feed.borrow().is_behind_peers() {
                 behind_since = None;
                 continue;
             }
@@ -240,7 +235,7 @@
     }
 
     async fn catch_up(&mut self) -> Result<(), SourceError> {
-        let position = self.state.feed_position.get();
+        let position = self.state.feed.borrow().position();
         let answer = self.source.changes(position, CATCH_UP_WAIT);
         let changes = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
         self.apply(position, changes.map_err(|_| answer_timeout())??)?;
@@ -250,16 +245,12 @@
     /// Applies the source's answer with the changes after `since`, and reports whether
     /// there are any.
     fn apply(&mut self, since: FeedPosition, changes: Changes) -> Result<bool, SourceError> {
-        if changes.position.era != since.era {
-            return Err(SourceError::HistoryGone);
-        }
-        self.notify_roster_of_return();
         let is_empty = changes.items.is_empty();
-        let until = changes.position.max(since);
-        let revised = changes.items.into_iter();
-        let revised = revised.map(|(revision, change)| RevisedChange { revision, change });
-        let revised: Vec<RevisedChange> = revised.collect();
-        apply_changes(&self.state, since, revised, until, true);
+        let mut roster = self.state.roster.borrow_mut();
+        let mut feed = self.state.feed.borrow_mut();
+        let applied = feed.on_changes(self.state.now(), since, changes, &mut roster)?;
+        drop((roster, feed));
+        put_in_force(&self.state, applied);
         Ok(!is_empty)
     }
 
@@ -279,12 +270,9 @@
         longest.mul_f64(1.0 - 0.5 * self.state.rng.borrow_mut().f64())
     }
 
-    /// Notifies the roster before the source's answer is applied.
-    fn notify_roster_of_return(&self) {
-        self.state
-            .roster
-            .borrow_mut()
-            .mark_feed_restored(self.state.now());
+    /// Reports whether readers pass the changes on.
+    fn is_fed(&self) -> bool {
+        self.state.feed.borrow().is_fed(self.state.now())
     }
 
     fn mark_feed_regained(&mut self) {
@@ -301,8 +289,11 @@
     /// Marks the feed as lost and waits before the next call to the source.
     async fn back_off(&mut self, cause: &str, max_backoff: Duration) {
         self.source.reconnect();
-        self.state.is_reading.set(false);
-        self.state.roster.borrow_mut().mark_feed_lost();
+        let state = &self.state;
+        state
+            .feed
+            .borrow_mut()
+            .on_failure(&mut state.roster.borrow_mut());
         if !self.is_feed_lost {
             self.is_feed_lost = true;
             self.state.journal.write(&Event::Dependency {
@@ -330,7 +321,7 @@
     let mut since = None;
     loop {
         tokio::time::sleep(MAX_LAG_TIME / 2).await;
-        if !state.is_behind_peers() {
+        if !state.feed.borrow().is_behind_peers() {
             since = None;
             continue;
         }
@@ -343,69 +334,32 @@
 
 /// Applies the changes that a reader passes on, unless some before them are missing.
 pub(crate) fn apply_update(state: &State, update: &FeedUpdate) {
-    let latest = state.max_peer_position.get().max(update.until);
-    state.max_peer_position.set(latest);
-    let position = state.feed_position.get();
-    if !state.has_roster.get() || update.until.era != position.era {
-        return;
-    }
-    state.record_feed_update(update.reader);
-    if update.since > position {
-        return;
-    }
-    let changes = if update.changes.is_empty() {
-        Ok(Vec::new())
-    } else {
-        postcard::from_bytes::<Vec<RevisedChange>>(&update.changes)
-    };
-    let changes = match changes {
-        Ok(changes) => changes,
+    let own_addr = state.peers.borrow().local_member().addr;
+    let mut roster = state.roster.borrow_mut();
+    let mut feed = state.feed.borrow_mut();
+    let applied = feed.on_update(state.now(), own_addr, update, &mut roster);
+    drop((roster, feed));
+    match applied {
+        Ok(applied) => put_in_force(state, applied),
         Err(error) => {
             let reader = update.reader;
             log::warn!("feed: Cannot decode the changes that {reader} passes on: {error}.");
-            return;
         }
-    };
-    let mut roster = state.roster.borrow_mut();
-    roster.mark_feed_restored(state.now());
-    if update.is_gapless {
-        roster.confirm_position(update.until);
     }
-    drop(roster);
-    let (since, until) = (update.since, update.until);
-    apply_changes(state, since, changes, until, update.is_gapless);
 }
 
-/// Applies those of all changes between two positions that this host has not applied.
-fn apply_changes(
-    state: &State,
-    since: FeedPosition,
-    changes: Vec<RevisedChange>,
-    until: FeedPosition,
-    is_gapless: bool,
-) {
-    let position = state.feed_position.get();
-    let until = until.max(position);
-    let mut feed_log = state.feed_log.borrow_mut();
-    feed_log.add(state.now(), since, &changes, until);
-    drop(feed_log);
-    let mut has_roster_changes = false;
-    for RevisedChange { revision, change } in changes {
-        if revision <= position.revision {
-            continue;
-        }
-        match change {
-            Change::Routing(published) => apply_configuration(state, published),
-            Change::Roster(change) => {
-                apply_roster_change(state, change, until, is_gapless);
-                has_roster_changes = true;
-            }
-        }
+/// Puts what was applied of the feed in force.
+fn put_in_force(state: &State, applied: Applied) {
+    for published in applied.configurations {
+        apply_configuration(state, published);
     }
-    state.feed_position.set(until);
-    if has_roster_changes {
-        index_instances(state);
+    if applied.instances.is_empty() {
+        return;
+    }
+    for (id, effect) in applied.instances {
+        report_roster_change(state, &id, effect);
     }
+    index_instances(state);
 }
 
 /// Puts a configuration in force, unless it is not newer than the one in force.
@@ -452,36 +406,6 @@
     *state.routing.borrow_mut() = Some(Arc::new(table));
 }
 
-fn replace_roster(state: &State, entries: Vec<RosterEntry>, position: FeedPosition) {
-    let now = state.now();
-    let effects = state.roster.borrow_mut().replace(now, entries, position);
-    for (id, effect) in effects {
-        report_roster_change(state, &id, effect);
-    }
-    state.has_roster.set(true);
-    index_instances(state);
-}
-
-fn apply_roster_change(
-    state: &State,
-    change: RosterChange,
-    position: FeedPosition,
-    is_gapless: bool,
-) {
-    let id = match &change {
-        RosterChange::Put(entry) => entry.id.clone(),
-        RosterChange::Removed(id) | RosterChange::Unusable(id) => id.clone(),
-    };
-    let mut roster = state.roster.borrow_mut();
-    let effect = if is_gapless {
-        roster.apply(state.now(), change, position)
-    } else {
-        roster.apply_unconfirmed(state.now(), change, position)
-    };
-    drop(roster);
-    report_roster_change(state, &id, effect);
-}
-
 /// Removes entries that the source did not report again after it returned.
 pub(crate) fn expire_roster(state: &State) {
     let expired = state.roster.borrow_mut().expire(state.now());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod explain;
 pub mod feed_log;
+pub mod feed_replica;
 pub mod gateway;
 pub mod journal;
 pub mod metrics;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -202,7 +202,7 @@
             self.report_to_local_domain();
             self.report_to_remote_domains();
         }
-        if self.state.is_reader() {
+        if self.state.feed.borrow().is_reader(self.state.now()) {
             self.send_feed_update();
         }
     }
@@ -404,17 +404,17 @@
     /// them meanwhile.
     fn send_feed_update(&self) {
         let now = self.state.now();
-        let Some(excerpt) = self.state.feed_log.borrow_mut().take_excerpt(now) else {
+        let reader = self.state.peers.borrow().local_member().addr;
+        let roster = self.state.roster.borrow();
+        let update = self
+            .state
+            .feed
+            .borrow_mut()
+            .take_update(now, reader, &roster);
+        drop(roster);
+        let Some(update) = update else {
             return;
         };
-        let update = FeedUpdate {
-            reader: self.state.peers.borrow().local_member().addr,
-            relay: false,
-            since: excerpt.since,
-            until: excerpt.until,
-            is_gapless: self.state.roster.borrow().trusts_removals(now),
-            changes: excerpt.changes,
-        };
         let relayed = FeedUpdate {
             relay: true,
             ..update.clone()
@@ -556,7 +556,7 @@
         let until = update.until;
         feed::apply_update(&self.state, &update);
         // Another reader has sent what this host was about to send.
-        let own_position = self.state.feed_position.get();
+        let own_position = self.state.feed.borrow().position();
         if until.covers(own_position) && update.since < own_position {
             self.timers.feed_update = None;
         }
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -102,13 +102,14 @@
             }
         });
         let own_member = state.peers.borrow().local_member().clone();
+        let feed = state.feed.borrow();
         HostReport {
             origin: own_member.addr,
             incarnation: own_member.incarnation,
             sequence: self.sequence,
             relay: false,
-            feed_position: state.feed_position.get(),
-            gapless_position: state.gapless_position(),
+            feed_position: feed.position(),
+            gapless_position: feed.gapless_position(state.now(), &state.roster.borrow()),
             instances: reports.collect(),
             admitted,
             crashes: Vec::new(),
@@ -147,8 +148,10 @@
     view: FleetView,
 ) {
     let now = state.now();
-    let position = state.max_peer_position.get().max(host_report.feed_position);
-    state.max_peer_position.set(position);
+    state
+        .feed
+        .borrow_mut()
+        .record_peer_position(host_report.feed_position);
     state
         .roster
         .borrow_mut()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,19 +9,17 @@
 use tokio::sync::{Notify, watch};
 use waxwingusher_attempts::FleetRetryBudget;
 use waxwingusher_config::routing::{CallerLimits, RoutingTable, SplitPicker};
-use waxwingusher_core::{
-    Clock, FailureDomain, FeedPosition, InstanceId, RouteName, ServiceName, WorkspaceName,
-};
+use waxwingusher_core::{Clock, FailureDomain, InstanceId, RouteName, ServiceName, WorkspaceName};
 use waxwingusher_limits::{
     FleetView, QueuePosition, ReplicatedLimits, ReplicatedSettings, WaitQueue,
 };
-use waxwingusher_membership::seeded::readers::{ReaderSchedule, reader_rank};
+use waxwingusher_membership::seeded::readers::reader_rank;
 use waxwingusher_membership::seeded::{CrashReport, LeavingInstance, PeerTable, name_hash};
 use waxwingusher_upstreams::{Evidence, Observation, Roster};
 
 use crate::attempt::millis;
 use crate::crash_ledger::CrashLedger;
-use crate::feed_log::FeedLog;
+use crate::feed_replica::FeedReplica;
 use crate::journal::{Event, Journal};
 use crate::metrics::Metrics;
 use crate::ports::Dialect;
@@ -36,11 +33,6 @@
 /// the socket; reading all of them takes a few milliseconds.
 const CATCH_UP_TIME: Duration = Duration::from_millis(100);
 
-/// The longest time since the feed's last answer for which a host passes on its
-/// position; readers get an answer at least once a second. Without it, a reader whose
-/// connection is dead would keep others from reading.
-const MAX_READER_LAG: Duration = Duration::from_millis(1_200);
-
 /// The phases of a host, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -76,17 +68,7 @@
     pub(crate) wait_queue: RefCell<WaitQueue>,
     /// Notifies requests that wait for capacity at an instance.
     pub(crate) capacity_freed: Notify,
-    pub(crate) has_roster: Cell<bool>,
-    /// The feed position up to which this host has applied changes.
-    pub(crate) feed_position: Cell<FeedPosition>,
-    /// The latest feed position that a peer has reported.
-    pub(crate) max_peer_position: Cell<FeedPosition>,
-    /// Whether this host reads the feed and passes the changes on.
-    pub(crate) is_reading: Cell<bool>,
-    /// When the feed last answered this host.
-    pub(crate) read_at: Cell<Option<Instant>>,
-    pub(crate) readers: RefCell<ReaderSchedule>,
-    pub(crate) feed_log: RefCell<FeedLog>,
+    pub(crate) feed: RefCell<FeedReplica>,
     pub(crate) phase: watch::Sender<Phase>,
     /// Requests that were read and not answered yet.
     pub(crate) in_flight: Cell<usize>,
@@ -183,13 +165,7 @@
             outbox: Outbox::default(),
             wait_queue: RefCell::default(),
             capacity_freed: Notify::new(),
-            has_roster: Cell::new(false),
-            feed_position: Cell::default(),
-            max_peer_position: Cell::default(),
-            is_reading: Cell::new(false),
-            read_at: Cell::new(None),
-            readers: RefCell::default(),
-            feed_log: RefCell::default(),
+            feed: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
@@ -209,7 +185,9 @@
 
     /// Returns whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.phase() == Phase::Serving && self.has_roster.get() && self.routing.borrow().is_some()
+        self.phase() == Phase::Serving
+            && self.feed.borrow().is_listed()
+            && self.routing.borrow().is_some()
     }
 
     pub(crate) fn routing(&self) -> Option<Arc<RoutingTable>> {
@@ -223,16 +201,6 @@
             .map_or(0, |table| table.version())
     }
 
-    /// Returns the position up to which the feed was applied without a gap, or the
-    /// default if the roster does not trust removals.
-    pub(crate) fn gapless_position(&self) -> FeedPosition {
-        if self.roster.borrow().trusts_removals(self.now()) {
-            self.feed_position.get()
-        } else {
-            FeedPosition::default()
-        }
-    }
-
     pub(crate) fn caller_limits(&self) -> CallerLimits {
         let routing = self.routing.borrow();
         routing
@@ -249,7 +217,7 @@
             self.resumed_at.set(Some(now));
             self.peers.borrow_mut().exclude_pause(now, pause);
             self.limits.borrow_mut().exclude_pause(now, pause);
-            self.readers.borrow_mut().exclude_pause(now, pause);
+            self.feed.borrow_mut().exclude_pause(now, pause);
         }
     }
 
@@ -277,13 +245,6 @@
         reader_rank(peers.local_member().addr, reachable.map(|peer| peer.addr))
     }
 
-    /// Reports whether other hosts may rely on this one for changes of the feed: it
-    /// reads the feed, which has answered lately.
-    pub(crate) fn is_reader(&self) -> bool {
-        let read_at = self.read_at.get().filter(|_| self.is_reading.get());
-        read_at.is_some_and(|at| self.now().saturating_duration_since(at) < MAX_READER_LAG)
-    }
-
     /// Reports whether no peer is reachable.
     pub(crate) fn is_alone(&self) -> bool {
         self.peers
@@ -296,25 +257,8 @@
     /// Reports whether this host must read the feed itself.
     pub(crate) fn must_read_feed(&self) -> bool {
         self.detect_pause();
-        let reads_from = self.readers.borrow().reads_from(self.reader_rank());
-        reads_from.is_none_or(|at| self.now() >= at)
-    }
-
-    /// Reports whether readers pass the changes on.
-    pub(crate) fn is_fed(&self) -> bool {
-        self.readers.borrow().is_fed(self.now())
-    }
-
-    /// Records that a reader has passed on its position in the feed.
-    pub(crate) fn record_feed_update(&self, reader: SocketAddr) {
-        let own_addr = self.peers.borrow().local_member().addr;
-        let mut readers = self.readers.borrow_mut();
-        readers.record_update(self.now(), own_addr, reader);
-    }
-
-    /// Reports whether a peer has applied changes that this host has not.
-    pub(crate) fn is_behind_peers(&self) -> bool {
-        self.max_peer_position.get() > self.feed_position.get()
+        let rank = self.reader_rank();
+        self.feed.borrow().must_read(self.now(), rank)
     }
 
     /// Queues an instance's state for the next update to peers.
--- a/crates/upstreams/src/roster.rs
+++ b/crates/upstreams/src/roster.rs
@@ -67,6 +67,17 @@
     Unusable(InstanceId),
 }
 
+impl RosterChange {
+    /// Returns the instance of the changed entry.
+    #[must_use]
+    pub fn instance(&self) -> &InstanceId {
+        match self {
+            Self::Put(entry) => &entry.id,
+            Self::Removed(id) | Self::Unusable(id) => id,
+        }
+    }
+}
+
 /// The effect of a change on an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RosterEffect {
