Go on reading without a gap when another reader returns from a cut

Cause: two of three readers came back from a cut and passed on a removal before the third one, which had never lost the store, had read it. Their update marks it as perhaps a lapsed entry. The third reader took the update over its own reading, so no host was left that knew better, and all of them held the entry for 2.1 s.

Why this works: a reader without a gap neither applies the update nor stops reading for it; its own update 300 ms later confirms the removal at all hosts.

--- a/crates/gateway/src/feed_replica.rs
+++ b/crates/gateway/src/feed_replica.rs
@@ -197,6 +197,9 @@
         if !self.is_listed || update.until.era != self.position.era {
             return Ok(Applied::default());
         }
+        if self.prefers_own_reading(now, update, roster) {
+            return Ok(Applied::default());
+        }
         self.schedule.record_update(now, own_addr, update.reader);
         if update.since > self.position {
             return Ok(Applied::default());
@@ -219,6 +222,22 @@
         Ok(self.apply(now, section, roster))
     }
 
+    /// Reports whether this host reads the source without a gap and the update's reader
+    /// does not. It then goes on reading, so that the fleet learns at once which
+    /// removals are departures.
+    fn prefers_own_reading(&self, now: Instant, update: &FeedUpdate, roster: &Roster) -> bool {
+        !update.is_gapless && self.is_reader(now) && roster.trusts_removals(now)
+    }
+
+    /// Reports whether an update of another reader contains what this host would pass
+    /// on.
+    #[must_use]
+    pub fn is_covered_by(&self, now: Instant, update: &FeedUpdate, roster: &Roster) -> bool {
+        update.until.covers(self.position)
+            && update.since < self.position
+            && !self.prefers_own_reading(now, update, roster)
+    }
+
     /// Returns the update that this host passes on as the reader `reader`; `None`
     /// before the first complete list.
     pub fn take_update(
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -553,11 +553,14 @@
         if update.reader == self.state.peers.borrow().local_member().addr {
             return;
         }
-        let until = update.until;
         feed::apply_update(&self.state, &update);
-        // Another reader has sent what this host was about to send.
-        let own_position = self.state.feed.borrow().position();
-        if until.covers(own_position) && update.since < own_position {
+        let (now, roster) = (self.state.now(), self.state.roster.borrow());
+        if self
+            .state
+            .feed
+            .borrow()
+            .is_covered_by(now, &update, &roster)
+        {
             self.timers.feed_update = None;
         }
     }
