Bound answers of instances that send bytes without end

Users: bytes that are no answer may come without end, in a head or a body, until the caller closes. A head was bounded by the HTTP library at about 400 KiB, a body at 16 MiB, but many unfinished answers together were not, and each small chunk kept a buffer and its own handle: 4-byte chunks were read until the caller's time was over.

A head is now bounded at 64 KiB and all unfinished answers of a host at 32 MiB, a chunk counts for 64 bytes at least, and chunks are copied into one buffer. The request ends with 502, or goes to another instance if it may. Tests: two of the five in `endless` failed before (a chunked body: 504 at the time limit; eight stalled answers of 12 MiB each: all kept).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -52,7 +52,7 @@
 pub(crate) enum AnswerLoss {
     /// The connection closed before an answer arrived.
     Broken,
-    /// The answer is truncated.
+    /// The answer is truncated, or longer than is read.
     Partial,
     /// The answer carries the id of another request.
     Crossed,
@@ -289,7 +289,9 @@
     let answer = match result {
         Ok(answer) => answer,
         Err(error) if !error.may_have_run() => return AttemptOutcome::NotRun(NotRun::Unreachable),
-        Err(CallError::Partial(_)) => return AttemptOutcome::AnswerLost(AnswerLoss::Partial),
+        Err(CallError::Partial(_) | CallError::TooLarge) => {
+            return AttemptOutcome::AnswerLost(AnswerLoss::Partial);
+        }
         Err(_) => return AttemptOutcome::AnswerLost(AnswerLoss::Broken),
     };
     let dialect = &state.dialect;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,14 +3,15 @@
 //! An answer is read to its end before any of it goes to the caller, so that a
 //! truncated answer never looks complete.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -20,8 +21,15 @@
 /// How long opening a connection may take. Instances are milliseconds away; TCP
 /// retransmits a lost SYN after a second, too late for most requests.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// The largest head of an answer. An instance may send bytes without end.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// The largest answer that is read.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// The most bytes of unfinished answers, over all instances.
+const MAX_UNFINISHED_BYTES: usize = 32 * 1024 * 1024;
+/// What a chunk of an answer counts at least, so that small chunks without end are not
+/// read for long.
+const MIN_CHUNK_BYTES: usize = 64;
 /// How long a connection may be idle and still be reused: instances close idle
 /// connections without notice.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(1_500);
@@ -65,13 +73,16 @@
     Broken(hyper::Error),
     /// The answer is truncated; the request may have run.
     #[error("the answer is incomplete: {0}")]
-    Partial(Box<dyn std::error::Error + Send + Sync>),
+    Partial(hyper::Error),
+    /// The answer exceeds a bound; the request may have run.
+    #[error("the answer or all unfinished ones are too large")]
+    TooLarge,
 }
 
 impl CallError {
     /// Returns whether the instance may have run the request.
     pub(crate) fn may_have_run(&self) -> bool {
-        matches!(self, Self::Broken(_) | Self::Partial(_))
+        matches!(self, Self::Broken(_) | Self::Partial(_) | Self::TooLarge)
     }
 }
 
@@ -87,6 +98,34 @@
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// The bytes of unfinished answers.
+    unfinished_bytes: Cell<usize>,
+}
+
+/// The bytes of an unfinished answer, which count until it is dropped.
+struct UnfinishedAnswer<'a> {
+    total: &'a Cell<usize>,
+    counted: usize,
+}
+
+impl UnfinishedAnswer<'_> {
+    /// Counts a chunk, unless a bound would be exceeded.
+    fn count_chunk(&mut self, bytes: usize) -> Result<(), CallError> {
+        let bytes = bytes.max(MIN_CHUNK_BYTES);
+        let (counted, total) = (self.counted + bytes, self.total.get() + bytes);
+        if counted > MAX_ANSWER_BYTES || total > MAX_UNFINISHED_BYTES {
+            return Err(CallError::TooLarge);
+        }
+        self.counted = counted;
+        self.total.set(total);
+        Ok(())
+    }
+}
+
+impl Drop for UnfinishedAnswer<'_> {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.counted);
+    }
 }
 
 /// The task that drives a connection. Dropping it aborts the task and so closes
@@ -119,8 +158,7 @@
             .await
             .map_err(CallError::Broken)?;
         let (parts, body) = answer.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES);
-        let body = body.collect().await.map_err(CallError::Partial)?.to_bytes();
+        let body = self.read_body(body).await?;
         let is_last = parts.headers.get(header::CONNECTION).is_some_and(|value| {
             value
                 .to_str()
@@ -136,6 +174,22 @@
         })
     }
 
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, CallError> {
+        let mut unfinished = UnfinishedAnswer {
+            total: &self.unfinished_bytes,
+            counted: 0,
+        };
+        // Small chunks are copied, since each would keep a whole read buffer.
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(CallError::Partial)?;
+            let chunk = frame.data_ref().map_or(&[][..], |data| data);
+            unfinished.count_chunk(chunk.len())?;
+            bytes.extend_from_slice(chunk);
+        }
+        Ok(bytes.freeze())
+    }
+
     /// Closes connections that have been idle for longer than [`MAX_IDLE_TIME`].
     pub(crate) fn close_expired(&self) {
         let now = Instant::now();
@@ -189,6 +243,7 @@
     stream.set_nodelay(true).map_err(CallError::Connect)?;
     let handshake = http1::Builder::new()
         .preserve_header_case(true)
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.map_err(CallError::Broken)?;
     let task = tokio::task::spawn_local(async move {
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -155,31 +155,71 @@
 impl Instance {
     /// Starts an instance that answers as `behaviour` returns.
     pub fn start(behaviour: Behaviour) -> Self {
+        let count = Arc::new(AtomicUsize::new(0));
+        Self::start_with(move |mut stream, request| {
+            let answer = behaviour(&request, count.fetch_add(1, Ordering::SeqCst));
+            // Writing fails if the host has closed the connection; the test checks what
+            // the caller receives.
+            let _ = stream.write_all(&answer);
+        })
+    }
+
+    /// Starts an instance that keeps connections open, answers each request with its
+    /// id as the body, and sends each answer a second time after `delay`.
+    pub fn start_sending_copies(delay: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("an address");
         let received: Arc<Mutex<Vec<Received>>> = Arc::default();
         let log = received.clone();
-        let count = Arc::new(AtomicUsize::new(0));
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (behaviour, log, count) = (behaviour.clone(), log.clone(), count.clone());
-                std::thread::spawn(move || serve_connection(stream, &behaviour, &log, &count));
+                let log = log.clone();
+                std::thread::spawn(move || send_answers_twice(stream, &log, delay));
             }
         });
         Self { addr, received }
     }
 
-    /// Starts an instance that keeps connections open, answers each request with its
-    /// id as the body, and sends each answer a second time after `delay`.
-    pub fn start_sending_copies(delay: Duration) -> Self {
+    /// Starts an instance that answers each request with `start`, in which `{id}` stands
+    /// for the request's id, and then repeats `rest` until the connection is closed.
+    pub fn start_endless(start: &'static str, rest: &'static str) -> Self {
+        Self::start_with(move |mut stream, request| {
+            let start = start.replace("{id}", request.header("request-id").unwrap_or(""));
+            let rest = rest.repeat(16 * 1024 / rest.len());
+            let mut result = stream.write_all(start.as_bytes());
+            while result.is_ok() {
+                result = stream.write_all(rest.as_bytes());
+            }
+        })
+    }
+
+    /// Starts an instance that sends the first `length` bytes of the body of each answer,
+    /// and then nothing until the connection is closed.
+    pub fn start_stalling(length: usize) -> Self {
+        Self::start_with(move |mut stream, request| {
+            let answer = answer_with_proof(&request, "200 OK", &"x".repeat(2 * length));
+            let sent = stream.write_all(&answer[..length]);
+            // The read ends as the host closes the connection.
+            let _ = sent.and_then(|()| stream.read(&mut [0]));
+        })
+    }
+
+    /// Starts an instance that passes the connection of each request to `serve`.
+    fn start_with(serve: impl Fn(TcpStream, Received) + Clone + Send + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("an address");
         let received: Arc<Mutex<Vec<Received>>> = Arc::default();
         let log = received.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let log = log.clone();
-                std::thread::spawn(move || send_answers_twice(stream, &log, delay));
+            for mut stream in listener.incoming().flatten() {
+                let (log, serve) = (log.clone(), serve.clone());
+                std::thread::spawn(move || {
+                    let Some(request) = read_request(&mut stream) else {
+                        return;
+                    };
+                    log.lock().expect("not poisoned").push(request.clone());
+                    serve(stream, request);
+                });
             }
         });
         Self { addr, received }
@@ -191,22 +231,6 @@
     }
 }
 
-fn serve_connection(
-    mut stream: TcpStream,
-    behaviour: &Behaviour,
-    log: &Mutex<Vec<Received>>,
-    count: &AtomicUsize,
-) {
-    let Some(request) = read_request(&mut stream) else {
-        return;
-    };
-    log.lock().expect("not poisoned").push(request.clone());
-    let answer = behaviour(&request, count.fetch_add(1, Ordering::SeqCst));
-    // Writing fails if the host has closed the connection; the test checks what
-    // the caller receives.
-    let _ = stream.write_all(&answer);
-}
-
 fn send_answers_twice(mut stream: TcpStream, log: &Mutex<Vec<Received>>, delay: Duration) {
     while let Some(request) = read_request(&mut stream) {
         log.lock().expect("not poisoned").push(request.clone());
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod callers;
+mod endless;
 mod explain;
 mod feed;
 mod feed_log;
