Let a host that the store turns away ask a peer for the configuration

Cause: an update carries a configuration once, and later updates begin after it. A host that lost that datagram reads the store itself; one that the store turns away meanwhile serves by the old configuration until it is let in again. The users' stores turn a third of the hosts away for 9 s and change the configuration meanwhile; their bound is 7 s.

Why this works: a host that is behind its peers and gets no answer from the store asks a random reachable peer, at each failed call; the peer keeps its latest configuration encoded. Versions only grow, and the host's position in the feed stays, so no change of instances is skipped.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -10,6 +10,7 @@
 
 use std::collections::HashMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -294,6 +295,9 @@
             .feed
             .borrow_mut()
             .on_failure(&mut state.roster.borrow_mut());
+        if state.feed.borrow().is_behind_peers() {
+            state.outbox.request_configuration();
+        }
         if !self.is_feed_lost {
             self.is_feed_lost = true;
             self.state.journal.write(&Event::Dependency {
@@ -348,6 +352,15 @@
     }
 }
 
+/// Puts a configuration in force that a peer has sent on request.
+pub(crate) fn apply_requested_configuration(state: &State, from: SocketAddr, bytes: &[u8]) {
+    let applied = state.feed.borrow_mut().on_configuration(bytes);
+    match applied {
+        Ok(applied) => put_in_force(state, applied),
+        Err(error) => log::warn!("feed: Cannot decode the configuration of {from}: {error}."),
+    }
+}
+
 /// Puts what was applied of the feed in force.
 fn put_in_force(state: &State, applied: Applied) {
     for published in applied.configurations {
--- a/crates/gateway/src/feed_log.rs
+++ b/crates/gateway/src/feed_log.rs
@@ -12,7 +12,7 @@
 pub const REPEAT_TIME: Duration = Duration::from_secs(2);
 /// The largest encoded changes of one update, below the limit of a datagram. Hosts
 /// read larger ones from the feed themselves.
-const MAX_UPDATE_BYTES: usize = 48_000;
+pub const MAX_UPDATE_BYTES: usize = 48_000;
 
 /// A change and its revision.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/gateway/src/feed_replica.rs
+++ b/crates/gateway/src/feed_replica.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use waxwingusher_config::routing::RoutingDocument;
 use waxwingusher_core::{FeedPosition, InstanceId};
 use waxwingusher_membership::seeded::FeedUpdate;
 use waxwingusher_membership::seeded::readers::ReaderSchedule;
 use waxwingusher_upstreams::{Roster, RosterEffect};
 
 use crate::feed::{Change, Changes, Listing, PublishedConfig, SourceError};
-use crate::feed_log::{FeedLog, RevisedChange};
+use crate::feed_log::{FeedLog, MAX_UPDATE_BYTES, RevisedChange};
 
 /// The longest time since the source's last answer for which a host passes on its
 /// position; readers get an answer at least once a second. Without it, a reader whose
@@ -51,6 +52,35 @@
     read_at: Option<Instant>,
     schedule: ReaderSchedule,
     log: FeedLog,
+    /// The latest configuration.
+    configuration: Option<EncodedConfiguration>,
+}
+
+/// A configuration for hosts that have missed it.
+#[derive(Debug)]
+struct EncodedConfiguration {
+    version: u64,
+    /// Empty if it does not fit into a message.
+    bytes: Vec<u8>,
+}
+
+impl EncodedConfiguration {
+    fn new(document: &RoutingDocument) -> Self {
+        let version = document.version;
+        let bytes = match postcard::to_allocvec(document) {
+            Ok(bytes) if bytes.len() <= MAX_UPDATE_BYTES => bytes,
+            Ok(bytes) => {
+                let length = bytes.len();
+                log::warn!("feed: Configuration {version} of {length} bytes is read by each host.");
+                Vec::new()
+            }
+            Err(error) => {
+                log::error!("feed: Cannot encode configuration {version}: {error}.");
+                Vec::new()
+            }
+        };
+        Self { version, bytes }
+    }
 }
 
 impl FeedReplica {
@@ -134,10 +164,14 @@
         self.log.add(now, position, &[], position);
         self.is_listed = true;
         self.schedule.record_listing(now);
-        Applied {
-            configurations: listing.routing.into_iter().collect(),
+        let mut applied = Applied {
+            configurations: Vec::new(),
             instances,
+        };
+        if let Some(published) = listing.routing {
+            self.apply_configuration(published, &mut applied);
         }
+        applied
     }
 
     /// Applies the source's answer with the changes after `since`.
@@ -257,6 +291,40 @@
         })
     }
 
+    /// Returns the latest configuration, encoded, if it is later than `version`.
+    #[must_use]
+    pub fn configuration_after(&self, version: u64) -> Option<&[u8]> {
+        let latest = self.configuration.as_ref()?;
+        let is_later = latest.version > version && !latest.bytes.is_empty();
+        is_later.then_some(&latest.bytes)
+    }
+
+    /// Applies a configuration that a peer has sent on request. The position stays, since
+    /// changes of instances before it may be missing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the configuration cannot be decoded.
+    pub fn on_configuration(&mut self, bytes: &[u8]) -> Result<Applied, postcard::Error> {
+        let document: RoutingDocument = postcard::from_bytes(bytes)?;
+        let mut applied = Applied::default();
+        let known = self.configuration.as_ref().map(|latest| latest.version);
+        if known.is_none_or(|known| document.version > known) {
+            self.apply_configuration(Ok(document), &mut applied);
+        }
+        Ok(applied)
+    }
+
+    fn apply_configuration(&mut self, published: PublishedConfig, applied: &mut Applied) {
+        if let Ok(document) = &published {
+            let known = self.configuration.as_ref().map(|latest| latest.version);
+            if known.is_none_or(|known| document.version > known) {
+                self.configuration = Some(EncodedConfiguration::new(document));
+            }
+        }
+        applied.configurations.push(published);
+    }
+
     /// Applies the changes of a section that this host has not applied.
     fn apply(&mut self, now: Instant, section: FeedSection, roster: &mut Roster) -> Applied {
         let until = section.until.max(self.position);
@@ -267,7 +335,7 @@
                 continue;
             }
             match change {
-                Change::Routing(published) => applied.configurations.push(published),
+                Change::Routing(published) => self.apply_configuration(published, &mut applied),
                 Change::Roster(change) => {
                     let id = change.instance().clone();
                     let effect = if section.is_gapless {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use tokio::time::MissedTickBehavior;
 use waxwingusher_membership::seeded::collector::{CollectorLink, Gatherer, MAX_DIRECT_NEIGHBOURS};
 use waxwingusher_membership::seeded::{
-    FeedUpdate, HostReport, LeavingNotice, Outgoing, PeerMessage, PeerStatus, ReportBatch,
+    FeedUpdate, HostReport, LeavingNotice, Member, Outgoing, PeerMessage, PeerStatus, ReportBatch,
 };
 
 use crate::feed;
@@ -137,6 +137,9 @@
         let now = self.state.now();
         let flush_at = now + self.flush_delay();
         advance(&mut self.timers.flush, flush_at);
+        if self.state.outbox.is_configuration_request_due.take() {
+            self.request_configuration();
+        }
         if self.state.outbox.is_feed_update_due.take() {
             let rank = u32::try_from(self.state.reader_rank()).unwrap_or(u32::MAX);
             let delay = READER_STAGGER.saturating_mul(rank.min(u32::from(u8::MAX)));
@@ -422,6 +425,38 @@
         self.send_to_all_domains(&PeerMessage::Feed(update), &PeerMessage::Feed(relayed));
     }
 
+    /// Asks a random reachable peer for the configuration, one of this failure domain if
+    /// there is one.
+    fn request_configuration(&self) {
+        let peers = self.state.peers.borrow();
+        let domain = &peers.local_member().failure_domain;
+        let reachable: Vec<&Member> = peers.reachable_peers(self.state.now()).collect();
+        let local = reachable
+            .iter()
+            .filter(|peer| peer.failure_domain == *domain);
+        let local: Vec<&Member> = local.copied().collect();
+        let candidates = if local.is_empty() { &reachable } else { &local };
+        let Some(peer) = self.state.rng.borrow_mut().choice(candidates) else {
+            return;
+        };
+        let version = self.state.config_version();
+        let request = PeerMessage::ConfigurationRequest { version };
+        self.send_to(&[peer.addr], &request);
+    }
+
+    /// Sends the configuration to a reachable peer that lacks it.
+    fn send_configuration(&self, to: SocketAddr, version: u64) {
+        let peers = self.state.peers.borrow();
+        let mut reachable = peers.reachable_peers(self.state.now());
+        if !reachable.any(|peer| peer.addr == to) {
+            return;
+        }
+        let feed = self.state.feed.borrow();
+        if let Some(bytes) = feed.configuration_after(version) {
+            self.send_to(&[to], &PeerMessage::Configuration(bytes.to_vec()));
+        }
+    }
+
     fn send_to_all_domains(&self, local: &PeerMessage, remote: &PeerMessage) {
         let neighbours: Vec<SocketAddr> = self.state.peers.borrow().local_peers().collect();
         self.send_to(&neighbours, local);
@@ -469,6 +504,14 @@
                 self.receive_feed_update(update);
                 Vec::new()
             }
+            PeerMessage::ConfigurationRequest { version } => {
+                self.send_configuration(from, version);
+                Vec::new()
+            }
+            PeerMessage::Configuration(bytes) => {
+                feed::apply_requested_configuration(&self.state, from, &bytes);
+                Vec::new()
+            }
         };
         self.send_all(replies);
     }
--- a/crates/gateway/tests/testsuite/feed.rs
+++ b/crates/gateway/tests/testsuite/feed.rs
@@ -77,3 +77,61 @@
         std::thread::sleep(Duration::from_millis(20));
     }
 }
+
+/// A source that lists one configuration at a position and refuses all other calls.
+struct RefusingSource {
+    document: RoutingDocument,
+    roster: Vec<RosterEntry>,
+    position: FeedPosition,
+}
+
+impl FeedSource for RefusingSource {
+    async fn list(&self) -> Result<Listing, SourceError> {
+        Ok(Listing {
+            routing: Some(Ok(self.document.clone())),
+            roster: self.roster.clone(),
+            position: self.position,
+        })
+    }
+
+    async fn changes(
+        &self,
+        _position: FeedPosition,
+        _wait: Duration,
+    ) -> Result<Changes, SourceError> {
+        Err(SourceError::Refused("turned away".to_owned()))
+    }
+
+    fn reconnect(&self) {}
+}
+
+/// A host that had missed the update with a configuration, and that the store turned away,
+/// served by the old one until the store answered again.
+#[test]
+fn a_host_that_the_source_turns_away_gets_the_configuration_from_a_peer() {
+    let instance = Instance::start(Arc::new(|request, _| {
+        answer_with_proof(request, "200 OK", "done")
+    }));
+    let source = |document, revision| RefusingSource {
+        document,
+        roster: roster(&[&instance]),
+        position: FeedPosition::new(0, revision),
+    };
+    let mut changed = document();
+    changed.version = 2;
+    changed.workspaces[0].keys = vec![KeyDigest::of_key(b"new-key")];
+    let grace = Duration::from_secs(1);
+    let ahead = TestHost::start_with_source(source(changed, 10), grace);
+    let behind = TestHost::start_with_seeds(&[ahead.peer_addr], source(document(), 1), grace);
+    let started = Instant::now();
+    let text = request("GET", "/read/1", "a", "");
+    while behind.send(&text.replace(KEY, "new-key")).status != 200 {
+        assert!(
+            started.elapsed() < IN_FORCE_WITHIN,
+            "the old key still works"
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(behind.send(&text).status, 401, "the old key is withdrawn");
+    assert_eq!(ahead.send(&text).status, 401);
+}
--- a/crates/gateway/tests/testsuite/feed_schedules.rs
+++ b/crates/gateway/tests/testsuite/feed_schedules.rs
@@ -97,6 +97,11 @@
         applied: FeedPosition,
         gapless: FeedPosition,
     },
+    ConfigurationRequest {
+        from: usize,
+        version: u64,
+    },
+    Configuration(Vec<u8>),
 }
 
 struct Simulation {
@@ -292,6 +297,16 @@
                     host.replica.record_peer_position(applied);
                     host.roster.confirm_position(gapless);
                 }
+                Message::ConfigurationRequest { from, version } => {
+                    if let Some(bytes) = host.replica.configuration_after(version) {
+                        let reply = Message::Configuration(bytes.to_vec());
+                        self.send(from, reply);
+                    }
+                }
+                Message::Configuration(bytes) => {
+                    let applied = host.replica.on_configuration(&bytes);
+                    host.put_in_force(applied.expect("an encoded configuration"));
+                }
             }
         }
     }
@@ -301,15 +316,19 @@
             return;
         }
         for to in (0..HOSTS).filter(|to| *to != from) {
-            let delay = Duration::from_millis(self.rng.u64(1..20));
-            self.deliveries.push(Delivery {
-                at: self.now + delay,
-                to,
-                message: message.clone(),
-            });
+            self.send(to, message.clone());
         }
     }
 
+    fn send(&mut self, to: usize, message: Message) {
+        let delay = Duration::from_millis(self.rng.u64(1..20));
+        self.deliveries.push(Delivery {
+            at: self.now + delay,
+            to,
+            message,
+        });
+    }
+
     fn step(&mut self, number: usize) {
         let (now, time) = (self.now, self.time());
         let host = &mut self.hosts[number];
@@ -439,6 +458,14 @@
         host.replica.on_failure(&mut host.roster);
         host.watch_until = None;
         host.next_call_at = self.now + delay;
+        if host.replica.is_behind_peers() && !host.peer_cuts.contains(self.now) {
+            let request = Message::ConfigurationRequest {
+                from: number,
+                version: host.version,
+            };
+            let to = (number + self.rng.usize(1..HOSTS)) % HOSTS;
+            self.send(to, request);
+        }
     }
 
     fn send_update(&mut self, number: usize) {
@@ -605,7 +632,6 @@
 /// The store turns one host away. The only update with a configuration is lost on its way
 /// to that host, and later ones leave the configuration out.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt: issue 28"]
 fn a_configuration_reaches_a_host_that_the_store_turns_away_though_its_update_is_lost() {
     const PUBLISHED_AT: Duration = Duration::from_secs(6);
     // The users stretch the bound by 5 s while the store turns hosts away.
--- a/crates/membership/src/seeded/message.rs
+++ b/crates/membership/src/seeded/message.rs
@@ -61,6 +61,14 @@
     Batch(ReportBatch),
     /// Published changes that a host has read from their source.
     Feed(FeedUpdate),
+    /// Asks for a configuration later than `version`, since the sender has missed an
+    /// update and the source does not answer it.
+    ConfigurationRequest {
+        /// The version in force at the sender.
+        version: u64,
+    },
+    /// The configuration in force at the sender, encoded by the data path.
+    Configuration(Vec<u8>),
 }
 
 /// What a host tells its peers about itself.
