Pass on only configurations that are in force

A configuration that cannot be put in force was kept as the latest one, so peers that asked got it instead of the one in force. The replica now keeps the configuration that the host has put in force.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -23,7 +23,7 @@
 use waxwingusher_upstreams::{RosterChange, RosterEffect, RosterEntry};
 
 use crate::attempt::millis;
-use crate::feed_replica::Applied;
+use crate::feed_replica::{Applied, EncodedConfiguration};
 use crate::journal::Event;
 use crate::state::State;
 
@@ -352,11 +352,11 @@
     }
 }
 
-/// Puts a configuration in force that a peer has sent on request.
+/// Puts a configuration in force that a peer has sent on request. The position in the feed
+/// stays, since changes of instances before it may be missing.
 pub(crate) fn apply_requested_configuration(state: &State, from: SocketAddr, bytes: &[u8]) {
-    let applied = state.feed.borrow_mut().on_configuration(bytes);
-    match applied {
-        Ok(applied) => put_in_force(state, applied),
+    match postcard::from_bytes(bytes) {
+        Ok(document) => apply_configuration(state, Ok(document)),
         Err(error) => log::warn!("feed: Cannot decode the configuration of {from}: {error}."),
     }
 }
@@ -387,9 +387,11 @@
         ),
         Ok(document) => {
             let (version, routes) = (document.version, document.routes.len());
+            let encoded = EncodedConfiguration::new(&document);
             match RoutingTable::build(document) {
                 Ok(table) => {
                     install_routing_table(state, table);
+                    state.feed.borrow_mut().keep_configuration(encoded);
                     (version, routes, "in-force", String::new())
                 }
                 Err(error) => (version, routes, "refused", error.to_string()),
--- a/crates/gateway/src/feed_replica.rs
+++ b/crates/gateway/src/feed_replica.rs
@@ -52,20 +52,22 @@
     read_at: Option<Instant>,
     schedule: ReaderSchedule,
     log: FeedLog,
-    /// The latest configuration.
+    /// The configuration in force.
     configuration: Option<EncodedConfiguration>,
 }
 
-/// A configuration for hosts that have missed it.
+/// A configuration as it is sent to hosts that have missed it.
 #[derive(Debug)]
-struct EncodedConfiguration {
+pub struct EncodedConfiguration {
     version: u64,
     /// Empty if it does not fit into a message.
     bytes: Vec<u8>,
 }
 
 impl EncodedConfiguration {
-    fn new(document: &RoutingDocument) -> Self {
+    /// Encodes a configuration.
+    #[must_use]
+    pub fn new(document: &RoutingDocument) -> Self {
         let version = document.version;
         let bytes = match postcard::to_allocvec(document) {
             Ok(bytes) if bytes.len() <= MAX_UPDATE_BYTES => bytes,
@@ -164,14 +166,10 @@
         self.log.add(now, position, &[], position);
         self.is_listed = true;
         self.schedule.record_listing(now);
-        let mut applied = Applied {
-            configurations: Vec::new(),
+        Applied {
+            configurations: listing.routing.into_iter().collect(),
             instances,
-        };
-        if let Some(published) = listing.routing {
-            self.apply_configuration(published, &mut applied);
         }
-        applied
     }
 
     /// Applies the source's answer with the changes after `since`.
@@ -291,38 +289,17 @@
         })
     }
 
-    /// Returns the latest configuration, encoded, if it is later than `version`.
-    #[must_use]
-    pub fn configuration_after(&self, version: u64) -> Option<&[u8]> {
-        let latest = self.configuration.as_ref()?;
-        let is_later = latest.version > version && !latest.bytes.is_empty();
-        is_later.then_some(&latest.bytes)
-    }
-
-    /// Applies a configuration that a peer has sent on request. The position stays, since
-    /// changes of instances before it may be missing.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the configuration cannot be decoded.
-    pub fn on_configuration(&mut self, bytes: &[u8]) -> Result<Applied, postcard::Error> {
-        let document: RoutingDocument = postcard::from_bytes(bytes)?;
-        let mut applied = Applied::default();
-        let known = self.configuration.as_ref().map(|latest| latest.version);
-        if known.is_none_or(|known| document.version > known) {
-            self.apply_configuration(Ok(document), &mut applied);
-        }
-        Ok(applied)
+    /// Keeps the configuration that is now in force.
+    pub fn keep_configuration(&mut self, configuration: EncodedConfiguration) {
+        self.configuration = Some(configuration);
     }
 
-    fn apply_configuration(&mut self, published: PublishedConfig, applied: &mut Applied) {
-        if let Ok(document) = &published {
-            let known = self.configuration.as_ref().map(|latest| latest.version);
-            if known.is_none_or(|known| document.version > known) {
-                self.configuration = Some(EncodedConfiguration::new(document));
-            }
-        }
-        applied.configurations.push(published);
+    /// Returns the configuration in force, encoded, if it is later than `version`.
+    #[must_use]
+    pub fn configuration_after(&self, version: u64) -> Option<&[u8]> {
+        let current = self.configuration.as_ref()?;
+        let is_later = current.version > version && !current.bytes.is_empty();
+        is_later.then_some(&current.bytes)
     }
 
     /// Applies the changes of a section that this host has not applied.
@@ -335,7 +312,7 @@
                 continue;
             }
             match change {
-                Change::Routing(published) => self.apply_configuration(published, &mut applied),
+                Change::Routing(published) => applied.configurations.push(published),
                 Change::Roster(change) => {
                     let id = change.instance().clone();
                     let effect = if section.is_gapless {
--- a/crates/gateway/tests/testsuite/feed_schedules.rs
+++ b/crates/gateway/tests/testsuite/feed_schedules.rs
@@ -10,7 +10,7 @@
 
 use waxwingusher_config::routing::RoutingDocument;
 use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName};
-use waxwingusher_gateway::feed_replica::{Applied, FeedReplica};
+use waxwingusher_gateway::feed_replica::{Applied, EncodedConfiguration, FeedReplica};
 use waxwingusher_gateway::ports::{Change, Changes, Listing};
 use waxwingusher_membership::seeded::FeedUpdate;
 use waxwingusher_membership::seeded::readers::reader_rank;
@@ -169,8 +169,7 @@
 
     fn put_in_force(&mut self, applied: Applied) {
         for published in applied.configurations {
-            let document = published.expect("a readable configuration");
-            self.version = self.version.max(document.version);
+            self.put_configuration_in_force(&published.expect("a readable configuration"));
         }
     }
 
@@ -181,6 +180,14 @@
         !has_restarted && !self.store_cuts.disturb(&span) && !self.peer_cuts.disturb(&span)
     }
 
+    fn put_configuration_in_force(&mut self, document: &RoutingDocument) {
+        if document.version > self.version {
+            self.version = document.version;
+            let encoded = EncodedConfiguration::new(document);
+            self.replica.keep_configuration(encoded);
+        }
+    }
+
     fn uses(&self, id: &InstanceId) -> bool {
         let service = ServiceName::new("svc");
         let mut ready = self.roster.ready(&service);
@@ -304,8 +311,8 @@
                     }
                 }
                 Message::Configuration(bytes) => {
-                    let applied = host.replica.on_configuration(&bytes);
-                    host.put_in_force(applied.expect("an encoded configuration"));
+                    let document = postcard::from_bytes(&bytes).expect("a configuration");
+                    host.put_configuration_in_force(&document);
                 }
             }
         }
