--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod feed;
 mod feed_log;
+mod feed_replica;
 mod feed_schedules;
 mod harness;
 mod journal;
