--- a/crates/gateway/tests/testsuite/feed_schedules.rs
+++ b/crates/gateway/tests/testsuite/feed_schedules.rs
@@ -516,8 +516,8 @@
     order
 }
 
-/// Two of three readers, back from a cut, told all hosts of a departure before the third
-/// one had read it. All held the entry as if the store had been away, and sent requests
+/// Two of three readers, back from a cut, passed a departure on to all before the third
+/// one had read it. All hosts held the entry as if the store had been away, and sent requests
 /// to the instance for more than 2 s (massgate-bayern trouble-1, seed 85811075509).
 #[test]
 fn a_departure_is_in_force_in_time_though_readers_were_cut_off_from_the_store() {
--- a/crates/upstreams/tests/testsuite/evidence.rs
+++ b/crates/upstreams/tests/testsuite/evidence.rs
@@ -219,8 +219,8 @@
     assert!(evidence.health(later, &id).is_suspect);
 }
 
-/// Which instances no host had tried for seconds could not be told from the logs of an
-/// incident, as an attempt was known by its outcome only.
+/// The logs of an incident did not show which instances no host had tried for seconds,
+/// as an attempt was dated by its outcome only.
 #[test]
 fn attempts_of_all_hosts_are_dated_from_their_start() {
     let (mut evidence, id, now) = (Evidence::default(), InstanceId::new("a"), Instant::now());
