--- a/crates/gateway/tests/testsuite/journal.rs
+++ b/crates/gateway/tests/testsuite/journal.rs
@@ -105,5 +105,7 @@
     });
     let lines = drain(&lines);
     assert!(lines[0].ends_with("\"event\":\"peers\",\"heard\":3,\"known\":4}"));
-    assert!(lines[1].contains("\"load\":2,\"word_age_ms\":7,\"attempt_age_ms\":5,"));
+    assert!(lines[1].contains(
+        "\"load\":2,\"word_age_ms\":7,\"attempt_age_ms\":5,\"slowness\":1.25,\"outcome\""
+    ));
 }
