Log the rates that instances name for all hosts together

An instance in need names, in its answers, how many requests a second it takes from all hosts together. Hosts now parse the value, log each change and name it in explain; placement does not use it yet. Malformed values are ignored and logged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, StatusCode, header};
-use waxwingusher_core::ServiceName;
-use waxwingusher_upstreams::{Observation, Placement};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use waxwingusher_core::{InstanceId, ServiceName};
+use waxwingusher_upstreams::{Observation, Placement, RateLimit, RateLimitChange};
 
 use crate::journal::Event;
 use crate::ports::Dialect;
@@ -136,6 +136,8 @@
     is_leaving: bool,
     /// For how long it wants no requests from this host, as it wrote it.
     retry_after: Option<String>,
+    /// The rate that it takes from all hosts together, as it wrote it.
+    rate_limit: Option<String>,
 }
 
 impl InstanceNotice {
@@ -147,9 +149,12 @@
         let is_refusal = answer.status == StatusCode::SERVICE_UNAVAILABLE;
         let retry_after = answer.headers.get(header::RETRY_AFTER);
         let retry_after = retry_after.filter(|_| is_refusal);
+        let rate_limit = answer.headers.get(&dialect.rate_limit);
+        let to_text = |value: &HeaderValue| String::from_utf8_lossy(value.as_bytes()).into();
         Self {
             is_leaving: leaving.is_some_and(|value| value.as_bytes() == b"1"),
-            retry_after: retry_after.map(|value| String::from_utf8_lossy(value.as_bytes()).into()),
+            retry_after: retry_after.map(to_text),
+            rate_limit: rate_limit.map(to_text),
         }
     }
 }
@@ -167,6 +172,7 @@
     if notice.is_leaving {
         state.report_leaving(&entry.id, entry.incarnation);
     }
+    apply_rate_limit(state, &entry.id, notice.rate_limit.as_deref());
     let Some(text) = &notice.retry_after else {
         return;
     };
@@ -183,6 +189,20 @@
     });
 }
 
+/// Records the limit that an answer names, or that it names none.
+fn apply_rate_limit(state: &State, id: &InstanceId, text: Option<&str>) {
+    let change = match text.map(RateLimit::parse) {
+        None => RateLimitChange::Lifted,
+        Some(Ok(limit)) => RateLimitChange::Named(limit),
+        Some(Err(error)) => {
+            let text = text.unwrap_or_default();
+            log::warn!("gateway: Instance {id} sent an unusable rate limit `{text}`: {error}.");
+            return;
+        }
+    };
+    state.record_rate_limit(id, change, "answer");
+}
+
 /// Writes the log record of an attempt on drop, so that an abandoned attempt is
 /// logged, too.
 struct AttemptRecord<'a> {
@@ -373,6 +393,6 @@
 }
 
 /// Makes a header value of visible ASCII text; other text gives an empty value.
-pub(crate) fn header_value(text: &str) -> http::HeaderValue {
-    http::HeaderValue::from_str(text).unwrap_or_else(|_| http::HeaderValue::from_static(""))
+pub(crate) fn header_value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static(""))
 }
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -137,6 +137,10 @@
         instance: String,
         change: String,
     },
+    RateLimit {
+        instance: String,
+        rate_per_s: Option<f64>,
+    },
     Suppressed {
         beyond_rate: u64,
         ring_full: u64,
@@ -265,6 +269,8 @@
     lost_dependencies: BTreeMap<String, Fact>,
     /// The last change of each instance.
     instances: BTreeMap<String, Fact>,
+    /// The limits that instances name.
+    rate_limits: BTreeMap<String, Fact>,
 }
 
 impl HostContext {
@@ -294,6 +300,16 @@
                 let text = format!("{instance}: {change}");
                 self.instances.insert(instance.clone(), fact(text));
             }
+            LoggedEvent::RateLimit {
+                instance,
+                rate_per_s: Some(rate_per_s),
+            } => {
+                let text = format!("{instance}: limits itself to {rate_per_s} requests a second");
+                self.rate_limits.insert(instance.clone(), fact(text));
+            }
+            LoggedEvent::RateLimit { instance, .. } => {
+                self.rate_limits.remove(instance);
+            }
             LoggedEvent::Suppressed {
                 beyond_rate,
                 ring_full,
@@ -307,7 +323,8 @@
     fn facts(&self, record: &Record) -> Vec<String> {
         let facts: Vec<&Fact> = match &record.event {
             LoggedEvent::Attempt { instance, .. } => {
-                self.instances.get(instance).into_iter().collect()
+                let change = self.instances.get(instance).into_iter();
+                change.chain(self.rate_limits.get(instance)).collect()
             }
             _ => {
                 let configuration = self.configuration.iter();
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -99,6 +99,15 @@
         /// The time in milliseconds.
         time_ms: u64,
     },
+    /// An instance named, changed or lifted the rate that it takes from all hosts.
+    RateLimit {
+        /// The instance's id.
+        instance: &'a str,
+        /// Requests a second; none if the instance takes any number again.
+        rate_per_s: Option<f64>,
+        /// `answer` or `peer`.
+        source: &'a str,
+    },
     /// No instance was chosen for a request.
     Unplaced {
         /// The request's id.
@@ -179,6 +188,7 @@
             Self::Configuration { .. } => "configuration",
             Self::Instance { .. } => "instance",
             Self::BackOff { .. } => "back-off",
+            Self::RateLimit { .. } => "rate-limit",
             Self::Unplaced { .. } => "unplaced",
             Self::Attempt { .. } => "attempt",
             Self::Request { status, .. } if *status < 400 => "served",
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -27,6 +27,9 @@
     pub proof: HeaderName,
     /// `1` in the answers of an instance that leaves.
     pub leaving: HeaderName,
+    /// The requests a second that the instance takes from all hosts together, in the
+    /// answers of an instance that limits them.
+    pub rate_limit: HeaderName,
     /// The path at which a host reports whether it is ready for callers.
     pub readiness_path: String,
     /// The path at which a host serves its metrics.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
 };
 use waxwingusher_membership::seeded::readers::reader_rank;
 use waxwingusher_membership::seeded::{CrashReport, LeavingInstance, PeerTable, name_hash};
-use waxwingusher_upstreams::{Evidence, Observation, Roster};
+use waxwingusher_upstreams::{Evidence, Observation, RateLimit, RateLimitChange, Roster};
 
 use crate::attempt::millis;
 use crate::crash_ledger::CrashLedger;
@@ -320,6 +320,24 @@
         true
     }
 
+    /// Records the limit that an instance names, and returns whether it has changed.
+    pub(crate) fn record_rate_limit(
+        &self,
+        id: &InstanceId,
+        change: RateLimitChange,
+        source: &'static str,
+    ) -> bool {
+        let is_changed = self.evidence.borrow_mut().record_rate_limit(id, change);
+        if is_changed {
+            self.journal.write(&Event::RateLimit {
+                instance: id.as_str(),
+                rate_per_s: change.limit().map(RateLimit::per_s),
+                source,
+            });
+        }
+        is_changed
+    }
+
     /// Records that an instance crashed under a request, and reports it to peers
     /// if it is new.
     pub(crate) fn record_crash(&self, fingerprint: u64, id: &InstanceId) {
--- a/crates/gateway/tests/testsuite/explain.rs
+++ b/crates/gateway/tests/testsuite/explain.rs
@@ -162,3 +162,28 @@
     let explanation = from_text("mine", &log("host-1", &events));
     assert_eq!(explanation, Explanation::default());
 }
+
+#[test]
+fn an_attempt_names_the_limit_of_its_instance_while_it_holds() {
+    let rate_limit = |rate_per_s| Event::RateLimit {
+        instance: "i-1",
+        rate_per_s,
+        source: "answer",
+    };
+    let text = log(
+        "host-1",
+        &[
+            rate_limit(Some(2.5)),
+            attempt("first", "answered"),
+            rate_limit(None),
+            attempt("second", "answered"),
+        ],
+    );
+    let first = from_text("first", &text);
+    let context = &first.steps[0].context;
+    assert!(
+        context[0].starts_with("i-1: limits itself to 2.5 requests a second"),
+        "{context:?}"
+    );
+    assert!(from_text("second", &text).steps[0].context.is_empty());
+}
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -37,6 +37,7 @@
         not_run: HeaderName::from_static("not-run"),
         proof: HeaderName::from_static("proof"),
         leaving: HeaderName::from_static("leaving"),
+        rate_limit: HeaderName::from_static("rate-limit"),
         readiness_path: "/ready".to_owned(),
         metrics_path: "/metrics".to_owned(),
     }
--- a/crates/upstreams/src/evidence.rs
+++ b/crates/upstreams/src/evidence.rs
@@ -12,6 +12,8 @@
 
 use waxwingusher_core::InstanceId;
 
+use crate::rate_limit::{RateLimit, RateLimitChange};
+
 /// The probability that an unknown instance is unhealthy: in the users' pools
 /// about a quarter fail part of their requests at any time.
 const UNKNOWN_RISK: f64 = 0.25;
@@ -118,6 +120,8 @@
     full_until: Option<Instant>,
     /// Until when the instance wants no requests from this host.
     backs_off_until: Option<Instant>,
+    /// The rate that the instance takes from all hosts together.
+    rate_limit: Option<RateLimit>,
 }
 
 /// The latest report of a peer.
@@ -161,6 +165,7 @@
             is_path_blocked: false,
             full_until: None,
             backs_off_until: None,
+            rate_limit: None,
         }
     }
 }
@@ -286,6 +291,22 @@
         estimate.backs_off_until = estimate.backs_off_until.max(Some(now + time));
     }
 
+    /// Records the limit that an instance names, and returns whether it has changed.
+    pub fn record_rate_limit(&mut self, id: &InstanceId, change: RateLimitChange) -> bool {
+        let limit = change.limit();
+        if limit.is_none() && !self.estimates.contains_key(id) {
+            return false;
+        }
+        let estimate = self.estimates.entry(id.clone()).or_default();
+        std::mem::replace(&mut estimate.rate_limit, limit) != limit
+    }
+
+    /// Returns the rate that an instance takes from all hosts together, if it limits it.
+    #[must_use]
+    pub fn rate_limit(&self, id: &InstanceId) -> Option<RateLimit> {
+        self.estimates.get(id)?.rate_limit
+    }
+
     /// Applies what a peer's report adds to its former one.
     pub fn record_peer_report(
         &mut self,
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod pool;
 pub mod pooled_evidence;
 pub mod quorum;
+pub mod rate_limit;
 pub mod reporter;
 pub mod roster;
 pub mod score;
@@ -40,6 +41,7 @@
 };
 pub use evidence::{Evidence, InstanceHealth, InstanceReport, Observation};
 pub use placement::{Placement, PlacementError, PlacementRequest, place};
+pub use rate_limit::{RateLimit, RateLimitChange};
 pub use roster::{ListedInstance, Roster, RosterChange, RosterEffect, RosterEntry, RosterState};
 pub use set::UpstreamSet;
 pub use settings::UpstreamSettings;
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod floor;
 mod placement;
+mod rate_limit;
 mod recovery;
 mod roster;
 mod subsets;
