--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -12,4 +12,5 @@
 mod harness;
 mod journal;
 mod peers;
+mod rate_limits;
 mod stops;
