Log when a host seems to be cut off from the instances

The logs did not say whether a host takes itself for cut off. It now does once three instances in a row take no connection, until one does, and logs the loss and the return of the instances. Nothing is decided by it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -114,6 +114,7 @@
     let guard = InFlightGuard::start(state, &entry.id);
     let mut record = AttemptRecord::start(state, request, placement, number);
     let result = await_call(state.pool.call(call), &guard, request).await;
+    record_path(state, &entry.id, &result);
     let notice = InstanceNotice::of(&state.dialect, &result);
     let outcome = classify(state, &request.request_id, result);
     record.outcome = outcome.label();
@@ -129,6 +130,16 @@
     outcome
 }
 
+/// Records what a call shows about this host's paths to instances. An answer on a
+/// connection that was open before shows nothing about new ones.
+fn record_path(state: &State, id: &InstanceId, result: &Result<InstanceAnswer, CallError>) {
+    match result {
+        Ok(answer) if answer.is_connection_new => state.record_open_path(),
+        Err(CallError::Connect(_) | CallError::ConnectTimeout) => state.record_unreachable(id),
+        _ => {}
+    }
+}
+
 /// What an instance says about itself in the head of an answer.
 #[derive(Debug, Default)]
 struct InstanceNotice {
--- a/crates/gateway/src/path_probe.rs
+++ b/crates/gateway/src/path_probe.rs
@@ -39,6 +39,7 @@
     let opened = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await;
     if matches!(opened, Ok(Ok(_))) {
         state.evidence.borrow_mut().record_open_path(&id);
+        state.record_open_path();
         state.capacity_freed.notify_waiters();
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,9 @@
 use waxwingusher_membership::seeded::{
     CrashReport, InstanceRateLimit, LeavingInstance, PeerTable, PermitRequest, name_hash,
 };
-use waxwingusher_upstreams::{Evidence, Observation, RateLimit, RateLimitChange, Roster};
+use waxwingusher_upstreams::{
+    Evidence, Observation, PathMonitor, RateLimit, RateLimitChange, Roster,
+};
 
 use crate::attempt::millis;
 use crate::crash_ledger::CrashLedger;
@@ -38,6 +40,9 @@
 /// the socket; reading all of them takes a few milliseconds.
 const CATCH_UP_TIME: Duration = Duration::from_millis(100);
 
+/// The name of the paths to instances in the log.
+const INSTANCES: &str = "instances";
+
 /// The phases of a host, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -68,6 +73,7 @@
     pub(crate) retry_budget: RefCell<FleetRetryBudget>,
     pub(crate) crash_ledger: RefCell<CrashLedger>,
     pub(crate) peers: RefCell<PeerTable>,
+    paths: RefCell<PathMonitor>,
     pub(crate) permits: Permits,
     pub(crate) pool: ConnectionPool,
     pub(crate) outbox: Outbox,
@@ -190,6 +196,7 @@
             retry_budget: RefCell::new(FleetRetryBudget::new(settings.retry_budget)),
             crash_ledger: RefCell::default(),
             peers: RefCell::new(peers),
+            paths: RefCell::default(),
             permits: Permits::default(),
             pool: ConnectionPool::default(),
             outbox: Outbox::default(),
@@ -429,6 +436,28 @@
         (issuer != own_addr).then_some(issuer)
     }
 
+    /// Records that no connection could be opened to an instance.
+    pub(crate) fn record_unreachable(&self, id: &InstanceId) {
+        if self.paths.borrow_mut().record_unreachable(id) {
+            self.journal.write(&Event::Dependency {
+                name: INSTANCES,
+                state: "lost",
+                cause: "several instances in a row take no connection",
+            });
+        }
+    }
+
+    /// Records that an instance took a connection.
+    pub(crate) fn record_open_path(&self) {
+        if self.paths.borrow_mut().record_open() {
+            self.journal.write(&Event::Dependency {
+                name: INSTANCES,
+                state: "regained",
+                cause: "an instance takes connections",
+            });
+        }
+    }
+
     /// Records that an instance crashed under a request, and reports it to peers
     /// if it is new.
     pub(crate) fn record_crash(&self, fingerprint: u64, id: &InstanceId) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -54,6 +54,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Whether the connection was opened for the call.
+    pub(crate) is_connection_new: bool,
 }
 
 /// The call gave no complete answer.
@@ -149,6 +151,7 @@
         } else {
             None
         };
+        let is_connection_new = idle_connection.is_none();
         let (mut sender, task) = match idle_connection {
             Some(connection) => (connection.sender, connection.task),
             None => open(addr).await?,
@@ -171,6 +174,7 @@
             status: parts.status,
             headers: parts.headers,
             body,
+            is_connection_new,
         })
     }
 
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod host_context;
 pub mod latency;
 pub mod member;
+pub mod paths;
 pub mod placement;
 pub mod pool;
 pub mod pooled_evidence;
@@ -40,6 +41,7 @@
     UpstreamResult,
 };
 pub use evidence::{Evidence, InstanceHealth, InstanceReport, Observation};
+pub use paths::PathMonitor;
 pub use placement::{Placement, PlacementError, PlacementRequest, place};
 pub use rate_limit::{RateLimit, RateLimitChange};
 pub use roster::{ListedInstance, Roster, RosterChange, RosterEffect, RosterEntry, RosterState};
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod evidence;
 mod fleet;
 mod floor;
+mod paths;
 mod placement;
 mod rate_limit;
 mod recovery;
