--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -29,7 +29,7 @@
 const MAX_UNFINISHED_BYTES: usize = 32 * 1024 * 1024;
 /// What a chunk of an answer counts at least, so that small chunks without end are not
 /// read for long.
-const MIN_CHUNK_BYTES: usize = 64;
+const MIN_CHUNK_BYTES: usize = 256;
 /// How long a connection may be idle and still be reused: instances close idle
 /// connections without notice.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(1_500);
