--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -15,4 +15,5 @@
 mod permit_schedules;
 mod rate_limits;
 mod stops;
+mod takeover_schedules;
 mod takeovers;
