--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -300,6 +300,16 @@
     call.await
 }
 
+impl From<CallError> for AttemptOutcome {
+    fn from(error: CallError) -> Self {
+        match error {
+            error if !error.may_have_run() => Self::NotRun(NotRun::Unreachable),
+            CallError::Partial(_) | CallError::TooLarge => Self::AnswerLost(AnswerLoss::Partial),
+            _ => Self::AnswerLost(AnswerLoss::Broken),
+        }
+    }
+}
+
 impl AttemptOutcome {
     /// Reports whether the answer comes from the instance that the request was sent
     /// to.
@@ -335,11 +345,7 @@
 ) -> AttemptOutcome {
     let answer = match result {
         Ok(answer) => answer,
-        Err(error) if !error.may_have_run() => return AttemptOutcome::NotRun(NotRun::Unreachable),
-        Err(CallError::Partial(_) | CallError::TooLarge) => {
-            return AttemptOutcome::AnswerLost(AnswerLoss::Partial);
-        }
-        Err(_) => return AttemptOutcome::AnswerLost(AnswerLoss::Broken),
+        Err(error) => return error.into(),
     };
     let dialect = &state.dialect;
     let echoed = answer.headers.get(&dialect.request_id);
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -216,11 +216,7 @@
 fn classify(result: Result<InstanceAnswer, CallError>) -> AttemptOutcome {
     let mut answer = match result {
         Ok(answer) => answer,
-        Err(error) if !error.may_have_run() => return AttemptOutcome::NotRun(NotRun::Unreachable),
-        Err(CallError::Partial(_) | CallError::TooLarge) => {
-            return AttemptOutcome::AnswerLost(AnswerLoss::Partial);
-        }
-        Err(_) => return AttemptOutcome::AnswerLost(AnswerLoss::Broken),
+        Err(error) => return error.into(),
     };
     let result = answer.headers.remove(&RESULT);
     let result = result.and_then(|value| serde_json::from_slice(value.as_bytes()).ok());
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -38,6 +38,12 @@
     NewKey,
     /// An instance drains, leaves and is registered again under another id.
     Replace { instance: usize },
+    /// An instance names the rate that it takes from all hosts together.
+    Limit {
+        instance: usize,
+        rate_per_s: u32,
+        duration: Duration,
+    },
 }
 
 /// Draws a schedule in which a fault repeats up to three times in a row, with
@@ -65,6 +71,27 @@
     plan
 }
 
+/// Draws limits that instances name meanwhile, most of them for longer than the time from
+/// which on they bind.
+pub fn draw_limits(
+    rng: &mut fastrand::Rng,
+    instances: usize,
+    duration: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(rng.u64(200..1_500));
+    while at + Duration::from_secs(4) < duration {
+        let fault = Fault::Limit {
+            instance: rng.usize(..instances),
+            rate_per_s: rng.u32(1..12),
+            duration: Duration::from_millis(rng.u64(2_000..9_000)),
+        };
+        plan.push((at, fault));
+        at += Duration::from_millis(rng.u64(500..3_000));
+    }
+    plan
+}
+
 fn draw_fault(rng: &mut fastrand::Rng, hosts: usize, instances: usize) -> Fault {
     let host = rng.usize(..hosts);
     let instance = rng.usize(..instances);
