Split the handover of requests from their dispatch, and test readiness

A host that lost instances and peers is not ready until a peer speaks again. Failed takeovers have an outcome of their own in logs and metrics.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,5 +1,7 @@
 //! Sends one request to instances until there is a final answer.
 
+mod handover;
+
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -28,8 +30,6 @@
 /// Attempts that may fail to connect before the request is refused; together they
 /// take about a second.
 const MAX_UNREACHABLE_ATTEMPTS: usize = 8;
-/// Attempts that may fail to connect before a peer is asked to take over the request.
-const MAX_UNREACHABLE_BEFORE_TAKEOVER: usize = 2;
 /// The weight of the newest sample in a route's smoothed latency.
 const LATENCY_EWMA_WEIGHT: f64 = 0.1;
 
@@ -175,66 +175,6 @@
         Ok(outcome)
     }
 
-    /// Reports whether a peer is to take over the request, as this host seems to have no
-    /// path to instances.
-    fn lacks_path(&self, unreachable: usize) -> bool {
-        let is_likely = unreachable >= MAX_UNREACHABLE_BEFORE_TAKEOVER || self.state.is_cut_off();
-        self.may_hand_over && is_likely
-    }
-
-    /// Reports whether a peer is to take over the request instead of letting it wait, as
-    /// this host reaches less than half of the instances.
-    fn lacks_most_paths(&self) -> bool {
-        if !self.may_hand_over {
-            return false;
-        }
-        let roster = self.state.roster.borrow();
-        let evidence = self.state.evidence.borrow();
-        let now = self.state.now();
-        let instances = roster.ready(&self.request.service);
-        let (blocked, open) = instances.fold((0, 0), |(blocked, open), listed| {
-            if evidence.health(now, &listed.entry.id).is_path_blocked {
-                (blocked + 1, open)
-            } else {
-                (blocked, open + 1)
-            }
-        });
-        blocked > open
-    }
-
-    async fn hand_over(&mut self) -> AttemptOutcome {
-        let outcome = self.start_takeover().await;
-        self.finish_attempt(outcome)
-    }
-
-    /// Starts to ask peers to take over the request, which goes on while the returned
-    /// future is polled.
-    fn start_takeover(&mut self) -> PendingAttempt {
-        let attempts_left = self
-            .route
-            .max_attempts
-            .saturating_sub(self.connected_attempts);
-        let terms = TakeoverTerms {
-            config_version: self.config_version,
-            attempts_left: attempts_left.max(1),
-        };
-        self.connected_attempts += 1;
-        self.in_flight_attempts += 1;
-        self.takeover_count += 1;
-        let (state, request) = (self.state.clone(), self.request.clone());
-        let deadline = self.deadline;
-        Box::pin(async move { takeover::request(&state, &request, terms, deadline).await })
-    }
-
-    /// Relays the answer of a peer. It may promise that the request has not run only if it
-    /// has not run before either.
-    fn relay_takeover(&mut self, answer: Answer) -> Answer {
-        if promises_not_run(answer.status) && self.may_have_run() {
-            return self.give_up(GiveUpReason::AttemptsUsed);
-        }
-        answer
-    }
-
     /// Reports whether an instance may have run the request, or may yet run it.
     fn may_have_run(&self) -> bool {
         self.has_run || self.in_flight_attempts > 0
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -226,5 +226,10 @@
     if result.is_declined {
         return AttemptOutcome::NotRun(NotRun::Declined);
     }
-    AttemptOutcome::TakenOver(Answer::relay(answer, "taken-over"))
+    let outcome = if answer.status.is_success() {
+        "taken-over"
+    } else {
+        "takeover-failed"
+    };
+    AttemptOutcome::TakenOver(Answer::relay(answer, outcome))
 }
--- a/crates/gateway/tests/testsuite/takeovers.rs
+++ b/crates/gateway/tests/testsuite/takeovers.rs
@@ -1,9 +1,11 @@
 //! Hosts that lost their paths to the instances, while their callers and peers reach them.
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use waxwingusher_core::FailureDomain;
+use waxwingusher_membership::seeded::{Member, PeerMessage};
 use waxwingusher_upstreams::RosterEntry;
 
 use crate::harness::{
@@ -217,3 +219,44 @@
         .sum();
     assert_eq!(runs, 1);
 }
+
+/// Guards against callers that are sent to a host which can serve them neither itself nor
+/// through a peer, while other hosts could.
+#[test]
+fn a_host_that_lost_instances_and_peers_is_not_ready() {
+    const LIMIT: Duration = Duration::from_secs(10);
+    let instances = [healthy(), healthy(), healthy(), healthy()];
+    let entries = roster(&instances.iter().collect::<Vec<_>>());
+    let peer = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let host = TestHost::start_with_seeds(
+        &[peer.local_addr().expect("an address")],
+        source(cut(&entries, refusing_addr())),
+        GRACE,
+    );
+    let hello = PeerMessage::Hello {
+        sender: Member {
+            addr: peer.local_addr().expect("an address"),
+            failure_domain: FailureDomain::new("north"),
+            incarnation: 1,
+        },
+        table_digest: None,
+    };
+    let say_hello = || {
+        let bytes = postcard::to_allocvec(&hello).expect("a message");
+        peer.send_to(&bytes, host.peer_addr)
+            .expect("the host listens");
+    };
+    let wait_for_status = |status: u16, meanwhile: &dyn Fn()| {
+        let started = Instant::now();
+        while host.get_status("/ready").0 != status {
+            assert!(started.elapsed() < LIMIT, "the status becomes {status}");
+            meanwhile();
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    };
+    say_hello();
+    host.send(&request("POST", "/book/1", "first", "body"));
+    assert_eq!(host.get_status("/ready").0, 200, "a peer may serve");
+    wait_for_status(503, &|| {});
+    wait_for_status(200, &say_hello);
+}
