Add a failing test of requests that hang on connections from before a cut

A read is sent on a kept connection that is silent since its path was cut, and so is its hedge, as hedges reuse connections, too: 504 after 4 s, though a peer could serve it.

--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -265,7 +265,8 @@
     }
 }
 
-fn read_request(stream: &mut TcpStream) -> Option<Received> {
+/// Reads a request; none if the connection closes before its end.
+pub fn read_request(stream: &mut TcpStream) -> Option<Received> {
     let mut bytes = Vec::new();
     let mut byte = [0];
     while !bytes.ends_with(b"\r\n\r\n") {
--- a/crates/gateway/tests/testsuite/takeovers.rs
+++ b/crates/gateway/tests/testsuite/takeovers.rs
@@ -1,5 +1,6 @@
 //! Hosts that lost their paths to the instances, while their callers and peers reach them.
 
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,7 +10,8 @@
 use waxwingusher_upstreams::RosterEntry;
 
 use crate::harness::{
-    Instance, Received, StaticSource, TestHost, answer_with_proof, document, request, roster,
+    Instance, Received, StaticSource, TestHost, answer_with_proof, document, read_request, request,
+    roster,
 };
 
 const GRACE: Duration = Duration::from_secs(1);
@@ -260,3 +262,52 @@
     wait_for_status(503, &|| {});
     wait_for_status(200, &say_hello);
 }
+
+/// Guards against idempotent requests that wait on connections which hang since the path was
+/// cut, while new connections are refused, until their callers have left.
+#[test]
+#[ignore = "listed in KNOWN-RED.txt: issue 31"]
+fn a_peer_serves_a_request_that_hangs_on_a_connection_from_before_the_cut() {
+    const LATER_REQUESTS: usize = 3;
+    let instances = [healthy(), healthy()];
+    let entries = roster(&instances.iter().collect::<Vec<_>>());
+    let other = TestHost::start_with_seeds(&[], source(entries.clone()), GRACE);
+    let hanging: Vec<RosterEntry> = entries
+        .iter()
+        .map(|entry| RosterEntry {
+            addr: start_hanging_after_one_answer(),
+            ..entry.clone()
+        })
+        .collect();
+    let host = TestHost::start_with_seeds(&[other.peer_addr], source(hanging), GRACE);
+    for number in 0..instances.len() {
+        let reply = host.send(&request("GET", "/read/1", &format!("first-{number}"), ""));
+        assert_eq!(reply.status, 200);
+    }
+    for number in 0..LATER_REQUESTS {
+        let reply = host.send(&request("GET", "/read/1", &format!("later-{number}"), ""));
+        assert_eq!(reply.status, 200, "{}", reply.head);
+    }
+}
+
+/// Starts an instance that takes one connection, answers the first request there, and then
+/// nothing any more. Returns its address.
+fn start_hanging_after_one_answer() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        drop(listener);
+        let request = read_request(&mut stream).expect("a request");
+        let answer = answer_with_proof(&request, "200 OK", "done");
+        let answer = String::from_utf8(answer).expect("text");
+        let answer = answer.replace("connection: close\r\n", "");
+        stream
+            .write_all(answer.as_bytes())
+            .expect("an open connection");
+        // Reads and ignores further requests until the host closes the connection.
+        let mut rest = [0; 1_024];
+        while let Ok(1..) = stream.read(&mut rest) {}
+    });
+    addr
+}
