Open a connection for each hedge, and follow one that cannot by a takeover

Callers: reads that were sent on a kept connection just before its path was cut got 504 at their time limit.

Cause: a connection from before the cut may hang, and so may all kept ones. A hedge took another kept connection, and once both hung nothing else was tried; neither attempt showed the host that it was cut off.

If it cannot be opened, a peer is asked to take over the request, while the first attempt may still end. The test failed before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -92,13 +92,15 @@
     }
 }
 
-/// Sends a request to an instance and records the observation of the instance.
+/// Sends a request to an instance, on an idle connection if it may reuse one, and records
+/// the observation of the instance.
 pub(crate) async fn run_attempt(
     state: &Rc<State>,
     request: &OutboundRequest,
     placement: &Placement,
     number: usize,
     time_left: Duration,
+    may_reuse: bool,
 ) -> AttemptOutcome {
     let entry = &placement.instance.entry;
     let mut headers = request.headers.clone();
@@ -117,7 +119,7 @@
         target: request.target.clone(),
         headers,
         body: request.body.clone(),
-        may_reuse: request.is_idempotent,
+        may_reuse,
     };
     let guard = InFlightGuard::start(state, &entry.id);
     let mut record = AttemptRecord::start(state, request, placement, number);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -36,6 +36,16 @@
 /// An attempt that runs while it is polled.
 type PendingAttempt = Pin<Box<dyn Future<Output = AttemptOutcome>>>;
 
+/// How the first of two attempts has ended.
+enum RaceEnd {
+    /// With an answer for the caller.
+    Usable(AttemptOutcome),
+    /// Without a connection.
+    Unreachable { other: PendingAttempt },
+    /// With nothing that the caller can use.
+    Unusable { other: PendingAttempt },
+}
+
 /// Sends a request to instances until there is a final answer.
 pub(crate) struct Dispatch<'a> {
     state: &'a Rc<State>,
@@ -200,7 +210,7 @@
     /// host loses its paths meanwhile, is hedged: it also goes to a second instance or to a
     /// peer.
     async fn send(&mut self, placement: Placement) -> AttemptOutcome {
-        let mut first = self.start_attempt(placement);
+        let mut first = self.start_attempt(placement, self.request.is_idempotent);
         if !self.request.is_idempotent || !self.has_attempts_left() {
             return self.finish_attempt(first.await);
         }
@@ -209,41 +219,66 @@
             () = tokio::time::sleep(self.request.overdue_after()) => {}
             () = self.state.paths_lost.notified() => {}
         }
-        let Some(mut second) = self.start_hedge() else {
+        let Some(second) = self.start_hedge() else {
             return self.finish_attempt(first.await);
         };
-        let (outcome, mut other) = tokio::select! {
+        let other = match self.race(first, second).await {
+            RaceEnd::Usable(outcome) => return outcome,
+            // The other attempt may hang on a connection whose path was cut.
+            RaceEnd::Unreachable { other } if self.may_hand_over => {
+                let takeover = self.start_takeover();
+                match self.race(other, takeover).await {
+                    RaceEnd::Usable(outcome) => return outcome,
+                    RaceEnd::Unreachable { other } | RaceEnd::Unusable { other } => other,
+                }
+            }
+            RaceEnd::Unreachable { other } | RaceEnd::Unusable { other } => other,
+        };
+        let outcome = other.await;
+        self.finish_attempt(outcome)
+    }
+
+    /// Waits for the first of two attempts to end.
+    async fn race(&mut self, mut first: PendingAttempt, mut second: PendingAttempt) -> RaceEnd {
+        let (outcome, other) = tokio::select! {
             outcome = &mut first => (outcome, second),
             outcome = &mut second => (outcome, first),
         };
         match self.finish_attempt(outcome) {
-            AttemptOutcome::Answered(answer) => return AttemptOutcome::Answered(answer),
+            outcome @ AttemptOutcome::Answered(_) => RaceEnd::Usable(outcome),
             AttemptOutcome::TakenOver(answer) if !promises_not_run(answer.status) => {
-                return AttemptOutcome::TakenOver(answer);
+                RaceEnd::Usable(AttemptOutcome::TakenOver(answer))
+            }
+            AttemptOutcome::Failed(answer) => {
+                self.last_failure = Some(answer);
+                RaceEnd::Unusable { other }
             }
-            AttemptOutcome::Failed(answer) => self.last_failure = Some(answer),
+            AttemptOutcome::NotRun(NotRun::Unreachable) => RaceEnd::Unreachable { other },
             AttemptOutcome::NotRun(_)
             | AttemptOutcome::AnswerLost(_)
-            | AttemptOutcome::TakenOver(_) => {}
+            | AttemptOutcome::TakenOver(_) => RaceEnd::Unusable { other },
         }
-        let outcome = (&mut other).await;
-        self.finish_attempt(outcome)
     }
 
     /// Starts the second attempt of an idempotent request. An instance that limits its rate
-    /// has no room for a request that runs already.
+    /// has no room for a request that runs already. The attempt opens a connection, since
+    /// those that are open may hang together.
     fn start_hedge(&mut self) -> Option<PendingAttempt> {
         if self.state.is_cut_off() {
             return self.may_hand_over.then(|| self.start_takeover());
         }
-        let second = self.place().ok();
-        let second = second.filter(|placement| placement.health.rate_limit.is_none());
-        let second = second.filter(|_| self.spend_retry())?;
-        Some(self.start_attempt(second))
+        let second = self.place().ok()?;
+        if second.health.is_path_blocked && self.may_hand_over {
+            return Some(self.start_takeover());
+        }
+        if second.health.rate_limit.is_some() || !self.spend_retry() {
+            return None;
+        }
+        Some(self.start_attempt(second, false))
     }
 
     /// Starts an attempt, which runs while the returned future is polled.
-    fn start_attempt(&mut self, placement: Placement) -> PendingAttempt {
+    fn start_attempt(&mut self, placement: Placement, may_reuse: bool) -> PendingAttempt {
         self.attempted_instances
             .push(placement.instance.entry.id.clone());
         self.connected_attempts += 1;
@@ -251,7 +286,9 @@
         let number = self.attempted_instances.len();
         let time_left = self.deadline.saturating_duration_since(self.state.now());
         let (state, request) = (self.state.clone(), self.request.clone());
-        Box::pin(async move { run_attempt(&state, &request, &placement, number, time_left).await })
+        Box::pin(async move {
+            run_attempt(&state, &request, &placement, number, time_left, may_reuse).await
+        })
     }
 
     /// Records how an attempt ended. An attempt without a connection uses up
--- a/crates/gateway/tests/testsuite/takeovers.rs
+++ b/crates/gateway/tests/testsuite/takeovers.rs
@@ -266,7 +266,6 @@
 /// Guards against idempotent requests that wait on connections which hang since the path was
 /// cut, while new connections are refused, until their callers have left.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt: issue 31"]
 fn a_peer_serves_a_request_that_hangs_on_a_connection_from_before_the_cut() {
     const LATER_REQUESTS: usize = 3;
     let instances = [healthy(), healthy()];
