--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod peers;
 mod permits;
 mod pipeline;
+mod rate_limits;
 mod reports;
 mod state;
 mod status_server;
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -11,8 +11,10 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
+use waxwingusher_core::ServiceName;
 
 use crate::answer::Answer;
 use crate::attempt::{AnswerLoss, AttemptOutcome, NotRun, OutboundRequest, header_value, millis};
@@ -47,11 +49,10 @@
 }
 
 /// What came of a request at the peer.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct TakeoverResult {
     /// The peer has not run the request, and another one may.
     is_declined: bool,
-    outcome: String,
 }
 
 /// This host does not take over a request.
@@ -90,7 +91,7 @@
     }
 
     /// Reports whether a peer has not declined lately.
-    pub(crate) fn may_ask(&self, now: Instant, peer: SocketAddr) -> bool {
+    fn may_ask(&self, now: Instant, peer: SocketAddr) -> bool {
         let declined = self.declined_until.borrow();
         declined.get(&peer).is_none_or(|until| *until <= now)
     }
@@ -120,8 +121,7 @@
     from: IpAddr,
 ) -> Result<TakeoverTerms, TakeoverError> {
     let terms = headers.remove(&TERMS);
-    let terms = terms.and_then(|value| serde_json::from_slice(value.as_bytes()).ok());
-    let Some(terms): Option<TakeoverTerms> = terms else {
+    let Some(terms): Option<TakeoverTerms> = terms.as_ref().and_then(decode) else {
         return Err(TakeoverError::NoTerms);
     };
     let is_acceptable = state.peers.borrow().has_peer_at(from)
@@ -137,19 +137,29 @@
 
 /// Adds the result to an answer to a peer.
 pub(crate) fn add_result(answer: &mut Answer) {
-    let result = TakeoverResult {
-        is_declined: matches!(answer.outcome, DECLINED | NO_PATH),
-        outcome: answer.outcome.to_owned(),
-    };
-    match serde_json::to_string(&result) {
-        Ok(text) => {
-            answer.headers.insert(&RESULT, header_value(&text));
+    let is_declined = matches!(answer.outcome, DECLINED | NO_PATH);
+    let result = encode(&TakeoverResult { is_declined });
+    answer.headers.insert(&RESULT, result);
+}
+
+/// Encodes a header between peers; the receiver refuses an empty one.
+fn encode(value: &impl Serialize) -> HeaderValue {
+    match serde_json::to_string(value) {
+        Ok(text) => header_value(&text),
+        Err(error) => {
+            log::error!("takeover: Cannot encode a header: {error}.");
+            HeaderValue::from_static("")
         }
-        // The peer treats an answer without a result as lost.
-        Err(error) => log::error!("takeover: Cannot encode a result: {error}."),
     }
 }
 
+/// Decodes a header between peers.
+fn decode<T: DeserializeOwned>(value: &HeaderValue) -> Option<T> {
+    serde_json::from_slice(value.as_bytes())
+        .inspect_err(|error| log::warn!("takeover: A peer sent an unusable header: {error}."))
+        .ok()
+}
+
 /// Asks peers to take over a request until one has done so.
 pub(crate) async fn request(
     state: &State,
@@ -158,7 +168,7 @@
     deadline: Instant,
 ) -> AttemptOutcome {
     for _ in 0..MAX_PEERS {
-        let Some(peer) = state.choose_takeover_peer(&request.service) else {
+        let Some(peer) = choose_peer(state, &request.service) else {
             break;
         };
         let started = state.now();
@@ -183,6 +193,34 @@
     AttemptOutcome::NotRun(NotRun::Declined)
 }
 
+/// Chooses a reachable peer that has not declined lately: one that an instance of the
+/// service has just answered if there is one, and then one of this failure domain.
+fn choose_peer(state: &State, service: &ServiceName) -> Option<SocketAddr> {
+    let now = state.now();
+    let roster = state.roster.borrow();
+    let instances = roster.ready(service).map(|listed| &listed.entry.id);
+    let evidence = state.evidence.borrow();
+    let proven = evidence.recently_successful_peers(now, instances);
+    let peers = state.peers.borrow();
+    let candidates = peers.reachable_peers(now);
+    let candidates = candidates.filter(|peer| state.takeovers.may_ask(now, peer.addr));
+    let mut best_rank = (false, false);
+    let mut best: Vec<SocketAddr> = Vec::new();
+    for peer in candidates {
+        let is_local = peer.failure_domain == state.failure_domain;
+        let rank = (proven.contains(&peer.addr), is_local);
+        if rank < best_rank {
+            continue;
+        }
+        if rank > best_rank {
+            best_rank = rank;
+            best.clear();
+        }
+        best.push(peer.addr);
+    }
+    state.rng.borrow_mut().choice(best)
+}
+
 fn build_call(
     state: &State,
     request: &OutboundRequest,
@@ -201,8 +239,7 @@
         header_value(&millis(time_left).to_string()),
     );
     headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-    let terms = serde_json::to_string(&terms).unwrap_or_default();
-    headers.insert(&TERMS, header_value(&terms));
+    headers.insert(&TERMS, encode(&terms));
     Call {
         addr: peer,
         method: request.method.clone(),
@@ -219,8 +256,7 @@
         Err(error) => return error.into(),
     };
     let result = answer.headers.remove(&RESULT);
-    let result = result.and_then(|value| serde_json::from_slice(value.as_bytes()).ok());
-    let Some(result): Option<TakeoverResult> = result else {
+    let Some(result): Option<TakeoverResult> = result.as_ref().and_then(decode) else {
         return AttemptOutcome::AnswerLost(AnswerLoss::Foreign);
     };
     if result.is_declined {
