Break the import circle of the gateway and part deciding from sending

Cause: ten files of crates/gateway imported one another through state.rs, and peers.rs both decided what to send and wrote to the socket, so its decisions could not be tested without one. Change: the outbox, the in-flight guard, queue tickets, pending permits, declined peers, the feed's source types, request origins and unit conversions are modules of their own that state.rs or its users import one way. PeerExchange (peers/exchange.rs) queues encoded messages; peers.rs owns the socket. Result: no change in behaviour; tests of gateway (69) and platform (17) pass.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use waxwingusher_edge::headers::strip_hop_by_hop;
 
-use crate::attempt::header_value;
+use crate::units::header_value;
 use crate::upstream::InstanceAnswer;
 
 /// The final answer to a caller.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,9 +9,11 @@
 use waxwingusher_upstreams::{Observation, Placement, RateLimit, RateLimitChange};
 
 use crate::answer::Answer;
+use crate::in_flight::InFlightGuard;
 use crate::journal::Event;
 use crate::ports::Dialect;
-use crate::state::{InFlightGuard, State};
+use crate::state::State;
+use crate::units::{header_value, millis, to_hundredths};
 use crate::upstream::{Call, CallError, InstanceAnswer};
 
 /// An attempt that takes this many times the route's expected latency counts
@@ -417,18 +419,3 @@
         _ => {}
     }
 }
-
-/// Rounds a ratio to two decimal places.
-fn to_hundredths(ratio: f64) -> f64 {
-    (ratio * 100.0).round() / 100.0
-}
-
-/// Returns the duration in whole milliseconds, rounded down.
-pub(crate) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Makes a header value of visible ASCII text; other text gives an empty value.
-pub(crate) fn header_value(text: &str) -> HeaderValue {
-    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static(""))
-}
--- a/crates/gateway/src/caller/connection.rs
+++ b/crates/gateway/src/caller/connection.rs
@@ -19,7 +19,8 @@
 use super::reader::{BodyReader, Head, ReadError, take_head};
 use super::writer::{self, QueuedAnswer};
 use crate::answer::Answer;
-use crate::pipeline::{CallerRequest, PipelineOrder, RequestOrigin, handle};
+use crate::origin::RequestOrigin;
+use crate::pipeline::{CallerRequest, PipelineOrder, handle};
 use crate::state::{Phase, State};
 
 /// Unanswered requests per connection; at this number no further request is read
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -16,7 +16,8 @@
 use crate::attempt::{AnswerLoss, AttemptOutcome, NotRun, OutboundRequest, run_attempt};
 use crate::journal::Event;
 use crate::permits;
-use crate::state::{QueueTicket, State};
+use crate::queue_ticket::QueueTicket;
+use crate::state::State;
 use crate::takeover::{self, TakeoverTerms};
 use crate::upstream::InstanceAnswer;
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -9,23 +9,22 @@
 //! have missed changes or hear from no reader.
 
 use std::collections::HashMap;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use waxwingusher_config::routing::{RoutingDocument, RoutingTable};
+use waxwingusher_config::routing::RoutingTable;
 use waxwingusher_core::{FeedPosition, InstanceId};
 use waxwingusher_membership::seeded::{FeedUpdate, name_hash};
-use waxwingusher_upstreams::{RosterChange, RosterEffect, RosterEntry};
+use waxwingusher_upstreams::RosterEffect;
 
-use crate::attempt::millis;
 use crate::feed_replica::{Applied, EncodedConfiguration};
+use crate::feed_source::{Changes, FeedSource, PublishedConfig, SourceError};
 use crate::journal::Event;
 use crate::state::State;
+use crate::units::millis;
 
 /// The longest time for which the source holds a watch without changes. It bounds
 /// how long a host without reachable peers waits on a dead connection.
@@ -56,70 +55,6 @@
 /// How long peers may be ahead before the watch is restarted on a new connection.
 const MAX_LAG_TIME: Duration = Duration::from_millis(350);
 
-/// Where configuration and instances are published.
-pub trait FeedSource {
-    /// Lists everything that is published.
-    fn list(&self) -> impl Future<Output = Result<Listing, SourceError>>;
-
-    /// Waits up to `wait` for changes after `position`.
-    fn changes(
-        &self,
-        position: FeedPosition,
-        wait: Duration,
-    ) -> impl Future<Output = Result<Changes, SourceError>>;
-
-    /// Drops connections that may be dead.
-    fn reconnect(&self);
-}
-
-/// Everything that is published.
-#[derive(Debug)]
-pub struct Listing {
-    /// The configuration, if there is one.
-    pub routing: Option<PublishedConfig>,
-    /// All instances.
-    pub roster: Vec<RosterEntry>,
-    /// The position from which changes follow.
-    pub position: FeedPosition,
-}
-
-/// Published changes, in order.
-#[derive(Debug)]
-pub struct Changes {
-    /// The changes and their revisions, in the order of their publication.
-    pub items: Vec<(u64, Change)>,
-    /// The position from which further changes follow. Its era differs from that of
-    /// the request if the source was restored from a backup; the items are then
-    /// useless.
-    pub position: FeedPosition,
-}
-
-/// One change.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum Change {
-    /// A configuration was published.
-    Routing(PublishedConfig),
-    /// An instance's entry changed.
-    Roster(RosterChange),
-}
-
-/// A configuration as it was published, or why it cannot be read.
-pub type PublishedConfig = Result<RoutingDocument, String>;
-
-/// The source gave no usable answer.
-#[derive(Debug, thiserror::Error)]
-pub enum SourceError {
-    /// The source no longer has the changes after the position.
-    #[error("the source no longer has the changes after the position")]
-    HistoryGone,
-    /// The source could not be reached, or its answer was lost.
-    #[error("{0}")]
-    Unreachable(String),
-    /// The source refused to answer.
-    #[error("{0}")]
-    Refused(String),
-}
-
 /// Follows the source until the host stops.
 pub(crate) async fn follow<S: FeedSource>(state: Rc<State>, source: Rc<S>) {
     let mut follower = Follower {
--- a/crates/gateway/src/feed_log.rs
+++ b/crates/gateway/src/feed_log.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use waxwingusher_core::FeedPosition;
 
-use crate::feed::Change;
+use crate::feed_source::Change;
 
 /// How long changes are repeated, so that later updates make up for a lost one.
 pub const REPEAT_TIME: Duration = Duration::from_secs(2);
--- a/crates/gateway/src/feed_replica.rs
+++ b/crates/gateway/src/feed_replica.rs
@@ -12,8 +12,8 @@
 use waxwingusher_membership::seeded::readers::ReaderSchedule;
 use waxwingusher_upstreams::{Roster, RosterEffect};
 
-use crate::feed::{Change, Changes, Listing, PublishedConfig, SourceError};
 use crate::feed_log::{FeedLog, MAX_UPDATE_BYTES, RevisedChange};
+use crate::feed_source::{Change, Changes, Listing, PublishedConfig, SourceError};
 
 /// The longest time since the source's last answer for which a host passes on its
 /// position; readers get an answer at least once a second. Without it, a reader whose
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,13 +14,13 @@
 use waxwingusher_limits::FleetView;
 use waxwingusher_membership::seeded::{Member, PeerTable};
 
-use crate::feed::{self, FeedSource};
+use crate::feed_source::FeedSource;
 use crate::journal::{Event, Journal, write_lines};
-use crate::pipeline::RequestOrigin;
+use crate::origin::RequestOrigin;
 use crate::ports::{Command, Dialect};
 use crate::settings::GatewaySettings;
 use crate::state::{Phase, State};
-use crate::{caller, path_probe, peers, status_server, takeover};
+use crate::{caller, feed, path_probe, peers, status_server, takeover_server};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
@@ -181,7 +181,7 @@
         supervise(&state, "maintenance", run_maintenance);
         // Peers are served until the end, so that each is told that this host declines.
         supervise(&state, "takeovers", move |state| {
-            takeover::run(state, takeovers.clone())
+            takeover_server::run(state, takeovers.clone())
         });
         let accepting = supervise(&state, "callers", move |state| {
             accept_callers(state, callers.clone())
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,20 +1,16 @@
 //! Asks for permits for requests to instances that limit the rate of all hosts
 //! together, and issues those of other hosts.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
 use waxwingusher_core::InstanceId;
-use waxwingusher_limits::PermitIssuer;
 use waxwingusher_membership::seeded::{PermitDecision, PermitReply, PermitRequest, name_hash};
 use waxwingusher_upstreams::RateLimit;
 
-use crate::attempt::millis;
 use crate::journal::Event;
 use crate::state::State;
+use crate::units::millis;
 
 /// How long a host waits for the issuer's answer: several round trips between failure
 /// domains.
@@ -23,41 +19,6 @@
 /// or was not the issuer. Peers agree on another issuer once they miss its heartbeats.
 const NO_ISSUER_PAUSE: Duration = Duration::from_millis(150);
 
-/// The permits that this host issues, and those that it waits for.
-#[derive(Debug, Default)]
-pub(crate) struct Permits {
-    issuer: RefCell<PermitIssuer>,
-    pending: RefCell<HashMap<u64, oneshot::Sender<PermitDecision>>>,
-    last_id: Cell<u64>,
-}
-
-impl Permits {
-    /// Passes an issuer's answer to the request that waits for it, if it still does.
-    pub(crate) fn complete(&self, reply: PermitReply) {
-        if let Some(waiting) = self.pending.borrow_mut().remove(&reply.id) {
-            // Sending fails only if the request was cancelled just now.
-            let _ = waiting.send(reply.decision);
-        }
-    }
-
-    /// Forgets the permits of instances that this host does not issue any more.
-    pub(crate) fn retain(&self, keep: impl Fn(&InstanceId) -> bool) {
-        self.issuer.borrow_mut().retain(keep);
-    }
-}
-
-/// Removes a pending request on drop, also when the task that waits is cancelled.
-struct PendingPermit<'a> {
-    permits: &'a Permits,
-    id: u64,
-}
-
-impl Drop for PendingPermit<'_> {
-    fn drop(&mut self) {
-        self.permits.pending.borrow_mut().remove(&self.id);
-    }
-}
-
 /// Asks for a permit for one request to an instance. Without one, the instance gets no
 /// requests from this host for some time.
 pub(crate) async fn acquire(
@@ -104,16 +65,11 @@
     instance: &InstanceId,
     limit: RateLimit,
 ) -> Option<PermitDecision> {
-    let permits = &state.permits;
-    let id = permits.last_id.get().wrapping_add(1);
-    permits.last_id.set(id);
-    let (sender, decision) = oneshot::channel();
-    permits.pending.borrow_mut().insert(id, sender);
-    let _pending = PendingPermit { permits, id };
+    let (pending, decision) = state.permits.register();
     state.outbox.request_permit(
         issuer,
         PermitRequest {
-            id,
+            id: pending.id(),
             instance: name_hash(instance.as_str()),
             milli_per_s: limit.milli_per_s(),
         },
@@ -141,7 +97,7 @@
 fn issue(state: &State, instance: &InstanceId, stated: RateLimit) -> PermitDecision {
     let known = state.evidence.borrow().rate_limit(instance);
     let rate_per_s = known.unwrap_or(stated).per_s();
-    let issued = state.permits.issuer.borrow_mut().issue(
+    let issued = state.permits.issue(
         state.now(),
         instance,
         rate_per_s,
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -1,6 +1,5 @@
 //! Handles one request: admission, dispatch, and the log record.
 
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,11 +11,13 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::answer::Answer;
-use crate::attempt::{OutboundRequest, header_value, millis};
+use crate::attempt::OutboundRequest;
 use crate::dispatch::Dispatch;
 use crate::journal::Event;
+use crate::origin::RequestOrigin;
 use crate::state::State;
 use crate::takeover;
+use crate::units::{header_value, millis};
 
 /// The part of a caller's time that is reserved for the final answer, so that it
 /// arrives before the caller gives up.
@@ -44,15 +45,6 @@
     pub(crate) received_at: Instant,
 }
 
-/// Who has sent a request to this host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RequestOrigin {
-    /// A caller.
-    Caller,
-    /// A peer without a path to instances, at this address.
-    Peer(IpAddr),
-}
-
 /// Holds back a request that is not idempotent until all earlier requests on its
 /// connection are answered.
 pub(crate) trait PipelineOrder {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,8 +1,7 @@
 //! The state that the tasks of one host share; all of them run on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,25 +9,22 @@
 use tokio::sync::{Notify, watch};
 use waxwingusher_attempts::FleetRetryBudget;
 use waxwingusher_config::routing::{CallerLimits, RoutingTable, SplitPicker};
-use waxwingusher_core::{Clock, FailureDomain, InstanceId, RouteName, ServiceName, WorkspaceName};
-use waxwingusher_limits::{
-    FleetView, QueuePosition, ReplicatedLimits, ReplicatedSettings, WaitQueue,
-};
+use waxwingusher_core::{Clock, FailureDomain, InstanceId, RouteName, WorkspaceName};
+use waxwingusher_limits::{FleetView, ReplicatedLimits, ReplicatedSettings, WaitQueue};
 use waxwingusher_membership::seeded::readers::reader_rank;
-use waxwingusher_membership::seeded::{
-    CrashReport, LeavingInstance, PeerTable, PermitRequest, name_hash,
-};
-use waxwingusher_upstreams::{Evidence, Observation, PathMonitor, Roster};
+use waxwingusher_membership::seeded::{CrashReport, LeavingInstance, PeerTable, name_hash};
+use waxwingusher_upstreams::{Evidence, PathMonitor, Roster};
 
-use crate::attempt::millis;
 use crate::crash_ledger::CrashLedger;
+use crate::declined_peers::DeclinedPeers;
 use crate::feed_replica::FeedReplica;
 use crate::journal::{Event, Journal};
 use crate::metrics::Metrics;
-use crate::permits::Permits;
+use crate::outbox::Outbox;
+use crate::pending_permits::Permits;
 use crate::ports::Dialect;
 use crate::settings::GatewaySettings;
-use crate::takeover::Takeovers;
+use crate::units::millis;
 use crate::upstream::ConnectionPool;
 
 /// The shortest gap between two checks that counts as a pause of the process; the
@@ -74,7 +70,7 @@
     paths: RefCell<PathMonitor>,
     /// Notifies requests that are under way that the paths to the instances were lost.
     pub(crate) paths_lost: Notify,
-    pub(crate) takeovers: Takeovers,
+    pub(crate) declined_peers: DeclinedPeers,
     pub(crate) permits: Permits,
     pub(crate) pool: ConnectionPool,
     pub(crate) outbox: Outbox,
@@ -94,81 +90,6 @@
     resumed_at: Cell<Option<Instant>>,
 }
 
-/// What remains to be sent to peers.
-#[derive(Debug, Default)]
-pub(crate) struct Outbox {
-    pub(crate) local_instances: RefCell<BTreeSet<InstanceId>>,
-    pub(crate) remote_instances: RefCell<BTreeSet<InstanceId>>,
-    pub(crate) crashes: RefCell<Vec<CrashReport>>,
-    pub(crate) disowned: RefCell<Vec<u32>>,
-    pub(crate) leaving: RefCell<Vec<LeavingInstance>>,
-    /// Instances that have named, changed or lifted a limit.
-    pub(crate) rate_limits: RefCell<BTreeSet<InstanceId>>,
-    permit_requests: RefCell<Vec<(SocketAddr, PermitRequest)>>,
-    pub(crate) permit_requested: Notify,
-    /// Whether the outbox is to be sent to remote failure domains at once, too.
-    pub(crate) is_urgent: Cell<bool>,
-    /// Whether admissions are to be reported to remote failure domains soon.
-    pub(crate) is_admission_report_due: Cell<bool>,
-    /// Whether a departure notice is to be sent, since the process ends.
-    pub(crate) is_departure_notice_due: Cell<bool>,
-    /// Whether changes of the feed are to be passed on.
-    pub(crate) is_feed_update_due: Cell<bool>,
-    /// Whether a peer is to be asked for the configuration.
-    pub(crate) is_configuration_request_due: Cell<bool>,
-    pub(crate) changed: Notify,
-}
-
-impl Outbox {
-    /// Requests that the outbox is sent to remote failure domains at once, too.
-    pub(crate) fn request_urgent_send(&self) {
-        self.is_urgent.set(true);
-        self.changed.notify_one();
-    }
-
-    /// Sends a request for a permit to the host that issues it.
-    pub(crate) fn request_permit(&self, issuer: SocketAddr, request: PermitRequest) {
-        self.permit_requests.borrow_mut().push((issuer, request));
-        self.permit_requested.notify_one();
-    }
-
-    /// Takes the requests for permits that are to be sent.
-    pub(crate) fn take_permit_requests(&self) -> Vec<(SocketAddr, PermitRequest)> {
-        std::mem::take(&mut *self.permit_requests.borrow_mut())
-    }
-
-    /// Requests a departure notice to peers, so that they stop counting this host.
-    pub(crate) fn announce_departure(&self) {
-        self.is_departure_notice_due.set(true);
-        self.request_urgent_send();
-    }
-
-    /// Requests that changes of the feed are passed on.
-    pub(crate) fn send_feed_update_soon(&self) {
-        self.is_feed_update_due.set(true);
-        self.changed.notify_one();
-    }
-
-    /// Requests the configuration from a peer.
-    pub(crate) fn request_configuration(&self) {
-        self.is_configuration_request_due.set(true);
-        self.changed.notify_one();
-    }
-
-    /// Reports whether nothing has changed since the last report.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.local_instances.borrow().is_empty()
-            && self.remote_instances.borrow().is_empty()
-            && self.crashes.borrow().is_empty()
-            && self.disowned.borrow().is_empty()
-    }
-
-    pub(crate) fn report_admissions_soon(&self) {
-        self.is_admission_report_due.set(true);
-        self.changed.notify_one();
-    }
-}
-
 impl State {
     pub(crate) fn new(
         settings: &GatewaySettings,
@@ -199,7 +120,7 @@
             peers: RefCell::new(peers),
             paths: RefCell::default(),
             paths_lost: Notify::new(),
-            takeovers: Takeovers::default(),
+            declined_peers: DeclinedPeers::default(),
             permits: Permits::default(),
             pool: ConnectionPool::default(),
             outbox: Outbox::default(),
@@ -400,118 +321,3 @@
         }
     }
 }
-
-/// Counts a request as in flight at an instance until it is finished or the guard
-/// is dropped with its task.
-pub(crate) struct InFlightGuard {
-    state: Rc<State>,
-    id: InstanceId,
-    is_finished: bool,
-}
-
-impl InFlightGuard {
-    pub(crate) fn start(state: &Rc<State>, id: &InstanceId) -> Self {
-        state.evidence.borrow_mut().record_start(state.now(), id);
-        state.report_instance(id, false);
-        Self {
-            state: state.clone(),
-            id: id.clone(),
-            is_finished: false,
-        }
-    }
-
-    /// Records that the request is overdue at the instance.
-    pub(crate) fn report_overdue(&self) {
-        let now = self.state.now();
-        self.state
-            .evidence
-            .borrow_mut()
-            .record_overdue(now, &self.id);
-        self.state.report_instance(&self.id, true);
-    }
-
-    pub(crate) fn finish(mut self, observation: Observation) {
-        self.end(observation);
-    }
-
-    fn end(&mut self, observation: Observation) {
-        if self.is_finished {
-            return;
-        }
-        self.is_finished = true;
-        let now = self.state.now();
-        self.state
-            .evidence
-            .borrow_mut()
-            .record_end(now, &self.id, observation);
-        self.state
-            .report_instance(&self.id, observation == Observation::Failure);
-        self.state.capacity_freed.notify_waiters();
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.end(Observation::Inconclusive);
-    }
-}
-
-/// A request's place in the queue for capacity. It is left on drop, also when the
-/// task that waits is cancelled.
-pub(crate) struct QueueTicket {
-    state: Rc<State>,
-    service: ServiceName,
-    position: QueuePosition,
-}
-
-impl QueueTicket {
-    pub(crate) fn enqueue(
-        state: &Rc<State>,
-        service: &ServiceName,
-        queued_at: Instant,
-        priority: u32,
-    ) -> Self {
-        let position = state
-            .wait_queue
-            .borrow_mut()
-            .enqueue(service, queued_at, priority);
-        Self {
-            state: state.clone(),
-            service: service.clone(),
-            position,
-        }
-    }
-
-    pub(crate) fn is_first(&self) -> bool {
-        self.state
-            .wait_queue
-            .borrow()
-            .is_first(&self.service, self.position)
-    }
-
-    /// Records that the request got capacity.
-    pub(crate) fn record_served(&self) {
-        let now = self.state.now();
-        let mut wait_queue = self.state.wait_queue.borrow_mut();
-        wait_queue.record_served(now, &self.service);
-    }
-
-    /// Returns whether the request will probably get no capacity within
-    /// `wait_left`.
-    pub(crate) fn is_likely_to_time_out(&self, wait_left: Duration) -> bool {
-        let now = self.state.now();
-        let mut wait_queue = self.state.wait_queue.borrow_mut();
-        wait_queue.is_likely_to_time_out(now, &self.service, self.position, wait_left)
-    }
-}
-
-impl Drop for QueueTicket {
-    fn drop(&mut self) {
-        self.state
-            .wait_queue
-            .borrow_mut()
-            .remove(&self.service, self.position);
-        // The next request in the queue may find capacity, too.
-        self.state.capacity_freed.notify_waiters();
-    }
-}
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -4,24 +4,19 @@
 //! it, the key included, to the port on which peers exchange messages. The peer checks
 //! route and key once more, serves the request itself or declines, and never passes it on.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
 use waxwingusher_core::ServiceName;
 
 use crate::answer::Answer;
-use crate::attempt::{AnswerLoss, AttemptOutcome, NotRun, OutboundRequest, header_value, millis};
-use crate::caller;
+use crate::attempt::{AnswerLoss, AttemptOutcome, NotRun, OutboundRequest};
 use crate::journal::Event;
-use crate::pipeline::RequestOrigin;
 use crate::state::{Phase, State};
+use crate::units::{header_value, millis};
 use crate::upstream::{Call, CallError, InstanceAnswer};
 
 /// The header with the terms of a request that is passed on.
@@ -31,8 +26,6 @@
 /// The peers that are asked for one request. Most hosts of a failure domain may be cut
 /// off together, and each declines within milliseconds.
 const MAX_PEERS: usize = 6;
-/// How long a peer that has declined, or takes no connection, is not asked again.
-const DECLINE_PAUSE: Duration = Duration::from_secs(1);
 /// The outcome of a request that this host declines.
 const DECLINED: &str = "declined";
 /// The outcome of a request that has not run, as the host has no path to instances.
@@ -77,39 +70,6 @@
     }
 }
 
-/// The peers that do not take over requests for now.
-#[derive(Debug, Default)]
-pub(crate) struct Takeovers {
-    declined_until: RefCell<HashMap<SocketAddr, Instant>>,
-}
-
-impl Takeovers {
-    fn record_declined(&self, now: Instant, peer: SocketAddr) {
-        let mut declined = self.declined_until.borrow_mut();
-        declined.retain(|_, until| *until > now);
-        declined.insert(peer, now + DECLINE_PAUSE);
-    }
-
-    /// Reports whether a peer has not declined lately.
-    fn may_ask(&self, now: Instant, peer: SocketAddr) -> bool {
-        let declined = self.declined_until.borrow();
-        declined.get(&peer).is_none_or(|until| *until <= now)
-    }
-}
-
-/// Accepts connections of peers until the host stops.
-pub(crate) async fn run(state: Rc<State>, listener: Rc<TcpListener>) {
-    loop {
-        let Ok((stream, from)) = listener.accept().await else {
-            // No file descriptor is free; a retry may find one.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let origin = RequestOrigin::Peer(from.ip());
-        tokio::task::spawn_local(caller::serve(state.clone(), stream, origin));
-    }
-}
-
 /// Takes the terms of a peer's request from its headers.
 ///
 /// # Errors
@@ -188,7 +148,7 @@
         if !matches!(outcome, AttemptOutcome::NotRun(_)) {
             return outcome;
         }
-        state.takeovers.record_declined(state.now(), peer);
+        state.declined_peers.record_declined(state.now(), peer);
     }
     AttemptOutcome::NotRun(NotRun::Declined)
 }
@@ -203,7 +163,7 @@
     let proven = evidence.recently_successful_peers(now, instances);
     let peers = state.peers.borrow();
     let candidates = peers.reachable_peers(now);
-    let candidates = candidates.filter(|peer| state.takeovers.may_ask(now, peer.addr));
+    let candidates = candidates.filter(|peer| state.declined_peers.may_ask(now, peer.addr));
     let mut best_rank = (false, false);
     let mut best: Vec<SocketAddr> = Vec::new();
     for peer in candidates {
