Leave out unknown entries alone, and evacuate failure domains

Limits of cold instances and home regions are parsed, not yet used. Orders to evacuate come with the listing and as changes; instances of such a domain get no requests.

--- a/crates/config/src/routing.rs
+++ b/crates/config/src/routing.rs
@@ -5,11 +5,13 @@
 //! checked and compiled into a [`RoutingTable`], which is immutable.
 
 mod document;
+mod findings;
 mod split;
 mod table;
 
 pub use document::{
-    CallerLimits, PublishedService, PublishedWorkspace, Route, RoutingDocument, ServiceShare,
+    CallerLimits, ColdStart, DocumentFinding, EntryKind, FindingEffect, PublishedService,
+    PublishedWorkspace, Route, RoutingDocument, ServiceShare,
 };
 pub use split::SplitPicker;
 pub use table::{Caller, RoutingError, RoutingTable, WorkspacePolicy};
--- a/crates/config/src/routing/document.rs
+++ b/crates/config/src/routing/document.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use waxwingusher_core::{KeyDigest, RouteName, ServiceName, WorkspaceName};
+use waxwingusher_core::{KeyDigest, Region, RouteName, ServiceName, WorkspaceName};
 
 /// The complete configuration of one version.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -19,6 +19,69 @@
     pub workspaces: Vec<PublishedWorkspace>,
     /// Size limits and timeouts for callers.
     pub limits: CallerLimits,
+    /// Entries that could not be used as published; not part of the configuration.
+    #[serde(skip)]
+    pub findings: Vec<DocumentFinding>,
+}
+
+/// An entry of a published document that could not be used as it was published.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DocumentFinding {
+    /// What kind of entry it is.
+    pub entry: EntryKind,
+    /// The name of the entry, or its position if it has no readable name.
+    pub name: String,
+    /// What is wrong with it.
+    pub cause: String,
+    /// What became of it.
+    pub effect: FindingEffect,
+}
+
+/// The kinds of entries of a document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum EntryKind {
+    /// A route.
+    Route,
+    /// A service.
+    Service,
+    /// A workspace.
+    Workspace,
+    /// The limits for callers.
+    Limits,
+}
+
+impl EntryKind {
+    /// Returns the name of the kind in log lines and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Route => "route",
+            Self::Service => "service",
+            Self::Workspace => "workspace",
+            Self::Limits => "limits",
+        }
+    }
+}
+
+/// What became of an entry that could not be used as it was published.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum FindingEffect {
+    /// The entry was left out.
+    LeftOut,
+    /// The entry is in force with a safe value in place of the one that was not
+    /// understood.
+    Restricted,
+}
+
+impl FindingEffect {
+    /// Returns the name of the effect in log lines and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::LeftOut => "left-out",
+            Self::Restricted => "restricted",
+        }
+    }
 }
 
 /// A route.
@@ -45,6 +108,8 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub is_open: bool,
+    /// The regions in which requests may be processed; any if empty.
+    pub home_regions: Vec<Region>,
 }
 
 /// The share of a route's requests that one service receives.
@@ -67,6 +132,18 @@
     pub health_path: String,
     /// The most connections to one instance from all hosts together.
     pub max_connections: u32,
+    /// The limit for instances that are cold; none if they take any rate.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What the instances of a service take while they are cold.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStart {
+    /// How long an instance is cold after its start.
+    pub duration: Duration,
+    /// Requests per second that a cold instance takes from all hosts together.
+    pub rate_per_s: f64,
 }
 
 /// A workspace.
@@ -83,6 +160,8 @@
     pub rate_per_s: f64,
     /// Requests that may exceed the rate at once.
     pub burst: f64,
+    /// The regions in which its requests may be processed; any if empty.
+    pub home_regions: Vec<Region>,
 }
 
 /// Size limits and timeouts for callers.
--- a/crates/config/src/routing/table.rs
+++ b/crates/config/src/routing/table.rs
@@ -3,9 +3,11 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use waxwingusher_core::{KeyDigest, RouteName, ServiceName, WorkspaceName};
+use waxwingusher_core::{KeyDigest, Region, RouteName, ServiceName, WorkspaceName};
 
-use crate::routing::document::{CallerLimits, PublishedWorkspace, Route, RoutingDocument};
+use crate::routing::document::{
+    CallerLimits, ColdStart, PublishedWorkspace, Route, RoutingDocument,
+};
 
 /// A routing document is invalid.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -67,6 +69,8 @@
     pub rate_per_s: f64,
     /// Requests that may exceed the rate at once.
     pub burst: f64,
+    /// The regions in which its requests may be processed; any if empty.
+    pub home_regions: Vec<Region>,
 }
 
 /// Who sent a request.
@@ -88,6 +92,7 @@
     routes_by_host: HashMap<String, HashMap<String, Arc<Route>>>,
     workspaces_by_key: HashMap<KeyDigest, Arc<WorkspacePolicy>>,
     workspaces: Vec<Arc<WorkspacePolicy>>,
+    cold_starts: HashMap<ServiceName, ColdStart>,
 }
 
 impl RoutingTable {
@@ -116,6 +121,12 @@
                 });
             }
         }
+        let services = document.services.iter();
+        let cold_starts = services.filter_map(|service| {
+            let cold_start = service.cold_start?;
+            Some((service.name.clone(), cold_start))
+        });
+        let cold_starts = cold_starts.collect();
         let (workspaces, workspaces_by_key) = index_keys(document.workspaces)?;
         Ok(Self {
             version: document.version,
@@ -123,6 +134,7 @@
             routes_by_host,
             workspaces_by_key,
             workspaces,
+            cold_starts,
         })
     }
 
@@ -144,6 +156,13 @@
         &self.workspaces
     }
 
+    /// Returns what the instances of a service take while they are cold, if that is
+    /// limited.
+    #[must_use]
+    pub fn cold_start(&self, service: &ServiceName) -> Option<ColdStart> {
+        self.cold_starts.get(service).copied()
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`. `host` may
     /// include a port.
     #[must_use]
@@ -173,7 +192,10 @@
     }
 }
 
-fn check_route(route: &Route, services: &HashSet<&ServiceName>) -> Result<(), RoutingError> {
+pub(super) fn check_route(
+    route: &Route,
+    services: &HashSet<&ServiceName>,
+) -> Result<(), RoutingError> {
     let name = || route.name.clone();
     if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
         let prefix = route.prefix.clone();
@@ -213,6 +235,7 @@
             priority: workspace.priority,
             rate_per_s: workspace.rate_per_s,
             burst: workspace.burst,
+            home_regions: workspace.home_regions,
         });
         for digest in workspace.keys {
             let previous = keys.insert(digest, policy.clone());
--- a/crates/config/tests/testsuite/routing.rs
+++ b/crates/config/tests/testsuite/routing.rs
@@ -28,6 +28,7 @@
         split: vec![share("a", 1)],
         max_attempts: 2,
         is_open: false,
+        home_regions: Vec::new(),
     }
 }
 
@@ -41,6 +42,7 @@
         priority: None,
         rate_per_s: 10.0,
         burst: 10.0,
+        home_regions: Vec::new(),
     }
 }
 
@@ -49,6 +51,7 @@
         name: ServiceName::new(name),
         health_path: "/health".to_owned(),
         max_connections: 10,
+        cold_start: None,
     });
     RoutingDocument {
         version: 3,
@@ -59,6 +62,7 @@
             workspace("other", &["k3"]),
         ],
         limits: CallerLimits::default(),
+        findings: Vec::new(),
     }
 }
 
@@ -98,6 +102,7 @@
 fn keys_identify_their_workspace_and_open_routes_need_none() {
     let open = Route {
         is_open: true,
+        home_regions: Vec::new(),
         ..route("open", "x.example", "/open/")
     };
     let table = build(vec![route("closed", "x.example", "/"), open]);
@@ -213,3 +218,32 @@
         assert_eq!(picker.pick(&route).expect("a service").as_str(), "b");
     }
 }
+
+/// Guards against one unusable entry that keeps a whole configuration out of force.
+#[test]
+fn entries_that_cannot_be_used_are_left_out_alone() {
+    let good = route("good", "a.example", "/");
+    let mut published = document(vec![
+        good.clone(),
+        route("no-slash", "b.example", "x"),
+        Route {
+            split: vec![share("nowhere", 1)],
+            ..route("unknown-service", "c.example", "/")
+        },
+        route("again", "A.example", "/"),
+    ]);
+    published.workspaces = vec![
+        workspace("first", &["k", "own"]),
+        workspace("second", &["k"]),
+    ];
+    published.leave_out_invalid();
+    assert_eq!(published.routes, [good]);
+    assert_eq!(published.findings.len(), 5);
+    let table = RoutingTable::build(published).expect("the rest is valid");
+    let route = table
+        .route("a.example", "/")
+        .expect("it is in force")
+        .clone();
+    assert_eq!(table.caller(&route, Some(b"k")), Caller::Unknown);
+    assert_matches!(table.caller(&route, Some(b"own")), Caller::Workspace(_));
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,5 +18,5 @@
 pub use digest::{BodyDigest, KeyDigest};
 pub use feed_position::FeedPosition;
 pub use hosts::{HostEntry, HostList, HostState};
-pub use names::{FailureDomain, HostId, InstanceId, RouteName, ServiceName, WorkspaceName};
+pub use names::{FailureDomain, HostId, InstanceId, Region, RouteName, ServiceName, WorkspaceName};
 pub use suspension::SuspensionDetector;
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -54,6 +54,10 @@
     /// The name of a failure domain.
     FailureDomain
 );
+name_type!(
+    /// The name of a region, which contains one or more failure domains.
+    Region
+);
 name_type!(
     /// The name of a workspace.
     WorkspaceName
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -216,6 +216,7 @@
                 let Exclusions {
                     attempted,
                     leaving,
+                    evacuated,
                     back_off,
                     rate_limited,
                     paused,
@@ -223,6 +224,9 @@
                     full,
                 } = exclusions;
                 write!(f, "{attempted} attempted, {leaving} leaving, ")?;
+                if *evacuated > 0 {
+                    write!(f, "{evacuated} in evacuated failure domains, ")?;
+                }
                 write!(f, "{back_off} that asked for no requests, ")?;
                 write!(f, "{rate_limited} at their rate limits, {paused} paused, ")?;
                 write!(f, "{suspect} suspects, {full} full")
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use waxwingusher_config::routing::RoutingTable;
-use waxwingusher_core::{FeedPosition, InstanceId};
+use waxwingusher_config::routing::{RoutingDocument, RoutingTable};
+use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId};
 use waxwingusher_membership::seeded::{FeedUpdate, name_hash};
 use waxwingusher_upstreams::RosterEffect;
 
@@ -301,6 +301,9 @@
     for published in applied.configurations {
         apply_configuration(state, published);
     }
+    for domain in &applied.evacuations {
+        report_evacuation(state, domain);
+    }
     if applied.instances.is_empty() {
         return;
     }
@@ -320,7 +323,9 @@
             "outdated",
             String::new(),
         ),
-        Ok(document) => {
+        Ok(mut document) => {
+            document.leave_out_invalid();
+            report_findings(state, &document);
             let (version, routes) = (document.version, document.routes.len());
             let encoded = EncodedConfiguration::new(&document);
             match RoutingTable::build(document) {
@@ -358,7 +363,12 @@
 
 /// Removes entries that the source did not report again after it returned.
 pub(crate) fn expire_roster(state: &State) {
-    let expired = state.roster.borrow_mut().expire(state.now());
+    let now = state.now();
+    let ended = state.roster.borrow_mut().evacuations_mut().expire(now);
+    for domain in &ended {
+        report_evacuation(state, domain);
+    }
+    let expired = state.roster.borrow_mut().expire(now);
     for id in &expired {
         report_roster_change(state, id, RosterEffect::Left);
     }
@@ -367,6 +377,42 @@
     }
 }
 
+/// Logs and counts the entries of a configuration that cannot be used as published.
+fn report_findings(state: &State, document: &RoutingDocument) {
+    for finding in &document.findings {
+        let (entry, effect) = (finding.entry.as_str(), finding.effect.as_str());
+        state.metrics.record_finding(entry, effect);
+        state.journal.write(&Event::Finding {
+            version: document.version,
+            entry,
+            name: &finding.name,
+            effect,
+            cause: &finding.cause,
+        });
+    }
+}
+
+/// Logs and counts that the evacuation of a failure domain has begun or ended.
+fn report_evacuation(state: &State, domain: &FailureDomain) {
+    let roster = state.roster.borrow();
+    let is_evacuated = roster.evacuations().contains(domain);
+    let instances = roster.iter();
+    let instances = instances.filter(|listed| listed.entry.failure_domain == *domain);
+    let change = if is_evacuated {
+        "ordered"
+    } else {
+        "taken-back"
+    };
+    state.metrics.record_evacuation(change);
+    state.journal.write(&Event::Evacuation {
+        failure_domain: domain.as_str(),
+        change,
+        instances: instances.count(),
+    });
+    drop(roster);
+    state.capacity_freed.notify_waiters();
+}
+
 fn report_roster_change(state: &State, id: &InstanceId, effect: RosterEffect) {
     let change = match effect {
         RosterEffect::Joined => "joined",
--- a/crates/gateway/src/feed_replica.rs
+++ b/crates/gateway/src/feed_replica.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_config::routing::RoutingDocument;
-use waxwingusher_core::{FeedPosition, InstanceId};
+use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId};
 use waxwingusher_membership::seeded::FeedUpdate;
 use waxwingusher_membership::seeded::readers::ReaderSchedule;
 use waxwingusher_upstreams::{Roster, RosterEffect};
@@ -27,6 +27,8 @@
     pub configurations: Vec<PublishedConfig>,
     /// The effects on instances.
     pub instances: Vec<(InstanceId, RosterEffect)>,
+    /// The failure domains whose evacuation has begun or ended.
+    pub evacuations: Vec<FailureDomain>,
 }
 
 /// All changes between two positions.
@@ -161,6 +163,9 @@
     pub fn on_listing(&mut self, now: Instant, listing: Listing, roster: &mut Roster) -> Applied {
         roster.mark_feed_restored(now);
         let position = listing.position;
+        let evacuations = roster
+            .evacuations_mut()
+            .replace(now, &listing.evacuated, position.era);
         let instances = roster.replace(now, listing.roster, position);
         self.position = position;
         self.log.add(now, position, &[], position);
@@ -169,6 +174,7 @@
         Applied {
             configurations: listing.routing.into_iter().collect(),
             instances,
+            evacuations,
         }
     }
 
@@ -322,6 +328,18 @@
                     };
                     applied.instances.push((id, effect));
                 }
+                Change::Evacuation(change) => {
+                    let evacuations = roster.evacuations_mut();
+                    let domain = change.failure_domain;
+                    let is_changed = if change.is_ordered {
+                        evacuations.order(domain.clone())
+                    } else {
+                        evacuations.take_back(now, &domain)
+                    };
+                    if is_changed {
+                        applied.evacuations.push(domain);
+                    }
+                }
             }
         }
         self.position = until;
--- a/crates/gateway/src/feed_source.rs
+++ b/crates/gateway/src/feed_source.rs
@@ -1,11 +1,12 @@
 //! The source of the published configuration and instances.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use waxwingusher_config::routing::RoutingDocument;
-use waxwingusher_core::FeedPosition;
+use waxwingusher_core::{FailureDomain, FeedPosition};
 use waxwingusher_upstreams::{RosterChange, RosterEntry};
 
 /// Where configuration and instances are published.
@@ -31,6 +32,8 @@
     pub routing: Option<PublishedConfig>,
     /// All instances.
     pub roster: Vec<RosterEntry>,
+    /// The failure domains that are to be evacuated.
+    pub evacuated: BTreeSet<FailureDomain>,
     /// The position from which changes follow.
     pub position: FeedPosition,
 }
@@ -53,6 +56,17 @@
     Routing(PublishedConfig),
     /// An instance's entry changed.
     Roster(RosterChange),
+    /// An operator ordered the evacuation of a failure domain or took the order back.
+    Evacuation(EvacuationChange),
+}
+
+/// A change of the order to evacuate a failure domain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationChange {
+    /// The failure domain.
+    pub failure_domain: FailureDomain,
+    /// Whether the order was given; else it was taken back.
+    pub is_ordered: bool,
 }
 
 /// A configuration as it was published, or why it cannot be read.
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -83,6 +83,28 @@
         /// Why it was refused.
         cause: &'a str,
     },
+    /// An entry of a configuration cannot be used as it was published.
+    Finding {
+        /// The version.
+        version: u64,
+        /// `route`, `service`, `workspace` or `limits`.
+        entry: &'a str,
+        /// The name of the entry, or its position.
+        name: &'a str,
+        /// `left-out` or `restricted`.
+        effect: &'a str,
+        /// What is wrong with it.
+        cause: &'a str,
+    },
+    /// The evacuation of a failure domain was ordered or taken back.
+    Evacuation {
+        /// The failure domain.
+        failure_domain: &'a str,
+        /// `ordered` or `taken-back`.
+        change: &'a str,
+        /// The instances that are listed there.
+        instances: usize,
+    },
     /// The roster entry of an instance changed.
     Instance {
         /// The instance's id.
@@ -210,6 +232,8 @@
             Self::TaskFailed { .. } => "task-failed",
             Self::Peers { .. } => "peers",
             Self::Configuration { .. } => "configuration",
+            Self::Finding { .. } => "finding",
+            Self::Evacuation { .. } => "evacuation",
             Self::Instance { .. } => "instance",
             Self::BackOff { .. } => "back-off",
             Self::RateLimit { .. } => "rate-limit",
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,17 @@
     outcome: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FindingLabels {
+    entry: String,
+    effect: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ChangeLabels {
+    change: String,
+}
+
 /// The metrics of one host.
 pub struct Metrics {
     registry: Registry,
@@ -45,6 +56,8 @@
     attempt_time: Family<AttemptLabels, Histogram>,
     permits: Family<OutcomeLabels, Counter>,
     takeovers: Family<OutcomeLabels, Counter>,
+    findings: Family<FindingLabels, Counter>,
+    evacuations: Family<ChangeLabels, Counter>,
     config_version: Gauge,
     in_flight: Gauge,
     reachable_hosts: Gauge,
@@ -62,6 +75,8 @@
         let attempt_time = Family::new_with_constructor(histogram as fn() -> Histogram);
         let permits = Family::default();
         let takeovers = Family::default();
+        let findings = Family::default();
+        let evacuations = Family::default();
         let config_version = Gauge::default();
         let in_flight = Gauge::default();
         let reachable_hosts = Gauge::default();
@@ -89,6 +104,16 @@
             "Requests that peers were asked to take over",
             takeovers.clone(),
         );
+        registry.register(
+            "config_findings",
+            "Entries of configurations that could not be used as published",
+            findings.clone(),
+        );
+        registry.register(
+            "evacuations",
+            "Orders to evacuate a failure domain that came into force or were taken back",
+            evacuations.clone(),
+        );
         registry.register(
             "config_version",
             "Configuration in force",
@@ -113,6 +138,8 @@
             attempt_time,
             permits,
             takeovers,
+            findings,
+            evacuations,
             config_version,
             in_flight,
             reachable_hosts,
@@ -157,6 +184,24 @@
         self.takeovers.get_or_create(&labels).inc();
     }
 
+    /// Records an entry of a configuration that cannot be used as published.
+    pub fn record_finding(&self, entry: &str, effect: &str) {
+        let labels = FindingLabels {
+            entry: entry.to_owned(),
+            effect: effect.to_owned(),
+        };
+        self.findings.get_or_create(&labels).inc();
+    }
+
+    /// Records that an order to evacuate a failure domain came into force or was taken
+    /// back.
+    pub fn record_evacuation(&self, change: &str) {
+        let change = change.to_owned();
+        self.evacuations
+            .get_or_create(&ChangeLabels { change })
+            .inc();
+    }
+
     /// Sets the gauges and renders all metrics as text.
     ///
     /// # Errors
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,7 +6,9 @@
 use http::HeaderName;
 use waxwingusher_attempts::FleetRetryBudgetSettings;
 
-pub use crate::feed_source::{Change, Changes, FeedSource, Listing, PublishedConfig, SourceError};
+pub use crate::feed_source::{
+    Change, Changes, EvacuationChange, FeedSource, Listing, PublishedConfig, SourceError,
+};
 
 /// The names of headers between callers, hosts and instances, and of paths.
 #[derive(Debug, Clone)]
--- a/crates/gateway/tests/testsuite/feed.rs
+++ b/crates/gateway/tests/testsuite/feed.rs
@@ -1,5 +1,6 @@
 //! Recovery of a host whose source fails.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -28,6 +29,7 @@
         Ok(Listing {
             routing: Some(Ok(document())),
             roster: self.roster.clone(),
+            evacuated: BTreeSet::new(),
             position: FeedPosition::new(0, 1),
         })
     }
@@ -90,6 +92,7 @@
         Ok(Listing {
             routing: Some(Ok(self.document.clone())),
             roster: self.roster.clone(),
+            evacuated: BTreeSet::new(),
             position: self.position,
         })
     }
--- a/crates/gateway/tests/testsuite/feed_replica.rs
+++ b/crates/gateway/tests/testsuite/feed_replica.rs
@@ -1,5 +1,6 @@
 //! What a host tells its peers about its reading of the feed.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::FeedPosition;
@@ -15,6 +16,7 @@
     let listing = Listing {
         routing: None,
         roster: Vec::new(),
+        evacuated: BTreeSet::new(),
         position: FeedPosition::new(0, 1),
     };
     replica.on_listing(now, listing, roster);
--- a/crates/gateway/tests/testsuite/feed_schedules.rs
+++ b/crates/gateway/tests/testsuite/feed_schedules.rs
@@ -3,6 +3,7 @@
 //! Seeded schedules cut hosts off from the store and from each other, take the store
 //! away and restart hosts, while instances leave and configurations follow each other.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
@@ -389,6 +390,7 @@
         let listing = Listing {
             routing: Some(Ok(configuration(self.version))),
             roster: self.listed.iter().cloned().map(entry).collect(),
+            evacuated: BTreeSet::new(),
             position: self.position(),
         };
         let host = &mut self.hosts[number];
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -1,5 +1,6 @@
 //! A running host with a source and instances that a test controls.
 
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -58,6 +59,7 @@
         }],
         max_attempts: 2,
         is_open: false,
+        home_regions: Vec::new(),
     }
 }
 
@@ -71,6 +73,7 @@
             name: ServiceName::new("svc"),
             health_path: "/health".to_owned(),
             max_connections: 100,
+            cold_start: None,
         }],
         workspaces: vec![PublishedWorkspace {
             name: WorkspaceName::new("acme"),
@@ -78,8 +81,10 @@
             priority: None,
             rate_per_s: 0.0,
             burst: 0.0,
+            home_regions: Vec::new(),
         }],
         limits: CallerLimits::default(),
+        findings: Vec::new(),
     }
 }
 
@@ -94,6 +99,7 @@
         Ok(Listing {
             routing: Some(Ok(self.document.clone())),
             roster: self.roster.clone(),
+            evacuated: BTreeSet::new(),
             position: FeedPosition::new(0, 1),
         })
     }
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod context;
 pub mod coordinator;
 pub mod ejection;
+pub mod evacuation;
 pub mod evidence;
 pub mod floor;
 pub mod host_context;
@@ -40,6 +41,7 @@
     Blame, Choice, ChoiceId, ChoiceReason, ChooseError, ChooseRequest, HealthHint, RequestOrigin,
     UpstreamResult,
 };
+pub use evacuation::Evacuations;
 pub use evidence::{Evidence, InstanceHealth, InstanceReport, Observation};
 pub use paths::PathMonitor;
 pub use placement::{Placement, PlacementError, PlacementRequest, place};
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -134,6 +134,9 @@
     pub attempted: usize,
     /// They have said that they leave.
     pub leaving: usize,
+    /// Their failure domain is evacuated.
+    #[serde(default)]
+    pub evacuated: usize,
     /// They want no requests from this host for some time.
     pub back_off: usize,
     /// They limit the rate of all hosts together, and no permit is left.
@@ -157,6 +160,7 @@
 ) -> Exclusions {
     let mut counts = Exclusions {
         leaving: roster.leaving_count(request.service),
+        evacuated: roster.evacuated_count(request.service),
         ..Exclusions::default()
     };
     for listed in roster.ready(request.service) {
--- a/crates/upstreams/src/roster.rs
+++ b/crates/upstreams/src/roster.rs
@@ -17,6 +17,8 @@
 use serde::{Deserialize, Serialize};
 use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName};
 
+use crate::evacuation::Evacuations;
+
 /// How long a missing entry may reappear after the feed is restored. The feed
 /// guarantees that entries of running instances reappear within about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
@@ -139,6 +141,8 @@
 /// All instances that may take requests.
 #[derive(Debug)]
 pub struct Roster {
+    /// Failure domains whose instances get no requests.
+    evacuations: Evacuations,
     instances: BTreeMap<InstanceId, ListedInstance>,
     feed: FeedHealth,
     /// The latest position that a peer has followed without a gap.
@@ -152,6 +156,7 @@
 impl Default for Roster {
     fn default() -> Self {
         Self {
+            evacuations: Evacuations::default(),
             instances: BTreeMap::new(),
             feed: FeedHealth::Lost,
             confirmed_position: FeedPosition::default(),
@@ -320,9 +325,34 @@
             listed.entry.service == *service
                 && listed.entry.state == RosterState::Ready
                 && !listed.is_leaving
+                && !self.evacuations.contains(&listed.entry.failure_domain)
         })
     }
 
+    /// Returns how many instances of a service get no requests since their failure
+    /// domain is evacuated.
+    #[must_use]
+    pub fn evacuated_count(&self, service: &ServiceName) -> usize {
+        let listed = self.instances.values();
+        listed
+            .filter(|listed| {
+                listed.entry.service == *service
+                    && self.evacuations.contains(&listed.entry.failure_domain)
+            })
+            .count()
+    }
+
+    /// Returns the evacuations of failure domains.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the evacuations of failure domains, to change them.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
     /// Returns an instance.
     #[must_use]
     pub fn get(&self, id: &InstanceId) -> Option<&ListedInstance> {
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod detection;
 mod drains;
 mod ejection;
+mod evacuation;
 mod evidence;
 mod fleet;
 mod floor;
