--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,10 +1,11 @@
 //! The settings of a host's data path.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use waxwingusher_attempts::FleetRetryBudgetSettings;
-use waxwingusher_core::FailureDomain;
+use waxwingusher_core::{FailureDomain, Region};
 
 /// The settings of a host's data path.
 #[derive(Debug, Clone)]
@@ -13,6 +14,10 @@
     pub host_name: String,
     /// The failure domain of the host.
     pub failure_domain: FailureDomain,
+    /// The region of the host, if it is known.
+    pub region: Option<Region>,
+    /// The regions of failure domains.
+    pub region_by_domain: BTreeMap<FailureDomain, Region>,
     /// How much of its peers' traffic the host can take on, relative to other hosts.
     pub capacity: u16,
     /// The address at which callers connect.
@@ -27,4 +32,7 @@
     pub retry_budget: FleetRetryBudgetSettings,
     /// The time from the stop command to the exit of the process.
     pub stop_grace: Duration,
+    /// Whether the deployment asks for even load over the instances of a service, and
+    /// for shares of a service that is short of room.
+    pub load_sharing: bool,
 }
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -1,6 +1,6 @@
 //! A running host with a source and instances that a test controls.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -353,6 +353,9 @@
                 fleet_slack: 50.0,
             },
             stop_grace: grace,
+            load_sharing: false,
+            region: None,
+            region_by_domain: BTreeMap::new(),
         };
         let gateway = Gateway::bind(settings).expect("free ports");
         let caller_addr = gateway.caller_addr().expect("an address");
