--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -42,6 +42,10 @@
 /// How long an answer may take beyond the time for which the source holds the
 /// watch.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a listing may take, which consists of many pages. The source bounds the
+/// time of each: 3,000 instances and a configuration of 400 KB take 1.5 s on a link of
+/// 10 Mbit/s.
+const LIST_TIMEOUT: Duration = Duration::from_secs(10);
 /// The delay before the next watch, so that changes in quick succession come in
 /// one answer.
 const BATCH_DELAY: Duration = Duration::from_millis(300);
@@ -111,7 +115,7 @@
     }
 
     async fn list(&mut self) -> Result<(), SourceError> {
-        let listing = tokio::time::timeout(ANSWER_TIMEOUT, self.source.list()).await;
+        let listing = tokio::time::timeout(LIST_TIMEOUT, self.source.list()).await;
         let listing = listing.map_err(|_| answer_timeout())??;
         let now = self.state.now();
         let mut roster = self.state.roster.borrow_mut();
--- a/crates/gateway/src/feed_source.rs
+++ b/crates/gateway/src/feed_source.rs
@@ -11,7 +11,9 @@
 
 /// Where configuration and instances are published.
 pub trait FeedSource {
-    /// Lists everything that is published.
+    /// Lists everything that is published. The listing contains all changes that were
+    /// acknowledged before the call. The call must not wait long for a source that
+    /// does not answer, since the caller allows for the time that all pages take.
     fn list(&self) -> impl Future<Output = Result<Listing, SourceError>>;
 
     /// Waits up to `wait` for changes after `position`.
