Limit cold instances by permits, and keep requests in their home regions

Causes: an instance crashes at a rate well above its cold-per-s, and its entry may report up to 1.5 s late that it is cold; allowed-regions were parsed but not used; probes without requests still went to evacuated failure domains. Changes: upstreams::cold_start decides whether an instance counts as cold, from its entry, its first listing, the end of an evacuation and a path that opened again. Each attempt at such an instance needs a permit for the lower of its cold rate and the rate that it names; the issuer applies the lowest of what it knows and what is stated. Second attempts that run beside the first go to no cold instance. Until a host knows its fleet, it issues permits of cold instances as one of 300 hosts. Placement and takeovers are restricted to failure domains in the home regions; a peer elsewhere declines, also one of an earlier build. After waiting for a permit, an instance is used only if it still takes requests. Probes leave out evacuated domains. Tests: seeded schedules of 129 hosts in virtual time (6 seeds, 4 rates each) that start together, alone, are split, restarted and joined.

--- a/crates/bench/src/upstreams/mod.rs
+++ b/crates/bench/src/upstreams/mod.rs
@@ -6,6 +6,7 @@
 mod curve;
 mod detection;
 mod fleet;
+mod placement_time;
 mod pool;
 mod subsets;
 
@@ -20,5 +21,6 @@
     all.push(Box::new(balance::Balance));
     all.push(Box::new(subsets::Subsets));
     all.push(Box::new(cost::ControlCost));
+    all.push(Box::new(placement_time::PlacementTime));
     all
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use waxwingusher_upstreams::{Observation, Placement, RateLimit, RateLimitChange};
 
 use crate::answer::Answer;
+use crate::home_regions::HomeRegions;
 use crate::in_flight::InFlightGuard;
 use crate::journal::Event;
 use crate::ports::Dialect;
@@ -84,6 +85,8 @@
     /// The smoothed latency of the route's requests.
     pub(crate) expected_latency: Duration,
     pub(crate) service: ServiceName,
+    /// Where the request may be processed.
+    pub(crate) home_regions: HomeRegions,
 }
 
 impl OutboundRequest {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,6 +14,7 @@
 
 use crate::answer::Answer;
 use crate::attempt::{AnswerLoss, AttemptOutcome, NotRun, OutboundRequest, run_attempt};
+use crate::cold_instances::PermitLimit;
 use crate::journal::Event;
 use crate::permits;
 use crate::queue_ticket::QueueTicket;
@@ -31,6 +32,8 @@
 /// Attempts that may fail to connect before the request is refused; together they
 /// take about a second.
 const MAX_UNREACHABLE_ATTEMPTS: usize = 8;
+/// The instances that are considered for a second attempt while those chosen are cold.
+const MAX_HEDGE_CHOICES: usize = 4;
 /// The weight of the newest sample in a route's smoothed latency.
 const LATENCY_EWMA_WEIGHT: f64 = 0.1;
 
@@ -268,7 +271,7 @@
         if self.state.is_cut_off() {
             return self.may_hand_over.then(|| self.start_takeover());
         }
-        let second = self.place().ok()?;
+        let second = self.place_hedge()?;
         if second.health.is_path_blocked && self.may_hand_over {
             return Some(self.start_takeover());
         }
@@ -350,17 +353,42 @@
         }
     }
 
-    /// Gets a permit for the instance if it limits its rate.
+    /// Gets a permit for the instance if it limits its rate or counts as cold.
     async fn acquire_permit(&self, placement: &Placement) -> bool {
-        let Some(limit) = placement.health.rate_limit else {
+        let entry = &placement.instance.entry;
+        let cold = self.state.apply_cold_limit(&entry.id);
+        let Some(limit) = PermitLimit::lower(placement.health.rate_limit, cold) else {
             return true;
         };
-        let instance = &placement.instance.entry.id;
-        permits::acquire(self.state, &self.request.request_id, instance, limit).await
+        let request_id = &self.request.request_id;
+        permits::acquire(self.state, request_id, &entry.id, limit).await
+            && self.state.still_takes_requests(entry)
+    }
+
+    /// Chooses an instance for a second attempt, none that counts as cold: it has no room
+    /// for a request that runs already.
+    fn place_hedge(&self) -> Option<Placement> {
+        let mut excluded = self.attempted_instances.clone();
+        for _ in 0..MAX_HEDGE_CHOICES {
+            let placement = self.place_without(&excluded).ok()?;
+            let id = &placement.instance.entry.id;
+            if self.state.cold_limit(id).is_none() {
+                return Some(placement);
+            }
+            excluded.push(id.clone());
+        }
+        None
     }
 
     fn place(&self) -> Result<Placement, PlacementError> {
-        let request = self.placement_request();
+        self.place_without(&self.attempted_instances)
+    }
+
+    fn place_without(&self, excluded: &[InstanceId]) -> Result<Placement, PlacementError> {
+        let request = PlacementRequest {
+            attempted: excluded,
+            ..self.placement_request()
+        };
         let roster = self.state.roster.borrow();
         let evidence = self.state.evidence.borrow();
         let mut rng = self.state.rng.borrow_mut();
@@ -374,6 +402,7 @@
             attempts_left: self.attempts_left(),
             attempted: &self.attempted_instances,
             failure_domain: &self.state.failure_domain,
+            allowed_domains: self.request.home_regions.domains(),
             priority: self.priority,
             usual_time: self.request.expected_latency,
             latency_target: self.route.latency_target,
--- a/crates/gateway/src/dispatch/handover.rs
+++ b/crates/gateway/src/dispatch/handover.rs
@@ -26,6 +26,8 @@
         let evidence = self.state.evidence.borrow();
         let now = self.state.now();
         let instances = roster.ready(&self.request.service);
+        let home_regions = &self.request.home_regions;
+        let instances = instances.filter(|it| home_regions.allows(&it.entry.failure_domain));
         let (blocked, open) = instances.fold((0, 0), |(blocked, open), listed| {
             if evidence.health(now, &listed.entry.id).is_path_blocked {
                 (blocked + 1, open)
@@ -49,10 +51,11 @@
             .route
             .max_attempts
             .saturating_sub(self.connected_attempts);
-        let terms = TakeoverTerms {
-            config_version: self.config_version,
-            attempts_left: attempts_left.max(1),
-        };
+        let terms = TakeoverTerms::new(
+            self.config_version,
+            attempts_left.max(1),
+            &self.request.home_regions,
+        );
         self.connected_attempts += 1;
         self.in_flight_attempts += 1;
         self.takeover_count += 1;
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -129,8 +129,18 @@
         instance: String,
         issuer: String,
         cause: String,
+        /// Older builds write neither this nor the rate.
+        #[serde(default)]
+        reason: String,
+        rate_per_s: Option<f64>,
         retry_after_ms: u64,
     },
+    ColdInstance {
+        instance: String,
+        change: String,
+        cause: String,
+        rate_per_s: f64,
+    },
     Configuration {
         version: u64,
         outcome: String,
@@ -217,8 +227,10 @@
                     attempted,
                     leaving,
                     evacuated,
+                    other_region,
                     back_off,
                     rate_limited,
+                    cold,
                     paused,
                     suspect,
                     full,
@@ -227,6 +239,12 @@
                 if *evacuated > 0 {
                     write!(f, "{evacuated} in evacuated failure domains, ")?;
                 }
+                if *other_region > 0 {
+                    write!(f, "{other_region} outside the home regions, ")?;
+                }
+                if *cold > 0 {
+                    write!(f, "{cold} cold without a permit, ")?;
+                }
                 write!(f, "{back_off} that asked for no requests, ")?;
                 write!(f, "{rate_limited} at their rate limits, {paused} paused, ")?;
                 write!(f, "{suspect} suspects, {full} full")
@@ -235,9 +253,18 @@
                 instance,
                 issuer,
                 cause,
+                reason,
+                rate_per_s,
                 retry_after_ms,
                 ..
             } => {
+                if reason == "cold" {
+                    write!(f, "skipped {instance} as cold")?;
+                    if let Some(rate_per_s) = rate_per_s {
+                        write!(f, " ({rate_per_s} requests a second)")?;
+                    }
+                    f.write_str(": ")?;
+                }
                 write!(f, "no permit for {instance} from {issuer}: {cause}")?;
                 write!(f, ", next request there in {retry_after_ms} ms")
             }
@@ -305,6 +332,8 @@
     instances: BTreeMap<String, Fact>,
     /// The limits that instances name.
     rate_limits: BTreeMap<String, Fact>,
+    /// The instances that count as cold.
+    cold_instances: BTreeMap<String, Fact>,
 }
 
 impl HostContext {
@@ -344,6 +373,18 @@
             LoggedEvent::RateLimit { instance, .. } => {
                 self.rate_limits.remove(instance);
             }
+            LoggedEvent::ColdInstance {
+                instance,
+                change,
+                cause,
+                rate_per_s,
+            } if change == "cold" => {
+                let text = format!("{instance}: cold ({cause}), {rate_per_s} requests a second");
+                self.cold_instances.insert(instance.clone(), fact(text));
+            }
+            LoggedEvent::ColdInstance { instance, .. } => {
+                self.cold_instances.remove(instance);
+            }
             LoggedEvent::Suppressed {
                 beyond_rate,
                 ring_full,
@@ -358,7 +399,9 @@
         let facts: Vec<&Fact> = match &record.event {
             LoggedEvent::Attempt { instance, .. } => {
                 let change = self.instances.get(instance).into_iter();
-                change.chain(self.rate_limits.get(instance)).collect()
+                let limit = self.rate_limits.get(instance);
+                let cold = self.cold_instances.get(instance);
+                change.chain(limit).chain(cold).collect()
             }
             _ => {
                 let configuration = self.configuration.iter();
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -130,7 +130,21 @@
         /// `answer` or `peer`.
         source: &'a str,
     },
-    /// An instance limits its rate, and a request got no permit for it.
+    /// An instance that counts as cold limits a request for the first time, or does not
+    /// count as cold any more.
+    ColdInstance {
+        /// The instance's id.
+        instance: &'a str,
+        /// `cold` or `warm`.
+        change: &'a str,
+        /// `entry`, `joined`, `evacuation-ended` or `path-reopened`.
+        cause: &'a str,
+        /// Requests a second that it takes from all hosts while it is cold.
+        rate_per_s: f64,
+        /// When it counts as warm, in milliseconds.
+        warm_in_ms: u64,
+    },
+    /// An instance limits its rate or counts as cold, and a request got no permit for it.
     PermitDenied {
         /// The request's id.
         request: &'a str,
@@ -140,6 +154,10 @@
         issuer: &'a str,
         /// `no-permit-left`, `no-answer` or `not-issuer`.
         cause: &'a str,
+        /// Why the request needed a permit: `rate-limit` or `cold`.
+        reason: &'a str,
+        /// The rate for which this host asked, in requests a second.
+        rate_per_s: f64,
         /// When this host asks again, in milliseconds.
         retry_after_ms: u64,
     },
@@ -237,6 +255,7 @@
             Self::Instance { .. } => "instance",
             Self::BackOff { .. } => "back-off",
             Self::RateLimit { .. } => "rate-limit",
+            Self::ColdInstance { .. } => "cold-instance",
             Self::PermitDenied { .. } => "permit-denied",
             Self::Unplaced { .. } => "unplaced",
             Self::Attempt { .. } => "attempt",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! provides the source of configuration and instances and the names of headers
 //! through [`ports`].
 
+pub mod cold_instances;
 pub mod explain;
 pub mod feed_log;
 pub mod feed_replica;
@@ -24,6 +25,7 @@
 mod dispatch;
 mod feed;
 mod feed_source;
+mod home_regions;
 mod in_flight;
 mod origin;
 mod outbox;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,7 @@
     takeovers: Family<OutcomeLabels, Counter>,
     findings: Family<FindingLabels, Counter>,
     evacuations: Family<ChangeLabels, Counter>,
+    cold_instances: Family<ChangeLabels, Counter>,
     config_version: Gauge,
     in_flight: Gauge,
     reachable_hosts: Gauge,
@@ -77,6 +78,7 @@
         let takeovers = Family::default();
         let findings = Family::default();
         let evacuations = Family::default();
+        let cold_instances = Family::default();
         let config_version = Gauge::default();
         let in_flight = Gauge::default();
         let reachable_hosts = Gauge::default();
@@ -96,7 +98,7 @@
         registry.register("attempt_seconds", "Time of a try", attempt_time.clone());
         registry.register(
             "permits",
-            "Permits asked for requests to instances that limit their rate",
+            "Permits asked for requests to instances that limit their rate or are cold",
             permits.clone(),
         );
         registry.register(
@@ -114,6 +116,11 @@
             "Orders to evacuate a failure domain that came into force or were taken back",
             evacuations.clone(),
         );
+        registry.register(
+            "cold_instances",
+            "Instances that began or ceased to limit requests as they were cold",
+            cold_instances.clone(),
+        );
         registry.register(
             "config_version",
             "Configuration in force",
@@ -140,6 +147,7 @@
             takeovers,
             findings,
             evacuations,
+            cold_instances,
             config_version,
             in_flight,
             reachable_hosts,
@@ -202,6 +210,14 @@
             .inc();
     }
 
+    /// Records that an instance began or ceased to limit requests as it was cold.
+    pub fn record_cold_instance(&self, change: &str) {
+        let change = change.to_owned();
+        self.cold_instances
+            .get_or_create(&ChangeLabels { change })
+            .inc();
+    }
+
     /// Sets the gauges and renders all metrics as text.
     ///
     /// # Errors
--- a/crates/gateway/src/path_probe.rs
+++ b/crates/gateway/src/path_probe.rs
@@ -3,7 +3,7 @@
 //! The path to an instance may be cut for this host only. No requests are sent
 //! over such a path; periodic connections without a request probe it instead. A host that
 //! seems to be cut off from all instances probes some others, too, at once: perhaps only
-//! the ones that it tried have failed.
+//! the ones that it tried have failed. Instances of evacuated failure domains are not probed.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,9 +41,12 @@
 fn blocked_instances(state: &State) -> Vec<(InstanceId, SocketAddr)> {
     let evidence = state.evidence.borrow();
     let roster = state.roster.borrow();
-    let ids = evidence.blocked_paths();
-    let instances = ids.filter_map(|id| Some((id.clone(), roster.get(id)?.entry.addr)));
-    instances.collect()
+    let blocked = evidence.blocked_paths();
+    let entries = blocked.filter_map(|id| Some(&roster.get(id)?.entry));
+    let entries = entries.filter(|entry| !roster.evacuations().contains(&entry.failure_domain));
+    entries
+        .map(|entry| (entry.id.clone(), entry.addr))
+        .collect()
 }
 
 /// Chooses instances whose paths are not known to be blocked.
@@ -52,6 +55,7 @@
     let roster = state.roster.borrow();
     let now = state.now();
     let others = roster.iter().map(|listed| &listed.entry);
+    let others = others.filter(|entry| !roster.evacuations().contains(&entry.failure_domain));
     let others = others.filter(|entry| !evidence.health(now, &entry.id).is_path_blocked);
     let chosen = state.rng.borrow_mut().choose_multiple(others, OTHER_PROBES);
     let chosen = chosen.into_iter();
@@ -61,7 +65,10 @@
 async fn probe_path(state: Rc<State>, id: InstanceId, addr: SocketAddr) {
     let opened = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await;
     if matches!(opened, Ok(Ok(_))) {
-        state.evidence.borrow_mut().record_open_path(&id);
+        state
+            .evidence
+            .borrow_mut()
+            .record_open_path(state.now(), &id);
         state.record_open_path();
         state.capacity_freed.notify_waiters();
     }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,13 +1,14 @@
 //! Asks for permits for requests to instances that limit the rate of all hosts
-//! together, and issues those of other hosts.
+//! together or count as cold, and issues those of other hosts.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use waxwingusher_core::InstanceId;
 use waxwingusher_membership::seeded::{PermitDecision, PermitReply, PermitRequest, name_hash};
-use waxwingusher_upstreams::RateLimit;
+use waxwingusher_upstreams::{PermitReason, RateLimit};
 
+use crate::cold_instances::{MAX_PAUSE, PermitLimit};
 use crate::journal::Event;
 use crate::state::State;
 use crate::units::millis;
@@ -25,12 +26,12 @@
     state: &State,
     request_id: &str,
     instance: &InstanceId,
-    limit: RateLimit,
+    limit: PermitLimit,
 ) -> bool {
     let issuer = state.permit_issuer(instance);
     let decision = match issuer {
-        None => Some(issue(state, instance, limit)),
-        Some(issuer) => ask(state, issuer, instance, limit).await,
+        None => Some(issue(state, instance, limit.rate)),
+        Some(issuer) => ask(state, issuer, instance, limit.rate).await,
     };
     let (cause, pause) = match decision {
         Some(PermitDecision::Granted) => {
@@ -38,8 +39,12 @@
             return true;
         }
         Some(PermitDecision::NoPermitLeft { retry_after_ms }) => {
-            let retry_after = Duration::from_millis(retry_after_ms.into());
-            ("no-permit-left", retry_after)
+            let pause = Duration::from_millis(retry_after_ms.into());
+            let pause = match limit.reason {
+                PermitReason::Cold => pause.min(MAX_PAUSE),
+                PermitReason::RateLimit => pause,
+            };
+            ("no-permit-left", pause)
         }
         Some(PermitDecision::NotIssuer) => ("not-issuer", NO_ISSUER_PAUSE),
         None => ("no-answer", NO_ISSUER_PAUSE),
@@ -51,11 +56,16 @@
         instance: instance.as_str(),
         issuer: &issuer,
         cause,
+        reason: match limit.reason {
+            PermitReason::RateLimit => "rate-limit",
+            PermitReason::Cold => "cold",
+        },
+        rate_per_s: limit.rate.per_s(),
         retry_after_ms: millis(pause),
     });
     let now = state.now();
     let mut evidence = state.evidence.borrow_mut();
-    evidence.record_permit_denied(now, instance, pause);
+    evidence.record_permit_denied(now, instance, pause, limit.reason);
     false
 }
 
@@ -92,16 +102,25 @@
     }
 }
 
-/// Issues a permit of an instance, by the limit that this host knows or else by the one
-/// that is stated.
+/// Issues a permit of an instance, by the lowest of the limit that the instance has named,
+/// its cold rate as far as this host knows it, and the limit that is stated.
 fn issue(state: &State, instance: &InstanceId, stated: RateLimit) -> PermitDecision {
-    let known = state.evidence.borrow().rate_limit(instance);
-    let rate_per_s = known.unwrap_or(stated).per_s();
+    let named = state.evidence.borrow().rate_limit(instance);
+    let cold = state.cold_limit(instance).map(|limit| limit.rate);
+    let limit = [named, cold]
+        .into_iter()
+        .flatten()
+        .fold(stated, RateLimit::min);
+    let (now, mut view) = (state.now(), state.fleet_view());
+    if named != Some(limit) {
+        // The limit is the cold rate, by this host's knowledge or the other's.
+        view = state.cold_instances.cautious_view(now, view);
+    }
     let issued = state.permits.issue(
-        state.now(),
+        now,
         instance,
-        rate_per_s,
-        state.fleet_view(),
+        limit.per_s(),
+        view,
         &mut state.rng.borrow_mut(),
     );
     match issued {
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -13,10 +13,11 @@
 use crate::answer::Answer;
 use crate::attempt::OutboundRequest;
 use crate::dispatch::Dispatch;
+use crate::home_regions::HomeRegions;
 use crate::journal::Event;
 use crate::origin::RequestOrigin;
 use crate::state::State;
-use crate::takeover;
+use crate::takeover::{self, TakeoverError};
 use crate::units::{header_value, millis};
 
 /// The part of a caller's time that is reserved for the final answer, so that it
@@ -138,6 +139,9 @@
     if let Some(workspace) = &workspace {
         record.workspace = workspace.name.to_string();
     }
+    if terms.is_some() && !home_regions(state, &route, workspace.as_deref()).allows_host() {
+        return TakeoverError::Declined.answer();
+    }
     if !route.is_idempotent {
         order.wait_for_earlier_answers().await;
     }
@@ -288,9 +292,17 @@
         fingerprint,
         expected_latency,
         service,
+        home_regions: home_regions(state, route, workspace),
     }
 }
 
+/// Returns where a request may be processed.
+fn home_regions(state: &State, route: &Route, workspace: Option<&WorkspacePolicy>) -> HomeRegions {
+    let workspace = workspace.map(|workspace| workspace.home_regions.as_slice());
+    let workspace = workspace.unwrap_or_default();
+    HomeRegions::new(&route.home_regions, workspace, &state.regions)
+}
+
 /// Returns a header as text; empty if it is absent or not text.
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
     headers
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,11 +13,13 @@
 use waxwingusher_limits::{FleetView, ReplicatedLimits, ReplicatedSettings, WaitQueue};
 use waxwingusher_membership::seeded::readers::reader_rank;
 use waxwingusher_membership::seeded::{CrashReport, LeavingInstance, PeerTable, name_hash};
-use waxwingusher_upstreams::{Evidence, PathMonitor, Roster};
+use waxwingusher_upstreams::{Evidence, PathMonitor, Roster, RosterEntry};
 
+use crate::cold_instances::ColdInstances;
 use crate::crash_ledger::CrashLedger;
 use crate::declined_peers::DeclinedPeers;
 use crate::feed_replica::FeedReplica;
+use crate::home_regions::RegionMap;
 use crate::journal::{Event, Journal};
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
@@ -54,6 +56,7 @@
     pub(crate) dialect: Dialect,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) failure_domain: FailureDomain,
+    pub(crate) regions: RegionMap,
     pub(crate) journal: Journal,
     pub(crate) metrics: Metrics,
     pub(crate) routing: RefCell<Option<Arc<RoutingTable>>>,
@@ -72,6 +75,7 @@
     pub(crate) paths_lost: Notify,
     pub(crate) declined_peers: DeclinedPeers,
     pub(crate) permits: Permits,
+    pub(crate) cold_instances: ColdInstances,
     pub(crate) pool: ConnectionPool,
     pub(crate) outbox: Outbox,
     pub(crate) wait_queue: RefCell<WaitQueue>,
@@ -100,11 +104,18 @@
         rng: fastrand::Rng,
     ) -> Rc<Self> {
         let limits = ReplicatedLimits::new(ReplicatedSettings::default());
-        let last_run_at = Cell::new(clock.now());
+        let started_at = clock.now();
+        let last_run_at = Cell::new(started_at);
+        let regions = RegionMap::new(
+            settings.region.clone(),
+            &settings.failure_domain,
+            settings.region_by_domain.clone(),
+        );
         Rc::new(Self {
             dialect,
             clock,
             failure_domain: settings.failure_domain.clone(),
+            regions,
             journal,
             metrics: Metrics::new(),
             routing: RefCell::default(),
@@ -122,6 +133,7 @@
             paths_lost: Notify::new(),
             declined_peers: DeclinedPeers::default(),
             permits: Permits::default(),
+            cold_instances: ColdInstances::new(started_at),
             pool: ConnectionPool::default(),
             outbox: Outbox::default(),
             wait_queue: RefCell::default(),
@@ -194,8 +206,12 @@
     pub(crate) fn fleet_view(&self) -> FleetView {
         self.detect_pause();
         let peers = self.peers.borrow();
+        let reachable_peers = peers.reachable_peers(self.now()).count();
+        if reachable_peers > 0 {
+            self.cold_instances.record_peer(self.now());
+        }
         FleetView {
-            reachable_hosts: peers.reachable_peers(self.now()).count() + 1,
+            reachable_hosts: reachable_peers + 1,
             known_hosts: peers.known_hosts(),
         }
     }
@@ -284,6 +300,18 @@
         true
     }
 
+    /// Reports whether a chosen instance still takes requests: while a request waited, it
+    /// may have left or restarted, or its failure domain may have been evacuated.
+    pub(crate) fn still_takes_requests(&self, chosen: &RosterEntry) -> bool {
+        let roster = self.roster.borrow();
+        let mut ready = roster.ready(&chosen.service);
+        ready.any(|listed| {
+            listed.entry.id == chosen.id
+                && listed.entry.incarnation == chosen.incarnation
+                && listed.entry.addr == chosen.addr
+        })
+    }
+
     /// Records that no connection could be opened to an instance.
     pub(crate) fn record_unreachable(&self, id: &InstanceId) {
         if self.paths.borrow_mut().record_unreachable(id) {
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -10,10 +10,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use waxwingusher_core::ServiceName;
 
 use crate::answer::Answer;
 use crate::attempt::{AnswerLoss, AttemptOutcome, NotRun, OutboundRequest};
+use crate::home_regions::HomeRegions;
 use crate::journal::Event;
 use crate::state::{Phase, State};
 use crate::units::{header_value, millis};
@@ -37,10 +37,36 @@
     /// The configuration by which the host has routed the request. A peer with an older
     /// one declines.
     pub(crate) config_version: u64,
+    /// The same for a request that may not be processed in all regions. Its
+    /// `config_version` is the highest number, so that peers of builds that do not
+    /// know regions decline.
+    #[serde(default)]
+    pub(crate) regional_config_version: Option<u64>,
     /// How many attempts the request has left.
     pub(crate) attempts_left: u32,
 }
 
+impl TakeoverTerms {
+    /// Creates the terms of a request.
+    pub(crate) fn new(config_version: u64, attempts_left: u32, regions: &HomeRegions) -> Self {
+        let is_regional = regions.is_restricted();
+        Self {
+            config_version: if is_regional {
+                u64::MAX
+            } else {
+                config_version
+            },
+            regional_config_version: is_regional.then_some(config_version),
+            attempts_left,
+        }
+    }
+
+    /// Returns the configuration that a peer must have at least.
+    fn required_config_version(&self) -> u64 {
+        self.regional_config_version.unwrap_or(self.config_version)
+    }
+}
+
 /// What came of a request at the peer.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct TakeoverResult {
@@ -86,7 +112,7 @@
     };
     let is_acceptable = state.peers.borrow().has_peer_at(from)
         && state.phase() == Phase::Serving
-        && state.config_version() >= terms.config_version
+        && state.config_version() >= terms.required_config_version()
         && !state.is_cut_off();
     if is_acceptable {
         Ok(terms)
@@ -128,7 +154,7 @@
     deadline: Instant,
 ) -> AttemptOutcome {
     for _ in 0..MAX_PEERS {
-        let Some(peer) = choose_peer(state, &request.service) else {
+        let Some(peer) = choose_peer(state, request) else {
             break;
         };
         let started = state.now();
@@ -154,15 +180,20 @@
 }
 
 /// Chooses a reachable peer that has not declined lately: one that an instance of the
-/// service has just answered if there is one, and then one of this failure domain.
-fn choose_peer(state: &State, service: &ServiceName) -> Option<SocketAddr> {
+/// service has just answered if there is one, and then one of this failure domain. Peers
+/// outside the request's home regions are not asked.
+fn choose_peer(state: &State, request: &OutboundRequest) -> Option<SocketAddr> {
     let now = state.now();
     let roster = state.roster.borrow();
-    let instances = roster.ready(service).map(|listed| &listed.entry.id);
+    let instances = roster
+        .ready(&request.service)
+        .map(|listed| &listed.entry.id);
     let evidence = state.evidence.borrow();
     let proven = evidence.recently_successful_peers(now, instances);
     let peers = state.peers.borrow();
     let candidates = peers.reachable_peers(now);
+    let home_regions = &request.home_regions;
+    let candidates = candidates.filter(|peer| home_regions.allows(&peer.failure_domain));
     let candidates = candidates.filter(|peer| state.declined_peers.may_ask(now, peer.addr));
     let mut best_rank = (false, false);
     let mut best: Vec<SocketAddr> = Vec::new();
--- a/crates/gateway/tests/testsuite/explain.rs
+++ b/crates/gateway/tests/testsuite/explain.rs
@@ -6,6 +6,7 @@
 use waxwingusher_core::SystemClock;
 use waxwingusher_gateway::explain::{Explanation, explain};
 use waxwingusher_gateway::journal::{Event, Journal};
+use waxwingusher_upstreams::placement::Exclusions;
 
 fn from_text(id: &str, text: &str) -> Explanation {
     let lines = text.lines().map(|line| io::Result::Ok(line.to_owned()));
@@ -206,6 +207,8 @@
         instance: "i-2",
         issuer: "10.1.0.7:8407",
         cause: "no-permit-left",
+        reason: "rate-limit",
+        rate_per_s: 2.0,
         retry_after_ms: 250,
     };
     let text = log("host-1", &[lost, takeover, answer("moved")])
@@ -230,3 +233,55 @@
         explanation.steps[0].context
     );
 }
+
+/// Guards against a request that is slow or refused without its log telling that instances
+/// were cold.
+#[test]
+fn an_instance_that_was_skipped_as_cold_is_named() {
+    let cold = Event::ColdInstance {
+        instance: "i-1",
+        change: "cold",
+        cause: "evacuation-ended",
+        rate_per_s: 3.3,
+        warm_in_ms: 2_000,
+    };
+    let permit = Event::PermitDenied {
+        request: "first",
+        instance: "i-1",
+        issuer: "this host",
+        cause: "no-permit-left",
+        reason: "cold",
+        rate_per_s: 3.3,
+        retry_after_ms: 250,
+    };
+    let unplaced = Event::Unplaced {
+        request: "first",
+        service: "svc",
+        exclusions: Exclusions {
+            cold: 2,
+            other_region: 1,
+            ..Exclusions::default()
+        },
+    };
+    let text = log(
+        "host",
+        &[cold, permit, unplaced, attempt("second", "answered")],
+    );
+    let steps = from_text("first", &text).steps;
+    assert_eq!(
+        steps[0].description,
+        "skipped i-1 as cold (3.3 requests a second): no permit for i-1 from this host: \
+         no-permit-left, next request there in 250 ms"
+    );
+    let unplaced = &steps[1].description;
+    assert!(unplaced.contains("2 cold without a permit"), "{unplaced}");
+    assert!(
+        unplaced.contains("1 outside the home regions"),
+        "{unplaced}"
+    );
+    let context = &from_text("second", &text).steps[0].context;
+    assert!(
+        context[0].starts_with("i-1: cold (evacuation-ended), 3.3 requests a second"),
+        "{context:?}"
+    );
+}
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -338,8 +338,13 @@
         source: impl FeedSource + Send + 'static,
         grace: Duration,
     ) -> Self {
+        Self::start_with_settings(Self::settings(seeds, grace), source)
+    }
+
+    /// Returns the settings of a host that learns its peers from `seeds`.
+    pub fn settings(seeds: &[SocketAddr], grace: Duration) -> GatewaySettings {
         let any_addr: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-        let settings = GatewaySettings {
+        GatewaySettings {
             host_name: "host".to_owned(),
             failure_domain: FailureDomain::new("north"),
             capacity: 1,
@@ -356,7 +361,14 @@
             load_sharing: false,
             region: None,
             region_by_domain: BTreeMap::new(),
-        };
+        }
+    }
+
+    /// Starts a host with given settings.
+    pub fn start_with_settings(
+        settings: GatewaySettings,
+        source: impl FeedSource + Send + 'static,
+    ) -> Self {
         let gateway = Gateway::bind(settings).expect("free ports");
         let caller_addr = gateway.caller_addr().expect("an address");
         let status_addr = gateway.status_addr().expect("an address");
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -3,13 +3,18 @@
 
 mod answers;
 mod callers;
+mod changing_source;
+mod cold_instances;
+mod cold_schedules;
 mod endless;
+mod evacuations;
 mod explain;
 mod feed;
 mod feed_log;
 mod feed_replica;
 mod feed_schedules;
 mod harness;
+mod home_regions;
 mod journal;
 mod peers;
 mod permit_schedules;
--- a/crates/upstreams/src/evacuation.rs
+++ b/crates/upstreams/src/evacuation.rs
@@ -10,7 +10,7 @@
 /// lost is written again within a few seconds.
 const BACKUP_GRACE: Duration = Duration::from_secs(5);
 /// How long the end of an evacuation is remembered; longer than any instance is cold.
-const ENDED_RETENTION: Duration = Duration::from_secs(60);
+const ENDED_RETENTION: Duration = Duration::from_secs(10 * 60);
 
 /// An order to evacuate a failure domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
--- a/crates/upstreams/src/evidence.rs
+++ b/crates/upstreams/src/evidence.rs
@@ -126,6 +126,20 @@
     rate_limit: Option<RateLimit>,
     /// Until when this host gets no permit for a request there.
     no_permit_until: Option<Instant>,
+    /// Why requests there needed a permit when this host last got none.
+    no_permit_reason: PermitReason,
+    /// When a blocked path was found open again.
+    path_opened_at: Option<Instant>,
+}
+
+/// Why requests to an instance need permits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum PermitReason {
+    /// The instance names the rate that it takes.
+    #[default]
+    RateLimit,
+    /// The instance counts as cold.
+    Cold,
 }
 
 /// The latest report of a peer.
@@ -171,6 +185,8 @@
             backs_off_until: None,
             rate_limit: None,
             no_permit_until: None,
+            no_permit_reason: PermitReason::default(),
+            path_opened_at: None,
         }
     }
 }
@@ -198,6 +214,8 @@
     pub rate_limit: Option<RateLimit>,
     /// How long this host gets no permit for a request there.
     pub no_permit_for: Option<Duration>,
+    /// Why requests there needed a permit when this host last got none.
+    pub no_permit_reason: PermitReason,
     /// The age of the newest outcome, if there is one.
     pub outcome_age: Option<Duration>,
     /// The time since this host or a peer last started an attempt, if one has.
@@ -258,12 +276,18 @@
     }
 
     /// Records that a probe could connect to an instance.
-    pub fn record_open_path(&mut self, id: &InstanceId) {
+    pub fn record_open_path(&mut self, now: Instant, id: &InstanceId) {
         if let Some(estimate) = self.estimates.get_mut(id) {
-            estimate.is_path_blocked = false;
+            estimate.record_open_path(now);
         }
     }
 
+    /// Returns when a blocked path to an instance was found open again, if one was.
+    #[must_use]
+    pub fn path_opened_at(&self, id: &InstanceId) -> Option<Instant> {
+        self.estimates.get(id)?.path_opened_at
+    }
+
     /// Returns the instances to which no connection could be opened.
     pub fn blocked_paths(&self) -> impl Iterator<Item = &InstanceId> {
         let blocked = self
@@ -309,17 +333,25 @@
             return false;
         }
         let estimate = self.estimates.entry(id.clone()).or_default();
-        if limit.is_none() {
+        // A cold instance goes on needing permits, though it names no limit.
+        if limit.is_none() && estimate.no_permit_reason == PermitReason::RateLimit {
             estimate.no_permit_until = None;
         }
         std::mem::replace(&mut estimate.rate_limit, limit) != limit
     }
 
     /// Records that this host gets no permit for a request to an instance for `time`.
-    pub fn record_permit_denied(&mut self, now: Instant, id: &InstanceId, time: Duration) {
-        if let Some(estimate) = self.estimates.get_mut(id) {
-            estimate.no_permit_until = Some(now + time);
-        }
+    pub fn record_permit_denied(
+        &mut self,
+        now: Instant,
+        id: &InstanceId,
+        time: Duration,
+        reason: PermitReason,
+    ) {
+        // A cold instance may have had no requests yet.
+        let estimate = self.estimates.entry(id.clone()).or_default();
+        estimate.no_permit_until = Some(now + time);
+        estimate.no_permit_reason = reason;
     }
 
     /// Returns the instances that limit their rate.
@@ -433,6 +465,7 @@
                 backs_off_for: None,
                 rate_limit: None,
                 no_permit_for: None,
+                no_permit_reason: PermitReason::default(),
                 outcome_age: None,
                 attempt_age: None,
                 in_flight: 0,
@@ -449,6 +482,7 @@
             backs_off_for: time_until(now, estimate.backs_off_until),
             rate_limit: estimate.rate_limit,
             no_permit_for: time_until(now, estimate.no_permit_until),
+            no_permit_reason: estimate.no_permit_reason,
             outcome_age: age(now, estimate.outcome_at),
             attempt_age: age(now, estimate.attempt_at),
             in_flight: estimate.in_flight(now),
@@ -487,12 +521,18 @@
     fn record_own_success(&mut self, now: Instant, slowness: f64) {
         self.own.successes = self.own.successes.wrapping_add(1);
         self.own_success_at = Some(now);
-        self.is_path_blocked = false;
+        self.record_open_path(now);
         self.own.slowness_16ths = to_16ths(slowness);
         self.update_slowness(now, slowness);
         self.apply_outcome(now, false);
     }
 
+    fn record_open_path(&mut self, now: Instant) {
+        if std::mem::replace(&mut self.is_path_blocked, false) {
+            self.path_opened_at = Some(now);
+        }
+    }
+
     fn update_slowness(&mut self, now: Instant, slowness: f64) {
         let former = self.slowness(now);
         self.slowness = former + SLOWNESS_WEIGHT * (slowness - former);
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balance;
 pub mod capacity;
 pub mod choice;
+pub mod cold_start;
 pub mod context;
 pub mod coordinator;
 pub mod ejection;
@@ -41,8 +42,9 @@
     Blame, Choice, ChoiceId, ChoiceReason, ChooseError, ChooseRequest, HealthHint, RequestOrigin,
     UpstreamResult,
 };
+pub use cold_start::{ColdCause, ColdLimit, ColdPolicy};
 pub use evacuation::Evacuations;
-pub use evidence::{Evidence, InstanceHealth, InstanceReport, Observation};
+pub use evidence::{Evidence, InstanceHealth, InstanceReport, Observation, PermitReason};
 pub use paths::PathMonitor;
 pub use placement::{Placement, PlacementError, PlacementRequest, place};
 pub use rate_limit::{RateLimit, RateLimitChange};
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -10,12 +10,13 @@
 //! instead of failing at a suspect. While they only lack permits, it is refused, if the
 //! next permit comes soon enough for its caller to return.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use waxwingusher_core::{FailureDomain, InstanceId, ServiceName};
 
-use crate::evidence::{Evidence, InstanceHealth};
+use crate::evidence::{Evidence, InstanceHealth, PermitReason};
 use crate::roster::{ListedInstance, Roster};
 
 /// The largest random part of a cost, below every difference that matters.
@@ -85,6 +86,8 @@
     pub attempted: &'a [InstanceId],
     /// This host's failure domain.
     pub failure_domain: &'a FailureDomain,
+    /// The failure domains whose instances may get the request; none if all may.
+    pub allowed_domains: Option<&'a HashSet<FailureDomain>>,
     /// The priority of the request; 0 is the most urgent.
     pub priority: u32,
     /// The usual time of such requests.
@@ -98,6 +101,12 @@
     fn can_retry(&self) -> bool {
         self.is_idempotent && self.attempts_left > 1
     }
+
+    /// Reports whether the instances of a failure domain may get the request.
+    fn allows(&self, domain: &FailureDomain) -> bool {
+        self.allowed_domains
+            .is_none_or(|allowed| allowed.contains(domain))
+    }
 }
 
 /// A chosen instance.
@@ -137,11 +146,17 @@
     /// Their failure domain is evacuated.
     #[serde(default)]
     pub evacuated: usize,
+    /// Their failure domain is in no region in which the request may be processed.
+    #[serde(default)]
+    pub other_region: usize,
     /// They want no requests from this host for some time.
     pub back_off: usize,
     /// They limit the rate of all hosts together, and no permit is left.
     #[serde(default)]
     pub rate_limited: usize,
+    /// They count as cold, and no permit is left.
+    #[serde(default)]
+    pub cold: usize,
     /// They get no requests for a moment after a failure or a refusal.
     pub paused: usize,
     /// They are suspects, which get only few requests.
@@ -165,12 +180,17 @@
     };
     for listed in roster.ready(request.service) {
         let health = evidence.health(now, &listed.entry.id);
-        let count = if request.attempted.contains(&listed.entry.id) {
+        let count = if !request.allows(&listed.entry.failure_domain) {
+            &mut counts.other_region
+        } else if request.attempted.contains(&listed.entry.id) {
             &mut counts.attempted
         } else if health.backs_off_for.is_some() {
             &mut counts.back_off
         } else if health.no_permit_for.is_some() {
-            &mut counts.rate_limited
+            match health.no_permit_reason {
+                PermitReason::RateLimit => &mut counts.rate_limited,
+                PermitReason::Cold => &mut counts.cold,
+            }
         } else if health.is_paused {
             &mut counts.paused
         } else if !is_eligible(listed, &health, request) {
@@ -201,7 +221,9 @@
     let mut is_permit_near = false;
     let mut least_back_off: Option<Duration> = None;
     for listed in roster.ready(request.service) {
-        if request.attempted.contains(&listed.entry.id) {
+        if !request.allows(&listed.entry.failure_domain)
+            || request.attempted.contains(&listed.entry.id)
+        {
             continue;
         }
         let health = evidence.health(now, &listed.entry.id);
--- a/crates/upstreams/src/rate_limit.rs
+++ b/crates/upstreams/src/rate_limit.rs
@@ -8,7 +8,7 @@
 
 /// The requests that an instance takes from all hosts together, in thousandths of a
 /// request a second.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RateLimit {
     milli_per_s: u32,
 }
@@ -27,6 +27,19 @@
         }
     }
 
+    /// Creates a limit from requests a second, which are rounded down.
+    #[must_use]
+    pub fn from_per_s(rate_per_s: f64) -> Self {
+        let milli_per_s = (rate_per_s * 1_000.0).clamp(0.0, f64::from(u32::MAX));
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "clamped to the range"
+        )]
+        let milli_per_s = milli_per_s as u32;
+        Self::from_milli_per_s(milli_per_s)
+    }
+
     /// Parses a decimal number of requests a second.
     ///
     /// # Errors
--- a/crates/upstreams/src/roster.rs
+++ b/crates/upstreams/src/roster.rs
@@ -105,6 +105,9 @@
     pub warm_at: Instant,
     /// When the entry was last written.
     pub updated_at: Instant,
+    /// When the instance was listed for the first time, unless the first complete list
+    /// contained it.
+    pub joined_at: Option<Instant>,
     /// Whether the instance itself has said that it leaves.
     is_leaving: bool,
     /// The position of the feed at which the entry was removed, if it was.
@@ -124,6 +127,8 @@
 /// Where an entry comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EntrySource {
+    /// It was in the first complete list.
+    FirstList,
     /// The instance has written it.
     Live,
     /// It was listed after the feed was restored from a backup.
@@ -232,15 +237,13 @@
         entries: Vec<RosterEntry>,
         position: FeedPosition,
     ) -> Vec<(InstanceId, RosterEffect)> {
-        let is_new_era = self
-            .era
-            .replace(position.era)
-            .is_some_and(|era| era != position.era);
-        let source = if is_new_era {
-            self.feed = FeedHealth::Restoring(now + LAPSE_GRACE);
-            EntrySource::Backup
-        } else {
-            EntrySource::Live
+        let source = match self.era.replace(position.era) {
+            None => EntrySource::FirstList,
+            Some(era) if era != position.era => {
+                self.feed = FeedHealth::Restoring(now + LAPSE_GRACE);
+                EntrySource::Backup
+            }
+            Some(_) => EntrySource::Live,
         };
         let mut missing: Vec<InstanceId> = self.instances.keys().cloned().collect();
         missing.retain(|id| !entries.iter().any(|entry| entry.id == *id));
@@ -386,8 +389,13 @@
             RosterState::Ready if is_new || was_draining => RosterEffect::Joined,
             RosterState::Draining | RosterState::Ready => RosterEffect::Unchanged,
         };
+        let same = former.filter(|_| !is_new);
+        let has_joined = is_new && departure.is_none() && source != EntrySource::FirstList;
+        // An entry from a backup may be older than the one that it replaces.
+        let warm_at = same.map_or(now, |former| former.warm_at);
         let listed = ListedInstance {
-            warm_at: now + entry.cold_for,
+            warm_at: warm_at.max(now + entry.cold_for),
+            joined_at: same.map_or(has_joined.then_some(now), |former| former.joined_at),
             updated_at: now,
             is_leaving,
             removed_at_position: None,
--- a/crates/upstreams/tests/testsuite/answer_times.rs
+++ b/crates/upstreams/tests/testsuite/answer_times.rs
@@ -155,6 +155,7 @@
             attempts_left: 2,
             attempted: &[],
             failure_domain: &self.hosts[host].domain,
+            allowed_domains: None,
             priority: 0,
             usual_time: kind.usual_time,
             latency_target: LATENCY_TARGET,
--- a/crates/upstreams/tests/testsuite/evidence.rs
+++ b/crates/upstreams/tests/testsuite/evidence.rs
@@ -160,7 +160,7 @@
     assert!(health.is_paused && !health.is_suspect);
     assert_eq!(evidence.own_report(now, &id), InstanceReport::default());
     assert_eq!(evidence.blocked_paths().collect::<Vec<_>>(), [&id]);
-    evidence.record_open_path(&id);
+    evidence.record_open_path(now, &id);
     assert!(!evidence.health(now, &id).is_paused);
 }
 
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of detection, the capacity floor, recovery, load balancing and subsets.
 
 mod answer_times;
+mod cold_start;
 mod detection;
 mod drains;
 mod ejection;
--- a/crates/upstreams/tests/testsuite/placement.rs
+++ b/crates/upstreams/tests/testsuite/placement.rs
@@ -8,8 +8,8 @@
 use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName};
 use waxwingusher_upstreams::placement::exclusions;
 use waxwingusher_upstreams::{
-    Evidence, Observation, Placement, PlacementError, PlacementRequest, RateLimit, RateLimitChange,
-    Roster, RosterEntry, RosterState, place,
+    Evidence, Observation, PermitReason, Placement, PlacementError, PlacementRequest, RateLimit,
+    RateLimitChange, Roster, RosterEntry, RosterState, place,
 };
 
 const SLOTS: u32 = 4;
@@ -63,6 +63,7 @@
             attempts_left: self.attempts_left,
             attempted,
             failure_domain: &FailureDomain::new("north"),
+            allowed_domains: None,
             priority: self.priority,
             usual_time: Duration::from_millis(200),
             latency_target: Duration::from_millis(400),
@@ -406,6 +407,7 @@
         attempts_left: 1,
         attempted: &[],
         failure_domain: &FailureDomain::new("north"),
+        allowed_domains: None,
         priority: 0,
         usual_time: Duration::from_millis(200),
         latency_target: Duration::from_millis(400),
@@ -448,7 +450,8 @@
     let limit = RateLimitChange::Named(RateLimit::from_milli_per_s(2_000));
     host.evidence.record_rate_limit(&limited, limit);
     assert_eq!(host.chosen(false), "limited");
-    host.evidence.record_permit_denied(host.now, &limited, TIME);
+    host.evidence
+        .record_permit_denied(host.now, &limited, TIME, PermitReason::RateLimit);
     assert_eq!(
         host.place(false, &[]).err(),
         Some(PlacementError::AllBackOff { retry_after: TIME })
