--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -3,13 +3,19 @@
 
 mod answers;
 mod callers;
+mod changing_source;
+mod cold_instances;
+mod cold_schedules;
 mod endless;
+mod evacuation_schedules;
+mod evacuations;
 mod explain;
 mod feed;
 mod feed_log;
 mod feed_replica;
 mod feed_schedules;
 mod harness;
+mod home_regions;
 mod journal;
 mod peers;
 mod permit_schedules;
