Exchange changes of the feed in a new protocol, down trees and as deltas

Change: hosts of protocol 3 exchange FeedChanges, FeedRequest, DocumentRequest and DocumentChunk, appended to PeerMessage. Types frozen in feed_former keep the form of protocol 2 and below; of an updates from such a host only the position is used. A reader sends a change once down two trees of each domain, by capacity, and its position 150 ms later and every 400 ms. A configuration travels as the difference from its predecessor with digests, and on request in compressed chunks of 1,200 bytes, paced to half of the sender's link. A host that is behind asks peers that are ahead after 50 to 100 ms, and reads the store after 600 ms (before: 350 ms). Changes are not repeated any more, so the test that they are is replaced by one that they are sent once and kept 10 s for hosts that ask.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -9,7 +9,6 @@
 //! have missed changes or hear from no reader.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +16,7 @@
 use tokio::time::Instant;
 use waxwingusher_config::routing::{RoutingDocument, RoutingTable};
 use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId};
-use waxwingusher_membership::seeded::{FeedUpdate, name_hash};
+use waxwingusher_membership::seeded::name_hash;
 use waxwingusher_upstreams::RosterEffect;
 
 use crate::feed_replica::{Applied, EncodedConfiguration};
@@ -54,6 +53,9 @@
 const MAX_UNREACHABLE_BACKOFF: Duration = Duration::from_millis(350);
 /// How long peers may be ahead before the watch is restarted on a new connection.
 const MAX_LAG_TIME: Duration = Duration::from_millis(350);
+/// How long a host that is behind asks peers for what it missed before it reads the
+/// source: the time for three requests, of which one may be lost.
+const MAX_REPAIR_TIME: Duration = Duration::from_millis(600);
 
 /// Follows the source until the host stops.
 pub(crate) async fn follow<S: FeedSource>(state: Rc<State>, source: Rc<S>) {
@@ -145,8 +147,8 @@
         Ok(())
     }
 
-    /// Waits while readers pass the changes on. If this host has missed some, it
-    /// reads them from the source.
+    /// Waits while readers pass the changes on. If this host has missed some, and no peer
+    /// sends them, it reads them from the source.
     async fn rely_on_readers(&mut self) -> Result<(), SourceError> {
         let mut behind_since = None;
         loop {
@@ -162,7 +164,7 @@
                 continue;
             }
             let since = *behind_since.get_or_insert_with(Instant::now);
-            if since.elapsed() >= MAX_LAG_TIME {
+            if since.elapsed() >= MAX_REPAIR_TIME {
                 // The connection may be dead after so long a time.
                 self.source.reconnect();
                 return self.catch_up().await;
@@ -231,7 +233,7 @@
             .borrow_mut()
             .on_failure(&mut state.roster.borrow_mut());
         if state.feed.borrow().is_behind_peers() {
-            state.outbox.request_configuration();
+            state.outbox.request_missed_changes();
         }
         if !self.is_feed_lost {
             self.is_feed_lost = true;
@@ -271,33 +273,8 @@
     }
 }
 
-/// Applies the changes that a reader passes on, unless some before them are missing.
-pub(crate) fn apply_update(state: &State, update: &FeedUpdate) {
-    let own_addr = state.peers.borrow().local_member().addr;
-    let mut roster = state.roster.borrow_mut();
-    let mut feed = state.feed.borrow_mut();
-    let applied = feed.on_update(state.now(), own_addr, update, &mut roster);
-    drop((roster, feed));
-    match applied {
-        Ok(applied) => put_in_force(state, applied),
-        Err(error) => {
-            let reader = update.reader;
-            log::warn!("feed: Cannot decode the changes that {reader} passes on: {error}.");
-        }
-    }
-}
-
-/// Puts a configuration in force that a peer has sent on request. The position in the feed
-/// stays, since changes of instances before it may be missing.
-pub(crate) fn apply_requested_configuration(state: &State, from: SocketAddr, bytes: &[u8]) {
-    match postcard::from_bytes(bytes) {
-        Ok(document) => apply_configuration(state, Ok(document)),
-        Err(error) => log::warn!("feed: Cannot decode the configuration of {from}: {error}."),
-    }
-}
-
 /// Puts what was applied of the feed in force.
-fn put_in_force(state: &State, applied: Applied) {
+pub(crate) fn put_in_force(state: &State, applied: Applied) {
     for published in applied.configurations {
         apply_configuration(state, published);
     }
--- a/crates/gateway/src/feed_log.rs
+++ b/crates/gateway/src/feed_log.rs
@@ -3,19 +3,18 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
 use waxwingusher_core::FeedPosition;
 
+use crate::feed_codec::RevisedWireChange;
 use crate::feed_source::Change;
 
-/// How long changes are repeated, so that later updates make up for a lost one.
-pub const REPEAT_TIME: Duration = Duration::from_secs(2);
-/// The largest encoded changes of one update, below the limit of a datagram. Hosts
-/// read larger ones from the feed themselves.
-pub const MAX_UPDATE_BYTES: usize = 48_000;
+/// How long changes are kept for hosts that have missed them.
+pub const RETENTION: Duration = Duration::from_secs(10);
+/// The most changes that are kept.
+pub const MAX_CHANGES: usize = 4_096;
 
-/// A change and its revision.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+/// A change as it was published, and its revision.
+#[derive(Debug, Clone)]
 pub struct RevisedChange {
     /// The revision.
     pub revision: u64,
@@ -30,8 +29,8 @@
     pub since: FeedPosition,
     /// The position of the last change.
     pub until: FeedPosition,
-    /// The changes, encoded.
-    pub changes: Vec<u8>,
+    /// The changes.
+    pub changes: Vec<RevisedWireChange>,
 }
 
 /// The latest changes, without a gap.
@@ -40,7 +39,9 @@
     /// The position before the first change in the log.
     since: FeedPosition,
     until: FeedPosition,
-    changes: VecDeque<(Instant, RevisedChange)>,
+    /// The position up to which a reader has sent the changes to all hosts.
+    distributed: FeedPosition,
+    changes: VecDeque<(Instant, RevisedWireChange)>,
 }
 
 impl FeedLog {
@@ -50,7 +51,7 @@
         &mut self,
         now: Instant,
         since: FeedPosition,
-        changes: &[RevisedChange],
+        changes: &[RevisedWireChange],
         until: FeedPosition,
     ) {
         if since.era != self.until.era || since > self.until {
@@ -65,57 +66,55 @@
         self.drop_old(now);
     }
 
-    /// Returns the excerpt to send now; `None` before the first complete list.
-    /// Configurations are sent once, since they may be large.
-    pub fn take_excerpt(&mut self, now: Instant) -> Option<FeedExcerpt> {
+    /// Returns the changes that no reader has sent to all hosts, and counts them as sent;
+    /// `None` before the first complete list.
+    pub fn take_undistributed(&mut self, now: Instant) -> Option<FeedExcerpt> {
         if self.until == FeedPosition::default() {
             return None;
         }
         self.drop_old(now);
-        let changes: Vec<&RevisedChange> = self.changes.iter().map(|(_, change)| change).collect();
-        let encoded = match postcard::to_allocvec(&changes) {
-            Ok(encoded) if encoded.len() <= MAX_UPDATE_BYTES => Some(encoded),
-            Ok(_) => None,
-            Err(error) => {
-                log::error!("feed: Cannot encode changes for peers: {error}.");
-                None
-            }
+        let since = if self.distributed.era == self.since.era {
+            self.distributed.max(self.since)
+        } else {
+            self.since
         };
-        let excerpt = match encoded {
-            Some(changes) => FeedExcerpt {
-                since: self.since,
-                until: self.until,
-                changes,
-            },
-            None => FeedExcerpt {
-                since: self.until,
-                until: self.until,
-                changes: Vec::new(),
-            },
-        };
-        self.drop_configurations();
-        Some(excerpt)
+        self.distributed = self.until;
+        Some(self.excerpt(since))
+    }
+
+    /// Records that a reader has sent the changes between two positions to all hosts.
+    pub fn record_distributed(&mut self, since: FeedPosition, until: FeedPosition) {
+        if self.distributed.covers(since) {
+            self.distributed = self.distributed.max(until);
+        }
+    }
+
+    /// Returns the changes after a position; `None` if some are no longer in the log.
+    #[must_use]
+    pub fn after(&self, position: FeedPosition) -> Option<FeedExcerpt> {
+        position
+            .covers(self.since)
+            .then(|| self.excerpt(position.min(self.until)))
+    }
+
+    fn excerpt(&self, since: FeedPosition) -> FeedExcerpt {
+        let changes = self.changes.iter().map(|(_, change)| change);
+        let changes = changes.filter(|change| change.revision > since.revision);
+        FeedExcerpt {
+            since,
+            until: self.until,
+            changes: changes.cloned().collect(),
+        }
     }
 
     fn drop_old(&mut self, now: Instant) {
         while let Some((learned_at, change)) = self.changes.front() {
-            if now.saturating_duration_since(*learned_at) < REPEAT_TIME {
+            let is_old = now.saturating_duration_since(*learned_at) >= RETENTION;
+            if !is_old && self.changes.len() <= MAX_CHANGES {
                 return;
             }
             self.since.revision = change.revision;
             self.changes.pop_front();
         }
     }
-
-    /// Drops the last configuration and all changes before it.
-    fn drop_configurations(&mut self) {
-        let is_configuration =
-            |(_, logged): &(Instant, RevisedChange)| matches!(logged.change, Change::Routing(_));
-        let Some(last) = self.changes.iter().rposition(is_configuration) else {
-            return;
-        };
-        for (_, change) in self.changes.drain(..=last) {
-            self.since.revision = change.revision;
-        }
-    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,8 +8,14 @@
 //! through [`ports`].
 
 pub mod explain;
+pub mod feed_codec;
+pub mod feed_delta;
+pub mod feed_exchange;
+pub mod feed_former;
 pub mod feed_log;
+pub mod feed_repair;
 pub mod feed_replica;
+pub mod feed_transfer;
 pub mod gateway;
 pub mod journal;
 pub mod metrics;
--- a/crates/gateway/src/outbox.rs
+++ b/crates/gateway/src/outbox.rs
@@ -28,8 +28,8 @@
     pub(crate) is_departure_notice_due: Cell<bool>,
     /// Whether changes of the feed are to be passed on.
     pub(crate) is_feed_update_due: Cell<bool>,
-    /// Whether a peer is to be asked for the configuration.
-    pub(crate) is_configuration_request_due: Cell<bool>,
+    /// Whether a peer is to be asked for missed changes.
+    pub(crate) is_missed_changes_request_due: Cell<bool>,
     pub(crate) changed: Notify,
 }
 
@@ -63,9 +63,9 @@
         self.changed.notify_one();
     }
 
-    /// Requests the configuration from a peer.
-    pub(crate) fn request_configuration(&self) {
-        self.is_configuration_request_due.set(true);
+    /// Requests missed changes from a peer.
+    pub(crate) fn request_missed_changes(&self) {
+        self.is_missed_changes_request_due.set(true);
         self.changed.notify_one();
     }
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -13,12 +13,14 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_membership::seeded::collector::{CollectorLink, Gatherer, MAX_DIRECT_NEIGHBOURS};
+use waxwingusher_membership::seeded::fanout::FeedView;
 use waxwingusher_membership::seeded::{
-    FeedUpdate, HostReport, InstanceRateLimit, LeavingNotice, Member, Outgoing, PeerMessage,
-    PeerStatus, RateLimitNotice, ReportBatch,
+    FeedUpdate, HostReport, InstanceRateLimit, LeavingNotice, Outgoing, PeerMessage, PeerStatus,
+    RateLimitNotice, ReportBatch,
 };
 
 use crate::feed;
+use crate::feed_exchange::{FeedContext, FeedExchange};
 use crate::permits;
 use crate::reports::{PeerRecord, ReportBuilder, apply_report};
 use crate::state::State;
@@ -34,9 +36,9 @@
 /// The shortest interval between reports to remote failure domains of admissions
 /// from a bucket that is running low.
 const ADMISSION_REPORT_INTERVAL: Duration = Duration::from_millis(50);
-/// The delay of a reader's update for each reader before it; the others do not send
-/// what the first one has sent.
-const READER_STAGGER: Duration = Duration::from_millis(40);
+/// How long the view of the hosts that exchange changes is used before it is derived
+/// again; with a thousand hosts that takes some 0.1 ms.
+const FEED_VIEW_INTERVAL: Duration = Duration::from_millis(100);
 /// The limits in one datagram, so that it fits without IP fragmentation.
 const MAX_RATE_LIMITS_PER_MESSAGE: usize = 64;
 /// How often the issuer of an instance's permits repeats its limit to all hosts, some of
@@ -54,8 +56,6 @@
     local_batch: Option<Instant>,
     /// Gathered reports for remote failure domains.
     remote_batch: Option<Instant>,
-    /// Changes that this host has read from the feed.
-    feed_update: Option<Instant>,
 }
 
 /// Moves a timer to `at` if that is earlier.
@@ -82,6 +82,8 @@
     remote_gatherer: Gatherer,
     timers: Timers,
     heartbeats: u32,
+    feed_exchange: FeedExchange,
+    feed_view: Option<(Instant, FeedView)>,
 }
 
 /// An encoded message and the peers that get it.
@@ -104,6 +106,8 @@
             remote_gatherer: Gatherer::default(),
             timers: Timers::default(),
             heartbeats: 0,
+            feed_exchange: FeedExchange::default(),
+            feed_view: None,
             state,
         }
     }
@@ -118,7 +122,7 @@
             self.timers.flush,
             self.timers.local_batch,
             self.timers.remote_batch,
-            self.timers.feed_update,
+            self.feed_exchange.next_timer(),
             self.link.overdue_at(),
         ];
         timers.into_iter().flatten().min()
@@ -129,13 +133,12 @@
         let now = self.state.now();
         let flush_at = now + self.flush_delay();
         advance(&mut self.timers.flush, flush_at);
-        if self.state.outbox.is_configuration_request_due.take() {
-            self.request_configuration();
+        if self.state.outbox.is_missed_changes_request_due.take() {
+            self.feed_exchange.ask_now(now);
         }
         if self.state.outbox.is_feed_update_due.take() {
-            let rank = u32::try_from(self.state.reader_rank()).unwrap_or(u32::MAX);
-            let delay = READER_STAGGER.saturating_mul(rank.min(u32::from(u8::MAX)));
-            advance(&mut self.timers.feed_update, now + delay);
+            let rank = self.state.reader_rank();
+            self.feed_exchange.schedule_update(now, rank);
         }
     }
 
@@ -152,8 +155,8 @@
             let reports = self.remote_gatherer.take();
             self.send_to_remote_domains(reports);
         }
-        if expire(&mut self.timers.feed_update, now) {
-            self.send_feed_update();
+        if self.feed_exchange.next_timer().is_some_and(|at| at <= now) {
+            self.with_feed(FeedExchange::run_timers);
         }
         if let Some(report) = self.link.take_overdue(now) {
             self.send_directly(report);
@@ -203,9 +206,34 @@
         {
             self.send_rate_limits(&self.state.issued_rate_limits());
         }
-        if self.state.feed.borrow().is_reader(self.state.now()) {
-            self.send_feed_update();
+        self.with_feed(FeedExchange::heartbeat);
+    }
+
+    /// Runs a step of the exchange about the feed, and queues what it sends.
+    fn with_feed<T>(
+        &mut self,
+        step: impl FnOnce(&mut FeedExchange, &mut FeedContext<'_>) -> T,
+    ) -> T {
+        let now = self.state.now();
+        let known = self.feed_view.take();
+        let known = known.filter(|(at, _)| now.saturating_duration_since(*at) < FEED_VIEW_INTERVAL);
+        let (derived_at, view) =
+            known.unwrap_or_else(|| (now, self.state.peers.borrow().feed_view(now)));
+        let result = {
+            let mut cx = FeedContext {
+                now,
+                view: &view,
+                replica: &mut self.state.feed.borrow_mut(),
+                roster: &mut self.state.roster.borrow_mut(),
+                rng: &mut self.state.rng.borrow_mut(),
+            };
+            step(&mut self.feed_exchange, &mut cx)
+        };
+        self.feed_view = Some((derived_at, view));
+        while let Some(outgoing) = self.feed_exchange.take_outgoing() {
+            self.send_to(&outgoing.targets, &outgoing.message);
         }
+        result
     }
 
     /// Sends what is due.
@@ -423,48 +451,7 @@
         }
     }
 
-    /// Sends the changes that this host has read, unless another reader has sent
-    /// them meanwhile.
-    fn send_feed_update(&self) {
-        let now = self.state.now();
-        let reader = self.state.peers.borrow().local_member().addr;
-        let roster = self.state.roster.borrow();
-        let update = self
-            .state
-            .feed
-            .borrow_mut()
-            .take_update(now, reader, &roster);
-        drop(roster);
-        let Some(update) = update else {
-            return;
-        };
-        let relayed = FeedUpdate {
-            relay: true,
-            ..update.clone()
-        };
-        self.send_to_all_domains(&PeerMessage::Feed(update), &PeerMessage::Feed(relayed));
-    }
-
-    /// Asks a random reachable peer for the configuration, one of this failure domain if
-    /// there is one.
-    fn request_configuration(&self) {
-        let peers = self.state.peers.borrow();
-        let domain = &peers.local_member().failure_domain;
-        let reachable: Vec<&Member> = peers.reachable_peers(self.state.now()).collect();
-        let local = reachable
-            .iter()
-            .filter(|peer| peer.failure_domain == *domain);
-        let local: Vec<&Member> = local.copied().collect();
-        let candidates = if local.is_empty() { &reachable } else { &local };
-        let Some(peer) = self.state.rng.borrow_mut().choice(candidates) else {
-            return;
-        };
-        let version = self.state.config_version();
-        let request = PeerMessage::ConfigurationRequest { version };
-        self.send_to(&[peer.addr], &request);
-    }
-
-    /// Sends the configuration to a reachable peer that lacks it.
+    /// Sends the configuration to a reachable peer of an earlier build that lacks it.
     fn send_configuration(&self, to: SocketAddr, version: u64) {
         let peers = self.state.peers.borrow();
         let mut reachable = peers.reachable_peers(self.state.now());
@@ -533,15 +520,39 @@
                 Vec::new()
             }
             PeerMessage::Feed(update) => {
-                self.receive_feed_update(update);
+                self.receive_former_update(update);
                 Vec::new()
             }
             PeerMessage::ConfigurationRequest { version } => {
                 self.send_configuration(from, version);
                 Vec::new()
             }
-            PeerMessage::Configuration(bytes) => {
-                feed::apply_requested_configuration(&self.state, from, &bytes);
+            PeerMessage::Configuration(_) => {
+                log::debug!("peers: Discarded a configuration of the earlier build of {from}.");
+                Vec::new()
+            }
+            PeerMessage::FeedChanges(update) => {
+                let applied = self.with_feed(|feed, cx| feed.on_changes(cx, from, &update));
+                feed::put_in_force(&self.state, applied);
+                Vec::new()
+            }
+            // A reply is longer than its request, so only known hosts get one.
+            PeerMessage::FeedRequest(_) | PeerMessage::DocumentRequest(_)
+                if !self.state.peers.borrow().knows(from) =>
+            {
+                Vec::new()
+            }
+            PeerMessage::FeedRequest(request) => {
+                self.with_feed(|feed, cx| feed.on_request(cx, from, &request));
+                Vec::new()
+            }
+            PeerMessage::DocumentRequest(request) => {
+                self.with_feed(|feed, cx| feed.on_document_request(cx, from, request));
+                Vec::new()
+            }
+            PeerMessage::DocumentChunk(chunk) => {
+                let applied = self.with_feed(|feed, cx| feed.on_chunk(cx, from, chunk));
+                feed::put_in_force(&self.state, applied);
                 Vec::new()
             }
         };
@@ -596,6 +607,15 @@
                 unknown.push((report.origin, self.state.peers.borrow().hello()));
             }
             has_outcomes |= !report.instances.is_empty();
+            let (origin, position) = (report.origin, report.feed_position);
+            let is_former = !self.state.peers.borrow().exchanges_feed(origin);
+            self.with_feed(|feed, cx| {
+                if is_former {
+                    feed.record_former_position(cx, position);
+                } else {
+                    feed.record_position(cx, origin, position);
+                }
+            });
             apply_report(&self.state, &mut self.peer_records, &report, view);
         }
         if has_outcomes {
@@ -630,22 +650,21 @@
         }
     }
 
-    fn receive_feed_update(&mut self, mut update: FeedUpdate) {
+    /// Forwards an update of a host of an earlier build to the neighbours of such builds,
+    /// and records its position. Its content lacks evacuations and home regions, so this
+    /// host does not apply it, nor rely on the sender.
+    fn receive_former_update(&mut self, mut update: FeedUpdate) {
+        let position = update.until;
+        let reader = update.reader;
         if std::mem::take(&mut update.relay) {
-            self.forward_to_neighbours(&PeerMessage::Feed(update.clone()));
-        }
-        if update.reader == self.state.peers.borrow().local_member().addr {
-            return;
+            let former: Vec<SocketAddr> = {
+                let peers = self.state.peers.borrow();
+                peers.former_feed_neighbours().collect()
+            };
+            self.send_to(&former, &PeerMessage::Feed(update));
         }
-        feed::apply_update(&self.state, &update);
-        let (now, roster) = (self.state.now(), self.state.roster.borrow());
-        if self
-            .state
-            .feed
-            .borrow()
-            .is_covered_by(now, &update, &roster)
-        {
-            self.timers.feed_update = None;
+        if reader != self.state.peers.borrow().local_member().addr {
+            self.with_feed(|feed, cx| feed.record_former_position(cx, position));
         }
     }
 
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -148,10 +148,6 @@
     view: FleetView,
 ) {
     let now = state.now();
-    state
-        .feed
-        .borrow_mut()
-        .record_peer_position(host_report.feed_position);
     state
         .roster
         .borrow_mut()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -200,11 +200,12 @@
         }
     }
 
-    /// Returns the number of reachable hosts that read the feed rather than this one.
+    /// Returns the number of reachable hosts of this build that read the feed rather than
+    /// this one. Hosts of earlier builds have readers of their own.
     pub(crate) fn reader_rank(&self) -> usize {
         let peers = self.peers.borrow();
-        let reachable = peers.reachable_peers(self.now());
-        reader_rank(peers.local_member().addr, reachable.map(|peer| peer.addr))
+        let reachable = peers.reachable_feed_peers(self.now());
+        reader_rank(peers.local_member().addr, reachable)
     }
 
     /// Reports whether no peer is reachable.
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -6,6 +6,8 @@
 mod endless;
 mod explain;
 mod feed;
+mod feed_compatibility;
+mod feed_delta;
 mod feed_log;
 mod feed_replica;
 mod feed_schedules;
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -23,7 +23,7 @@
         let mut bytes: Vec<u8> = (0..length).map(|_| rng.u8(..)).collect();
         // The first byte selects the kind of message.
         if let Some(kind) = bytes.first_mut() {
-            *kind = u8::try_from(number % 18).unwrap_or(0);
+            *kind = u8::try_from(number % 20).unwrap_or(0);
         }
         // Counts that exceed the datagram.
         if number % 3 == 0 && length > 12 {
--- a/crates/membership/src/seeded.rs
+++ b/crates/membership/src/seeded.rs
@@ -8,6 +8,7 @@
 //! others spread the notice with their tables.
 
 pub mod collector;
+pub mod fanout;
 pub mod issuers;
 pub mod readers;
 
@@ -15,8 +16,9 @@
 mod table;
 
 pub use message::{
-    AdmissionCounts, CrashReport, Departure, FeedUpdate, HostReport, InstanceRateLimit,
-    InstanceStats, LeavingInstance, LeavingNotice, Member, PeerMessage, PermitDecision,
-    PermitReply, PermitRequest, Profile, RateLimitNotice, ReportBatch, name_hash,
+    AdmissionCounts, CrashReport, Delivery, Departure, DocumentChunk, DocumentRequest, FeedChanges,
+    FeedRequest, FeedUpdate, HostReport, InstanceRateLimit, InstanceStats, LeavingInstance,
+    LeavingNotice, Member, PeerMessage, PermitDecision, PermitReply, PermitRequest, Profile,
+    RateLimitNotice, ReportBatch, name_hash,
 };
 pub use table::{Outgoing, PeerStatus, PeerTable};
--- a/crates/membership/src/seeded/message.rs
+++ b/crates/membership/src/seeded/message.rs
@@ -76,6 +76,80 @@
     PermitRequest(PermitRequest),
     /// The answer to a [`PermitRequest`].
     PermitReply(PermitReply),
+    /// Published changes, or only a position. Hosts whose profile states a protocol
+    /// below 3 understand neither this nor the messages below.
+    FeedChanges(FeedChanges),
+    /// Asks for the changes after a position; the answer is a [`FeedChanges`].
+    FeedRequest(FeedRequest),
+    /// Asks for the configuration as a whole.
+    DocumentRequest(DocumentRequest),
+    /// A part of a configuration.
+    DocumentChunk(DocumentChunk),
+}
+
+/// How a host treats a [`FeedChanges`] message apart from applying it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Delivery {
+    /// The message comes from a reader and is not forwarded.
+    Direct,
+    /// The message comes from a reader, and the receiver forwards it to its children in
+    /// this tree of its failure domain; see [`fanout`](crate::seeded::fanout).
+    Tree(u8),
+    /// The message answers a [`FeedRequest`].
+    Reply,
+}
+
+/// Published changes, or only a position if there are none.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedChanges {
+    /// The host that reads the source, or that answers a request.
+    pub reader: SocketAddr,
+    /// Increases with each message of the reader, so that a message is forwarded once.
+    pub sequence: u32,
+    /// What the receiver does with the message.
+    pub delivery: Delivery,
+    /// The position after which the changes begin.
+    pub since: FeedPosition,
+    /// The position of the last change.
+    pub until: FeedPosition,
+    /// Whether the reader has followed the source without a gap.
+    pub is_gapless: bool,
+    /// The changes, encoded by the data path.
+    pub changes: Vec<u8>,
+}
+
+/// Asks for the changes after a position.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedRequest {
+    /// The position that the sender has applied.
+    pub position: FeedPosition,
+}
+
+/// Asks for a configuration later than `version`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentRequest {
+    /// The version in force at the sender.
+    pub version: u64,
+    /// The digest of the encoded configuration of which parts are missing; 0 if none
+    /// has arrived.
+    pub stream_digest: u64,
+    /// The indexes of the missing chunks; all if empty.
+    pub chunks: Vec<u16>,
+}
+
+/// A part of an encoded and compressed configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentChunk {
+    /// The version of the configuration.
+    pub version: u64,
+    /// The digest of the compressed configuration as a whole.
+    pub stream_digest: u64,
+    /// Its length in bytes.
+    pub stream_bytes: u32,
+    /// The number of this chunk, from 0.
+    pub index: u16,
+    /// The content.
+    pub bytes: Vec<u8>,
 }
 
 /// Rates that instances take from all hosts together.
--- a/crates/membership/src/seeded/table.rs
+++ b/crates/membership/src/seeded/table.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::seeded::collector::Candidate;
+use crate::seeded::fanout::{FeedDomain, FeedView};
 use crate::seeded::message::{Departure, Member, PeerMessage, Profile};
 
 /// The interval at which a host compares its table with a random peer.
@@ -28,12 +29,17 @@
 const MAX_DEPARTURES_PER_MESSAGE: usize = 64;
 
 /// The version of the messages that this build understands.
-const PROTOCOL: u8 = 2;
+const PROTOCOL: u8 = 3;
 /// The version from which on a host understands batches.
 const BATCH_PROTOCOL: u8 = 1;
 /// The version from which on a host issues permits.
 const PERMIT_PROTOCOL: u8 = 2;
-/// Neighbours without a profile that are asked for it in one tick.
+/// The version from which on a host exchanges changes of the feed as
+/// [`FeedChanges`](crate::seeded::FeedChanges).
+const FEED_PROTOCOL: u8 = 3;
+/// The capacity of a host whose profile has not arrived.
+const MIN_CAPACITY: u16 = 1;
+/// Peers without a profile that are asked for it in one tick.
 const MAX_PROFILE_QUERIES: usize = 8;
 
 /// A message and its destination.
@@ -60,6 +66,9 @@
     /// Whether the peer's profile states that it does not issue permits. A peer without
     /// a profile counts as an issuer, so that all hosts agree on the issuers.
     lacks_permits: bool,
+    /// The version of the messages that the peer understands; `None` until its profile
+    /// has arrived.
+    protocol: Option<u8>,
 }
 
 /// The peers that a host knows.
@@ -139,6 +148,14 @@
     fn profile_queries(&mut self) -> Vec<Outgoing> {
         let mut missing: Vec<SocketAddr> = self.single_report_neighbours().collect();
         self.rng.shuffle(&mut missing);
+        // The protocol of remote peers decides which of them relay changes.
+        let domain = &self.local_member.failure_domain;
+        let remote = self.peers.values();
+        let remote =
+            remote.filter(|peer| peer.protocol.is_none() && peer.member.failure_domain != *domain);
+        let mut remote: Vec<SocketAddr> = remote.map(|peer| peer.member.addr).collect();
+        self.rng.shuffle(&mut remote);
+        missing.extend(remote);
         missing.truncate(MAX_PROFILE_QUERIES);
         let query = |peer| (peer, self.profile(true));
         missing.into_iter().map(query).collect()
@@ -158,10 +175,12 @@
     pub fn on_profile(&mut self, profile: Profile) -> Vec<Outgoing> {
         if let Some(peer) = self.peers.get_mut(&profile.addr)
             && peer.member.incarnation == profile.incarnation
-            && profile.protocol >= BATCH_PROTOCOL
         {
-            peer.capacity = Some(profile.capacity);
-            peer.lacks_permits = profile.protocol < PERMIT_PROTOCOL;
+            peer.protocol = Some(profile.protocol);
+            if profile.protocol >= BATCH_PROTOCOL {
+                peer.capacity = Some(profile.capacity);
+                peer.lacks_permits = profile.protocol < PERMIT_PROTOCOL;
+            }
         }
         if profile.is_reply_requested {
             vec![(profile.addr, self.profile(false))]
@@ -300,8 +319,7 @@
             return PeerStatus::Known;
         }
         peer.member.incarnation = incarnation;
-        peer.capacity = None;
-        peer.lacks_permits = false;
+        peer.forget_profile();
         PeerStatus::Restarted
     }
 
@@ -331,6 +349,12 @@
             .map(|peer| &peer.member)
     }
 
+    /// Reports whether a host is a known peer.
+    #[must_use]
+    pub fn knows(&self, addr: SocketAddr) -> bool {
+        self.peers.contains_key(&addr)
+    }
+
     /// Reports whether a known peer has an IP address.
     #[must_use]
     pub fn has_peer_at(&self, ip: IpAddr) -> bool {
@@ -345,6 +369,48 @@
             .map(|peer| peer.member.addr)
     }
 
+    /// Returns the reachable peers that read the feed for hosts of this build.
+    pub fn reachable_feed_peers(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let peers = self.peers.values();
+        peers
+            .filter(move |peer| peer.exchanges_feed() && peer.is_reachable(now))
+            .map(|peer| peer.member.addr)
+    }
+
+    /// Returns the peers of the local failure domain that are known to belong to an
+    /// earlier build, which understands only
+    /// [`FeedUpdate`](crate::seeded::FeedUpdate).
+    pub fn former_feed_neighbours(&self) -> impl Iterator<Item = SocketAddr> {
+        let former = self.neighbours().filter(|peer| !peer.exchanges_feed());
+        former.map(|peer| peer.member.addr)
+    }
+
+    /// Reports whether a host exchanges changes of the feed with this build.
+    #[must_use]
+    pub fn exchanges_feed(&self, addr: SocketAddr) -> bool {
+        self.peers.get(&addr).is_none_or(Peer::exchanges_feed)
+    }
+
+    /// Returns the hosts of this build among which changes are distributed. Silent ones
+    /// have the capacity 0: they may receive messages although none of theirs arrive.
+    #[must_use]
+    pub fn feed_view(&self, now: Instant) -> FeedView {
+        let own_domain = self.local_member.failure_domain.as_str();
+        let mut domains: BTreeMap<&str, Vec<Candidate>> = BTreeMap::new();
+        let own = Candidate {
+            addr: self.local_member.addr,
+            capacity: self.local_capacity.max(MIN_CAPACITY),
+        };
+        domains.insert(own_domain, vec![own]);
+        for peer in self.peers.values().filter(|peer| peer.exchanges_feed()) {
+            let members = domains.entry(peer.member.failure_domain.as_str());
+            members.or_default().push(peer.feed_candidate(now));
+        }
+        let local = domains.remove(own_domain).unwrap_or_default();
+        let remote = domains.into_values().map(FeedDomain::new).collect();
+        FeedView::new(own, FeedDomain::new(local), remote)
+    }
+
     /// Returns the number of hosts that were ever known and have not shut down as
     /// planned, this one included. A host that has seeds and knows no peer yet
     /// may be cut off from a fleet; it assumes one of the usual size.
@@ -445,6 +511,7 @@
                     received_at,
                     capacity: None,
                     lacks_permits: false,
+                    protocol: None,
                 },
             );
             return true;
@@ -452,8 +519,7 @@
         // Entries from third parties may be older than the peer's own messages.
         if received_at.is_some() {
             if peer.member.incarnation != member.incarnation {
-                peer.capacity = None;
-                peer.lacks_permits = false;
+                peer.forget_profile();
             }
             peer.member = member;
             peer.received_at = received_at;
@@ -463,6 +529,33 @@
 }
 
 impl Peer {
+    /// Forgets what an earlier process of the peer has told about itself.
+    fn forget_profile(&mut self) {
+        self.capacity = None;
+        self.lacks_permits = false;
+        self.protocol = None;
+    }
+
+    /// Reports whether the peer exchanges changes of the feed with this build. One
+    /// without a profile counts as a host of this build.
+    fn exchanges_feed(&self) -> bool {
+        self.protocol
+            .is_none_or(|protocol| protocol >= FEED_PROTOCOL)
+    }
+
+    /// Returns the peer as a host that may forward changes; a silent one forwards none.
+    fn feed_candidate(&self, now: Instant) -> Candidate {
+        let capacity = if self.is_reachable(now) {
+            self.capacity.unwrap_or(MIN_CAPACITY)
+        } else {
+            0
+        };
+        Candidate {
+            addr: self.member.addr,
+            capacity,
+        }
+    }
+
     fn is_reachable(&self, now: Instant) -> bool {
         let received_at = self.received_at;
         received_at.is_some_and(|at| now.saturating_duration_since(at) < REACHABLE_TIMEOUT)
--- a/crates/membership/tests/testsuite/main.rs
+++ b/crates/membership/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod collector;
 mod distribution;
+mod fanout;
 mod liveness_faults;
 mod liveness_fleet;
 mod liveness_fuzz;
--- a/crates/membership/tests/testsuite/seeded.rs
+++ b/crates/membership/tests/testsuite/seeded.rs
@@ -5,7 +5,10 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::FailureDomain;
-use waxwingusher_membership::seeded::{Departure, Member, PeerMessage, PeerStatus, PeerTable};
+use waxwingusher_membership::seeded::fanout::FeedDomain;
+use waxwingusher_membership::seeded::{
+    Departure, Member, PeerMessage, PeerStatus, PeerTable, Profile,
+};
 
 const DOMAINS: [&str; 4] = ["north", "south", "east", "west"];
 const STEP: Duration = Duration::from_millis(100);
@@ -332,3 +335,83 @@
     assert_eq!(relays.len(), 3);
     assert_eq!(domains, HashSet::from(["south", "east", "west"]));
 }
+
+/// Tells a table that a peer is known, has sent a report, and belongs to a build.
+fn introduce(table: &mut PeerTable, now: Instant, number: usize, protocol: Option<u8>) {
+    let member = Member {
+        addr: addr(number),
+        failure_domain: FailureDomain::new(DOMAINS[number % DOMAINS.len()]),
+        incarnation: 1,
+    };
+    table.on_hello(now, member, None);
+    if let Some(protocol) = protocol {
+        table.on_profile(Profile {
+            addr: addr(number),
+            incarnation: 1,
+            protocol,
+            capacity: 20,
+            is_reply_requested: false,
+        });
+    }
+}
+
+/// A reader or relay of an earlier build passes on no evacuations and no home regions, and
+/// cannot decode the changes of this build.
+#[test]
+fn changes_are_exchanged_among_hosts_of_this_build() {
+    let (mut table, now) = (table(0, 1, &[]), Instant::now());
+    for (number, protocol) in [(4, 2), (8, 3), (12, 0), (1, 2), (5, 3), (2, 2)] {
+        introduce(&mut table, now, number, Some(protocol));
+    }
+    introduce(&mut table, now, 16, None);
+    let readers: Vec<SocketAddr> = table.reachable_feed_peers(now).collect();
+    assert_eq!(readers, [addr(5), addr(8), addr(16)]);
+    let former: Vec<SocketAddr> = table.former_feed_neighbours().collect();
+    assert_eq!(former, [addr(4), addr(12)]);
+    let view = table.feed_view(now);
+    let members = |domain: &FeedDomain| -> HashSet<(SocketAddr, u16)> {
+        let members = domain.members().iter();
+        members
+            .map(|member| (member.addr, member.capacity))
+            .collect()
+    };
+    let local = [(addr(0), 1), (addr(8), 20), (addr(16), 1)];
+    assert_eq!(members(&view.local), HashSet::from(local));
+    let remote: Vec<_> = view.remote.iter().map(members).collect();
+    assert_eq!(
+        remote,
+        [HashSet::from([(addr(5), 20)])],
+        "south holds no host of this build"
+    );
+    let silent = table.feed_view(now + Duration::from_secs(2));
+    let capacities: HashSet<u16> = silent.local.members().iter().map(|m| m.capacity).collect();
+    assert_eq!(
+        capacities,
+        HashSet::from([0, 1]),
+        "silent hosts forward nothing"
+    );
+}
+
+/// A host that restarts with another build keeps its address.
+#[test]
+fn a_restarted_host_counts_as_one_of_this_build_until_its_profile_arrives() {
+    let (mut table, now) = (table(0, 1, &[]), Instant::now());
+    introduce(&mut table, now, 4, Some(2));
+    assert!(!table.exchanges_feed(addr(4)));
+    assert_eq!(table.on_report(now, addr(4), 2), PeerStatus::Restarted);
+    assert!(table.exchanges_feed(addr(4)));
+}
+
+/// Whether a remote host relays changes depends on its profile, which may have been lost.
+#[test]
+fn remote_hosts_are_asked_for_missing_profiles() {
+    let (mut table, now) = (table(0, 1, &[]), Instant::now());
+    introduce(&mut table, now, 1, None);
+    introduce(&mut table, now, 2, Some(2));
+    let queries = table.tick(now).into_iter().filter_map(|(to, message)| {
+        let is_query =
+            matches!(message, PeerMessage::Profile(profile) if profile.is_reply_requested);
+        is_query.then_some(to)
+    });
+    assert_eq!(queries.collect::<Vec<_>>(), [addr(1)]);
+}
