--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,8 +9,14 @@
 
 pub mod cold_instances;
 pub mod explain;
+pub mod feed_codec;
+pub mod feed_delta;
+pub mod feed_exchange;
+pub mod feed_former;
 pub mod feed_log;
+pub mod feed_repair;
 pub mod feed_replica;
+pub mod feed_transfer;
 pub mod gateway;
 pub mod journal;
 pub mod metrics;
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -11,6 +11,8 @@
 mod evacuations;
 mod explain;
 mod feed;
+mod feed_compatibility;
+mod feed_delta;
 mod feed_log;
 mod feed_replica;
 mod feed_schedules;
