--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod quorum;
 pub mod rate_limit;
 pub mod reporter;
+mod room;
 pub mod roster;
 pub mod score;
 pub mod service;
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -16,6 +16,7 @@
 use waxwingusher_core::{FailureDomain, InstanceId, ServiceName};
 
 use crate::evidence::{Evidence, InstanceHealth};
+use crate::room::{has_room, occupancy};
 use crate::roster::{ListedInstance, Roster};
 
 /// The largest random part of a cost, below every difference that matters.
@@ -63,14 +64,9 @@
 const SUSPECT_TRIAL_COST: f64 = 0.05;
 /// The risk from which a suspect gets no request on its only or last attempt.
 const MAX_LAST_ATTEMPT_RISK: f64 = 0.5;
-/// The share of the latency target that a request may spend in an instance's
-/// queue.
-const MAX_QUEUE_SHARE: f64 = 0.6;
 /// The share of the latency target within which a caller that returns to an instance with
 /// a rate limit fares better than at a suspect.
 const MAX_RETURN_SHARE: f64 = 0.5;
-/// The longest queue of an instance, as a multiple of its slots.
-const MAX_QUEUE_ROUNDS: f64 = 2.0;
 
 /// A request that needs an instance.
 #[derive(Debug, Clone, Copy)]
@@ -274,23 +270,6 @@
     !has_enough_trials && (request.can_retry() || health.risk < MAX_LAST_ATTEMPT_RISK)
 }
 
-fn occupancy(listed: &ListedInstance, health: &InstanceHealth) -> f64 {
-    f64::from(health.in_flight + 1) / f64::from(listed.entry.slots.max(1))
-}
-
-/// Reports whether a request would spend only a small share of its latency target
-/// in the instance's queue. Less urgent requests leave more of the queue free.
-fn has_room(
-    listed: &ListedInstance,
-    health: &InstanceHealth,
-    request: &PlacementRequest<'_>,
-) -> bool {
-    let usual_s = request.usual_time.as_secs_f64().max(f64::MIN_POSITIVE);
-    let rounds = MAX_QUEUE_SHARE * request.latency_target.as_secs_f64() / usual_s;
-    let rounds = rounds.min(MAX_QUEUE_ROUNDS) / f64::from(request.priority.saturating_add(1));
-    occupancy(listed, health) <= 1.0 + rounds
-}
-
 fn cost(
     now: Instant,
     listed: &ListedInstance,
