Decide on the room at instances by urgency and by how short a service is

Cause: less urgent requests filled slots and the queues of instances, where urgent ones cannot pass them; the queue was bounded by the request's own usual time and not by that of the work queued there. Change: upstreams::scarcity turns the reported loads, waiting requests and rejections into a level with hysteresis and a RoomLimit for each kind; limits::wait_queue ranks by the latest useful start and estimates the wait from the rate served in the class. Without a RoomLimit and WaitTerms the behaviour is as before.

--- a/crates/gateway/src/queue_ticket.rs
+++ b/crates/gateway/src/queue_ticket.rs
@@ -45,7 +45,7 @@
     pub(crate) fn record_served(&self) {
         let now = self.state.now();
         let mut wait_queue = self.state.wait_queue.borrow_mut();
-        wait_queue.record_served(now, &self.service);
+        wait_queue.record_served(now, &self.service, self.position);
     }
 
     /// Returns whether the request will probably get no capacity within
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -35,4 +35,4 @@
     Admissions, Admitted, FleetView, OverRate, ReplicatedLimits, ReplicatedSettings,
 };
 pub use settings::LimiterSettings;
-pub use wait_queue::{QueuePosition, WaitQueue};
+pub use wait_queue::{QueuePosition, WaitEstimate, WaitQueue, WaitTerms};
--- a/crates/limits/tests/testsuite/wait_queue.rs
+++ b/crates/limits/tests/testsuite/wait_queue.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::ServiceName;
-use waxwingusher_limits::WaitQueue;
+use waxwingusher_limits::{QueuePosition, WaitQueue, WaitTerms};
 
 #[test]
 fn urgent_requests_go_first_and_others_in_arrival_order() {
@@ -56,7 +56,7 @@
     for _ in 0..10 {
         let position = queue.enqueue(&service, now, 0);
         queue.remove(&service, position);
-        queue.record_served(now, &service);
+        queue.record_served(now, &service, position);
         now += Duration::from_millis(100);
     }
     now -= Duration::from_millis(50);
@@ -87,3 +87,88 @@
     assert!(!is_likely_to_time_out(positions[0]) && !is_likely_to_time_out(positions[1]));
     assert!(is_likely_to_time_out(positions[2]));
 }
+
+fn terms(start_by: Instant, priority: u32) -> WaitTerms {
+    WaitTerms {
+        start_by,
+        priority,
+        is_over_share: false,
+    }
+}
+
+/// Guards against a delay-tolerant request with seconds left that goes before one of
+/// the same priority that is about to miss its latency target.
+#[test]
+fn the_request_with_the_least_time_left_goes_first() {
+    let (now, service) = (Instant::now(), ServiceName::new("svc"));
+    let mut queue = WaitQueue::default();
+    let tolerant = queue.enqueue_by_terms(&service, terms(now + Duration::from_secs(4), 1));
+    let short = queue.enqueue_by_terms(&service, terms(now + Duration::from_millis(300), 1));
+    assert!(queue.is_first(&service, short) && !queue.is_first(&service, tolerant));
+}
+
+/// Guards against an urgent request that finds room and yet waits behind a less urgent
+/// one that may not use it.
+#[test]
+fn an_urgent_request_does_not_wait_behind_a_less_urgent_one() {
+    let (now, service) = (Instant::now(), ServiceName::new("svc"));
+    let mut queue = WaitQueue::default();
+    let overdue = queue.enqueue_by_terms(&service, terms(now, 2));
+    let urgent = queue.enqueue_by_terms(&service, terms(now + Duration::from_secs(1), 0));
+    let next = queue.enqueue_by_terms(&service, terms(now + Duration::from_secs(2), 2));
+    assert!(queue.is_first(&service, overdue) && queue.is_first(&service, urgent));
+    assert!(!queue.is_first(&service, next));
+    assert_eq!(queue.waiting(&service, 0), 1);
+    assert_eq!(queue.waiting(&service, 2), 3);
+}
+
+/// Guards against a workspace above its share whose urgent requests delay those of
+/// workspaces within their shares.
+#[test]
+fn requests_above_a_share_wait_behind_all_others() {
+    let (now, service) = (Instant::now(), ServiceName::new("svc"));
+    let mut queue = WaitQueue::default();
+    let over_share = WaitTerms {
+        is_over_share: true,
+        ..terms(now, 0)
+    };
+    let over_share = queue.enqueue_by_terms(&service, over_share);
+    let within = queue.enqueue_by_terms(&service, terms(now + Duration::from_secs(5), 2));
+    assert!(queue.is_first(&service, within) && !queue.is_first(&service, over_share));
+}
+
+/// Guards against an estimate for delay-tolerant requests from the rate at which urgent
+/// ones pass them, and against a `Retry-After` that is not derived from a measured rate.
+#[test]
+fn the_wait_is_estimated_from_the_requests_served_in_the_same_class() {
+    let (start, service) = (Instant::now(), ServiceName::new("svc"));
+    let mut queue = WaitQueue::default();
+    let mut now = start;
+    let serve = |queue: &mut WaitQueue, now, priority| {
+        let position = queue.enqueue_by_terms(&service, terms(now, priority));
+        queue.remove(&service, position);
+        queue.record_served(now, &service, position);
+    };
+    // Two delay-tolerant and twenty urgent requests each second, for 3 s.
+    for number in 0..60 {
+        serve(&mut queue, now, 0);
+        if number % 10 == 0 {
+            serve(&mut queue, now, 2);
+        }
+        now += Duration::from_millis(50);
+    }
+    now -= Duration::from_millis(10);
+    let waiting: Vec<QueuePosition> = (0..9)
+        .map(|_| queue.enqueue_by_terms(&service, terms(now + Duration::from_secs(5), 2)))
+        .collect();
+    let max_wait = Duration::from_secs(2);
+    let estimate = queue.estimate(now, &service, waiting[8]);
+    assert_eq!(estimate.ahead, 8);
+    assert!((estimate.served_per_s - 2.0).abs() < 0.1, "{estimate:?}");
+    assert!(!estimate.is_served_within(max_wait));
+    // Five may be ahead, so three and this one must be served first: 2 s.
+    let retry_after = estimate.retry_after(max_wait).as_secs_f64();
+    assert!((retry_after - 2.0).abs() < 0.2, "{retry_after} s");
+    let estimate = queue.estimate(now, &service, waiting[4]);
+    assert!(estimate.is_served_within(max_wait));
+}
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -24,8 +24,9 @@
 pub mod quorum;
 pub mod rate_limit;
 pub mod reporter;
-mod room;
+pub mod room;
 pub mod roster;
+pub mod scarcity;
 pub mod score;
 pub mod service;
 pub mod set;
@@ -47,7 +48,11 @@
 pub use paths::PathMonitor;
 pub use placement::{Placement, PlacementError, PlacementRequest, place};
 pub use rate_limit::{RateLimit, RateLimitChange};
+pub use room::RoomLimit;
 pub use roster::{ListedInstance, Roster, RosterChange, RosterEffect, RosterEntry, RosterState};
+pub use scarcity::{
+    HostView, PoolLoad, RequestKind, ScarcityChange, ScarcityInputs, ScarcityLevel, ScarcityMonitor,
+};
 pub use set::UpstreamSet;
 pub use settings::UpstreamSettings;
 pub use view::{InstanceStatus, InstanceView, ServiceView};
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -16,7 +16,7 @@
 use waxwingusher_core::{FailureDomain, InstanceId, ServiceName};
 
 use crate::evidence::{Evidence, InstanceHealth};
-use crate::room::{has_room, occupancy};
+use crate::room::{RoomLimit, has_room, occupancy};
 use crate::roster::{ListedInstance, Roster};
 
 /// The largest random part of a cost, below every difference that matters.
@@ -87,6 +87,9 @@
     pub usual_time: Duration,
     /// The latency within which an answer has its full value.
     pub latency_target: Duration,
+    /// The room at each instance that the request may use. Without one, it follows from
+    /// its priority, usual time and latency target.
+    pub room: Option<RoomLimit>,
 }
 
 impl PlacementRequest<'_> {
--- a/crates/upstreams/src/room.rs
+++ b/crates/upstreams/src/room.rs
@@ -1,4 +1,8 @@
 //! How much of an instance's slots and queue a request may use.
+//!
+//! Without a [`RoomLimit`] this depends on the request's own usual time and priority.
+//! With one, it depends on the work that is queued at the service, and on whether more
+//! urgent requests use it: see [`ScarcityMonitor::room`](crate::ScarcityMonitor::room).
 
 use crate::evidence::InstanceHealth;
 use crate::placement::PlacementRequest;
@@ -8,7 +12,35 @@
 /// queue.
 const MAX_QUEUE_SHARE: f64 = 0.6;
 /// The longest queue of an instance, as a multiple of its slots.
-const MAX_QUEUE_ROUNDS: f64 = 2.0;
+pub(crate) const MAX_QUEUE_ROUNDS: f64 = 2.0;
+
+/// The room at each instance that a request may use, this request included.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RoomLimit {
+    /// The longest queue, as a multiple of the slots.
+    pub queue_rounds: f64,
+    /// The share of the slots that stays free for more urgent requests, rounded to
+    /// whole slots of each instance.
+    pub reserved_share: f64,
+}
+
+impl RoomLimit {
+    /// Returns the most requests that may be at an instance, this one included; at
+    /// least 1.
+    #[must_use]
+    pub fn max_in_flight(&self, slots: u32) -> u32 {
+        let slots = f64::from(slots.max(1));
+        let reserved = (slots * self.reserved_share).round();
+        let max = (slots - reserved + (slots * self.queue_rounds).floor()).max(1.0);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "at least 1, and a larger one than the range is limited to it"
+        )]
+        let max = max as u32;
+        max
+    }
+}
 
 /// Returns the requests at an instance, this one included, as a multiple of its slots.
 pub(crate) fn occupancy(listed: &ListedInstance, health: &InstanceHealth) -> f64 {
@@ -22,6 +54,9 @@
     health: &InstanceHealth,
     request: &PlacementRequest<'_>,
 ) -> bool {
+    if let Some(limit) = request.room {
+        return health.in_flight < limit.max_in_flight(listed.entry.slots);
+    }
     let usual_s = request.usual_time.as_secs_f64().max(f64::MIN_POSITIVE);
     let rounds = MAX_QUEUE_SHARE * request.latency_target.as_secs_f64() / usual_s;
     let rounds = rounds.min(MAX_QUEUE_ROUNDS) / f64::from(request.priority.saturating_add(1));
--- a/crates/upstreams/tests/testsuite/answer_times.rs
+++ b/crates/upstreams/tests/testsuite/answer_times.rs
@@ -158,6 +158,7 @@
             priority: 0,
             usual_time: kind.usual_time,
             latency_target: LATENCY_TARGET,
+            room: None,
         };
         let evidence = &self.hosts[host].evidence;
         let Ok(placement) = place(self.now, &self.roster, evidence, &request, &mut self.rng) else {
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -13,5 +13,7 @@
 mod rate_limit;
 mod recovery;
 mod roster;
+mod scarcity;
+mod scarcity_fleet;
 mod subsets;
 mod voter;
--- a/crates/upstreams/tests/testsuite/placement.rs
+++ b/crates/upstreams/tests/testsuite/placement.rs
@@ -66,6 +66,7 @@
             priority: self.priority,
             usual_time: Duration::from_millis(200),
             latency_target: Duration::from_millis(400),
+            room: None,
         };
         place(
             self.now,
@@ -409,6 +410,7 @@
         priority: 0,
         usual_time: Duration::from_millis(200),
         latency_target: Duration::from_millis(400),
+        room: None,
     };
     let counts = exclusions(host.now, &host.roster, &host.evidence, &request);
     assert_eq!(counts.back_off, 2);
