--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -25,7 +25,9 @@
 pub mod quorum;
 pub mod rate_limit;
 pub mod reporter;
+pub mod room;
 pub mod roster;
+pub mod scarcity;
 pub mod score;
 pub mod service;
 pub mod set;
@@ -48,7 +50,11 @@
 pub use paths::PathMonitor;
 pub use placement::{Placement, PlacementError, PlacementRequest, place};
 pub use rate_limit::{RateLimit, RateLimitChange};
+pub use room::RoomLimit;
 pub use roster::{ListedInstance, Roster, RosterChange, RosterEffect, RosterEntry, RosterState};
+pub use scarcity::{
+    HostView, PoolLoad, RequestKind, ScarcityChange, ScarcityInputs, ScarcityLevel, ScarcityMonitor,
+};
 pub use set::UpstreamSet;
 pub use settings::UpstreamSettings;
 pub use view::{InstanceStatus, InstanceView, ServiceView};
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -14,5 +14,7 @@
 mod rate_limit;
 mod recovery;
 mod roster;
+mod scarcity;
+mod scarcity_fleet;
 mod subsets;
 mod voter;
