Evacuate domains, start instances cold and upgrade hosts in the fault soak

Cause: the soak had no evacuations, cold starts or upgrades, alone or overlapping with its faults.

Change: all instances were in one failure domain; now they are in two, as the hosts are. A generator of its own adds evacuations (one domain at a time), instances that end without notice and start cold under another id, and upgrades of all hosts one after the other, to the program in SOAK_OTHER_PROGRAM and back; without it they are skipped. Instances of a domain that returns have entries that say cold. A second schedule runs the operations in series, without other faults except one kill during each evacuation.

--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -5,6 +5,14 @@
 use crate::proxy::PathState;
 use crate::store::Mode;
 
+/// The number of failure domains. Hosts and instances are in that of their number
+/// modulo this.
+pub const DOMAINS: usize = 2;
+/// The time for the instances of a failure domain to return, in schedules in series.
+pub const COLD_RETURN: Duration = Duration::from_millis(3_500);
+/// The time between the upgrades of two hosts.
+const UPGRADE_INTERVAL: Duration = Duration::from_millis(700);
+
 /// A fault, or a planned operation such as a restart.
 #[derive(Debug, Clone, Copy)]
 pub enum Fault {
@@ -38,6 +46,15 @@
     NewKey,
     /// An instance drains, leaves and is registered again under another id.
     Replace { instance: usize },
+    /// An instance ends without notice and starts again under another id; its entry
+    /// says that it is cold.
+    ColdStart { instance: usize },
+    /// An operator orders the evacuation of a failure domain for `duration`. Its
+    /// instances are cold afterwards.
+    Evacuate { domain: usize, duration: Duration },
+    /// A host is stopped and started with the other build, or again with the one under
+    /// test. Skipped without another build.
+    Upgrade { host: usize },
     /// An instance names the rate that it takes from all hosts together.
     Limit {
         instance: usize,
@@ -46,6 +63,69 @@
     },
 }
 
+/// Draws evacuations, cold starts and upgrades that overlap with other faults. Orders
+/// stand for up to 4 s longer than they take to bind.
+pub fn draw_operations(
+    rng: &mut fastrand::Rng,
+    hosts: usize,
+    instances: usize,
+    duration: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(rng.u64(100..1_000));
+    let mut evacuated_until = Duration::ZERO;
+    while at + Duration::from_secs(2) < duration {
+        match rng.usize(..4) {
+            // Not all domains at once, so that requests are served.
+            0 | 1 if at >= evacuated_until => {
+                let domain = rng.usize(..DOMAINS);
+                let duration = Duration::from_millis(rng.u64(4_000..9_000));
+                plan.push((at, Fault::Evacuate { domain, duration }));
+                evacuated_until = at + duration;
+            }
+            0..3 => {
+                let instance = rng.usize(..instances);
+                plan.push((at, Fault::ColdStart { instance }));
+            }
+            _ => plan.extend(upgrade_all(at, hosts)),
+        }
+        at += Duration::from_millis(rng.u64(500..3_000));
+    }
+    plan
+}
+
+/// Returns a schedule without other faults: each failure domain is evacuated and returns
+/// while a host restarts, an instance starts cold, and all hosts are upgraded and back.
+pub fn operations_in_series(
+    rng: &mut fastrand::Rng,
+    hosts: usize,
+    instances: usize,
+) -> Vec<(Duration, Fault)> {
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(500);
+    for domain in 0..DOMAINS {
+        let duration = Duration::from_millis(7_500);
+        plan.push((at, Fault::Evacuate { domain, duration }));
+        let restarted_at = at + Duration::from_millis(rng.u64(1_000..6_000));
+        plan.push((restarted_at, Fault::Kill { host: domain + 1 }));
+        at += duration + COLD_RETURN;
+    }
+    for _ in 0..2 {
+        plan.extend(upgrade_all(at, hosts));
+        at += UPGRADE_INTERVAL * 5;
+        let instance = rng.usize(..instances);
+        plan.push((at, Fault::ColdStart { instance }));
+        at += COLD_RETURN;
+    }
+    plan
+}
+
+/// Upgrades all hosts, one after the other.
+fn upgrade_all(at: Duration, hosts: usize) -> impl Iterator<Item = (Duration, Fault)> {
+    let times = std::iter::successors(Some(at), |at| Some(*at + UPGRADE_INTERVAL));
+    times.zip((0..hosts).map(|host| Fault::Upgrade { host }))
+}
+
 /// Draws a schedule in which a fault repeats up to three times in a row, with
 /// others in between. Faults may overlap.
 pub fn draw_faults(
