--- a/crates/upstreams/tests/testsuite/scarcity_fleet.rs
+++ b/crates/upstreams/tests/testsuite/scarcity_fleet.rs
@@ -337,6 +337,7 @@
             &self.roster,
             &host.evidence,
             &PlacementRequest {
+                allowed_domains: None,
                 service: &self.service,
                 is_idempotent: self.settings.kinds[request.kind].is_idempotent,
                 attempts_left: MAX_ATTEMPTS - request.attempts,
