Test the issuer's lower rate, and takeovers by hosts of earlier builds

Cause: neither was covered. An issuer that grants the stated rate gave more than 9 permits in 2 s at a cold rate of 3.3/s; the new test fails on it. Change: a peer played by a test asks for permits of a cold instance at a higher and at a lower rate, and another one receives the terms of a request with home regions.

--- a/crates/gateway/tests/testsuite/cold_instances.rs
+++ b/crates/gateway/tests/testsuite/cold_instances.rs
@@ -1,10 +1,17 @@
 //! Instances that are cold get requests at their cold rate only.
 
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use waxwingusher_config::routing::{ColdStart, RoutingDocument};
-use waxwingusher_upstreams::RosterEntry;
+use waxwingusher_core::{FailureDomain, InstanceId};
+use waxwingusher_gateway::ports::Change;
+use waxwingusher_membership::seeded::issuers::permit_issuer;
+use waxwingusher_membership::seeded::{
+    Member, PeerMessage, PermitDecision, PermitRequest, name_hash,
+};
+use waxwingusher_upstreams::{RosterChange, RosterEntry};
 
 use crate::changing_source::ChangingSource;
 use crate::harness::{
@@ -211,3 +218,71 @@
         "{metrics}"
     );
 }
+
+/// Guards against an issuer that grants what a peer states, which does not know yet that the
+/// instance is cold, and against one that grants more than a peer states.
+#[test]
+fn an_issuer_grants_the_lower_of_what_it_knows_and_what_is_stated() {
+    let instance = healthy();
+    let peer = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let peer_addr = peer.local_addr().expect("an address");
+    peer.set_read_timeout(Some(Duration::from_millis(20)))
+        .expect("a socket option");
+    let source = ChangingSource::new(cold_document(Duration::from_secs(60)), Vec::new());
+    let host = TestHost::start_with_source(source.clone(), GRACE);
+    // The host issues the permits of an instance with this id.
+    let is_issued =
+        |id: &String| permit_issuer(name_hash(id), host.peer_addr, [peer_addr]) == host.peer_addr;
+    let id = (0..).map(|number| format!("i-{number}")).find(is_issued);
+    let id = InstanceId::new(&id.expect("one in two"));
+    let mut entry = roster(&[&instance]).remove(0);
+    entry.id = id.clone();
+    source.publish(Change::Roster(RosterChange::Put(entry)));
+    let send = |message: &PeerMessage| {
+        let bytes = postcard::to_allocvec(message).expect("a message");
+        peer.send_to(&bytes, host.peer_addr)
+            .expect("the host listens");
+    };
+    let hello = PeerMessage::Hello {
+        sender: Member {
+            addr: peer_addr,
+            failure_domain: FailureDomain::new("north"),
+            incarnation: 1,
+        },
+        table_digest: None,
+    };
+    send(&hello);
+    // The host knows its fleet, of which the peer goes on to be a part.
+    let started = Instant::now();
+    while started.elapsed() < FLEET_LEARNING_TIME {
+        send(&hello);
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    let granted_in_2_s = |milli_per_s: u32| {
+        let (started, mut granted, mut number) = (Instant::now(), 0, 0);
+        let mut buffer = [0; 2_048];
+        while started.elapsed() < Duration::from_secs(2) {
+            if number % 20 == 0 {
+                send(&hello);
+            }
+            number += 1;
+            send(&PeerMessage::PermitRequest(PermitRequest {
+                id: number,
+                instance: name_hash(id.as_str()),
+                milli_per_s,
+            }));
+            while let Ok((length, _)) = peer.recv_from(&mut buffer) {
+                if let Ok(PeerMessage::PermitReply(reply)) = postcard::from_bytes(&buffer[..length])
+                {
+                    granted += usize::from(reply.decision == PermitDecision::Granted);
+                    break;
+                }
+            }
+        }
+        granted
+    };
+    let by_knowledge = granted_in_2_s(1_000_000);
+    assert!((4..=9).contains(&by_knowledge), "{by_knowledge} at 3.3/s");
+    let by_statement = granted_in_2_s(500);
+    assert!(by_statement <= 3, "{by_statement} at 0.5/s");
+}
--- a/crates/gateway/tests/testsuite/home_regions.rs
+++ b/crates/gateway/tests/testsuite/home_regions.rs
@@ -1,15 +1,18 @@
 //! Requests that may be processed in some regions only.
 
+use std::io::Write;
+use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use waxwingusher_config::routing::RoutingDocument;
 use waxwingusher_core::{FailureDomain, Region};
 use waxwingusher_gateway::GatewaySettings;
+use waxwingusher_membership::seeded::{Member, PeerMessage};
 use waxwingusher_upstreams::RosterEntry;
 
 use crate::harness::{
-    Instance, StaticSource, TestHost, answer_with_proof, document, request, roster,
+    Instance, StaticSource, TestHost, answer_with_proof, document, read_request, request, roster,
 };
 
 const GRACE: Duration = Duration::from_secs(1);
@@ -138,7 +141,7 @@
 
 /// Returns entries of the same instances at an address that refuses connections.
 fn cut(entries: &[RosterEntry]) -> Vec<RosterEntry> {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let addr = listener.local_addr().expect("an address");
     let entries = entries.iter().cloned();
     entries.map(|entry| RosterEntry { addr, ..entry }).collect()
@@ -204,3 +207,59 @@
     let runs: usize = instances.iter().map(Instance::request_count).sum();
     assert_eq!(runs, 0);
 }
+
+/// Guards against a peer of an earlier build that takes over a request and processes it
+/// anywhere, since it does not know home regions. It declines what was routed by a
+/// configuration later than its own.
+#[test]
+fn peers_of_earlier_builds_decline_requests_with_home_regions() {
+    let instances = [healthy(), healthy(), healthy(), healthy()];
+    let entries = entries(&instances.each_ref().map(|instance| (instance, "west")));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let socket = UdpSocket::bind(addr).expect("the same port");
+    let peer = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let received = read_request(&mut stream).expect("a request");
+        let declined = b"HTTP/1.1 503 Service Unavailable\r\n\
+            x-waxwingusher-takeover-result: {\"is_declined\":true}\r\n\
+            content-length: 0\r\nconnection: close\r\n\r\n";
+        stream.write_all(declined).expect("the host reads");
+        received
+    });
+    let document = home_document(&["bengal"], &[]);
+    let host = start("north", &[], &document, &cut(&entries));
+    let hello = PeerMessage::Hello {
+        sender: Member {
+            addr,
+            failure_domain: FailureDomain::new("west"),
+            incarnation: 1,
+        },
+        table_digest: None,
+    };
+    let bytes = postcard::to_allocvec(&hello).expect("a message");
+    socket
+        .send_to(&bytes, host.peer_addr)
+        .expect("the host listens");
+    wait_until_known(&host);
+    let reply = host.send(&request("POST", "/book/1", "moved", "body"));
+    assert_eq!(reply.status, 503, "{}", reply.head);
+    let received = peer.join().expect("a request");
+    let terms = received.header("x-waxwingusher-takeover");
+    let terms = terms.expect("the terms of the takeover");
+    let latest = format!("\"config_version\":{}", u64::MAX);
+    assert!(terms.contains(&latest), "{terms}");
+    assert!(terms.contains("\"regional_config_version\":1"), "{terms}");
+}
+
+fn wait_until_known(host: &TestHost) {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !host
+        .get_status("/metrics")
+        .1
+        .contains("waxwingusher_heard_hosts 2")
+    {
+        assert!(Instant::now() < deadline, "the host knows its peer");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
