Play the distribution of changes at 32 to 1,000 hosts in virtual time

Change: seeded schedules with links of unequal bandwidth, loss, restarts, cuts from peers and the store, a fleet of two builds, and configurations without a delta. They bound the time until a change is in force (1,500 ms, with faults 2,500 ms) and the bytes a second (half of 10 Mbit/s). They found two faults, mended here: a transfer took 645,195 bytes/s of a small host's link at 100 hosts (now paced to 500,000 with room for headers; 540,813), and hosts read the store while chunks were arriving (296 calls; now 179). In a small domain a host asks one of larger capacity for chunks. Tests of the messages between hosts one by one.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -53,9 +53,6 @@
 const MAX_UNREACHABLE_BACKOFF: Duration = Duration::from_millis(350);
 /// How long peers may be ahead before the watch is restarted on a new connection.
 const MAX_LAG_TIME: Duration = Duration::from_millis(350);
-/// How long a host that is behind asks peers for what it missed before it reads the
-/// source: the time for three requests, of which one may be lost.
-const MAX_REPAIR_TIME: Duration = Duration::from_millis(600);
 
 /// Follows the source until the host stops.
 pub(crate) async fn follow<S: FeedSource>(state: Rc<State>, source: Rc<S>) {
@@ -163,8 +160,9 @@
                 behind_since = None;
                 continue;
             }
-            let since = *behind_since.get_or_insert_with(Instant::now);
-            if since.elapsed() >= MAX_REPAIR_TIME {
+            let now = self.state.now();
+            let since = *behind_since.get_or_insert(now);
+            if self.state.feed.borrow().must_catch_up(now, since) {
                 // The connection may be dead after so long a time.
                 self.source.reconnect();
                 return self.catch_up().await;
--- a/crates/gateway/src/feed_exchange.rs
+++ b/crates/gateway/src/feed_exchange.rs
@@ -188,7 +188,8 @@
         let is_log_too_short =
             update.delivery == Delivery::Reply && update.since > cx.replica.position();
         if is_log_too_short || cx.replica.wanted_version().is_some() {
-            self.download.start(cx.now, Some(from));
+            let provider = provider(cx, from, update.delivery);
+            self.download.start(cx.now, provider);
         }
         self.check(cx);
         applied
@@ -231,7 +232,12 @@
         let version = cx.replica.version();
         let document = match self.download.on_chunk(cx.now, version, chunk) {
             Ok(Some(document)) => document,
-            Ok(None) => return Applied::default(),
+            Ok(None) => {
+                if self.download.is_active() {
+                    cx.replica.record_transfer(cx.now);
+                }
+                return Applied::default();
+            }
             Err(error) => {
                 log::warn!("feed: Dropped a chunk of {from}: {error}.");
                 return Applied::default();
@@ -385,3 +391,19 @@
         self.outgoing.push_back(FeedOutgoing { targets, message });
     }
 }
+
+/// Returns the host that is asked first for a configuration which a message has announced;
+/// `None` if it is drawn by capacity. Whoever forwards a message serves those to which it
+/// does. In a small domain one host sends to all, so hosts of larger capacity, which will
+/// have the configuration soon, serve the others.
+fn provider(cx: &mut FeedContext<'_>, from: SocketAddr, delivery: Delivery) -> Option<SocketAddr> {
+    let own = cx.view.own;
+    let members = cx.view.local.members().iter();
+    let has_larger = members
+        .into_iter()
+        .any(|member| member.capacity > own.capacity);
+    if delivery != Delivery::Direct || !has_larger {
+        return Some(from);
+    }
+    cx.view.draw_peer(cx.rng)
+}
--- a/crates/gateway/src/feed_replica.rs
+++ b/crates/gateway/src/feed_replica.rs
@@ -33,6 +33,15 @@
 /// connection is dead would keep others from reading.
 const MAX_READER_LAG: Duration = Duration::from_millis(1_200);
 
+/// How long after a part of a configuration this host waits for the next one rather than
+/// reading the source.
+const MAX_TRANSFER_PAUSE: Duration = Duration::from_millis(300);
+/// How long a host that is behind asks peers for what it missed before it reads the
+/// source: the time for three requests, of which one may be lost.
+const MAX_REPAIR_TIME: Duration = Duration::from_millis(600);
+/// The same while parts of a configuration arrive.
+const MAX_TRANSFER_TIME: Duration = Duration::from_millis(1_500);
+
 /// What an answer or an update has changed.
 #[derive(Debug, Default)]
 pub struct Applied {
@@ -100,6 +109,8 @@
     /// The latest configuration as it was published, to which deltas apply.
     document: Option<DigestedDocument>,
     wanted: Option<WantedDocument>,
+    /// When a part of a configuration last arrived from a peer.
+    transferred_at: Option<Instant>,
     /// Updates that begin after the position of this host, in the order of arrival.
     held: Vec<FeedChanges>,
 }
@@ -165,6 +176,26 @@
         self.max_peer_position > self.position
     }
 
+    /// Reports whether this host, which has been behind its peers since `since`, reads what
+    /// it missed from the source, as no peer sends it.
+    #[must_use]
+    pub fn must_catch_up(&self, now: Instant, since: Instant) -> bool {
+        let is_transferring = self
+            .transferred_at
+            .is_some_and(|at| now.saturating_duration_since(at) < MAX_TRANSFER_PAUSE);
+        let limit = if is_transferring {
+            MAX_TRANSFER_TIME
+        } else {
+            MAX_REPAIR_TIME
+        };
+        now.saturating_duration_since(since) >= limit
+    }
+
+    /// Records that a part of a configuration arrived from a peer.
+    pub fn record_transfer(&mut self, now: Instant) {
+        self.transferred_at = Some(now);
+    }
+
     /// Reports whether this host reads the source as one of the readers.
     #[must_use]
     pub fn is_reading(&self) -> bool {
--- a/crates/gateway/src/feed_transfer.rs
+++ b/crates/gateway/src/feed_transfer.rs
@@ -1,8 +1,8 @@
 //! Transfer of a whole configuration between two hosts, in chunks.
 //!
 //! A host that lacks a version asks a peer for it. The peer sends the compressed
-//! configuration in chunks that fit into datagrams, at a rate that leaves half of its link
-//! to other traffic. The host asks other peers for chunks that do not arrive. At most one
+//! configuration in chunks that fit into datagrams, at a rate that leaves more than
+//! half of its link to other traffic. The host asks other peers for chunks that do not arrive. At most one
 //! partial configuration is kept.
 
 use std::collections::VecDeque;
@@ -25,8 +25,9 @@
 /// The largest configuration that is transferred.
 const MAX_DOCUMENT_BYTES: u64 = 32 * 1024 * 1024;
 /// The rate at which a host sends chunks for each unit of its capacity, which is a link of
-/// 1,250,000 bytes/s.
-const BYTES_PER_S_PER_UNIT: f64 = 600_000.0;
+/// 1,250,000 bytes/s. With their headers, and with other messages about the feed, it stays
+/// below half of the link.
+const BYTES_PER_S_PER_UNIT: f64 = 500_000.0;
 /// The chunks that may be sent at once.
 const MAX_BURST_BYTES: f64 = 4.0 * CHUNK_BYTES as f64;
 /// How soon more chunks are sent.
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -37,8 +37,8 @@
 /// from a bucket that is running low.
 const ADMISSION_REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// How long the view of the hosts that exchange changes is used before it is derived
-/// again; with a thousand hosts that takes some 0.1 ms.
-const FEED_VIEW_INTERVAL: Duration = Duration::from_millis(100);
+/// again: all known hosts are sorted for it, and several messages arrive in this time.
+const FEED_VIEW_INTERVAL: Duration = Duration::from_millis(200);
 /// The limits in one datagram, so that it fits without IP fragmentation.
 const MAX_RATE_LIMITS_PER_MESSAGE: usize = 64;
 /// How often the issuer of an instance's permits repeats its limit to all hosts, some of
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -3,11 +3,13 @@
 
 mod answers;
 mod callers;
+mod distribution_schedules;
 mod endless;
 mod explain;
 mod feed;
 mod feed_compatibility;
 mod feed_delta;
+mod feed_exchange;
 mod feed_log;
 mod feed_replica;
 mod feed_schedules;
--- a/crates/membership/src/seeded/fanout.rs
+++ b/crates/membership/src/seeded/fanout.rs
@@ -38,7 +38,9 @@
     /// forwards none.
     #[must_use]
     pub fn new(mut members: Vec<Candidate>) -> Self {
-        members.sort_by_key(|member| (std::cmp::Reverse(member.capacity), order_key(member.addr)));
+        members.sort_by_cached_key(|member| {
+            (std::cmp::Reverse(member.capacity), order_key(member.addr))
+        });
         Self {
             members,
             trees: Default::default(),
