Grant the rest of a retry budget to the retries that are worth most

Cause: retries were granted in the order of request; while all instances rejected 55%, two requests in five were refused, urgent ones as often as others. The bound is unchanged.

--- a/crates/attempts/src/lib.rs
+++ b/crates/attempts/src/lib.rs
@@ -28,7 +28,9 @@
     AttemptDecision, AttemptReport, AttemptRequest, AttemptResult, AttemptTicket, Permission,
     PermitError, UnknownCause,
 };
-pub use fleet_retry_budget::{FleetRetryBudget, FleetRetryBudgetSettings};
+pub use fleet_retry_budget::{
+    FleetRetryBudget, FleetRetryBudgetSettings, RetryDecision, RetryWorth,
+};
 pub use hand_off::HandOffProgress;
 pub use lifecycle::{Admitted, Answered, Dispatched, Received, Request, Response, Shed, Unknown};
 pub use quarantine::{LostInstance, Quarantine, QuarantineReport, QuarantineSettings};
