Share a service that is short of capacity, and wire urgency into the gateway

Cause: while a service is short, its capacity went to the workspace that sends the most requests, and refusals named a random Retry-After. Change: limits::fair_shares estimates each workspace's use from the admissions that hosts report, and classifies what is above the max-min share; such requests wait behind the others and leave more slots free. The gateway applies scarcity, shares and the worth of retries if load_sharing is set, refuses what will not be served in time with the Retry-After of the measured drain rate, and logs each decision. The load of a part of the fleet is extrapolated, also for the room at instances.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,7 +1,9 @@
 //! Sends one request to instances until there is a final answer.
 
 mod handover;
+mod sharing;
 
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,7 +18,6 @@
 use crate::attempt::{AnswerLoss, AttemptOutcome, NotRun, OutboundRequest, run_attempt};
 use crate::journal::Event;
 use crate::permits;
-use crate::queue_ticket::QueueTicket;
 use crate::state::State;
 use crate::takeover::{self, TakeoverTerms};
 use crate::upstream::InstanceAnswer;
@@ -34,6 +35,9 @@
 /// The weight of the newest sample in a route's smoothed latency.
 const LATENCY_EWMA_WEIGHT: f64 = 0.1;
 
+/// The outcome of a request above its workspace's share that found no room.
+const OVER_SHARE: &str = "over-share";
+
 /// An attempt that runs while it is polled.
 type PendingAttempt = Pin<Box<dyn Future<Output = AttemptOutcome>>>;
 
@@ -70,6 +74,11 @@
     may_hand_over: bool,
     /// Attempts of peers to serve the request.
     takeover_count: usize,
+    dispatched_at: Instant,
+    /// When a slot will probably be free, if the request waits in vain.
+    busy_retry_after: Cell<Option<Duration>>,
+    /// Whether the request is above its workspace's share of the service.
+    is_over_share: bool,
 }
 
 impl<'a> Dispatch<'a> {
@@ -99,6 +108,9 @@
             is_taken_over: terms.is_some(),
             may_hand_over: terms.is_none(),
             takeover_count: 0,
+            dispatched_at: state.now(),
+            busy_retry_after: Cell::new(None),
+            is_over_share: false,
         }
     }
 
@@ -109,9 +121,12 @@
 
     /// Sends the request until there is a final answer or its deadline passes.
     pub(crate) async fn run(&mut self) -> Answer {
+        self.record_demand();
         let deadline = tokio::time::Instant::from_std(self.deadline);
         let answer = tokio::time::timeout_at(deadline, self.attempt_until_answered()).await;
-        answer.unwrap_or_else(|_| self.time_out())
+        let answer = answer.unwrap_or_else(|_| self.time_out());
+        self.record_final_answer(&answer);
+        answer
     }
 
     async fn attempt_until_answered(&mut self) -> Answer {
@@ -175,7 +190,8 @@
                 return Err(GiveUpReason::NoPath);
             }
         }
-        if self.connected_attempts > 0 && !self.spend_retry() {
+        let success_chance = 1.0 - placement.health.risk;
+        if self.connected_attempts > 0 && !self.spend_retry(success_chance) {
             return Err(GiveUpReason::NoRetryBudget);
         }
         let started = self.state.now();
@@ -201,10 +217,7 @@
             .route
             .max_attempts
             .saturating_sub(self.connected_attempts);
-        let known_hosts = self.state.peers.borrow().known_hosts();
-        let mut budget = self.state.retry_budget.borrow_mut();
-        let may_repeat = budget.allows(self.state.now(), &self.request.service, known_hosts);
-        if may_repeat { left } else { left.min(1) }
+        if self.may_retry() { left } else { left.min(1) }
     }
 
     /// Sends the request to an instance. An idempotent request that is overdue, or whose
@@ -272,7 +285,8 @@
         if second.health.is_path_blocked && self.may_hand_over {
             return Some(self.start_takeover());
         }
-        if second.health.rate_limit.is_some() || !self.spend_retry() {
+        let success_chance = 1.0 - second.health.risk;
+        if second.health.rate_limit.is_some() || !self.spend_retry(success_chance) {
             return None;
         }
         Some(self.start_attempt(second, false))
@@ -308,6 +322,7 @@
                 self.connected_attempts -= 1;
                 self.takeover_count -= 1;
             }
+            AttemptOutcome::NotRun(NotRun::Refused) => self.record_rejection(),
             AttemptOutcome::NotRun(_) => {}
             AttemptOutcome::TakenOver(answer) if promises_not_run(answer.status) => {}
             _ => self.has_run = true,
@@ -318,11 +333,7 @@
     /// Places the request at an instance. If all are busy, the request queues as
     /// long as it is likely to get capacity in time.
     async fn wait_for_instance(&self) -> Result<Placement, PlacementError> {
-        let queued_at = self.state.now();
-        let max_queue_wait = self.route.latency_target.mul_f64(MAX_QUEUE_WAIT_SHARE);
-        let queue_deadline = queued_at + max_queue_wait;
-        let service = &self.request.service;
-        let ticket = QueueTicket::enqueue(self.state, service, queued_at, self.priority);
+        let (ticket, queue_deadline) = self.enqueue();
         loop {
             let freed = self.state.capacity_freed.notified();
             if ticket.is_first() {
@@ -332,7 +343,7 @@
                     }
                     Err(PlacementError::AllBusy) => {}
                     Ok(placement) if self.acquire_permit(&placement).await => {
-                        ticket.record_served();
+                        self.record_served(&ticket);
                         return Ok(placement);
                     }
                     // Without a permit the instance is excluded, and others are tried.
@@ -342,7 +353,7 @@
                 }
             }
             let wait_left = queue_deadline.saturating_duration_since(self.state.now());
-            if wait_left.is_zero() || ticket.is_likely_to_time_out(wait_left) {
+            if self.waits_in_vain(&ticket, wait_left) {
                 return Err(PlacementError::AllBusy);
             }
             // The check repeats both after a timeout and after a notification.
@@ -360,6 +371,7 @@
     }
 
     fn place(&self) -> Result<Placement, PlacementError> {
+        self.update_scarcity();
         let request = self.placement_request();
         let roster = self.state.roster.borrow();
         let evidence = self.state.evidence.borrow();
@@ -377,7 +389,7 @@
             priority: self.priority,
             usual_time: self.request.expected_latency,
             latency_target: self.route.latency_target,
-            room: None,
+            room: self.room(),
         }
     }
 
@@ -393,7 +405,12 @@
         });
     }
 
-    fn spend_retry(&self) -> bool {
+    /// Spends a retry if the fleet's budget allows it. `success_chance` is the probability
+    /// that the chosen instance serves the request.
+    fn spend_retry(&self, success_chance: f64) -> bool {
+        if self.state.load_sharing {
+            return self.spend_retry_by_worth(success_chance);
+        }
         let known_hosts = self.state.peers.borrow().known_hosts();
         let mut budget = self.state.retry_budget.borrow_mut();
         budget.spend(self.state.now(), &self.request.service, known_hosts)
@@ -429,13 +446,14 @@
         let jitter = BUSY_RETRY_AFTER.mul_f64(0.5 + self.state.rng.borrow_mut().f64());
         let retry_after = match reason {
             GiveUpReason::AllBackOff(earliest) => earliest + jitter,
+            GiveUpReason::AllBusy => self.busy_retry_after.get().unwrap_or(jitter),
             _ => jitter,
         };
-        Answer::refusal(
-            StatusCode::SERVICE_UNAVAILABLE,
-            reason.outcome(),
-            retry_after,
-        )
+        let outcome = match reason {
+            GiveUpReason::AllBusy if self.is_over_share => OVER_SHARE,
+            _ => reason.outcome(),
+        };
+        Answer::refusal(StatusCode::SERVICE_UNAVAILABLE, outcome, retry_after)
     }
 
     fn time_out(&mut self) -> Answer {
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -124,6 +124,42 @@
         #[serde(flatten)]
         exclusions: Exclusions,
     },
+    QueueRefusal {
+        request: String,
+        service: String,
+        level: String,
+        priority: u32,
+        occupancy: Option<f64>,
+        measured_age_ms: Option<u64>,
+        waited_ms: u64,
+        ahead: usize,
+        served_per_s: f64,
+        window_ms: u64,
+        retry_after_ms: u64,
+    },
+    OverShare {
+        request: String,
+        service: String,
+        workspace: String,
+        used_slots: f64,
+        share_slots: f64,
+        share_age_ms: u64,
+        capacity_slots: u32,
+        measured_age_ms: u64,
+        reachable_share: f64,
+    },
+    Retry {
+        request: String,
+        service: String,
+        outcome: String,
+        priority: u32,
+        time_left_ms: u64,
+        success_chance: f64,
+        worth: f64,
+        least_worth: f64,
+        spent_part: f64,
+        known_hosts: usize,
+    },
     PermitDenied {
         request: String,
         instance: String,
@@ -167,6 +203,9 @@
         match self {
             Self::Attempt { request, .. }
             | Self::Unplaced { request, .. }
+            | Self::QueueRefusal { request, .. }
+            | Self::OverShare { request, .. }
+            | Self::Retry { request, .. }
             | Self::PermitDenied { request, .. }
             | Self::Takeover { request, .. }
             | Self::Request { request, .. } => Some(request),
@@ -231,6 +270,73 @@
                 write!(f, "{rate_limited} at their rate limits, {paused} paused, ")?;
                 write!(f, "{suspect} suspects, {full} full")
             }
+            Self::QueueRefusal {
+                service,
+                level,
+                priority,
+                occupancy,
+                measured_age_ms,
+                waited_ms,
+                ahead,
+                served_per_s,
+                window_ms,
+                retry_after_ms,
+                ..
+            } => {
+                write!(f, "no slot of {service} in time for priority {priority}: ")?;
+                write!(
+                    f,
+                    "waited {waited_ms} ms, {ahead} ahead, {served_per_s} served a "
+                )?;
+                write!(f, "second over {window_ms} ms; the service is {level}")?;
+                if let (Some(occupancy), Some(age_ms)) = (occupancy, measured_age_ms) {
+                    write!(f, ", {occupancy} requests for each slot {age_ms} ms before")?;
+                }
+                write!(f, "; caller told to return in {retry_after_ms} ms")
+            }
+            Self::OverShare {
+                service,
+                workspace,
+                used_slots,
+                share_slots,
+                share_age_ms,
+                capacity_slots,
+                measured_age_ms,
+                reachable_share,
+                ..
+            } => {
+                write!(f, "'{workspace}' is above its share of {service}: ")?;
+                write!(f, "it needs {used_slots} slots of {share_slots} ")?;
+                write!(
+                    f,
+                    "({share_age_ms} ms before; {capacity_slots} slots in all "
+                )?;
+                write!(f, "{measured_age_ms} ms before; admissions of ")?;
+                write!(f, "{reachable_share} of the fleet are known)")
+            }
+            Self::Retry {
+                service,
+                outcome,
+                priority,
+                time_left_ms,
+                success_chance,
+                worth,
+                least_worth,
+                spent_part,
+                known_hosts,
+                ..
+            } => {
+                write!(
+                    f,
+                    "retry at {service}: {outcome}, worth {worth} of {least_worth} "
+                )?;
+                write!(f, "(priority {priority}, {time_left_ms} ms to the target, ")?;
+                write!(
+                    f,
+                    "success chance {success_chance}); {spent_part} of this host's "
+                )?;
+                write!(f, "part for {known_hosts} hosts was spent")
+            }
             Self::PermitDenied {
                 instance,
                 issuer,
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -143,6 +143,103 @@
         /// When this host asks again, in milliseconds.
         retry_after_ms: u64,
     },
+    /// How short of capacity a service is has changed.
+    Scarcity {
+        /// The service.
+        service: &'a str,
+        /// The level so far: `ample`, `tight` or `short`.
+        former: &'a str,
+        /// The level from now on.
+        level: &'a str,
+        /// The least urgent priority that may queue at instances and use all slots.
+        least_priority: u32,
+        /// The healthy instances.
+        instances: usize,
+        /// Their slots.
+        slots: u32,
+        /// The requests of all hosts there.
+        in_flight: u32,
+        /// Requests for each slot, extrapolated to hosts that are unreachable.
+        occupancy: f64,
+        /// The time since any host last started an attempt there in milliseconds.
+        load_age_ms: Option<u64>,
+        /// Requests of the most urgent kind that wait at this host.
+        waiting: usize,
+        /// Rejections by instances within the last second.
+        rejections: usize,
+        /// The age of the newest rejection in milliseconds.
+        rejection_age_ms: Option<u64>,
+    },
+    /// A request was refused as it would get no slot in time.
+    QueueRefusal {
+        /// The request's id.
+        request: &'a str,
+        /// The service.
+        service: &'a str,
+        /// The level of the service: `ample`, `tight` or `short`.
+        level: &'a str,
+        /// The priority of the request.
+        priority: u32,
+        /// Requests for each slot of the service.
+        occupancy: Option<f64>,
+        /// The age of the level and the occupancy in milliseconds.
+        measured_age_ms: Option<u64>,
+        /// How long the request has waited in milliseconds.
+        waited_ms: u64,
+        /// Requests of the same class ahead of it at this host.
+        ahead: usize,
+        /// Requests of the class that this host lately served each second.
+        served_per_s: f64,
+        /// The time over which that was measured in milliseconds.
+        window_ms: u64,
+        /// The `Retry-After` in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// A request is above its workspace's share of a service that is short of capacity,
+    /// so it goes after the others.
+    OverShare {
+        /// The request's id.
+        request: &'a str,
+        /// The service.
+        service: &'a str,
+        /// The workspace.
+        workspace: &'a str,
+        /// The slots that the workspace's requests need over the fleet.
+        used_slots: f64,
+        /// The slots that each workspace may use.
+        share_slots: f64,
+        /// The age of the share in milliseconds.
+        share_age_ms: u64,
+        /// The slots of the service's healthy instances.
+        capacity_slots: u32,
+        /// The age of that number in milliseconds.
+        measured_age_ms: u64,
+        /// The fraction of the fleet whose admissions are known.
+        reachable_share: f64,
+    },
+    /// Much of the retry budget is spent, and a retry was granted or not.
+    Retry {
+        /// The request's id.
+        request: &'a str,
+        /// The service.
+        service: &'a str,
+        /// `retry-granted`, `retry-worth-less` or `retry-budget-spent`.
+        outcome: &'a str,
+        /// The priority of the request.
+        priority: u32,
+        /// The time left to its latency target in milliseconds.
+        time_left_ms: u64,
+        /// The probability that the chosen instance serves it.
+        success_chance: f64,
+        /// What the retry is worth.
+        worth: f64,
+        /// What it had to be worth, by the other retries of the budget's window.
+        least_worth: f64,
+        /// The part of this host's budget that was spent before.
+        spent_part: f64,
+        /// The hosts over which the budget is divided.
+        known_hosts: usize,
+    },
     /// No instance was chosen for a request.
     Unplaced {
         /// The request's id.
@@ -238,6 +335,10 @@
             Self::BackOff { .. } => "back-off",
             Self::RateLimit { .. } => "rate-limit",
             Self::PermitDenied { .. } => "permit-denied",
+            Self::Scarcity { .. } => "scarcity",
+            Self::QueueRefusal { .. } => "queue-refusal",
+            Self::OverShare { .. } => "over-share",
+            Self::Retry { .. } => "retry",
             Self::Unplaced { .. } => "unplaced",
             Self::Attempt { .. } => "attempt",
             Self::Takeover { .. } => "takeover",
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use waxwingusher_limits::FleetView;
+use waxwingusher_upstreams::ScarcityLevel;
 
 /// The bounds of the latency histograms start at 1 ms and double.
 const FIRST_BUCKET_S: f64 = 0.001;
@@ -42,6 +43,18 @@
     effect: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LevelLabels {
+    service: String,
+    level: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DecisionLabels {
+    service: String,
+    decision: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ChangeLabels {
     change: String,
@@ -58,6 +71,8 @@
     takeovers: Family<OutcomeLabels, Counter>,
     findings: Family<FindingLabels, Counter>,
     evacuations: Family<ChangeLabels, Counter>,
+    scarcity_changes: Family<LevelLabels, Counter>,
+    load_decisions: Family<DecisionLabels, Counter>,
     config_version: Gauge,
     in_flight: Gauge,
     reachable_hosts: Gauge,
@@ -77,6 +92,8 @@
         let takeovers = Family::default();
         let findings = Family::default();
         let evacuations = Family::default();
+        let scarcity_changes = Family::default();
+        let load_decisions = Family::default();
         let config_version = Gauge::default();
         let in_flight = Gauge::default();
         let reachable_hosts = Gauge::default();
@@ -114,6 +131,16 @@
             "Orders to evacuate a failure domain that came into force or were taken back",
             evacuations.clone(),
         );
+        registry.register(
+            "scarcity_changes",
+            "Changes of how short of capacity a service is, by the new level",
+            scarcity_changes.clone(),
+        );
+        registry.register(
+            "load_decisions",
+            "Requests that were treated differently since a service is short of capacity",
+            load_decisions.clone(),
+        );
         registry.register(
             "config_version",
             "Configuration in force",
@@ -140,6 +167,8 @@
             takeovers,
             findings,
             evacuations,
+            scarcity_changes,
+            load_decisions,
             config_version,
             in_flight,
             reachable_hosts,
@@ -202,6 +231,24 @@
             .inc();
     }
 
+    /// Records a change of how short of capacity a service is.
+    pub fn record_scarcity(&self, service: &str, level: ScarcityLevel) {
+        let labels = LevelLabels {
+            service: service.to_owned(),
+            level: level.as_str(),
+        };
+        self.scarcity_changes.get_or_create(&labels).inc();
+    }
+
+    /// Records a decision on a request to a service that is short of capacity.
+    pub fn record_load_decision(&self, service: &str, decision: &'static str) {
+        let labels = DecisionLabels {
+            service: service.to_owned(),
+            decision,
+        };
+        self.load_decisions.get_or_create(&labels).inc();
+    }
+
     /// Sets the gauges and renders all metrics as text.
     ///
     /// # Errors
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -183,6 +183,9 @@
         fingerprint,
     );
     let mut dispatch = Dispatch::new(state, &route, outbound, deadline, priority, terms);
+    if !is_admitted && let Some(workspace) = &workspace {
+        dispatch.apply_share(&workspace.name);
+    }
     let answer = dispatch.run().await;
     record.attempts = dispatch.attempt_count();
     if record.attempts == 0
@@ -190,6 +193,8 @@
         && let Some(workspace) = &workspace
     {
         state.limits.borrow_mut().refund(&workspace.name);
+        let mut shares = state.fair_shares.borrow_mut();
+        shares.record_refund(state.now(), &workspace.name);
     }
     answer
 }
--- a/crates/gateway/src/queue_ticket.rs
+++ b/crates/gateway/src/queue_ticket.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use waxwingusher_core::ServiceName;
-use waxwingusher_limits::QueuePosition;
+use waxwingusher_limits::{QueuePosition, WaitEstimate, WaitTerms};
 
 use crate::state::State;
 
@@ -27,6 +27,23 @@
             .wait_queue
             .borrow_mut()
             .enqueue(service, queued_at, priority);
+        Self::new(state, service, position)
+    }
+
+    /// Adds a request that is ranked by the latest useful time of its start.
+    pub(crate) fn enqueue_by_terms(
+        state: &Rc<State>,
+        service: &ServiceName,
+        terms: WaitTerms,
+    ) -> Self {
+        let position = state
+            .wait_queue
+            .borrow_mut()
+            .enqueue_by_terms(service, terms);
+        Self::new(state, service, position)
+    }
+
+    fn new(state: &Rc<State>, service: &ServiceName, position: QueuePosition) -> Self {
         Self {
             state: state.clone(),
             service: service.clone(),
@@ -48,6 +65,13 @@
         wait_queue.record_served(now, &self.service, self.position);
     }
 
+    /// Estimates how long the request waits.
+    pub(crate) fn estimate(&self) -> WaitEstimate {
+        let now = self.state.now();
+        let mut wait_queue = self.state.wait_queue.borrow_mut();
+        wait_queue.estimate(now, &self.service, self.position)
+    }
+
     /// Returns whether the request will probably get no capacity within
     /// `wait_left`.
     pub(crate) fn is_likely_to_time_out(&self, wait_left: Duration) -> bool {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,10 +10,10 @@
 use waxwingusher_attempts::FleetRetryBudget;
 use waxwingusher_config::routing::{CallerLimits, RoutingTable, SplitPicker};
 use waxwingusher_core::{Clock, FailureDomain, InstanceId, RouteName, WorkspaceName};
-use waxwingusher_limits::{FleetView, ReplicatedLimits, ReplicatedSettings, WaitQueue};
+use waxwingusher_limits::{FairShares, FleetView, ReplicatedLimits, ReplicatedSettings, WaitQueue};
 use waxwingusher_membership::seeded::readers::reader_rank;
 use waxwingusher_membership::seeded::{CrashReport, LeavingInstance, PeerTable, name_hash};
-use waxwingusher_upstreams::{Evidence, PathMonitor, Roster};
+use waxwingusher_upstreams::{Evidence, PathMonitor, Roster, ScarcityMonitor};
 
 use crate::crash_ledger::CrashLedger;
 use crate::declined_peers::DeclinedPeers;
@@ -75,6 +75,10 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) outbox: Outbox,
     pub(crate) wait_queue: RefCell<WaitQueue>,
+    /// Whether the deployment asks for load sharing.
+    pub(crate) load_sharing: bool,
+    pub(crate) scarcity: RefCell<ScarcityMonitor>,
+    pub(crate) fair_shares: RefCell<FairShares>,
     /// Notifies requests that wait for capacity at an instance.
     pub(crate) capacity_freed: Notify,
     pub(crate) feed: RefCell<FeedReplica>,
@@ -125,6 +129,9 @@
             pool: ConnectionPool::default(),
             outbox: Outbox::default(),
             wait_queue: RefCell::default(),
+            load_sharing: settings.load_sharing,
+            scarcity: RefCell::default(),
+            fair_shares: RefCell::default(),
             capacity_freed: Notify::new(),
             feed: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/gateway/tests/testsuite/explain.rs
+++ b/crates/gateway/tests/testsuite/explain.rs
@@ -230,3 +230,69 @@
         explanation.steps[0].context
     );
 }
+
+/// Guards against decisions that operators cannot trace to their inputs.
+#[test]
+fn a_refusal_for_lack_of_room_names_what_it_was_decided_from() {
+    let text = log(
+        "host-1",
+        &[
+            Event::OverShare {
+                request: "mine",
+                service: "svc",
+                workspace: "acme",
+                used_slots: 30.0,
+                share_slots: 4.5,
+                share_age_ms: 60,
+                capacity_slots: 110,
+                measured_age_ms: 12,
+                reachable_share: 0.98,
+            },
+            Event::QueueRefusal {
+                request: "mine",
+                service: "svc",
+                level: "short",
+                priority: 2,
+                occupancy: Some(1.04),
+                measured_age_ms: Some(15),
+                waited_ms: 0,
+                ahead: 7,
+                served_per_s: 2.5,
+                window_ms: 3_000,
+                retry_after_ms: 800,
+            },
+            Event::Retry {
+                request: "mine",
+                service: "svc",
+                outcome: "retry-worth-less",
+                priority: 2,
+                time_left_ms: 640,
+                success_chance: 0.75,
+                worth: 0.25,
+                least_worth: 0.5,
+                spent_part: 0.8,
+                known_hosts: 33,
+            },
+        ],
+    );
+    let explanation = from_text("mine", &text);
+    let [share, refusal, retry] = explanation.steps.as_slice() else {
+        panic!("{explanation:?}");
+    };
+    for part in ["30 slots of 4.5", "60 ms before", "110 slots", "0.98"] {
+        assert!(share.description.contains(part), "{part}: {share:?}");
+    }
+    for part in [
+        "priority 2",
+        "7 ahead",
+        "2.5 served",
+        "short",
+        "1.04",
+        "800 ms",
+    ] {
+        assert!(refusal.description.contains(part), "{part}: {refusal:?}");
+    }
+    for part in ["worth 0.25 of 0.5", "640 ms", "0.75", "0.8 of", "33 hosts"] {
+        assert!(retry.description.contains(part), "{part}: {retry:?}");
+    }
+}
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -332,11 +332,33 @@
         Self::start_with_seeds(&[], source, grace)
     }
 
+    /// Starts a host whose deployment asks for load sharing.
+    pub fn start_sharing(
+        document: RoutingDocument,
+        instances: &[&Instance],
+        grace: Duration,
+    ) -> Self {
+        let source = StaticSource {
+            document,
+            roster: roster(instances),
+        };
+        Self::start_with_sharing(&[], source, grace, true)
+    }
+
     /// Starts a host that learns its peers from `seeds`.
     pub fn start_with_seeds(
         seeds: &[SocketAddr],
         source: impl FeedSource + Send + 'static,
         grace: Duration,
+    ) -> Self {
+        Self::start_with_sharing(seeds, source, grace, false)
+    }
+
+    fn start_with_sharing(
+        seeds: &[SocketAddr],
+        source: impl FeedSource + Send + 'static,
+        grace: Duration,
+        load_sharing: bool,
     ) -> Self {
         let any_addr: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         let settings = GatewaySettings {
@@ -353,7 +375,7 @@
                 fleet_slack: 50.0,
             },
             stop_grace: grace,
-            load_sharing: false,
+            load_sharing,
             region: None,
             region_by_domain: BTreeMap::new(),
         };
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod feed_schedules;
 mod harness;
 mod journal;
+mod load_sharing;
 mod peers;
 mod permit_schedules;
 mod rate_limits;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -14,6 +14,7 @@
 mod shares;
 
 pub mod decision;
+pub mod fair_shares;
 pub mod keys;
 pub mod limit_key;
 pub mod limiter;
@@ -25,6 +26,7 @@
 pub mod wait_queue;
 
 pub use decision::{LimitReport, LimiterReport, RefusalCounts, RefusalReason, SpendDecision};
+pub use fair_shares::{FairShares, ShareDecision, max_min_level};
 pub use keys::KeyIndex;
 pub use limit_key::LimitKey;
 pub use limiter::Limiter;
--- a/crates/limits/tests/testsuite/main.rs
+++ b/crates/limits/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bound;
 mod early_transfers;
 mod evidence;
+mod fair_shares;
 mod fleet;
 mod keys;
 mod opening;
--- a/crates/upstreams/src/evidence.rs
+++ b/crates/upstreams/src/evidence.rs
@@ -421,6 +421,24 @@
         }
     }
 
+    /// Returns the requests in flight of all hosts at an instance, and the time since one
+    /// of them last started an attempt there. Returns `None` for a suspect, and for an
+    /// instance that is unreachable or wants no requests. Costs less than
+    /// [`Evidence::health`].
+    #[must_use]
+    pub fn healthy_load(&self, now: Instant, id: &InstanceId) -> Option<(u32, Option<Duration>)> {
+        let Some(estimate) = self.estimates.get(id) else {
+            return Some((0, None));
+        };
+        // A risk at or below the limit stays there without new outcomes.
+        let is_suspect = estimate.risk > SUSPECT_RISK && estimate.risk(now) > SUSPECT_RISK;
+        let backs_off = estimate.backs_off_until.is_some_and(|until| now < until);
+        if is_suspect || backs_off || estimate.is_path_blocked {
+            return None;
+        }
+        Some((estimate.in_flight(now), age(now, estimate.attempt_at)))
+    }
+
     /// Returns the estimated health of an instance.
     #[must_use]
     pub fn health(&self, now: Instant, id: &InstanceId) -> InstanceHealth {
--- a/crates/upstreams/src/room.rs
+++ b/crates/upstreams/src/room.rs
@@ -22,9 +22,26 @@
     /// The share of the slots that stays free for more urgent requests, rounded to
     /// whole slots of each instance.
     pub reserved_share: f64,
+    /// The requests at an instance for each one that is reported; above 1 while a part of
+    /// the fleet is unreachable.
+    pub load_factor: f64,
 }
 
+/// The share of the slots that requests above their workspace's share leave free in
+/// addition: two of six.
+const EXCESS_RESERVED_SHARE: f64 = 0.3;
+
 impl RoomLimit {
+    /// Returns the room for a request that is above its workspace's share.
+    #[must_use]
+    pub fn for_excess(self) -> Self {
+        Self {
+            queue_rounds: 0.0,
+            reserved_share: self.reserved_share + EXCESS_RESERVED_SHARE,
+            ..self
+        }
+    }
+
     /// Returns the most requests that may be at an instance, this one included; at
     /// least 1.
     #[must_use]
@@ -55,7 +72,8 @@
     request: &PlacementRequest<'_>,
 ) -> bool {
     if let Some(limit) = request.room {
-        return health.in_flight < limit.max_in_flight(listed.entry.slots);
+        let in_flight = f64::from(health.in_flight) * limit.load_factor;
+        return in_flight < f64::from(limit.max_in_flight(listed.entry.slots));
     }
     let usual_s = request.usual_time.as_secs_f64().max(f64::MIN_POSITIVE);
     let rounds = MAX_QUEUE_SHARE * request.latency_target.as_secs_f64() / usual_s;
--- a/crates/upstreams/src/scarcity.rs
+++ b/crates/upstreams/src/scarcity.rs
@@ -66,9 +66,9 @@
 /// Requests of more urgent kinds after which a less urgent kind may use the room of the
 /// most urgent one once, for each kind that is more urgent.
 const FLOOR_INTERVAL: f64 = 16.0;
-/// The largest factor by which the load of reachable hosts is extrapolated. Hosts that
-/// are unreachable may also be dead.
-const MAX_EXTRAPOLATION: f64 = 2.0;
+/// The smallest part of the fleet whose load is extrapolated to the whole: one of four
+/// failure domains. The load of fewer hosts shows little, and the others may be dead.
+const MIN_EXTRAPOLATED_SHARE: f64 = 0.2;
 
 /// How short of capacity a service is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
@@ -145,14 +145,13 @@
     ) -> Self {
         let mut load = Self::default();
         for listed in roster.ready(service) {
-            let health = evidence.health(now, &listed.entry.id);
-            if health.is_suspect || health.is_path_blocked || health.backs_off_for.is_some() {
+            let Some((in_flight, age)) = evidence.healthy_load(now, &listed.entry.id) else {
                 continue;
-            }
+            };
             load.instances += 1;
             load.slots += listed.entry.slots;
-            load.in_flight += health.in_flight;
-            load.age = match (load.age, health.attempt_age) {
+            load.in_flight += in_flight;
+            load.age = match (load.age, age) {
                 (Some(former), Some(age)) => Some(former.min(age)),
                 (former, age) => former.or(age),
             };
@@ -167,9 +166,16 @@
         if self.slots == 0 {
             return 0.0;
         }
-        let factor = (1.0 / reachable_share.max(f64::MIN_POSITIVE)).min(MAX_EXTRAPOLATION);
-        f64::from(self.in_flight) * factor / f64::from(self.slots)
+        f64::from(self.in_flight) * load_factor(reachable_share) / f64::from(self.slots)
+    }
+}
+
+/// Returns the requests at instances for each one that is reported by a part of the fleet.
+fn load_factor(reachable_share: f64) -> f64 {
+    if reachable_share < MIN_EXTRAPOLATED_SHARE {
+        return 1.0;
     }
+    (1.0 / reachable_share).max(1.0)
 }
 
 /// What this host knows beyond the reported loads.
@@ -236,6 +242,8 @@
     level: ScarcityLevel,
     inputs: ScarcityInputs,
     measured_at: Option<Instant>,
+    /// As of `measured_at`.
+    load_factor: Option<f64>,
     /// Since when the inputs show a lower level.
     is_lower_since: Option<Instant>,
     /// When instances rejected requests.
@@ -328,6 +336,7 @@
             return None;
         }
         state.measured_at = Some(now);
+        state.load_factor = Some(load_factor(view.reachable_share));
         state.remove_old_rejections(now);
         let load = PoolLoad::measure(now, roster, evidence, service);
         let newest_rejection = state.rejected_at.back();
@@ -430,11 +439,13 @@
 
     fn room(&self, kind: RequestKind) -> RoomLimit {
         let queue_rounds = self.queue_rounds(kind);
+        let load_factor = self.load_factor.unwrap_or(1.0);
         let more_urgent = self.kinds.range(..kind.priority);
         let Some((_, most_urgent)) = more_urgent.clone().next() else {
             return RoomLimit {
                 queue_rounds,
                 reserved_share: 0.0,
+                load_factor,
             };
         };
         let own_use = self.kinds.get(&kind.priority);
@@ -442,6 +453,7 @@
             return RoomLimit {
                 queue_rounds: queue_rounds.min(self.queue_rounds(most_urgent.kind)),
                 reserved_share: 0.0,
+                load_factor,
             };
         }
         let own_misses = own_use.map_or(0.0, |use_| use_.misses);
@@ -458,6 +470,7 @@
         RoomLimit {
             queue_rounds: 0.0,
             reserved_share: reserved_share + further_share,
+            load_factor,
         }
     }
 
--- a/crates/upstreams/tests/testsuite/scarcity_fleet.rs
+++ b/crates/upstreams/tests/testsuite/scarcity_fleet.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName};
-use waxwingusher_limits::{QueuePosition, WaitQueue, WaitTerms};
+use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName, WorkspaceName};
+use waxwingusher_limits::{FairShares, QueuePosition, WaitQueue, WaitTerms};
 use waxwingusher_upstreams::{
     Evidence, HostView, Observation, PlacementError, PlacementRequest, RequestKind, Roster,
-    RosterEntry, RosterState, ScarcityMonitor, place,
+    RosterEntry, RosterState, ScarcityLevel, ScarcityMonitor, place,
 };
 
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
@@ -36,6 +36,8 @@
 /// The time after the last arrival in which requests are answered.
 const DRAIN: Duration = Duration::from_secs(7);
 
+const WORKSPACES: usize = 20;
+
 /// A kind of request to the service.
 #[derive(Debug, Clone, Copy)]
 struct Kind {
@@ -64,6 +66,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Request {
     kind: usize,
+    workspace: usize,
+    is_over_share: bool,
     arrived_at: Instant,
     attempts: u32,
     is_judged: bool,
@@ -81,6 +85,9 @@
     evidence: Evidence,
     queue: WaitQueue,
     monitor: ScarcityMonitor,
+    shares: FairShares,
+    /// By workspace, the admissions that are not yet reported.
+    unreported: Vec<u32>,
     waiting: Vec<Waiting>,
     /// The usual time of each kind.
     latencies_s: Vec<f64>,
@@ -125,9 +132,14 @@
     hosts: Vec<Host>,
     instances: Vec<Instance>,
     tallies: Vec<Tally>,
+    workspaces: Vec<WorkspaceName>,
+    /// The requests of each workspace in relation to the others.
+    weights: Vec<f64>,
+    workspace_tallies: Vec<Tally>,
     rng: fastrand::Rng,
     /// The share of requests that instances reject.
     rejected_share: f64,
+    are_reports_lost: bool,
     /// The level changes of all hosts.
     level_changes: u32,
 }
@@ -170,8 +182,14 @@
                 .map(|_| Instance::default())
                 .collect(),
             tallies: vec![Tally::default(); settings.kinds.len()],
+            workspaces: (0..WORKSPACES)
+                .map(|number| WorkspaceName::new(&format!("w-{number}")))
+                .collect(),
+            weights: vec![1.0; WORKSPACES],
+            workspace_tallies: vec![Tally::default(); WORKSPACES],
             rng: fastrand::Rng::with_seed(settings.seed),
             rejected_share: 0.0,
+            are_reports_lost: false,
             level_changes: 0,
             settings,
         }
@@ -214,14 +232,18 @@
 
     fn arrive(&mut self, kind: usize) {
         let host = self.rng.usize(..self.hosts.len());
+        let workspace = self.pick_workspace();
         let request = Request {
             kind,
+            workspace,
+            is_over_share: self.apply_share(host, kind, workspace),
             arrived_at: self.now,
             attempts: 0,
             is_judged: self.now <= self.judged_until,
         };
         if request.is_judged {
             self.tallies[kind].sent += 1;
+            self.workspace_tallies[workspace].sent += 1;
         }
         let request_kind = self.request_kind(host, kind);
         let monitor = &mut self.hosts[host].monitor;
@@ -229,6 +251,38 @@
         self.wait(host, request);
     }
 
+    fn pick_workspace(&mut self) -> usize {
+        let mut left = self.rng.f64() * self.weights.iter().sum::<f64>();
+        for (workspace, weight) in self.weights.iter().enumerate() {
+            if left < *weight {
+                return workspace;
+            }
+            left -= weight;
+        }
+        WORKSPACES - 1
+    }
+
+    /// Admits a request, and reports whether it is above its workspace's share.
+    fn apply_share(&mut self, host: usize, kind: usize, workspace: usize) -> bool {
+        let usual_time = self.request_kind(host, kind).usual_time;
+        let reachable_share = self.reachable_share(host);
+        let host = &mut self.hosts[host];
+        host.unreported[workspace] += 1;
+        let (now, name) = (self.now, &self.workspaces[workspace]);
+        let shares = &mut host.shares;
+        shares.record_request(now, name, &self.service, usual_time);
+        let is_short = host.monitor.level(&self.service) == ScarcityLevel::Short;
+        let Some((inputs, _)) = host.monitor.inputs(now, &self.service) else {
+            return false;
+        };
+        if !self.settings.is_sharing || !is_short {
+            return false;
+        }
+        let slots = f64::from(inputs.load.slots);
+        let decision = shares.classify(now, name, &self.service, slots, reachable_share);
+        decision.is_over_share
+    }
+
     fn request_kind(&self, host: usize, kind: usize) -> RequestKind {
         RequestKind {
             priority: self.settings.kinds[kind].priority,
@@ -244,7 +298,7 @@
             let terms = WaitTerms {
                 start_by: request.arrived_at + kind.spare_time(),
                 priority: kind.priority,
-                is_over_share: false,
+                is_over_share: request.is_over_share,
             };
             let position = queue.enqueue_by_terms(&self.service, terms);
             (position, request.arrived_at + kind.max_wait())
@@ -275,8 +329,10 @@
                 placed
                     .queue
                     .record_served(self.now, &self.service, position);
-                let priority = self.settings.kinds[request.kind].priority;
-                placed.monitor.record_served(&self.service, priority);
+                if !request.is_over_share {
+                    let priority = self.settings.kinds[request.kind].priority;
+                    placed.monitor.record_served(&self.service, priority);
+                }
                 self.send(host, instance, request);
                 number = 0;
                 continue;
@@ -305,8 +361,16 @@
 
     fn refuse(&mut self, host: usize, request: Request) {
         let priority = self.settings.kinds[request.kind].priority;
-        let monitor = &mut self.hosts[host].monitor;
-        monitor.record_outcome(&self.service, priority, false);
+        let host = &mut self.hosts[host];
+        if !request.is_over_share {
+            host.monitor.record_outcome(&self.service, priority, false);
+        }
+        if request.attempts == 0 {
+            let name = &self.workspaces[request.workspace];
+            host.shares.record_refund(self.now, name);
+            let unreported = &mut host.unreported[request.workspace];
+            *unreported = unreported.saturating_sub(1);
+        }
         if request.is_judged {
             self.tallies[request.kind].refused += 1;
         }
@@ -330,7 +394,12 @@
                 .monitor
                 .update(self.now, &self.service, roster, evidence, view);
             self.level_changes += u32::from(change.is_some());
-            host.monitor.room(&self.service, kind)
+            let room = host.monitor.room(&self.service, kind);
+            if request.is_over_share {
+                room.for_excess()
+            } else {
+                room
+            }
         });
         let placement = place(
             self.now,
@@ -424,8 +493,13 @@
         let latency = self.now - run.request.arrived_at;
         let is_in_time = latency <= self.settings.kinds[kind].latency_target;
         let priority = self.settings.kinds[kind].priority;
-        let monitor = &mut self.hosts[run.host].monitor;
-        monitor.record_outcome(&self.service, priority, is_in_time);
+        if !run.request.is_over_share {
+            let monitor = &mut self.hosts[run.host].monitor;
+            monitor.record_outcome(&self.service, priority, is_in_time);
+        }
+        if run.request.is_judged && is_in_time {
+            self.workspace_tallies[run.request.workspace].in_time += 1;
+        }
         if run.request.is_judged {
             let tally = &mut self.tallies[kind];
             if is_in_time {
@@ -452,6 +526,9 @@
 
     /// Delivers the reports that are due in this step.
     fn exchange(&mut self, step: u32) {
+        if self.are_reports_lost {
+            return;
+        }
         for sender in 0..self.hosts.len() {
             let phase = u32::try_from(sender).expect("few hosts") * 3;
             if (step + phase).is_multiple_of(LOCAL_REPORT_STEPS) {
@@ -461,6 +538,22 @@
             if (step + phase).is_multiple_of(REMOTE_REPORT_STEPS) {
                 let changed = std::mem::take(&mut self.hosts[sender].changed_remote);
                 self.deliver(sender, &changed, false);
+                self.deliver_admissions(sender);
+            }
+        }
+    }
+
+    fn deliver_admissions(&mut self, sender: usize) {
+        let counts = std::mem::replace(&mut self.hosts[sender].unreported, vec![0; WORKSPACES]);
+        let part = self.hosts[sender].part;
+        for (number, host) in self.hosts.iter_mut().enumerate() {
+            if number == sender || host.part != part {
+                continue;
+            }
+            for (name, count) in self.workspaces.iter().zip(&counts) {
+                if *count > 0 {
+                    host.shares.record_peer_admissions(self.now, name, *count);
+                }
             }
         }
     }
@@ -479,6 +572,17 @@
             }
         }
     }
+
+    /// Replaces all hosts with new processes; the work at instances goes on.
+    fn restart_hosts(&mut self) {
+        for number in 0..self.hosts.len() {
+            let waiting = std::mem::take(&mut self.hosts[number].waiting);
+            for waiting in waiting {
+                self.refuse(number, waiting.request);
+            }
+            self.hosts[number] = Host::new(number, &self.settings.kinds);
+        }
+    }
 }
 
 impl Host {
@@ -490,6 +594,8 @@
             evidence: Evidence::default(),
             queue: WaitQueue::default(),
             monitor: ScarcityMonitor::default(),
+            shares: FairShares::default(),
+            unreported: vec![0; WORKSPACES],
             waiting: Vec::new(),
             latencies_s: kinds.iter().map(initial).collect(),
             changed_local: BTreeSet::new(),
@@ -593,3 +699,126 @@
     assert!(on[0] > off[0], "{on:?} instead of {off:?}");
     assert!(on[0] >= on[1], "{on:?}");
 }
+
+/// Runs a pattern at 33 hosts and 26 instances, a third of deployment F. `disturb` is
+/// called after 2 of 6 s.
+fn compare_disturbed(name: &str, load: f64, disturb: impl Fn(&mut Fleet) + Sync) -> [Fleet; 2] {
+    let fleets = compare(|is_sharing| {
+        let mut fleet = Fleet::new(settings(33, 26, load, 0.4, is_sharing));
+        fleet.advance(Duration::from_secs(2));
+        disturb(&mut fleet);
+        fleet.run(Duration::from_secs(4));
+        fleet
+    });
+    for fleet in &fleets {
+        print(name, fleet);
+    }
+    fleets
+}
+
+/// What must hold under each failure: the urgent kind is served no worse than without
+/// load sharing and than the tolerant kind, and the tolerant kind is not starved.
+fn check_disturbed([off, on]: &[Fleet; 2]) {
+    let share = |fleet: &Fleet, kind: usize| fleet.tallies[kind].share_in_time();
+    assert!(share(on, 0) >= share(off, 0));
+    assert!(share(on, 0) >= share(on, 1));
+    assert!(share(on, 1) >= 0.3, "the tolerant kind is starved");
+}
+
+/// Guards against hosts that regard instances as free whose load they do not see.
+#[test]
+fn hosts_that_reach_no_other_host_favour_urgent_requests() {
+    let fleets = compare_disturbed("all hosts alone, load 1.2", 1.2, |fleet| {
+        for (number, host) in fleet.hosts.iter_mut().enumerate() {
+            host.part = number;
+        }
+    });
+    check_disturbed(&fleets);
+}
+
+/// Guards against decisions by loads that are seconds old.
+#[test]
+fn hosts_with_old_reports_favour_urgent_requests() {
+    let fleets = compare_disturbed("no reports, load 1.2", 1.2, |fleet| {
+        fleet.are_reports_lost = true;
+    });
+    check_disturbed(&fleets);
+}
+
+#[test]
+fn both_parts_of_a_partitioned_fleet_favour_urgent_requests() {
+    let fleets = compare_disturbed("partition, load 1.2", 1.2, |fleet| {
+        for host in &mut fleet.hosts {
+            host.part = host.domain % 2;
+        }
+    });
+    check_disturbed(&fleets);
+}
+
+/// Guards against decisions that need state from before a restart.
+#[test]
+fn a_fleet_that_restarts_as_a_whole_favours_urgent_requests() {
+    let fleets = compare_disturbed("restart, load 1.2", 1.2, Fleet::restart_hosts);
+    check_disturbed(&fleets);
+}
+
+/// Guards against requests that are held back in vain while all instances reject more
+/// than half of what they get, so that waiting does not help. Which requests are tried
+/// again is decided by the retry budget.
+#[test]
+fn rejections_by_all_instances_hold_back_no_kind_of_request() {
+    let fleets = compare_disturbed("rejections, load 0.9", 0.9, |fleet| {
+        fleet.rejected_share = 0.55;
+    });
+    let [off, on] = fleets.map(|fleet| [0, 1].map(|kind| fleet.tallies[kind].share_in_time()));
+    assert!(
+        on[0] >= off[0] - 0.05 && on[1] >= off[1] - 0.05,
+        "{off:?} {on:?}"
+    );
+}
+
+/// Runs a load of 0.9 to which one of twenty workspaces adds five times its usual part,
+/// and returns the shares in time of this workspace and of the others, off and on.
+fn flood_shares(name: &str, disturb: impl Fn(&mut Fleet) + Sync) -> [[f64; 2]; 2] {
+    let load = 0.9 * 25.0 / 20.0;
+    let fleets = compare(|is_sharing| {
+        let mut fleet = Fleet::new(settings(33, 26, load, 0.4, is_sharing));
+        fleet.weights[0] = 6.0;
+        fleet.advance(Duration::from_secs(2));
+        disturb(&mut fleet);
+        fleet.run(Duration::from_secs(5));
+        fleet
+    });
+    fleets.map(|fleet| {
+        print(name, &fleet);
+        let sum = |tallies: &[Tally]| {
+            let sent: u32 = tallies.iter().map(|tally| tally.sent).sum();
+            let in_time: u32 = tallies.iter().map(|tally| tally.in_time).sum();
+            f64::from(in_time) / f64::from(sent)
+        };
+        let (flood, others) = fleet.workspace_tallies.split_at(1);
+        let shares = [sum(flood), sum(others)];
+        println!("  flood {:.3}, others {:.3} in time", shares[0], shares[1]);
+        shares
+    })
+}
+
+/// Guards against capacity that goes to the workspace that sends the most requests.
+#[test]
+fn a_workspace_at_six_times_its_rate_gives_way_to_the_others() {
+    let [off, on] = flood_shares("flood", |_| {});
+    assert!(on[1] > off[1] && on[1] > on[0], "{off:?} {on:?}");
+    assert!(on[0] >= 1.0 / 6.0, "its usual rate is starved: {on:?}");
+}
+
+/// Hosts without reports of others limit the workspace by their own part of the load.
+#[test]
+fn a_workspace_at_six_times_its_rate_gives_way_in_each_part_of_a_partition() {
+    let [off, on] = flood_shares("flood and partition", |fleet| {
+        for host in &mut fleet.hosts {
+            host.part = host.domain % 2;
+        }
+    });
+    assert!(on[1] > off[1] && on[1] > on[0], "{off:?} {on:?}");
+    assert!(on[0] >= 1.0 / 6.0, "its usual rate is starved: {on:?}");
+}
