--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use waxwingusher_limits::FleetView;
+use waxwingusher_upstreams::ScarcityLevel;
 
 /// The bounds of the latency histograms start at 1 ms and double.
 const FIRST_BUCKET_S: f64 = 0.001;
@@ -42,6 +43,18 @@
     effect: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LevelLabels {
+    service: String,
+    level: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DecisionLabels {
+    service: String,
+    decision: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ChangeLabels {
     change: String,
@@ -59,6 +72,8 @@
     findings: Family<FindingLabels, Counter>,
     evacuations: Family<ChangeLabels, Counter>,
     cold_instances: Family<ChangeLabels, Counter>,
+    scarcity_changes: Family<LevelLabels, Counter>,
+    load_decisions: Family<DecisionLabels, Counter>,
     config_version: Gauge,
     in_flight: Gauge,
     reachable_hosts: Gauge,
@@ -79,6 +94,8 @@
         let findings = Family::default();
         let evacuations = Family::default();
         let cold_instances = Family::default();
+        let scarcity_changes = Family::default();
+        let load_decisions = Family::default();
         let config_version = Gauge::default();
         let in_flight = Gauge::default();
         let reachable_hosts = Gauge::default();
@@ -121,6 +138,16 @@
             "Instances that began or ceased to limit requests as they were cold",
             cold_instances.clone(),
         );
+        registry.register(
+            "scarcity_changes",
+            "Changes of how short of capacity a service is, by the new level",
+            scarcity_changes.clone(),
+        );
+        registry.register(
+            "load_decisions",
+            "Requests that were treated differently since a service is short of capacity",
+            load_decisions.clone(),
+        );
         registry.register(
             "config_version",
             "Configuration in force",
@@ -148,6 +175,8 @@
             findings,
             evacuations,
             cold_instances,
+            scarcity_changes,
+            load_decisions,
             config_version,
             in_flight,
             reachable_hosts,
@@ -218,6 +247,24 @@
             .inc();
     }
 
+    /// Records a change of how short of capacity a service is.
+    pub fn record_scarcity(&self, service: &str, level: ScarcityLevel) {
+        let labels = LevelLabels {
+            service: service.to_owned(),
+            level: level.as_str(),
+        };
+        self.scarcity_changes.get_or_create(&labels).inc();
+    }
+
+    /// Records a decision on a request to a service that is short of capacity.
+    pub fn record_load_decision(&self, service: &str, decision: &'static str) {
+        let labels = DecisionLabels {
+            service: service.to_owned(),
+            decision,
+        };
+        self.load_decisions.get_or_create(&labels).inc();
+    }
+
     /// Sets the gauges and renders all metrics as text.
     ///
     /// # Errors
--- a/crates/gateway/tests/testsuite/domain_returns.rs
+++ b/crates/gateway/tests/testsuite/domain_returns.rs
@@ -96,6 +96,7 @@
     fn send(&mut self, host: usize) {
         let (service, domain) = (ServiceName::new("svc"), FailureDomain::new("north"));
         let request = PlacementRequest {
+            room: None,
             service: &service,
             is_idempotent: false,
             attempts_left: 1,
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -332,6 +332,23 @@
         Self::start_with_seeds(&[], source, grace)
     }
 
+    /// Starts a host whose deployment asks for load sharing.
+    pub fn start_sharing(
+        document: RoutingDocument,
+        instances: &[&Instance],
+        grace: Duration,
+    ) -> Self {
+        let source = StaticSource {
+            document,
+            roster: roster(instances),
+        };
+        let settings = GatewaySettings {
+            load_sharing: true,
+            ..Self::settings(&[], grace)
+        };
+        Self::start_with_settings(settings, source)
+    }
+
     /// Starts a host that learns its peers from `seeds`.
     pub fn start_with_seeds(
         seeds: &[SocketAddr],
