Check a configuration in the platform's format before it is published

Cause: mistakes in a published configuration show only in the log lines of hosts, which leave out entries, or not at all (a route that never matches, a version that hosts ignore).

Change: `waxwingusher check-published FILE [--against FILE] [--format text|json]`. platform::parse_published returns the document with what could not be read, and the line and column of each entry (serde_json's raw_value). config::routing::review finds the mistakes; it shares check_route with the hosts, and severity, suggestions and Diff with `check` and `diff` (Diff::between is now a case of Diff::compare). Exit codes: 0 clean, 1 with any finding, also warnings, 2 if a file cannot be read; changes alone do not count. Keys appear as the beginning of their digests.

--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -57,16 +57,23 @@
     /// Compares two configurations.
     #[must_use]
     pub fn between(old: &Snapshot, new: &Snapshot) -> Self {
-        let old = entries(old);
-        let new = entries(new);
+        Self::compare(&entries(old), &entries(new), Row::fields)
+    }
+
+    /// Compares entries by their names, and those that differ by their fields.
+    pub(crate) fn compare<E: PartialEq>(
+        old: &BTreeMap<String, E>,
+        new: &BTreeMap<String, E>,
+        fields: impl Fn(&E) -> BTreeMap<String, Value>,
+    ) -> Self {
         let mut changes = Vec::new();
-        for (entry, value) in &new {
+        for (entry, value) in new {
             match old.get(entry) {
                 None => changes.push(change_without_fields(ChangeKind::Added, entry)),
                 Some(before) if before != value => changes.push(Change {
                     kind: ChangeKind::Changed,
                     entry: entry.clone(),
-                    fields: changed_fields(&before.fields(), &value.fields()),
+                    fields: changed_fields(&fields(before), &fields(value)),
                 }),
                 Some(_) => {}
             }
--- a/crates/config/src/routing.rs
+++ b/crates/config/src/routing.rs
@@ -6,6 +6,7 @@
 
 mod document;
 mod findings;
+pub mod review;
 mod split;
 mod table;
 
--- a/crates/config/src/routing/document.rs
+++ b/crates/config/src/routing/document.rs
@@ -64,7 +64,8 @@
 }
 
 /// What became of an entry that could not be used as it was published.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum FindingEffect {
     /// The entry was left out.
     LeftOut,
--- a/crates/config/tests/testsuite/main.rs
+++ b/crates/config/tests/testsuite/main.rs
@@ -5,4 +5,5 @@
 mod findings;
 mod packs;
 mod publication;
+mod review;
 mod routing;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bench;
 pub mod check;
+pub mod check_published;
 pub mod collect;
 pub mod demo;
 pub mod diff;
@@ -31,7 +32,7 @@
 use waxwingusher_gateway::GatewayError;
 use waxwingusher_host::HostError;
 use waxwingusher_host::settings::SettingError;
-use waxwingusher_platform::SettingsError;
+use waxwingusher_platform::{ParseError, SettingsError};
 
 /// The exit code for findings or differences, and for failures.
 pub const EXIT_FINDINGS: u8 = 1;
@@ -92,6 +93,14 @@
     /// The settings file of the platform cannot be used.
     #[error(transparent)]
     Platform(#[from] SettingsError),
+    /// A file holds no configuration in the platform's format.
+    #[error("{}: {source}", path.display())]
+    Published {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: ParseError,
+    },
     /// The gateway could not start or stopped with an error.
     #[error(transparent)]
     Gateway(#[from] GatewayError),
@@ -119,9 +128,11 @@
     /// Returns the exit code.
     pub fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Usage(_) | Self::Read { .. } | Self::Settings(_) | Self::Platform(_) => {
-                ExitCode::from(EXIT_USAGE)
-            }
+            Self::Usage(_)
+            | Self::Read { .. }
+            | Self::Published { .. }
+            | Self::Settings(_)
+            | Self::Platform(_) => ExitCode::from(EXIT_USAGE),
             _ => ExitCode::from(EXIT_FINDINGS),
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,8 +8,8 @@
 use argh::FromArgs;
 
 use crate::cmd::{
-    CmdError, Outcome, bench, check, collect, demo, diff, explain, gateway, key, load, serve,
-    status,
+    CmdError, Outcome, bench, check, check_published, collect, demo, diff, explain, gateway, key,
+    load, serve, status,
 };
 
 /// A proxy fleet for upstreams with gray failures.
@@ -25,6 +25,7 @@
 enum Command {
     Bench(bench::BenchArgs),
     Check(check::CheckArgs),
+    CheckPublished(check_published::CheckPublishedArgs),
     Collect(collect::CollectArgs),
     Demo(demo::DemoArgs),
     Diff(diff::DiffArgs),
@@ -41,6 +42,7 @@
         match self {
             Self::Bench(args) => args.run(),
             Self::Check(args) => args.run(),
+            Self::CheckPublished(args) => args.run(),
             Self::Collect(args) => args.run(),
             Self::Demo(args) => args.run(),
             Self::Diff(args) => args.run(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the binary, by concern.
 
+mod check_published;
 mod commands;
 mod crashes;
 mod end_to_end;
