Share load evenly over instances by the age of reports, if settings ask for it

Cause: all hosts act on the same delayed reports, and the moving average of the slowness differs between equal instances by as much as their load does. Change: with load sharing, placement spreads the requests that other hosts have probably sent since the reports over the cheapest instances and draws one of them. Requests leave the domain only when it has no free slot, and remote instances are explored only if their own domain does not. Off unless GatewaySettings::load_sharing is set.

--- a/crates/bench/src/upstreams/mod.rs
+++ b/crates/bench/src/upstreams/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod cost;
 mod curve;
 mod detection;
+mod even_load;
 mod fleet;
 mod pool;
 mod subsets;
@@ -20,5 +21,6 @@
     all.push(Box::new(balance::Balance));
     all.push(Box::new(subsets::Subsets));
     all.push(Box::new(cost::ControlCost));
+    all.extend(even_load::scenarios());
     all
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -377,6 +377,7 @@
             priority: self.priority,
             usual_time: self.request.expected_latency,
             latency_target: self.route.latency_target,
+            load_sharing: self.state.load_sharing(),
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,7 +13,7 @@
 use waxwingusher_limits::{FleetView, ReplicatedLimits, ReplicatedSettings, WaitQueue};
 use waxwingusher_membership::seeded::readers::reader_rank;
 use waxwingusher_membership::seeded::{CrashReport, LeavingInstance, PeerTable, name_hash};
-use waxwingusher_upstreams::{Evidence, PathMonitor, Roster};
+use waxwingusher_upstreams::{Evidence, LoadSharing, PathMonitor, Roster};
 
 use crate::crash_ledger::CrashLedger;
 use crate::declined_peers::DeclinedPeers;
@@ -54,6 +54,8 @@
     pub(crate) dialect: Dialect,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) failure_domain: FailureDomain,
+    /// Whether the deployment asks for even load over instances.
+    shares_load: bool,
     pub(crate) journal: Journal,
     pub(crate) metrics: Metrics,
     pub(crate) routing: RefCell<Option<Arc<RoutingTable>>>,
@@ -105,6 +107,7 @@
             dialect,
             clock,
             failure_domain: settings.failure_domain.clone(),
+            shares_load: settings.load_sharing,
             journal,
             metrics: Metrics::new(),
             routing: RefCell::default(),
@@ -200,6 +203,14 @@
         }
     }
 
+    /// Returns with which hosts this one shares the load of instances evenly, if the
+    /// deployment asks for that.
+    pub(crate) fn load_sharing(&self) -> Option<LoadSharing> {
+        let local_hosts = self.peers.borrow().local_peers().count() + 1;
+        self.shares_load
+            .then(|| LoadSharing::for_hosts(local_hosts))
+    }
+
     /// Returns the number of reachable hosts that read the feed rather than this one.
     pub(crate) fn reader_rank(&self) -> usize {
         let peers = self.peers.borrow();
--- a/crates/upstreams/src/evidence.rs
+++ b/crates/upstreams/src/evidence.rs
@@ -45,6 +45,10 @@
 /// The time constant with which the slowness returns to 1. Without it, an instance
 /// that got one long request would stay without requests, and so without new samples.
 const SLOWNESS_DECAY_TIME: Duration = Duration::from_secs(3);
+/// The same two for the mean slowness. Times of requests vary by about their mean, so a
+/// short average differs between equal instances by as much as their load does.
+const MEAN_SLOWNESS_WEIGHT: f64 = 0.03;
+const MEAN_SLOWNESS_DECAY_TIME: Duration = Duration::from_secs(10);
 /// The age up to which a peer's requests in flight count.
 const PEER_LOAD_MAX_AGE: Duration = Duration::from_secs(3);
 /// The age up to which outcomes in the first report of a peer count.
@@ -115,6 +119,8 @@
     peer_loads: Vec<PeerLoad>,
     /// The moving average of the slowness, as of `slowness_at`.
     slowness: f64,
+    /// The same over more answers, as of `slowness_at`.
+    mean_slowness: f64,
     slowness_at: Option<Instant>,
     /// Whether no connection could be opened. Requests avoid the instance until a
     /// probe connects.
@@ -165,6 +171,7 @@
             peers: HashMap::new(),
             peer_loads: Vec::new(),
             slowness: 1.0,
+            mean_slowness: 1.0,
             slowness_at: None,
             is_path_blocked: false,
             full_until: None,
@@ -206,6 +213,8 @@
     pub in_flight: u32,
     /// The moving average of the ratio of its times to the usual times.
     pub slowness: f64,
+    /// The same over more answers.
+    pub mean_slowness: f64,
 }
 
 impl Evidence {
@@ -437,6 +446,7 @@
                 attempt_age: None,
                 in_flight: 0,
                 slowness: 1.0,
+                mean_slowness: 1.0,
             };
         };
         let risk = estimate.risk(now);
@@ -453,6 +463,7 @@
             attempt_age: age(now, estimate.attempt_at),
             in_flight: estimate.in_flight(now),
             slowness: estimate.slowness(now),
+            mean_slowness: estimate.mean_slowness(now),
         }
     }
 }
@@ -496,14 +507,22 @@
     fn update_slowness(&mut self, now: Instant, slowness: f64) {
         let former = self.slowness(now);
         self.slowness = former + SLOWNESS_WEIGHT * (slowness - former);
+        let former = self.mean_slowness(now);
+        self.mean_slowness = former + MEAN_SLOWNESS_WEIGHT * (slowness - former);
         self.slowness_at = Some(now);
     }
 
     fn slowness(&self, now: Instant) -> f64 {
+        1.0 + (self.slowness - 1.0) * self.slowness_decay(now, SLOWNESS_DECAY_TIME)
+    }
+
+    fn mean_slowness(&self, now: Instant) -> f64 {
+        1.0 + (self.mean_slowness - 1.0) * self.slowness_decay(now, MEAN_SLOWNESS_DECAY_TIME)
+    }
+
+    fn slowness_decay(&self, now: Instant, decay_time: Duration) -> f64 {
         let age = self.slowness_at.map(|at| now.saturating_duration_since(at));
-        let age_s = age.unwrap_or_default().as_secs_f64();
-        let decay = (-age_s / SLOWNESS_DECAY_TIME.as_secs_f64()).exp();
-        1.0 + (self.slowness - 1.0) * decay
+        (-age.unwrap_or_default().as_secs_f64() / decay_time.as_secs_f64()).exp()
     }
 
     fn record_own_failure(&mut self, now: Instant) {
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod floor;
 pub mod host_context;
 pub mod latency;
+pub mod load_estimate;
 pub mod member;
 pub mod paths;
 pub mod placement;
@@ -43,6 +44,7 @@
 };
 pub use evacuation::Evacuations;
 pub use evidence::{Evidence, InstanceHealth, InstanceReport, Observation};
+pub use load_estimate::LoadSharing;
 pub use paths::PathMonitor;
 pub use placement::{Placement, PlacementError, PlacementRequest, place};
 pub use rate_limit::{RateLimit, RateLimitChange};
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -16,6 +16,7 @@
 use waxwingusher_core::{FailureDomain, InstanceId, ServiceName};
 
 use crate::evidence::{Evidence, InstanceHealth};
+use crate::load_estimate::{Candidate, CandidateGroup, LoadSharing};
 use crate::roster::{ListedInstance, Roster};
 
 /// The largest random part of a cost, below every difference that matters.
@@ -48,9 +49,9 @@
 /// The age above which the exploration value grows no more.
 const MAX_EXPLORATION_AGE_S: f64 = 6.0;
 /// The cost of a fully occupied instance over an idle one.
-const LOAD_COST: f64 = 0.15;
+pub(crate) const LOAD_COST: f64 = 0.15;
 /// The cost of waiting in the queue until every slot has been used once.
-const QUEUE_COST: f64 = 1.0;
+pub(crate) const QUEUE_COST: f64 = 1.0;
 /// The cost of an instance that is still slow after its start.
 const COLD_COST: f64 = 0.25;
 /// The cost of an instance that takes twice the usual time.
@@ -69,6 +70,22 @@
 /// The share of the latency target within which a caller that returns to an instance with
 /// a rate limit fares better than at a suspect.
 const MAX_RETURN_SHARE: f64 = 0.5;
+/// The cost of a remote failure domain while load is shared: above the load of a local
+/// instance with a free slot, below that of a local one with a queue.
+const SPILLOVER_COST: f64 = 0.2;
+/// The age of the newest attempt from which a local instance is explored while load is
+/// shared. Below it, exploration would disturb the spread of load.
+const LOCAL_EXPLORATION_AGE: Duration = Duration::from_millis(800);
+/// The same for a remote instance: above the local age and that of remote reports, so
+/// that only a domain whose hosts do not explore it is explored from others. Each
+/// healthy instance must get requests within two seconds.
+const REMOTE_EXPLORATION_AGE: Duration = Duration::from_millis(1_400);
+/// How many requests explore an instance, on average, before other hosts learn of the
+/// first one. With one, an instance stays without requests in two cases of five.
+const MEAN_EXPLORERS: f64 = 3.0;
+/// The ratio to the usual time from which a few answers show a slow instance. Usual
+/// answers exceed it too seldom to disturb the spread of load.
+const MIN_RECENT_SLOWNESS: f64 = 2.0;
 /// The longest queue of an instance, as a multiple of its slots.
 const MAX_QUEUE_ROUNDS: f64 = 2.0;
 
@@ -91,6 +108,9 @@
     pub usual_time: Duration,
     /// The latency within which an answer has its full value.
     pub latency_target: Duration,
+    /// The hosts among which the load is to be shared evenly, if the deployment asks for
+    /// it.
+    pub load_sharing: Option<LoadSharing>,
 }
 
 impl PlacementRequest<'_> {
@@ -196,6 +216,7 @@
     rng: &mut fastrand::Rng,
 ) -> Result<Placement, PlacementError> {
     let mut best: Option<(f64, &ListedInstance, InstanceHealth)> = None;
+    let mut shared = request.load_sharing.map(SharedChoice::new);
     let mut last_resort: Option<(f64, &ListedInstance, InstanceHealth)> = None;
     let mut is_any_healthy = false;
     let mut is_permit_near = false;
@@ -214,13 +235,21 @@
         let cost = cost(now, listed, &health, request) + rng.f64() * MAX_NOISE;
         if is_eligible(listed, &health, request) {
             is_any_healthy |= !health.is_suspect;
-            if has_room(listed, &health, request) {
-                keep_cheapest(&mut best, cost, listed, health);
+            if !has_room(listed, &health, request) {
+                continue;
+            }
+            match &mut shared {
+                Some(shared) => shared.add(now, listed, &health, request),
+                None => keep_cheapest(&mut best, cost, listed, health),
             }
         } else {
             keep_cheapest(&mut last_resort, cost, listed, health);
         }
     }
+    if let Some(shared) = &shared {
+        let chosen = shared.choose(request, rng);
+        best = chosen.map(|listed| (0.0, listed, evidence.health(now, &listed.entry.id)));
+    }
     match best.or(last_resort.filter(|_| !is_any_healthy && !is_permit_near)) {
         Some((_, listed, health)) => Ok(Placement {
             instance: listed.clone(),
@@ -324,3 +353,140 @@
     let age_s = age.map_or(EXPLORATION_AGE_S, |age_s| age_s.min(MAX_EXPLORATION_AGE_S));
     failure_cost - exploration_value * age_s / EXPLORATION_AGE_S
 }
+
+/// The candidates of one failure domain or of all remote ones.
+#[derive(Debug, Default)]
+struct SharedGroup<'a> {
+    candidates: CandidateGroup,
+    listed: Vec<&'a ListedInstance>,
+    /// The instances that should be explored, with the cost of doing so.
+    due: Vec<(f64, usize)>,
+}
+
+/// A choice while load is shared evenly.
+#[derive(Debug)]
+struct SharedChoice<'a> {
+    sharing: LoadSharing,
+    local: SharedGroup<'a>,
+    remote: SharedGroup<'a>,
+}
+
+impl<'a> SharedChoice<'a> {
+    fn new(sharing: LoadSharing) -> Self {
+        Self {
+            sharing,
+            local: SharedGroup::default(),
+            remote: SharedGroup::default(),
+        }
+    }
+
+    fn add(
+        &mut self,
+        now: Instant,
+        listed: &'a ListedInstance,
+        health: &InstanceHealth,
+        request: &PlacementRequest<'_>,
+    ) {
+        let is_remote = listed.entry.failure_domain != *request.failure_domain;
+        let (group, min_age) = if is_remote {
+            (&mut self.remote, REMOTE_EXPLORATION_AGE)
+        } else {
+            (&mut self.local, LOCAL_EXPLORATION_AGE)
+        };
+        let mut base_cost = shared_slowness_cost(health);
+        if now < listed.warm_at {
+            base_cost += COLD_COST;
+        }
+        let is_due = health.attempt_age.is_none_or(|age| age >= min_age);
+        if is_due && health.in_flight < listed.entry.slots {
+            let load = LOAD_COST * occupancy(listed, health);
+            let cost = base_cost + load + risk_cost(health, request.can_retry());
+            group.due.push((cost, group.listed.len()));
+        }
+        if is_remote {
+            base_cost += SPILLOVER_COST;
+        }
+        let failure_cost = if request.can_retry() {
+            RETRYABLE_FAILURE_COST
+        } else {
+            1.0
+        };
+        group.candidates.push(Candidate {
+            base_cost: base_cost + failure_cost * health.risk,
+            slots: listed.entry.slots,
+            in_flight: health.in_flight,
+        });
+        group.listed.push(listed);
+    }
+
+    fn choose(
+        &self,
+        request: &PlacementRequest<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> Option<&'a ListedInstance> {
+        let (local, remote) = (&self.local.candidates, &self.remote.candidates);
+        let (local_age, remote_age) = (
+            self.sharing.local_report_age,
+            self.sharing.remote_report_age,
+        );
+        let usual_time = request.usual_time;
+        let share_of_others = self.sharing.share_of_others();
+        let local_cost = local.least_cost();
+        let remote_cost = remote.least_cost();
+        let least_cost = local_cost
+            .unwrap_or(f64::INFINITY)
+            .min(remote_cost.unwrap_or(f64::INFINITY));
+        let local_arrivals = local.arrivals(local_age, usual_time) * share_of_others;
+        let remote_arrivals =
+            local.arrivals(remote_age, usual_time) + remote.arrivals(remote_age, usual_time);
+        let explored = self.local.explore(least_cost, local_arrivals, rng);
+        let explored = explored.or_else(|| self.remote.explore(least_cost, remote_arrivals, rng));
+        if explored.is_some() {
+            return explored;
+        }
+        // A local instance with a free slot is cheaper than any remote one that is as
+        // healthy, so the draw among remote ones is mostly not needed.
+        let is_local_cheapest = match (local_cost, remote_cost) {
+            (Some(local), Some(remote)) => local <= remote,
+            (local, _) => local.is_some(),
+        };
+        let remote_draw = if is_local_cheapest {
+            None
+        } else {
+            remote.draw(remote.unseen_requests(remote_age, usual_time), rng)
+        };
+        if let Some(draw) = remote_draw
+            && local_cost.is_none_or(|cost| cost > draw.level)
+        {
+            return self.remote.listed.get(draw.index).copied();
+        }
+        let unseen = local.unseen_requests(local_age, usual_time) * share_of_others;
+        let draw = local.draw(unseen, rng)?;
+        self.local.listed.get(draw.index).copied()
+    }
+}
+
+impl<'a> SharedGroup<'a> {
+    /// Chooses an instance that should be explored and costs less than `max_cost`, so
+    /// seldom that few of the requests that arrive before the next reports explore it.
+    fn explore(
+        &self,
+        max_cost: f64,
+        arrivals: f64,
+        rng: &mut fastrand::Rng,
+    ) -> Option<&'a ListedInstance> {
+        let due = self.due.iter().filter(|(cost, _)| *cost < max_cost);
+        let count = due.clone().count();
+        if count == 0 || rng.f64() * (1.0 + arrivals) >= MEAN_EXPLORERS * count as f64 {
+            return None;
+        }
+        let (_, index) = due.clone().nth(rng.usize(..count))?;
+        self.listed.get(*index).copied()
+    }
+}
+
+/// Returns the cost of slowness by many answers, or by a few if they took very long.
+fn shared_slowness_cost(health: &InstanceHealth) -> f64 {
+    let excess = (health.mean_slowness - 1.0).max(health.slowness - MIN_RECENT_SLOWNESS);
+    (SLOWNESS_COST * excess).clamp(0.0, MAX_SLOWNESS_COST)
+}
--- a/crates/upstreams/tests/testsuite/answer_times.rs
+++ b/crates/upstreams/tests/testsuite/answer_times.rs
@@ -6,7 +6,7 @@
 
 use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName};
 use waxwingusher_upstreams::{
-    Evidence, Observation, PlacementRequest, Roster, RosterEntry, RosterState, place,
+    Evidence, LoadSharing, Observation, PlacementRequest, Roster, RosterEntry, RosterState, place,
 };
 
 const DOMAINS: [&str; 2] = ["north", "south"];
@@ -71,10 +71,11 @@
     /// When each instance got its requests.
     arrivals: Vec<Vec<Instant>>,
     rng: fastrand::Rng,
+    load_sharing: Option<LoadSharing>,
 }
 
 impl Simulation {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, load_sharing: Option<LoadSharing>) -> Self {
         let start = Instant::now();
         let ids: Vec<InstanceId> = (0..INSTANCES)
             .map(|number| InstanceId::new(&format!("i-{number}")))
@@ -107,6 +108,7 @@
             running: Vec::new(),
             arrivals: vec![Vec::new(); INSTANCES],
             rng: fastrand::Rng::with_seed(seed),
+            load_sharing,
         }
     }
 
@@ -158,6 +160,7 @@
             priority: 0,
             usual_time: kind.usual_time,
             latency_target: LATENCY_TARGET,
+            load_sharing: self.load_sharing,
         };
         let evidence = &self.hosts[host].evidence;
         let Ok(placement) = place(self.now, &self.roster, evidence, &request, &mut self.rng) else {
@@ -242,8 +245,19 @@
 /// newest outcomes were recent, as earlier answers still arrived.
 #[test]
 fn sound_instances_are_not_left_idle_while_their_earlier_answers_arrive() {
+    check_least_share_in_use(None);
+}
+
+/// Guards against sound instances without requests while load is shared over hosts in
+/// several failure domains.
+#[test]
+fn sound_instances_stay_in_use_while_load_is_shared() {
+    check_least_share_in_use(Some(LoadSharing::for_hosts(HOSTS_PER_DOMAIN)));
+}
+
+fn check_least_share_in_use(load_sharing: Option<LoadSharing>) {
     for seed in 0..10 {
-        let mut simulation = Simulation::new(seed);
+        let mut simulation = Simulation::new(seed, load_sharing);
         simulation.run(Duration::from_secs(60));
         let least = simulation.least_share_in_use();
         assert!(least >= FLOOR_SHARE, "seed {seed}: {least:.2}");
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod evidence;
 mod fleet;
 mod floor;
+mod load_estimate;
 mod paths;
 mod placement;
 mod rate_limit;
--- a/crates/upstreams/tests/testsuite/placement.rs
+++ b/crates/upstreams/tests/testsuite/placement.rs
@@ -8,8 +8,8 @@
 use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName};
 use waxwingusher_upstreams::placement::exclusions;
 use waxwingusher_upstreams::{
-    Evidence, Observation, Placement, PlacementError, PlacementRequest, RateLimit, RateLimitChange,
-    Roster, RosterEntry, RosterState, place,
+    Evidence, LoadSharing, Observation, Placement, PlacementError, PlacementRequest, RateLimit,
+    RateLimitChange, Roster, RosterEntry, RosterState, place,
 };
 
 const SLOTS: u32 = 4;
@@ -35,6 +35,7 @@
     now: Instant,
     priority: u32,
     attempts_left: u32,
+    load_sharing: Option<LoadSharing>,
 }
 
 impl TestHost {
@@ -49,6 +50,7 @@
             now,
             priority: 0,
             attempts_left: 2,
+            load_sharing: None,
         }
     }
 
@@ -66,6 +68,7 @@
             priority: self.priority,
             usual_time: Duration::from_millis(200),
             latency_target: Duration::from_millis(400),
+            load_sharing: self.load_sharing,
         };
         place(
             self.now,
@@ -278,7 +281,7 @@
 /// as healthy from 2 s after its last failure on.
 #[test]
 fn seven_in_ten_healthy_instances_get_requests_in_two_seconds_at_light_load() {
-    check_share_of_healthy_instances_in_use(|number| number % 3 == 0, false);
+    check_share_of_healthy_instances_in_use(|number| number % 3 == 0, false, None);
 }
 
 /// Requests of a service without retryable ones crowded on the instances that had just
@@ -286,13 +289,23 @@
 /// used, got no request for 2 s while those in use had queues (further-grown trouble-1).
 #[test]
 fn healthy_instances_stay_in_use_by_requests_that_cannot_be_retried() {
-    check_share_of_healthy_instances_in_use(|_| false, true);
+    check_share_of_healthy_instances_in_use(|_| false, true, None);
+}
+
+/// Guards against instances without requests while load is shared: half of them are in a
+/// failure domain without hosts.
+#[test]
+fn healthy_instances_stay_in_use_at_light_load_while_load_is_shared() {
+    let sharing = Some(LoadSharing::for_hosts(8));
+    check_share_of_healthy_instances_in_use(|number| number % 3 == 0, false, sharing);
+    check_share_of_healthy_instances_in_use(|_| false, true, sharing);
 }
 
 /// Checks that seven in ten healthy instances get requests in each span of two seconds.
 fn check_share_of_healthy_instances_in_use(
     is_idempotent: impl Fn(usize) -> bool,
     all_have_succeeded: bool,
+    load_sharing: Option<LoadSharing>,
 ) {
     const HOSTS: usize = 8;
     const STEP: Duration = Duration::from_millis(40);
@@ -311,6 +324,9 @@
             .collect()
     };
     let mut hosts: Vec<TestHost> = (0..HOSTS).map(|_| TestHost::new(entries())).collect();
+    for host in &mut hosts {
+        host.load_sharing = load_sharing;
+    }
     let unhealthy = ["i-1", "i-4", "i-7", "i-8", "i-11"];
     if all_have_succeeded {
         for id in ids.iter().cycle().take(2 * ids.len()) {
@@ -409,6 +425,7 @@
         priority: 0,
         usual_time: Duration::from_millis(200),
         latency_target: Duration::from_millis(400),
+        load_sharing: None,
     };
     let counts = exclusions(host.now, &host.roster, &host.evidence, &request);
     assert_eq!(counts.back_off, 2);
