Count bytes by kind of traffic and failure domain

Cause: bytes between failure domains are charged, and no metric showed which traffic causes them. Change: metrics peer_bytes_total, peer_datagrams_total and instance_bytes_total with the kind and whether the destination is local.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::answer::Answer;
 use crate::in_flight::InFlightGuard;
 use crate::journal::Event;
+use crate::metrics::TrafficScope;
 use crate::ports::Dialect;
 use crate::state::State;
 use crate::units::{header_value, millis, to_hundredths};
@@ -123,9 +124,15 @@
         body: request.body.clone(),
         may_reuse,
     };
+    let scope = TrafficScope::from_is_local(entry.failure_domain == state.failure_domain);
+    let metrics = &state.metrics;
+    metrics.record_instance_bytes("request", scope, call.bytes());
     let guard = InFlightGuard::start(state, &entry.id);
     let mut record = AttemptRecord::start(state, request, placement, number);
     let result = await_call(state.pool.call(call), &guard, request).await;
+    if let Ok(answer) = &result {
+        metrics.record_instance_bytes("answer", scope, answer.bytes());
+    }
     record_path(state, &entry.id, &result);
     let notice = InstanceNotice::of(&state.dialect, &result);
     let outcome = classify(state, &request.request_id, result);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,36 @@
     change: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TrafficLabels {
+    kind: String,
+    domain: String,
+}
+
+/// Whether traffic stays in this host's failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrafficScope {
+    /// The destination is in the same failure domain.
+    Local,
+    /// The destination is in another failure domain, or its domain is not known.
+    Remote,
+}
+
+impl TrafficScope {
+    /// Returns the scope of a destination by whether it is known to be local.
+    #[must_use]
+    pub fn from_is_local(is_local: bool) -> Self {
+        if is_local { Self::Local } else { Self::Remote }
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            Self::Local => "local",
+            Self::Remote => "remote",
+        }
+    }
+}
+
 /// The metrics of one host.
 pub struct Metrics {
     registry: Registry,
@@ -58,6 +88,9 @@
     takeovers: Family<OutcomeLabels, Counter>,
     findings: Family<FindingLabels, Counter>,
     evacuations: Family<ChangeLabels, Counter>,
+    peer_bytes: Family<TrafficLabels, Counter>,
+    peer_datagrams: Family<TrafficLabels, Counter>,
+    instance_bytes: Family<TrafficLabels, Counter>,
     config_version: Gauge,
     in_flight: Gauge,
     reachable_hosts: Gauge,
@@ -77,6 +110,9 @@
         let takeovers = Family::default();
         let findings = Family::default();
         let evacuations = Family::default();
+        let peer_bytes = Family::default();
+        let peer_datagrams = Family::default();
+        let instance_bytes = Family::default();
         let config_version = Gauge::default();
         let in_flight = Gauge::default();
         let reachable_hosts = Gauge::default();
@@ -114,6 +150,21 @@
             "Orders to evacuate a failure domain that came into force or were taken back",
             evacuations.clone(),
         );
+        registry.register(
+            "peer_bytes",
+            "Bytes of messages to other hosts, without headers of datagrams",
+            peer_bytes.clone(),
+        );
+        registry.register(
+            "peer_datagrams",
+            "Messages to other hosts",
+            peer_datagrams.clone(),
+        );
+        registry.register(
+            "instance_bytes",
+            "Bytes of bodies and headers of requests to instances and of their answers",
+            instance_bytes.clone(),
+        );
         registry.register(
             "config_version",
             "Configuration in force",
@@ -140,6 +191,9 @@
             takeovers,
             findings,
             evacuations,
+            peer_bytes,
+            peer_datagrams,
+            instance_bytes,
             config_version,
             in_flight,
             reachable_hosts,
@@ -202,6 +256,27 @@
             .inc();
     }
 
+    /// Records a message of a kind that was sent to a peer.
+    pub fn record_peer_message(&self, kind: &str, scope: TrafficScope, bytes: usize) {
+        let labels = TrafficLabels {
+            kind: kind.to_owned(),
+            domain: scope.label().to_owned(),
+        };
+        self.peer_datagrams.get_or_create(&labels).inc();
+        self.peer_bytes.get_or_create(&labels).inc_by(bytes as u64);
+    }
+
+    /// Records the bytes of a request to an instance or of its answer.
+    pub fn record_instance_bytes(&self, kind: &str, scope: TrafficScope, bytes: usize) {
+        let labels = TrafficLabels {
+            kind: kind.to_owned(),
+            domain: scope.label().to_owned(),
+        };
+        self.instance_bytes
+            .get_or_create(&labels)
+            .inc_by(bytes as u64);
+    }
+
     /// Sets the gauges and renders all metrics as text.
     ///
     /// # Errors
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -33,6 +33,8 @@
 /// How long a connection may be idle and still be reused: instances close idle
 /// connections without notice.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(1_500);
+/// The bytes around the name and the value of a header.
+const HEADER_SEPARATOR_BYTES: usize = 4;
 /// Idle connections that are kept for one instance.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
@@ -48,6 +50,14 @@
     pub(crate) may_reuse: bool,
 }
 
+impl Call {
+    /// Returns the size of the head and the body.
+    pub(crate) fn bytes(&self) -> usize {
+        let line = self.method.as_str().len() + self.target.len();
+        line + header_bytes(&self.headers) + self.body.len()
+    }
+}
+
 /// A complete answer of an instance.
 #[derive(Debug, Clone)]
 pub(crate) struct InstanceAnswer {
@@ -58,6 +68,22 @@
     pub(crate) is_connection_new: bool,
 }
 
+impl InstanceAnswer {
+    /// Returns the size of the head and the body.
+    pub(crate) fn bytes(&self) -> usize {
+        header_bytes(&self.headers) + self.body.len()
+    }
+}
+
+/// Returns the size of headers as they are sent, each with a colon, a space and the end
+/// of its line.
+fn header_bytes(headers: &HeaderMap) -> usize {
+    let headers = headers.iter();
+    headers
+        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_SEPARATOR_BYTES)
+        .sum()
+}
+
 /// The call gave no complete answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum CallError {
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -2,9 +2,11 @@
 
 use std::net::UdpSocket;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crate::harness::{Instance, TestHost, answer_with_proof, request};
+use crate::harness::{
+    Instance, StaticSource, TestHost, answer_with_proof, document, request, roster,
+};
 
 const GRACE: Duration = Duration::from_secs(1);
 const DATAGRAMS: usize = 3_000;
@@ -40,3 +42,35 @@
     let (status, _) = host.get_status("/ready");
     assert_eq!(status, 200);
 }
+
+/// The bytes between failure domains are charged; without counters by kind it is not
+/// known which traffic causes them.
+#[test]
+fn bytes_are_counted_by_kind_and_failure_domain() {
+    let instance = Instance::start(Arc::new(|request, _| {
+        answer_with_proof(request, "200 OK", "done")
+    }));
+    let source = || StaticSource {
+        document: document(),
+        roster: roster(&[&instance]),
+    };
+    let first = TestHost::start_with_seeds(&[], source(), GRACE);
+    let second = TestHost::start_with_seeds(&[first.peer_addr], source(), GRACE);
+    let reply = second.send(&request("GET", "/read/1", "a", ""));
+    assert_eq!(reply.status, 200);
+    let kinds = [
+        "peer_bytes_total{kind=\"hello\",domain=\"local\"}",
+        "peer_datagrams_total{kind=\"report\",domain=\"local\"}",
+        "instance_bytes_total{kind=\"request\",domain=\"local\"}",
+        "instance_bytes_total{kind=\"answer\",domain=\"local\"}",
+    ];
+    let deadline = Instant::now() + Duration::from_secs(5);
+    loop {
+        let text = second.get_status("/metrics").1;
+        if kinds.iter().all(|kind| text.contains(kind)) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{text}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
