--- a/crates/bench/src/upstreams/mod.rs
+++ b/crates/bench/src/upstreams/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod cost;
 mod curve;
 mod detection;
+mod even_load;
 mod fleet;
 mod placement_time;
 mod pool;
@@ -22,5 +23,6 @@
     all.push(Box::new(subsets::Subsets));
     all.push(Box::new(cost::ControlCost));
     all.push(Box::new(placement_time::PlacementTime));
+    all.extend(even_load::scenarios());
     all
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -419,6 +419,7 @@
             usual_time: self.request.expected_latency,
             latency_target: self.route.latency_target,
             room: self.room(),
+            load_sharing: self.state.load_sharing(),
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,7 +13,9 @@
 use waxwingusher_limits::{FairShares, FleetView, ReplicatedLimits, ReplicatedSettings, WaitQueue};
 use waxwingusher_membership::seeded::readers::reader_rank;
 use waxwingusher_membership::seeded::{CrashReport, LeavingInstance, PeerTable, name_hash};
-use waxwingusher_upstreams::{Evidence, PathMonitor, Roster, RosterEntry, ScarcityMonitor};
+use waxwingusher_upstreams::{
+    Evidence, LoadSharing, PathMonitor, Roster, RosterEntry, ScarcityMonitor,
+};
 
 use crate::cold_instances::ColdInstances;
 use crate::crash_ledger::CrashLedger;
@@ -223,6 +225,14 @@
         }
     }
 
+    /// Returns with which hosts this one shares the load of instances evenly, if the
+    /// deployment asks for that.
+    pub(crate) fn load_sharing(&self) -> Option<LoadSharing> {
+        let local_hosts = self.peers.borrow().local_peers().count() + 1;
+        self.load_sharing
+            .then(|| LoadSharing::for_hosts(local_hosts))
+    }
+
     /// Returns the number of reachable hosts of this build that read the feed rather than
     /// this one. Hosts of earlier builds have readers of their own.
     pub(crate) fn reader_rank(&self) -> usize {
--- a/crates/gateway/tests/testsuite/domain_returns.rs
+++ b/crates/gateway/tests/testsuite/domain_returns.rs
@@ -96,6 +96,7 @@
     fn send(&mut self, host: usize) {
         let (service, domain) = (ServiceName::new("svc"), FailureDomain::new("north"));
         let request = PlacementRequest {
+            load_sharing: None,
             room: None,
             service: &service,
             is_idempotent: false,
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod floor;
 pub mod host_context;
 pub mod latency;
+pub mod load_estimate;
 pub mod member;
 pub mod paths;
 pub mod placement;
@@ -47,6 +48,7 @@
 pub use cold_start::{ColdCause, ColdLimit, ColdPolicy};
 pub use evacuation::Evacuations;
 pub use evidence::{Evidence, InstanceHealth, InstanceReport, Observation, PermitReason};
+pub use load_estimate::LoadSharing;
 pub use paths::PathMonitor;
 pub use placement::{Placement, PlacementError, PlacementRequest, place};
 pub use rate_limit::{RateLimit, RateLimitChange};
--- a/crates/upstreams/tests/testsuite/scarcity_fleet.rs
+++ b/crates/upstreams/tests/testsuite/scarcity_fleet.rs
@@ -406,6 +406,7 @@
             &self.roster,
             &host.evidence,
             &PlacementRequest {
+                load_sharing: None,
                 allowed_domains: None,
                 service: &self.service,
                 is_idempotent: self.settings.kinds[request.kind].is_idempotent,
