Test second attempts at cold instances, and 300 hosts that start alone

Cause: no test noticed a second attempt beside the first that needs no permit; with it, a cold instance gets 24 requests in a second (allowed 12.95). Change: a test in which all requests of a warm instance are overdue at once; the schedules of cold instances take the fleet size as a parameter.

--- a/crates/gateway/tests/testsuite/cold_instances.rs
+++ b/crates/gateway/tests/testsuite/cold_instances.rs
@@ -131,6 +131,33 @@
     assert!(cold.request_count() > 0);
 }
 
+/// Guards against second attempts beside the first that pass over the limit: the warm
+/// instance answers so late that all of its requests are overdue at once.
+#[test]
+fn second_attempts_beside_the_first_go_to_no_cold_instance() {
+    /// Longer than the time after which a request of the route is overdue (2.6 s).
+    const ANSWER_TIME: Duration = Duration::from_millis(3_300);
+    const REQUESTS: usize = 24;
+    let slow = Instance::start(Arc::new(|request, _| {
+        std::thread::sleep(ANSWER_TIME);
+        answer_with_proof(request, "200 OK", "done")
+    }));
+    let cold = healthy();
+    let mut entries = entries(&[&cold, &slow], 1);
+    entries[1].slots = 100;
+    let host = start(&[], &entries);
+    std::thread::sleep(LEARNING_TIME);
+    std::thread::scope(|scope| {
+        for number in 0..REQUESTS {
+            let host = &host;
+            scope.spawn(move || host.send(&request("GET", "/read/1", &format!("r{number}"), "")));
+        }
+    });
+    let at_slow = slow.request_count();
+    assert!(at_slow >= 14, "{at_slow} requests were overdue");
+    check_bound(&cold);
+}
+
 /// Guards against requests that wait for a permit, or are told a wrong time.
 #[test]
 fn a_service_whose_instances_are_all_cold_refuses_at_once_with_the_time_of_a_permit() {
--- a/crates/gateway/tests/testsuite/cold_schedules.rs
+++ b/crates/gateway/tests/testsuite/cold_schedules.rs
@@ -14,6 +14,8 @@
 
 const STEP: Duration = Duration::from_millis(20);
 const HOSTS: usize = 129;
+/// The largest fleets, the size that a host assumes until it knows its own.
+const MOST_HOSTS: usize = 300;
 /// The window of the users' bound, the factor and the requests that it allows.
 const WINDOW: Duration = Duration::from_secs(1);
 const OVERSHOOT: f64 = 1.5;
@@ -42,12 +44,12 @@
 }
 
 impl SimulatedHost {
-    fn new(now: Instant) -> Self {
+    fn new(now: Instant, fleet_size: usize) -> Self {
         Self {
             issuer: PermitIssuer::default(),
             started_at: now,
             first_peer_at: None,
-            known: vec![false; HOSTS],
+            known: vec![false; fleet_size],
             denied_until: now,
             asks_at: now,
         }
@@ -70,8 +72,8 @@
 }
 
 fn addr(host: usize) -> SocketAddr {
-    let number = u8::try_from(host).expect("few hosts");
-    SocketAddr::from(([10, 0, 0, number], 1))
+    let port = u16::try_from(host + 1).expect("few hosts");
+    SocketAddr::from(([10, 0, 0, 1], port))
 }
 
 fn count(number: usize) -> f64 {
@@ -80,14 +82,15 @@
 
 impl Simulation {
     /// Creates a fleet whose hosts all start now, and reach each other.
-    fn new(rate_per_s: f64, seed: u64) -> Self {
+    fn new(fleet_size: usize, rate_per_s: f64, seed: u64) -> Self {
+        let host = |now| SimulatedHost::new(now, fleet_size);
         let now = Instant::now();
         Self {
             id: InstanceId::new(&format!("i-{seed}")),
             rate_per_s,
-            hosts: (0..HOSTS).map(|_| SimulatedHost::new(now)).collect(),
-            parts: vec![0; HOSTS],
-            former_parts: vec![0; HOSTS],
+            hosts: (0..fleet_size).map(|_| host(now)).collect(),
+            parts: vec![0; fleet_size],
+            former_parts: vec![0; fleet_size],
             split_at: now,
             started_at: now,
             now,
@@ -116,8 +119,8 @@
 
     /// Lets the hosts learn of the peers whose messages arrive.
     fn learn(&mut self) {
-        for host in 0..HOSTS {
-            for other in 0..HOSTS {
+        for host in 0..self.hosts.len() {
+            for other in 0..self.hosts.len() {
                 let has_heard = |start: Instant| self.now >= start + BACK_AFTER;
                 let may_hear = self.parts[host] == self.parts[other]
                     && has_heard(self.split_at)
@@ -135,15 +138,15 @@
     }
 
     fn issuer_of(&self, host: usize) -> usize {
-        let others = (0..HOSTS).filter(|other| *other != host);
+        let others = (0..self.hosts.len()).filter(|other| *other != host);
         let reachable = others.filter(|other| self.believes_reachable(host, *other));
         let issuer = permit_issuer(name_hash(self.id.as_str()), addr(host), reachable.map(addr));
-        let found = (0..HOSTS).find(|other| addr(*other) == issuer);
+        let found = (0..self.hosts.len()).find(|other| addr(*other) == issuer);
         found.expect("the issuer is a host")
     }
 
     fn view(&self, host: usize) -> FleetView {
-        let others = (0..HOSTS).filter(|other| *other != host);
+        let others = (0..self.hosts.len()).filter(|other| *other != host);
         let known = self.hosts[host].known.iter();
         let known_hosts = match known.filter(|is_known| **is_known).count() {
             0 => ASSUMED_HOSTS,
@@ -189,7 +192,7 @@
     }
 
     fn restart(&mut self, host: usize) {
-        self.hosts[host] = SimulatedHost::new(self.now);
+        self.hosts[host] = SimulatedHost::new(self.now, self.hosts.len());
     }
 
     fn split(&mut self, parts: usize) {
@@ -202,14 +205,14 @@
 
     fn run(&mut self, time: Duration) {
         let until = self.now + time;
-        let mean_interval_s = count(HOSTS) / (DEMAND * self.rate_per_s);
+        let mean_interval_s = count(self.hosts.len()) / (DEMAND * self.rate_per_s);
         while self.now < until {
             self.now += STEP;
             let elapsed_ms = (self.now - self.started_at).as_millis();
             if elapsed_ms.is_multiple_of(100) {
                 self.learn();
             }
-            for host in 0..HOSTS {
+            for host in 0..self.hosts.len() {
                 if self.hosts[host].asks_at > self.now {
                     continue;
                 }
@@ -220,7 +223,7 @@
                 }
             }
             if elapsed_ms.is_multiple_of(MAINTENANCE_INTERVAL.as_millis()) {
-                for host in 0..HOSTS {
+                for host in 0..self.hosts.len() {
                     if self.issuer_of(host) != host {
                         self.hosts[host].issuer = PermitIssuer::default();
                     }
@@ -262,7 +265,7 @@
 fn hosts_that_start_together_keep_the_cold_rate() {
     for seed in seeds() {
         for rate_per_s in rates() {
-            let mut simulation = Simulation::new(rate_per_s, seed);
+            let mut simulation = Simulation::new(HOSTS, rate_per_s, seed);
             simulation.run(Duration::from_secs(6));
             simulation.check(seed);
         }
@@ -274,7 +277,7 @@
 fn hosts_that_start_alone_and_meet_later_keep_the_cold_rate() {
     for seed in seeds() {
         for rate_per_s in rates() {
-            let mut simulation = Simulation::new(rate_per_s, seed);
+            let mut simulation = Simulation::new(HOSTS, rate_per_s, seed);
             simulation.split(1_000);
             simulation.former_parts.clone_from(&simulation.parts);
             simulation.run(Duration::from_secs(4));
@@ -285,13 +288,25 @@
     }
 }
 
+/// Guards against the largest fleet, of which each host assumes that it is alone.
+#[test]
+fn hosts_of_the_largest_fleet_that_start_alone_keep_the_cold_rate() {
+    for rate_per_s in rates() {
+        let mut simulation = Simulation::new(MOST_HOSTS, rate_per_s, 1);
+        simulation.split(100_000);
+        simulation.former_parts.clone_from(&simulation.parts);
+        simulation.run(Duration::from_secs(4));
+        simulation.check(1);
+    }
+}
+
 /// Guards against hosts that are cut off together, or keep what they have saved until they
 /// come back together.
 #[test]
 fn hosts_that_are_split_restarted_and_joined_keep_the_cold_rate() {
     for seed in seeds() {
         for rate_per_s in rates() {
-            let mut simulation = Simulation::new(rate_per_s, seed);
+            let mut simulation = Simulation::new(HOSTS, rate_per_s, seed);
             simulation.run(Duration::from_secs(4));
             for _ in 0..4 {
                 let parts = match simulation.rng.u8(..4) {
@@ -320,7 +335,7 @@
 fn a_cold_instance_gets_its_rate_from_a_fleet_that_is_whole() {
     const TIME: Duration = Duration::from_secs(20);
     for rate_per_s in rates() {
-        let mut simulation = Simulation::new(rate_per_s, 1);
+        let mut simulation = Simulation::new(HOSTS, rate_per_s, 1);
         simulation.run(Duration::from_secs(12));
         let before = simulation.arrivals.len();
         simulation.run(TIME);
