List stale pages of different ages in the fault soak

Cause: hosts of the soak listed pages without any age, so that its restarts did not test the listing. Change: its stale pages lag by 0, 6, 2 and 20 changes in turn.

--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -16,7 +16,7 @@
     COLD_RETURN, DOMAINS, Fault, draw_faults, draw_limits, draw_operations, operations_in_series,
 };
 use crate::proxy::{PathState, Proxy};
-use crate::store::{Mode, TestStore, config, instance};
+use crate::store::{Mode, StalePages, TestStore, config, instance};
 use crate::timeline::{COLD_PER_S, COLD_START, Condition, Timeline};
 
 const HOSTS: usize = 4;
@@ -35,6 +35,8 @@
 const QUOTA_WINDOW: Duration = Duration::from_secs(5);
 const QUOTA_TOLERANCE_RATIO: f64 = 0.25;
 const QUOTA_TOLERANCE_RUNS: f64 = 20.0;
+/// By how many changes the stale pages lag that hosts read at their start, in turn.
+const STALE_PAGE_LAGS: [u64; 4] = [0, 6, 2, 20];
 /// How long requests in flight at the end may still reach instances.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// How long the fleet may take to serve its first requests.
@@ -190,6 +192,10 @@
         options: SoakOptions,
     ) -> Self {
         let store = TestStore::start();
+        store.set_stale_pages(StalePages {
+            lags: STALE_PAGE_LAGS.to_vec(),
+            ..StalePages::default()
+        });
         let dir =
             std::env::temp_dir().join(format!("waxwingusher-soak-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a writable directory");
