Test that a dead root keeps no change from its domain

Cause: of eleven faults put into the code on purpose, the tests noticed all but one: that a reader sends in one of the two trees only.

Change: a test with a dead root, which fails with that fault.

--- a/crates/gateway/tests/testsuite/distribution_schedules.rs
+++ b/crates/gateway/tests/testsuite/distribution_schedules.rs
@@ -770,8 +770,8 @@
     }
 }
 
-/// A configuration that changes as a whole is requested in chunks: 1,000 keys, 32 KB each,
-/// do not compress.
+/// Each host read a configuration of more than 48 KB from the store. The digests of 1,000
+/// keys, of 32 bytes each, do not compress.
 #[test]
 fn a_configuration_without_a_delta_is_in_force_in_time() {
     for hosts in [32, 100, 300] {
--- a/crates/gateway/tests/testsuite/feed_exchange.rs
+++ b/crates/gateway/tests/testsuite/feed_exchange.rs
@@ -306,6 +306,30 @@
     assert_eq!(hosts[&late].removed, [InstanceId::new("i-1")]);
 }
 
+/// All hosts of a domain depended on one relay. Before a host notices that something is
+/// missing, the other tree has brought it.
+#[test]
+fn a_dead_root_keeps_no_change_from_the_others() {
+    for tree in [0, 1] {
+        let mut now = Instant::now();
+        let mut hosts = fleet(now, 60);
+        let dead = hosts[&addr(0)].view.local.root(tree).expect("a root");
+        let reader = hosts.keys().find(|host| {
+            let local = &hosts[*host].view.local;
+            (0..2).all(|tree| local.root(tree) != Some(**host))
+        });
+        let reader = *reader.expect("a host that is no root");
+        let host = hosts.get_mut(&reader).expect("a host");
+        host.read(now, vec![removal(1)]);
+        let time = Duration::from_millis(40);
+        run(&mut hosts, &mut now, time, |to, _| to == dead);
+        for (addr, host) in &hosts {
+            let is_removed = host.removed == [InstanceId::new("i-1")];
+            assert_eq!(is_removed, *addr != dead, "{addr}, root of tree {tree}");
+        }
+    }
+}
+
 /// One answer to a host that has missed much would fill the link of its sender. The host
 /// asks for the rest without the delays that follow requests in vain.
 #[test]
