--- a/crates/gateway/tests/testsuite/feed_exchange.rs
+++ b/crates/gateway/tests/testsuite/feed_exchange.rs
@@ -306,6 +306,69 @@
     assert_eq!(hosts[&late].removed, [InstanceId::new("i-1")]);
 }
 
+/// All hosts of a domain depended on one relay. Before a host notices that something is
+/// missing, the other tree has brought it.
+#[test]
+fn a_dead_root_keeps_no_change_from_the_others() {
+    for tree in [0, 1] {
+        let mut now = Instant::now();
+        let mut hosts = fleet(now, 60);
+        let dead = hosts[&addr(0)].view.local.root(tree).expect("a root");
+        let reader = hosts.keys().find(|host| {
+            let local = &hosts[*host].view.local;
+            (0..2).all(|tree| local.root(tree) != Some(**host))
+        });
+        let reader = *reader.expect("a host that is no root");
+        let host = hosts.get_mut(&reader).expect("a host");
+        host.read(now, vec![removal(1)]);
+        let time = Duration::from_millis(40);
+        run(&mut hosts, &mut now, time, |to, _| to == dead);
+        for (addr, host) in &hosts {
+            let is_removed = host.removed == [InstanceId::new("i-1")];
+            assert_eq!(is_removed, *addr != dead, "{addr}, root of tree {tree}");
+        }
+    }
+}
+
+/// One answer to a host that has missed much would fill the link of its sender. The host
+/// asks for the rest without the delays that follow requests in vain.
+#[test]
+fn a_host_that_has_missed_much_gets_it_in_several_answers() {
+    const MAX_PARTS: usize = 16;
+    let mut now = Instant::now();
+    let mut hosts = fleet(now, 2);
+    let mut rng = fastrand::Rng::with_seed(3);
+    let random = |rng: &mut fastrand::Rng| -> String {
+        std::iter::repeat_with(|| rng.alphanumeric())
+            .take(100)
+            .collect()
+    };
+    let changes: Vec<Change> = (0..600)
+        .map(|_| Change::Roster(RosterChange::Removed(InstanceId::new(&random(&mut rng)))))
+        .collect();
+    reader(&mut hosts).read(now, changes);
+    let request = FeedRequest {
+        position: FeedPosition::new(0, 1),
+    };
+    let ahead = &hosts[&addr(0)];
+    let reply = ahead
+        .replica
+        .reply_to(now, addr(0), &request, &ahead.roster);
+    assert_eq!(reply.len(), MAX_PARTS);
+    run(
+        &mut hosts,
+        &mut now,
+        Duration::from_millis(700),
+        |_, message| {
+            let PeerMessage::FeedChanges(update) = message else {
+                return false;
+            };
+            update.delivery != Delivery::Reply && !update.changes.is_empty()
+        },
+    );
+    assert_eq!(hosts[&addr(1)].removed.len(), 600);
+}
+
 /// Messages of one update may overtake each other.
 #[test]
 fn changes_that_arrive_before_their_predecessors_are_kept() {
