--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,7 +6,7 @@
 //! runs other seeds and durations than CI does. With the path of another build in
 //! `SOAK_OTHER_PROGRAM`, hosts are upgraded to it and back; without, upgrades are
 //! skipped. Unless `SOAK_COLD_LIMIT=0`, the configuration limits the rate of cold
-//! instances and the limit is checked; it is off until hosts keep it.
+//! instances and the limit is checked.
 
 mod callers;
 mod hosts;
