Name the kinds of messages by their variants, and count them once a message

Cause: metrics of traffic between hosts looked the kind up by the first byte, in a table that lacked the variants of protocol 3, and built a set of all neighbours and two label strings for each target of each datagram. Change: PeerMessage::kind; one count for all targets of a domain. Result: behaviour as before; not measured.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -62,8 +62,8 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct TrafficLabels {
-    kind: String,
-    domain: String,
+    kind: &'static str,
+    domain: &'static str,
 }
 
 /// Whether traffic stays in this host's failure domain.
@@ -319,22 +319,26 @@
         self.load_decisions.get_or_create(&labels).inc();
     }
 
-    /// Records a message of a kind that was sent to a peer.
-    pub fn record_peer_message(&self, kind: &str, scope: TrafficScope, bytes: usize) {
-        let labels = TrafficLabels {
-            kind: kind.to_owned(),
-            domain: scope.label().to_owned(),
-        };
-        self.peer_datagrams.get_or_create(&labels).inc();
+    /// Records messages of a kind that were sent to peers, and their bytes together.
+    pub fn record_peer_messages(
+        &self,
+        kind: &'static str,
+        scope: TrafficScope,
+        count: usize,
+        bytes: usize,
+    ) {
+        let domain = scope.label();
+        let labels = TrafficLabels { kind, domain };
+        self.peer_datagrams
+            .get_or_create(&labels)
+            .inc_by(count as u64);
         self.peer_bytes.get_or_create(&labels).inc_by(bytes as u64);
     }
 
     /// Records the bytes of a request to an instance or of its answer.
-    pub fn record_instance_bytes(&self, kind: &str, scope: TrafficScope, bytes: usize) {
-        let labels = TrafficLabels {
-            kind: kind.to_owned(),
-            domain: scope.label().to_owned(),
-        };
+    pub fn record_instance_bytes(&self, kind: &'static str, scope: TrafficScope, bytes: usize) {
+        let domain = scope.label();
+        let labels = TrafficLabels { kind, domain };
         self.instance_bytes
             .get_or_create(&labels)
             .inc_by(bytes as u64);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,8 +4,6 @@
 
 mod exchange;
 
-use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,25 +19,6 @@
 /// The largest message that is received.
 const MAX_MESSAGE_BYTES: usize = 60_000;
 
-/// The kinds of messages, in the order of the variants of
-/// [`waxwingusher_membership::seeded::PeerMessage`].
-const MESSAGE_KINDS: [&str; 14] = [
-    "hello",
-    "members",
-    "report",
-    "departed",
-    "leaving",
-    "profile",
-    "collect",
-    "batch",
-    "feed",
-    "configuration-request",
-    "configuration",
-    "rate-limits",
-    "permit-request",
-    "permit-reply",
-];
-
 /// Exchanges updates until the host stops.
 pub(crate) async fn run(state: Rc<State>, socket: Rc<UdpSocket>) {
     let mut exchange = PeerExchange::new(state.clone());
@@ -83,23 +62,18 @@
 
 /// Counts a message by kind and by whether its targets are in this failure domain.
 fn record_sent(state: &State, datagram: &OutgoingDatagram) {
-    let kind = message_kind(&datagram.bytes);
     let peers = state.peers.borrow();
-    let neighbours: HashSet<SocketAddr> = peers.local_peers().collect();
-    for target in &datagram.targets {
-        let scope = TrafficScope::from_is_local(neighbours.contains(target));
-        state
-            .metrics
-            .record_peer_message(kind, scope, datagram.bytes.len());
+    let targets = datagram.targets.len();
+    let local = datagram.targets.iter();
+    let local = local.filter(|target| peers.is_local_peer(**target)).count();
+    for (scope, count) in [
+        (TrafficScope::Local, local),
+        (TrafficScope::Remote, targets - local),
+    ] {
+        if count > 0 {
+            let bytes = datagram.bytes.len() * count;
+            let metrics = &state.metrics;
+            metrics.record_peer_messages(datagram.kind, scope, count, bytes);
+        }
     }
 }
-
-/// Returns the kind of an encoded message, which starts with the position of its variant
-/// in [`waxwingusher_membership::seeded::PeerMessage`].
-fn message_kind(bytes: &[u8]) -> &'static str {
-    let variant = bytes.first().copied().unwrap_or(u8::MAX);
-    MESSAGE_KINDS
-        .get(usize::from(variant))
-        .copied()
-        .unwrap_or("other")
-}
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -89,6 +89,8 @@
 /// An encoded message and the peers that get it.
 #[derive(Debug)]
 pub(crate) struct OutgoingDatagram {
+    /// The kind of the message, for metrics.
+    pub(crate) kind: &'static str,
     pub(crate) targets: Vec<SocketAddr>,
     pub(crate) bytes: Vec<u8>,
 }
@@ -688,6 +690,7 @@
         };
         let mut outgoing = self.outgoing.borrow_mut();
         outgoing.push_back(OutgoingDatagram {
+            kind: message.kind(),
             targets: targets.to_vec(),
             bytes,
         });
--- a/crates/membership/src/seeded/message.rs
+++ b/crates/membership/src/seeded/message.rs
@@ -87,6 +87,33 @@
     DocumentChunk(DocumentChunk),
 }
 
+impl PeerMessage {
+    /// Returns the name of the kind in metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "hello",
+            Self::Members(_) => "members",
+            Self::Report(_) => "report",
+            Self::Departed(_) => "departed",
+            Self::Leaving(_) => "leaving",
+            Self::Profile(_) => "profile",
+            Self::Collect(_) => "collect",
+            Self::Batch(_) => "batch",
+            Self::Feed(_) => "feed",
+            Self::ConfigurationRequest { .. } => "configuration-request",
+            Self::Configuration(_) => "configuration",
+            Self::RateLimits(_) => "rate-limits",
+            Self::PermitRequest(_) => "permit-request",
+            Self::PermitReply(_) => "permit-reply",
+            Self::FeedChanges(_) => "feed-changes",
+            Self::FeedRequest(_) => "feed-request",
+            Self::DocumentRequest(_) => "document-request",
+            Self::DocumentChunk(_) => "document-chunk",
+        }
+    }
+}
+
 /// How a host treats a [`FeedChanges`] message apart from applying it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Delivery {
--- a/crates/membership/src/seeded/table.rs
+++ b/crates/membership/src/seeded/table.rs
@@ -432,6 +432,14 @@
         self.neighbours().map(|peer| peer.member.addr)
     }
 
+    /// Reports whether a peer is known to be in the local failure domain.
+    #[must_use]
+    pub fn is_local_peer(&self, addr: SocketAddr) -> bool {
+        self.peers
+            .get(&addr)
+            .is_some_and(|peer| peer.member.failure_domain == self.local_member.failure_domain)
+    }
+
     /// Returns a random peer of each remote failure domain, a reachable one if
     /// there is one.
     pub fn relays(&mut self, now: Instant) -> Vec<SocketAddr> {
