Repair links of the documentation, and name the frozen types by their protocol

Change: the figures stand in the text; feed_former is feed_protocol_2; a variable of the scarcity monitor is named usage.

--- a/crates/attempts/src/fleet_retry_budget.rs
+++ b/crates/attempts/src/fleet_retry_budget.rs
@@ -8,7 +8,7 @@
 //! While a host has spent much of its part, the rest goes to the retries that are worth
 //! most ([`RetryWorth`]): the more is spent, the larger the part of the recent retries
 //! than which one must be worth no less. Retries of equal worth are treated alike, so the
-//! budget is still spent where all of them are. One in [`FLOOR_INTERVAL`] retries that are
+//! budget is still spent where all of them are. One in eight retries that are
 //! worth less is granted nevertheless, so that no kind is starved. All hosts apply the same rule to the
 //! retries that they were asked for. The bound does not depend on it.
 
--- a/crates/gateway/src/feed_replica.rs
+++ b/crates/gateway/src/feed_replica.rs
@@ -16,8 +16,8 @@
     self, CodecError, MAX_DELTA_BYTES, RevisedWireChange, WireChange, into_parts,
 };
 use crate::feed_delta::{ConfigurationDelta, DigestedDocument};
-use crate::feed_former;
 use crate::feed_log::{FeedExcerpt, FeedLog};
+use crate::feed_protocol_2;
 use crate::feed_source::{Change, Changes, Listing, PublishedConfig, SourceError};
 
 /// The largest configuration that a host of an earlier build is sent, below the limit of
@@ -129,7 +129,7 @@
     #[must_use]
     pub fn new(document: &RoutingDocument) -> Self {
         let version = document.version;
-        let bytes = match feed_former::encode_configuration(document) {
+        let bytes = match feed_protocol_2::encode_configuration(document) {
             Ok(bytes) if bytes.len() <= MAX_FORMER_BYTES => bytes,
             Ok(bytes) => {
                 let length = bytes.len();
--- a/crates/gateway/tests/testsuite/feed_compatibility.rs
+++ b/crates/gateway/tests/testsuite/feed_compatibility.rs
@@ -19,10 +19,10 @@
 use waxwingusher_gateway::FeedSource;
 use waxwingusher_gateway::feed_codec::{self, RevisedWireChange, WireChange};
 use waxwingusher_gateway::feed_delta::{ConfigurationDelta, DigestedDocument};
-use waxwingusher_gateway::feed_former::{
+use waxwingusher_gateway::feed_log::RevisedChange;
+use waxwingusher_gateway::feed_protocol_2::{
     decode_changes, decode_configuration, encode_changes, encode_configuration,
 };
-use waxwingusher_gateway::feed_log::RevisedChange;
 use waxwingusher_gateway::feed_replica::{EncodedConfiguration, FeedReplica};
 use waxwingusher_gateway::ports::{Change, Changes, EvacuationChange, Listing, SourceError};
 use waxwingusher_membership::seeded::{
--- a/crates/upstreams/src/evacuation.rs
+++ b/crates/upstreams/src/evacuation.rs
@@ -47,7 +47,7 @@
 
     /// Replaces the orders with a complete list, and returns the domains whose
     /// evacuation has begun or ended. An order that is missing in a new era of the feed
-    /// may only be missing in its backup, and stays in force for [`BACKUP_GRACE`].
+    /// may only be missing in its backup, and stays in force for 5 s.
     pub fn replace(
         &mut self,
         now: Instant,
--- a/crates/upstreams/src/scarcity.rs
+++ b/crates/upstreams/src/scarcity.rs
@@ -12,7 +12,7 @@
 //! as long as it can still reach its latency target behind the work that is usual there.
 //! Less urgent kinds use free slots only, and leave some of them free while the service
 //! is short. So that no kind is starved, one request of a less urgent kind may use the
-//! room of the most urgent one for every [`FLOOR_INTERVAL`] requests of more urgent kinds.
+//! room of the most urgent one for every 16 requests of more urgent kinds.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -292,29 +292,29 @@
         let usual_s = kind.usual_time.as_secs_f64();
         let work_s = state.work_s.unwrap_or(usual_s);
         state.work_s = Some(work_s + WORK_WEIGHT * (usual_s - work_s));
-        let is_old = |use_: &KindUse| now.saturating_duration_since(use_.seen_at) >= KIND_MAX_AGE;
-        state.kinds.retain(|_, use_| !is_old(use_));
+        let is_old = |usage: &KindUse| now.saturating_duration_since(usage.seen_at) >= KIND_MAX_AGE;
+        state.kinds.retain(|_, usage| !is_old(usage));
         if state.kinds.len() >= MAX_KINDS && !state.kinds.contains_key(&kind.priority) {
             return;
         }
-        let use_ = state.kinds.entry(kind.priority).or_insert(KindUse {
+        let usage = state.kinds.entry(kind.priority).or_insert(KindUse {
             kind,
             seen_at: now,
             credit: 0.0,
             misses: 0.0,
         });
-        use_.kind = kind;
-        use_.seen_at = now;
+        usage.kind = kind;
+        usage.seen_at = now;
     }
 
     /// Records that a request of a kind got a slot.
     pub fn record_served(&mut self, service: &ServiceName, priority: u32) {
         let mut interval = 0.0;
-        for (other, use_) in &mut self.service(service).kinds {
+        for (other, usage) in &mut self.service(service).kinds {
             if *other == priority {
-                use_.credit = 0.0;
+                usage.credit = 0.0;
             } else if *other > priority {
-                use_.credit = (use_.credit + 1.0 / interval).min(1.0);
+                usage.credit = (usage.credit + 1.0 / interval).min(1.0);
             }
             // A kind must not get more of such room than a more urgent one.
             interval += FLOOR_INTERVAL;
@@ -323,9 +323,9 @@
 
     /// Records whether a request of a kind was answered within its latency target.
     pub fn record_outcome(&mut self, service: &ServiceName, priority: u32, is_in_time: bool) {
-        if let Some(use_) = self.service(service).kinds.get_mut(&priority) {
+        if let Some(usage) = self.service(service).kinds.get_mut(&priority) {
             let miss = if is_in_time { 0.0 } else { 1.0 };
-            use_.misses += MISS_WEIGHT * (miss - use_.misses);
+            usage.misses += MISS_WEIGHT * (miss - usage.misses);
         }
     }
 
@@ -407,7 +407,7 @@
 
     /// Drops the services that got no request lately.
     pub fn expire(&mut self, now: Instant) {
-        let is_used = |use_: &KindUse| now.saturating_duration_since(use_.seen_at) < KIND_MAX_AGE;
+        let is_used = |usage: &KindUse| now.saturating_duration_since(usage.seen_at) < KIND_MAX_AGE;
         self.services
             .retain(|_, state| state.kinds.values().any(is_used));
     }
@@ -458,7 +458,7 @@
 
     fn most_urgent_misses(&self) -> f64 {
         let most_urgent = self.kinds.values().next();
-        most_urgent.map_or(0.0, |use_| use_.misses)
+        most_urgent.map_or(0.0, |usage| usage.misses)
     }
 
     /// Reports whether a host that does not see the load of others holds back a kind for
@@ -491,7 +491,7 @@
             };
         };
         let own_use = self.kinds.get(&kind.priority);
-        if own_use.is_some_and(|use_| use_.credit >= 1.0) {
+        if own_use.is_some_and(|usage| usage.credit >= 1.0) {
             return RoomLimit {
                 queue_rounds: queue_rounds.min(self.queue_rounds(most_urgent.kind)),
                 reserved_share: 0.0,
@@ -499,7 +499,7 @@
                 is_closed: false,
             };
         }
-        let own_misses = own_use.map_or(0.0, |use_| use_.misses);
+        let own_misses = own_use.map_or(0.0, |usage| usage.misses);
         let has_more_misses = most_urgent.misses > own_misses.max(TOLERATED_MISSES);
         let reserved_share = match self.level {
             ScarcityLevel::Ample => 0.0,
