Give the gates of a test an address of their own

The log of the second time shows an attempt at i-1 that was answered in 1 ms by no instance of the test: while a gate refuses connections its port is free, and an instance of another test in the same process took it and answered. Change: gates bind to 127.77.0.1, which no other test uses. The check is as strict.

--- a/crates/gateway/tests/testsuite/takeover_schedules.rs
+++ b/crates/gateway/tests/testsuite/takeover_schedules.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -27,6 +27,9 @@
 const MIN_SERVED_RATIO: f64 = 2.0 / 3.0;
 const CALLER_PAUSE: Duration = Duration::from_millis(15);
 const ACCEPT_POLL: Duration = Duration::from_millis(2);
+/// The address of the gates, which no other test uses: while a gate refuses connections, an
+/// instance of another test could otherwise take its port and answer in its place.
+const GATE_IP: Ipv4Addr = Ipv4Addr::new(127, 77, 0, 1);
 
 /// How the connections of one host to one instance are treated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,7 +50,7 @@
 
 impl Gate {
     fn start(target: SocketAddr) -> Self {
-        let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+        let listener = listen(SocketAddr::from((GATE_IP, 0))).expect("a free port");
         let addr = listener.local_addr().expect("an address");
         let state = Arc::new(Mutex::new(GateState::Open));
         let is_stopping = Arc::new(AtomicBool::new(false));
