--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -35,7 +35,6 @@
 pub mod settings;
 pub mod steps;
 pub mod subset;
-pub mod use_floor;
 pub mod view;
 pub mod voter;
 pub mod watch;
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -20,7 +20,6 @@
 use crate::load_estimate::{Candidate, CandidateGroup, LoadSharing};
 use crate::room::{RoomLimit, has_room, occupancy};
 use crate::roster::{ListedInstance, Roster};
-use crate::use_floor::UseFloor;
 
 /// The largest random part of a cost, below every difference that matters.
 const MAX_NOISE: f64 = 0.03;
@@ -247,8 +246,6 @@
     let mut best: Option<(f64, &ListedInstance, InstanceHealth)> = None;
     let mut shared = request.load_sharing.map(SharedChoice::new);
     let mut last_resort: Option<(f64, &ListedInstance, InstanceHealth)> = None;
-    let mut use_floor = UseFloor::default();
-    let mut idle_suspect: Option<(f64, &ListedInstance, InstanceHealth)> = None;
     let mut is_any_healthy = false;
     let mut is_permit_near = false;
     let mut least_back_off: Option<Duration> = None;
@@ -266,10 +263,6 @@
         }
         // The noise makes hosts with the same information choose differently.
         let cost = cost(now, listed, &health, request) + rng.f64() * MAX_NOISE;
-        use_floor.record(&health);
-        if UseFloor::is_candidate(&health) {
-            keep_cheapest(&mut idle_suspect, health.risk, listed, health);
-        }
         if is_eligible(listed, &health, request) {
             is_any_healthy |= !health.is_suspect;
             if !has_room(listed, &health, request) {
@@ -287,10 +280,6 @@
         let chosen = shared.choose(request, rng);
         best = chosen.map(|listed| (0.0, listed, evidence.health(now, &listed.entry.id)));
     }
-    // Requests that can be retried try suspects anyhow.
-    if !request.can_retry() && use_floor.is_below() {
-        best = idle_suspect.or(best);
-    }
     match best.or(last_resort.filter(|_| !is_any_healthy && !is_permit_near)) {
         Some((_, listed, health)) => Ok(Placement {
             instance: listed.clone(),
--- a/crates/upstreams/tests/testsuite/main.rs
+++ b/crates/upstreams/tests/testsuite/main.rs
@@ -18,5 +18,4 @@
 mod scarcity;
 mod scarcity_fleet;
 mod subsets;
-mod use_floor;
 mod voter;
