Choose instances by one measure everywhere, and leave a domain only for lack of room

Change: the choice that allows for late reports and explores remote instances only if no host there does was used where the settings name a pool; it is now the only one. While a local instance has a free slot, a remote one costs 1 more, so that only a difference in risk of a half leads there. A failure that cannot be repeated counts 2. Slowness goes by many answers. The former sum of costs is left for the choice among suspects only.

--- a/crates/bench/src/upstreams/even_load.rs
+++ b/crates/bench/src/upstreams/even_load.rs
@@ -834,7 +834,13 @@
     fn place(&mut self, host: usize, request: Request) -> Option<usize> {
         let now = self.now();
         let local_hosts = self.neighbours() + 1;
-        let load_sharing = (self.way == Way::Shared).then(|| LoadSharing::for_hosts(local_hosts));
+        // The current way allows for no requests of other hosts.
+        let sharing_hosts = if self.way == Way::Shared {
+            local_hosts
+        } else {
+            1
+        };
+        let load_sharing = LoadSharing::for_hosts(sharing_hosts);
         let host = &self.hosts[host];
         let request = PlacementRequest {
             allowed_domains: None,
--- a/crates/bench/src/upstreams/placement_time.rs
+++ b/crates/bench/src/upstreams/placement_time.rs
@@ -6,7 +6,7 @@
 
 use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName};
 use waxwingusher_upstreams::{
-    Evidence, Observation, PlacementRequest, Roster, RosterEntry, RosterState, place,
+    Evidence, LoadSharing, Observation, PlacementRequest, Roster, RosterEntry, RosterState, place,
 };
 
 use crate::{Measurement, Scenario, ScenarioResult};
@@ -68,7 +68,7 @@
     roster.replace(now, entries, FeedPosition::new(0, 1));
     let (service, failure_domain) = (ServiceName::new("service"), FailureDomain::new("domain-0"));
     let request = PlacementRequest {
-        load_sharing: None,
+        load_sharing: LoadSharing::for_hosts(1),
         room: None,
         service: &service,
         is_idempotent: true,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -225,12 +225,10 @@
         }
     }
 
-    /// Returns with which hosts this one shares the load of instances evenly, if the
-    /// deployment asks for that.
-    pub(crate) fn load_sharing(&self) -> Option<LoadSharing> {
+    /// Returns with which hosts this one shares the load of instances evenly.
+    pub(crate) fn load_sharing(&self) -> LoadSharing {
         let local_hosts = self.peers.borrow().local_peers().count() + 1;
-        self.load_sharing
-            .then(|| LoadSharing::for_hosts(local_hosts))
+        LoadSharing::for_hosts(local_hosts)
     }
 
     /// Returns the number of reachable hosts of this build that read the feed rather than
--- a/crates/gateway/tests/testsuite/domain_returns.rs
+++ b/crates/gateway/tests/testsuite/domain_returns.rs
@@ -12,8 +12,8 @@
 use waxwingusher_membership::seeded::issuers::permit_issuer;
 use waxwingusher_membership::seeded::name_hash;
 use waxwingusher_upstreams::{
-    ColdPolicy, Evidence, Observation, PermitReason, PlacementError, PlacementRequest, RateLimit,
-    Roster, RosterEntry, RosterState, place,
+    ColdPolicy, Evidence, LoadSharing, Observation, PermitReason, PlacementError, PlacementRequest,
+    RateLimit, Roster, RosterEntry, RosterState, place,
 };
 
 const HOSTS: usize = 24;
@@ -96,7 +96,7 @@
     fn send(&mut self, host: usize) {
         let (service, domain) = (ServiceName::new("svc"), FailureDomain::new("north"));
         let request = PlacementRequest {
-            load_sharing: None,
+            load_sharing: LoadSharing::for_hosts(1),
             room: None,
             service: &service,
             is_idempotent: false,
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -23,9 +23,12 @@
 
 /// The largest random part of a cost, below every difference that matters.
 const MAX_NOISE: f64 = 0.03;
-/// The cost of a remote failure domain: traffic between domains is expensive and
-/// has a higher latency.
-const REMOTE_DOMAIN_COST: f64 = 0.08;
+/// The cost of a remote failure domain while a local instance has a free slot. Traffic
+/// between domains is expensive, so a request leaves its domain then only if it is much
+/// more likely to fail there.
+const REMOTE_DOMAIN_COST: f64 = 1.0;
+/// The cost of a failure to a request that cannot be retried.
+const FAILURE_COST: f64 = 2.0;
 /// The cost of a failure to a request that can be retried: the time of the attempt.
 const RETRYABLE_FAILURE_COST: f64 = 0.3;
 /// The value of an attempt at an instance whose newest attempt has the age
@@ -56,8 +59,9 @@
 pub(crate) const QUEUE_COST: f64 = 1.0;
 /// The cost of an instance that is still slow after its start.
 const COLD_COST: f64 = 0.25;
-/// The cost of an instance that takes twice the usual time.
-const SLOWNESS_COST: f64 = 0.3;
+/// The cost of an instance that takes twice the usual time by many answers. The mean
+/// slowness of equal instances differs by about a tenth.
+const SLOWNESS_COST: f64 = 0.1;
 /// The largest cost of slowness.
 const MAX_SLOWNESS_COST: f64 = 1.5;
 /// The cost of a suspect to a request that can be retried. It is low, as unhealthy
@@ -69,16 +73,16 @@
 /// The share of the latency target within which a caller that returns to an instance with
 /// a rate limit fares better than at a suspect.
 const MAX_RETURN_SHARE: f64 = 0.5;
-/// The cost of a remote failure domain while load is shared: above the load of a local
-/// instance with a free slot, below that of a local one with a queue.
+/// The cost of a remote failure domain while no local slot is free: above the load of an
+/// instance with a free slot, below that of one with a queue.
 const SPILLOVER_COST: f64 = 0.2;
 /// The share of free slots in remote domains from which requests go there before all
 /// local slots are busy. Where fewer are free, reports of 400 ms show mostly slots that
 /// others have taken, and requests moved back and forth between busy domains; then only
 /// a part of those goes there that find all local slots busy.
 const MIN_REMOTE_FREE_SHARE: f64 = 0.15;
-/// The age of the newest attempt from which a local instance is explored while load is
-/// shared. Below it, exploration would disturb the spread of load.
+/// The age of the newest attempt from which a local instance is explored. Below it,
+/// exploration would disturb the spread of load.
 const LOCAL_EXPLORATION_AGE: Duration = Duration::from_millis(800);
 /// The same for a remote instance: above the local age and that of remote reports, so
 /// that only a domain whose hosts do not explore it is explored from others. Each
@@ -87,10 +91,6 @@
 /// How many requests explore an instance, on average, before other hosts learn of the
 /// first one. With one, an instance stays without requests in two cases of five.
 const MEAN_EXPLORERS: f64 = 3.0;
-/// The cost of an instance that takes twice the usual time while load is shared. The mean
-/// slowness of equal instances differs by about a tenth, which with [`SLOWNESS_COST`]
-/// counted as much as a request in flight.
-const SHARED_SLOWNESS_COST: f64 = 0.1;
 /// The ratio to the usual time from which a few answers show a slow instance. Usual
 /// answers exceed it too seldom to disturb the spread of load.
 const MIN_RECENT_SLOWNESS: f64 = 2.0;
@@ -119,9 +119,8 @@
     /// The room at each instance that the request may use. Without one, it follows from
     /// its priority, usual time and latency target.
     pub room: Option<RoomLimit>,
-    /// The hosts among which the load is to be shared evenly, if the deployment asks for
-    /// it.
-    pub load_sharing: Option<LoadSharing>,
+    /// The hosts among which the load is to be shared evenly.
+    pub load_sharing: LoadSharing,
 }
 
 impl PlacementRequest<'_> {
@@ -243,8 +242,7 @@
     request: &PlacementRequest<'_>,
     rng: &mut fastrand::Rng,
 ) -> Result<Placement, PlacementError> {
-    let mut best: Option<(f64, &ListedInstance, InstanceHealth)> = None;
-    let mut shared = request.load_sharing.map(SharedChoice::new);
+    let mut shared = SharedChoice::new(request.load_sharing);
     let mut last_resort: Option<(f64, &ListedInstance, InstanceHealth)> = None;
     let mut is_any_healthy = false;
     let mut is_permit_near = false;
@@ -261,27 +259,24 @@
             is_permit_near |= is_worth_returning_to(&health, request);
             continue;
         }
-        // The noise makes hosts with the same information choose differently.
-        let cost = cost(now, listed, &health, request) + rng.f64() * MAX_NOISE;
         if is_eligible(listed, &health, request) {
             is_any_healthy |= !health.is_suspect;
-            if !has_room(listed, &health, request) {
-                continue;
-            }
-            match &mut shared {
-                Some(shared) => shared.add(now, listed, &health, request),
-                None => keep_cheapest(&mut best, cost, listed, health),
+            if has_room(listed, &health, request) {
+                shared.add(now, listed, &health, request);
             }
-        } else {
-            keep_cheapest(&mut last_resort, cost, listed, health);
+            continue;
+        }
+        // The noise makes hosts with the same information choose differently.
+        let cost = cost(now, listed, &health, request) + rng.f64() * MAX_NOISE;
+        if last_resort.is_none_or(|(least, _, _)| cost < least) {
+            last_resort = Some((cost, listed, health));
         }
     }
-    if let Some(shared) = &shared {
-        let chosen = shared.choose(request, rng);
-        best = chosen.map(|listed| (0.0, listed, evidence.health(now, &listed.entry.id)));
-    }
+    let best = shared.choose(request, rng);
+    let best = best.map(|listed| (listed, evidence.health(now, &listed.entry.id)));
+    let last_resort = last_resort.map(|(_, listed, health)| (listed, health));
     match best.or(last_resort.filter(|_| !is_any_healthy && !is_permit_near)) {
-        Some((_, listed, health)) => Ok(Placement {
+        Some((listed, health)) => Ok(Placement {
             instance: listed.clone(),
             health,
         }),
@@ -304,17 +299,6 @@
         && !health.is_paused
 }
 
-fn keep_cheapest<'a>(
-    best: &mut Option<(f64, &'a ListedInstance, InstanceHealth)>,
-    cost: f64,
-    listed: &'a ListedInstance,
-    health: InstanceHealth,
-) {
-    if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
-        *best = Some((cost, listed, health));
-    }
-}
-
 /// Reports whether an instance may get the request while others seem healthy.
 fn is_eligible(
     listed: &ListedInstance,
@@ -333,6 +317,7 @@
     !has_enough_trials && (request.can_retry() || health.risk < MAX_LAST_ATTEMPT_RISK)
 }
 
+/// Returns the cost of an instance that gets the request as all healthy ones are excluded.
 fn cost(
     now: Instant,
     listed: &ListedInstance,
@@ -342,13 +327,12 @@
     let occupancy = occupancy(listed, health);
     let mut cost = LOAD_COST * occupancy.min(1.0) + QUEUE_COST * (occupancy - 1.0).max(0.0);
     if listed.entry.failure_domain != *request.failure_domain {
-        cost += REMOTE_DOMAIN_COST;
+        cost += SPILLOVER_COST;
     }
     if now < listed.warm_at {
         cost += COLD_COST;
     }
-    cost += (SLOWNESS_COST * (health.slowness - 1.0)).clamp(0.0, MAX_SLOWNESS_COST);
-    cost + risk_cost(health, request.can_retry())
+    cost + slowness_cost(health) + risk_cost(health, request.can_retry())
 }
 
 fn risk_cost(health: &InstanceHealth, can_retry: bool) -> f64 {
@@ -356,15 +340,23 @@
     if !can_retry {
         let idle_s = age.unwrap_or(UNKNOWN_IDLE_AGE_S) - MIN_IDLE_AGE_S;
         let value = (IDLE_EXPLORATION_VALUE_PER_S * idle_s).clamp(0.0, MAX_IDLE_EXPLORATION_VALUE);
-        return health.risk - if health.is_suspect { 0.0 } else { value };
+        return failure_cost(can_retry) * health.risk - if health.is_suspect { 0.0 } else { value };
     }
-    let (failure_cost, exploration_value) = if health.is_suspect {
+    let (cost, exploration_value) = if health.is_suspect {
         (SUSPECT_TRIAL_COST, SUSPECT_EXPLORATION_VALUE)
     } else {
-        (RETRYABLE_FAILURE_COST * health.risk, EXPLORATION_VALUE)
+        (failure_cost(can_retry) * health.risk, EXPLORATION_VALUE)
     };
     let age_s = age.map_or(EXPLORATION_AGE_S, |age_s| age_s.min(MAX_EXPLORATION_AGE_S));
-    failure_cost - exploration_value * age_s / EXPLORATION_AGE_S
+    cost - exploration_value * age_s / EXPLORATION_AGE_S
+}
+
+fn failure_cost(can_retry: bool) -> f64 {
+    if can_retry {
+        RETRYABLE_FAILURE_COST
+    } else {
+        FAILURE_COST
+    }
 }
 
 /// The candidates of one failure domain or of all remote ones.
@@ -376,7 +368,7 @@
     due: Vec<(f64, usize)>,
 }
 
-/// A choice while load is shared evenly.
+/// A choice among the instances that seem healthy.
 #[derive(Debug)]
 struct SharedChoice<'a> {
     sharing: LoadSharing,
@@ -406,7 +398,7 @@
         } else {
             (&mut self.local, LOCAL_EXPLORATION_AGE)
         };
-        let mut base_cost = shared_slowness_cost(health);
+        let mut base_cost = slowness_cost(health);
         if now < listed.warm_at {
             base_cost += COLD_COST;
         }
@@ -419,13 +411,8 @@
         if is_remote {
             base_cost += SPILLOVER_COST;
         }
-        let failure_cost = if request.can_retry() {
-            RETRYABLE_FAILURE_COST
-        } else {
-            1.0
-        };
         group.candidates.push(Candidate {
-            base_cost: base_cost + failure_cost * health.risk,
+            base_cost: base_cost + failure_cost(request.can_retry()) * health.risk,
             slots: listed.entry.slots,
             in_flight: health.in_flight,
         });
@@ -470,6 +457,11 @@
             local_cost
         };
         let stays_in_queue = local.free_slots() == 0 && rng.f64() >= remote_room;
+        let remote_cost = if !is_short && local.free_slots() > 0 {
+            remote_cost.map(|cost| cost + REMOTE_DOMAIN_COST - SPILLOVER_COST)
+        } else {
+            remote_cost
+        };
         let is_local_cheapest = match (local_cost, remote_cost) {
             (Some(_), Some(_)) if stays_in_queue => true,
             (Some(local), Some(remote)) => local <= remote,
@@ -511,7 +503,7 @@
 }
 
 /// Returns the cost of slowness by many answers, or by a few if they took very long.
-fn shared_slowness_cost(health: &InstanceHealth) -> f64 {
+fn slowness_cost(health: &InstanceHealth) -> f64 {
     let excess = (health.mean_slowness - 1.0).max(health.slowness - MIN_RECENT_SLOWNESS);
-    (SHARED_SLOWNESS_COST * excess).clamp(0.0, MAX_SLOWNESS_COST)
+    (SLOWNESS_COST * excess).clamp(0.0, MAX_SLOWNESS_COST)
 }
--- a/crates/upstreams/tests/testsuite/answer_times.rs
+++ b/crates/upstreams/tests/testsuite/answer_times.rs
@@ -71,11 +71,11 @@
     /// When each instance got its requests.
     arrivals: Vec<Vec<Instant>>,
     rng: fastrand::Rng,
-    load_sharing: Option<LoadSharing>,
+    load_sharing: LoadSharing,
 }
 
 impl Simulation {
-    fn new(seed: u64, load_sharing: Option<LoadSharing>) -> Self {
+    fn new(seed: u64, load_sharing: LoadSharing) -> Self {
         let start = Instant::now();
         let ids: Vec<InstanceId> = (0..INSTANCES)
             .map(|number| InstanceId::new(&format!("i-{number}")))
@@ -247,17 +247,17 @@
 /// newest outcomes were recent, as earlier answers still arrived.
 #[test]
 fn sound_instances_are_not_left_idle_while_their_earlier_answers_arrive() {
-    check_least_share_in_use(None);
+    check_least_share_in_use(LoadSharing::for_hosts(1));
 }
 
 /// Guards against sound instances without requests while load is shared over hosts in
 /// several failure domains.
 #[test]
 fn sound_instances_stay_in_use_while_load_is_shared() {
-    check_least_share_in_use(Some(LoadSharing::for_hosts(HOSTS_PER_DOMAIN)));
+    check_least_share_in_use(LoadSharing::for_hosts(HOSTS_PER_DOMAIN));
 }
 
-fn check_least_share_in_use(load_sharing: Option<LoadSharing>) {
+fn check_least_share_in_use(load_sharing: LoadSharing) {
     for seed in 0..10 {
         let mut simulation = Simulation::new(seed, load_sharing);
         simulation.run(Duration::from_secs(60));
--- a/crates/upstreams/tests/testsuite/load_estimate.rs
+++ b/crates/upstreams/tests/testsuite/load_estimate.rs
@@ -144,7 +144,7 @@
             priority: 0,
             usual_time: USUAL_TIME,
             latency_target: Duration::from_millis(400),
-            load_sharing: Some(LoadSharing::for_hosts(self.local_hosts)),
+            load_sharing: LoadSharing::for_hosts(self.local_hosts),
         };
         let (now, rng) = (self.now, &mut self.rng);
         let placement = place(now, &self.roster, &self.evidence, &request, rng);
--- a/crates/upstreams/tests/testsuite/placement.rs
+++ b/crates/upstreams/tests/testsuite/placement.rs
@@ -35,7 +35,7 @@
     now: Instant,
     priority: u32,
     attempts_left: u32,
-    load_sharing: Option<LoadSharing>,
+    load_sharing: LoadSharing,
 }
 
 impl TestHost {
@@ -50,7 +50,7 @@
             now,
             priority: 0,
             attempts_left: 2,
-            load_sharing: None,
+            load_sharing: LoadSharing::for_hosts(1),
         }
     }
 
@@ -258,6 +258,7 @@
     let mut hosts: Vec<TestHost> = (0..HOSTS).map(|_| TestHost::new(entries())).collect();
     for (seed, host) in hosts.iter_mut().enumerate() {
         host.rng = fastrand::Rng::with_seed(seed as u64);
+        host.load_sharing = LoadSharing::for_hosts(HOSTS);
         for id in &ids {
             host.record(id, SUCCESS);
         }
@@ -283,7 +284,11 @@
 /// as healthy from 2 s after its last failure on.
 #[test]
 fn seven_in_ten_healthy_instances_get_requests_in_two_seconds_at_light_load() {
-    check_share_of_healthy_instances_in_use(|number| number % 3 == 0, false, None);
+    check_share_of_healthy_instances_in_use(
+        |number| number % 3 == 0,
+        false,
+        LoadSharing::for_hosts(1),
+    );
 }
 
 /// Requests of a service without retryable ones crowded on the instances that had just
@@ -291,14 +296,14 @@
 /// used, got no request for 2 s while those in use had queues (further-grown trouble-1).
 #[test]
 fn healthy_instances_stay_in_use_by_requests_that_cannot_be_retried() {
-    check_share_of_healthy_instances_in_use(|_| false, true, None);
+    check_share_of_healthy_instances_in_use(|_| false, true, LoadSharing::for_hosts(1));
 }
 
 /// Guards against instances without requests while load is shared: half of them are in a
 /// failure domain without hosts.
 #[test]
 fn healthy_instances_stay_in_use_at_light_load_while_load_is_shared() {
-    let sharing = Some(LoadSharing::for_hosts(8));
+    let sharing = LoadSharing::for_hosts(8);
     check_share_of_healthy_instances_in_use(|number| number % 3 == 0, false, sharing);
     check_share_of_healthy_instances_in_use(|_| false, true, sharing);
 }
@@ -307,7 +312,7 @@
 fn check_share_of_healthy_instances_in_use(
     is_idempotent: impl Fn(usize) -> bool,
     all_have_succeeded: bool,
-    load_sharing: Option<LoadSharing>,
+    load_sharing: LoadSharing,
 ) {
     const HOSTS: usize = 8;
     const STEP: Duration = Duration::from_millis(40);
@@ -429,7 +434,7 @@
         usual_time: Duration::from_millis(200),
         latency_target: Duration::from_millis(400),
         room: None,
-        load_sharing: None,
+        load_sharing: LoadSharing::for_hosts(1),
     };
     let counts = exclusions(host.now, &host.roster, &host.evidence, &request);
     assert_eq!(counts.back_off, 2);
--- a/crates/upstreams/tests/testsuite/scarcity_fleet.rs
+++ b/crates/upstreams/tests/testsuite/scarcity_fleet.rs
@@ -9,8 +9,8 @@
 use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName, WorkspaceName};
 use waxwingusher_limits::{FairShares, QueuePosition, WaitQueue, WaitTerms};
 use waxwingusher_upstreams::{
-    Evidence, HostView, Observation, PlacementError, PlacementRequest, RequestKind, Roster,
-    RosterEntry, RosterState, ScarcityLevel, ScarcityMonitor, place,
+    Evidence, HostView, LoadSharing, Observation, PlacementError, PlacementRequest, RequestKind,
+    Roster, RosterEntry, RosterState, ScarcityLevel, ScarcityMonitor, place,
 };
 
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
@@ -409,7 +409,7 @@
             &self.roster,
             &host.evidence,
             &PlacementRequest {
-                load_sharing: None,
+                load_sharing: LoadSharing::for_hosts(1),
                 allowed_domains: None,
                 service: &self.service,
                 is_idempotent: self.settings.kinds[request.kind].is_idempotent,
