--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -438,7 +438,7 @@
     /// Spends a retry if the fleet's budget allows it. `success_chance` is the probability
     /// that the chosen instance serves the request.
     fn spend_retry(&self, success_chance: f64) -> bool {
-        if self.state.load_sharing {
+        if self.state.shares_scarce_capacity {
             return self.spend_retry_by_worth(success_chance);
         }
         let known_hosts = self.state.peers.borrow().known_hosts();
--- a/crates/gateway/src/dispatch/sharing.rs
+++ b/crates/gateway/src/dispatch/sharing.rs
@@ -1,4 +1,4 @@
-//! The room and the order of requests while the deployment asks for load sharing.
+//! The room and the order of requests while the deployment asks for shares.
 
 use std::time::{Duration, Instant};
 
@@ -28,7 +28,7 @@
 
     /// Records that the request uses its service.
     pub(super) fn record_demand(&self) {
-        if !self.state.load_sharing {
+        if !self.state.shares_scarce_capacity {
             return;
         }
         let mut scarcity = self.state.scarcity.borrow_mut();
@@ -52,7 +52,7 @@
         let known_hosts = self.state.peers.borrow().known_hosts();
         let service = &self.request.service;
         let mut budget = self.state.retry_budget.borrow_mut();
-        if !self.state.load_sharing {
+        if !self.state.shares_scarce_capacity {
             return budget.allows(now, service, known_hosts);
         }
         let worth = self.retry_worth(UNKNOWN_SUCCESS_CHANCE);
@@ -96,7 +96,7 @@
     /// Counts the request towards its workspace's use of the service, and decides whether
     /// it is above the workspace's share, if the service is short of capacity.
     pub(crate) fn apply_share(&mut self, workspace: &WorkspaceName) {
-        if !self.state.load_sharing {
+        if !self.state.shares_scarce_capacity {
             return;
         }
         let now = self.state.now();
@@ -135,7 +135,7 @@
     /// Records whether the request was served within its latency target.
     pub(super) fn record_final_answer(&self, answer: &Answer) {
         // The excess of one workspace does not show how a kind is served.
-        if !self.state.load_sharing || self.is_over_share {
+        if !self.state.shares_scarce_capacity || self.is_over_share {
             return;
         }
         let took = self
@@ -150,7 +150,7 @@
 
     /// Records that an instance did not run the request because it was full.
     pub(super) fn record_rejection(&self) {
-        if !self.state.load_sharing {
+        if !self.state.shares_scarce_capacity {
             return;
         }
         let mut scarcity = self.state.scarcity.borrow_mut();
@@ -161,7 +161,7 @@
     pub(super) fn enqueue(&self) -> (QueueTicket, Instant) {
         let now = self.state.now();
         let service = &self.request.service;
-        if !self.state.load_sharing {
+        if !self.state.shares_scarce_capacity {
             let max_wait = self.route.latency_target.mul_f64(MAX_QUEUE_WAIT_SHARE);
             let ticket = QueueTicket::enqueue(self.state, service, now, self.priority);
             return (ticket, now + max_wait);
@@ -182,7 +182,7 @@
     /// Records that the request leaves the queue for an instance.
     pub(super) fn record_served(&self, ticket: &QueueTicket) {
         ticket.record_served();
-        if self.state.load_sharing {
+        if self.state.shares_scarce_capacity {
             // An excess request takes room that is not its kind's.
             if self.is_over_share {
                 return;
@@ -195,7 +195,7 @@
     /// Reports whether the request will probably get no slot in time, and if so, keeps
     /// when its caller should return.
     pub(super) fn waits_in_vain(&self, ticket: &QueueTicket, wait_left: Duration) -> bool {
-        if !self.state.load_sharing {
+        if !self.state.shares_scarce_capacity {
             return wait_left.is_zero() || ticket.is_likely_to_time_out(wait_left);
         }
         let estimate = ticket.estimate();
@@ -210,7 +210,7 @@
 
     /// Measures the load of the service, if the last measurement is old.
     pub(super) fn update_scarcity(&self) {
-        if !self.state.load_sharing {
+        if !self.state.shares_scarce_capacity {
             return;
         }
         let service = &self.request.service;
@@ -233,9 +233,9 @@
     }
 
     /// Returns the room at each instance that the request may use, if the deployment
-    /// asks for load sharing.
+    /// asks for shares.
     pub(super) fn room(&self) -> Option<RoomLimit> {
-        if !self.state.load_sharing {
+        if !self.state.shares_scarce_capacity {
             return None;
         }
         let scarcity = self.state.scarcity.borrow();
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -225,7 +225,7 @@
     for (workspace, count) in record.admitted.record(now, is_catching_up, reported) {
         if let Some(name) = hashes.get(&workspace) {
             limits.debit(now, name, count, view);
-            if state.load_sharing {
+            if state.shares_scarce_capacity {
                 let mut shares = state.fair_shares.borrow_mut();
                 shares.record_peer_admissions(now, name, count);
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,7 +32,7 @@
     pub retry_budget: FleetRetryBudgetSettings,
     /// The time from the stop command to the exit of the process.
     pub stop_grace: Duration,
-    /// Whether the deployment asks for even load over the instances of a service, and
-    /// for shares of a service that is short of room.
-    pub load_sharing: bool,
+    /// Whether the deployment asks for shares of a service that is short of capacity: by
+    /// urgency, by workspace and by the worth of retries.
+    pub shares_scarce_capacity: bool,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -81,8 +81,8 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) outbox: Outbox,
     pub(crate) wait_queue: RefCell<WaitQueue>,
-    /// Whether the deployment asks for load sharing.
-    pub(crate) load_sharing: bool,
+    /// Whether the deployment asks for shares of services that are short of capacity.
+    pub(crate) shares_scarce_capacity: bool,
     pub(crate) scarcity: RefCell<ScarcityMonitor>,
     pub(crate) fair_shares: RefCell<FairShares>,
     /// Notifies requests that wait for capacity at an instance.
@@ -143,7 +143,7 @@
             pool: ConnectionPool::default(),
             outbox: Outbox::default(),
             wait_queue: RefCell::default(),
-            load_sharing: settings.load_sharing,
+            shares_scarce_capacity: settings.shares_scarce_capacity,
             scarcity: RefCell::default(),
             fair_shares: RefCell::default(),
             capacity_freed: Notify::new(),
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -343,7 +343,7 @@
             roster: roster(instances),
         };
         let settings = GatewaySettings {
-            load_sharing: true,
+            shares_scarce_capacity: true,
             ..Self::settings(&[], grace)
         };
         Self::start_with_settings(settings, source)
@@ -375,7 +375,7 @@
                 fleet_slack: 50.0,
             },
             stop_grace: grace,
-            load_sharing: false,
+            shares_scarce_capacity: false,
             region: None,
             region_by_domain: BTreeMap::new(),
         }
--- a/crates/gateway/tests/testsuite/load_sharing.rs
+++ b/crates/gateway/tests/testsuite/load_sharing.rs
@@ -74,7 +74,7 @@
 
 /// Guards against load sharing in deployments that do not ask for it.
 #[test]
-fn nothing_is_decided_by_scarcity_without_load_sharing() {
+fn nothing_is_decided_by_scarcity_without_shares() {
     let instance = busy_instance();
     let host = TestHost::start_with(two_kinds(), &[&instance], GRACE);
     let requests: Vec<String> = (0..40)
--- a/crates/upstreams/src/room.rs
+++ b/crates/upstreams/src/room.rs
@@ -20,7 +20,7 @@
     /// The longest queue, as a multiple of the slots.
     pub queue_rounds: f64,
     /// The share of the slots that stays free for more urgent requests, rounded to
-    /// whole slots of each instance.
+    /// whole slots of each instance, but to at most half as many again.
     pub reserved_share: f64,
     /// The requests at an instance for each one that is reported; above 1 while a part of
     /// the fleet is unreachable.
@@ -29,6 +29,9 @@
     pub is_closed: bool,
 }
 
+/// How many times the reserved share the slots that are reserved may be. At instances with
+/// few slots, rounding would reserve up to twice the share.
+const MAX_ROUNDING_FACTOR: f64 = 1.5;
 /// The share of the slots that requests above their workspace's share leave free in
 /// addition: two of six.
 const EXCESS_RESERVED_SHARE: f64 = 0.3;
@@ -44,13 +47,24 @@
         }
     }
 
+    /// Returns the whole slots of an instance that stay free.
+    fn reserved_slots(&self, slots: f64) -> f64 {
+        let exact = slots * self.reserved_share;
+        let rounded = exact.round();
+        if rounded > exact * MAX_ROUNDING_FACTOR {
+            rounded - 1.0
+        } else {
+            rounded
+        }
+    }
+
     /// Returns the most requests that may be at an instance, this one included; at
     /// least 1.
     #[must_use]
     pub fn max_in_flight(&self, slots: u32) -> u32 {
         let slots = f64::from(slots.max(1));
-        let reserved = (slots * self.reserved_share).round();
-        let max = (slots - reserved + (slots * self.queue_rounds).floor()).max(1.0);
+        let max =
+            (slots - self.reserved_slots(slots) + (slots * self.queue_rounds).floor()).max(1.0);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
--- a/crates/upstreams/tests/testsuite/scarcity.rs
+++ b/crates/upstreams/tests/testsuite/scarcity.rs
@@ -6,7 +6,7 @@
 
 use waxwingusher_core::{FailureDomain, FeedPosition, InstanceId, ServiceName};
 use waxwingusher_upstreams::{
-    Evidence, HostView, InstanceReport, RequestKind, Roster, RosterEntry, RosterState,
+    Evidence, HostView, InstanceReport, RequestKind, RoomLimit, Roster, RosterEntry, RosterState,
     ScarcityChange, ScarcityLevel, ScarcityMonitor,
 };
 
@@ -376,3 +376,26 @@
     let bound = Duration::from_micros(if cfg!(debug_assertions) { 2_000 } else { 20 });
     assert!(each <= bound, "{each:?}");
 }
+
+/// Guards against small instances that leave half of their slots idle where a third is
+/// reserved: on a service with two slots each, all kinds lost by it.
+#[test]
+fn rounding_reserves_at_most_half_as_much_again_as_the_share() {
+    for slots in 1..=8 {
+        for percent in 0..=100 {
+            let reserved_share = f64::from(percent) / 100.0;
+            let room = RoomLimit {
+                queue_rounds: 0.0,
+                reserved_share,
+                load_factor: 1.0,
+                is_closed: false,
+            };
+            let reserved = f64::from(slots - room.max_in_flight(slots));
+            let exact = f64::from(slots) * reserved_share;
+            assert!(
+                reserved <= 1.5 * exact + 1e-9 && reserved >= exact - 1.0,
+                "{reserved} of {slots} slots, {percent}%"
+            );
+        }
+    }
+}
