--- a/crates/upstreams/tests/testsuite/placement.rs
+++ b/crates/upstreams/tests/testsuite/placement.rs
@@ -484,3 +484,63 @@
         .record_rate_limit(&limited, RateLimitChange::Lifted);
     assert_eq!(host.chosen(false), "limited");
 }
+
+/// Guards against requests that leave their failure domain though a local slot is free: a
+/// third of them did, as a slot was taken, some answers had been slow, or the hosts of the
+/// other domain were late to report their attempts (further quiet-1).
+#[test]
+fn requests_leave_their_domain_only_for_room_or_a_much_lower_risk() {
+    let slow = Observation::Success { slowness: 2.0 };
+    let busy = |host: &mut TestHost| {
+        let local = InstanceId::new("local");
+        (1..SLOTS).for_each(|_| host.evidence.record_start(host.now, &local));
+    };
+    type Change<'a> = &'a dyn Fn(&mut TestHost);
+    let cases: [(&str, Change<'_>, &str); 6] = [
+        ("all but one local slot are taken", &busy, "local"),
+        (
+            "some local answers were slow",
+            &|host| (0..3).for_each(|_| host.record("local", slow)),
+            "local",
+        ),
+        (
+            "one local request in many failed",
+            &|host| {
+                (0..8).for_each(|_| host.record("local", SUCCESS));
+                host.record("local", Observation::Failure);
+            },
+            "local",
+        ),
+        (
+            "no attempt at the remote instance was reported for 700 ms",
+            &|host| {
+                host.now += Duration::from_millis(700);
+                host.record("local", SUCCESS);
+            },
+            "local",
+        ),
+        (
+            "no host has tried the remote instance for 2 s",
+            &|host| {
+                host.now += Duration::from_secs(2);
+                host.record("local", SUCCESS);
+            },
+            "remote",
+        ),
+        (
+            "the local instance fails",
+            &|host| (0..2).for_each(|_| host.record("local", Observation::Failure)),
+            "remote",
+        ),
+    ];
+    for (situation, change, expected) in cases {
+        let mut host = TestHost::new(vec![
+            entry("local", "north", Duration::ZERO),
+            entry("remote", "south", Duration::ZERO),
+        ]);
+        host.record("local", SUCCESS);
+        host.record("remote", SUCCESS);
+        change(&mut host);
+        assert_eq!(host.chosen(true), expected, "{situation}");
+    }
+}
