--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -27,3 +27,4 @@
     BlobDigest, Manifest, Pack, Publication, PublicationError, assemble, publish,
 };
 pub use resolve::{CheckReport, TeamText, check, resolve};
+pub use suggestion::closest;
--- a/crates/config/src/routing/document.rs
+++ b/crates/config/src/routing/document.rs
@@ -72,6 +72,8 @@
     /// The entry is in force with a safe value in place of the one that was not
     /// understood.
     Restricted,
+    /// The entry is in force without a field that is not known.
+    Ignored,
 }
 
 impl FindingEffect {
@@ -81,6 +83,7 @@
         match self {
             Self::LeftOut => "left-out",
             Self::Restricted => "restricted",
+            Self::Ignored => "ignored",
         }
     }
 }
--- a/crates/config/src/routing/review.rs
+++ b/crates/config/src/routing/review.rs
@@ -30,6 +30,7 @@
     #[error("{cause}; hosts {}", match effect {
         FindingEffect::LeftOut => "leave the entry out",
         FindingEffect::Restricted => "use the entry with a safe value instead",
+        FindingEffect::Ignored => "ignore the field",
     })]
     Unreadable {
         cause: String,
@@ -147,6 +148,10 @@
     #[must_use]
     pub fn severity(&self) -> Severity {
         match self {
+            Self::Unreadable {
+                effect: FindingEffect::Ignored,
+                ..
+            } => Severity::Warning,
             Self::Unreadable { .. }
             | Self::VersionNotGreater { .. }
             | Self::DuplicateName
@@ -467,13 +472,14 @@
                 self.add(place, Mistake::NoKey);
             }
             let mut own = HashSet::new();
+            let mut reported = HashSet::new();
             for digest in &workspace.keys {
                 if !own.insert(*digest) {
                     self.add(place, Mistake::RepeatedKey);
                     continue;
                 }
                 let holder = *holders.entry(*digest).or_insert(workspace);
-                if holder.name != workspace.name {
+                if holder.name != workspace.name && reported.insert(&holder.name) {
                     let other = holder.name.to_string();
                     self.add(place, Mistake::SharedKey { other });
                 }
--- a/crates/config/tests/testsuite/review.rs
+++ b/crates/config/tests/testsuite/review.rs
@@ -336,8 +336,18 @@
     let other = "acme".to_owned();
     assert_eq!(
         mistakes(|document| document.workspaces[1] = workspace("best", &["k2", "k1"])),
-        [(place, Mistake::SharedKey { other })]
+        [(
+            place,
+            Mistake::SharedKey {
+                other: other.clone()
+            }
+        )]
     );
+    let two_keys_shared = mistakes(|document| {
+        document.workspaces[0] = workspace("acme", &["k1", "k2"]);
+        document.workspaces[1] = workspace("best", &["k2", "k1"]);
+    });
+    assert_eq!(two_keys_shared, [(place, Mistake::SharedKey { other })]);
     assert_eq!(
         mistakes(|document| document.workspaces[1].keys.clear()),
         [(place, Mistake::NoKey)]
