--- a/crates/config/src/suggestion.rs
+++ b/crates/config/src/suggestion.rs
@@ -4,7 +4,7 @@
 const MAX_EDITS: usize = 3;
 
 /// Returns the candidate with the smallest edit distance, if that is at most
-/// [`MAX_EDITS`] and half of the candidate's length.
+/// 3 and half of the candidate's length.
 pub fn closest<'a>(name: &str, candidates: impl Iterator<Item = &'a str>) -> Option<String> {
     candidates
         .map(|candidate| (edit_distance(name, candidate), candidate))
