Try idle instances as soon as they are no suspects again

Cause: since a failure that cannot be repeated counts 2, the value of a trial, stated in the unit of a risk, no longer outweighed the risk of an instance that had just ceased to be a suspect: it got nothing for seconds more.

Change: the value of a trial counts in risk, and both count 2.

--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -37,13 +37,13 @@
 const EXPLORATION_VALUE: f64 = 0.35;
 /// The same for a suspect, lower so that healthy instances come first.
 const SUSPECT_EXPLORATION_VALUE: f64 = 0.15;
-/// The value of a request on its only or last attempt at an instance that is no
-/// suspect, for each second by which its newest attempt is older than
+/// The risk that is worth taking for a request on its only or last attempt at an instance
+/// that is no suspect, for each second by which its newest attempt is older than
 /// [`MIN_IDLE_AGE_S`]. It keeps the healthy instances of a service without retryable
 /// requests in use.
 const IDLE_EXPLORATION_VALUE_PER_S: f64 = 0.3;
 const MIN_IDLE_AGE_S: f64 = 1.2;
-/// The largest such value: an instance gets a trial as soon as it is no suspect any
+/// The largest such risk: an instance gets a trial as soon as it is no suspect any
 /// more.
 const MAX_IDLE_EXPLORATION_VALUE: f64 = 0.6;
 /// The age that stands for an instance without attempts in this respect.
@@ -340,7 +340,8 @@
     if !can_retry {
         let idle_s = age.unwrap_or(UNKNOWN_IDLE_AGE_S) - MIN_IDLE_AGE_S;
         let value = (IDLE_EXPLORATION_VALUE_PER_S * idle_s).clamp(0.0, MAX_IDLE_EXPLORATION_VALUE);
-        return failure_cost(can_retry) * health.risk - if health.is_suspect { 0.0 } else { value };
+        let value = if health.is_suspect { 0.0 } else { value };
+        return failure_cost(can_retry) * (health.risk - value);
     }
     let (cost, exploration_value) = if health.is_suspect {
         (SUSPECT_TRIAL_COST, SUSPECT_EXPLORATION_VALUE)
--- a/crates/upstreams/tests/testsuite/placement.rs
+++ b/crates/upstreams/tests/testsuite/placement.rs
@@ -544,3 +544,22 @@
         assert_eq!(host.chosen(true), expected, "{situation}");
     }
 }
+
+/// Guards against instances that recovered and stay idle, as a failure of a request that
+/// cannot be repeated outweighs the value of a trial: 11 of 34 sound ones got nothing for
+/// 2 s (further-grown trouble-3).
+#[test]
+fn an_idle_instance_gets_a_trial_as_soon_as_it_is_no_suspect() {
+    let mut host = TestHost::new(vec![
+        entry("used", "north", Duration::ZERO),
+        entry("recovered", "north", Duration::ZERO),
+    ]);
+    let recovered = InstanceId::new("recovered");
+    (0..2).for_each(|_| host.record("recovered", Observation::Failure));
+    while host.evidence.health(host.now, &recovered).is_suspect {
+        host.now += Duration::from_millis(50);
+    }
+    host.record("used", SUCCESS);
+    let is_tried = (0..20).any(|_| host.chosen(false) == "recovered");
+    assert!(is_tried, "{:?}", host.evidence.health(host.now, &recovered));
+}
