Weigh a failure as before, against half the cost of a remote domain

With failures that count 2, small differences in risk outweigh the load of a slot, so that requests crowd on the instances that have just succeeded.

Change: a failure counts 1 as before, and a remote domain 0.5 while a local slot is free, so that a difference in risk of a half still leads there.

--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -26,9 +26,9 @@
 /// The cost of a remote failure domain while a local instance has a free slot. Traffic
 /// between domains is expensive, so a request leaves its domain then only if it is much
 /// more likely to fail there.
-const REMOTE_DOMAIN_COST: f64 = 1.0;
+const REMOTE_DOMAIN_COST: f64 = 0.5;
 /// The cost of a failure to a request that cannot be retried.
-const FAILURE_COST: f64 = 2.0;
+const FAILURE_COST: f64 = 1.0;
 /// The cost of a failure to a request that can be retried: the time of the attempt.
 const RETRYABLE_FAILURE_COST: f64 = 0.3;
 /// The value of an attempt at an instance whose newest attempt has the age
