Tell the simulated hosts of a short service how many they are

The hosts of scarcity_fleet chose as if each were alone in its domain, while the gateway passes the number of hosts. The check is as it was, and passes with the number that hosts really pass.

--- a/crates/upstreams/tests/testsuite/scarcity_fleet.rs
+++ b/crates/upstreams/tests/testsuite/scarcity_fleet.rs
@@ -382,6 +382,7 @@
     fn place(&mut self, host: usize, request: Request) -> Result<usize, PlacementError> {
         let kind = self.request_kind(host, request.kind);
         let reachable = self.reachable_share(host);
+        let hosts_per_domain = self.hosts.len() / DOMAINS.len();
         let host = &mut self.hosts[host];
         let room = self.settings.is_sharing.then(|| {
             let most_urgent = host.monitor.most_urgent(&self.service);
@@ -409,7 +410,7 @@
             &self.roster,
             &host.evidence,
             &PlacementRequest {
-                load_sharing: LoadSharing::for_hosts(1),
+                load_sharing: LoadSharing::for_hosts(hosts_per_domain),
                 allowed_domains: None,
                 service: &self.service,
                 is_idempotent: self.settings.kinds[request.kind].is_idempotent,
