--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -23,10 +23,6 @@
 
 /// The largest random part of a cost, below every difference that matters.
 const MAX_NOISE: f64 = 0.03;
-/// The cost of a remote failure domain while a local instance has a free slot. Traffic
-/// between domains is expensive, so a request leaves its domain then only if it is much
-/// more likely to fail there.
-const REMOTE_DOMAIN_COST: f64 = 0.5;
 /// The cost of a failure to a request that cannot be retried.
 const FAILURE_COST: f64 = 1.0;
 /// The cost of a failure to a request that can be retried: the time of the attempt.
@@ -73,8 +69,8 @@
 /// The share of the latency target within which a caller that returns to an instance with
 /// a rate limit fares better than at a suspect.
 const MAX_RETURN_SHARE: f64 = 0.5;
-/// The cost of a remote failure domain while no local slot is free: above the load of an
-/// instance with a free slot, below that of one with a queue.
+/// The cost of a remote failure domain: above the load of a local instance with a free
+/// slot, below that of one with a queue.
 const SPILLOVER_COST: f64 = 0.2;
 /// The share of free slots in remote domains from which requests go there before all
 /// local slots are busy. Where fewer are free, reports of 400 ms show mostly slots that
@@ -458,11 +454,6 @@
             local_cost
         };
         let stays_in_queue = local.free_slots() == 0 && rng.f64() >= remote_room;
-        let remote_cost = if !is_short && local.free_slots() > 0 {
-            remote_cost.map(|cost| cost + REMOTE_DOMAIN_COST - SPILLOVER_COST)
-        } else {
-            remote_cost
-        };
         let is_local_cheapest = match (local_cost, remote_cost) {
             (Some(_), Some(_)) if stays_in_queue => true,
             (Some(local), Some(remote)) => local <= remote,
