Leave a failure domain only when the wait in a local queue takes too long

A request left as soon as no local slot was free, though callers have two to three times the usual time until their latency targets. Once no slot was free, a local queue also cost as much as its first place, however long it was.

Change: a remote domain costs as much as the wait that takes 0.4 of the request's spare time, between 0.2 and 1 round.

--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -69,9 +69,15 @@
 /// The share of the latency target within which a caller that returns to an instance with
 /// a rate limit fares better than at a suspect.
 const MAX_RETURN_SHARE: f64 = 0.5;
-/// The cost of a remote failure domain: above the load of a local instance with a free
-/// slot, below that of one with a queue.
-const SPILLOVER_COST: f64 = 0.2;
+/// The share of the time by which a request usually reaches its latency target that it
+/// spends in a local queue rather than leave its failure domain. It has as much left for a
+/// queue that other hosts have made longer meanwhile.
+const LOCAL_WAIT_SHARE: f64 = 0.4;
+/// The least cost of a remote failure domain, above the load of a local instance with a
+/// free slot.
+const MIN_SPILLOVER_COST: f64 = 0.2;
+/// The largest cost of a remote failure domain: one round in a local queue.
+const MAX_SPILLOVER_COST: f64 = QUEUE_COST;
 /// The share of free slots in remote domains from which requests go there before all
 /// local slots are busy. Where fewer are free, reports of 400 ms show mostly slots that
 /// others have taken, and requests moved back and forth between busy domains; then only
@@ -125,6 +131,18 @@
         self.is_idempotent && self.attempts_left > 1
     }
 
+    /// Returns the cost of a remote failure domain: that of the wait in a local queue that
+    /// the request can bear and still reach its latency target.
+    fn spillover_cost(&self) -> f64 {
+        if self.room.is_some_and(|room| room.avoids_queues) {
+            return MIN_SPILLOVER_COST;
+        }
+        let spare = self.latency_target.saturating_sub(self.usual_time);
+        let usual_s = self.usual_time.as_secs_f64().max(f64::MIN_POSITIVE);
+        let rounds = LOCAL_WAIT_SHARE * spare.as_secs_f64() / usual_s;
+        (QUEUE_COST * rounds).clamp(MIN_SPILLOVER_COST, MAX_SPILLOVER_COST)
+    }
+
     /// Reports whether the instances of a failure domain may get the request.
     fn allows(&self, domain: &FailureDomain) -> bool {
         self.allowed_domains
@@ -323,7 +341,7 @@
     let occupancy = occupancy(listed, health);
     let mut cost = LOAD_COST * occupancy.min(1.0) + QUEUE_COST * (occupancy - 1.0).max(0.0);
     if listed.entry.failure_domain != *request.failure_domain {
-        cost += SPILLOVER_COST;
+        cost += request.spillover_cost();
     }
     if now < listed.warm_at {
         cost += COLD_COST;
@@ -406,7 +424,7 @@
             group.due.push((cost, group.listed.len()));
         }
         if is_remote {
-            base_cost += SPILLOVER_COST;
+            base_cost += request.spillover_cost();
         }
         group.candidates.push(Candidate {
             base_cost: base_cost + failure_cost(request.can_retry()) * health.risk,
@@ -441,15 +459,16 @@
         if explored.is_some() {
             return explored;
         }
-        // A local instance with a free slot is cheaper than any remote one that is as
-        // healthy, so the draw among remote ones is mostly not needed.
+        // A local instance with a free slot or a short queue is cheaper than any remote one
+        // that is as healthy, so the draw among remote ones is mostly not needed.
         // If other hosts have probably filled its free slots meanwhile, the part of the
         // requests that would wait leaves the domain.
         let remote_room = remote.free_share() / MIN_REMOTE_FREE_SHARE;
         let is_short = remote_room >= 1.0
             && rng.f64() * (local_arrivals + 1.0) >= f64::from(local.free_slots());
         let local_cost = if is_short {
-            local.queue_cost()
+            let queue_cost = local.queue_cost();
+            local_cost.map(|cost| cost.max(queue_cost.unwrap_or(cost)))
         } else {
             local_cost
         };
--- a/crates/upstreams/src/room.rs
+++ b/crates/upstreams/src/room.rs
@@ -27,6 +27,9 @@
     pub load_factor: f64,
     /// Whether the request must wait at its host, whatever room seems to be left.
     pub is_closed: bool,
+    /// Whether the request leaves its failure domain for a free slot rather than queue,
+    /// since less urgent ones would take that slot.
+    pub avoids_queues: bool,
 }
 
 /// How many times the reserved share the slots that are reserved may be. At instances with
--- a/crates/upstreams/src/scarcity.rs
+++ b/crates/upstreams/src/scarcity.rs
@@ -488,6 +488,7 @@
                 reserved_share: 0.0,
                 load_factor,
                 is_closed: false,
+                avoids_queues: self.level > ScarcityLevel::Ample && self.kinds.len() > 1,
             };
         };
         let own_use = self.kinds.get(&kind.priority);
@@ -497,6 +498,7 @@
                 reserved_share: 0.0,
                 load_factor,
                 is_closed: false,
+                avoids_queues: false,
             };
         }
         let own_misses = own_use.map_or(0.0, |usage| usage.misses);
@@ -515,6 +517,7 @@
             reserved_share: reserved_share + further_share,
             load_factor,
             is_closed: self.holds_back_blindly(own_misses),
+            avoids_queues: false,
         }
     }
 
--- a/crates/upstreams/tests/testsuite/scarcity.rs
+++ b/crates/upstreams/tests/testsuite/scarcity.rs
@@ -389,6 +389,7 @@
                 reserved_share,
                 load_factor: 1.0,
                 is_closed: false,
+                avoids_queues: false,
             };
             let reserved = f64::from(slots - room.max_in_flight(slots));
             let exact = f64::from(slots) * reserved_share;
