Try idle instances while many requests are refused and few are in use

The service has no retryable requests. 21 instances were in use; the others had failed in their last trial 1 to 6 s before and were suspects until their risk had decayed.

Change: while at least 0.06 of a host's requests are refused, and fewer than 0.75 of the instances of a service were used within 1.6 s, those idle for 1.2 s (1.4 s in other domains) get one trial by about one host. Attempts are logged with the reason of the choice, and explain tells it.

Ruled out: the same while a tenth of the requests fail or are refused.

The test holds that seven of ten instances, six of them suspects, are used within 3 s then, and fewer while 0.05 are refused, as without the change.

--- a/crates/bench/src/upstreams/even_load.rs
+++ b/crates/bench/src/upstreams/even_load.rs
@@ -843,6 +843,7 @@
         let load_sharing = LoadSharing::for_hosts(sharing_hosts);
         let host = &self.hosts[host];
         let request = PlacementRequest {
+            refused_share: 0.0,
             allowed_domains: None,
             room: None,
             service: &self.service,
--- a/crates/bench/src/upstreams/placement_time.rs
+++ b/crates/bench/src/upstreams/placement_time.rs
@@ -68,6 +68,7 @@
     roster.replace(now, entries, FeedPosition::new(0, 1));
     let (service, failure_domain) = (ServiceName::new("service"), FailureDomain::new("domain-0"));
     let request = PlacementRequest {
+        refused_share: 0.0,
         load_sharing: LoadSharing::for_hosts(1),
         room: None,
         service: &service,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -287,6 +287,7 @@
             request: &self.request.request_id,
             number: self.number,
             instance: self.placement.instance.entry.id.as_str(),
+            choice: self.placement.reason.as_str(),
             risk: to_hundredths(health.risk),
             load: health.in_flight,
             outcome_age_ms: health.outcome_age.map(millis),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -420,6 +420,7 @@
             latency_target: self.route.latency_target,
             room: self.room(),
             load_sharing: self.state.load_sharing(),
+            refused_share: self.state.refusals.borrow().share(self.state.now()),
         }
     }
 
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -89,6 +89,8 @@
         request: String,
         number: usize,
         instance: String,
+        /// Older builds do not write it.
+        choice: Option<String>,
         risk: f64,
         load: u32,
         #[serde(rename = "word_age_ms")]
@@ -230,6 +232,7 @@
             Self::Attempt {
                 number,
                 instance,
+                choice,
                 risk,
                 load,
                 outcome_age_ms,
@@ -243,7 +246,11 @@
                     f,
                     "attempt {number} at {instance}: {outcome} after {took_ms} ms"
                 )?;
-                write!(f, " (risk {risk}, {load} requests in flight there, ")?;
+                f.write_str(" (")?;
+                if let Some(choice) = choice {
+                    write!(f, "chosen as {choice}, ")?;
+                }
+                write!(f, "risk {risk}, {load} requests in flight there, ")?;
                 match outcome_age_ms {
                     Some(age_ms) => write!(f, "last outcome {age_ms} ms before")?,
                     None => f.write_str("no outcome yet")?,
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -280,6 +280,8 @@
         number: usize,
         /// The instance.
         instance: &'a str,
+        /// Why it was chosen.
+        choice: &'a str,
         /// The failure probability that placement estimated.
         risk: f64,
         /// The estimated number of requests of all hosts in flight at the instance.
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -79,6 +79,7 @@
         takeover::add_result(&mut answer);
     }
     let took = state.now().saturating_duration_since(received_at);
+    record_refusal(state, &record, &answer);
     state
         .metrics
         .record_request(&record.route, answer.outcome, took);
@@ -97,6 +98,21 @@
     answer
 }
 
+/// Records whether a request that a configuration allows was refused.
+fn record_refusal(state: &State, record: &RequestRecord, answer: &Answer) {
+    let is_refused = record.attempts == 0
+        && matches!(
+            answer.status,
+            StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::GATEWAY_TIMEOUT
+        );
+    if is_refused || record.attempts > 0 {
+        let mut refusals = state.refusals.borrow_mut();
+        refusals.record(state.now(), is_refused);
+    }
+}
+
 async fn process(
     state: &Rc<State>,
     mut request: CallerRequest,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,7 @@
 use waxwingusher_membership::seeded::readers::reader_rank;
 use waxwingusher_membership::seeded::{CrashReport, LeavingInstance, PeerTable, name_hash};
 use waxwingusher_upstreams::{
-    Evidence, LoadSharing, PathMonitor, Roster, RosterEntry, ScarcityMonitor,
+    Evidence, LoadSharing, PathMonitor, RefusalMonitor, Roster, RosterEntry, ScarcityMonitor,
 };
 
 use crate::cold_instances::ColdInstances;
@@ -85,6 +85,7 @@
     pub(crate) shares_scarce_capacity: bool,
     pub(crate) scarcity: RefCell<ScarcityMonitor>,
     pub(crate) fair_shares: RefCell<FairShares>,
+    pub(crate) refusals: RefCell<RefusalMonitor>,
     /// Notifies requests that wait for capacity at an instance.
     pub(crate) capacity_freed: Notify,
     pub(crate) feed: RefCell<FeedReplica>,
@@ -146,6 +147,7 @@
             shares_scarce_capacity: settings.shares_scarce_capacity,
             scarcity: RefCell::default(),
             fair_shares: RefCell::default(),
+            refusals: RefCell::default(),
             capacity_freed: Notify::new(),
             feed: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/gateway/tests/testsuite/domain_returns.rs
+++ b/crates/gateway/tests/testsuite/domain_returns.rs
@@ -96,6 +96,7 @@
     fn send(&mut self, host: usize) {
         let (service, domain) = (ServiceName::new("svc"), FailureDomain::new("north"));
         let request = PlacementRequest {
+            refused_share: 0.0,
             load_sharing: LoadSharing::for_hosts(1),
             room: None,
             service: &service,
--- a/crates/gateway/tests/testsuite/explain.rs
+++ b/crates/gateway/tests/testsuite/explain.rs
@@ -18,6 +18,7 @@
         request,
         number: 1,
         instance: "i-1",
+        choice: "remote",
         risk: 0.25,
         load: 2,
         outcome_age_ms: None,
--- a/crates/gateway/tests/testsuite/journal.rs
+++ b/crates/gateway/tests/testsuite/journal.rs
@@ -95,6 +95,7 @@
         request: "9c41",
         number: 1,
         instance: "i-1",
+        choice: "remote",
         risk: 0.25,
         load: 2,
         outcome_age_ms: Some(7),
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -20,6 +20,7 @@
 use crate::load_estimate::{Candidate, CandidateGroup, LoadSharing};
 use crate::room::{RoomLimit, has_room, occupancy};
 use crate::roster::{ListedInstance, Roster};
+use crate::usage::ServiceUsage;
 
 /// The largest random part of a cost, below every difference that matters.
 const MAX_NOISE: f64 = 0.03;
@@ -90,6 +91,12 @@
 /// that only a domain whose hosts do not explore it is explored from others. Each
 /// healthy instance must get requests within two seconds.
 const REMOTE_EXPLORATION_AGE: Duration = Duration::from_millis(1_400);
+/// The age of the newest attempt from which a local instance gets a trial while too few are
+/// in use, also if it is a suspect.
+const LOCAL_TRIAL_AGE: Duration = Duration::from_millis(1_200);
+/// The age of the newest attempt up to which an instance counts as in use. Until the age is
+/// two seconds, hosts of all domains have tried the others.
+const IN_USE_AGE: Duration = Duration::from_millis(1_600);
 /// How many requests explore an instance, on average, before other hosts learn of the
 /// first one. With one, an instance stays without requests in two cases of five.
 const MEAN_EXPLORERS: f64 = 3.0;
@@ -123,6 +130,8 @@
     pub room: Option<RoomLimit>,
     /// The hosts among which the load is to be shared evenly.
     pub load_sharing: LoadSharing,
+    /// The share of requests that this host lately refused.
+    pub refused_share: f64,
 }
 
 impl PlacementRequest<'_> {
@@ -150,11 +159,43 @@
     }
 }
 
+/// Why an instance was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlacementReason {
+    /// It was drawn among those that seem healthy in the local failure domain.
+    Local,
+    /// It was drawn among remote ones, as the wait for a local one would take too long or
+    /// fail more often.
+    Remote,
+    /// No host had used it for some time.
+    Explored,
+    /// The same, while many requests are refused and few instances are in use.
+    Trial,
+    /// No instance that seems healthy takes the request.
+    LastResort,
+}
+
+impl PlacementReason {
+    /// Returns the name of the reason in log lines.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Local => "local",
+            Self::Remote => "remote",
+            Self::Explored => "explored",
+            Self::Trial => "trial",
+            Self::LastResort => "last-resort",
+        }
+    }
+}
+
 /// A chosen instance.
 #[derive(Debug, Clone)]
 pub struct Placement {
     /// The instance.
     pub instance: ListedInstance,
+    /// Why it was chosen.
+    pub reason: PlacementReason,
     /// Its estimated health at the time of the choice.
     pub health: InstanceHealth,
 }
@@ -261,6 +302,8 @@
     let mut is_any_healthy = false;
     let mut is_permit_near = false;
     let mut least_back_off: Option<Duration> = None;
+    let mut usage = ServiceUsage::default();
+    let mut idle: Vec<&ListedInstance> = Vec::new();
     for listed in roster.ready(request.service) {
         if !request.allows(&listed.entry.failure_domain)
             || request.attempted.contains(&listed.entry.id)
@@ -273,6 +316,11 @@
             is_permit_near |= is_worth_returning_to(&health, request);
             continue;
         }
+        if is_idle(listed, &health, request) {
+            idle.push(listed);
+        }
+        usage.ready += 1;
+        usage.in_use += usize::from(health.attempt_age.is_some_and(|age| age < IN_USE_AGE));
         if is_eligible(listed, &health, request) {
             is_any_healthy |= !health.is_suspect;
             if has_room(listed, &health, request) {
@@ -286,12 +334,19 @@
             last_resort = Some((cost, listed, health));
         }
     }
-    let best = shared.choose(request, rng);
-    let best = best.map(|listed| (listed, evidence.health(now, &listed.entry.id)));
-    let last_resort = last_resort.map(|(_, listed, health)| (listed, health));
+    let needs_trials = usage.needs_trials(request.refused_share);
+    let trial = needs_trials.then(|| shared.choose_trial(&idle, request, rng));
+    let best = trial.flatten().or_else(|| shared.choose(request, rng));
+    let best = best.map(|(listed, reason)| {
+        let health = evidence.health(now, &listed.entry.id);
+        (listed, health, reason)
+    });
+    let last_resort =
+        last_resort.map(|(_, listed, health)| (listed, health, PlacementReason::LastResort));
     match best.or(last_resort.filter(|_| !is_any_healthy && !is_permit_near)) {
-        Some((listed, health)) => Ok(Placement {
+        Some((listed, health, reason)) => Ok(Placement {
             instance: listed.clone(),
+            reason,
             health,
         }),
         None if is_any_healthy => Err(PlacementError::AllBusy),
@@ -331,6 +386,24 @@
     !has_enough_trials && (request.can_retry() || health.risk < MAX_LAST_ATTEMPT_RISK)
 }
 
+/// Reports whether no host has used an instance for so long that a trial is due while too
+/// few are in use.
+fn is_idle(
+    listed: &ListedInstance,
+    health: &InstanceHealth,
+    request: &PlacementRequest<'_>,
+) -> bool {
+    let min_age = if listed.entry.failure_domain == *request.failure_domain {
+        LOCAL_TRIAL_AGE
+    } else {
+        REMOTE_EXPLORATION_AGE
+    };
+    !health.is_paused
+        && health.in_flight == 0
+        && has_room(listed, health, request)
+        && health.attempt_age.is_none_or(|age| age >= min_age)
+}
+
 /// Returns the cost of an instance that gets the request as all healthy ones are excluded.
 fn cost(
     now: Instant,
@@ -438,7 +511,7 @@
         &self,
         request: &PlacementRequest<'_>,
         rng: &mut fastrand::Rng,
-    ) -> Option<&'a ListedInstance> {
+    ) -> Option<(&'a ListedInstance, PlacementReason)> {
         let (local, remote) = (&self.local.candidates, &self.remote.candidates);
         let (local_age, remote_age) = (
             self.sharing.local_report_age,
@@ -456,8 +529,8 @@
             local.arrivals(remote_age, usual_time) + remote.arrivals(remote_age, usual_time);
         let explored = self.local.explore(least_cost, local_arrivals, rng);
         let explored = explored.or_else(|| self.remote.explore(least_cost, remote_arrivals, rng));
-        if explored.is_some() {
-            return explored;
+        if let Some(listed) = explored {
+            return Some((listed, PlacementReason::Explored));
         }
         // A local instance with a free slot or a short queue is cheaper than any remote one
         // that is as healthy, so the draw among remote ones is mostly not needed.
@@ -486,11 +559,31 @@
         if let Some(draw) = remote_draw
             && local_cost.is_none_or(|cost| cost > draw.level)
         {
-            return self.remote.listed.get(draw.index).copied();
+            let listed = self.remote.listed.get(draw.index)?;
+            return Some((listed, PlacementReason::Remote));
         }
         let unseen = local.unseen_requests(local_age, usual_time) * share_of_others;
         let draw = local.draw(unseen, rng)?;
-        self.local.listed.get(draw.index).copied()
+        let listed = self.local.listed.get(draw.index)?;
+        Some((listed, PlacementReason::Local))
+    }
+
+    /// Chooses an idle instance for a trial, so seldom that about one request tries each
+    /// until the next reports.
+    fn choose_trial(
+        &self,
+        idle: &[&'a ListedInstance],
+        request: &PlacementRequest<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> Option<(&'a ListedInstance, PlacementReason)> {
+        let age = self.sharing.local_report_age;
+        let arrivals = self.local.candidates.arrivals(age, request.usual_time);
+        let count = idle.len();
+        if rng.f64() * (1.0 + arrivals) >= count as f64 {
+            return None;
+        }
+        let listed = idle.get(rng.usize(..count))?;
+        Some((listed, PlacementReason::Trial))
     }
 }
 
--- a/crates/upstreams/tests/testsuite/answer_times.rs
+++ b/crates/upstreams/tests/testsuite/answer_times.rs
@@ -152,6 +152,7 @@
     fn send(&mut self, kind: &Kind) {
         let host = self.rng.usize(..self.hosts.len());
         let request = PlacementRequest {
+            refused_share: 0.0,
             service: &ServiceName::new("svc"),
             is_idempotent: kind.is_idempotent,
             attempts_left: 2,
--- a/crates/upstreams/tests/testsuite/load_estimate.rs
+++ b/crates/upstreams/tests/testsuite/load_estimate.rs
@@ -136,6 +136,7 @@
 
     fn chosen(&mut self) -> String {
         let request = PlacementRequest {
+            refused_share: 0.0,
             allowed_domains: None,
             room: None,
             service: &ServiceName::new("svc"),
--- a/crates/upstreams/tests/testsuite/placement.rs
+++ b/crates/upstreams/tests/testsuite/placement.rs
@@ -1,6 +1,6 @@
 //! Choice of an instance, and the load that a fleet of hosts causes by it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -36,6 +36,7 @@
     priority: u32,
     attempts_left: u32,
     load_sharing: LoadSharing,
+    refused_share: f64,
 }
 
 impl TestHost {
@@ -51,6 +52,7 @@
             priority: 0,
             attempts_left: 2,
             load_sharing: LoadSharing::for_hosts(1),
+            refused_share: 0.0,
         }
     }
 
@@ -60,6 +62,7 @@
         attempted: &[InstanceId],
     ) -> Result<Placement, PlacementError> {
         let request = PlacementRequest {
+            refused_share: self.refused_share,
             service: &ServiceName::new("svc"),
             is_idempotent,
             attempts_left: self.attempts_left,
@@ -385,6 +388,43 @@
     }
 }
 
+/// Guards against recovered instances without requests while a workspace far above its rate
+/// is refused: 15 of 28 got none for 2 s, as a service without retryable requests tried no
+/// suspect again (further-grown trouble-3). While nearly all requests are served, a trial
+/// costs callers more than it gives.
+#[test]
+fn idle_instances_get_trials_while_many_requests_are_refused() {
+    const HOSTS: usize = 8;
+    let ids: Vec<String> = (0..10).map(|number| format!("i-{number}")).collect();
+    for (refused_share, needs_trials) in [(0.2, true), (0.05, false)] {
+        let entries = || ids.iter().map(|id| entry(id, "north", Duration::ZERO));
+        let mut hosts: Vec<TestHost> = (0..HOSTS)
+            .map(|_| TestHost::new(entries().collect()))
+            .collect();
+        for id in &ids {
+            hosts[0].record(id, SUCCESS);
+        }
+        for id in ids.iter().take(6).cycle().take(18) {
+            hosts[0].record(id, Observation::Failure);
+        }
+        exchange(&mut hosts, &ids);
+        let mut used: HashSet<String> = HashSet::new();
+        for number in 0..75 {
+            for host in &mut hosts {
+                host.now += Duration::from_millis(40);
+                host.refused_share = refused_share;
+            }
+            let host = &mut hosts[number % HOSTS];
+            let id = host.chosen(false);
+            host.record(&id, SUCCESS);
+            exchange(&mut hosts, &ids);
+            used.insert(id);
+        }
+        let count = used.len();
+        assert_eq!(count >= 7, needs_trials, "{refused_share}: {used:?}");
+    }
+}
+
 /// Until the first answer of an instance came, all hosts sent it their requests, up to
 /// 13 in a second, and others got none (incident inc1).
 #[test]
@@ -426,6 +466,7 @@
         Some(PlacementError::AllBackOff { retry_after: TIME })
     );
     let request = PlacementRequest {
+        refused_share: 0.0,
         service: &ServiceName::new("svc"),
         is_idempotent: true,
         attempts_left: 1,
--- a/crates/upstreams/tests/testsuite/scarcity_fleet.rs
+++ b/crates/upstreams/tests/testsuite/scarcity_fleet.rs
@@ -410,6 +410,7 @@
             &self.roster,
             &host.evidence,
             &PlacementRequest {
+                refused_share: 0.0,
                 load_sharing: LoadSharing::for_hosts(hosts_per_domain),
                 allowed_domains: None,
                 service: &self.service,
