--- a/crates/upstreams/src/usage.rs
+++ b/crates/upstreams/src/usage.rs
@@ -15,7 +15,8 @@
 /// The share of refused requests from which idle instances get trials: a tenth of requests
 /// that are not served, less those that usually fail.
 const MAX_REFUSED_SHARE: f64 = 0.06;
-/// The share of the instances that are to be in use then.
+/// The share of the instances that are to be in use then: a little more than the seven in
+/// ten healthy ones that users ask for, since some of those in use are unhealthy.
 const MIN_SHARE_IN_USE: f64 = 0.75;
 
 /// Events of the last seconds; older ones count less.
