--- a/crates/membership/tests/testsuite/seeded.rs
+++ b/crates/membership/tests/testsuite/seeded.rs
@@ -273,7 +273,7 @@
 
 /// Guards against two parts of a fleet that both grant the whole rates: the only seed and
 /// another host were restarted together, and it took 0.7 to 1.6 s until the others asked
-/// the seed again (soak seeds 315, 1004 and 1037).
+/// the seed again (soak seeds 1004 and 1037).
 #[test]
 fn a_seed_that_restarts_beside_another_host_is_rediscovered_within_two_heartbeats() {
     for steps in 0..200 {
