Keep the port of a refusing address bound for as long as a test uses it

The address at which connections are to be refused was that of a listener that had been closed, so a server of a test that runs beside it could get its port; an answer of such a server is relayed if it is no success. With a server in its place that answers 404 the test fails with the same words.

Change: the port stays bound by a socket that does not listen, which refuses connections as before.

--- a/crates/gateway/tests/testsuite/takeovers.rs
+++ b/crates/gateway/tests/testsuite/takeovers.rs
@@ -38,10 +38,34 @@
     entries.map(|entry| RosterEntry { addr, ..entry }).collect()
 }
 
-/// Returns an address at which connections are refused.
-fn refusing_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// An address at which connections are refused. Its port stays bound, so that no server of
+/// another test gets it.
+struct RefusingAddr {
+    addr: SocketAddr,
+    _socket: socket2::Socket,
+}
+
+impl RefusingAddr {
+    fn new() -> Self {
+        let socket = tcp_socket_on_free_port();
+        Self {
+            addr: local_addr(&socket),
+            _socket: socket,
+        }
+    }
+}
+
+fn tcp_socket_on_free_port() -> socket2::Socket {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).expect("a free port");
+    socket
+}
+
+fn local_addr(socket: &socket2::Socket) -> SocketAddr {
+    let addr = socket.local_addr().expect("an address");
+    addr.as_socket().expect("an IP address")
 }
 
 /// An address at which connections hang, since its queue of connections is full.
@@ -54,13 +78,9 @@
 impl SilentAddr {
     fn new() -> Self {
         const QUEUED: usize = 4;
-        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)
-            .expect("a socket");
-        listener.bind(&any.into()).expect("a free port");
+        let listener = tcp_socket_on_free_port();
         listener.listen(0).expect("a listener");
-        let addr = listener.local_addr().expect("an address");
-        let addr = addr.as_socket().expect("an IP address");
+        let addr = local_addr(&listener);
         let queued = (0..QUEUED)
             .filter_map(|_| TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok());
         Self {
@@ -141,7 +161,8 @@
 fn a_peer_serves_the_callers_of_a_host_whose_paths_are_refused() {
     let instances = [healthy(), healthy(), healthy(), healthy()];
     let instances: Vec<&Instance> = instances.iter().collect();
-    let fleet = Fleet::start(&instances, refusing_addr(), 1, 2);
+    let refusing = RefusingAddr::new();
+    let fleet = Fleet::start(&instances, refusing.addr, 1, 2);
     let ids = check_served(&fleet.cut_off[0]);
     let received: Vec<Received> = instances.iter().flat_map(|it| received(it)).collect();
     for id in ids {
@@ -178,7 +199,8 @@
 fn a_peer_that_is_cut_off_too_leaves_the_request_to_another_one() {
     let instances = [healthy(), healthy(), healthy(), healthy()];
     let instances: Vec<&Instance> = instances.iter().collect();
-    let fleet = Fleet::start(&instances, refusing_addr(), 3, 1);
+    let refusing = RefusingAddr::new();
+    let fleet = Fleet::start(&instances, refusing.addr, 3, 1);
     for host in &fleet.cut_off {
         check_served(host);
     }
@@ -212,7 +234,8 @@
         Instance::start(Arc::new(|_, _| Vec::new())),
     ];
     let instances: Vec<&Instance> = instances.iter().collect();
-    let fleet = Fleet::start(&instances, refusing_addr(), 1, 2);
+    let refusing = RefusingAddr::new();
+    let fleet = Fleet::start(&instances, refusing.addr, 1, 2);
     let reply = fleet.cut_off[0].send(&request("POST", "/book/1", "once", "body"));
     assert_eq!(reply.status, 502, "the request may have run");
     let runs: usize = instances
@@ -230,9 +253,10 @@
     let instances = [healthy(), healthy(), healthy(), healthy()];
     let entries = roster(&instances.iter().collect::<Vec<_>>());
     let peer = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let refusing = RefusingAddr::new();
     let host = TestHost::start_with_seeds(
         &[peer.local_addr().expect("an address")],
-        source(cut(&entries, refusing_addr())),
+        source(cut(&entries, refusing.addr)),
         GRACE,
     );
     let hello = PeerMessage::Hello {
