--- /dev/null
+++ b/review/standins/store.rs
@@ -0,0 +1,204 @@
+//! A stand-in of the platform's store: items, pages, watches, and the cuts of waiting
+//! watches that PROTOCOL.md allows.
+
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::http::read_message;
+
+/// The items of one page.
+const PAGE_ITEMS: usize = 500;
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: Arc<str>,
+    revision: u64,
+    created: u64,
+}
+
+#[derive(Debug, Default)]
+struct Contents {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Each change: its revision, the key, and the item or `None` for a removal.
+    log: Vec<(u64, String, Option<Item>)>,
+    /// The number of times that all waiting watches were cut.
+    cuts: u64,
+}
+
+/// A running store.
+#[derive(Clone)]
+pub struct Store {
+    pub addr: SocketAddr,
+    contents: Arc<(Mutex<Contents>, Condvar)>,
+}
+
+impl Store {
+    /// Starts a store on a free port.
+    pub fn start() -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let contents = Contents {
+            revision: 100,
+            ..Contents::default()
+        };
+        let store = Self {
+            addr: listener.local_addr()?,
+            contents: Arc::new((Mutex::new(contents), Condvar::new())),
+        };
+        let serving = store.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = serving.clone();
+                std::thread::spawn(move || store.serve(&stream));
+            }
+        });
+        Ok(store)
+    }
+
+    /// Writes an item and returns its revision. The return is the acknowledgement.
+    pub fn put(&self, key: &str, value: &str) -> u64 {
+        let (contents, changed) = &*self.contents;
+        let mut contents = contents.lock().expect("not poisoned");
+        contents.revision += 1;
+        let revision = contents.revision;
+        let former = contents.items.get(key);
+        let item = Item {
+            value: base64(value.as_bytes()).into(),
+            revision,
+            created: former.map_or(revision, |former| former.created),
+        };
+        contents.items.insert(key.to_owned(), item.clone());
+        contents.log.push((revision, key.to_owned(), Some(item)));
+        changed.notify_all();
+        revision
+    }
+
+    /// Removes an item. The return is the acknowledgement.
+    pub fn remove(&self, key: &str) {
+        let (contents, changed) = &*self.contents;
+        let mut contents = contents.lock().expect("not poisoned");
+        contents.revision += 1;
+        let revision = contents.revision;
+        contents.items.remove(key);
+        contents.log.push((revision, key.to_owned(), None));
+        changed.notify_all();
+    }
+
+    /// Cuts all watches that are waiting.
+    pub fn cut_watches(&self) {
+        let (contents, changed) = &*self.contents;
+        contents.lock().expect("not poisoned").cuts += 1;
+        changed.notify_all();
+    }
+
+    fn serve(&self, stream: &TcpStream) {
+        let Ok(read_half) = stream.try_clone() else {
+            return;
+        };
+        let _ = stream.set_nodelay(true);
+        let mut reader = BufReader::new(read_half);
+        while let Some(request) = read_message(&mut reader) {
+            let (path, query) = request.target().split_once('?').unwrap_or_default();
+            let answer = match path {
+                "/waxwingusher/kv-range" => Some(self.range(query)),
+                "/waxwingusher/kv-watch" => self.watch(query),
+                _ => Some("{}".to_owned()),
+            };
+            let Some(answer) = answer else {
+                break;
+            };
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                answer.len()
+            );
+            let mut writer = stream;
+            if writer.write_all((head + &answer).as_bytes()).is_err() {
+                break;
+            }
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+
+    fn range(&self, query: &str) -> String {
+        let (prefix, after) = (field(query, "prefix"), field(query, "after"));
+        let contents = self.contents.0.lock().expect("not poisoned");
+        let found = contents.items.iter();
+        let mut found = found.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+        let items: Vec<String> = found
+            .by_ref()
+            .take(PAGE_ITEMS)
+            .map(|(key, item)| event(key, item.revision, Some(item)))
+            .collect();
+        let has_more = found.next().is_some();
+        format!(
+            "{{\"items\":[{}],\"has-more\":{has_more},\"store-revision\":{}}}",
+            items.join(","),
+            contents.revision
+        )
+    }
+
+    /// Waits for events; `None` if the watch is cut.
+    fn watch(&self, query: &str) -> Option<String> {
+        let prefix = field(query, "prefix");
+        let after: u64 = field(query, "after").parse().unwrap_or(0);
+        let wait_ms: u64 = field(query, "wait-ms").parse().unwrap_or(0);
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        let (contents, changed) = &*self.contents;
+        let mut contents = contents.lock().expect("not poisoned");
+        let cuts = contents.cuts;
+        loop {
+            let log = contents.log.iter();
+            let events: Vec<String> = log
+                .filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix))
+                .map(|(revision, key, item)| event(key, *revision, item.as_ref()))
+                .collect();
+            let left = deadline.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                return Some(format!(
+                    "{{\"events\":[{}],\"store-revision\":{}}}",
+                    events.join(","),
+                    contents.revision
+                ));
+            }
+            if contents.cuts != cuts {
+                return None;
+            }
+            contents = changed.wait_timeout(contents, left).expect("not poisoned").0;
+        }
+    }
+}
+
+fn event(key: &str, revision: u64, item: Option<&Item>) -> String {
+    match item {
+        Some(item) => format!(
+            "{{\"key\":\"{key}\",\"value\":\"{}\",\"revision\":{revision},\"created\":{},\"lease\":0}}",
+            item.value, item.created
+        ),
+        None => format!("{{\"key\":\"{key}\",\"revision\":{revision},\"tombstone\":true}}"),
+    }
+}
+
+fn field(query: &str, name: &str) -> String {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let value = pairs.find(|(key, _)| *key == name);
+    value.map_or_else(String::new, |(_, value)| value.replace("%2F", "/"))
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::with_capacity(bytes.len().div_ceil(3) * 4);
+    for group in bytes.chunks(3) {
+        let bits = group
+            .iter()
+            .enumerate()
+            .fold(0_u32, |bits, (place, byte)| bits | u32::from(*byte) << (16 - 8 * place));
+        for place in 0..4 {
+            let digit = DIGITS[(bits >> (18 - 6 * place)) as usize & 63];
+            text.push(if place <= group.len() { char::from(digit) } else { '=' });
+        }
+    }
+    text
+}
