--- a/review/standins/cut_watches.rs
+++ b/review/standins/cut_watches.rs
@@ -17,7 +17,11 @@
 /// How long all is calm before: over twice `stable-window-ms`.
 const CALM: Duration = Duration::from_secs(8);
 /// How often the store cuts the watches that wait.
-const CUT_INTERVAL: Duration = Duration::from_millis(1000);
+const CUT_INTERVAL: Duration = Duration::from_secs(1);
+/// The hosts that read the store.
+const READERS: usize = 3;
+/// How long after the first cut the instance leaves.
+const LEAVES_AFTER: Duration = Duration::from_millis(1_300);
 /// `drain-ms`.
 const DRAIN: Duration = Duration::from_millis(2_000);
 /// How long the instance serves after its removal: `drain-ms` and some seconds.
@@ -25,7 +29,7 @@
 
 pub fn play(record: &Record) -> Result<Verdict, CaseError> {
     let size = Size {
-        hosts: 3,
+        hosts: 6,
         instances: 6,
         slots: 6,
     };
@@ -52,13 +56,13 @@
         let (store, is_over, record) = (fleet.store.clone(), is_over.clone(), record.clone());
         std::thread::spawn(move || {
             while !is_over.load(Ordering::SeqCst) {
-                store.cut_watches();
+                store.cut_watches(READERS);
                 record.line("the store cuts the watches that wait");
                 std::thread::sleep(CUT_INTERVAL);
             }
         })
     });
-    std::thread::sleep(Duration::from_secs(1));
+    std::thread::sleep(LEAVES_AFTER);
     let leaving = &fleet.instances[0];
     let id = leaving.id();
     leaving.leave_silently();
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -27,6 +27,8 @@
     log: Vec<(u64, String, Option<Item>)>,
     /// The number of times that all waiting watches were cut.
     cuts: u64,
+    /// The watches that wait now.
+    waiting: usize,
 }
 
 /// A running store.
@@ -87,11 +89,19 @@
         changed.notify_all();
     }
 
-    /// Cuts all watches that are waiting.
-    pub fn cut_watches(&self) {
+    /// Cuts all watches that are waiting, as soon as `count` of them wait.
+    pub fn cut_watches(&self, count: usize) {
         let (contents, changed) = &*self.contents;
-        contents.lock().expect("not poisoned").cuts += 1;
-        changed.notify_all();
+        loop {
+            let mut contents = contents.lock().expect("not poisoned");
+            if contents.waiting >= count {
+                contents.cuts += 1;
+                changed.notify_all();
+                return;
+            }
+            drop(contents);
+            std::thread::sleep(Duration::from_millis(2));
+        }
     }
 
     fn serve(&self, stream: &TcpStream) {
@@ -166,7 +176,9 @@
             if contents.cuts != cuts {
                 return None;
             }
+            contents.waiting += 1;
             contents = changed.wait_timeout(contents, left).expect("not poisoned").0;
+            contents.waiting -= 1;
         }
     }
 }
