Show that large weights stop all hosts

Cause: a split starts at a random phase, which is reached by one step for each unit of weight, on the only thread of the event loop.

No program code is changed.

--- a/review/standins/crash_after_restarts.rs
+++ b/review/standins/crash_after_restarts.rs
@@ -35,6 +35,7 @@
     let size = Size {
         hosts: 4,
         instances: 8,
+        annex_instances: 0,
         slots: 6,
     };
     let mut fleet = Deployment::start(&size, &config(3, ""), record)?;
--- a/review/standins/cut_watches.rs
+++ b/review/standins/cut_watches.rs
@@ -31,6 +31,7 @@
     let size = Size {
         hosts: 6,
         instances: 6,
+        annex_instances: 0,
         slots: 6,
     };
     let fleet = Deployment::start(&size, &config(3, ""), record)?;
--- a/review/standins/instance.rs
+++ b/review/standins/instance.rs
@@ -3,7 +3,8 @@
 //!
 //! A request's path says how long it runs: the number after the last `w`, in
 //! milliseconds. A path that contains `crash` ends the process that runs it: all
-//! connections break, and the instance is back after [`CRASH_TIME`] under a new id.
+//! connections break, and the instance is back after [`CRASH_TIME`] under a new id. With
+//! `dark` its machine goes with it: connections are silent until it is back.
 
 use std::collections::HashMap;
 use std::io::{BufReader, ErrorKind, Write};
@@ -20,6 +21,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// How long an instance is down after a crash.
 const CRASH_TIME: Duration = Duration::from_secs(2);
+/// How long its machine is down if it goes with it, below the 4.5 s of `srv_crash`.
+const DARK_TIME: Duration = Duration::from_secs(4);
 /// The requests that an instance queues beside those that it runs.
 const QUEUE: usize = 24;
 
@@ -89,6 +92,8 @@
     /// The id and the start of the present boot.
     boot: Mutex<Boot>,
     is_down: AtomicBool,
+    /// Whether the machine is down, too, so that nothing answers.
+    is_dark: AtomicBool,
     /// Whether the entry is written no more.
     has_left: AtomicBool,
     busy: AtomicUsize,
@@ -133,6 +138,7 @@
             runs: runs.clone(),
             record: record.clone(),
             is_down: AtomicBool::new(false),
+            is_dark: AtomicBool::new(false),
             has_left: AtomicBool::new(false),
             busy: AtomicUsize::new(0),
             connections: Mutex::default(),
@@ -199,6 +205,7 @@
 
     fn serve(&self, number: u64, stream: &TcpStream) {
         if self.is_down.load(Ordering::SeqCst) {
+            self.stay_silent();
             return;
         }
         let (Ok(kept), Ok(read_half)) = (stream.try_clone(), stream.try_clone()) else {
@@ -243,13 +250,14 @@
         if request.target().contains("crash") {
             self.busy.fetch_sub(1, Ordering::SeqCst);
             self.runs.end(run, true);
-            self.crash();
+            self.crash(request.target().contains("dark"));
             return false;
         }
         let is_kept = wait_while_connected(stream, work_time(request.target()));
         self.busy.fetch_sub(1, Ordering::SeqCst);
         self.runs.end(run, !is_kept);
-        if !is_kept {
+        self.stay_silent();
+        if !is_kept || self.boot().number != boot.number {
             self.record.line(&format!("instance {} drops {id}: its connection ended", boot.id));
             return false;
         }
@@ -261,14 +269,18 @@
         stream.write_all((head + &body).as_bytes()).is_ok()
     }
 
-    fn crash(&self) {
+    fn crash(&self, is_dark: bool) {
         if self.is_down.swap(true, Ordering::SeqCst) {
             return;
         }
         let former = self.boot();
         self.record.line(&format!("instance {} crashes", former.id));
+        self.is_dark.store(is_dark, Ordering::SeqCst);
+        if !is_dark {
+            self.break_connections();
+        }
+        std::thread::sleep(if is_dark { DARK_TIME } else { CRASH_TIME });
         self.break_connections();
-        std::thread::sleep(CRASH_TIME);
         *self.boot.lock().expect("not poisoned") = Boot::new(&self.terms.name, former.number + 1);
         self.store.remove(&format!("servers/{}", former.id));
         self.write_entry("ready");
@@ -276,6 +288,13 @@
         self.record.line(&format!("instance {} is back as {}", former.id, self.boot().id));
     }
 
+    /// Waits while the machine is down.
+    fn stay_silent(&self) {
+        while self.is_down.load(Ordering::SeqCst) && self.is_dark.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     fn break_connections(&self) {
         let connections = self.connections.lock().expect("not poisoned");
         for stream in connections.values() {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -12,8 +12,10 @@
 mod store;
 
 mod crash_after_restarts;
+mod crash_silently;
 mod cut_watches;
 mod large_bodies;
+mod large_weights;
 mod stop_pipelined;
 
 use std::path::{Path, PathBuf};
@@ -55,13 +57,15 @@
 /// What a deployment consists of.
 pub struct Size {
     pub hosts: usize,
+    /// The instances of the service `desk`.
     pub instances: usize,
+    /// The instances of the service `annex`.
+    pub annex_instances: usize,
     pub slots: usize,
 }
 
 impl Deployment {
-    /// Starts the store, the instances of the service `desk`, and the hosts, and waits until
-    /// all are ready.
+    /// Starts the store, the instances and the hosts, and waits until all are ready.
     pub fn start(size: &Size, config: &str, record: &Record) -> Result<Self, CaseError> {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
@@ -69,10 +73,11 @@
         store.put("op/config", config);
         let zones = ["kolkata-north", "howrah"];
         let mut instances = Vec::new();
-        for number in 0..size.instances {
+        for number in 0..size.instances + size.annex_instances {
+            let service = if number < size.instances { "desk" } else { "annex" };
             let terms = InstanceTerms {
-                name: format!("desk{}", number + 1),
-                service: "desk".to_owned(),
+                name: format!("{service}{}", number + 1),
+                service: service.to_owned(),
                 zone: zones[number % zones.len()].to_owned(),
                 slots: size.slots,
             };
@@ -110,7 +115,8 @@
     }
 }
 
-/// Returns a configuration with a safe route `/read/` and an unsafe one `/file/`.
+/// Returns a configuration with a safe route `/read/` and an unsafe one `/file/`, both of the
+/// service `desk`, and a service `annex`.
 pub fn config(version: u32, more_routes: &str) -> String {
     let host = callers::HOST_NAME;
     let key = callers::KEY;
@@ -123,6 +129,8 @@
          \"timeout-ms\":2000,\"target-latency-ms\":1000,\"priority\":1,\"service\":\"desk\",\
          \"max-attempts\":2,\"allow-anonymous\":false}}{more_routes}],\
          \"services\":[{{\"name\":\"desk\",\"health-check-path\":\"/health\",\
+         \"max-connections\":330,\"protocol\":\"h1\",\"tls\":false}},\
+         {{\"name\":\"annex\",\"health-check-path\":\"/health\",\
          \"max-connections\":330,\"protocol\":\"h1\",\"tls\":false}}],\
          \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":67108864,\
          \"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}},\
@@ -139,8 +147,10 @@
 fn play(name: &str, record: &Record) -> Result<Verdict, CaseError> {
     match name {
         "crash-after-restarts" => crash_after_restarts::play(record),
+        "crash-silently" => crash_silently::play(record),
         "cut-watches" => cut_watches::play(record),
         "large-bodies" => large_bodies::play(record),
+        "large-weights" => large_weights::play(record),
         "stop-pipelined" => stop_pipelined::play(record),
         _ => Err(format!("there is no case `{name}`").into()),
     }
--- a/review/standins/stop_pipelined.rs
+++ b/review/standins/stop_pipelined.rs
@@ -29,6 +29,7 @@
     let size = Size {
         hosts: 3,
         instances: 6,
+        annex_instances: 0,
         slots: 6,
     };
     let mut fleet = Deployment::start(&size, &config(3, ""), record)?;
