--- a/review/standins/callers.rs
+++ b/review/standins/callers.rs
@@ -20,7 +20,10 @@
 
 /// Returns a new attempt id.
 pub fn new_id() -> String {
-    format!("{:016x}", 0x9c41_0000 + LAST_ID.fetch_add(1, Ordering::SeqCst))
+    format!(
+        "{:016x}",
+        0x9c41_0000 + LAST_ID.fetch_add(1, Ordering::SeqCst)
+    )
 }
 
 /// How a request ended for its consumer.
@@ -76,7 +79,10 @@
         request.ended_at = Some(Instant::now());
         request.end = Some(end);
         let took = request.sent_at.elapsed().as_millis();
-        record.line(&format!("request {} ends after {took} ms: {end:?}", request.id));
+        record.line(&format!(
+            "request {} ends after {took} ms: {end:?}",
+            request.id
+        ));
     }
 }
 
@@ -105,15 +111,24 @@
     body: &[u8],
 ) -> Option<Message> {
     let number = requests.start(id, host);
-    record.line(&format!("request {id} to {host}: {}", head.lines().next().unwrap_or_default()));
+    record.line(&format!(
+        "request {id} to {host}: {}",
+        head.lines().next().unwrap_or_default()
+    ));
     let Some(mut stream) = connect(host) else {
         requests.end(number, End::NotConnected, record);
         return None;
     };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(20)));
-    let sent = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body));
-    let answer = sent.ok().and_then(|()| read_message(&mut BufReader::new(stream)));
-    let end = answer.as_ref().map_or(End::Cut, |answer| End::Answered(answer.status()));
+    let sent = stream
+        .write_all(head.as_bytes())
+        .and_then(|()| stream.write_all(body));
+    let answer = sent
+        .ok()
+        .and_then(|()| read_message(&mut BufReader::new(stream)));
+    let end = answer
+        .as_ref()
+        .map_or(End::Cut, |answer| End::Answered(answer.status()));
     requests.end(number, end, record);
     answer
 }
@@ -164,7 +179,14 @@
                 }
             })
         };
-        self.send(&stream, requests, record, &unanswered, &is_closing, &reading);
+        self.send(
+            &stream,
+            requests,
+            record,
+            &unanswered,
+            &is_closing,
+            &reading,
+        );
         if !reading.is_finished() {
             // All responses arrive before the consumer closes.
             let end = Instant::now() + Duration::from_millis(self.time_ms);
--- a/review/standins/crash_after_restarts.rs
+++ b/review/standins/crash_after_restarts.rs
@@ -147,5 +147,9 @@
         runs.len(),
         counted.len()
     ));
-    if counted.len() > ALLOWED { Verdict::Broken } else { Verdict::Held }
+    if counted.len() > ALLOWED {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins/crash_silently.rs
+++ b/review/standins/crash_silently.rs
@@ -1,7 +1,7 @@
 //! BUDGET: a request under which the machines of instances go down is not recognised.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::callers::{Requests, head, new_id, send_once};
@@ -66,7 +66,9 @@
 /// crash.
 fn judge(runs: &[Run], record: &Record) -> Result<Verdict, CaseError> {
     let third = runs.get(CRASHES - 1);
-    let third_at: Instant = third.ok_or("the request did not crash three instances")?.arrived_at;
+    let third_at: Instant = third
+        .ok_or("the request did not crash three instances")?
+        .arrived_at;
     let late = runs.iter().filter(|run| run.arrived_at > third_at + STABLE);
     let late: Vec<_> = late.collect();
     for run in &late {
@@ -81,5 +83,9 @@
         runs.len(),
         late.len()
     ));
-    Ok(if late.len() > ALLOWED { Verdict::Broken } else { Verdict::Held })
+    Ok(if late.len() > ALLOWED {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/standins/cut_watches.rs
+++ b/review/standins/cut_watches.rs
@@ -96,14 +96,29 @@
         .collect();
     for run in &late {
         let after = run.arrived_at.duration_since(left_at).as_millis();
-        record.line(&format!("DRAIN: {} reaches {id} {after} ms after its removal", run.request));
+        record.line(&format!(
+            "DRAIN: {} reaches {id} {after} ms after its removal",
+            run.request
+        ));
     }
     let last = runs.iter().filter(|run| run.instance == id).next_back();
     if let Some(last) = last {
-        let after = last.arrived_at.saturating_duration_since(left_at).as_millis();
-        record.tell(&format!("the last request reached {id} {after} ms after its removal"));
+        let after = last
+            .arrived_at
+            .saturating_duration_since(left_at)
+            .as_millis();
+        record.tell(&format!(
+            "the last request reached {id} {after} ms after its removal"
+        ));
     }
     let all = requests.all().len();
-    record.tell(&format!("{} of {all} requests reached it later than drain-ms", late.len()));
-    if late.is_empty() { Verdict::Held } else { Verdict::Broken }
+    record.tell(&format!(
+        "{} of {all} requests reached it later than drain-ms",
+        late.len()
+    ));
+    if late.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
--- a/review/standins/hosts.rs
+++ b/review/standins/hosts.rs
@@ -23,12 +23,17 @@
 /// Ends all processes that run, so that none outlasts a case that takes too long.
 pub fn kill_all() {
     for id in RUNNING.lock().expect("not poisoned").drain(..) {
-        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        let _ = Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
     }
 }
 
 fn forget(id: u32) {
-    RUNNING.lock().expect("not poisoned").retain(|known| *known != id);
+    RUNNING
+        .lock()
+        .expect("not poisoned")
+        .retain(|known| *known != id);
 }
 
 /// The addresses and the settings file of a host.
@@ -51,19 +56,22 @@
     record: Record,
 }
 
-/// Chooses addresses for hosts, the zones in turn.
+/// The ports for hosts, below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
+/// Chooses free addresses for hosts, the zones in turn.
 pub fn plan_hosts(count: usize, zones: &[&str]) -> std::io::Result<Vec<HostTerms>> {
-    // The ports are bound together, so that none is drawn twice.
-    let mut taken = Vec::new();
+    // Cases that run at the same time begin at different ports.
+    let skipped = std::process::id() as usize * 97 % PORTS.len();
+    let mut ports = PORTS.cycle().skip(skipped).take(PORTS.len());
     let mut draw = || -> std::io::Result<SocketAddr> {
-        loop {
-            let listener = TcpListener::bind("127.0.0.1:0")?;
-            let addr = listener.local_addr()?;
-            if let Ok(socket) = UdpSocket::bind(addr) {
-                taken.push((listener, socket));
+        for port in ports.by_ref() {
+            let addr = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
                 return Ok(addr);
             }
         }
+        Err(std::io::Error::other("no port is free"))
     };
     let mut hosts = Vec::new();
     for number in 0..count {
@@ -90,7 +98,11 @@
         let settings = folder.join(format!("{}.conf", terms.name));
         std::fs::write(&settings, settings_text(terms, all, store))?;
         let child = spawn(&settings, folder, &terms.name, 1)?;
-        record.line(&format!("host {} starts as process {}", terms.name, child.id()));
+        record.line(&format!(
+            "host {} starts as process {}",
+            terms.name,
+            child.id()
+        ));
         Ok(Self {
             terms: terms.clone(),
             settings,
@@ -106,15 +118,19 @@
         self.starts += 1;
         self.child = spawn(&self.settings, &self.folder, &self.terms.name, self.starts)?;
         let id = self.child.id();
-        self.record.line(&format!("host {} starts as process {id}", self.terms.name));
+        self.record
+            .line(&format!("host {} starts as process {id}", self.terms.name));
         Ok(())
     }
 
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        self.record.line(&format!("SIG{name} to host {}", self.terms.name));
-        let _ = Command::new("kill").args([&format!("-{name}"), id.as_str()]).status();
+        self.record
+            .line(&format!("SIG{name} to host {}", self.terms.name));
+        let _ = Command::new("kill")
+            .args([&format!("-{name}"), id.as_str()])
+            .status();
     }
 
     /// Reports whether the process has ended.
@@ -130,7 +146,8 @@
     pub fn wait(&mut self) {
         let _ = self.child.wait();
         forget(self.child.id());
-        self.record.line(&format!("host {} has ended", self.terms.name));
+        self.record
+            .line(&format!("host {} has ended", self.terms.name));
     }
 
     /// Returns the resident memory of the process in kB.
@@ -149,7 +166,8 @@
             return false;
         };
         let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
-        let request = "GET /waxwingusher/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
+        let request =
+            "GET /waxwingusher/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
         if stream.write_all(request.as_bytes()).is_err() {
             return false;
         }
@@ -161,7 +179,8 @@
         let end = Instant::now() + time;
         while Instant::now() < end {
             if self.is_ready() {
-                self.record.line(&format!("host {} is ready", self.terms.name));
+                self.record
+                    .line(&format!("host {} is ready", self.terms.name));
                 return true;
             }
             std::thread::sleep(Duration::from_millis(50));
@@ -181,20 +200,31 @@
 fn spawn(settings: &Path, folder: &Path, name: &str, start: u32) -> std::io::Result<Child> {
     let log = std::fs::File::create(folder.join(format!("{name}-{start}.log")))?;
     let mut command = Command::new(PROGRAM);
-    command.arg(ROLE).env_clear().env("WAXWINGUSHER_BOOT", settings);
+    command
+        .arg(ROLE)
+        .env_clear()
+        .env("WAXWINGUSHER_BOOT", settings);
     for name in ["PATH", "HOME", "LANG"] {
         if let Some(value) = std::env::var_os(name) {
             command.env(name, value);
         }
     }
-    let child = command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?;
+    let child = command
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()?;
     RUNNING.lock().expect("not poisoned").push(child.id());
     Ok(child)
 }
 
 /// Returns the settings of a small deployment, with the bounds of `chhutighar-edge`.
 fn settings_text(terms: &HostTerms, all: &[HostTerms], store: SocketAddr) -> String {
-    let seeds: Vec<String> = all.iter().take(3).map(|host| host.control.to_string()).collect();
+    let seeds: Vec<String> = all
+        .iter()
+        .take(3)
+        .map(|host| host.control.to_string())
+        .collect();
     let mut text = String::new();
     let mut set = |name: &str, value: &str| {
         // Writing to a string cannot fail.
@@ -217,7 +247,10 @@
     set("self.limits.disk-mb", "0");
     set("network.listen-addresses.front", &terms.front.to_string());
     set("network.listen-addresses.ready", &terms.ready.to_string());
-    set("network.listen-addresses.control", &terms.control.to_string());
+    set(
+        "network.listen-addresses.control",
+        &terms.control.to_string(),
+    );
     set("network.seed-nodes", &seeds.join(","));
     for host in all {
         set(&format!("network.zones.{}", host.zone), "bengal");
@@ -230,7 +263,10 @@
     set("platform.platform.reads-per-s", "2000");
     set("platform.platform.history-s", "20");
     set("platform.platform.value-bytes", "1048576");
-    set("terms.contracts", "base,drain,config,cost,retry,recover,health,tenants,quota,platform");
+    set(
+        "terms.contracts",
+        "base,drain,config,cost,retry,recover,health,tenants,quota,platform",
+    );
     set("terms.fault-tolerance.machines", "2");
     for (name, value) in [
         ("seed-lag-s", "3"),
--- a/review/standins/instance.rs
+++ b/review/standins/instance.rs
@@ -173,7 +173,9 @@
         let boot = self.shared.boot.lock().expect("not poisoned");
         self.shared.has_left.store(true, Ordering::SeqCst);
         self.shared.store.remove(&format!("servers/{}", boot.id));
-        self.shared.record.line(&format!("store acknowledges that {} is gone", boot.id));
+        self.shared
+            .record
+            .line(&format!("store acknowledges that {} is gone", boot.id));
     }
 
     /// Ends the process: connections break and new ones are reset.
@@ -198,7 +200,12 @@
             "{{\"address\":\"{}\",\"born\":{},\"information\":{{\"service\":\"{}\",\"version\":\"v1\",\
              \"zone\":\"{}\",\"slots\":{}}},\"status\":{{\"state\":\"{state}\",\"sequence\":{},\
              \"cold-remaining-ms\":0}}}}",
-            self.addr, boot.born_ms, self.terms.service, self.terms.zone, self.terms.slots, boot.sequence
+            self.addr,
+            boot.born_ms,
+            self.terms.service,
+            self.terms.zone,
+            self.terms.slots,
+            boot.sequence
         );
         self.store.put(&format!("servers/{}", boot.id), &entry);
     }
@@ -222,7 +229,10 @@
             }
         }
         let _ = stream.shutdown(Shutdown::Both);
-        self.connections.lock().expect("not poisoned").remove(&number);
+        self.connections
+            .lock()
+            .expect("not poisoned")
+            .remove(&number);
     }
 
     /// Answers a request, and reports whether the connection goes on.
@@ -246,7 +256,11 @@
             return stream.write_all(head.as_bytes()).is_ok();
         }
         let run = self.runs.start(&id, &boot.id, request.body.len());
-        self.record.line(&format!("instance {} runs {id} ({})", boot.id, request.target()));
+        self.record.line(&format!(
+            "instance {} runs {id} ({})",
+            boot.id,
+            request.target()
+        ));
         if request.target().contains("crash") {
             self.busy.fetch_sub(1, Ordering::SeqCst);
             self.runs.end(run, true);
@@ -258,7 +272,10 @@
         self.runs.end(run, !is_kept);
         self.stay_silent();
         if !is_kept || self.boot().number != boot.number {
-            self.record.line(&format!("instance {} drops {id}: its connection ended", boot.id));
+            self.record.line(&format!(
+                "instance {} drops {id}: its connection ended",
+                boot.id
+            ));
             return false;
         }
         let body = format!("answer to {id}\n");
@@ -285,7 +302,11 @@
         self.store.remove(&format!("servers/{}", former.id));
         self.write_entry("ready");
         self.is_down.store(false, Ordering::SeqCst);
-        self.record.line(&format!("instance {} is back as {}", former.id, self.boot().id));
+        self.record.line(&format!(
+            "instance {} is back as {}",
+            former.id,
+            self.boot().id
+        ));
     }
 
     /// Waits while the machine is down.
--- a/review/standins/large_bodies.rs
+++ b/review/standins/large_bodies.rs
@@ -15,8 +15,10 @@
 
 /// The consumers that send large bodies, and the length of each: below the
 /// `max-body-bytes` of 67,108,864.
-const UPLOADS: usize = 6;
+const UPLOADS: usize = 8;
 const BODY_BYTES: usize = 60_000_000;
+/// Each of these requests runs for 1.2 s.
+const UPLOAD_PATH: &str = "/file/w1200";
 /// The consumers that keep a connection to the same host and send one request after the
 /// other, which runs for 300 ms.
 const KEPT_CONNECTIONS: usize = 8;
@@ -25,7 +27,7 @@
 /// How long all is calm before: over twice `stable-window-ms`.
 const CALM: Duration = Duration::from_secs(8);
 /// How long the uploads are watched.
-const WATCHED: Duration = Duration::from_secs(12);
+const WATCHED: Duration = Duration::from_secs(24);
 /// How often the platform looks at the memory of the process, and how long it waits before
 /// it starts it again.
 const MEMORY_CHECK: Duration = Duration::from_millis(3);
@@ -60,7 +62,9 @@
     for thread in consumers.into_iter().chain(sending) {
         let _ = thread.join();
     }
-    record.tell(&format!("host frontend-1 was killed {kills} times for its memory"));
+    record.tell(&format!(
+        "host frontend-1 was killed {kills} times for its memory"
+    ));
     Ok(judge(&fleet, &requests, &uploads, record))
 }
 
@@ -86,7 +90,9 @@
         record.line(&format!("request {id} to {front}: GET {PATH}"));
         let sent = stream.write_all(text.as_bytes());
         let answer = sent.ok().and_then(|()| read_message(&mut reader));
-        let end = answer.as_ref().map_or(End::Cut, |answer| End::Answered(answer.status()));
+        let end = answer
+            .as_ref()
+            .map_or(End::Cut, |answer| End::Answered(answer.status()));
         requests.end(number, end, record);
         if answer.is_none_or(|answer| answer.is_last()) {
             break;
@@ -104,10 +110,14 @@
     let send = move |uploads: &Requests, record: &Record| {
         let id = new_id();
         let length = format!("Content-Length: {BODY_BYTES}\r\nConnection: close\r\n");
-        let text = head("POST", "/file/w300", &id, TIME_MS, &length);
+        let text = head("POST", UPLOAD_PATH, &id, TIME_MS, &length);
         send_once(uploads, record, front, &text, &id, &vec![b'x'; BODY_BYTES]);
     };
-    let (at_once, in_turn) = if has_trouble() { (UPLOADS, 1) } else { (1, UPLOADS) };
+    let (at_once, in_turn) = if has_trouble() {
+        (UPLOADS, 1)
+    } else {
+        (1, UPLOADS)
+    };
     let threads = (0..at_once).map(|_| {
         let (uploads, record) = (uploads.clone(), record.clone());
         std::thread::spawn(move || {
@@ -128,7 +138,10 @@
         let memory_kb = host.memory_kb();
         peak_kb = peak_kb.max(memory_kb);
         if memory_kb > MEMORY_MB * 1_024 {
-            record.tell(&format!("host frontend-1 holds {} MB of {MEMORY_MB}", memory_kb / 1_024));
+            record.tell(&format!(
+                "host frontend-1 holds {} MB of {MEMORY_MB}",
+                memory_kb / 1_024
+            ));
             host.signal("KILL");
             host.wait();
             kills += 1;
@@ -153,7 +166,10 @@
                     continue;
                 };
                 lost += 1;
-                record.tell(&format!("LOST: request {} ran at {}", request.id, run.instance));
+                record.tell(&format!(
+                    "LOST: request {} ran at {}",
+                    request.id, run.instance
+                ));
             }
             _ => {}
         }
@@ -161,8 +177,17 @@
     for upload in uploads.all() {
         let run = runs.iter().find(|run| run.request == upload.id);
         let bytes = run.map_or(0, |run| run.body_bytes);
-        record.tell(&format!("upload {}: {:?}, {bytes} bytes run", upload.id, upload.end));
+        record.tell(&format!(
+            "upload {}: {:?}, {bytes} bytes run",
+            upload.id, upload.end
+        ));
+    }
+    record.tell(&format!(
+        "kept connections: {answered} answered, {lost} lost, {ALLOWED} allowed"
+    ));
+    if lost > ALLOWED {
+        Verdict::Broken
+    } else {
+        Verdict::Held
     }
-    record.tell(&format!("kept connections: {answered} answered, {lost} lost, {ALLOWED} allowed"));
-    if lost > ALLOWED { Verdict::Broken } else { Verdict::Held }
 }
--- a/review/standins/large_weights.rs
+++ b/review/standins/large_weights.rs
@@ -55,7 +55,11 @@
     }
     std::thread::sleep(CALM);
     let changed_at = Instant::now();
-    let weights = if has_trouble() { LARGE_WEIGHTS } else { SMALL_WEIGHTS };
+    let weights = if has_trouble() {
+        LARGE_WEIGHTS
+    } else {
+        SMALL_WEIGHTS
+    };
     fleet.store.put("op/config", &split_config(7, weights));
     record.line(&format!("store acknowledges r7 with weights {weights:?}"));
     std::thread::sleep(WATCHED);
@@ -94,9 +98,15 @@
         let took = request.ended_at.unwrap_or_else(Instant::now) - request.sent_at;
         longest = longest.max(took);
         slow += usize::from(took >= ROUTE_TIMEOUT);
-        if took >= ANSWER_DUE || !matches!(request.end, Some(End::Answered(_))) && took >= ROUTE_TIMEOUT {
+        if took >= ANSWER_DUE
+            || !matches!(request.end, Some(End::Answered(_))) && took >= ROUTE_TIMEOUT
+        {
             late += 1;
-            record.line(&format!("CONFIG: request {} ended after {} ms", request.id, took.as_millis()));
+            record.line(&format!(
+                "CONFIG: request {} ended after {} ms",
+                request.id,
+                took.as_millis()
+            ));
         }
     }
     record.tell(&format!(
@@ -104,5 +114,9 @@
          the longest took {} ms",
         longest.as_millis()
     ));
-    if 2 * late > slow { Verdict::Broken } else { Verdict::Held }
+    if 2 * late > slow {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -74,7 +74,11 @@
         let zones = ["kolkata-north", "howrah"];
         let mut instances = Vec::new();
         for number in 0..size.instances + size.annex_instances {
-            let service = if number < size.instances { "desk" } else { "annex" };
+            let service = if number < size.instances {
+                "desk"
+            } else {
+                "annex"
+            };
             let terms = InstanceTerms {
                 name: format!("{service}{}", number + 1),
                 service: service.to_owned(),
--- a/review/standins/stop_pipelined.rs
+++ b/review/standins/stop_pipelined.rs
@@ -106,7 +106,10 @@
             continue;
         }
         lost += 1;
-        let sent_ms = request.sent_at.saturating_duration_since(stopped_at).as_millis();
+        let sent_ms = request
+            .sent_at
+            .saturating_duration_since(stopped_at)
+            .as_millis();
         record.tell(&format!(
             "LOST: request {}, sent {sent_ms} ms after SIGTERM, ran at {} and its connection \
              ended after {} ms without a response ({:?})",
@@ -117,5 +120,9 @@
         ));
     }
     record.tell(&format!("{answered} requests answered, {lost} lost"));
-    if lost > 0 { Verdict::Broken } else { Verdict::Held }
+    if lost > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -177,7 +177,10 @@
                 return None;
             }
             contents.waiting += 1;
-            contents = changed.wait_timeout(contents, left).expect("not poisoned").0;
+            contents = changed
+                .wait_timeout(contents, left)
+                .expect("not poisoned")
+                .0;
             contents.waiting -= 1;
         }
     }
@@ -203,13 +206,16 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::with_capacity(bytes.len().div_ceil(3) * 4);
     for group in bytes.chunks(3) {
-        let bits = group
-            .iter()
-            .enumerate()
-            .fold(0_u32, |bits, (place, byte)| bits | u32::from(*byte) << (16 - 8 * place));
+        let bits = group.iter().enumerate().fold(0_u32, |bits, (place, byte)| {
+            bits | u32::from(*byte) << (16 - 8 * place)
+        });
         for place in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * place)) as usize & 63];
-            text.push(if place <= group.len() { char::from(digit) } else { '=' });
+            text.push(if place <= group.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     text
