--- a/review/standins/large_bodies.rs
+++ b/review/standins/large_bodies.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use crate::callers::{End, Requests, connect, head, new_id, send_once};
+use crate::callers::{End, Requests, connect, head, new_id};
 use crate::hosts::{Host, MEMORY_MB};
 use crate::http::read_message;
 use crate::record::Record;
@@ -19,6 +19,10 @@
 const BODY_BYTES: usize = 60_000_000;
 /// Each of these requests runs for 1.2 s.
 const UPLOAD_PATH: &str = "/file/w1200";
+const UPLOAD_TIME_MS: u64 = 15_000;
+/// The rate of all bodies together, below the 125 MB a second of a host's link.
+const BYTES_PER_S: usize = 96_000_000;
+const PIECE_BYTES: usize = 500_000;
 /// The consumers that keep a connection to the same host and send one request after the
 /// other, which runs for 300 ms.
 const KEPT_CONNECTIONS: usize = 8;
@@ -107,12 +111,6 @@
     record: &Record,
     front: SocketAddr,
 ) -> Vec<std::thread::JoinHandle<()>> {
-    let send = move |uploads: &Requests, record: &Record| {
-        let id = new_id();
-        let length = format!("Content-Length: {BODY_BYTES}\r\nConnection: close\r\n");
-        let text = head("POST", UPLOAD_PATH, &id, TIME_MS, &length);
-        send_once(uploads, record, front, &text, &id, &vec![b'x'; BODY_BYTES]);
-    };
     let (at_once, in_turn) = if has_trouble() {
         (UPLOADS, 1)
     } else {
@@ -122,13 +120,45 @@
         let (uploads, record) = (uploads.clone(), record.clone());
         std::thread::spawn(move || {
             for _ in 0..in_turn {
-                send(&uploads, &record);
+                upload(&uploads, &record, front, BYTES_PER_S / at_once);
             }
         })
     });
     threads.collect()
 }
 
+/// Sends one large body at a rate, and waits for the response.
+fn upload(uploads: &Requests, record: &Record, front: SocketAddr, bytes_per_s: usize) {
+    let id = new_id();
+    let length = format!("Content-Length: {BODY_BYTES}\r\nConnection: close\r\n");
+    let text = head("POST", UPLOAD_PATH, &id, UPLOAD_TIME_MS, &length);
+    let number = uploads.start(&id, front);
+    record.line(&format!(
+        "request {id} to {front}: POST {UPLOAD_PATH}, {BODY_BYTES} bytes"
+    ));
+    let Some(mut stream) = connect(front) else {
+        uploads.end(number, End::NotConnected, record);
+        return;
+    };
+    let piece = vec![b'x'; PIECE_BYTES];
+    let started = Instant::now();
+    let mut sent = stream.write_all(text.as_bytes());
+    for written in (0..BODY_BYTES).step_by(PIECE_BYTES) {
+        if sent.is_err() {
+            break;
+        }
+        let due = Duration::from_secs_f64(written as f64 / bytes_per_s as f64);
+        std::thread::sleep(due.saturating_sub(started.elapsed()));
+        sent = stream.write_all(&piece[..PIECE_BYTES.min(BODY_BYTES - written)]);
+    }
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(UPLOAD_TIME_MS)));
+    let answer = sent
+        .ok()
+        .and_then(|()| read_message(&mut BufReader::new(stream)));
+    let end = answer.map_or(End::Cut, |answer| End::Answered(answer.status()));
+    uploads.end(number, end, record);
+}
+
 /// Does what the platform does: it kills a process that exceeds `memory-mb` and starts it
 /// again. Returns how often.
 fn watch_memory(host: &mut Host, record: &Record) -> Result<usize, CaseError> {
