Review: trials of foreign entries and of late writes

Cause: hosts take an entry without `sequence` as an instance, and an older write as the newest. Change: two trials among the stand-ins of the review; they become cases of their own.

--- a/review/standins/instance.rs
+++ b/review/standins/instance.rs
@@ -96,6 +96,10 @@
     is_dark: AtomicBool,
     /// Whether the entry is written no more.
     has_left: AtomicBool,
+    /// Whether the entry says that the instance leaves.
+    is_draining: AtomicBool,
+    /// When the instance last wrote its entry periodically.
+    beaten_at: Mutex<Instant>,
     busy: AtomicUsize,
     connections: Mutex<HashMap<u64, TcpStream>>,
 }
@@ -140,6 +144,8 @@
             is_down: AtomicBool::new(false),
             is_dark: AtomicBool::new(false),
             has_left: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            beaten_at: Mutex::new(Instant::now()),
             busy: AtomicUsize::new(0),
             connections: Mutex::default(),
         });
@@ -150,13 +156,14 @@
                 std::thread::spawn(move || shared.serve(number, &stream));
             }
         });
-        shared.write_entry("ready");
+        shared.write_entry();
         let beating = shared.clone();
         std::thread::spawn(move || {
             loop {
                 std::thread::sleep(HEARTBEAT);
+                *beating.beaten_at.lock().expect("not poisoned") = Instant::now();
                 if !beating.is_down.load(Ordering::SeqCst) {
-                    beating.write_entry("ready");
+                    beating.write_entry();
                 }
             }
         });
@@ -168,6 +175,26 @@
         self.shared.boot().id
     }
 
+    /// Returns the address for requests.
+    pub fn addr(&self) -> SocketAddr {
+        self.shared.addr
+    }
+
+    /// Returns when the entry was last written periodically.
+    pub fn beaten_at(&self) -> Instant {
+        *self.shared.beaten_at.lock().expect("not poisoned")
+    }
+
+    /// Reports that the instance leaves. It goes on serving.
+    pub fn drain(&self) {
+        self.shared.is_draining.store(true, Ordering::SeqCst);
+        self.shared.write_entry();
+        let id = self.id();
+        self.shared
+            .record
+            .line(&format!("store acknowledges that {id} is draining"));
+    }
+
     /// Removes the entry without having said that the instance leaves. It goes on serving.
     pub fn leave_silently(&self) {
         let boot = self.shared.boot.lock().expect("not poisoned");
@@ -190,7 +217,12 @@
         self.boot.lock().expect("not poisoned").clone()
     }
 
-    fn write_entry(&self, state: &str) {
+    fn write_entry(&self) {
+        let state = if self.is_draining.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         let mut boot = self.boot.lock().expect("not poisoned");
         if self.has_left.load(Ordering::SeqCst) {
             return;
@@ -207,7 +239,7 @@
             self.terms.slots,
             boot.sequence
         );
-        self.store.put(&format!("servers/{}", boot.id), &entry);
+        self.store.write(&format!("servers/{}", boot.id), &entry);
     }
 
     fn serve(&self, number: u64, stream: &TcpStream) {
@@ -300,7 +332,7 @@
         self.break_connections();
         *self.boot.lock().expect("not poisoned") = Boot::new(&self.terms.name, former.number + 1);
         self.store.remove(&format!("servers/{}", former.id));
-        self.write_entry("ready");
+        self.write_entry();
         self.is_down.store(false, Ordering::SeqCst);
         self.record.line(&format!(
             "instance {} is back as {}",
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -14,8 +14,10 @@
 mod crash_after_restarts;
 mod crash_silently;
 mod cut_watches;
+mod foreign_entries;
 mod large_bodies;
 mod large_weights;
+mod late_writes;
 mod stop_pipelined;
 
 use std::path::{Path, PathBuf};
@@ -153,8 +155,10 @@
         "crash-after-restarts" => crash_after_restarts::play(record),
         "crash-silently" => crash_silently::play(record),
         "cut-watches" => cut_watches::play(record),
+        "foreign-entries" => foreign_entries::play(record),
         "large-bodies" => large_bodies::play(record),
         "large-weights" => large_weights::play(record),
+        "late-writes" => late_writes::play(record),
         "stop-pipelined" => stop_pipelined::play(record),
         _ => Err(format!("there is no case `{name}`").into()),
     }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -14,6 +14,8 @@
 
 #[derive(Debug, Clone)]
 struct Item {
+    /// The value as it was written, and in base64.
+    text: Arc<str>,
     value: Arc<str>,
     revision: u64,
     created: u64,
@@ -29,6 +31,8 @@
     cuts: u64,
     /// The watches that wait now.
     waiting: usize,
+    /// How long the next writes of these keys take until they are done.
+    late: BTreeMap<String, Duration>,
 }
 
 /// A running store.
@@ -68,6 +72,7 @@
         let revision = contents.revision;
         let former = contents.items.get(key);
         let item = Item {
+            text: value.into(),
             value: base64(value.as_bytes()).into(),
             revision,
             created: former.map_or(revision, |former| former.created),
@@ -78,6 +83,35 @@
         revision
     }
 
+    /// Writes an item for an instance. A write that was chosen by [`Store::delay_write`] is
+    /// done later, and not acknowledged.
+    pub fn write(&self, key: &str, value: &str) {
+        let mut contents = self.contents.0.lock().expect("not poisoned");
+        let delay = contents.late.remove(key);
+        drop(contents);
+        let Some(delay) = delay else {
+            self.put(key, value);
+            return;
+        };
+        let (store, key, value) = (self.clone(), key.to_owned(), value.to_owned());
+        std::thread::spawn(move || {
+            std::thread::sleep(delay);
+            store.put(&key, &value);
+        });
+    }
+
+    /// Delays the next write of an instance to a key.
+    pub fn delay_write(&self, key: &str, delay: Duration) {
+        let mut contents = self.contents.0.lock().expect("not poisoned");
+        contents.late.insert(key.to_owned(), delay);
+    }
+
+    /// Returns the value of an item.
+    pub fn value_of(&self, key: &str) -> Option<String> {
+        let contents = self.contents.0.lock().expect("not poisoned");
+        contents.items.get(key).map(|item| item.text.to_string())
+    }
+
     /// Removes an item. The return is the acknowledgement.
     pub fn remove(&self, key: &str) {
         let (contents, changed) = &*self.contents;
