Review: a case in which hosts stop following the store

Cause: the answer of a watch above 8 MiB is refused, and the same one is asked for again until the store drops its history; hosts watch the keys of all writers. Change: case 1, fourteen unreadable entries of 1 MB of another writer, then a configuration.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -16,6 +16,7 @@
 mod cut_watches;
 mod foreign_entries;
 mod large_bodies;
+mod large_entries;
 mod large_weights;
 mod late_writes;
 mod stop_pipelined;
@@ -157,6 +158,7 @@
         "cut-watches" => cut_watches::play(record),
         "foreign-entries" => foreign_entries::play(record),
         "large-bodies" => large_bodies::play(record),
+        "large-entries" => large_entries::play(record),
         "large-weights" => large_weights::play(record),
         "late-writes" => late_writes::play(record),
         "stop-pipelined" => stop_pipelined::play(record),
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -1,7 +1,7 @@
 //! A stand-in of the platform's store: items, pages, watches, and the cuts of waiting
 //! watches that PROTOCOL.md allows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -9,8 +9,11 @@
 
 use crate::http::read_message;
 
-/// The items of one page.
+/// The items of one page, and the bytes of their values.
 const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
+/// How long the store keeps its history, `history-s`.
+const HISTORY: Duration = Duration::from_secs(20);
 
 #[derive(Debug, Clone)]
 struct Item {
@@ -21,12 +24,23 @@
     created: u64,
 }
 
+/// A change: its revision, the key, and the item or `None` for a removal.
+#[derive(Debug)]
+struct Change {
+    at: Instant,
+    revision: u64,
+    key: String,
+    item: Option<Item>,
+}
+
 #[derive(Debug, Default)]
 struct Contents {
     revision: u64,
     items: BTreeMap<String, Item>,
-    /// Each change: its revision, the key, and the item or `None` for a removal.
-    log: Vec<(u64, String, Option<Item>)>,
+    /// The changes of the history.
+    log: VecDeque<Change>,
+    /// The latest change that the history does not contain any more.
+    dropped: u64,
     /// The number of times that all waiting watches were cut.
     cuts: u64,
     /// The watches that wait now.
@@ -35,6 +49,25 @@
     late: BTreeMap<String, Duration>,
 }
 
+impl Contents {
+    /// Adds a change to the history, and drops what is too old.
+    fn log(&mut self, key: &str, item: Option<Item>) {
+        self.log.push_back(Change {
+            at: Instant::now(),
+            revision: self.revision,
+            key: key.to_owned(),
+            item,
+        });
+        while let Some(oldest) = self.log.front() {
+            if oldest.at.elapsed() < HISTORY {
+                return;
+            }
+            self.dropped = oldest.revision;
+            self.log.pop_front();
+        }
+    }
+}
+
 /// A running store.
 #[derive(Clone)]
 pub struct Store {
@@ -48,6 +81,7 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let contents = Contents {
             revision: 100,
+            dropped: 100,
             ..Contents::default()
         };
         let store = Self {
@@ -78,7 +112,7 @@
             created: former.map_or(revision, |former| former.created),
         };
         contents.items.insert(key.to_owned(), item.clone());
-        contents.log.push((revision, key.to_owned(), Some(item)));
+        contents.log(key, Some(item));
         changed.notify_all();
         revision
     }
@@ -117,9 +151,8 @@
         let (contents, changed) = &*self.contents;
         let mut contents = contents.lock().expect("not poisoned");
         contents.revision += 1;
-        let revision = contents.revision;
         contents.items.remove(key);
-        contents.log.push((revision, key.to_owned(), None));
+        contents.log(key, None);
         changed.notify_all();
     }
 
@@ -147,15 +180,17 @@
         while let Some(request) = read_message(&mut reader) {
             let (path, query) = request.target().split_once('?').unwrap_or_default();
             let answer = match path {
-                "/waxwingusher/kv-range" => Some(self.range(query)),
+                "/waxwingusher/kv-range" => Watched::Events(self.range(query)),
                 "/waxwingusher/kv-watch" => self.watch(query),
-                _ => Some("{}".to_owned()),
+                _ => Watched::Events("{}".to_owned()),
             };
-            let Some(answer) = answer else {
-                break;
+            let (status, answer) = match answer {
+                Watched::Events(answer) => ("200 OK", answer),
+                Watched::HistoryGone => ("410 Gone", "{}".to_owned()),
+                Watched::Cut => break,
             };
             let head = format!(
-                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 answer.len()
             );
             let mut writer = stream;
@@ -171,11 +206,14 @@
         let contents = self.contents.0.lock().expect("not poisoned");
         let found = contents.items.iter();
         let mut found = found.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
-        let items: Vec<String> = found
-            .by_ref()
-            .take(PAGE_ITEMS)
-            .map(|(key, item)| event(key, item.revision, Some(item)))
-            .collect();
+        let (mut items, mut bytes) = (Vec::new(), 0);
+        while items.len() < PAGE_ITEMS && bytes < PAGE_BYTES {
+            let Some((key, item)) = found.next() else {
+                break;
+            };
+            bytes += item.text.len();
+            items.push(event(key, item.revision, Some(item)));
+        }
         let has_more = found.next().is_some();
         format!(
             "{{\"items\":[{}],\"has-more\":{has_more},\"store-revision\":{}}}",
@@ -184,8 +222,8 @@
         )
     }
 
-    /// Waits for events; `None` if the watch is cut.
-    fn watch(&self, query: &str) -> Option<String> {
+    /// Waits for events.
+    fn watch(&self, query: &str) -> Watched {
         let prefix = field(query, "prefix");
         let after: u64 = field(query, "after").parse().unwrap_or(0);
         let wait_ms: u64 = field(query, "wait-ms").parse().unwrap_or(0);
@@ -194,21 +232,24 @@
         let mut contents = contents.lock().expect("not poisoned");
         let cuts = contents.cuts;
         loop {
+            if after < contents.dropped {
+                return Watched::HistoryGone;
+            }
             let log = contents.log.iter();
             let events: Vec<String> = log
-                .filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix))
-                .map(|(revision, key, item)| event(key, *revision, item.as_ref()))
+                .filter(|change| change.revision > after && change.key.starts_with(&prefix))
+                .map(|change| event(&change.key, change.revision, change.item.as_ref()))
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return Some(format!(
+                return Watched::Events(format!(
                     "{{\"events\":[{}],\"store-revision\":{}}}",
                     events.join(","),
                     contents.revision
                 ));
             }
             if contents.cuts != cuts {
-                return None;
+                return Watched::Cut;
             }
             contents.waiting += 1;
             contents = changed
@@ -220,6 +261,16 @@
     }
 }
 
+/// How a watch ends.
+enum Watched {
+    /// With an answer, which may have no events.
+    Events(String),
+    /// The history after the revision is not available.
+    HistoryGone,
+    /// The store cuts it.
+    Cut,
+}
+
 fn event(key: &str, revision: u64, item: Option<&Item>) -> String {
     match item {
         Some(item) => format!(
