Review: make case 1 independent of when hosts read the store

Cause: readers that watch at different moments may divide 14 entries into answers below 8 MiB; 8 entries held once. Change: 30 entries within 350 ms, longer than the pause of a host after a change.

--- a/review/standins/large_entries.rs
+++ b/review/standins/large_entries.rs
@@ -7,6 +7,7 @@
 
 use crate::callers::{End, HOST_NAME, Requests, head, new_id, send_once};
 use crate::record::Record;
+use crate::store::Value;
 use crate::{CaseError, Deployment, Size, Verdict, config, has_trouble};
 
 /// Each consumer sends one request after the other, which runs for 40 ms.
@@ -17,10 +18,11 @@
 /// How long all is calm before: over twice `stable-window-ms`.
 const CALM: Duration = Duration::from_secs(8);
 /// The entries of the other writer, and their size, below `value-bytes`.
-const ENTRIES: usize = 14;
+const ENTRIES: u32 = 30;
 const ENTRY_BYTES: usize = 1_040_000;
-/// The pause between two of its writes.
-const WRITE_PAUSE: Duration = Duration::from_millis(12);
+/// The time from one of its writes to the next. All of them take longer than a host pauses after
+/// a change.
+const WRITE_INTERVAL: Duration = Duration::from_millis(12);
 /// How long after them the configuration changes.
 const CHANGES_AFTER: Duration = Duration::from_secs(1);
 /// `config-apply-ms`.
@@ -56,12 +58,17 @@
     std::thread::sleep(CALM);
     if has_trouble() {
         // Bytes that cannot be read as an entry.
-        let value = "#".repeat(ENTRY_BYTES);
+        let value = Value::new(&"#".repeat(ENTRY_BYTES));
+        let started = Instant::now();
         for number in 0..ENTRIES {
-            fleet.store.put(&format!("servers/x-{number}"), &value);
-            record.line(&format!("another writer writes the entry x-{number}"));
-            std::thread::sleep(WRITE_PAUSE);
+            let at = started + WRITE_INTERVAL * number;
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            let key = format!("servers/x-{number}");
+            fleet.store.put_value(&key, &value);
+            record.line(&format!("another writer writes {key}"));
         }
+        let took = started.elapsed().as_millis();
+        record.tell(&format!("{ENTRIES} entries were written in {took} ms"));
     }
     std::thread::sleep(CHANGES_AFTER);
     fleet.store.put("op/config", &moving_config(7, "annex"));
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -15,11 +15,26 @@
 /// How long the store keeps its history, `history-s`.
 const HISTORY: Duration = Duration::from_secs(20);
 
+/// A value as it is written, and in base64.
 #[derive(Debug, Clone)]
-struct Item {
-    /// The value as it was written, and in base64.
+pub struct Value {
     text: Arc<str>,
-    value: Arc<str>,
+    encoded: Arc<str>,
+}
+
+impl Value {
+    /// Encodes a value.
+    pub fn new(text: &str) -> Self {
+        Self {
+            text: text.into(),
+            encoded: base64(text.as_bytes()).into(),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: Value,
     revision: u64,
     created: u64,
 }
@@ -100,14 +115,18 @@
 
     /// Writes an item and returns its revision. The return is the acknowledgement.
     pub fn put(&self, key: &str, value: &str) -> u64 {
+        self.put_value(key, &Value::new(value))
+    }
+
+    /// Writes an item with a value that may be written more than once.
+    pub fn put_value(&self, key: &str, value: &Value) -> u64 {
         let (contents, changed) = &*self.contents;
         let mut contents = contents.lock().expect("not poisoned");
         contents.revision += 1;
         let revision = contents.revision;
         let former = contents.items.get(key);
         let item = Item {
-            text: value.into(),
-            value: base64(value.as_bytes()).into(),
+            value: value.clone(),
             revision,
             created: former.map_or(revision, |former| former.created),
         };
@@ -143,7 +162,7 @@
     /// Returns the value of an item.
     pub fn value_of(&self, key: &str) -> Option<String> {
         let contents = self.contents.0.lock().expect("not poisoned");
-        contents.items.get(key).map(|item| item.text.to_string())
+        contents.items.get(key).map(|item| item.value.text.to_string())
     }
 
     /// Removes an item. The return is the acknowledgement.
@@ -211,7 +230,7 @@
             let Some((key, item)) = found.next() else {
                 break;
             };
-            bytes += item.text.len();
+            bytes += item.value.text.len();
             items.push(event(key, item.revision, Some(item)));
         }
         let has_more = found.next().is_some();
@@ -275,7 +294,7 @@
     match item {
         Some(item) => format!(
             "{{\"key\":\"{key}\",\"value\":\"{}\",\"revision\":{revision},\"created\":{},\"lease\":0}}",
-            item.value, item.created
+            item.value.encoded, item.created
         ),
         None => format!("{{\"key\":\"{key}\",\"revision\":{revision},\"tombstone\":true}}"),
     }
