--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -19,6 +19,7 @@
 mod large_entries;
 mod large_weights;
 mod late_writes;
+mod raised_limits;
 mod stop_pipelined;
 
 use std::path::{Path, PathBuf};
@@ -161,6 +162,7 @@
         "large-entries" => large_entries::play(record),
         "large-weights" => large_weights::play(record),
         "late-writes" => late_writes::play(record),
+        "raised-limits" => raised_limits::play(record),
         "stop-pipelined" => stop_pipelined::play(record),
         _ => Err(format!("there is no case `{name}`").into()),
     }
