Stop reading callers' connections in use from the beginning of a planned stop

Cause: a draining host closes a connection behind the answer to its last unanswered request, but its reader took further requests meanwhile. With requests that overlap there never is a last one, so the connection lived until the process ended.

Change: while a host drains, a connection with unanswered requests is read no further; the last of them is answered with `Connection: close`. What arrived behind it is unread, which callers send again.

--- a/crates/gateway/src/caller/connection.rs
+++ b/crates/gateway/src/caller/connection.rs
@@ -179,7 +179,8 @@
             self.start(head, body);
             while self.request_tasks.try_join_next().is_some() {}
             if is_last {
-                return self.wait_until_closed().await;
+                self.wait_until_closed().await;
+                return ReadEnd::Closed;
             }
         }
     }
@@ -188,6 +189,10 @@
     async fn read_head(&mut self, limits: &CallerLimits) -> Result<Option<Head>, ReadEnd> {
         let mut head_started_at = None;
         loop {
+            if self.has_last_request() {
+                self.wait_until_closed().await;
+                return Ok(None);
+            }
             if self.shared.unanswered.get() < MAX_PIPELINED_REQUESTS {
                 match take_head(&mut self.buffer, limits) {
                     Ok(Some(head)) => return Ok(Some(head)),
@@ -302,19 +307,23 @@
     }
 
     /// Waits until the last answer is written or the caller disconnects.
-    async fn wait_until_closed(&mut self) -> ReadEnd {
+    async fn wait_until_closed(&mut self) {
         loop {
-            if self.shared.is_closed.get() {
-                return ReadEnd::Closed;
-            }
             match self.read_more(None).await {
-                Progress::Closed => return ReadEnd::Closed,
+                Progress::Closed => return,
                 Progress::Bytes => self.buffer.clear(),
                 Progress::Changed | Progress::TimedOut => {}
             }
         }
     }
 
+    /// Returns whether the connection closes behind the requests that were read, since the
+    /// host shuts down. Otherwise a caller that always has a request under way would keep
+    /// its connection until the process ends.
+    fn has_last_request(&self) -> bool {
+        self.shared.unanswered.get() > 0 && *self.phase.borrow() >= Phase::Draining
+    }
+
     /// Returns whether the connection is idle on a host that is closing.
     fn is_closable(&self) -> bool {
         self.shared.unanswered.get() == 0 && *self.phase.borrow() == Phase::Closing
--- a/crates/gateway/tests/testsuite/stops.rs
+++ b/crates/gateway/tests/testsuite/stops.rs
@@ -89,3 +89,46 @@
     second.thread.join().expect("the host stops");
     wait_until_known(&first, 1);
 }
+
+/// Guards against a host that goes on reading from a caller who always has a request under
+/// way, and cuts that caller's last requests as the process ends.
+#[test]
+fn a_planned_stop_cuts_no_request_of_a_caller_that_pipelines() {
+    const INTERVAL: Duration = Duration::from_millis(20);
+    const RUN_TIME: Duration = Duration::from_millis(60);
+    let instance = Instance::start(Arc::new(|request, _| {
+        std::thread::sleep(RUN_TIME);
+        answer_with_proof(request, "200 OK", "done")
+    }));
+    let grace = Duration::from_secs(2);
+    let host = TestHost::start(&[&instance], grace);
+    let stream = host.connect();
+    let mut sending = stream.try_clone().expect("a second handle");
+    let sender = std::thread::spawn(move || {
+        for number in 0.. {
+            let text = request("GET", "/read/1", &format!("r{number}"), "");
+            if sending.write_all(text.as_bytes()).is_err() {
+                return;
+            }
+            std::thread::sleep(INTERVAL);
+        }
+    });
+    let mut stream = stream;
+    read_reply(&mut stream);
+    let mut answered = 1;
+    host.commands.send(Command::Stop).expect("the host runs");
+    let stopped_at = Instant::now();
+    let mut has_closed = false;
+    while !has_closed {
+        let reply = read_reply(&mut stream);
+        assert_eq!(reply.status, 200, "answer {answered}: {}", reply.head);
+        answered += 1;
+        has_closed = reply.header("connection") == Some("close");
+    }
+    let took = stopped_at.elapsed();
+    assert!(took < grace / 2, "the connection closes after {took:?}");
+    drop(stream);
+    sender.join().expect("the caller ends");
+    host.thread.join().expect("the host stops");
+    assert_eq!(instance.request_count(), answered);
+}
