Start no request behind the answer that closes a connection

What callers would see: a request whose last bytes arrive while the closing answer of a planned stop is being written runs, although its caller counts it as unread and sends it again; one that is not idempotent runs twice. Found by reading, reported by no caller.

Cause: the writer told the reader that the connection closes only after it had written the answer. A large answer to a slow reader takes a while, and the reader went on.

Change: the writer marks the connection as closing before it writes. The reader starts no request on such a connection and waits for its end.

Evidence: stops::a_request_that_arrives_behind_the_closing_answer_does_not_run failed before (the instance received 2 requests instead of 1) and passes; all 133 tests of the gateway pass.

--- a/crates/gateway/src/caller/connection.rs
+++ b/crates/gateway/src/caller/connection.rs
@@ -32,6 +32,17 @@
 /// The free buffer space that is reserved for each read.
 const READ_BYTES: usize = 8 * 1024;
 
+/// How far a connection is from its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum CloseState {
+    #[default]
+    Open,
+    /// The answer that closes the connection is being written.
+    Closing,
+    /// Nothing more is written.
+    Closed,
+}
+
 /// State that the reader and the writer of a connection share.
 #[derive(Debug, Default)]
 pub(super) struct ConnectionState {
@@ -40,10 +51,16 @@
     /// The number of answers written so far.
     answered_count: Cell<u64>,
     changed: Notify,
-    is_closed: Cell<bool>,
+    close_state: Cell<CloseState>,
 }
 
 impl ConnectionState {
+    /// Records that the answer that closes the connection is about to be written. The caller
+    /// sends all requests behind it again, so none of them may run.
+    pub(super) fn begin_close(&self) {
+        self.close_state.set(CloseState::Closing);
+    }
+
     /// Records that an answer was written.
     pub(super) fn record_answered(&self, state: &State) {
         self.unanswered.set(self.unanswered.get().saturating_sub(1));
@@ -54,9 +71,19 @@
 
     /// Closes the connection for the reader.
     pub(super) fn close(&self) {
-        self.is_closed.set(true);
+        self.close_state.set(CloseState::Closed);
         self.changed.notify_waiters();
     }
+
+    /// Reports whether a request may still be started.
+    fn is_open(&self) -> bool {
+        self.close_state.get() == CloseState::Open
+    }
+
+    /// Reports whether nothing more is written.
+    fn is_closed(&self) -> bool {
+        self.close_state.get() == CloseState::Closed
+    }
 }
 
 struct ConnectionOrder {
@@ -124,7 +151,7 @@
         stream,
         ..
     } = connection;
-    if shared.is_closed.get() {
+    if shared.is_closed() {
         linger(stream).await;
     }
     writer.abort();
@@ -175,13 +202,16 @@
                 Ok(None) => return ReadEnd::Closed,
                 Err(end) => return end,
             };
-            let is_last = head.is_last;
-            self.start(head, body);
-            while self.request_tasks.try_join_next().is_some() {}
-            if is_last {
-                self.wait_until_closed().await;
-                return ReadEnd::Closed;
+            if self.shared.is_open() {
+                let is_last = head.is_last;
+                self.start(head, body);
+                while self.request_tasks.try_join_next().is_some() {}
+                if !is_last {
+                    continue;
+                }
             }
+            self.wait_until_closed().await;
+            return ReadEnd::Closed;
         }
     }
 
@@ -330,7 +360,7 @@
     }
 
     async fn read_more(&mut self, deadline: Option<Instant>) -> Progress {
-        if self.shared.is_closed.get() {
+        if self.shared.is_closed() {
             return Progress::Closed;
         }
         let is_pipeline_full = self.shared.unanswered.get() >= MAX_PIPELINED_REQUESTS;
--- a/crates/gateway/src/caller/writer.rs
+++ b/crates/gateway/src/caller/writer.rs
@@ -36,6 +36,9 @@
         let closes_for_shutdown = state.phase() >= Phase::Draining && is_last_unanswered;
         let closes_connection =
             !answer.status.is_informational() && (queued.is_last || closes_for_shutdown);
+        if closes_connection {
+            shared.begin_close();
+        }
         let bytes = encode(&answer, &queued.method, closes_connection);
         let written = stream.write_all(&bytes).await;
         shared.record_answered(&state);
--- a/crates/gateway/tests/testsuite/stops.rs
+++ b/crates/gateway/tests/testsuite/stops.rs
@@ -132,3 +132,36 @@
     host.thread.join().expect("the host stops");
     assert_eq!(instance.request_count(), answered);
 }
+
+/// Guards against a request that runs although its caller sends it again, as it arrived behind
+/// the answer that closes the connection.
+#[test]
+fn a_request_that_arrives_behind_the_closing_answer_does_not_run() {
+    let body = "x".repeat(15 * 1024 * 1024);
+    let instance = Instance::start(Arc::new(move |request, _| {
+        std::thread::sleep(Duration::from_millis(200));
+        answer_with_proof(request, "200 OK", &body)
+    }));
+    let host = TestHost::start(&[&instance], GRACE);
+    let mut stream = host.connect();
+    let next = request("POST", "/book/1", "next", "body");
+    let (start, rest) = next.split_at(next.len() - 2);
+    let first = request("GET", "/read/1", "first", "") + start;
+    stream.write_all(first.as_bytes()).expect("the host reads");
+    while instance.request_count() == 0 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    host.commands.send(Command::Stop).expect("the host runs");
+    // The answer is larger than the buffers of the connection, so it is still being written
+    // when its first byte has arrived.
+    stream.peek(&mut [0]).expect("the answer begins");
+    stream.write_all(rest.as_bytes()).expect("the host reads");
+    std::thread::sleep(Duration::from_millis(200));
+    let reply = read_reply(&mut stream);
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header("connection"), Some("close"));
+    assert_eq!(read_reply(&mut stream).status, 0);
+    drop(stream);
+    host.thread.join().expect("the host stops");
+    assert_eq!(instance.request_count(), 1);
+}
