Believe an answer on a kept connection only if it carries the request's id

What callers would see: an instance that writes an earlier refusal once more makes the host tell the caller of the next idempotent request that it has not run (503) while the instance runs it; the connection then stays one answer behind, and requests after it get 502.

Cause: a refusal was believed if its id was right or missing, so also one without an id, and one of an earlier attempt under the same id. A connection was kept before its answer was found to belong to another request. Requests that are not idempotent always open a connection and are not affected.

Change: on a connection that was in use before, an answer must carry the request's id; the connection is kept only after that check; a request is not sent again over a connection on which it was refused. Requests without an id open a connection.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -63,7 +63,8 @@
     Broken,
     /// The answer is truncated, or longer than is read.
     Partial,
-    /// The answer carries the id of another request.
+    /// The answer carries the id of another request, or none on a connection that was in use
+    /// before: the instance may have repeated an earlier answer.
     Crossed,
     /// The answer does not come from the instance itself.
     Foreign,
@@ -119,13 +120,15 @@
         dialect.expected_instance.clone(),
         header_value(entry.id.as_str()),
     );
+    // Without an id a later answer cannot be told from one that is repeated.
+    let may_reuse = may_reuse && !request.request_id.is_empty();
     let call = Call {
         addr: entry.addr,
         method: request.method.clone(),
         target: request.target.clone(),
         headers,
         body: request.body.clone(),
-        may_reuse,
+        reuse_as: may_reuse.then(|| request.request_id.clone()),
     };
     let scope = TrafficScope::from_is_local(entry.failure_domain == state.failure_domain);
     let metrics = &state.metrics;
@@ -133,6 +136,10 @@
     let guard = InFlightGuard::start(state, &entry.id);
     let mut record = AttemptRecord::start(state, request, placement, number);
     let result = await_call(state.pool.call(call), &guard, request).await;
+    let (result, connection) = match result {
+        Ok(completed) => (Ok(completed.answer), completed.connection),
+        Err(error) => (Err(error), None),
+    };
     if let Ok(answer) = &result {
         metrics.record_instance_bytes("answer", scope, answer.bytes());
     }
@@ -140,6 +147,16 @@
     let notice = InstanceNotice::of(&state.dialect, &result);
     let outcome = classify(state, &request.request_id, result);
     record.outcome = outcome.label();
+    match (connection, &outcome) {
+        (Some(connection), AttemptOutcome::Answered(_) | AttemptOutcome::Failed(_)) => {
+            state.pool.keep(connection);
+        }
+        (Some(connection), AttemptOutcome::NotRun(NotRun::Refused)) => {
+            let id = &request.request_id;
+            state.pool.keep_after_refusal(connection, id);
+        }
+        _ => {}
+    }
     guard.finish(observation(
         &outcome,
         record.took(),
@@ -364,7 +381,10 @@
     };
     let dialect = &state.dialect;
     let echoed = answer.headers.get(&dialect.request_id);
-    if echoed.is_some_and(|echoed| echoed.as_bytes() != request_id.as_bytes()) {
+    let is_own = echoed.map_or(answer.is_connection_new, |echoed| {
+        echoed.as_bytes() == request_id.as_bytes()
+    });
+    if !is_own {
         return AttemptOutcome::AnswerLost(AnswerLoss::Crossed);
     }
     if answer.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -163,7 +163,7 @@
             .pool
             .call(build_call(state, request, terms, peer, time_left))
             .await;
-        let outcome = classify(result);
+        let outcome = classify(result.map(|completed| completed.answer));
         state.metrics.record_takeover(outcome.label());
         state.journal.write(&Event::Takeover {
             request: &request.request_id,
@@ -237,7 +237,7 @@
         target: request.target.clone(),
         headers,
         body: request.body.clone(),
-        may_reuse: false,
+        reuse_as: None,
     }
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -37,6 +37,8 @@
 const HEADER_SEPARATOR_BYTES: usize = 4;
 /// Idle connections that are kept for one instance.
 const MAX_IDLE_CONNECTIONS: usize = 4;
+/// The refusals after which a connection is not kept.
+const MAX_REFUSALS: usize = 16;
 
 /// A request as it is sent to an instance.
 #[derive(Debug, Clone)]
@@ -46,8 +48,9 @@
     pub(crate) target: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// Whether an idle connection may be reused.
-    pub(crate) may_reuse: bool,
+    /// The request's id, if it may go over a connection that was in use before. An instance
+    /// may repeat an answer there, so each request of a connection needs an id of its own.
+    pub(crate) reuse_as: Option<String>,
 }
 
 impl Call {
@@ -64,10 +67,18 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// Whether the connection was opened for the call.
+    /// Whether the connection was opened for the call. The first answer on a new connection
+    /// is certainly the answer to its request.
     pub(crate) is_connection_new: bool,
 }
 
+/// A call with a complete answer.
+pub(crate) struct CompletedCall {
+    pub(crate) answer: InstanceAnswer,
+    /// The connection, if it may be kept. Dropping it closes it.
+    pub(crate) connection: Option<OpenConnection>,
+}
+
 impl InstanceAnswer {
     /// Returns the size of the head and the body.
     pub(crate) fn bytes(&self) -> usize {
@@ -116,16 +127,27 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
-struct IdleConnection {
+/// A connection on which no call is under way.
+pub(crate) struct OpenConnection {
+    addr: SocketAddr,
     sender: Sender,
-    task: ConnectionTask,
+    _task: ConnectionTask,
     idle_since: Instant,
+    /// The ids of the requests that the instance has refused here. A refusal that it repeats
+    /// could be taken for the answer to such a request if that came again.
+    refused_ids: Vec<String>,
+}
+
+impl OpenConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        now - self.idle_since < MAX_IDLE_TIME && self.sender.is_ready()
+    }
 }
 
 /// Idle connections to instances, by address.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
-    idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    idle: RefCell<HashMap<SocketAddr, Vec<OpenConnection>>>,
     /// The bytes of unfinished answers.
     unfinished_bytes: Cell<usize>,
 }
@@ -169,20 +191,17 @@
 impl ConnectionPool {
     /// Sends a request and reads the complete answer. Dropping the future closes
     /// the connection, which lets the instance stop.
-    pub(crate) async fn call(&self, call: Call) -> Result<InstanceAnswer, CallError> {
-        let addr = call.addr;
+    pub(crate) async fn call(&self, call: Call) -> Result<CompletedCall, CallError> {
         let request = build_request(&call)?;
-        let idle_connection = if call.may_reuse {
-            self.take_idle(addr)
-        } else {
-            None
-        };
-        let is_connection_new = idle_connection.is_none();
-        let (mut sender, task) = match idle_connection {
-            Some(connection) => (connection.sender, connection.task),
-            None => open(addr).await?,
+        let idle = call.reuse_as.as_deref();
+        let idle = idle.and_then(|id| self.take_idle(call.addr, id));
+        let is_connection_new = idle.is_none();
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => open(call.addr).await?,
         };
-        let answer = sender
+        let answer = connection
+            .sender
             .send_request(request)
             .await
             .map_err(CallError::Broken)?;
@@ -193,17 +212,36 @@
                 .to_str()
                 .is_ok_and(|text| text.eq_ignore_ascii_case("close"))
         });
-        if call.may_reuse && !is_last {
-            self.put_idle(addr, sender, task);
-        }
-        Ok(InstanceAnswer {
-            status: parts.status,
-            headers: parts.headers,
-            body,
-            is_connection_new,
+        let may_keep = call.reuse_as.is_some() && !is_last;
+        Ok(CompletedCall {
+            answer: InstanceAnswer {
+                status: parts.status,
+                headers: parts.headers,
+                body,
+                is_connection_new,
+            },
+            connection: may_keep.then_some(connection),
         })
     }
 
+    /// Keeps a connection whose last answer was certainly that to its last request.
+    pub(crate) fn keep(&self, mut connection: OpenConnection) {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(connection.addr).or_default();
+        if connections.len() < MAX_IDLE_CONNECTIONS {
+            connection.idle_since = Instant::now();
+            connections.push(connection);
+        }
+    }
+
+    /// Keeps a connection on which the instance has refused a request.
+    pub(crate) fn keep_after_refusal(&self, mut connection: OpenConnection, id: &str) {
+        connection.refused_ids.push(id.to_owned());
+        if connection.refused_ids.len() < MAX_REFUSALS {
+            self.keep(connection);
+        }
+    }
+
     async fn read_body(&self, mut body: Incoming) -> Result<Bytes, CallError> {
         let mut unfinished = UnfinishedAnswer {
             total: &self.unfinished_bytes,
@@ -235,28 +273,18 @@
         self.idle.borrow_mut().clear();
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<IdleConnection> {
+    /// Takes an idle connection for a request, none that has refused it before.
+    fn take_idle(&self, addr: SocketAddr, id: &str) -> Option<OpenConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&addr)?;
-        while let Some(connection) = connections.pop() {
-            if now - connection.idle_since < MAX_IDLE_TIME && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    fn put_idle(&self, addr: SocketAddr, sender: Sender, task: ConnectionTask) {
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(addr).or_default();
-        if connections.len() < MAX_IDLE_CONNECTIONS {
-            connections.push(IdleConnection {
-                sender,
-                task,
-                idle_since: Instant::now(),
-            });
-        }
+        connections.retain(|connection| connection.is_usable(now));
+        let has_refused = |connection: &OpenConnection| {
+            let mut refused_ids = connection.refused_ids.iter();
+            refused_ids.any(|refused| refused == id)
+        };
+        let position = connections.iter().rposition(|it| !has_refused(it))?;
+        Some(connections.remove(position))
     }
 }
 
@@ -270,7 +298,7 @@
     Ok(request)
 }
 
-async fn open(addr: SocketAddr) -> Result<(Sender, ConnectionTask), CallError> {
+async fn open(addr: SocketAddr) -> Result<OpenConnection, CallError> {
     let connect = TcpStream::connect(addr);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
     let stream = stream.map_err(|_| CallError::ConnectTimeout)?;
@@ -287,5 +315,11 @@
             log::debug!("upstream: The connection to {addr} failed: {error}.");
         }
     });
-    Ok((sender, ConnectionTask(task.abort_handle())))
+    Ok(OpenConnection {
+        addr,
+        sender,
+        _task: ConnectionTask(task.abort_handle()),
+        idle_since: Instant::now(),
+        refused_ids: Vec::new(),
+    })
 }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod harness;
 mod home_regions;
 mod journal;
+mod kept_connections;
 mod load_sharing;
 mod peers;
 mod permit_schedules;
