Test that an answer cut at any byte never looks complete

Other operators report answers that broke off in the head and reached callers as an empty 200. It does not happen here: no cut of five answers (sized, chunked, redirect, behind an interim answer, ending with its connection) at any byte, by a close or a reset, on a new or a kept connection, reaches the caller as anything but 502, and the next request is served.

--- a/crates/gateway/tests/testsuite/answers.rs
+++ b/crates/gateway/tests/testsuite/answers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::harness::{Instance, TestHost, answer_with_proof, request};
+use crate::harness::{Instance, Received, Reply, TestHost, Then, answer_with_proof, request};
 
 const GRACE: Duration = Duration::from_secs(1);
 
@@ -111,6 +111,62 @@
     assert_eq!(reply.header("proof"), None);
 }
 
+/// Answers that are complete only as a whole; `{id}` stands for the request's id.
+const WHOLE_ANSWERS: [&str; 4] = [
+    "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nproof: p\r\ncontent-length: 4\r\n\r\ndone",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nrequest-id: {id}\r\nproof: p\r\n\r\n2\r\ndo\r\n2\r\nne\r\n0\r\n\r\n",
+    "HTTP/1.1 302 Found\r\nlocation: /read/2\r\nrequest-id: {id}\r\ncontent-length: 0\r\nproof: p\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nlink: /a\r\n\r\nHTTP/1.1 200 OK\r\nrequest-id: {id}\r\nproof: p\r\ncontent-length: 0\r\n\r\n",
+];
+/// An answer that ends with its connection.
+const UNFRAMED_ANSWER: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nproof: p\r\n\r\ndone";
+
+/// Sends a request whose answer is cut after `bytes`, and then a request for the whole answer.
+fn send_cut(answer: &'static str, bytes: usize, then: Then, is_kept: bool) -> (Reply, Reply) {
+    let cut = Instance::start_keeping(move |request: &Received, _| {
+        let id = request.header("request-id").unwrap_or("");
+        let whole = answer.replace("{id}", id).into_bytes();
+        match id {
+            "x" => (whole[..bytes].to_vec(), then),
+            _ if answer == UNFRAMED_ANSWER => (whole, Then::Close),
+            _ => (whole, Then::Keep),
+        }
+    });
+    let host = TestHost::start(&[&cut], GRACE);
+    if is_kept {
+        host.send(&request("GET", "/read/1", "a", ""));
+    }
+    let reply = host.send(&request("GET", "/read/1", "x", ""));
+    (reply, host.send(&request("GET", "/read/1", "b", "")))
+}
+
+/// Guards against an answer that breaks off in its head or its body and reaches the caller as
+/// a complete one.
+#[test]
+fn an_answer_that_is_cut_anywhere_never_looks_complete() {
+    let whole_bytes = |answer: &str| answer.replace("{id}", "x").len();
+    let mut cases = Vec::new();
+    for answer in WHOLE_ANSWERS {
+        for bytes in 0..whole_bytes(answer) {
+            let then = [Then::Close, Then::Reset][bytes % 2];
+            cases.push((answer, bytes, then));
+        }
+    }
+    for bytes in 0..=whole_bytes(UNFRAMED_ANSWER) {
+        cases.push((UNFRAMED_ANSWER, bytes, Then::Reset));
+    }
+    for bytes in 0..whole_bytes(UNFRAMED_ANSWER) - "done".len() {
+        cases.push((UNFRAMED_ANSWER, bytes, Then::Close));
+    }
+    for (number, (answer, bytes, then)) in cases.into_iter().enumerate() {
+        let (reply, next) = send_cut(answer, bytes, then, number % 3 > 0);
+        let part = answer[..].replace("{id}", "x")[..bytes].to_owned();
+        assert_eq!(reply.status, 502, "{then:?} after {part:?}: {}", reply.head);
+        assert_eq!(reply.header("proof"), None, "{}", reply.head);
+        assert!(matches!(next.status, 200 | 302), "{part:?}: {}", next.head);
+    }
+}
+
 #[test]
 fn an_answer_to_another_request_is_not_relayed() {
     let crossed = Instance::start(Arc::new(|request, _| {
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -155,7 +155,15 @@
 /// the connection is closed without an answer.
 pub type Behaviour = Arc<dyn Fn(&Received, usize) -> Vec<u8> + Send + Sync>;
 
-/// An instance that serves one request per connection.
+/// How a connection goes on after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Then {
+    Keep,
+    Close,
+    Reset,
+}
+
+/// An instance that serves one request per connection unless it is told otherwise.
 pub struct Instance {
     pub addr: SocketAddr,
     pub received: Arc<Mutex<Vec<Received>>>,
@@ -213,6 +221,43 @@
         })
     }
 
+    /// Starts an instance that keeps connections open. `behaviour` gets a request and its
+    /// number on its connection, and returns the answer and how the connection goes on.
+    pub fn start_keeping(
+        behaviour: impl Fn(&Received, usize) -> (Vec<u8>, Then) + Clone + Send + 'static,
+    ) -> Self {
+        let log: Arc<Mutex<Vec<Received>>> = Arc::default();
+        let received = log.clone();
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (log, behaviour) = (log.clone(), behaviour.clone());
+                std::thread::spawn(move || {
+                    for number in 0.. {
+                        let Some(request) = read_request(&mut stream) else {
+                            return;
+                        };
+                        log.lock().expect("not poisoned").push(request.clone());
+                        let (answer, then) = behaviour(&request, number);
+                        // Writing fails if the host has closed the connection.
+                        let _ = stream.write_all(&answer);
+                        match then {
+                            Then::Keep => continue,
+                            Then::Close => {}
+                            Then::Reset => {
+                                let socket = socket2::SockRef::from(&stream);
+                                socket.set_linger(Some(Duration::ZERO)).expect("an option");
+                            }
+                        }
+                        return;
+                    }
+                });
+            }
+        });
+        Self { addr, received }
+    }
+
     /// Starts an instance that passes the connection of each request to `serve`.
     fn start_with(serve: impl Fn(TcpStream, Received) + Clone + Send + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
