Test cut redirects and repeated answers at the client of the former data path

The reports of other operators about answers that break off in the head and about refusals that are written twice were tried there, too. Neither happens: a redirect that is cut at any byte is no answer, and a pooled connection that has received bytes is not used again. A copy that arrives only after the next request was sent cannot be told from its answer there, as that protocol has no ids; requests that must not repeat use new connections.

--- a/crates/edge/tests/testsuite/upstreams.rs
+++ b/crates/edge/tests/testsuite/upstreams.rs
@@ -44,13 +44,19 @@
 fn an_answer_truncated_at_any_offset_never_looks_complete() {
     const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n";
     const SIZED: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789";
+    const REDIRECT: &[u8] =
+        b"HTTP/1.1 302 Found\r\ncontent-length: 10\r\nlocation: /x\r\nx: y\r\n\r\n0123456789";
+    const EMPTY_REDIRECT: &[u8] =
+        b"HTTP/1.1 302 Found\r\ncontent-length: 0\r\nlocation: /x\r\nx: y\r\n\r\n";
     // A chunked message is complete once its zero-sized chunk has arrived (RFC
     // 9112, section 8); only the empty trailer section follows.
     let answers = [
-        (SIZED, SIZED.len()),
-        (CHUNKED, CHUNKED.len() - "\r\n".len()),
+        (SIZED, SIZED.len(), 200, "0123456789"),
+        (CHUNKED, CHUNKED.len() - "\r\n".len(), 200, "0123456789"),
+        (REDIRECT, REDIRECT.len(), 302, "0123456789"),
+        (EMPTY_REDIRECT, EMPTY_REDIRECT.len(), 302, ""),
     ];
-    for (answer, complete_bytes) in answers {
+    for (answer, complete_bytes, status, body) in answers {
         let (offsets, next_offset) = sync_channel::<usize>(1);
         let next_offset = std::sync::Mutex::new(next_offset);
         let addr = start_upstream(move |mut stream| {
@@ -65,11 +71,11 @@
         for offset in 0..complete_bytes {
             offsets.send(offset).expect("the upstream waits");
             let result = fetch(&client, call(addr, Method::GET, false));
-            assert!(result.is_err(), "cut at {offset}: {result:?}");
+            assert!(result.is_err(), "{status} cut at {offset}: {result:?}");
         }
         offsets.send(answer.len()).expect("the upstream waits");
         let result = fetch(&client, call(addr, Method::GET, false));
-        assert_eq!(result, Ok((200, b"0123456789".to_vec())));
+        assert_eq!(result, Ok((status, body.as_bytes().to_vec())));
     }
 }
 
@@ -199,3 +205,36 @@
     }
     assert_eq!(connections.load(Ordering::SeqCst), 2);
 }
+
+/// Guards against an answer that an upstream repeats and that reaches the next call.
+#[test]
+fn a_repeated_answer_reaches_no_later_call() {
+    const REFUSAL: &[u8] = b"HTTP/1.1 503 Full\r\ncontent-length: 4\r\n\r\nfull";
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody";
+    for delay_ms in [0, 20] {
+        let connections = Arc::new(AtomicU32::new(0));
+        let addr = start_upstream(move |mut stream| {
+            if connections.fetch_add(1, Ordering::SeqCst) > 0 {
+                read_request(&mut stream);
+                stream.write_all(ANSWER).expect("the client reads");
+                return;
+            }
+            read_request(&mut stream);
+            if delay_ms == 0 {
+                // Both copies arrive together.
+                let _ = stream.write_all(&REFUSAL.repeat(2));
+            } else {
+                let _ = stream.write_all(REFUSAL);
+                std::thread::sleep(Duration::from_millis(delay_ms));
+                let _ = stream.write_all(REFUSAL);
+            }
+            std::thread::sleep(HANG_TIMEOUT / 2);
+        });
+        let client = UpstreamClient::new();
+        let first = fetch(&client, call(addr, Method::GET, true));
+        assert_eq!(first, Ok((503, b"full".to_vec())));
+        std::thread::sleep(Duration::from_millis(2 * delay_ms));
+        let second = fetch(&client, call(addr, Method::GET, true));
+        assert_eq!(second, Ok((200, b"body".to_vec())), "after {delay_ms} ms");
+    }
+}
