Add slots of instances without overflow

What callers would see: another writer leaves entries that state billions of slots. In a build with overflow checks each request for the service ends without an answer; a release build wraps and weighs free slots by a wrong sum. Reported by operators of similar systems.

Cause: the slots of a service were added in the type of the slots of one instance, in four places.

Change: the sums are floating-point numbers, or stay at the largest number.

--- a/crates/upstreams/src/balance.rs
+++ b/crates/upstreams/src/balance.rs
@@ -110,7 +110,7 @@
 fn local_share(context: &BalanceContext<'_>, members: &[Member], found: &Candidates) -> f64 {
     let slots = |indices: &[usize]| -> f64 {
         let slots = indices.iter().map(|index| members[*index].instance.slots);
-        f64::from(slots.sum::<u32>())
+        slots.map(f64::from).sum()
     };
     let local = slots(&found.local);
     let all = local + slots(&found.remote);
--- a/crates/upstreams/src/load_estimate.rs
+++ b/crates/upstreams/src/load_estimate.rs
@@ -134,18 +134,18 @@
     #[must_use]
     pub fn unseen_requests(&self, report_age: Duration, usual_time: Duration) -> f64 {
         let arrived = self.arrivals(report_age, usual_time);
-        (arrived * UNSEEN_FACTOR).min(f64::from(self.free_slots()))
+        (arrived * UNSEEN_FACTOR).min(self.free_slots())
     }
 
     /// Returns how many requests the candidates get in a time, by Little's law.
     #[must_use]
     pub fn arrivals(&self, time: Duration, usual_time: Duration) -> f64 {
         let candidates = self.candidates.iter();
-        let processed: u32 = candidates
-            .map(|candidate| candidate.in_flight.min(candidate.slots))
+        let processed: f64 = candidates
+            .map(|candidate| f64::from(candidate.in_flight.min(candidate.slots)))
             .sum();
         let usual_s = usual_time.as_secs_f64().max(MIN_USUAL_TIME_S);
-        f64::from(processed) * time.as_secs_f64() / usual_s
+        processed * time.as_secs_f64() / usual_s
     }
 
     /// Returns the lowest cost of the first place in the queue of a candidate.
@@ -160,20 +160,18 @@
     /// Returns the share of slots that are free by the reports.
     #[must_use]
     pub fn free_share(&self) -> f64 {
-        let slots: u32 = self
-            .candidates
-            .iter()
-            .map(|candidate| candidate.slots)
-            .sum();
-        f64::from(self.free_slots()) / f64::from(slots.max(1))
+        let candidates = self.candidates.iter();
+        let slots: f64 = candidates.map(|candidate| f64::from(candidate.slots)).sum();
+        self.free_slots() / slots.max(1.0)
     }
 
-    /// Returns how many slots are free by the reports.
+    /// Returns how many slots are free by the reports, a whole number.
     #[must_use]
-    pub fn free_slots(&self) -> u32 {
+    pub fn free_slots(&self) -> f64 {
+        // An entry may state any number of slots, so that an integer could overflow.
         let candidates = self.candidates.iter();
         let free = candidates.map(|candidate| candidate.slots.saturating_sub(candidate.in_flight));
-        free.sum()
+        free.map(f64::from).sum()
     }
 
     /// Spreads the unseen requests and this one over the cheapest candidates, and draws
@@ -181,7 +179,7 @@
     #[must_use]
     pub fn draw(&self, unseen_requests: f64, rng: &mut fastrand::Rng) -> Option<Draw> {
         // While a slot is free, no request needs to wait in a queue.
-        let free_slots = f64::from(self.free_slots()).max(1.0);
+        let free_slots = self.free_slots().max(1.0);
         let spread = (unseen_requests + 1.0).min(free_slots);
         let cheapest = self
             .candidates
--- a/crates/upstreams/src/placement.rs
+++ b/crates/upstreams/src/placement.rs
@@ -537,15 +537,15 @@
         // If other hosts have probably filled its free slots meanwhile, the part of the
         // requests that would wait leaves the domain.
         let remote_room = remote.free_share() / MIN_REMOTE_FREE_SHARE;
-        let is_short = remote_room >= 1.0
-            && rng.f64() * (local_arrivals + 1.0) >= f64::from(local.free_slots());
+        let is_short =
+            remote_room >= 1.0 && rng.f64() * (local_arrivals + 1.0) >= local.free_slots();
         let local_cost = if is_short {
             let queue_cost = local.queue_cost();
             local_cost.map(|cost| cost.max(queue_cost.unwrap_or(cost)))
         } else {
             local_cost
         };
-        let stays_in_queue = local.free_slots() == 0 && rng.f64() >= remote_room;
+        let stays_in_queue = local.free_slots() < 1.0 && rng.f64() >= remote_room;
         let is_local_cheapest = match (local_cost, remote_cost) {
             (Some(_), Some(_)) if stays_in_queue => true,
             (Some(local), Some(remote)) => local <= remote,
--- a/crates/upstreams/src/scarcity.rs
+++ b/crates/upstreams/src/scarcity.rs
@@ -156,7 +156,7 @@
                 continue;
             };
             load.instances += 1;
-            load.slots += listed.entry.slots;
+            load.slots = load.slots.saturating_add(listed.entry.slots);
             load.in_flight += in_flight;
             load.age = match (load.age, age) {
                 (Some(former), Some(age)) => Some(former.min(age)),
