List everything again if the changes are too large for one answer

Cause: an answer of a watch above 8 MB counted as a broken connection. The host asked again from the same position and got the same answer, as did hosts that took its place.

The host lists everything again, which the store answers in pages.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -97,14 +97,13 @@
         };
         match result {
             Ok(()) => self.mark_feed_regained(),
-            Err(SourceError::HistoryGone) => {
-                self.is_listed = false;
-                self.state.journal.write(&Event::Dependency {
-                    name: "feed",
-                    state: "history-gone",
-                    cause: "everything is listed again",
-                });
-                self.sleep_with_jitter(INITIAL_BACKOFF).await;
+            Err(SourceError::HistoryGone) => self.list_again("history-gone").await,
+            // The same call would get the same answer.
+            Err(SourceError::TooLarge) if self.is_listed => {
+                self.list_again("too-large").await;
+            }
+            Err(error @ SourceError::TooLarge) => {
+                self.back_off(&error.to_string(), MAX_REFUSED_BACKOFF).await;
             }
             Err(SourceError::Unreachable(cause)) => {
                 self.back_off(&cause, MAX_UNREACHABLE_BACKOFF).await;
@@ -113,6 +112,17 @@
         }
     }
 
+    /// Waits a moment, and then lists everything again.
+    async fn list_again(&mut self, cause: &'static str) {
+        self.is_listed = false;
+        self.state.journal.write(&Event::Dependency {
+            name: "feed",
+            state: cause,
+            cause: "everything is listed again",
+        });
+        self.sleep_with_jitter(INITIAL_BACKOFF).await;
+    }
+
     async fn list(&mut self) -> Result<(), SourceError> {
         let listing = tokio::time::timeout(LIST_TIMEOUT, self.source.list()).await;
         let listing = listing.map_err(|_| answer_timeout())??;
--- a/crates/gateway/src/feed_source.rs
+++ b/crates/gateway/src/feed_source.rs
@@ -80,6 +80,10 @@
     /// The source no longer has the changes after the position.
     #[error("the source no longer has the changes after the position")]
     HistoryGone,
+    /// The changes after the position are more than is read at once. A listing returns them
+    /// in pages.
+    #[error("the changes after the position are too large to be read at once")]
+    TooLarge,
     /// The source could not be reached, or its answer was lost.
     #[error("{0}")]
     Unreachable(String),
