--- a/crates/gateway/tests/testsuite/answers.rs
+++ b/crates/gateway/tests/testsuite/answers.rs
@@ -80,7 +80,7 @@
 
 #[test]
 fn a_request_that_no_instance_ran_is_refused_with_retry_after() {
-    let full = |request: &crate::harness::Received, _| {
+    let full = |request: &Received, _| {
         let id = request.header("request-id").unwrap_or("").to_owned();
         format!(
             "HTTP/1.1 503 Full\r\nrequest-id: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\
@@ -247,7 +247,7 @@
     let arrivals = Arc::new(std::sync::atomic::AtomicUsize::new(0));
     let (second_came, wait_for_second) = std::sync::mpsc::channel();
     let wait_for_second = std::sync::Mutex::new(wait_for_second);
-    let behaviour = move |request: &crate::harness::Received, _| {
+    let behaviour = move |request: &Received, _| {
         if arrivals.fetch_add(1, std::sync::atomic::Ordering::SeqCst) == 0 {
             let waiting = wait_for_second.lock().expect("not poisoned");
             waiting.recv().expect("the second attempt arrives");
