Soak: callers that send further requests before the first is answered

Every third caller of the soak sends three requests at once. A request behind an answer that closes the connection must not run, which is checked beside the other guarantees.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -8,6 +8,10 @@
 
 /// The time that callers allow in their requests, in the `time-remaining` header.
 const TIME_REMAINING_MS: u64 = 1_500;
+/// Every how manieth caller sends further requests before the first is answered.
+const PIPELINING_CALLERS: usize = 3;
+/// How many requests such a caller sends at once.
+const PIPELINED_REQUESTS: usize = 3;
 
 /// The result of one request.
 #[derive(Debug, Clone)]
@@ -18,6 +22,9 @@
     pub status: u16,
     pub has_seal: bool,
     pub body: String,
+    /// Whether it was sent behind an answer that closed the connection, so that it must not
+    /// run.
+    pub is_behind_close: bool,
 }
 
 /// State that all callers share.
@@ -32,9 +39,12 @@
 /// in ten complete answers.
 pub fn run(shared: &Arc<SharedState>, number: usize, mut rng: fastrand::Rng) {
     let mut connection: Option<TcpStream> = None;
+    let batch = match number % PIPELINING_CALLERS {
+        0 => PIPELINED_REQUESTS,
+        _ => 1,
+    };
     let mut count = 0;
     while !shared.is_stopping.load(Ordering::SeqCst) {
-        count += 1;
         let mut stream = match connection.take() {
             Some(stream) => stream,
             None => {
@@ -48,56 +58,78 @@
                 }
             }
         };
-        let outcome = exchange(&mut stream, shared, format!("{number}-{count}"), rng.bool());
-        if outcome.status != 0 && rng.u8(..10) > 0 {
+        let mut requests = Vec::new();
+        for _ in 0..batch {
+            count += 1;
+            requests.push((format!("{number}-{count}"), rng.bool()));
+        }
+        let outcomes = exchange(&mut stream, shared, requests);
+        let is_whole = outcomes.iter().all(|outcome| outcome.status != 0);
+        if is_whole && rng.u8(..10) > 0 {
             connection = Some(stream);
         }
-        shared.outcomes.lock().expect("not poisoned").push(outcome);
+        shared
+            .outcomes
+            .lock()
+            .expect("not poisoned")
+            .extend(outcomes);
         std::thread::sleep(Duration::from_millis(rng.u64(..30)));
     }
 }
 
+/// Sends requests at once, given as ids and whether they may repeat, and reads the answers.
 fn exchange(
     stream: &mut TcpStream,
     shared: &SharedState,
-    id: String,
-    is_idempotent: bool,
-) -> Outcome {
+    requests: Vec<(String, bool)>,
+) -> Vec<Outcome> {
     let key = shared.key.lock().expect("not poisoned").clone();
-    let (method, path, body) = if is_idempotent {
-        ("GET", "/read/1", "")
-    } else {
-        ("POST", "/book/1", "a booking")
-    };
-    let length = body.len();
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nhost: shop.example\r\nattempt-id: {id}\r\n\
-         time-remaining: {TIME_REMAINING_MS}\r\napi-key: {key}\r\ncontent-length: {length}\r\n\r\n{body}"
-    );
-    let mut outcome = Outcome {
-        id,
-        is_idempotent,
-        status: 0,
-        has_seal: false,
-        body: String::new(),
-    };
+    let mut text = String::new();
+    for (id, is_idempotent) in &requests {
+        let (method, path, body) = if *is_idempotent {
+            ("GET", "/read/1", "")
+        } else {
+            ("POST", "/book/1", "a booking")
+        };
+        let length = body.len();
+        text += &format!(
+            "{method} {path} HTTP/1.1\r\nhost: shop.example\r\nattempt-id: {id}\r\n\
+             time-remaining: {TIME_REMAINING_MS}\r\napi-key: {key}\r\ncontent-length: {length}\r\n\r\n{body}"
+        );
+    }
     let read_timeout = Duration::from_millis(TIME_REMAINING_MS + 500);
     let write_result = stream
         .set_read_timeout(Some(read_timeout))
-        .and_then(|()| stream.write_all(request.as_bytes()));
-    if write_result.is_ok() {
-        read_answer(stream, &mut outcome);
+        .and_then(|()| stream.write_all(text.as_bytes()));
+    let mut may_read = write_result.is_ok();
+    let mut is_behind_close = false;
+    let mut outcomes = Vec::new();
+    for (id, is_idempotent) in requests {
+        let mut outcome = Outcome {
+            id,
+            is_idempotent,
+            status: 0,
+            has_seal: false,
+            body: String::new(),
+            is_behind_close,
+        };
+        if may_read {
+            is_behind_close = read_answer(stream, &mut outcome);
+            may_read = outcome.status != 0 && !is_behind_close;
+        }
+        outcomes.push(outcome);
     }
-    outcome
+    outcomes
 }
 
-fn read_answer(stream: &mut TcpStream, outcome: &mut Outcome) {
+/// Reads an answer, and reports whether it is complete and closes the connection.
+fn read_answer(stream: &mut TcpStream, outcome: &mut Outcome) -> bool {
     let mut bytes = Vec::new();
     let mut byte = [0];
     while !bytes.ends_with(b"\r\n\r\n") {
         match stream.read(&mut byte) {
             Ok(1) => bytes.push(byte[0]),
-            _ => return,
+            _ => return false,
         }
     }
     let head = String::from_utf8_lossy(&bytes).to_lowercase();
@@ -107,7 +139,7 @@
         .unwrap_or(0);
     let mut body = vec![0; length];
     if stream.read_exact(&mut body).is_err() {
-        return;
+        return false;
     }
     outcome.status = head
         .split(' ')
@@ -116,4 +148,5 @@
         .unwrap_or(0);
     outcome.has_seal = field("server-seal: ").is_some();
     outcome.body = String::from_utf8_lossy(&body).into_owned();
+    field("connection: ") == Some("close")
 }
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -564,6 +564,11 @@
         if !outcome.is_idempotent && count > 1 {
             report.violations.push(format!("{id} ran {count} times"));
         }
+        if outcome.is_behind_close && count > 0 {
+            report
+                .violations
+                .push(format!("{id} ran behind a closing answer"));
+        }
         match status {
             200..=299 => {
                 report.served += 1;
