Keep requests that arrive as a stop begins and the connection stays open

Change: such bytes stay in the buffer, up to one read; no request is taken from it while others are unanswered. The connection goes on if it was not closed.

Evidence: stops::a_request_behind_an_answer_that_is_being_written_as_the_stop_begins_is_served failed before (no answer) and passes, as do the other tests of stops and callers.

--- a/crates/gateway/src/caller/connection.rs
+++ b/crates/gateway/src/caller/connection.rs
@@ -219,11 +219,7 @@
     async fn read_head(&mut self, limits: &CallerLimits) -> Result<Option<Head>, ReadEnd> {
         let mut head_started_at = None;
         loop {
-            if self.has_last_request() {
-                self.wait_until_closed().await;
-                return Ok(None);
-            }
-            if self.shared.unanswered.get() < MAX_PIPELINED_REQUESTS {
+            if self.may_take_request() {
                 match take_head(&mut self.buffer, limits) {
                     Ok(Some(head)) => return Ok(Some(head)),
                     Ok(None) => {}
@@ -347,11 +343,15 @@
         }
     }
 
-    /// Returns whether the connection closes behind the requests that were read, since the
-    /// host shuts down. Otherwise a caller that always has a request under way would keep
-    /// its connection until the process ends.
-    fn has_last_request(&self) -> bool {
-        self.shared.unanswered.get() > 0 && *self.phase.borrow() >= Phase::Draining
+    /// Returns whether a further request may be taken. A host that shuts down takes none while
+    /// others are unanswered, so that the connection can close behind them: a caller that
+    /// always has a request under way would keep it until the process ends.
+    fn may_take_request(&self) -> bool {
+        let max_unanswered = match *self.phase.borrow() {
+            Phase::Serving => MAX_PIPELINED_REQUESTS,
+            Phase::Draining | Phase::Closing => 1,
+        };
+        self.shared.unanswered.get() < max_unanswered
     }
 
     /// Returns whether the connection is idle on a host that is closing.
@@ -364,6 +364,9 @@
             return Progress::Closed;
         }
         let is_pipeline_full = self.shared.unanswered.get() >= MAX_PIPELINED_REQUESTS;
+        // Reading on shows whether the caller has disconnected.
+        let is_buffer_full = !self.may_take_request() && self.buffer.len() >= READ_BYTES;
+        let may_read = !is_pipeline_full && !is_buffer_full;
         self.buffer.reserve(READ_BYTES);
         let timeout = async {
             match deadline {
@@ -373,7 +376,7 @@
         };
         tokio::select! {
             biased;
-            read = self.stream.read_buf(&mut self.buffer), if !is_pipeline_full => match read {
+            read = self.stream.read_buf(&mut self.buffer), if may_read => match read {
                 Ok(0) | Err(_) => Progress::Closed,
                 Ok(_) => {
                     self.last_active_at = Instant::now();
--- a/crates/gateway/tests/testsuite/stops.rs
+++ b/crates/gateway/tests/testsuite/stops.rs
@@ -165,3 +165,31 @@
     host.thread.join().expect("the host stops");
     assert_eq!(instance.request_count(), 1);
 }
+
+/// Guards against a request that is discarded, as the host begins to stop while an answer that
+/// does not close the connection is being written.
+#[test]
+fn a_request_behind_an_answer_that_is_being_written_as_the_stop_begins_is_served() {
+    let body = "x".repeat(15 * 1024 * 1024);
+    let instance = Instance::start(Arc::new(move |request, _| {
+        answer_with_proof(request, "200 OK", &body)
+    }));
+    let host = TestHost::start(&[&instance], GRACE);
+    let mut stream = host.connect();
+    let first = request("GET", "/read/1", "first", "");
+    stream.write_all(first.as_bytes()).expect("the host reads");
+    stream.peek(&mut [0]).expect("the answer begins");
+    host.commands.send(Command::Stop).expect("the host runs");
+    while host.get_status("/ready").0 == 200 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let next = request("POST", "/book/1", "next", "body");
+    stream.write_all(next.as_bytes()).expect("the host reads");
+    std::thread::sleep(Duration::from_millis(200));
+    let reply = read_reply(&mut stream);
+    assert_eq!((reply.status, reply.header("connection")), (200, None));
+    let reply = read_reply(&mut stream);
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header("connection"), Some("close"));
+    host.thread.join().expect("the host stops");
+}
