--- a/crates/gateway/tests/testsuite/answers.rs
+++ b/crates/gateway/tests/testsuite/answers.rs
@@ -127,9 +127,9 @@
         let id = request.header("request-id").unwrap_or("");
         let whole = answer.replace("{id}", id).into_bytes();
         match id {
-            "x" => (whole[..bytes].to_vec(), then),
-            _ if answer == UNFRAMED_ANSWER => (whole, Then::Close),
-            _ => (whole, Then::Keep),
+            "x" => (vec![whole[..bytes].to_vec()], then),
+            _ if answer == UNFRAMED_ANSWER => (vec![whole], Then::Close),
+            _ => (vec![whole], Then::Keep),
         }
     });
     let host = TestHost::start(&[&cut], GRACE);
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -24,6 +24,8 @@
 
 /// The key of the workspace in [`document`].
 pub const KEY: &str = "a-key";
+/// The time between the parts of an answer.
+const PART_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a read waits for bytes before it fails.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -222,9 +224,10 @@
     }
 
     /// Starts an instance that keeps connections open. `behaviour` gets a request and its
-    /// number on its connection, and returns the answer and how the connection goes on.
+    /// number on its connection, and returns the parts of the answer, which are written one
+    /// after the other, and how the connection goes on.
     pub fn start_keeping(
-        behaviour: impl Fn(&Received, usize) -> (Vec<u8>, Then) + Clone + Send + 'static,
+        behaviour: impl Fn(&Received, usize) -> (Vec<Vec<u8>>, Then) + Clone + Send + 'static,
     ) -> Self {
         let log: Arc<Mutex<Vec<Received>>> = Arc::default();
         let received = log.clone();
@@ -239,9 +242,14 @@
                             return;
                         };
                         log.lock().expect("not poisoned").push(request.clone());
-                        let (answer, then) = behaviour(&request, number);
-                        // Writing fails if the host has closed the connection.
-                        let _ = stream.write_all(&answer);
+                        let (parts, then) = behaviour(&request, number);
+                        for (position, part) in parts.iter().enumerate() {
+                            if position > 0 {
+                                std::thread::sleep(PART_INTERVAL);
+                            }
+                            // Writing fails if the host has closed the connection.
+                            let _ = stream.write_all(part);
+                        }
                         match then {
                             Then::Keep => continue,
                             Then::Close => {}
