--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -120,7 +120,7 @@
         dialect.expected_instance.clone(),
         header_value(entry.id.as_str()),
     );
-    // Without an id a later answer cannot be told from one that is repeated.
+    // Without an id, a repeated answer could pass for that of a later request.
     let may_reuse = may_reuse && !request.request_id.is_empty();
     let call = Call {
         addr: entry.addr,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -127,10 +127,11 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
-/// A connection on which no call is under way.
+/// An open connection to an instance.
 pub(crate) struct OpenConnection {
     addr: SocketAddr,
     sender: Sender,
+    /// Closes the connection on drop.
     _task: ConnectionTask,
     idle_since: Instant,
     /// The ids of the requests that the instance has refused here. A refusal that it repeats
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -165,7 +165,8 @@
     Reset,
 }
 
-/// An instance that serves one request per connection unless it is told otherwise.
+/// An instance that serves one request per connection, or several if it is started with
+/// [`Instance::start_keeping`] or [`Instance::start_sending_copies`].
 pub struct Instance {
     pub addr: SocketAddr,
     pub received: Arc<Mutex<Vec<Received>>>,
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -8,7 +8,7 @@
 
 /// The time that callers allow in their requests, in the `time-remaining` header.
 const TIME_REMAINING_MS: u64 = 1_500;
-/// Every how manieth caller sends further requests before the first is answered.
+/// One in this many callers sends further requests before the first is answered.
 const PIPELINING_CALLERS: usize = 3;
 /// How many requests such a caller sends at once.
 const PIPELINED_REQUESTS: usize = 3;
