Log each request that was read, and how it was under way at a stop

Cause: a request whose task was dropped, as its connection or the process ended, had no `request` line, and none of the lines told when or how a request was read.

Change: the `request` line and the metrics are written once, with the answer or on drop: outcome `abandoned`, or `cut` once the host has stopped, status 0, with the attempts so far. The line tells the phase of the stop, `since_stop_ms`, `read_ms` and `ahead` where they apply; status 0 counts towards the rate limit of failures. `stopping` lines give the open connections; `stopped` is written after the wait for the last answers, so that it counts what the end of the process cuts. `explain` tells how a request ended at a stop. `Gateway::with_log` sends the log elsewhere, for tests.

--- a/crates/gateway/src/caller/connection.rs
+++ b/crates/gateway/src/caller/connection.rs
@@ -138,6 +138,8 @@
         answers,
         request_tasks: JoinSet::new(),
         queued_count: 0,
+        first_byte_at: None,
+        last_byte_at: Instant::now(),
         last_active_at: Instant::now(),
     };
     if let ReadEnd::Refused(status, outcome) = connection.read_requests().await {
@@ -184,6 +186,9 @@
     /// The tasks of unanswered requests; dropping the set cancels them.
     request_tasks: JoinSet<()>,
     queued_count: u64,
+    /// When the first byte was read that belongs to no request yet.
+    first_byte_at: Option<Instant>,
+    last_byte_at: Instant,
     last_active_at: Instant,
     phase: watch::Receiver<Phase>,
 }
@@ -299,6 +304,7 @@
     }
 
     fn start(&mut self, head: Head, body: Bytes) {
+        let ahead = self.shared.unanswered.get();
         let (sender, answer) = oneshot::channel();
         self.queue(QueuedAnswer {
             answer,
@@ -311,19 +317,28 @@
             headers: head.headers,
             body,
             received_at: self.state.now(),
+            read_time: self.take_read_time(),
+            ahead,
         };
         let order = ConnectionOrder {
             shared: self.shared.clone(),
             earlier_answers: self.queued_count - 1,
         };
-        let (state, origin) = (self.state.clone(), self.origin);
+        let answer = handle(self.state.clone(), request, self.origin, order);
         self.request_tasks.spawn_local(async move {
-            let answer = handle(&state, request, origin, order).await;
             // Sending fails only if the caller has disconnected.
-            let _ = sender.send(answer);
+            let _ = sender.send(answer.await);
         });
     }
 
+    /// Returns how long the bytes of the request that was just read took to arrive. What is
+    /// left in the buffer belongs to the next one.
+    fn take_read_time(&mut self) -> Duration {
+        let next = (!self.buffer.is_empty()).then_some(self.last_byte_at);
+        let first = std::mem::replace(&mut self.first_byte_at, next);
+        first.map_or(Duration::ZERO, |at| self.last_byte_at - at)
+    }
+
     fn queue(&mut self, queued: QueuedAnswer) {
         self.queued_count += 1;
         self.shared.unanswered.set(self.shared.unanswered.get() + 1);
@@ -379,7 +394,9 @@
             read = self.stream.read_buf(&mut self.buffer), if may_read => match read {
                 Ok(0) | Err(_) => Progress::Closed,
                 Ok(_) => {
-                    self.last_active_at = Instant::now();
+                    self.last_byte_at = Instant::now();
+                    self.last_active_at = self.last_byte_at;
+                    self.first_byte_at.get_or_insert(self.last_byte_at);
                     Progress::Bytes
                 }
             },
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -11,6 +11,8 @@
 use serde::Deserialize;
 use waxwingusher_upstreams::placement::Exclusions;
 
+use crate::journal::Arrival;
+
 /// One step of a request at a host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Step {
@@ -119,6 +121,8 @@
         took_ms: u64,
         left_ms: u64,
         tokens: Option<f64>,
+        #[serde(flatten)]
+        arrival: Arrival,
     },
     Unplaced {
         request: String,
@@ -179,6 +183,8 @@
         cause: String,
         rate_per_s: f64,
     },
+    Started,
+    Stopping,
     Configuration {
         version: u64,
         outcome: String,
@@ -397,22 +403,58 @@
                 took_ms,
                 left_ms,
                 tokens,
+                arrival,
                 ..
             } => {
-                write!(f, "answer {status}, {outcome}, after {took_ms} ms")?;
+                match status {
+                    0 => write!(f, "no answer, {outcome}, after {took_ms} ms")?,
+                    _ => write!(f, "answer {status}, {outcome}, after {took_ms} ms")?,
+                }
                 write!(f, " and {attempts} attempts, {left_ms} ms left")?;
                 write!(f, " (route '{route}', workspace '{workspace}'")?;
                 write!(f, ", configuration {version}")?;
                 match tokens {
-                    Some(tokens) => write!(f, ", {tokens:.1} tokens)"),
-                    None => f.write_str(")"),
+                    Some(tokens) => write!(f, ", {tokens:.1} tokens)")?,
+                    None => f.write_str(")")?,
                 }
+                write_arrival(f, arrival)?;
+                f.write_str(describe_end(outcome, *status, *attempts))
             }
             _ => f.write_str("not a step of a request"),
         }
     }
 }
 
+fn write_arrival(f: &mut fmt::Formatter<'_>, arrival: &Arrival) -> fmt::Result {
+    if let Some(since_stop_ms) = arrival.since_stop_ms {
+        let phase = arrival.phase.as_deref().unwrap_or("stopping");
+        write!(
+            f,
+            "; read {since_stop_ms} ms after the stop began ({phase})"
+        )?;
+    }
+    if let Some(read_ms) = arrival.read_ms {
+        write!(f, "; its bytes took {read_ms} ms to arrive")?;
+    }
+    if let Some(ahead) = arrival.ahead {
+        write!(f, "; behind {ahead} unanswered on its connection")?;
+    }
+    Ok(())
+}
+
+/// Describes the end of a request that was refused at a stop, or that got no answer.
+fn describe_end(outcome: &str, status: u16, attempts: usize) -> &'static str {
+    match (outcome, status) {
+        ("stopping", 503) => "; refused as the host was stopping, it has not run and will not",
+        ("stopping", _) => "; under way as the last answers of the stop were due, it may have run",
+        ("abandoned", _) if attempts == 0 => "; its connection ended first, no instance got it",
+        ("abandoned", _) => "; its connection ended first, it may have run",
+        ("cut", _) if attempts == 0 => "; the process ended first, no instance got it",
+        ("cut", _) => "; the process ended first, it may have run",
+        _ => "",
+    }
+}
+
 /// Part of the state of a host, and when it was logged.
 #[derive(Debug)]
 struct Fact {
@@ -437,6 +479,8 @@
 /// The state of a host, by its records so far.
 #[derive(Debug, Default)]
 struct HostContext {
+    /// The beginning of a planned stop.
+    stop: Option<Fact>,
     configuration: Option<Fact>,
     peers: Option<Fact>,
     /// Dependencies that were lost and not regained.
@@ -454,6 +498,11 @@
     fn apply(&mut self, record: &Record) -> u64 {
         let fact = |text| Fact::new(record, text);
         match &record.event {
+            LoggedEvent::Started => self.stop = None,
+            LoggedEvent::Stopping => {
+                self.stop
+                    .get_or_insert_with(|| fact("planned stop: began".to_owned()));
+            }
             LoggedEvent::Configuration { version, outcome } if outcome == "in-force" => {
                 self.configuration = Some(fact(format!("configuration {version}: in force")));
             }
@@ -524,7 +573,11 @@
                     .collect()
             }
         };
-        let facts = facts.into_iter().map(|fact| fact.text_at(record.unix_ms));
+        let facts = self
+            .stop
+            .iter()
+            .chain(facts)
+            .map(|fact| fact.text_at(record.unix_ms));
         facts.collect()
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,9 +1,9 @@
 //! Start and shutdown of a host's data path.
 
-use std::io;
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
 use socket2::{Domain, Protocol, Socket, Type};
@@ -34,6 +34,8 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 /// The delay before a task that has failed starts again.
 const TASK_RESTART_DELAY: Duration = Duration::from_millis(100);
+/// How long the end of the process waits for the journal to be written.
+const JOURNAL_FLUSH_TIMEOUT: Duration = Duration::from_millis(50);
 /// The interval of periodic maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -63,6 +65,7 @@
     peers: UdpSocket,
     /// Takes over requests of peers, at the address for their messages.
     takeovers: TcpListener,
+    log: Box<dyn Write + Send>,
 }
 
 impl Gateway {
@@ -81,9 +84,19 @@
             status_listener,
             peers,
             takeovers,
+            log: Box::new(io::stdout()),
         })
     }
 
+    /// Writes the log to `out` instead of standard output.
+    #[must_use]
+    pub fn with_log(self, out: impl Write + Send + 'static) -> Self {
+        Self {
+            log: Box::new(out),
+            ..self
+        }
+    }
+
     /// Returns the address for callers.
     ///
     /// # Errors
@@ -117,7 +130,7 @@
     ///
     /// Returns an error if the event loop cannot be started.
     pub fn run<S: FeedSource + 'static>(
-        self,
+        mut self,
         dialect: Dialect,
         source: S,
         clock: Arc<dyn Clock>,
@@ -129,9 +142,14 @@
             .build()
             .map_err(GatewayError::Runtime)?;
         let (journal, lines) = Journal::new(&self.settings.host_name, clock.clone());
+        let log = std::mem::replace(&mut self.log, Box::new(io::sink()));
+        let (flush_sender, flushed) = mpsc::channel::<()>();
         std::thread::Builder::new()
             .name("journal".to_owned())
-            .spawn(move || write_lines(&lines, io::stdout()))
+            .spawn(move || {
+                write_lines(&lines, log);
+                drop(flush_sender);
+            })
             .map_err(GatewayError::Runtime)?;
         let table = PeerTable::new(
             Member {
@@ -146,7 +164,12 @@
         let rng = fastrand::Rng::with_seed(incarnation.rotate_left(32));
         let state = State::new(&self.settings, dialect, clock, journal, table, rng);
         let local = LocalSet::new();
-        local.block_on(&runtime, self.serve(state, source, commands, incarnation))
+        let result = local.block_on(&runtime, self.serve(state, source, commands, incarnation));
+        // Drops the requests that are still under way, so that they are logged.
+        drop(local);
+        // An error means that all is written, or that nobody reads the log.
+        let _ = flushed.recv_timeout(JOURNAL_FLUSH_TIMEOUT);
+        result
     }
 
     async fn serve<S: FeedSource + 'static>(
@@ -247,31 +270,33 @@
 /// answered or the shutdown time is over.
 async fn stop(state: &State, accepting: &tokio::task::JoinHandle<()>, grace: Duration) {
     let started = Instant::now();
-    enter_phase(state, Phase::Draining, "draining");
+    state.stop_began_at.set(Some(state.now()));
+    enter_phase(state, Phase::Draining);
     tokio::time::sleep_until(started + grace.mul_f64(DRAIN_SHARE)).await;
     accepting.abort();
-    enter_phase(state, Phase::Closing, "closing");
+    enter_phase(state, Phase::Closing);
     let end = started + grace.saturating_sub(EXIT_MARGIN);
     // Idle connections close now; on the others a request is being read or handled.
     while state.connections.get() > 0 && Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    state.journal.write(&Event::Stopping {
-        phase: "stopped",
-        in_flight: state.in_flight.get(),
-    });
-    state.journal.report_suppressed();
     state.outbox.announce_departure();
-    // Gives the last answers and messages time to leave and the journal's thread
-    // time to write.
+    // Gives the last answers and messages time to leave.
     tokio::time::sleep(Duration::from_millis(60)).await;
+    state.has_stopped.set(true);
+    log_stopping(state, "stopped");
 }
 
-fn enter_phase(state: &State, phase: Phase, name: &str) {
+fn enter_phase(state: &State, phase: Phase) {
     state.phase.send_replace(phase);
+    log_stopping(state, phase.as_str());
+}
+
+fn log_stopping(state: &State, phase: &str) {
     state.journal.write(&Event::Stopping {
-        phase: name,
+        phase,
         in_flight: state.in_flight.get(),
+        connections: state.connections.get(),
     });
 }
 
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -5,6 +5,7 @@
 //! lines over the limit, and lines that do not fit into the ring, are counted and
 //! reported.
 
+use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::Write;
@@ -13,7 +14,7 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use waxwingusher_core::Clock;
 use waxwingusher_upstreams::placement::Exclusions;
 
@@ -25,6 +26,23 @@
 /// The window in which lines of a kind are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// How a request arrived, as far as it is out of the ordinary.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Arrival {
+    /// The phase of the host when the last byte was read, if it was stopping.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub phase: Option<Cow<'static, str>>,
+    /// The time from the beginning of the stop to the last byte in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub since_stop_ms: Option<u64>,
+    /// The time from the first byte to the last in milliseconds, if it is long.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub read_ms: Option<u64>,
+    /// Unanswered requests that were read before it on its connection, if any.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ahead: Option<usize>,
+}
+
 /// A line of the log.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
@@ -42,8 +60,10 @@
     Stopping {
         /// `draining`, `closing` or `stopped`.
         phase: &'a str,
-        /// Requests in flight.
+        /// Requests that were read and not answered; those that are cut once it has stopped.
         in_flight: usize,
+        /// Open connections of callers and peers.
+        connections: usize,
     },
     /// The settings were reloaded.
     Reloaded,
@@ -309,7 +329,7 @@
         /// How long it took in milliseconds.
         took_ms: u64,
     },
-    /// A request got its final answer.
+    /// A request got its final answer, or was given up without one.
     Request {
         /// The request's id.
         request: &'a str,
@@ -319,7 +339,7 @@
         workspace: &'a str,
         /// The version of the configuration that was applied.
         version: u64,
-        /// The HTTP status of the answer.
+        /// The HTTP status of the answer; 0 if there is none.
         status: u16,
         /// Why the request got this answer.
         outcome: &'a str,
@@ -333,6 +353,9 @@
         /// The tokens in this host's copy of the workspace's bucket, if the
         /// request was refused for its rate.
         tokens: Option<f64>,
+        /// How it arrived.
+        #[serde(flatten)]
+        arrival: Arrival,
     },
     /// Lines were suppressed.
     Suppressed {
@@ -367,7 +390,7 @@
             Self::Unplaced { .. } => "unplaced",
             Self::Attempt { .. } => "attempt",
             Self::Takeover { .. } => "takeover",
-            Self::Request { status, .. } if *status < 400 => "served",
+            Self::Request { status, .. } if (1..400).contains(status) => "served",
             Self::Request { .. } => "failed",
             Self::Suppressed { .. } => "suppressed",
         }
@@ -471,6 +494,12 @@
     }
 }
 
+impl Drop for Journal {
+    fn drop(&mut self) {
+        self.report_suppressed();
+    }
+}
+
 /// Writes lines until the journal is dropped.
 pub fn write_lines(lines: &Receiver<String>, mut out: impl Write) {
     while let Ok(line) = lines.recv() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod queue_ticket;
 mod rate_limits;
 mod reports;
+mod request_log;
 mod state;
 mod status_server;
 mod takeover;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -139,12 +139,12 @@
         let mut registry = Registry::with_prefix("waxwingusher");
         registry.register(
             "requests",
-            "Requests that got their answer",
+            "Requests that were answered or given up",
             requests.clone(),
         );
         registry.register(
             "request_seconds",
-            "Time to the answer",
+            "Time until requests were answered or given up",
             request_time.clone(),
         );
         registry.register("attempts", "Tries at instances", attempts.clone());
@@ -238,7 +238,7 @@
         }
     }
 
-    /// Records an answered request.
+    /// Records a request that was answered or given up.
     pub fn record_request(&self, route: &str, outcome: &str, took: Duration) {
         let labels = RequestLabels {
             route: route.to_owned(),
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -1,10 +1,11 @@
-//! Handles one request: admission, dispatch, and the log record.
+//! Handles one request: admission and dispatch.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use scopeguard::guard;
 use waxwingusher_config::routing::{Caller, Route, SplitPicker, WorkspacePolicy};
 use waxwingusher_core::ServiceName;
 use waxwingusher_edge::headers::strip_hop_by_hop;
@@ -14,11 +15,11 @@
 use crate::attempt::OutboundRequest;
 use crate::dispatch::Dispatch;
 use crate::home_regions::HomeRegions;
-use crate::journal::Event;
 use crate::origin::RequestOrigin;
+use crate::request_log::{RequestLog, RequestRecord};
 use crate::state::State;
 use crate::takeover::{self, TakeoverError};
-use crate::units::{header_value, millis};
+use crate::units::header_value;
 
 /// The part of a caller's time that is reserved for the final answer, so that it
 /// arrives before the caller gives up.
@@ -44,6 +45,10 @@
     pub(crate) body: Bytes,
     /// When its last byte was read.
     pub(crate) received_at: Instant,
+    /// The time from its first byte to its last.
+    pub(crate) read_time: Duration,
+    /// Unanswered requests that were read before it on its connection.
+    pub(crate) ahead: usize,
 }
 
 /// Holds back a request that is not idempotent until all earlier requests on its
@@ -53,49 +58,25 @@
     async fn wait_for_earlier_answers(&self);
 }
 
-/// The fields of a request's log record.
-#[derive(Debug, Default)]
-struct RequestRecord {
-    route: String,
-    workspace: String,
-    version: u64,
-    attempts: usize,
-    tokens: Option<f64>,
-    time_left: Duration,
-}
-
-/// Handles one request and writes its log record and metrics.
-pub(crate) async fn handle(
-    state: &Rc<State>,
+/// Handles one request and writes its log record and metrics, also if the returned future
+/// is dropped before it was polled.
+pub(crate) fn handle(
+    state: Rc<State>,
     request: CallerRequest,
     origin: RequestOrigin,
     order: impl PipelineOrder,
-) -> Answer {
+) -> impl Future<Output = Answer> {
     let request_id = header_text(&request.headers, &state.dialect.request_id).to_owned();
-    let received_at = request.received_at;
-    let mut record = RequestRecord::default();
-    let mut answer = process(state, request, origin, order, &mut record).await;
-    if matches!(origin, RequestOrigin::Peer(_)) {
-        takeover::add_result(&mut answer);
+    let mut log = RequestLog::start(&state, request_id, &request);
+    async move {
+        let mut answer = process(&state, request, origin, order, &mut log.record).await;
+        if matches!(origin, RequestOrigin::Peer(_)) {
+            takeover::add_result(&mut answer);
+        }
+        record_refusal(&state, &log.record, &answer);
+        log.record_answer(&answer);
+        answer
     }
-    let took = state.now().saturating_duration_since(received_at);
-    record_refusal(state, &record, &answer);
-    state
-        .metrics
-        .record_request(&record.route, answer.outcome, took);
-    state.journal.write(&Event::Request {
-        request: &request_id,
-        route: &record.route,
-        workspace: &record.workspace,
-        version: record.version,
-        status: answer.status.as_u16(),
-        outcome: answer.outcome,
-        attempts: record.attempts,
-        took_ms: millis(took),
-        left_ms: millis(record.time_left.saturating_sub(took)),
-        tokens: record.tokens,
-    });
-    answer
 }
 
 /// Records whether a request that a configuration allows was refused.
@@ -202,12 +183,16 @@
         service,
         fingerprint,
     );
-    let mut dispatch = Dispatch::new(state, &route, outbound, deadline, priority, terms);
+    let dispatch = Dispatch::new(state, &route, outbound, deadline, priority, terms);
+    // The attempts of a request that is dropped count, too.
+    let mut dispatch = guard(dispatch, |dispatch| {
+        record.attempts = dispatch.attempt_count();
+    });
     if !is_admitted && let Some(workspace) = &workspace {
         dispatch.apply_share(&workspace.name);
     }
     let answer = dispatch.run().await;
-    record.attempts = dispatch.attempt_count();
+    drop(dispatch);
     if record.attempts == 0
         && !is_admitted
         && let Some(workspace) = &workspace
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -53,6 +53,17 @@
     Closing,
 }
 
+impl Phase {
+    /// Returns the name of the phase in the log.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Draining => "draining",
+            Self::Closing => "closing",
+        }
+    }
+}
+
 /// The shared state of one host.
 pub(crate) struct State {
     pub(crate) dialect: Dialect,
@@ -90,6 +101,9 @@
     pub(crate) capacity_freed: Notify,
     pub(crate) feed: RefCell<FeedReplica>,
     pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) stop_began_at: Cell<Option<Instant>>,
+    /// Whether the process ends now and drops all requests.
+    pub(crate) has_stopped: Cell<bool>,
     /// Requests that were read and not answered yet.
     pub(crate) in_flight: Cell<usize>,
     /// Connections of callers, on each of which a request may be partly read.
@@ -151,6 +165,8 @@
             capacity_freed: Notify::new(),
             feed: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
+            stop_began_at: Cell::new(None),
+            has_stopped: Cell::new(false),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             rng: RefCell::new(rng),
--- a/crates/gateway/tests/testsuite/explain.rs
+++ b/crates/gateway/tests/testsuite/explain.rs
@@ -5,7 +5,7 @@
 
 use waxwingusher_core::SystemClock;
 use waxwingusher_gateway::explain::{Explanation, explain};
-use waxwingusher_gateway::journal::{Event, Journal};
+use waxwingusher_gateway::journal::{Arrival, Event, Journal};
 use waxwingusher_upstreams::placement::Exclusions;
 
 fn from_text(id: &str, text: &str) -> Explanation {
@@ -41,6 +41,7 @@
         took_ms: 4,
         left_ms: 1_200,
         tokens: None,
+        arrival: Arrival::default(),
     }
 }
 
@@ -158,6 +159,7 @@
         Event::Stopping {
             phase: "draining",
             in_flight: 1,
+            connections: 2,
         },
         Event::Reloaded,
     ];
@@ -352,3 +354,35 @@
         assert!(retry.description.contains(part), "{part}: {retry:?}");
     }
 }
+
+/// Guards against a request that was cut at a planned stop for a reason that nobody can find.
+#[test]
+fn a_request_that_a_stop_ended_tells_how_it_was_under_way() {
+    for (status, outcome, tries, end) in [
+        (503, "stopping", 0, "refused as the host was stopping"),
+        (504, "stopping", 1, "under way as the last answers"),
+        (
+            0,
+            "abandoned",
+            1,
+            "its connection ended first, it may have run",
+        ),
+        (0, "cut", 0, "the process ended first, no instance got it"),
+    ] {
+        let host = r#"{"unix_ms":1,"host":"host-1","event":"#;
+        let text = format!(
+            r#"{host}"stopping","phase":"draining","in_flight":5,"connections":9}}
+{host}"request","request":"mine","route":"book","workspace":"","version":7,"status":{status},"outcome":"{outcome}","tries":{tries},"took_ms":4,"left_ms":9,"tokens":null,"phase":"closing","since_stop_ms":3100,"read_ms":640,"ahead":2}}"#
+        );
+        let step = from_text("mine", &text).steps.remove(0);
+        let expected = format!(
+            "; read 3100 ms after the stop began (closing); its bytes took 640 ms to arrive; \
+             behind 2 unanswered on its connection; {end}"
+        );
+        assert!(step.description.contains(&expected), "{}", step.description);
+        assert!(
+            step.context[0].starts_with("planned stop: began"),
+            "{step:?}"
+        );
+    }
+}
--- a/crates/gateway/tests/testsuite/harness.rs
+++ b/crates/gateway/tests/testsuite/harness.rs
@@ -440,7 +440,22 @@
         settings: GatewaySettings,
         source: impl FeedSource + Send + 'static,
     ) -> Self {
-        let gateway = Gateway::bind(settings).expect("free ports");
+        Self::start_bound(Gateway::bind(settings).expect("free ports"), source)
+    }
+
+    /// Starts a host with some instances whose log is kept.
+    pub fn start_logged(instances: &[&Instance], grace: Duration) -> (Self, LogBuffer) {
+        let source = StaticSource {
+            document: document(),
+            roster: roster(instances),
+        };
+        let log = LogBuffer::default();
+        let gateway = Gateway::bind(Self::settings(&[], grace)).expect("free ports");
+        let host = Self::start_bound(gateway.with_log(log.clone()), source);
+        (host, log)
+    }
+
+    fn start_bound(gateway: Gateway, source: impl FeedSource + Send + 'static) -> Self {
         let caller_addr = gateway.caller_addr().expect("an address");
         let status_addr = gateway.status_addr().expect("an address");
         let peer_addr = gateway.peer_addr().expect("an address");
@@ -506,6 +521,32 @@
     }
 }
 
+/// The log of a host.
+#[derive(Clone, Default)]
+pub struct LogBuffer(Arc<Mutex<Vec<u8>>>);
+
+impl LogBuffer {
+    /// Returns the lines of one kind.
+    pub fn lines(&self, event: &str) -> Vec<serde_json::Value> {
+        let bytes = self.0.lock().expect("not poisoned");
+        let lines = serde_json::Deserializer::from_slice(&bytes).into_iter();
+        let lines = lines.map(|line| line.expect("a line is a record"));
+        lines
+            .filter(|line: &serde_json::Value| line["event"] == event)
+            .collect()
+    }
+}
+
+impl Write for LogBuffer {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("not poisoned").write(bytes)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// An answer as a caller received it.
 #[derive(Debug)]
 pub struct Reply {
--- a/crates/gateway/tests/testsuite/journal.rs
+++ b/crates/gateway/tests/testsuite/journal.rs
@@ -1,11 +1,15 @@
 //! The log: bounded, and never blocking.
 
+use std::io::Write;
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
 use waxwingusher_core::ManualClock;
-use waxwingusher_gateway::journal::{Event, Journal};
+use waxwingusher_gateway::Command;
+use waxwingusher_gateway::journal::{Arrival, Event, Journal};
+
+use crate::harness::{self, Instance, TestHost, answer_with_proof};
 
 fn request(id: &str, status: u16) -> Event<'_> {
     Event::Request {
@@ -19,6 +23,7 @@
         took_ms: 12,
         left_ms: 900,
         tokens: None,
+        arrival: Arrival::default(),
     }
 }
 
@@ -53,17 +58,16 @@
     for number in 0..1_000 {
         journal.write(&request(&number.to_string(), 200));
     }
-    journal.write(&request("the-one", 503));
+    journal.write(&request("refused", 503));
+    journal.write(&request("cut", 0));
     let written = drain(&lines);
     assert!(written.len() < 1_000, "successes are capped");
-    assert!(
-        written
-            .last()
-            .is_some_and(|line| line.contains("\"request\":\"the-one\""))
-    );
-    journal.report_suppressed();
+    let last = &written[written.len() - 2..];
+    assert!(last[0].contains("\"request\":\"refused\""), "{last:?}");
+    assert!(last[1].contains("\"request\":\"cut\""), "{last:?}");
+    drop(journal);
     let suppressed = drain(&lines);
-    assert!(suppressed[0].contains(&format!("\"beyond_rate\":{}", 1_001 - written.len())));
+    assert!(suppressed[0].contains(&format!("\"beyond_rate\":{}", 1_002 - written.len())));
 }
 
 #[test]
@@ -110,3 +114,73 @@
         "\"load\":2,\"word_age_ms\":7,\"attempt_age_ms\":5,\"slowness\":1.25,\"outcome\""
     ));
 }
+
+/// Guards against a request that ends without an answer and leaves no trace in the log.
+#[test]
+fn each_request_that_was_read_has_one_line_that_tells_how_it_was_under_way() {
+    const ABANDONED: &str = "waxwingusher_requests_total{route=\"read\",outcome=\"abandoned\"} 1";
+    let hanging = Instance::start(Arc::new(|request, _| {
+        std::thread::sleep(Duration::from_secs(5));
+        answer_with_proof(request, "200 OK", "late")
+    }));
+    let (host, log) = TestHost::start_logged(&[&hanging], Duration::from_secs(2));
+    let send = |text: &str| {
+        let mut stream = host.connect();
+        let sent = stream.write_all(text.as_bytes());
+        sent.map(|()| stream).expect("the host reads")
+    };
+    let gone = send(&harness::request("GET", "/read/1", "gone", ""));
+    let first = harness::request("GET", "/read/1", "first", "");
+    let _pipelined = send(&(first + &harness::request("POST", "/book/1", "second", "x")));
+    while hanging.request_count() < 2 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    drop(gone);
+    while !host.get_status("/metrics").1.contains(ABANDONED) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let slow = harness::request("GET", "/read/1", "slow", "");
+    let (start, rest) = slow.split_at(20);
+    let mut slow = send(start);
+    std::thread::sleep(Duration::from_millis(300));
+    host.commands.send(Command::Stop).expect("the host runs");
+    while host.get_status("/ready").0 == 200 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    slow.write_all(rest.as_bytes()).expect("the host reads");
+    host.thread.join().expect("the host stops");
+
+    let lines = log.lines("request");
+    let line = |id: &str| {
+        let mut found = lines.iter().filter(|line| line["request"] == id);
+        let line = found.next().expect("a line");
+        assert_eq!(found.next(), None, "one line");
+        line
+    };
+    let gone = line("gone");
+    assert_eq!(
+        (&gone["outcome"], &gone["status"]),
+        (&"abandoned".into(), &0.into())
+    );
+    assert_eq!((&gone["tries"], gone.get("phase")), (&1.into(), None));
+    let slow = line("slow");
+    assert_eq!(slow["phase"], "draining");
+    assert!(
+        slow["since_stop_ms"].as_u64().is_some_and(|ms| ms < 1_000),
+        "{slow}"
+    );
+    assert!(slow["read_ms"].as_u64() > Some(100), "{slow}");
+    let second = line("second");
+    assert_eq!((&second["ahead"], &second["tries"]), (&1.into(), &0.into()));
+    assert_eq!(line("first").get("ahead"), None);
+    for id in ["first", "second", "slow"] {
+        assert_eq!(line(id)["outcome"], "cut");
+    }
+    let stopping = log.lines("stopping");
+    let stopped = stopping.last().expect("a line");
+    assert_eq!(stopped["phase"], "stopped");
+    assert_eq!(
+        (&stopped["in_flight"], &stopped["connections"]),
+        (&3.into(), &2.into())
+    );
+}
