--- a/crates/gateway/tests/testsuite/takeovers.rs
+++ b/crates/gateway/tests/testsuite/takeovers.rs
@@ -9,9 +9,9 @@
 use waxwingusher_membership::seeded::{Member, PeerMessage};
 use waxwingusher_upstreams::RosterEntry;
 
+use crate::fleet::{Fleet, RefusingAddr, cut, local_addr, source, tcp_socket_on_free_port};
 use crate::harness::{
-    Instance, Received, StaticSource, TestHost, answer_with_proof, document, read_request, request,
-    roster,
+    Instance, Received, TestHost, answer_with_proof, read_request, request, roster,
 };
 
 const GRACE: Duration = Duration::from_secs(1);
@@ -25,49 +25,6 @@
     }))
 }
 
-fn source(roster: Vec<RosterEntry>) -> StaticSource {
-    StaticSource {
-        document: document(),
-        roster,
-    }
-}
-
-/// Returns entries of the same instances at addresses that behave as if the path were cut.
-fn cut(entries: &[RosterEntry], addr: SocketAddr) -> Vec<RosterEntry> {
-    let entries = entries.iter().cloned();
-    entries.map(|entry| RosterEntry { addr, ..entry }).collect()
-}
-
-/// An address at which connections are refused. Its port stays bound, so that no server of
-/// another test gets it.
-struct RefusingAddr {
-    addr: SocketAddr,
-    _socket: socket2::Socket,
-}
-
-impl RefusingAddr {
-    fn new() -> Self {
-        let socket = tcp_socket_on_free_port();
-        Self {
-            addr: local_addr(&socket),
-            _socket: socket,
-        }
-    }
-}
-
-fn tcp_socket_on_free_port() -> socket2::Socket {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
-    let socket = socket.expect("a socket");
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    socket.bind(&any.into()).expect("a free port");
-    socket
-}
-
-fn local_addr(socket: &socket2::Socket) -> SocketAddr {
-    let addr = socket.local_addr().expect("an address");
-    addr.as_socket().expect("an IP address")
-}
-
 /// An address at which connections hang, since its queue of connections is full.
 struct SilentAddr {
     addr: SocketAddr,
@@ -91,44 +48,6 @@
     }
 }
 
-/// A fleet of which some hosts are cut off from all instances.
-struct Fleet {
-    cut_off: Vec<TestHost>,
-    others: Vec<TestHost>,
-}
-
-impl Fleet {
-    fn start(instances: &[&Instance], cut_addr: SocketAddr, cut_off: usize, others: usize) -> Self {
-        let entries = roster(instances);
-        let mut seeds = Vec::new();
-        let mut start = |entries: Vec<RosterEntry>| {
-            let host = TestHost::start_with_seeds(&seeds, source(entries), GRACE);
-            if seeds.is_empty() {
-                seeds.push(host.peer_addr);
-            }
-            host
-        };
-        let others = (0..others).map(|_| start(entries.clone())).collect();
-        let cut_off = (0..cut_off)
-            .map(|_| start(cut(&entries, cut_addr)))
-            .collect();
-        let fleet = Self { cut_off, others };
-        fleet.wait_until_connected();
-        fleet
-    }
-
-    fn wait_until_connected(&self) {
-        let hosts = self.cut_off.len() + self.others.len();
-        let line = format!("waxwingusher_heard_hosts {hosts}");
-        let is_connected = |host: &TestHost| host.get_status("/metrics").1.contains(&line);
-        let deadline = Instant::now() + Duration::from_secs(10);
-        while !self.cut_off.iter().chain(&self.others).all(is_connected) {
-            assert!(Instant::now() < deadline, "the hosts find each other");
-            std::thread::sleep(Duration::from_millis(20));
-        }
-    }
-}
-
 /// Sends requests of both kinds to a host, each of which must be served in time, and
 /// returns the ids.
 fn check_served(host: &TestHost) -> Vec<String> {
@@ -162,7 +81,7 @@
     let instances = [healthy(), healthy(), healthy(), healthy()];
     let instances: Vec<&Instance> = instances.iter().collect();
     let refusing = RefusingAddr::new();
-    let fleet = Fleet::start(&instances, refusing.addr, 1, 2);
+    let fleet = Fleet::start(&instances, refusing.addr, 1, 2, GRACE);
     let ids = check_served(&fleet.cut_off[0]);
     let received: Vec<Received> = instances.iter().flat_map(|it| received(it)).collect();
     for id in ids {
@@ -190,7 +109,7 @@
     let instances = [healthy(), healthy(), healthy(), healthy()];
     let instances: Vec<&Instance> = instances.iter().collect();
     let silent = SilentAddr::new();
-    let fleet = Fleet::start(&instances, silent.addr, 1, 2);
+    let fleet = Fleet::start(&instances, silent.addr, 1, 2, GRACE);
     check_served(&fleet.cut_off[0]);
 }
 
@@ -200,7 +119,7 @@
     let instances = [healthy(), healthy(), healthy(), healthy()];
     let instances: Vec<&Instance> = instances.iter().collect();
     let refusing = RefusingAddr::new();
-    let fleet = Fleet::start(&instances, refusing.addr, 3, 1);
+    let fleet = Fleet::start(&instances, refusing.addr, 3, 1, GRACE);
     for host in &fleet.cut_off {
         check_served(host);
     }
@@ -212,7 +131,7 @@
     let instances = [healthy(), healthy(), healthy(), healthy()];
     let instances: Vec<&Instance> = instances.iter().collect();
     let silent = SilentAddr::new();
-    let fleet = Fleet::start(&instances, silent.addr, 3, 0);
+    let fleet = Fleet::start(&instances, silent.addr, 3, 0, GRACE);
     for host in &fleet.cut_off {
         // The hosts notice the cut.
         host.send(&request("POST", "/book/1", "first", "body"));
@@ -235,7 +154,7 @@
     ];
     let instances: Vec<&Instance> = instances.iter().collect();
     let refusing = RefusingAddr::new();
-    let fleet = Fleet::start(&instances, refusing.addr, 1, 2);
+    let fleet = Fleet::start(&instances, refusing.addr, 1, 2, GRACE);
     let reply = fleet.cut_off[0].send(&request("POST", "/book/1", "once", "body"));
     assert_eq!(reply.status, 502, "the request may have run");
     let runs: usize = instances
