--- a/crates/gateway/tests/testsuite/journal.rs
+++ b/crates/gateway/tests/testsuite/journal.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use waxwingusher_core::ManualClock;
 use waxwingusher_gateway::Command;
@@ -136,7 +136,9 @@
         std::thread::sleep(Duration::from_millis(5));
     }
     drop(gone);
+    let dropped_at = Instant::now();
     while !host.get_status("/metrics").1.contains(ABANDONED) {
+        assert!(dropped_at.elapsed() < Duration::from_secs(3), "not counted");
         std::thread::sleep(Duration::from_millis(5));
     }
     let slow = harness::request("GET", "/read/1", "slow", "");
