Pass on no request that a planned stop would cut

What callers saw: requests that became whole in the last second of a planned stop, unsafe ones too, ran at instances and had no answer, as the process ended.

Cause: a stop waited for the requests under way until its grace was nearly over, and nothing compared the time left with the time that a request needs. The same held for second attempts, for requests that waited in a queue or behind others, and for those that a peer runs. New connections in the queue of the listener, and those to peers, were closed unread.

Change: stop_plan decides, with the clock passed in, when the listeners close, when the last answers are due and whether an attempt may start: if its deadline lies before the last answers, or if a third of the grace and three times the usual latency are left. Otherwise the request is refused at once (503, `stopping`). Instances and peers get no more time than is left. As the last answers are due, each request under way is answered (504 if it may have run), and one that is partly read gets 503. Listeners end after they have emptied their queues, a connection counts from its acceptance on, and one that was just accepted may bring its first request. A closed connection is read for as long as its caller sends, so that no reset discards the end of the answer.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -8,4 +8,4 @@
 mod reader;
 mod writer;
 
-pub(crate) use connection::serve;
+pub(crate) use connection::spawn;
--- a/crates/gateway/src/caller/connection.rs
+++ b/crates/gateway/src/caller/connection.rs
@@ -2,11 +2,13 @@
 //! and cancels them when the caller disconnects.
 
 use std::cell::Cell;
+use std::io::Read;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -20,15 +22,20 @@
 use super::writer::{self, QueuedAnswer};
 use crate::answer::Answer;
 use crate::origin::RequestOrigin;
-use crate::pipeline::{CallerRequest, PipelineOrder, handle};
+use crate::pipeline::{CallerRequest, PipelineOrder, handle, refuse_for_stop};
 use crate::state::{Phase, State};
+use crate::takeover;
 
 /// Unanswered requests per connection; at this number no further request is read
 /// until one is answered.
 const MAX_PIPELINED_REQUESTS: usize = 32;
-/// How long a connection is still read after this host has closed it, so that
-/// bytes from the caller do not cause a reset before the answer has arrived.
+/// How long the caller must send nothing on a connection that this host has closed before it
+/// is dropped: bytes that arrive later cause a reset, which discards what is left of the answer.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest time for which a connection is read after this host has closed it.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(10);
+/// How long the first request of a new connection may take to arrive on a host that is closing.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// The free buffer space that is reserved for each read.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -107,17 +114,34 @@
 enum ReadEnd {
     /// The caller has disconnected, or this host has closed the connection.
     Closed,
-    /// The bytes are refused as a request.
-    Refused(StatusCode, &'static str),
+    /// The request that is being read is answered before it is complete.
+    Refused(Answer),
 }
 
-/// Serves a connection until it ends.
-pub(crate) async fn serve(state: Rc<State>, stream: TcpStream, origin: RequestOrigin) {
-    state.connections.set(state.connections.get() + 1);
-    run_connection(&state, stream, origin).await;
-    state
-        .connections
-        .set(state.connections.get().saturating_sub(1));
+/// Counts a connection until it is dropped.
+struct ConnectionGuard(Rc<State>);
+
+impl ConnectionGuard {
+    fn new(state: &Rc<State>) -> Self {
+        state.connections.set(state.connections.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let connections = &self.0.connections;
+        connections.set(connections.get().saturating_sub(1));
+    }
+}
+
+/// Serves a connection until it ends. It counts from now on, so that a host that stops waits
+/// for it.
+pub(crate) fn spawn(state: &Rc<State>, stream: TcpStream, origin: RequestOrigin) {
+    let guard = ConnectionGuard::new(state);
+    tokio::task::spawn_local(async move {
+        run_connection(&guard.0, stream, origin).await;
+    });
 }
 
 async fn run_connection(state: &Rc<State>, stream: TcpStream, origin: RequestOrigin) {
@@ -141,9 +165,10 @@
         first_byte_at: None,
         last_byte_at: Instant::now(),
         last_active_at: Instant::now(),
+        accepted_at: Instant::now(),
     };
-    if let ReadEnd::Refused(status, outcome) = connection.read_requests().await {
-        connection.queue_answer(Answer::own(status, outcome), true);
+    if let ReadEnd::Refused(answer) = connection.read_requests().await {
+        connection.queue_answer(answer, true);
         // An error means that the writer has ended already.
         let _ = (&mut writer).await;
     }
@@ -168,12 +193,16 @@
 async fn linger(mut stream: OwnedReadHalf) {
     let mut rest = BytesMut::new();
     let drain = async {
-        while let Ok(1..) = stream.read_buf(&mut rest).await {
+        loop {
+            let read = tokio::time::timeout(LINGER_TIMEOUT, stream.read_buf(&mut rest));
+            let Ok(Ok(1..)) = read.await else {
+                return;
+            };
             rest.clear();
         }
     };
     // After the timeout the connection is dropped.
-    let _ = tokio::time::timeout(LINGER_TIMEOUT, drain).await;
+    let _ = tokio::time::timeout(MAX_LINGER_TIME, drain).await;
 }
 
 struct Connection {
@@ -190,6 +219,7 @@
     first_byte_at: Option<Instant>,
     last_byte_at: Instant,
     last_active_at: Instant,
+    accepted_at: Instant,
     phase: watch::Receiver<Phase>,
 }
 
@@ -231,10 +261,18 @@
                     Err(error) => return Err(refusal(error)),
                 }
             }
-            let is_idle = self.buffer.is_empty();
-            if is_idle && self.is_closable() {
-                return Ok(None);
+            if self.is_closable() {
+                if self.read_available() {
+                    continue;
+                }
+                if self.buffer.is_empty() {
+                    return Ok(None);
+                }
+                if self.phase() == Phase::Ending {
+                    return Err(self.refuse_for_stop());
+                }
             }
+            let is_idle = self.buffer.is_empty();
             if !is_idle && head_started_at.is_none() {
                 head_started_at = Some(Instant::now());
             }
@@ -242,15 +280,16 @@
             let deadline = match head_started_at {
                 _ if has_unanswered => None,
                 Some(head_started_at) => Some(head_started_at + limits.header_timeout),
+                None if self.awaits_first_request() => {
+                    Some(self.accepted_at + FIRST_REQUEST_TIMEOUT.min(limits.idle_timeout))
+                }
                 None => Some(self.last_active_at + limits.idle_timeout),
             };
             match self.read_more(deadline).await {
                 Progress::Bytes | Progress::Changed => {}
                 Progress::Closed => return Ok(None),
                 Progress::TimedOut if is_idle => return Ok(None),
-                Progress::TimedOut => {
-                    return Err(ReadEnd::Refused(StatusCode::REQUEST_TIMEOUT, "slow-head"));
-                }
+                Progress::TimedOut => return Err(timeout("slow-head")),
             }
         }
     }
@@ -269,20 +308,33 @@
                 Ok(None) => {}
                 Err(error) => return Err(refusal(error)),
             }
+            if self.phase() == Phase::Ending {
+                return Err(self.refuse_for_stop());
+            }
             if std::mem::take(&mut may_send_continue) && self.shared.unanswered.get() == 0 {
+                if let Some(refusal) = refuse_for_stop(&self.state, &head.headers, &head.target) {
+                    return Err(ReadEnd::Refused(refusal));
+                }
                 self.send_continue();
             }
             let deadline = Instant::now() + limits.idle_timeout;
             match self.read_more(Some(deadline)).await {
                 Progress::Bytes | Progress::Changed => {}
                 Progress::Closed => return Ok(None),
-                Progress::TimedOut => {
-                    return Err(ReadEnd::Refused(StatusCode::REQUEST_TIMEOUT, "slow-body"));
-                }
+                Progress::TimedOut => return Err(timeout("slow-body")),
             }
         }
     }
 
+    /// Ends reading as the host ends while a request is incomplete.
+    fn refuse_for_stop(&self) -> ReadEnd {
+        let mut answer = self.state.stop_refusal();
+        if matches!(self.origin, RequestOrigin::Peer(_)) {
+            takeover::add_result(&mut answer);
+        }
+        ReadEnd::Refused(answer)
+    }
+
     /// Sends `100 Continue` to a caller that waits for it before its body.
     fn send_continue(&mut self) {
         let mut interim = Answer::own(StatusCode::CONTINUE, "continue");
@@ -362,16 +414,42 @@
     /// others are unanswered, so that the connection can close behind them: a caller that
     /// always has a request under way would keep it until the process ends.
     fn may_take_request(&self) -> bool {
-        let max_unanswered = match *self.phase.borrow() {
+        let max_unanswered = match self.phase() {
             Phase::Serving => MAX_PIPELINED_REQUESTS,
-            Phase::Draining | Phase::Closing => 1,
+            Phase::Draining | Phase::Closing | Phase::Ending => 1,
         };
         self.shared.unanswered.get() < max_unanswered
     }
 
-    /// Returns whether the connection is idle on a host that is closing.
+    /// Returns whether the connection closes once no request is being read.
     fn is_closable(&self) -> bool {
-        self.shared.unanswered.get() == 0 && *self.phase.borrow() == Phase::Closing
+        self.shared.unanswered.get() == 0
+            && self.phase() >= Phase::Closing
+            && !self.awaits_first_request()
+    }
+
+    /// Returns whether the first request of a connection that was accepted shortly before the
+    /// host closed its listeners may be on its way.
+    fn awaits_first_request(&self) -> bool {
+        self.queued_count == 0
+            && self.phase() == Phase::Closing
+            && self.accepted_at.elapsed() < FIRST_REQUEST_TIMEOUT
+    }
+
+    /// Reads bytes that have arrived, also if the event loop has not been told of them yet.
+    fn read_available(&mut self) -> bool {
+        let mut bytes = [0; READ_BYTES];
+        let socket = SockRef::from(self.stream.as_ref());
+        // An error is found again when the connection is used.
+        let Ok(read @ 1..) = (&*socket).read(&mut bytes) else {
+            return false;
+        };
+        self.buffer.extend_from_slice(&bytes[..read]);
+        true
+    }
+
+    fn phase(&self) -> Phase {
+        *self.phase.borrow()
     }
 
     async fn read_more(&mut self, deadline: Option<Instant>) -> Progress {
@@ -418,14 +496,17 @@
 }
 
 fn refusal(error: ReadError) -> ReadEnd {
-    match error {
-        ReadError::Malformed => ReadEnd::Refused(StatusCode::BAD_REQUEST, "malformed"),
-        ReadError::HeadTooLarge => {
-            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-            ReadEnd::Refused(status, "head-too-large")
-        }
-        ReadError::BodyTooLarge => {
-            ReadEnd::Refused(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large")
-        }
-    }
+    let (status, outcome) = match error {
+        ReadError::Malformed => (StatusCode::BAD_REQUEST, "malformed"),
+        ReadError::HeadTooLarge => (
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "head-too-large",
+        ),
+        ReadError::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+    };
+    ReadEnd::Refused(Answer::own(status, outcome))
+}
+
+fn timeout(outcome: &'static str) -> ReadEnd {
+    ReadEnd::Refused(Answer::own(StatusCode::REQUEST_TIMEOUT, outcome))
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -19,7 +19,7 @@
 use crate::cold_instances::PermitLimit;
 use crate::journal::Event;
 use crate::permits;
-use crate::state::State;
+use crate::state::{Phase, STOPPING, State};
 use crate::takeover::{self, TakeoverTerms};
 use crate::upstream::InstanceAnswer;
 
@@ -38,6 +38,8 @@
 /// The weight of the newest sample in a route's smoothed latency.
 const LATENCY_EWMA_WEIGHT: f64 = 0.1;
 
+/// The outcome of a request that may have run and has no answer at its deadline.
+const TIMEOUT: &str = "timeout";
 /// The outcome of a request above its workspace's share that found no room.
 const OVER_SHARE: &str = "over-share";
 
@@ -122,12 +124,19 @@
         self.attempted_instances.len() + self.takeover_count
     }
 
-    /// Sends the request until there is a final answer or its deadline passes.
+    /// Sends the request until there is a final answer, its deadline passes, or the last
+    /// answers of a planned stop are due.
     pub(crate) async fn run(&mut self) -> Answer {
         self.record_demand();
         let deadline = tokio::time::Instant::from_std(self.deadline);
-        let answer = tokio::time::timeout_at(deadline, self.attempt_until_answered()).await;
-        let answer = answer.unwrap_or_else(|_| self.time_out());
+        let state = self.state;
+        let answer = tokio::select! {
+            biased;
+            answer = self.attempt_until_answered() => Ok(answer),
+            () = tokio::time::sleep_until(deadline) => Err((GiveUpReason::NoTime, TIMEOUT)),
+            () = state.reach_phase(Phase::Ending) => Err((GiveUpReason::Stopping, STOPPING)),
+        };
+        let answer = answer.unwrap_or_else(|(reason, outcome)| self.break_off(reason, outcome));
         self.record_final_answer(&answer);
         answer
     }
@@ -135,6 +144,9 @@
     async fn attempt_until_answered(&mut self) -> Answer {
         let mut unreachable = 0;
         loop {
+            if !self.may_start_attempt() {
+                return self.give_up(GiveUpReason::Stopping);
+            }
             let outcome = if self.lacks_path(unreachable) {
                 self.hand_over().await
             } else {
@@ -185,6 +197,9 @@
                 return Err(error.into());
             }
         };
+        if !self.may_start_attempt() {
+            return Err(GiveUpReason::Stopping);
+        }
         if placement.health.is_path_blocked {
             if self.may_hand_over {
                 return Ok(self.hand_over().await);
@@ -205,6 +220,13 @@
         Ok(outcome)
     }
 
+    /// Reports whether a planned stop leaves the time for an attempt. It may have begun while
+    /// the request waited or an earlier attempt ran.
+    fn may_start_attempt(&self) -> bool {
+        self.state
+            .allows_attempt(self.deadline, self.request.expected_latency)
+    }
+
     /// Reports whether an instance may have run the request, or may yet run it.
     fn may_have_run(&self) -> bool {
         self.has_run || self.in_flight_attempts > 0
@@ -242,7 +264,7 @@
         let other = match self.race(first, second).await {
             RaceEnd::Usable(outcome) => return outcome,
             // The other attempt may hang on a connection whose path was cut.
-            RaceEnd::Unreachable { other } if self.may_hand_over => {
+            RaceEnd::Unreachable { other } if self.may_hand_over && self.may_start_attempt() => {
                 let takeover = self.start_takeover();
                 match self.race(other, takeover).await {
                     RaceEnd::Usable(outcome) => return outcome,
@@ -281,6 +303,9 @@
     /// has no room for a request that runs already. The attempt opens a connection, since
     /// those that are open may hang together.
     fn start_hedge(&mut self) -> Option<PendingAttempt> {
+        if !self.may_start_attempt() {
+            return None;
+        }
         if self.state.is_cut_off() {
             return self.may_hand_over.then(|| self.start_takeover());
         }
@@ -302,7 +327,7 @@
         self.connected_attempts += 1;
         self.in_flight_attempts += 1;
         let number = self.attempted_instances.len();
-        let time_left = self.deadline.saturating_duration_since(self.state.now());
+        let time_left = self.state.attempt_time_left(self.deadline);
         let (state, request) = (self.state.clone(), self.request.clone());
         Box::pin(async move {
             run_attempt(&state, &request, &placement, number, time_left, may_reuse).await
@@ -474,6 +499,9 @@
         if self.may_have_run() {
             return Answer::own(StatusCode::BAD_GATEWAY, reason.outcome());
         }
+        if reason == GiveUpReason::Stopping {
+            return self.state.stop_refusal();
+        }
         let jitter = BUSY_RETRY_AFTER.mul_f64(0.5 + self.state.rng.borrow_mut().f64());
         let retry_after = match reason {
             GiveUpReason::AllBackOff(earliest) => earliest + jitter,
@@ -487,11 +515,12 @@
         Answer::refusal(StatusCode::SERVICE_UNAVAILABLE, outcome, retry_after)
     }
 
-    fn time_out(&mut self) -> Answer {
+    /// Returns the final answer of a request whose attempts are broken off.
+    fn break_off(&mut self, reason: GiveUpReason, outcome: &'static str) -> Answer {
         if self.may_have_run() {
-            return Answer::own(StatusCode::GATEWAY_TIMEOUT, "timeout");
+            return Answer::own(StatusCode::GATEWAY_TIMEOUT, outcome);
         }
-        self.give_up(GiveUpReason::NoTime)
+        self.give_up(reason)
     }
 }
 
@@ -512,6 +541,8 @@
     NoRetryBudget,
     AttemptsUsed,
     NoTime,
+    /// A planned stop leaves no time for an attempt.
+    Stopping,
     AnswerLost(AnswerLoss),
 }
 
@@ -525,6 +556,7 @@
             Self::NoRetryBudget => "retry-budget",
             Self::AttemptsUsed => "attempts-used",
             Self::NoTime => "no-time",
+            Self::Stopping => STOPPING,
             Self::AnswerLost(AnswerLoss::Broken) => "upstream-broken",
             Self::AnswerLost(AnswerLoss::Partial) => "upstream-partial",
             Self::AnswerLost(AnswerLoss::Crossed) => "upstream-crossed",
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,30 +8,27 @@
 
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::task::LocalSet;
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::MissedTickBehavior;
 use waxwingusher_core::Clock;
 use waxwingusher_limits::FleetView;
 use waxwingusher_membership::seeded::{Member, PeerTable};
 
 use crate::feed_source::FeedSource;
 use crate::journal::{Event, Journal, write_lines};
-use crate::origin::RequestOrigin;
 use crate::ports::{Command, Dialect};
 use crate::settings::GatewaySettings;
 use crate::state::{Phase, State};
-use crate::{caller, feed, path_probe, peers, status_server, takeover_server};
+use crate::stop_plan::StopPlan;
+use crate::{feed, listener, path_probe, peers, status_server};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
 /// The ports that are tried if any will do: one that is free for datagrams may be taken
 /// by a connection.
 const PORT_ATTEMPTS: usize = 16;
-/// The share of the shutdown time during which connections are still accepted. The
-/// balancer checks readiness once a second and needs two failed checks.
-const DRAIN_SHARE: f64 = 0.5;
-/// The part of the shutdown time that is reserved for the exit of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(250);
+/// How often a stopping host checks whether connections are open.
+const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The delay before a task that has failed starts again.
 const TASK_RESTART_DELAY: Duration = Duration::from_millis(100);
 /// How long the end of the process waits for the journal to be written.
@@ -202,26 +199,27 @@
         });
         supervise(&state, "path-probe", path_probe::run);
         supervise(&state, "maintenance", run_maintenance);
-        // Peers are served until the end, so that each is told that this host declines.
-        supervise(&state, "takeovers", move |state| {
-            takeover_server::run(state, takeovers.clone())
-        });
-        let accepting = supervise(&state, "callers", move |state| {
-            accept_callers(state, callers.clone())
-        });
+        let listeners = [
+            supervise(&state, "takeovers", move |state| {
+                listener::accept_peers(state, takeovers.clone())
+            }),
+            supervise(&state, "callers", move |state| {
+                listener::accept_callers(state, callers.clone())
+            }),
+        ];
         wait_for_stop(&state, commands).await;
-        stop(&state, &accepting, self.settings.stop_grace).await;
+        stop(&state, listeners, self.settings.stop_grace).await;
         Ok(())
     }
 }
 
 /// Runs a task until the host stops. If an unexpected error ends it, it is logged
-/// and the task starts again.
+/// and the task starts again. Listeners end as the host closes.
 fn supervise<F>(
     state: &Rc<State>,
     name: &'static str,
     start: impl Fn(Rc<State>) -> F + 'static,
-) -> tokio::task::JoinHandle<()>
+) -> JoinHandle<()>
 where
     F: Future<Output = ()> + 'static,
 {
@@ -230,6 +228,7 @@
         loop {
             let mut task = AbortOnDrop(tokio::task::spawn_local(start(state.clone())));
             let cause = match (&mut task.0).await {
+                Ok(()) if state.phase() >= Phase::Closing => return,
                 Ok(()) => "it has ended".to_owned(),
                 Err(error) => error.to_string(),
             };
@@ -243,7 +242,7 @@
 }
 
 /// A task that ends with its supervisor.
-struct AbortOnDrop(tokio::task::JoinHandle<()>);
+struct AbortOnDrop(JoinHandle<()>);
 
 impl Drop for AbortOnDrop {
     fn drop(&mut self) {
@@ -253,33 +252,30 @@
 
 /// Carries out commands until a stop command arrives.
 async fn wait_for_stop(state: &State, mut commands: UnboundedReceiver<Command>) {
-    while let Some(command) = commands.recv().await {
-        match command {
-            Command::Stop => return,
-            Command::Reload(changed) => {
-                state.peers.borrow_mut().set_seeds(changed.seeds);
-                state.retry_budget.borrow_mut().set(changed.retry_budget);
-                state.journal.write(&Event::Reloaded);
-            }
-        }
+    while let Some(Command::Reload(changed)) = commands.recv().await {
+        state.peers.borrow_mut().set_seeds(changed.seeds);
+        state.retry_budget.borrow_mut().set(changed.retry_budget);
+        state.journal.write(&Event::Reloaded);
     }
 }
 
 /// Shuts down without breaking off a request: the host first reports that it is
 /// not ready, then accepts no more connections, and ends when the last request is
-/// answered or the shutdown time is over.
-async fn stop(state: &State, accepting: &tokio::task::JoinHandle<()>, grace: Duration) {
-    let started = Instant::now();
-    state.stop_began_at.set(Some(state.now()));
+/// answered. Requests that are under way when the grace is nearly over are answered then.
+async fn stop(state: &State, listeners: [JoinHandle<()>; 2], grace: Duration) {
+    let plan = StopPlan::new(state.now(), grace);
+    state.stop_plan.set(Some(plan));
     enter_phase(state, Phase::Draining);
-    tokio::time::sleep_until(started + grace.mul_f64(DRAIN_SHARE)).await;
-    accepting.abort();
+    tokio::time::sleep_until(plan.accept_until.into()).await;
     enter_phase(state, Phase::Closing);
-    let end = started + grace.saturating_sub(EXIT_MARGIN);
-    // Idle connections close now; on the others a request is being read or handled.
-    while state.connections.get() > 0 && Instant::now() < end {
-        tokio::time::sleep(Duration::from_millis(20)).await;
+    for listener in listeners {
+        // A listener that has failed has no connections to accept.
+        let _ = listener.await;
     }
+    // Idle connections close now; on the others a request is being read or handled.
+    wait_for_connections(state, plan.answers_due_at).await;
+    enter_phase(state, Phase::Ending);
+    wait_for_connections(state, plan.exit_at).await;
     state.outbox.announce_departure();
     // Gives the last answers and messages time to leave.
     tokio::time::sleep(Duration::from_millis(60)).await;
@@ -287,6 +283,13 @@
     log_stopping(state, "stopped");
 }
 
+/// Waits until no connection is open or a time is reached.
+async fn wait_for_connections(state: &State, until: std::time::Instant) {
+    while state.connections.get() > 0 && state.now() < until {
+        tokio::time::sleep(CONNECTION_CHECK_INTERVAL).await;
+    }
+}
+
 fn enter_phase(state: &State, phase: Phase) {
     state.phase.send_replace(phase);
     log_stopping(state, phase.as_str());
@@ -300,17 +303,6 @@
     });
 }
 
-async fn accept_callers(state: Rc<State>, listener: Rc<tokio::net::TcpListener>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // No file descriptor is free; a retry may find one.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        tokio::task::spawn_local(caller::serve(state.clone(), stream, RequestOrigin::Caller));
-    }
-}
-
 async fn run_maintenance(state: Rc<State>) {
     let mut ticks = tokio::time::interval(MAINTENANCE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod ports;
 pub mod settings;
+pub mod stop_plan;
 
 mod answer;
 mod attempt;
@@ -33,6 +34,7 @@
 mod feed_source;
 mod home_regions;
 mod in_flight;
+mod listener;
 mod origin;
 mod outbox;
 mod path_probe;
@@ -47,7 +49,6 @@
 mod state;
 mod status_server;
 mod takeover;
-mod takeover_server;
 mod units;
 mod upstream;
 
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -108,11 +108,7 @@
             Err(error) => return error.answer(),
         },
     };
-    let time_left = header_text(&request.headers, &state.dialect.time_left_ms)
-        .parse()
-        .ok();
-    let time_left = time_left.map_or(DEFAULT_TIME_LEFT, Duration::from_millis);
-    let time_left = time_left.min(MAX_TIME_LEFT);
+    let time_left = caller_time_left(state, &request.headers);
     record.time_left = time_left;
     let Some(table) = state.routing() else {
         return Answer::refusal(
@@ -142,6 +138,10 @@
     if !route.is_idempotent {
         order.wait_for_earlier_answers().await;
     }
+    let deadline = request.received_at + time_limit(&route, time_left);
+    if !state.allows_attempt(deadline, expected_latency(state, &route)) {
+        return state.stop_refusal();
+    }
     let fingerprint = fingerprint(&request, workspace.as_deref());
     if state
         .crash_ledger
@@ -166,11 +166,6 @@
         let mut budget = state.retry_budget.borrow_mut();
         budget.record_request(state.now(), &service);
     }
-    let caller_time_left = time_left.saturating_sub(ANSWER_MARGIN);
-    let time_limit = route
-        .timeout
-        .map_or(caller_time_left, |timeout| timeout.min(caller_time_left));
-    let deadline = request.received_at + time_limit;
     let priority = workspace
         .as_ref()
         .and_then(|workspace| workspace.priority)
@@ -204,6 +199,33 @@
     answer
 }
 
+/// Returns the refusal of a request that would be refused on arrival, as the host stops.
+pub(crate) fn refuse_for_stop(state: &State, headers: &HeaderMap, target: &str) -> Option<Answer> {
+    let table = state.routing()?;
+    let route = table.route(header_text(headers, &header::HOST), target)?;
+    let time_limit = time_limit(route, caller_time_left(state, headers));
+    let deadline = state.now() + time_limit;
+    let is_refused = !state.allows_attempt(deadline, expected_latency(state, route));
+    is_refused.then(|| state.stop_refusal())
+}
+
+/// Returns how long the caller waits.
+fn caller_time_left(state: &State, headers: &HeaderMap) -> Duration {
+    let time_left = header_text(headers, &state.dialect.time_left_ms)
+        .parse()
+        .ok();
+    let time_left = time_left.map_or(DEFAULT_TIME_LEFT, Duration::from_millis);
+    time_left.min(MAX_TIME_LEFT)
+}
+
+/// Returns the time within which a request must be answered.
+fn time_limit(route: &Route, caller_time_left: Duration) -> Duration {
+    let caller_time_left = caller_time_left.saturating_sub(ANSWER_MARGIN);
+    route
+        .timeout
+        .map_or(caller_time_left, |timeout| timeout.min(caller_time_left))
+}
+
 fn admit(
     state: &State,
     workspace: Option<&WorkspacePolicy>,
@@ -281,12 +303,6 @@
             header_value(workspace.name.as_str()),
         );
     }
-    let initial_latency = route.latency_target.mul_f64(INITIAL_LATENCY_SHARE);
-    let route_latencies = state.route_latencies.borrow();
-    let expected_latency = route_latencies
-        .get(&route.name)
-        .copied()
-        .unwrap_or(initial_latency);
     OutboundRequest {
         request_id,
         method: request.method,
@@ -296,12 +312,19 @@
         body: request.body,
         is_idempotent: route.is_idempotent,
         fingerprint,
-        expected_latency,
+        expected_latency: expected_latency(state, route),
         service,
         home_regions: home_regions(state, route, workspace),
     }
 }
 
+/// Returns the smoothed latency of a route's requests.
+fn expected_latency(state: &State, route: &Route) -> Duration {
+    let route_latencies = state.route_latencies.borrow();
+    let measured = route_latencies.get(&route.name).copied();
+    measured.unwrap_or_else(|| route.latency_target.mul_f64(INITIAL_LATENCY_SHARE))
+}
+
 /// Returns where a request may be processed.
 fn home_regions(state: &State, route: &Route, workspace: Option<&WorkspacePolicy>) -> HomeRegions {
     let workspace = workspace.map(|workspace| workspace.home_regions.as_slice());
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -87,10 +87,8 @@
 
 fn arrival(state: &State, request: &CallerRequest) -> Arrival {
     let phase = Some(state.phase()).filter(|phase| *phase > Phase::Serving);
-    let since_stop = state
-        .stop_began_at
-        .get()
-        .map(|began_at| request.received_at.saturating_duration_since(began_at));
+    let plan = state.stop_plan.get();
+    let since_stop = plan.map(|plan| request.received_at.saturating_duration_since(plan.began_at));
     let read_time = Some(request.read_time).filter(|time| *time > MIN_LOGGED_READ_TIME);
     Arrival {
         phase: phase.map(|phase| phase.as_str().into()),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
 use tokio::sync::{Notify, watch};
 use waxwingusher_attempts::FleetRetryBudget;
 use waxwingusher_config::routing::{CallerLimits, RoutingTable, SplitPicker};
@@ -17,6 +18,7 @@
     Evidence, LoadSharing, PathMonitor, RefusalMonitor, Roster, RosterEntry, ScarcityMonitor,
 };
 
+use crate::answer::Answer;
 use crate::cold_instances::ColdInstances;
 use crate::crash_ledger::CrashLedger;
 use crate::declined_peers::DeclinedPeers;
@@ -28,6 +30,7 @@
 use crate::pending_permits::Permits;
 use crate::ports::Dialect;
 use crate::settings::GatewaySettings;
+use crate::stop_plan::StopPlan;
 use crate::units::millis;
 use crate::upstream::ConnectionPool;
 
@@ -38,6 +41,11 @@
 /// the socket; reading all of them takes a few milliseconds.
 const CATCH_UP_TIME: Duration = Duration::from_millis(100);
 
+/// The outcome of a request that is refused or ended by a planned stop.
+pub(crate) const STOPPING: &str = "stopping";
+/// The mean `Retry-After` of a host that stops. Other hosts take the request at once.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// The name of the paths to instances in the log.
 const INSTANCES: &str = "instances";
 
@@ -51,6 +59,8 @@
     Draining,
     /// It accepts no connections and closes idle ones.
     Closing,
+    /// It answers all requests that are under way or partly read, and closes all connections.
+    Ending,
 }
 
 impl Phase {
@@ -60,6 +70,7 @@
             Self::Serving => "serving",
             Self::Draining => "draining",
             Self::Closing => "closing",
+            Self::Ending => "ending",
         }
     }
 }
@@ -101,7 +112,8 @@
     pub(crate) capacity_freed: Notify,
     pub(crate) feed: RefCell<FeedReplica>,
     pub(crate) phase: watch::Sender<Phase>,
-    pub(crate) stop_began_at: Cell<Option<Instant>>,
+    /// The times of the planned stop, once it has begun.
+    pub(crate) stop_plan: Cell<Option<StopPlan>>,
     /// Whether the process ends now and drops all requests.
     pub(crate) has_stopped: Cell<bool>,
     /// Requests that were read and not answered yet.
@@ -165,7 +177,7 @@
             capacity_freed: Notify::new(),
             feed: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
-            stop_began_at: Cell::new(None),
+            stop_plan: Cell::new(None),
             has_stopped: Cell::new(false),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
@@ -183,6 +195,33 @@
         *self.phase.borrow()
     }
 
+    /// Waits until the host has reached a phase.
+    pub(crate) async fn reach_phase(&self, phase: Phase) {
+        let mut phases = self.phase.subscribe();
+        // Waiting fails only if the sender, which this state holds, is gone.
+        let _ = phases.wait_for(|reached| *reached >= phase).await;
+    }
+
+    /// Decides whether an attempt of a request may start, as far as a planned stop is concerned.
+    pub(crate) fn allows_attempt(&self, deadline: Instant, usual_latency: Duration) -> bool {
+        let plan = self.stop_plan.get();
+        plan.is_none_or(|plan| plan.allows_attempt(self.now(), deadline, usual_latency))
+    }
+
+    /// Returns the answer to a request that has not run and does not run, as the host stops.
+    pub(crate) fn stop_refusal(&self) -> Answer {
+        let jitter = 0.5 + self.rng.borrow_mut().f64();
+        let retry_after = STOP_RETRY_AFTER.mul_f64(jitter);
+        Answer::refusal(StatusCode::SERVICE_UNAVAILABLE, STOPPING, retry_after)
+    }
+
+    /// Returns how long an instance or a peer may work on a request.
+    pub(crate) fn attempt_time_left(&self, deadline: Instant) -> Duration {
+        let plan = self.stop_plan.get();
+        let end = plan.map_or(deadline, |plan| plan.limit_attempt(deadline));
+        end.saturating_duration_since(self.now())
+    }
+
     /// Returns whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
         self.phase() == Phase::Serving
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -158,7 +158,7 @@
             break;
         };
         let started = state.now();
-        let time_left = deadline.saturating_duration_since(started);
+        let time_left = state.attempt_time_left(deadline);
         let result = state
             .pool
             .call(build_call(state, request, terms, peer, time_left))
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod permit_schedules;
 mod planned_stops;
 mod rate_limits;
+mod stop_plan;
 mod stops;
 mod takeover_schedules;
 mod takeovers;
