Ask another peer if one refuses a taken-over request as it stops

A peer that ends while a request that it has taken over waits there has not run it, and another one may. A peer without a path that may have run an idempotent request answered 502, and its result said "declined", that is not run; the status decides now.

--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -15,7 +15,7 @@
 use crate::attempt::{AnswerLoss, AttemptOutcome, NotRun, OutboundRequest};
 use crate::home_regions::HomeRegions;
 use crate::journal::Event;
-use crate::state::{Phase, State};
+use crate::state::{Phase, STOPPING, State};
 use crate::units::{header_value, millis};
 use crate::upstream::{Call, CallError, InstanceAnswer};
 
@@ -123,7 +123,8 @@
 
 /// Adds the result to an answer to a peer.
 pub(crate) fn add_result(answer: &mut Answer) {
-    let is_declined = matches!(answer.outcome, DECLINED | NO_PATH);
+    let is_not_run = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+    let is_declined = is_not_run && matches!(answer.outcome, DECLINED | NO_PATH | STOPPING);
     let result = encode(&TakeoverResult { is_declined });
     answer.headers.insert(&RESULT, result);
 }
