Reload the grace of a planned stop

A changed `grace-s` took effect only after a restart: with a shorter one the platform killed the process before its last answers were written.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -207,8 +207,8 @@
                 listener::accept_callers(state, callers.clone())
             }),
         ];
-        wait_for_stop(&state, commands).await;
-        stop(&state, listeners, self.settings.stop_grace).await;
+        let grace = wait_for_stop(&state, commands, self.settings.stop_grace).await;
+        stop(&state, listeners, grace).await;
         Ok(())
     }
 }
@@ -250,13 +250,19 @@
     }
 }
 
-/// Carries out commands until a stop command arrives.
-async fn wait_for_stop(state: &State, mut commands: UnboundedReceiver<Command>) {
+/// Carries out commands until a stop command arrives, and returns the grace that holds then.
+async fn wait_for_stop(
+    state: &State,
+    mut commands: UnboundedReceiver<Command>,
+    mut grace: Duration,
+) -> Duration {
     while let Some(Command::Reload(changed)) = commands.recv().await {
         state.peers.borrow_mut().set_seeds(changed.seeds);
         state.retry_budget.borrow_mut().set(changed.retry_budget);
+        grace = changed.stop_grace;
         state.journal.write(&Event::Reloaded);
     }
+    grace
 }
 
 /// Shuts down without breaking off a request: the host first reports that it is
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -2,6 +2,7 @@
 //! host, and the source of configuration and instances.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http::HeaderName;
 use waxwingusher_attempts::FleetRetryBudgetSettings;
@@ -54,4 +55,6 @@
     pub seeds: Vec<SocketAddr>,
     /// The retry budget of the fleet.
     pub retry_budget: FleetRetryBudgetSettings,
+    /// The time from the stop command to the exit of the process.
+    pub stop_grace: Duration,
 }
--- a/crates/gateway/tests/testsuite/planned_stops/series.rs
+++ b/crates/gateway/tests/testsuite/planned_stops/series.rs
@@ -60,6 +60,7 @@
             let _ = host.commands.send(Command::Reload(ReloadableSettings {
                 seeds: seeds.clone(),
                 retry_budget: TestHost::settings(&[], GRACE).retry_budget,
+                stop_grace: GRACE,
             }));
         }
         document.version += 1;
