--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -44,9 +44,10 @@
         }
         start_log(LevelFilter::Warn);
         let source = StoreSource::new(settings.store_addr);
+        // A signal that arrives once the sockets are bound must not end the process at once.
+        let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
         let gateway = Gateway::bind(settings.gateway)?;
         let (sender, commands) = unbounded_channel();
-        let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
         let watched_path = path.clone();
         let file_sender = sender.clone();
         std::thread::Builder::new()
