--- a/tests/soak/slow_callers.rs
+++ b/tests/soak/slow_callers.rs
@@ -18,6 +18,8 @@
 /// The longest work of instances, which is less than the time that callers allow.
 const MAX_WORK_MS: u64 = 1_000;
 const MAX_IDLE_MS: u64 = 2_000;
+/// How soon callers notice that the run is over.
+const MAX_WAIT_STEP: Duration = Duration::from_millis(100);
 const BODY: &str = "a booking that arrives in parts";
 
 /// Sends requests until `is_stopping` is set. A connection is reused after all complete
@@ -35,7 +37,10 @@
             continue;
         };
         let max_idle_ms = if rng.bool() { 30 } else { MAX_IDLE_MS };
-        std::thread::sleep(Duration::from_millis(rng.u64(..max_idle_ms)));
+        let idle_until = Instant::now() + Duration::from_millis(rng.u64(..max_idle_ms));
+        while let Some(step) = next_wait(shared, idle_until) {
+            std::thread::sleep(step);
+        }
         count += 1;
         let id = format!("{ID_PREFIX}{number}-{count}");
         let mut outcome = Outcome::new(id, rng.bool(), current.host, is_behind_close);
@@ -108,7 +113,7 @@
 ) -> bool {
     let pause = sending_time / u32::try_from(parts.len()).expect("few parts");
     for (number, part) in parts.iter().enumerate() {
-        if number > 0 && is_answered_within(stream, pause) {
+        if number > 0 && is_answered_within(stream, shared, pause) {
             return false;
         }
         if shared.is_stopping.load(Ordering::SeqCst) || stream.write_all(part).is_err() {
@@ -120,17 +125,28 @@
 
 /// Waits, and reports whether an answer or the end of the connection arrives meanwhile.
 /// `100 Continue` is no answer and ends the wait.
-fn is_answered_within(stream: &mut TcpStream, pause: Duration) -> bool {
-    let timeout = Some(pause.max(Duration::from_millis(1)));
-    if stream.set_read_timeout(timeout).is_err() {
-        return true;
-    }
+fn is_answered_within(stream: &mut TcpStream, shared: &SharedState, pause: Duration) -> bool {
+    let end = Instant::now() + pause;
     let mut start = [0; 12];
-    let Ok(length) = stream.peek(&mut start) else {
-        return false;
-    };
-    if &start[..length] != b"HTTP/1.1 100" {
-        return true;
+    while let Some(step) = next_wait(shared, end) {
+        if stream.set_read_timeout(Some(step)).is_err() {
+            return true;
+        }
+        let Ok(length) = stream.peek(&mut start) else {
+            continue;
+        };
+        if &start[..length] != b"HTTP/1.1 100" {
+            return true;
+        }
+        return read_head(stream).is_none();
     }
-    read_head(stream).is_none()
+    false
+}
+
+/// Returns how long to wait before looking again whether the run is over; `None` if it is,
+/// or at the end of the wait.
+fn next_wait(shared: &SharedState, end: Instant) -> Option<Duration> {
+    let rest = end.saturating_duration_since(Instant::now());
+    let is_over = rest.is_zero() || shared.is_stopping.load(Ordering::SeqCst);
+    (!is_over).then(|| rest.min(MAX_WAIT_STEP))
 }
--- a/tests/soak/timeline.rs
+++ b/tests/soak/timeline.rs
@@ -168,8 +168,13 @@
                 }
                 checked += 1;
                 if outcome.status == 0 {
+                    let kind = if outcome.is_idempotent {
+                        "safe"
+                    } else {
+                        "unsafe"
+                    };
                     violations.push(format!(
-                        "cut at a planned stop: {} at host {host} ran, sent whole {:?} and cut \
+                        "cut at a planned stop: {kind} {} at host {host} ran, sent whole {:?} and cut \
                          {:?} before the process ended",
                         outcome.id,
                         until - sent_at,
