Answer all requests before a planned stop of `serve` ends

Cause: the drain knew no end. Whatever came in was admitted, queued, sent and retried by its route's deadline alone (10 s by default), while the edge closed all connections at the drain timeout, so that a request that became whole late ran and its caller got nothing.

Change: `DrainPlan` decides without sockets, with the clock passed in. Work whose deadline lies behind the last answers begins only while a third of the drain and three times the median latency of its service are left; else it is refused at once with 503 `draining`, not-run. The check is made at admission, as a worker takes the request, before a retry, and before the first byte. The time given to an instance ends with the drain. 300 ms before the end, at most a quarter of the drain, the edge cancels what is under way, and workers answer 504 `drain-ended`, unknown, if it may have run, else 503. Bodies that are only partly read get 503. What no worker has answered 100 ms before the end the edge answers as unknown. `Connection: close` depends on the phase when the answer is ready, not when the head was read. The drain timeout counts from the end of the notice, as before, but no longer from the end of the accepting of the backlog.

--- a/crates/attempts/src/refusal.rs
+++ b/crates/attempts/src/refusal.rs
@@ -104,6 +104,9 @@
     /// The host is draining before it stops.
     #[error("the host is draining")]
     Draining,
+    /// The host stopped before the instance had answered.
+    #[error("the host stopped before the upstream answered")]
+    DrainEnded,
     /// The connection to the instance failed.
     #[error("the upstream failed")]
     UpstreamFailed,
@@ -134,7 +137,7 @@
             | Self::Quarantined
             | Self::Draining
             | Self::UpstreamShed => 503,
-            Self::DeadlineExceeded => 504,
+            Self::DeadlineExceeded | Self::DrainEnded => 504,
         }
     }
 
@@ -159,6 +162,7 @@
             Self::ConfigUnconfirmed { .. } => "config-unconfirmed",
             Self::Quarantined => "quarantined",
             Self::Draining => "draining",
+            Self::DrainEnded => "drain-ended",
             Self::UpstreamFailed => "upstream-failed",
             Self::UpstreamShed => "upstream-shed",
         }
@@ -169,9 +173,10 @@
     #[must_use]
     pub const fn outcome(self) -> Outcome {
         match self {
-            Self::AttemptUnknown | Self::AttemptInProgress { .. } | Self::UpstreamFailed => {
-                Outcome::Unknown
-            }
+            Self::AttemptUnknown
+            | Self::AttemptInProgress { .. }
+            | Self::DrainEnded
+            | Self::UpstreamFailed => Outcome::Unknown,
             _ => Outcome::NotRun,
         }
     }
--- a/crates/attempts/tests/testsuite/lifecycle.rs
+++ b/crates/attempts/tests/testsuite/lifecycle.rs
@@ -9,7 +9,7 @@
 
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
-const REASONS: [(RefusalReason, u16, Outcome); 16] = [
+const REASONS: [(RefusalReason, u16, Outcome); 17] = [
     (RefusalReason::UnknownRoute, 404, Outcome::NotRun),
     (RefusalReason::Unauthorized, 401, Outcome::NotRun),
     (
@@ -35,6 +35,7 @@
     ),
     (RefusalReason::Quarantined, 503, Outcome::NotRun),
     (RefusalReason::Draining, 503, Outcome::NotRun),
+    (RefusalReason::DrainEnded, 504, Outcome::NotRun),
     (
         RefusalReason::ConfigUnconfirmed {
             retry_after: RETRY_AFTER,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,5 +16,5 @@
 pub use answer::{Answer, AnswerBody, BodySender, TruncatedBody};
 pub use call::CallControl;
 pub use exchange::{AnswerSender, CallerRequest, Exchange, RequestId};
-pub use server::{CallerEdge, EdgeError, EdgeSettings};
+pub use server::{CallerEdge, DrainPlan, EdgeError, EdgeSettings};
 pub use upstream::{UpstreamAnswer, UpstreamBody, UpstreamCall, UpstreamClient, UpstreamError};
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -2,11 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{SyncSender, TrySendError};
+use std::sync::{Arc, OnceLock};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -15,8 +15,10 @@
 use crate::exchange::{Exchange, RequestId};
 
 mod connection;
+mod drain_plan;
 mod request_reader;
 
+pub use drain_plan::DrainPlan;
 pub(crate) use request_reader::RejectReason;
 
 /// Settings of the callers' edge.
@@ -90,6 +92,8 @@
     pub(crate) queue: SyncSender<Exchange>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) incarnation: u64,
+    /// Set before the phase changes to [`Phase::Draining`].
+    drain: Arc<OnceLock<DrainPlan>>,
     sequence: AtomicU64,
     open_connections: AtomicUsize,
 }
@@ -102,6 +106,11 @@
         }
     }
 
+    /// Returns the time left until `instant`.
+    pub(crate) fn time_until(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.clock.now())
+    }
+
     /// Puts an exchange into the workers' queue.
     pub(crate) fn submit(&self, exchange: Exchange) -> Result<(), RejectReason> {
         self.queue.try_send(exchange).map_err(|e| match e {
@@ -112,9 +121,10 @@
 }
 
 /// A running HTTP server for callers.
-#[derive(Debug)]
 pub struct CallerEdge {
     local_addr: SocketAddr,
+    clock: Arc<dyn Clock>,
+    drain: Arc<OnceLock<DrainPlan>>,
     phase: watch::Sender<Phase>,
     settings: EdgeSettings,
     thread: Option<JoinHandle<()>>,
@@ -139,11 +149,13 @@
             .build()
             .map_err(EdgeError::Start)?;
         let (phase, phases) = watch::channel(Phase::Serving);
+        let drain = Arc::new(OnceLock::new());
         let shared = Arc::new(Shared {
             settings: settings.clone(),
             queue,
-            clock,
+            clock: clock.clone(),
             incarnation,
+            drain: drain.clone(),
             sequence: AtomicU64::new(0),
             open_connections: AtomicUsize::new(0),
         });
@@ -153,6 +165,8 @@
             .map_err(EdgeError::Start)?;
         Ok(Self {
             local_addr,
+            clock,
+            drain,
             phase,
             settings,
             thread: Some(thread),
@@ -171,10 +185,20 @@
         self.join();
     }
 
-    /// Stops gracefully: every request that a caller has sent is answered.
+    /// Begins a graceful shutdown, and returns its plan: answers close their
+    /// connections.
+    pub fn begin_drain(&self) -> DrainPlan {
+        let new_plan = || DrainPlan::new(self.clock.now(), &self.settings);
+        let plan = *self.drain.get_or_init(new_plan);
+        self.phase.send_replace(Phase::Draining);
+        plan
+    }
+
+    /// Stops gracefully: every request that a caller has sent is answered, with
+    /// a refusal if it does not end before the drain timeout.
     /// Returns when the last connection is closed or the drain timeout expires.
     pub fn shut_down(mut self) {
-        self.phase.send_replace(Phase::Draining);
+        self.begin_drain();
         std::thread::sleep(self.settings.drain_notice);
         self.phase.send_replace(Phase::Closing);
         self.join();
@@ -221,7 +245,10 @@
     }
     accept_backlog(&connections, &listener, &shared, &phases).await;
     drop(listener);
-    let timeout = shared.settings.drain_timeout;
+    let plan = shared.drain.get();
+    let timeout = plan.map_or(shared.settings.drain_timeout, |plan| {
+        shared.time_until(plan.ends_at())
+    });
     if tokio::time::timeout(timeout, connections).await.is_err() {
         log::warn!("edge: Connections were still open after the drain timeout and were closed.");
     }
--- a/crates/edge/src/server/connection.rs
+++ b/crates/edge/src/server/connection.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 use waxwingusher_core::CancelToken;
 
-use super::{Phase, RejectReason, Shared, request_reader};
+use super::{DrainPlan, Phase, RejectReason, Shared, request_reader};
 use crate::answer::{Answer, AnswerBody, BodyEvent, BodyReceiver, TruncatedBody};
 use crate::exchange::{AnswerSender, Exchange};
 use crate::recording_stream::{ReceivedBytes, RecordingStream};
@@ -42,10 +42,11 @@
     let service = service_fn(|request| {
         let shared = shared.clone();
         let received = received.clone();
-        let is_closing = *current_phase.borrow() != Phase::Serving;
+        let phases = current_phase.clone();
         async move {
-            let mut response = answer(request, caller, &shared, &received).await;
-            if is_closing {
+            let mut response = answer(request, caller, &shared, &received, phases.clone()).await;
+            // The phase may have changed since the head was read.
+            if *phases.borrow() != Phase::Serving {
                 response
                     .headers_mut()
                     .insert(CONNECTION, HeaderValue::from_static("close"));
@@ -84,25 +85,51 @@
     caller: SocketAddr,
     shared: &Arc<Shared>,
     received: &ReceivedBytes,
+    phases: watch::Receiver<Phase>,
 ) -> Response<ResponseBody> {
     let cancel_on_drop = CancelOnDrop(CancelToken::new());
-    let request =
-        request_reader::read_request(request, caller, shared, received, cancel_on_drop.0.clone())
-            .await;
+    let cancel = cancel_on_drop.0.clone();
+    let mut last_answers = pin!(wait_for_last_answers(shared, phases));
+    let request = tokio::select! {
+        biased;
+        request = request_reader::read_request(request, caller, shared, received, cancel) => request,
+        _ = last_answers.as_mut() => Err(RejectReason::Stopped),
+    };
     received.clear();
-    let answer = match request {
-        Ok(request) => {
-            let (reply, answer) = AnswerSender::new();
-            match shared.submit(Exchange { request, reply }) {
-                Ok(()) => answer
-                    .await
-                    .unwrap_or_else(|_| request_reader::rejection(RejectReason::Unanswered)),
-                Err(reason) => request_reader::rejection(reason),
+    let submitted = request.and_then(|request| {
+        let (reply, answer) = AnswerSender::new();
+        shared.submit(Exchange { request, reply })?;
+        Ok(answer)
+    });
+    let answer = match submitted {
+        Ok(mut answer) => tokio::select! {
+            biased;
+            answer = &mut answer => answer.map_err(|_| RejectReason::Unanswered),
+            plan = last_answers => {
+                // The worker ends its call, and states whether it may have run.
+                cancel_on_drop.0.cancel();
+                let time_left = shared.time_until(plan.edge_answers_at());
+                let answered = tokio::time::timeout(time_left, answer).await;
+                answered.ok().and_then(Result::ok).ok_or(RejectReason::DrainEnded)
             }
-        }
-        Err(reason) => request_reader::rejection(reason),
+        },
+        Err(reason) => Err(reason),
+    };
+    into_response(
+        answer.unwrap_or_else(request_reader::rejection),
+        cancel_on_drop,
+    )
+}
+
+/// Waits until the last answers of a graceful shutdown are due.
+async fn wait_for_last_answers(shared: &Shared, mut phases: watch::Receiver<Phase>) -> DrainPlan {
+    // An error means that the edge was dropped, which is no graceful shutdown.
+    drop(phases.wait_for(|phase| *phase >= Phase::Draining).await);
+    let Some(plan) = shared.drain.get() else {
+        return std::future::pending().await;
     };
-    into_response(answer, cancel_on_drop)
+    tokio::time::sleep(shared.time_until(plan.last_answers_at())).await;
+    *plan
 }
 
 /// Cancels the request's token on drop: when the answer is complete or the caller
--- a/crates/edge/src/server/request_reader.rs
+++ b/crates/edge/src/server/request_reader.rs
@@ -18,7 +18,8 @@
 use crate::recording_stream::ReceivedBytes;
 
 /// Why the edge rejected a request before or without a worker's answer. Except
-/// for [`RejectReason::Unanswered`], the request has not run.
+/// for [`RejectReason::Unanswered`] and [`RejectReason::DrainEnded`], the request
+/// has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RejectReason {
     Malformed,
@@ -29,6 +30,8 @@
     /// The worker dropped the request without an answer; the request may have
     /// run.
     Unanswered,
+    /// The drain ended before a worker answered; the request may have run.
+    DrainEnded,
 }
 
 /// Checks the request's framing and form, and reads its body within the limits.
@@ -69,6 +72,7 @@
         RejectReason::QueueFull => (StatusCode::SERVICE_UNAVAILABLE, "overloaded", "not-run"),
         RejectReason::Stopped => (StatusCode::SERVICE_UNAVAILABLE, "draining", "not-run"),
         RejectReason::Unanswered => (StatusCode::BAD_GATEWAY, "internal-error", "unknown"),
+        RejectReason::DrainEnded => (StatusCode::GATEWAY_TIMEOUT, "drain-ended", "unknown"),
     };
     refusal(status, code, outcome)
 }
--- a/crates/edge/tests/testsuite/main.rs
+++ b/crates/edge/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 //! sockets.
 
 mod callers;
+mod drain_plan;
 mod framing;
 mod harness;
 mod upstreams;
--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -74,6 +74,9 @@
         Access::Keyed => keyed_principal(&active, &route, request, &mut forwarded)?,
     };
     let deadline = request.received_at + allowed_time(&route, request);
+    if !state.may_start(&route.service, deadline) {
+        return Err(RefusalReason::Draining);
+    }
     let idempotency_key = idempotency_key(&request.headers)?;
     prepare_headers(&mut forwarded, request, &principal);
     Ok(Admitted {
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -240,11 +240,14 @@
     }
 
     /// Stops gracefully: the host reports itself as not ready, answers every
-    /// request that it has accepted, and hands off its rights and records.
+    /// request that it has accepted (with a refusal if the drain ends before the
+    /// upstream's answer), and hands off its rights and records.
     pub fn shut_down(self) {
         let id = self.state.settings.host_id.clone();
         log::info!("host: {id} is draining.");
         self.state.draining.store(true, Ordering::SeqCst);
+        // Set only here: the host is shut down once.
+        let _ = self.state.drain.set(self.edge.begin_drain());
         self.edge.shut_down();
         join("admitter", self.admitter);
         self.stop_workers.cancel();
--- a/crates/host/src/pipeline/dispatch.rs
+++ b/crates/host/src/pipeline/dispatch.rs
@@ -104,7 +104,8 @@
     /// Chooses an instance, and waits up to [`MAX_BUSY_WAIT`] if all are busy.
     fn choose(&self, tried: &[InstanceId]) -> Result<Choice, RefusalReason> {
         let clock = &self.state.clock;
-        let give_up_at = (clock.now() + MAX_BUSY_WAIT).min(self.admitted.deadline);
+        let ends_at = self.state.work_ends_at(self.admitted.deadline);
+        let give_up_at = (clock.now() + MAX_BUSY_WAIT).min(ends_at);
         let wanted = ChooseRequest {
             is_idempotent: self.is_idempotent(),
             exclude: tried,
@@ -213,6 +214,7 @@
     fn rights(&self) -> DispatchRights {
         DispatchRights {
             principal: self.admitted.principal.clone(),
+            service: self.admitted.route.service.clone(),
             deadline: self.admitted.deadline,
             token: self.token.get(),
             ticket: self.ticket,
@@ -236,6 +238,11 @@
                 let reason = reason.unwrap_or(RefusalReason::DeadlineExceeded);
                 (UpstreamResult::Cancelled, reason)
             }
+            UpstreamError::Cancelled { .. } | UpstreamError::Timeout { .. }
+                if self.state.are_last_answers_due() =>
+            {
+                (UpstreamResult::Cancelled, RefusalReason::Draining)
+            }
             UpstreamError::Cancelled { .. } => {
                 (UpstreamResult::Cancelled, RefusalReason::UpstreamFailed)
             }
@@ -278,7 +285,8 @@
         let was_shed = failure.error.is_none();
         let has_permission = !was_shed || self.ticket.is_none();
         let is_repeatable = self.is_idempotent() || (!failure.may_have_run && has_permission);
-        let has_time = !self.time_left().is_zero();
+        let (service, deadline) = (&self.admitted.route.service, self.admitted.deadline);
+        let has_time = !self.time_left().is_zero() && self.state.may_start(service, deadline);
         if is_final || !is_repeatable || !has_time || attempt_count >= MAX_ATTEMPTS {
             return false;
         }
@@ -363,6 +371,10 @@
     reason: RefusalReason,
 ) -> Refusal {
     if may_have_run {
+        let reason = match reason {
+            RefusalReason::Draining => RefusalReason::DrainEnded,
+            reason => reason,
+        };
         lifecycle.dispatch().fail(reason).refusal()
     } else {
         lifecycle.refuse(reason)
--- a/crates/host/src/pipeline/dispatch_check.rs
+++ b/crates/host/src/pipeline/dispatch_check.rs
@@ -5,6 +5,7 @@
 
 use waxwingusher_attempts::refusal::RefusalReason;
 use waxwingusher_attempts::{AttemptTicket, Outcome, PermitError};
+use waxwingusher_core::ServiceName;
 use waxwingusher_edge::CallControl;
 use waxwingusher_membership::distribution::ConfigTrust;
 
@@ -20,6 +21,8 @@
 pub(crate) enum DispatchCheckError {
     #[error("the deadline has passed")]
     DeadlineExceeded,
+    #[error("the host is draining, and would not answer in time")]
+    Draining,
     #[error("the token was spent too long ago")]
     TokenExpired,
     #[error("the key is no longer valid")]
@@ -35,6 +38,7 @@
     pub(crate) fn reason(self) -> RefusalReason {
         match self {
             Self::DeadlineExceeded => RefusalReason::DeadlineExceeded,
+            Self::Draining => RefusalReason::Draining,
             Self::TokenExpired => RefusalReason::Overloaded,
             Self::KeyWithdrawn => RefusalReason::Unauthorized,
             Self::ConfigUnconfirmed => RefusalReason::ConfigUnconfirmed {
@@ -52,6 +56,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct DispatchRights {
     pub(crate) principal: Principal,
+    pub(crate) service: ServiceName,
     pub(crate) deadline: Instant,
     pub(crate) token: SpentToken,
     pub(crate) ticket: Option<AttemptTicket>,
@@ -85,6 +90,9 @@
     if now >= rights.deadline {
         return Err(DispatchCheckError::DeadlineExceeded);
     }
+    if !state.may_start(&rights.service, rights.deadline) {
+        return Err(DispatchCheckError::Draining);
+    }
     let token_age = now.saturating_duration_since(rights.token.spent_at);
     if token_age > MAX_TOKEN_AGE {
         return Err(DispatchCheckError::TokenExpired);
--- a/crates/host/src/pipeline/mod.rs
+++ b/crates/host/src/pipeline/mod.rs
@@ -58,7 +58,12 @@
     let Job { exchange, admitted } = job;
     let Exchange { request, reply } = exchange;
     let lifecycle = Request::<Received>::new();
-    if request.cancel.is_cancelled() {
+    if !state.may_start(&admitted.route.service, admitted.deadline) {
+        let refusal = lifecycle.refuse(RefusalReason::Draining);
+        return refuse(state, &request, &admitted, reply, refusal);
+    }
+    // At the end of a stop the edge cancels requests whose callers still wait.
+    if request.cancel.is_cancelled() && !state.are_last_answers_due() {
         return;
     }
     let now = state.clock.now();
@@ -135,7 +140,8 @@
     admitted: &Admitted,
 ) -> Result<SpentToken, RefusalReason> {
     let limit = &admitted.principal.limit;
-    let spent = state.limits.spend(limit, admitted.deadline, &state.peers);
+    let deadline = state.work_ends_at(admitted.deadline);
+    let spent = state.limits.spend(limit, deadline, &state.peers);
     spent.map_err(|refused| {
         log::info!(
             "limits: Request {} of {limit}: {}.",
@@ -170,7 +176,7 @@
         workspace: admitted.principal.workspace.clone(),
         idempotency_key: key.clone(),
         body_digest,
-        deadline: admitted.deadline,
+        deadline: state.work_ends_at(admitted.deadline),
     };
     let (ticket, permission) = state.attempts.begin(&attempt, &state.peers);
     let reason = permission.refusal();
@@ -194,7 +200,8 @@
     /// Returns the time left for the request.
     pub(crate) fn time_left(&self) -> Duration {
         let now: Instant = self.state.clock.now();
-        self.admitted.deadline.saturating_duration_since(now)
+        let ends_at = self.state.work_ends_at(self.admitted.deadline);
+        ends_at.saturating_duration_since(now)
     }
 
     /// Spends a new token in place of one that has expired.
--- a/crates/host/src/state.rs
+++ b/crates/host/src/state.rs
@@ -1,12 +1,13 @@
 //! The state that the threads of a host share.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use waxwingusher_attempts::RetryBudget;
 use waxwingusher_config::Snapshot;
-use waxwingusher_core::{CancelToken, Clock, HostList, HostState as ListedState};
+use waxwingusher_core::{CancelToken, Clock, HostList, HostState as ListedState, ServiceName};
+use waxwingusher_edge::DrainPlan;
 use waxwingusher_membership::liveness::Liveness;
 use waxwingusher_upstreams::UpstreamSet;
 
@@ -41,6 +42,8 @@
     pub(crate) peers: PeerSender,
     pub(crate) stop: CancelToken,
     pub(crate) draining: AtomicBool,
+    /// Set when a graceful shutdown begins.
+    pub(crate) drain: OnceLock<DrainPlan>,
     /// Whether an operator or the host list has asked for a graceful shutdown.
     pub(crate) drain_requested: AtomicBool,
     has_warmed_up: AtomicBool,
@@ -83,6 +86,7 @@
             peers: parts.peers,
             stop: parts.stop,
             draining: AtomicBool::new(false),
+            drain: OnceLock::new(),
             drain_requested: AtomicBool::new(false),
             has_warmed_up: AtomicBool::new(false),
             started_at,
@@ -130,6 +134,29 @@
         self.draining.load(Ordering::SeqCst) || self.drain_requested.load(Ordering::SeqCst)
     }
 
+    /// Reports whether a request may be sent to a service: during a graceful
+    /// shutdown only if it is answered before the end.
+    pub(crate) fn may_start(&self, service: &ServiceName, deadline: Instant) -> bool {
+        let Some(plan) = self.drain.get() else {
+            return true;
+        };
+        let usual_duration = self.lock_upstreams().median_latency(service);
+        plan.may_start(self.clock.now(), deadline, usual_duration)
+    }
+
+    /// Returns until when a request may take: its deadline, or the last answers
+    /// of a graceful shutdown if they are due before.
+    pub(crate) fn work_ends_at(&self, deadline: Instant) -> Instant {
+        let plan = self.drain.get();
+        plan.map_or(deadline, |plan| deadline.min(plan.last_answers_at()))
+    }
+
+    /// Reports whether a graceful shutdown ends what is under way.
+    pub(crate) fn are_last_answers_due(&self) -> bool {
+        let plan = self.drain.get();
+        plan.is_some_and(|plan| self.clock.now() >= plan.last_answers_at())
+    }
+
     /// Reports whether the host has had a configuration and a trusted host list,
     /// or has waited [`MAX_WARM_UP`] for the list. Once true, it stays true when
     /// the configuration service becomes unavailable.
--- a/crates/upstreams/src/pool.rs
+++ b/crates/upstreams/src/pool.rs
@@ -137,6 +137,12 @@
         capacity.allowed(rows, self.voter.are_reports_current())
     }
 
+    /// Returns the median latency, once there are enough samples.
+    #[must_use]
+    pub fn median_latency(&self) -> Option<Duration> {
+        self.reporter.median_latency()
+    }
+
     /// Chooses a member and counts the request there.
     ///
     /// # Errors
--- a/crates/upstreams/src/set.rs
+++ b/crates/upstreams/src/set.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use log::{debug, warn};
 use waxwingusher_config::{Service, Snapshot};
@@ -228,6 +228,13 @@
         members.iter().map(|member| member.id().clone()).collect()
     }
 
+    /// Returns the median latency of a service, once there are enough samples.
+    #[must_use]
+    pub fn median_latency(&self, service: &ServiceName) -> Option<Duration> {
+        let state = self.services.get(&ServiceKey::of(service))?;
+        state.pool.median_latency()
+    }
+
     /// Returns the subset of instances that this host prefers.
     #[must_use]
     pub fn subset(&self, service: &ServiceName) -> Vec<InstanceId> {
