Decide in one place which work starts during a shutdown

Both data paths had the rule in a copy of their own. No change of behaviour.

A row of stop_plan failed since the last answers are due 400 ms before the end (300 ms when the test was written): an attempt with a deadline 300 ms before the end may not start. Three rows are 100 to 200 ms earlier now; all hold.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,6 @@
 //! Types that all crates of waxwingusher share: the clock interface, names,
 //! digests, positions in the feed, the host list, cancellation tokens, rendezvous
-//! hashing and the detection of suspensions.
+//! hashing, the detection of suspensions, and which work starts during a shutdown.
 
 pub mod cancel;
 pub mod clock;
@@ -11,6 +11,7 @@
 pub mod names;
 pub mod rendezvous;
 pub mod suspension;
+pub mod work_window;
 
 pub use cancel::CancelToken;
 pub use clock::{Clock, ManualClock, SystemClock};
@@ -20,3 +21,4 @@
 pub use hosts::{HostEntry, HostList, HostState};
 pub use names::{FailureDomain, HostId, InstanceId, Region, RouteName, ServiceName, WorkspaceName};
 pub use suspension::SuspensionDetector;
+pub use work_window::WorkWindow;
--- a/crates/edge/src/server/drain_plan.rs
+++ b/crates/edge/src/server/drain_plan.rs
@@ -3,20 +3,17 @@
 
 use std::time::{Duration, Instant};
 
+use waxwingusher_core::WorkWindow;
+
 use super::EdgeSettings;
 
 /// How long before the end work is ended, so that its callers get an answer.
 const MAX_LAST_ANSWERS_TIME: Duration = Duration::from_millis(300);
-/// Less than this part of the drain is too little for work that may not end in it.
-const MIN_PART_LEFT: u32 = 3;
-/// Work is likely to end within this many times its usual duration.
-const LIKELY_DURATIONS: u32 = 3;
 
 /// The times of one graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainPlan {
-    duration: Duration,
-    last_answers_at: Instant,
+    window: WorkWindow,
     edge_answers_at: Instant,
     ends_at: Instant,
 }
@@ -29,8 +26,7 @@
         let ends_at = now + duration;
         let last_answers_time = MAX_LAST_ANSWERS_TIME.min(duration / 4);
         Self {
-            duration,
-            last_answers_at: ends_at - last_answers_time,
+            window: WorkWindow::new(duration, ends_at - last_answers_time),
             edge_answers_at: ends_at - last_answers_time / 3,
             ends_at,
         }
@@ -45,20 +41,14 @@
         deadline: Instant,
         usual_duration: Option<Duration>,
     ) -> bool {
-        if deadline <= self.last_answers_at {
-            return true;
-        }
-        let left = self.last_answers_at.saturating_duration_since(now);
-        let is_likely_to_end = usual_duration
-            .is_some_and(|usual_duration| left >= usual_duration.saturating_mul(LIKELY_DURATIONS));
-        left >= self.duration / MIN_PART_LEFT && is_likely_to_end
+        self.window.allows(now, deadline, usual_duration)
     }
 
     /// Returns when work that has not ended is cancelled and answered by those
     /// who know whether it may have run.
     #[must_use]
     pub fn last_answers_at(&self) -> Instant {
-        self.last_answers_at
+        self.window.ends_at()
     }
 
     /// Returns when the edge itself answers what no worker has answered.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -279,7 +279,7 @@
         let _ = listener.await;
     }
     // Idle connections close now; on the others a request is being read or handled.
-    wait_for_connections(state, plan.answers_due_at).await;
+    wait_for_connections(state, plan.answers_due_at()).await;
     enter_phase(state, Phase::Ending);
     wait_for_connections(state, plan.exit_at).await;
     state.outbox.announce_departure();
--- a/crates/gateway/src/stop_plan.rs
+++ b/crates/gateway/src/stop_plan.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use waxwingusher_core::WorkWindow;
+
 /// The share of the grace during which connections are still accepted.
 const ACCEPT_SHARE: f64 = 0.5;
 /// The longest time during which connections are still accepted. A balancer that checks
@@ -14,10 +16,6 @@
 /// How much earlier than the last answers instances end their work, so that their own
 /// answers arrive.
 const INSTANCE_MARGIN: Duration = Duration::from_millis(100);
-/// The share of the grace that must be left for an attempt that may outlast the grace.
-const MIN_TIME_LEFT_SHARE: f64 = 1.0 / 3.0;
-/// How many times the usual latency must be left for an attempt that may outlast the grace.
-const LATENCY_FACTOR: u32 = 3;
 
 /// The times of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,14 +24,12 @@
     pub began_at: Instant,
     /// When the host accepts no more connections.
     pub accept_until: Instant,
-    /// When all requests get their final answers.
-    pub answers_due_at: Instant,
     /// When the process ends, whatever is under way.
     pub exit_at: Instant,
     /// When instances and peers end their work.
     instances_end_at: Instant,
-    /// The time left at which no more attempts start that may outlast the grace.
-    min_time_left: Duration,
+    /// In which attempts start; at its end all requests get their final answers.
+    window: WorkWindow,
 }
 
 impl StopPlan {
@@ -45,22 +41,22 @@
         Self {
             began_at: now,
             accept_until: (now + accept_time).min(answers_due_at),
-            answers_due_at,
             exit_at: now + grace.saturating_sub(EXIT_MARGIN),
             instances_end_at: now + grace.saturating_sub(ANSWER_MARGIN + INSTANCE_MARGIN),
-            min_time_left: grace.mul_f64(MIN_TIME_LEFT_SHARE),
+            window: WorkWindow::new(grace, answers_due_at),
         }
     }
 
-    /// Decides whether an attempt may start. One that ends before the last answers are due may;
-    /// one with a later deadline only if it is likely to end before.
+    /// Returns when all requests get their final answers.
+    #[must_use]
+    pub fn answers_due_at(&self) -> Instant {
+        self.window.ends_at()
+    }
+
+    /// Decides whether an attempt may start.
     #[must_use]
     pub fn allows_attempt(&self, now: Instant, deadline: Instant, usual_latency: Duration) -> bool {
-        if deadline <= self.answers_due_at {
-            return true;
-        }
-        let time_left = self.answers_due_at.saturating_duration_since(now);
-        time_left >= self.min_time_left.max(usual_latency * LATENCY_FACTOR)
+        self.window.allows(now, deadline, Some(usual_latency))
     }
 
     /// Returns when an instance or a peer must end its work on a request.
--- a/crates/gateway/tests/testsuite/stop_plan.rs
+++ b/crates/gateway/tests/testsuite/stop_plan.rs
@@ -13,11 +13,11 @@
     let cases = [
         // Ends before the last answers are due, however late it is.
         (6.0, 0.0, 2.0, 0.3, true),
-        (6.0, 3.6, 2.0, 0.3, true),
-        (6.0, 5.6, 0.1, 3.0, true),
+        (6.0, 3.5, 2.0, 0.3, true),
+        (6.0, 5.4, 0.1, 3.0, true),
         // May outlast the grace, but is likely not to.
         (6.0, 0.0, 30.0, 0.3, true),
-        (6.0, 3.6, 30.0, 0.3, true),
+        (6.0, 3.5, 30.0, 0.3, true),
         (30.0, 15.0, 60.0, 1.0, true),
         // Too little of the grace is left.
         (6.0, 3.8, 30.0, 0.3, false),
@@ -52,9 +52,9 @@
         let far = began_at + 2 * grace + Duration::from_secs(1);
         let instances_end_at = plan.limit_attempt(far);
         assert!(plan.began_at <= plan.accept_until, "{grace_ms}");
-        assert!(plan.accept_until <= plan.answers_due_at, "{grace_ms}");
-        assert!(instances_end_at <= plan.answers_due_at, "{grace_ms}");
-        assert!(plan.answers_due_at <= plan.exit_at, "{grace_ms}");
+        assert!(plan.accept_until <= plan.answers_due_at(), "{grace_ms}");
+        assert!(instances_end_at <= plan.answers_due_at(), "{grace_ms}");
+        assert!(plan.answers_due_at() <= plan.exit_at, "{grace_ms}");
         assert!(plan.exit_at <= began_at + grace, "{grace_ms}");
         assert_eq!(plan.limit_attempt(began_at), began_at, "{grace_ms}");
         assert!(plan.accept_until <= began_at + Duration::from_secs(3));
