Serve slow routes while a stopping host accepts connections

A review of the fix showed that a route whose usual latency is a third of the grace was refused from the signal on, although nearly all of the grace was left. While connections are accepted, twice the usual latency is enough now; once they are not, a third of the grace and three times the usual latency must be left as before.

--- a/crates/core/src/work_window.rs
+++ b/crates/core/src/work_window.rs
@@ -2,29 +2,41 @@
 
 use std::time::{Duration, Instant};
 
-/// The share of the window that must be left for work that may outlast it.
-const MIN_TIME_LEFT_SHARE: f64 = 1.0 / 3.0;
-/// How many times its usual duration must be left for work that may outlast the window.
-const USUAL_DURATION_FACTOR: u32 = 3;
+/// How many times its usual duration must be left for work that may outlast the window, while
+/// connections are still accepted.
+const ACCEPTING_FACTOR: u32 = 2;
+/// The same once no more are accepted. Callers whose requests arrive then use another host
+/// for the next ones anyway.
+const CLOSING_FACTOR: u32 = 3;
+/// The share of the window that must also be left then.
+const CLOSING_MIN_SHARE: f64 = 1.0 / 3.0;
 
 /// The time from the beginning of a shutdown until the last answers are due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WorkWindow {
+    accept_until: Instant,
     ends_at: Instant,
-    min_time_left: Duration,
+    closing_min_time_left: Duration,
 }
 
 impl WorkWindow {
-    /// Creates the window of a shutdown that takes `duration` and whose last answers are due
-    /// at `ends_at`.
+    /// Creates the window of a shutdown that takes `duration`, accepts connections until
+    /// `accept_until`, and whose last answers are due at `ends_at`.
     #[must_use]
-    pub fn new(duration: Duration, ends_at: Instant) -> Self {
+    pub fn new(duration: Duration, accept_until: Instant, ends_at: Instant) -> Self {
         Self {
+            accept_until,
             ends_at,
-            min_time_left: duration.mul_f64(MIN_TIME_LEFT_SHARE),
+            closing_min_time_left: duration.mul_f64(CLOSING_MIN_SHARE),
         }
     }
 
+    /// Returns when the last connections are accepted.
+    #[must_use]
+    pub fn accept_until(&self) -> Instant {
+        self.accept_until
+    }
+
     /// Returns when the last answers are due.
     #[must_use]
     pub fn ends_at(&self) -> Instant {
@@ -44,9 +56,13 @@
             return true;
         }
         let time_left = self.ends_at.saturating_duration_since(now);
+        let (factor, min_time_left) = if now < self.accept_until {
+            (ACCEPTING_FACTOR, Duration::ZERO)
+        } else {
+            (CLOSING_FACTOR, self.closing_min_time_left)
+        };
         usual_duration.is_some_and(|usual_duration| {
-            let likely_duration = usual_duration.saturating_mul(USUAL_DURATION_FACTOR);
-            time_left >= self.min_time_left.max(likely_duration)
+            time_left >= min_time_left.max(usual_duration.saturating_mul(factor))
         })
     }
 }
--- a/crates/edge/src/server/drain_plan.rs
+++ b/crates/edge/src/server/drain_plan.rs
@@ -26,7 +26,11 @@
         let ends_at = now + duration;
         let last_answers_time = MAX_LAST_ANSWERS_TIME.min(duration / 4);
         Self {
-            window: WorkWindow::new(duration, ends_at - last_answers_time),
+            window: WorkWindow::new(
+                duration,
+                now + settings.drain_notice,
+                ends_at - last_answers_time,
+            ),
             edge_answers_at: ends_at - last_answers_time / 3,
             ends_at,
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -272,7 +272,7 @@
     let plan = StopPlan::new(state.now(), grace);
     state.stop_plan.set(Some(plan));
     enter_phase(state, Phase::Draining);
-    tokio::time::sleep_until(plan.accept_until.into()).await;
+    tokio::time::sleep_until(plan.accept_until().into()).await;
     enter_phase(state, Phase::Closing);
     for listener in listeners {
         // A listener that has failed has no connections to accept.
--- a/crates/gateway/src/stop_plan.rs
+++ b/crates/gateway/src/stop_plan.rs
@@ -22,8 +22,6 @@
 pub struct StopPlan {
     /// When the stop began.
     pub began_at: Instant,
-    /// When the host accepts no more connections.
-    pub accept_until: Instant,
     /// When the process ends, whatever is under way.
     pub exit_at: Instant,
     /// When instances and peers end their work.
@@ -40,13 +38,22 @@
         let accept_time = grace.mul_f64(ACCEPT_SHARE).min(MAX_ACCEPT_TIME);
         Self {
             began_at: now,
-            accept_until: (now + accept_time).min(answers_due_at),
             exit_at: now + grace.saturating_sub(EXIT_MARGIN),
             instances_end_at: now + grace.saturating_sub(ANSWER_MARGIN + INSTANCE_MARGIN),
-            window: WorkWindow::new(grace, answers_due_at),
+            window: WorkWindow::new(
+                grace,
+                (now + accept_time).min(answers_due_at),
+                answers_due_at,
+            ),
         }
     }
 
+    /// Returns when the host accepts no more connections.
+    #[must_use]
+    pub fn accept_until(&self) -> Instant {
+        self.window.accept_until()
+    }
+
     /// Returns when all requests get their final answers.
     #[must_use]
     pub fn answers_due_at(&self) -> Instant {
