Let other tasks run while a caller sends without end to a closing host

Bare line ends are dropped as they arrive, so that reading what is available went on without an await: with two callers that sent nothing else a host with a grace of 3 s ended only as they stopped, after 7 s.

--- a/crates/gateway/src/caller/connection.rs
+++ b/crates/gateway/src/caller/connection.rs
@@ -263,6 +263,8 @@
             }
             if self.is_closable() {
                 if self.read_available() {
+                    // A caller that sends without end must not hold up the event loop.
+                    tokio::task::yield_now().await;
                     continue;
                 }
                 if self.buffer.is_empty() {
@@ -445,6 +447,7 @@
             return false;
         };
         self.buffer.extend_from_slice(&bytes[..read]);
+        self.record_bytes();
         true
     }
 
@@ -452,6 +455,13 @@
         *self.phase.borrow()
     }
 
+    /// Records that bytes were read.
+    fn record_bytes(&mut self) {
+        self.last_byte_at = Instant::now();
+        self.last_active_at = self.last_byte_at;
+        self.first_byte_at.get_or_insert(self.last_byte_at);
+    }
+
     async fn read_more(&mut self, deadline: Option<Instant>) -> Progress {
         if self.shared.is_closed() {
             return Progress::Closed;
@@ -472,9 +482,7 @@
             read = self.stream.read_buf(&mut self.buffer), if may_read => match read {
                 Ok(0) | Err(_) => Progress::Closed,
                 Ok(_) => {
-                    self.last_byte_at = Instant::now();
-                    self.last_active_at = self.last_byte_at;
-                    self.first_byte_at.get_or_insert(self.last_byte_at);
+                    self.record_bytes();
                     Progress::Bytes
                 }
             },
