Send 100 Continue to a request behind an unanswered one

Its caller waited until the body timed out: the interim answer was given up for good if an earlier request was unanswered as the head arrived.

--- a/crates/gateway/src/caller/connection.rs
+++ b/crates/gateway/src/caller/connection.rs
@@ -313,7 +313,7 @@
             if self.phase() == Phase::Ending {
                 return Err(self.refuse_for_stop());
             }
-            if std::mem::take(&mut may_send_continue) && self.shared.unanswered.get() == 0 {
+            if self.shared.unanswered.get() == 0 && std::mem::take(&mut may_send_continue) {
                 if let Some(refusal) = refuse_for_stop(&self.state, &head.headers, &head.target) {
                     return Err(ReadEnd::Refused(refusal));
                 }
--- a/crates/gateway/tests/testsuite/callers.rs
+++ b/crates/gateway/tests/testsuite/callers.rs
@@ -145,3 +145,22 @@
     assert_eq!(host.send(&short_deadline).status, 504);
     drop(release);
 }
+
+/// Guards against a caller that waits for `100 Continue` behind another request in vain.
+#[test]
+fn a_request_behind_another_one_is_told_to_continue() {
+    let instance = Instance::start(Arc::new(slow_or_fast));
+    let host = TestHost::start(&[&instance], GRACE);
+    let mut stream = host.connect();
+    let first = request("GET", "/read/slow", "first", "");
+    let second = request("POST", "/book/1", "second", "body");
+    let second = second.replace("content-length", "expect: 100-continue\r\ncontent-length");
+    let (head, body) = second.split_at(second.len() - "body".len());
+    stream
+        .write_all((first + head).as_bytes())
+        .expect("the host reads");
+    assert_eq!(read_reply(&mut stream).status, 200);
+    assert_eq!(read_reply(&mut stream).status, 100);
+    stream.write_all(body.as_bytes()).expect("the host reads");
+    assert_eq!(read_reply(&mut stream).status, 200);
+}
