Join the tests of planned stops, and test more ways in which requests are under way

One test runs all rows: a_planned_stop_serves_what_fits_and_cuts_nothing. The rows that failed before the fix are part of it; requests that are partly read must now be answered, not only not be cut, and no attempt may start in the last third of the grace.

New rows: connections in the queue of a listener that closes while the event loop hangs, for callers and for takeovers; connections opened or first used within 20 ms of the closing, or used 100 ms later; takeovers around and after the stop of one of two peers; permits of instances with a rate limit; an overdue request whose second attempt would start late; HTTP/1.0 and Connection: close; a slow reader that sends requests behind the closing answer; a shorter grace that was reloaded before the stop.

Setups are data beside their rows. Rows are spread over more hosts: with all on one, its event loop was delayed by 300 ms in one run of four at once, so that the usual latency rose and requests that fit were refused. The slots are taken by a row whose requests must be served.

--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -78,18 +78,24 @@
             .map(|_| start(cut(&entries, cut_addr)))
             .collect();
         let fleet = Self { cut_off, others };
-        fleet.wait_until_connected();
+        wait_until_connected(
+            &fleet
+                .cut_off
+                .iter()
+                .chain(&fleet.others)
+                .collect::<Vec<_>>(),
+        );
         fleet
     }
+}
 
-    fn wait_until_connected(&self) {
-        let hosts = self.cut_off.len() + self.others.len();
-        let line = format!("waxwingusher_heard_hosts {hosts}");
-        let is_connected = |host: &TestHost| host.get_status("/metrics").1.contains(&line);
-        let deadline = Instant::now() + Duration::from_secs(10);
-        while !self.cut_off.iter().chain(&self.others).all(is_connected) {
-            assert!(Instant::now() < deadline, "the hosts find each other");
-            std::thread::sleep(Duration::from_millis(20));
-        }
+/// Waits until each host has heard of all.
+pub fn wait_until_connected(hosts: &[&TestHost]) {
+    let line = format!("waxwingusher_heard_hosts {}", hosts.len());
+    let is_connected = |host: &&TestHost| host.get_status("/metrics").1.contains(&line);
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !hosts.iter().all(is_connected) {
+        assert!(Instant::now() < deadline, "the hosts find each other");
+        std::thread::sleep(Duration::from_millis(20));
     }
 }
--- a/crates/gateway/tests/testsuite/planned_stops/callers.rs
+++ b/crates/gateway/tests/testsuite/planned_stops/callers.rs
@@ -1,50 +1,58 @@
-//! Callers and instances of the rows.
+//! Callers of the rows.
 
-use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::hosts::Setup;
 use super::{
-    FIRST_ATTEMPT_TIME, GRACE, Kind, LARGE_BODY_BYTES, LONG_RUN_TIME_MS, Moment, RUN_TIME_MS, Row,
+    Expected, FIRST_ATTEMPT_TIME, GRACE, LARGE_BODY_BYTES, LONG_RUN_TIME_MS, RUN_TIME_MS,
     SECOND_RUN_TIME_MS, SHORT_RUN_TIME_MS, Way,
 };
-use crate::harness::{Instance, Received, Reply, answer_with_proof, read_reply, request};
+use crate::harness::{Reply, read_reply, request};
 
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long before its first request a young connection is opened.
+const YOUNG_SHARE: f64 = 0.065;
 
-/// A row's request of one kind at one moment.
+/// A row's request of one method at one moment.
 #[derive(Clone, Copy)]
 pub struct Case {
-    pub row: &'static Row,
-    pub kind: Kind,
-    pub moment: Moment,
-    pub must_be_served: bool,
+    pub setup: &'static Setup,
+    pub name: &'static str,
+    pub way: Way,
+    pub method: &'static str,
+    pub moment: f64,
+    pub expected: Expected,
 }
 
 impl Case {
     pub fn id(&self, number: usize) -> String {
-        let id = format!(
-            "{}-{:?}-{:?}-{number}",
-            self.row.name, self.kind, self.moment
-        );
+        let id = format!("{}-{}-{}-{number}", self.name, self.method, self.moment);
         id.to_lowercase()
     }
 
+    /// Returns the id of requests behind the answer that closes the connection.
+    pub fn id_behind(&self) -> String {
+        format!("{}-behind", self.id(0))
+    }
+
     fn text(&self, number: usize) -> String {
-        let terms = match self.row.way {
-            Way::SlowReader => "0/large".to_owned(),
+        let terms = match self.way {
+            Way::SlowReader | Way::SlowReaderSends => "0/large".to_owned(),
             Way::InQueue => SECOND_RUN_TIME_MS.to_string(),
             Way::Refused => format!("{SECOND_RUN_TIME_MS}/refuse"),
             Way::Failed => format!("{SECOND_RUN_TIME_MS}/fail"),
+            Way::LongRequest => LONG_RUN_TIME_MS.to_string(),
             _ => RUN_TIME_MS.to_string(),
         };
-        let text = request_of(self.kind, &terms, &self.id(number));
-        match self.row.way {
-            Way::ExpectWithBody | Way::ExpectThenBody => {
-                text.replace("content-length", "expect: 100-continue\r\ncontent-length")
-            }
+        let text = request_of(self.method, &terms, &self.id(number));
+        let with_header =
+            |line: &str| text.replace("content-length", &format!("{line}\r\ncontent-length"));
+        match self.way {
+            Way::ExpectWithBody | Way::ExpectThenBody => with_header("expect: 100-continue"),
+            Way::LastInParts => with_header("connection: close"),
+            Way::Http10InParts => text.replace("HTTP/1.1", "HTTP/1.0"),
             Way::ChunkedInParts => text
                 .replace("content-length: 4", "transfer-encoding: chunked")
                 .replace("\r\n\r\nbody", "\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"),
@@ -56,9 +64,9 @@
     /// Returns how many bytes of the request are sent long before it becomes whole.
     fn early_length(&self, text: &str) -> usize {
         let body_at = text.find("\r\n\r\n").expect("a head") + 4;
-        match self.row.way {
-            Way::HeadInParts => 20,
-            Way::BodyInParts => body_at + 2,
+        match self.way {
+            Way::HeadInParts | Way::Http10InParts => 20,
+            Way::BodyInParts | Way::LastInParts => body_at + 2,
             Way::ChunkedInParts => body_at + 7,
             Way::ExpectThenBody => body_at,
             _ => 0,
@@ -67,7 +75,7 @@
 
     /// Returns how long the request may be held until it is known that it cannot be served.
     pub fn held_for(&self) -> Duration {
-        match self.row.way {
+        match self.way {
             Way::InQueue => Duration::from_millis(LONG_RUN_TIME_MS),
             Way::Refused | Way::Failed => FIRST_ATTEMPT_TIME,
             _ => Duration::ZERO,
@@ -75,12 +83,8 @@
     }
 }
 
-pub fn request_of(kind: Kind, terms: &str, id: &str) -> String {
-    let (method, route) = match kind {
-        Kind::Safe => ("GET", "read"),
-        Kind::Idempotent => ("PUT", "read"),
-        Kind::Unsafe => ("POST", "book"),
-    };
+pub fn request_of(method: &str, terms: &str, id: &str) -> String {
+    let route = if method == "POST" { "book" } else { "read" };
     let text = request(method, &format!("/{route}/{terms}"), id, "body");
     // The route's timeout, which ends after the stop, is the limit.
     text.replace("time-left-ms: 4000", "time-left-ms: 9000")
@@ -89,13 +93,11 @@
 /// What a caller saw of a request.
 pub struct Seen {
     pub id: String,
-    pub kind: Kind,
+    pub method: &'static str,
     /// When its last byte was sent, and when its answer or the end of the connection came.
     pub whole_at: Option<Instant>,
     pub ended_at: Instant,
     pub reply: Reply,
-    /// Whether it was sent behind another request on its connection.
-    pub is_behind: bool,
 }
 
 pub fn sleep_until(at: Instant) {
@@ -110,6 +112,10 @@
     Some(stream)
 }
 
+fn send(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).expect("the host reads");
+}
+
 fn read_final_reply(stream: &mut TcpStream) -> Reply {
     loop {
         let reply = read_reply(stream);
@@ -120,9 +126,10 @@
 }
 
 /// Reads a large answer in the middle of the grace, and ends before the last answers are due.
-fn read_slowly(stream: &mut TcpStream, stop_at: Instant) -> Reply {
+/// Sends `behind` again and again after the answer has begun.
+fn read_slowly(stream: &mut TcpStream, stop_at: Instant, behind: &str) -> Reply {
     const PIECE_BYTES: u64 = 512 * 1024;
-    sleep_until(Moment::ListenerOpen.at(stop_at));
+    sleep_until(stop_at + GRACE.mul_f64(0.4));
     let mut head = [0; 1024];
     let length = stream.peek(&mut head).unwrap_or(0);
     let head = String::from_utf8_lossy(&head[..length]).to_lowercase();
@@ -132,6 +139,8 @@
     while bytes.len() < answer_bytes
         && matches!(stream.take(PIECE_BYTES).read_to_end(&mut bytes), Ok(1..))
     {
+        // The host may have closed the connection.
+        let _ = stream.write_all(behind.as_bytes());
         std::thread::sleep(GRACE / 75);
     }
     let is_complete = head.starts_with("http/1.1 200") && bytes.len() == answer_bytes;
@@ -145,63 +154,67 @@
 /// Sends the requests of a case and returns what its caller sees; nothing if no connection
 /// could be opened.
 pub fn perform(case: &Case, addr: SocketAddr, stop_at: Instant) -> Vec<Seen> {
-    let (way, whole_at) = (case.row.way, case.moment.at(stop_at));
+    let at = |share: f64| {
+        let before = GRACE.mul_f64((-share).max(0.0));
+        stop_at + GRACE.mul_f64(share.max(0.0)) - before
+    };
     let text = case.text(0);
     let (early, late) = text.split_at(case.early_length(&text));
-    if way == Way::NewConnection {
-        sleep_until(whole_at);
+    match case.way {
+        Way::NewConnection => sleep_until(at(case.moment)),
+        Way::YoungConnection => sleep_until(at(case.moment - YOUNG_SHARE)),
+        _ => {}
     }
     let Some(mut stream) = connect(addr) else {
         return Vec::new();
     };
-    let mut ids = vec![case.id(0)];
-    let long_terms = LONG_RUN_TIME_MS.to_string();
-    match way {
+    let mut requests = vec![(case.id(0), case.method)];
+    match case.way {
         Way::KeptConnection => {
-            let first = request_of(
-                Kind::Safe,
-                SHORT_RUN_TIME_MS,
-                &format!("{}-first", case.id(0)),
+            let id = format!("{}-first", case.id(0));
+            send(
+                &mut stream,
+                &request_of("GET", &SHORT_RUN_TIME_MS.to_string(), &id),
             );
-            stream.write_all(first.as_bytes()).expect("the host reads");
             assert_eq!(read_reply(&mut stream).status, 200);
         }
-        Way::Pipelined => ids.extend([case.id(1), case.id(2)]),
+        Way::Pipelined => requests.extend([1, 2].map(|number| (case.id(number), case.method))),
         Way::BehindLongRequest => {
-            ids.insert(0, format!("{}-long", case.id(0)));
-            sleep_until(Moment::BeforeStop.at(stop_at));
-            let first = request_of(Kind::Safe, &long_terms, &ids[0]);
-            stream.write_all(first.as_bytes()).expect("the host reads");
+            requests.insert(0, (format!("{}-long", case.id(0)), "GET"));
+            sleep_until(at(-0.1));
+            send(
+                &mut stream,
+                &request_of("GET", &LONG_RUN_TIME_MS.to_string(), &requests[0].0),
+            );
         }
-        Way::SlowReader => socket2::SockRef::from(&stream)
+        Way::SlowReader | Way::SlowReaderSends => socket2::SockRef::from(&stream)
             .set_recv_buffer_size(64 * 1024)
             .expect("a socket option"),
         _ => {}
     }
-    stream.write_all(early.as_bytes()).expect("the host reads");
-    if way == Way::ExpectThenBody {
+    send(&mut stream, early);
+    if case.way == Way::ExpectThenBody {
         assert_eq!(read_reply(&mut stream).status, 100);
     }
-    sleep_until(whole_at);
+    sleep_until(at(case.moment));
     let sent = stream.write_all(late.as_bytes());
     let whole_at = sent.is_ok().then(Instant::now);
     let mut seen = Vec::new();
-    for id in ids {
-        let reply = match way {
-            Way::SlowReader => read_slowly(&mut stream, stop_at),
+    for (id, method) in requests {
+        let reply = match case.way {
+            Way::SlowReader => read_slowly(&mut stream, stop_at, ""),
+            Way::SlowReaderSends => {
+                let behind = request_of(case.method, "0", &case.id_behind());
+                read_slowly(&mut stream, stop_at, &behind)
+            }
             _ => read_final_reply(&mut stream),
         };
         seen.push(Seen {
-            kind: if id.ends_with("-long") {
-                Kind::Safe
-            } else {
-                case.kind
-            },
             id,
+            method,
             whole_at,
             ended_at: Instant::now(),
             reply,
-            is_behind: !seen.is_empty(),
         });
     }
     seen
@@ -209,73 +222,33 @@
 
 /// Sends requests one after the other until no connection opens; each becomes whole after a
 /// pause.
-pub fn call_until_gone(addr: SocketAddr, name: &str, kind: Kind, pause: Duration) -> Vec<Seen> {
+pub fn call_until_gone(
+    addr: SocketAddr,
+    name: &str,
+    method: &'static str,
+    pause: Duration,
+) -> Vec<Seen> {
     let mut seen: Vec<Seen> = Vec::new();
     while let Some(mut stream) = connect(addr) {
-        loop {
+        let mut is_open = true;
+        while is_open {
             let id = format!("{name}-{}", seen.len());
-            let text = request_of(kind, SHORT_RUN_TIME_MS, &id);
+            let text = request_of(method, &SHORT_RUN_TIME_MS.to_string(), &id);
             let (early, late) = text.split_at(text.len() - 2);
             let mut sent = stream.write_all(early.as_bytes());
             std::thread::sleep(pause);
             sent = sent.and_then(|()| stream.write_all(late.as_bytes()));
             let whole_at = sent.is_ok().then(Instant::now);
             let reply = read_reply(&mut stream);
-            let is_last = reply.status == 0 || reply.header("connection") == Some("close");
+            is_open = reply.status != 0 && reply.header("connection") != Some("close");
             seen.push(Seen {
                 id,
-                kind,
+                method,
                 whole_at,
                 ended_at: Instant::now(),
                 reply,
-                is_behind: false,
             });
-            if is_last {
-                break;
-            }
         }
     }
     seen
 }
-
-/// When each request began to run.
-pub type Runs = Arc<Mutex<HashMap<String, Vec<Instant>>>>;
-
-/// Starts an instance that runs requests as the second and third part of their path say.
-pub fn start_instance(runs: &Runs, attempts: &Runs) -> Instance {
-    let (runs, attempts) = (runs.clone(), attempts.clone());
-    let large_body = "x".repeat(LARGE_BODY_BYTES);
-    let count = |counts: &Runs, id: &str| {
-        let mut counts = counts.lock().expect("not poisoned");
-        let starts = counts.entry(id.to_owned()).or_default();
-        starts.push(Instant::now());
-        starts.len()
-    };
-    Instance::start(Arc::new(move |request: &Received, _| {
-        let id = request.header("request-id").unwrap_or("");
-        let target = request.head.split(' ').nth(1).unwrap_or("");
-        let mut parts = target.split('/').skip(2);
-        let run_time_ms = parts.next().and_then(|text| text.parse().ok());
-        let run_time = Duration::from_millis(run_time_ms.expect("a run time"));
-        let terms = parts.next().unwrap_or("");
-        let is_first = count(&attempts, id) == 1;
-        let is_refused = is_first && terms == "refuse";
-        if !is_refused {
-            count(&runs, id);
-        }
-        std::thread::sleep(match terms {
-            "refuse" | "fail" if is_first => FIRST_ATTEMPT_TIME,
-            _ => run_time,
-        });
-        match terms {
-            "refuse" if is_refused => {
-                let answer = answer_with_proof(request, "503 Full", "");
-                let answer = String::from_utf8(answer).expect("text");
-                answer.replace("proof: p", "not-run: 1").into_bytes()
-            }
-            "fail" if is_first => answer_with_proof(request, "500 Error", "failed"),
-            "large" => answer_with_proof(request, "200 OK", &large_body),
-            _ => answer_with_proof(request, "200 OK", "done"),
-        }
-    }))
-}
