--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -223,6 +223,8 @@
     }
 }
 
+/// Guards against requests that a planned stop cuts without an answer, and against ones that
+/// it passes on although they cannot end in time.
 #[test]
 fn a_planned_stop_answers_what_cannot_end_in_time() {
     const NOT_RUN: [&str; 3] = ["http/1.1 503", "code: draining", "outcome: not-run"];
