--- a/crates/gateway/src/caller/connection.rs
+++ b/crates/gateway/src/caller/connection.rs
@@ -432,7 +432,7 @@
             && self.accepted_at.elapsed() < FIRST_REQUEST_TIMEOUT
     }
 
-    /// Reads bytes that have arrived, also if the event loop has not been told of them yet.
+    /// Reads bytes that have arrived, also before the event loop reports them.
     fn read_available(&mut self) -> bool {
         let mut bytes = [0; READ_BYTES];
         let socket = SockRef::from(self.stream.as_ref());
--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -89,7 +89,7 @@
     }
 }
 
-/// Waits until each host has heard of all.
+/// Waits until all hosts know each other.
 pub fn wait_until_connected(hosts: &[&TestHost]) {
     let line = format!("waxwingusher_heard_hosts {}", hosts.len());
     let is_connected = |host: &&TestHost| host.get_status("/metrics").1.contains(&line);
