Log how a host learned of a change of an instance, and how old its knowledge was

Of the hypotheses on requests to leaving instances, a departure that is held back could not be told from one that arrives late: the line of an instance named neither where the host had learned of the change nor when the store had last answered, its age was 0 for one that had left, and an attempt did not say how old the entry was by which the instance was chosen. A host now also says when it begins and ceases to distrust removals, and counts changes by their source. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use waxwingusher_upstreams::{Observation, Placement, RateLimit, RateLimitChange};
 
 use crate::answer::Answer;
+use crate::feed::{self, ChangeSource};
 use crate::home_regions::HomeRegions;
 use crate::in_flight::InFlightGuard;
 use crate::journal::Event;
@@ -267,6 +268,8 @@
     placement: &'a Placement,
     number: usize,
     started: Instant,
+    /// The time since the feed had answered as the attempt began.
+    feed_age: Option<Duration>,
     outcome: &'static str,
 }
 
@@ -277,12 +280,14 @@
         placement: &'a Placement,
         number: usize,
     ) -> Self {
+        let started = state.now();
         Self {
             state,
             request,
             placement,
             number,
-            started: state.now(),
+            started,
+            feed_age: state.feed.borrow().answer_age(started),
             outcome: "abandoned",
         }
     }
@@ -296,6 +301,8 @@
     fn drop(&mut self) {
         let took = self.took();
         let health = &self.placement.health;
+        let updated_at = self.placement.instance.updated_at;
+        let entry_age = self.started.saturating_duration_since(updated_at);
         let service = self.request.service.as_str();
         self.state
             .metrics
@@ -310,6 +317,8 @@
             outcome_age_ms: health.outcome_age.map(millis),
             attempt_age_ms: health.attempt_age.map(millis),
             slowness: to_hundredths(health.slowness),
+            entry_age_ms: millis(entry_age),
+            feed_age_ms: self.feed_age.map(millis),
             outcome: self.outcome,
             took_ms: millis(took),
         });
@@ -432,16 +441,8 @@
     let id = &placement.instance.entry.id;
     match outcome {
         AttemptOutcome::NotRun(NotRun::Misdirected) => {
+            feed::log_instance(state, id, "disowned", ChangeSource::Answer);
             state.disown(id);
-            state.journal.write(&Event::Instance {
-                instance: id.as_str(),
-                change: "disowned",
-                entry_age_ms: millis(
-                    state
-                        .now()
-                        .saturating_duration_since(placement.instance.updated_at),
-                ),
-            });
         }
         AttemptOutcome::AnswerLost(AnswerLoss::Broken) => {
             state.record_crash(request.fingerprint, id);
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -203,6 +203,10 @@
     Instance {
         instance: String,
         change: String,
+        /// Older builds write neither this nor the age of the feed.
+        #[serde(default)]
+        source: String,
+        feed_age_ms: Option<u64>,
     },
     RateLimit {
         instance: String,
@@ -521,8 +525,20 @@
                 let text = format!("{name}: lost ({cause})");
                 self.lost_dependencies.insert(name.clone(), fact(text));
             }
-            LoggedEvent::Instance { instance, change } => {
-                let text = format!("{instance}: {change}");
+            LoggedEvent::Instance {
+                instance,
+                change,
+                source,
+                feed_age_ms,
+            } => {
+                let origin = match (source.as_str(), feed_age_ms) {
+                    ("", _) => String::new(),
+                    (source, None) => format!(" (by {source})"),
+                    (source, Some(age_ms)) => {
+                        format!(" (by {source}, the store had answered {age_ms} ms before)")
+                    }
+                };
+                let text = format!("{instance}: {change}{origin}");
                 self.instances.insert(instance.clone(), fact(text));
             }
             LoggedEvent::RateLimit {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -131,7 +131,7 @@
         let mut feed = self.state.feed.borrow_mut();
         let applied = feed.on_listing(now, listing, &mut roster);
         drop((roster, feed));
-        put_in_force(&self.state, applied);
+        put_in_force(&self.state, applied, ChangeSource::Listing);
         index_instances(&self.state);
         self.is_listed = true;
         Ok(())
@@ -200,7 +200,7 @@
         let mut feed = self.state.feed.borrow_mut();
         let applied = feed.on_changes(self.state.now(), since, changes, &mut roster)?;
         drop((roster, feed));
-        put_in_force(&self.state, applied);
+        put_in_force(&self.state, applied, ChangeSource::Store);
         Ok(!is_empty)
     }
 
@@ -285,8 +285,38 @@
     }
 }
 
+/// How a host learned of a change of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ChangeSource {
+    /// From a complete list.
+    Listing,
+    /// From the changes of the store.
+    Store,
+    /// From an update of a peer.
+    Peer,
+    /// From a peer's notice of an instance that has said that it leaves.
+    Notice,
+    /// From an answer of the instance or of another one at its address.
+    Answer,
+    /// The time for which a removed entry is held is over, or a peer has confirmed the removal.
+    Expiry,
+}
+
+impl ChangeSource {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Listing => "listing",
+            Self::Store => "store",
+            Self::Peer => "peer",
+            Self::Notice => "notice",
+            Self::Answer => "answer",
+            Self::Expiry => "expiry",
+        }
+    }
+}
+
 /// Puts what was applied of the feed in force.
-pub(crate) fn put_in_force(state: &State, applied: Applied) {
+pub(crate) fn put_in_force(state: &State, applied: Applied, source: ChangeSource) {
     for published in applied.configurations {
         apply_configuration(state, published);
     }
@@ -297,7 +327,7 @@
         return;
     }
     for (id, effect) in applied.instances {
-        report_roster_change(state, &id, effect);
+        report_roster_change(state, &id, effect, source);
     }
     index_instances(state);
 }
@@ -359,7 +389,7 @@
     }
     let expired = state.roster.borrow_mut().expire(now);
     for id in &expired {
-        report_roster_change(state, id, RosterEffect::Left);
+        report_roster_change(state, id, RosterEffect::Left, ChangeSource::Expiry);
     }
     if !expired.is_empty() {
         index_instances(state);
@@ -402,7 +432,12 @@
     state.capacity_freed.notify_waiters();
 }
 
-fn report_roster_change(state: &State, id: &InstanceId, effect: RosterEffect) {
+fn report_roster_change(
+    state: &State,
+    id: &InstanceId,
+    effect: RosterEffect,
+    source: ChangeSource,
+) {
     let change = match effect {
         RosterEffect::Joined => "joined",
         RosterEffect::Draining => "draining",
@@ -414,18 +449,46 @@
         state.evidence.borrow_mut().reset(id);
         state.capacity_freed.notify_waiters();
     }
-    let updated_at = state
-        .roster
-        .borrow()
-        .get(id)
-        .map(|listed| listed.updated_at);
-    let age = updated_at.map_or(Duration::ZERO, |at| {
-        state.now().saturating_duration_since(at)
-    });
+    log_instance(state, id, change, source);
+}
+
+/// Logs and counts a change of an instance.
+pub(crate) fn log_instance(
+    state: &State,
+    id: &InstanceId,
+    change: &'static str,
+    source: ChangeSource,
+) {
+    let now = state.now();
+    let updated_at = state.roster.borrow().updated_at(id);
+    let age = updated_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+    let feed = state.feed.borrow();
+    state
+        .metrics
+        .record_instance_change(change, source.as_str());
     state.journal.write(&Event::Instance {
         instance: id.as_str(),
         change,
+        source: source.as_str(),
+        revision: feed.position().revision,
         entry_age_ms: millis(age),
+        feed_age_ms: feed.answer_age(now).map(millis),
+    });
+}
+
+/// Logs that this host begins or ceases to take a removed entry for a departure.
+pub(crate) fn log_removal_trust(state: &State, former: &mut bool) {
+    let now = state.now();
+    let trusts_removals = state.roster.borrow().trusts_removals(now);
+    if std::mem::replace(former, trusts_removals) == trusts_removals {
+        return;
+    }
+    let answer_age = state.feed.borrow().answer_age(now);
+    let answer_age = answer_age.map_or("never".to_owned(), |age| format!("{} ms ago", millis(age)));
+    state.journal.write(&Event::Dependency {
+        name: "removals",
+        state: if trusts_removals { "regained" } else { "lost" },
+        cause: &format!("the store last answered {answer_age}"),
     });
 }
 
--- a/crates/gateway/src/feed_replica.rs
+++ b/crates/gateway/src/feed_replica.rs
@@ -100,6 +100,8 @@
     position: FeedPosition,
     /// The furthest position that a peer has reported.
     max_peer_position: FeedPosition,
+    /// When the source last answered this host, or an update of a reader arrived.
+    answered_at: Option<Instant>,
     /// Whether the last call that this host made as a reader succeeded.
     is_reading: bool,
     read_at: Option<Instant>,
@@ -160,6 +162,13 @@
         self.position
     }
 
+    /// Returns the time since the source last answered this host, or a reader from which an
+    /// update has arrived.
+    #[must_use]
+    pub fn answer_age(&self, now: Instant) -> Option<Duration> {
+        self.answered_at.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Returns the position up to which the feed was applied without a gap, or the
     /// default if the roster does not trust removals.
     #[must_use]
@@ -260,6 +269,7 @@
 
     /// Applies a complete list.
     pub fn on_listing(&mut self, now: Instant, listing: Listing, roster: &mut Roster) -> Applied {
+        self.answered_at = Some(now);
         roster.mark_feed_restored(now);
         let position = listing.position;
         let evacuations = roster
@@ -297,6 +307,7 @@
         if changes.position.era != since.era {
             return Err(SourceError::HistoryGone);
         }
+        self.answered_at = Some(now);
         roster.mark_feed_restored(now);
         let until = changes.position.max(since);
         let items = changes.items.into_iter();
@@ -347,6 +358,7 @@
             return Ok(Applied::default());
         }
         if update.delivery != Delivery::Reply {
+            self.answered_at = Some(now);
             self.schedule.record_update(now, own_addr, update.reader);
             self.log.record_distributed(update.since, update.until);
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -313,9 +313,11 @@
     let mut ticks = tokio::time::interval(MAINTENANCE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut view = state.fleet_view();
+    let mut trusts_removals = false;
     loop {
         ticks.tick().await;
         log_fleet_view(&state, &mut view);
+        feed::log_removal_trust(&state, &mut trusts_removals);
         feed::expire_roster(&state);
         let now = state.now();
         state.evidence.borrow_mut().expire_reports(now);
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -71,7 +71,7 @@
     Dependency {
         /// The name of the dependency.
         name: &'a str,
-        /// `lost`, `regained` or `history-gone`.
+        /// `lost`, `regained`, `history-gone` or `too-large`.
         state: &'a str,
         /// The error or reason.
         cause: &'a str,
@@ -131,8 +131,16 @@
         instance: &'a str,
         /// `joined`, `draining`, `leaving`, `left`, `held` or `disowned`.
         change: &'a str,
+        /// How this host learned of it: `listing`, `store`, `peer`, `notice` (of a peer), `answer`
+        /// (of the instance) or `expiry` (of the time for which a removed entry is held).
+        source: &'a str,
+        /// The revision of the feed up to which this host has applied changes.
+        revision: u64,
         /// The age of the entry in milliseconds.
         entry_age_ms: u64,
+        /// The time since the feed last answered this host, or a reader from which it has
+        /// received an update, in milliseconds.
+        feed_age_ms: Option<u64>,
     },
     /// An instance wants no requests from this host for some time.
     BackOff {
@@ -317,6 +325,11 @@
         outcome: &'a str,
         /// How long the attempt took in milliseconds.
         took_ms: u64,
+        /// The age of the instance's entry at the choice in milliseconds.
+        entry_age_ms: u64,
+        /// The time since the feed answered at the choice in milliseconds, as for changes of
+        /// instances.
+        feed_age_ms: Option<u64>,
     },
     /// This host has no path to instances, and asked a peer to take over a request.
     Takeover {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,12 @@
     change: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct InstanceChangeLabels {
+    change: &'static str,
+    source: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct TrafficLabels {
     kind: &'static str,
@@ -102,6 +108,7 @@
     findings: Family<FindingLabels, Counter>,
     evacuations: Family<ChangeLabels, Counter>,
     cold_instances: Family<ChangeLabels, Counter>,
+    instance_changes: Family<InstanceChangeLabels, Counter>,
     scarcity_changes: Family<LevelLabels, Counter>,
     load_decisions: Family<DecisionLabels, Counter>,
     peer_bytes: Family<TrafficLabels, Counter>,
@@ -127,6 +134,7 @@
         let findings = Family::default();
         let evacuations = Family::default();
         let cold_instances = Family::default();
+        let instance_changes = Family::default();
         let scarcity_changes = Family::default();
         let load_decisions = Family::default();
         let peer_bytes = Family::default();
@@ -174,6 +182,11 @@
             "Instances that began or ceased to limit requests as they were cold",
             cold_instances.clone(),
         );
+        registry.register(
+            "instance_changes",
+            "Changes of instances, by how this host learned of them",
+            instance_changes.clone(),
+        );
         registry.register(
             "scarcity_changes",
             "Changes of how short of capacity a service is, by the new level",
@@ -226,6 +239,7 @@
             findings,
             evacuations,
             cold_instances,
+            instance_changes,
             scarcity_changes,
             load_decisions,
             peer_bytes,
@@ -301,6 +315,12 @@
             .inc();
     }
 
+    /// Records a change of an instance and how this host learned of it.
+    pub fn record_instance_change(&self, change: &'static str, source: &'static str) {
+        let labels = InstanceChangeLabels { change, source };
+        self.instance_changes.get_or_create(&labels).inc();
+    }
+
     /// Records a change of how short of capacity a service is.
     pub fn record_scarcity(&self, service: &str, level: ScarcityLevel) {
         let labels = LevelLabels {
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -19,7 +19,7 @@
     RateLimitNotice, ReportBatch,
 };
 
-use crate::feed;
+use crate::feed::{self, ChangeSource};
 use crate::feed_exchange::{FeedContext, FeedExchange};
 use crate::permits;
 use crate::reports::{PeerRecord, ReportBuilder, apply_report};
@@ -535,7 +535,7 @@
             }
             PeerMessage::FeedChanges(update) => {
                 let applied = self.with_feed(|feed, cx| feed.on_changes(cx, from, &update));
-                feed::put_in_force(&self.state, applied);
+                feed::put_in_force(&self.state, applied, ChangeSource::Peer);
                 Vec::new()
             }
             // A reply is longer than its request, so only known hosts get one.
@@ -554,7 +554,7 @@
             }
             PeerMessage::DocumentChunk(chunk) => {
                 let applied = self.with_feed(|feed, cx| feed.on_chunk(cx, from, chunk));
-                feed::put_in_force(&self.state, applied);
+                feed::put_in_force(&self.state, applied, ChangeSource::Peer);
                 Vec::new()
             }
         };
@@ -635,7 +635,8 @@
                 .get(&item.instance)
                 .cloned();
             if let Some(id) = id {
-                self.state.record_leaving(&id, item.incarnation);
+                self.state
+                    .record_leaving(&id, item.incarnation, ChangeSource::Notice);
             }
         }
         if std::mem::take(&mut notice.relay) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::cold_instances::ColdInstances;
 use crate::crash_ledger::CrashLedger;
 use crate::declined_peers::DeclinedPeers;
+use crate::feed::{self, ChangeSource};
 use crate::feed_replica::FeedReplica;
 use crate::home_regions::RegionMap;
 use crate::journal::{Event, Journal};
@@ -31,7 +32,6 @@
 use crate::ports::Dialect;
 use crate::settings::GatewaySettings;
 use crate::stop_plan::StopPlan;
-use crate::units::millis;
 use crate::upstream::ConnectionPool;
 
 /// The shortest gap between two checks that counts as a pause of the process; the
@@ -345,7 +345,7 @@
     /// Stops sending requests to an instance that has said that it leaves, and
     /// reports that to peers if it is new.
     pub(crate) fn report_leaving(&self, id: &InstanceId, incarnation: u64) {
-        if !self.record_leaving(id, incarnation) {
+        if !self.record_leaving(id, incarnation, ChangeSource::Answer) {
             return;
         }
         self.outbox.leaving.borrow_mut().push(LeavingInstance {
@@ -357,20 +357,18 @@
 
     /// Stops sending requests to an instance that leaves, and returns whether that
     /// is new.
-    pub(crate) fn record_leaving(&self, id: &InstanceId, incarnation: u64) -> bool {
+    pub(crate) fn record_leaving(
+        &self,
+        id: &InstanceId,
+        incarnation: u64,
+        source: ChangeSource,
+    ) -> bool {
         let now = self.now();
-        let mut roster = self.roster.borrow_mut();
-        if !roster.mark_leaving(now, id, incarnation) {
-            return false;
+        let is_new = self.roster.borrow_mut().mark_leaving(now, id, incarnation);
+        if is_new {
+            feed::log_instance(self, id, "leaving", source);
         }
-        let updated_at = roster.get(id).map(|listed| listed.updated_at);
-        let age = updated_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.journal.write(&Event::Instance {
-            instance: id.as_str(),
-            change: "leaving",
-            entry_age_ms: millis(age),
-        });
-        true
+        is_new
     }
 
     /// Reports whether a chosen instance still takes requests: while a request waited, it
--- a/crates/gateway/tests/testsuite/explain.rs
+++ b/crates/gateway/tests/testsuite/explain.rs
@@ -24,6 +24,8 @@
         outcome_age_ms: None,
         attempt_age_ms: Some(40),
         slowness: 1.5,
+        entry_age_ms: 600,
+        feed_age_ms: Some(30),
         outcome,
         took_ms: 3,
     }
@@ -77,8 +79,11 @@
             },
             Event::Instance {
                 instance: "i-1",
-                change: "joined",
+                change: "held",
+                source: "peer",
+                revision: 12,
                 entry_age_ms: 0,
+                feed_age_ms: Some(650),
             },
             attempt("other", "answered"),
             attempt("mine", "failed"),
@@ -97,7 +102,12 @@
     assert!(attempt.description.ends_with(
         "no outcome yet, last attempt of any host 40 ms before, 1.5 times the usual time)"
     ));
-    assert!(attempt.context[0].starts_with("i-1: joined"));
+    let origin = "i-1: held (by peer, the store had answered 650 ms before)";
+    assert!(
+        attempt.context[0].starts_with(origin),
+        "{:?}",
+        attempt.context
+    );
     assert!(
         answer
             .description
--- a/crates/gateway/tests/testsuite/journal.rs
+++ b/crates/gateway/tests/testsuite/journal.rs
@@ -105,6 +105,8 @@
         outcome_age_ms: Some(7),
         attempt_age_ms: Some(5),
         slowness: 1.25,
+        entry_age_ms: 900,
+        feed_age_ms: Some(40),
         outcome: "answered",
         took_ms: 3,
     });
--- a/crates/upstreams/src/roster.rs
+++ b/crates/upstreams/src/roster.rs
@@ -119,6 +119,8 @@
 struct Departure {
     incarnation: u64,
     noted_at: Instant,
+    /// When its entry was last written, if it was listed.
+    entry_updated_at: Option<Instant>,
     /// Whether the instance itself has said that it leaves. Its entry may still be
     /// ready then.
     is_announced: bool,
@@ -294,6 +296,7 @@
         let departure = Departure {
             incarnation,
             noted_at: now,
+            entry_updated_at: self.updated_at(id),
             is_announced: true,
         };
         let former = self.departures.insert(id.clone(), departure);
@@ -362,6 +365,13 @@
         self.instances.get(id)
     }
 
+    /// Returns when the entry of an instance was last written, also if it has left.
+    #[must_use]
+    pub fn updated_at(&self, id: &InstanceId) -> Option<Instant> {
+        let listed = self.instances.get(id).map(|listed| listed.updated_at);
+        listed.or_else(|| self.departures.get(id)?.entry_updated_at)
+    }
+
     /// Returns all listed instances.
     pub fn iter(&self) -> impl Iterator<Item = &ListedInstance> {
         self.instances.values()
@@ -420,8 +430,9 @@
     }
 
     fn remove_departed(&mut self, now: Instant, id: &InstanceId) {
-        if let Some(listed) = self.instances.remove(id) {
+        if let Some(listed) = self.instances.get(id) {
             self.note_departure(now, id, listed.entry.incarnation);
+            self.instances.remove(id);
         }
     }
 
@@ -433,6 +444,7 @@
         let departure = Departure {
             incarnation,
             noted_at: now,
+            entry_updated_at: self.updated_at(id),
             is_announced,
         };
         self.departures.insert(id.clone(), departure);
