Decide in one place how long the source holds a call and when it is called again

The waits and the delays after failed calls stood in the task that calls the source, so a schedule in virtual time had to approximate them. No decision changes.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -19,42 +19,21 @@
 use waxwingusher_membership::seeded::name_hash;
 use waxwingusher_upstreams::RosterEffect;
 
+use crate::feed_calls::{
+    ANSWER_TIMEOUT, BATCH_DELAY, CATCH_UP_WAIT, CallFailure, FeedCalls, INITIAL_BACKOFF, jittered,
+};
 use crate::feed_replica::{Applied, EncodedConfiguration};
 use crate::feed_source::{Changes, FeedSource, PublishedConfig, SourceError};
 use crate::journal::Event;
 use crate::state::State;
 use crate::units::millis;
 
-/// The longest time for which the source holds a watch without changes. It bounds
-/// how long a host without reachable peers waits on a dead connection.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
-/// The same for a host that reads for others, which must notice soon when its
-/// connection is dead.
-const READER_WATCH_WAIT: Duration = Duration::from_secs(1);
-/// How long the source holds the call of a host that has missed changes.
-const CATCH_UP_WAIT: Duration = Duration::from_millis(20);
 /// How often a host that relies on readers checks them and its own position.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(150);
-/// How long the source holds the first watch after it was lost. That watch may be
-/// lost, too, so it must time out soon.
-const RECOVERY_WATCH_WAIT: Duration = Duration::from_millis(500);
-/// How long an answer may take beyond the time for which the source holds the
-/// watch.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long a listing may take, which consists of many pages. The source bounds the
 /// time of each: 3,000 instances and a configuration of 400 KB take 1.5 s on a link of
 /// 10 Mbit/s.
 const LIST_TIMEOUT: Duration = Duration::from_secs(10);
-/// The delay before the next watch, so that changes in quick succession come in
-/// one answer.
-const BATCH_DELAY: Duration = Duration::from_millis(300);
-/// The first delay after the source failed; it doubles with each failure.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
-/// The longest delay after the source refused a call; each call is charged.
-const MAX_REFUSED_BACKOFF: Duration = Duration::from_millis(1_000);
-/// The longest delay after the source was unreachable, which is not charged. A host
-/// must learn of removals again soon after its path to the source is back.
-const MAX_UNREACHABLE_BACKOFF: Duration = Duration::from_millis(350);
 /// How long peers may be ahead before the watch is restarted on a new connection.
 const MAX_LAG_TIME: Duration = Duration::from_millis(350);
 
@@ -64,8 +43,7 @@
         state,
         source,
         is_listed: false,
-        backoff: INITIAL_BACKOFF,
-        is_feed_lost: false,
+        calls: FeedCalls::default(),
     };
     loop {
         follower.step().await;
@@ -77,8 +55,7 @@
     source: Rc<S>,
     /// Whether everything was listed, so that only changes are missing.
     is_listed: bool,
-    backoff: Duration,
-    is_feed_lost: bool,
+    calls: FeedCalls,
 }
 
 impl<S: FeedSource> Follower<S> {
@@ -103,12 +80,13 @@
                 self.list_again("too-large").await;
             }
             Err(error @ SourceError::TooLarge) => {
-                self.back_off(&error.to_string(), MAX_REFUSED_BACKOFF).await;
+                self.back_off(&error.to_string(), CallFailure::Refused)
+                    .await;
             }
             Err(SourceError::Unreachable(cause)) => {
-                self.back_off(&cause, MAX_UNREACHABLE_BACKOFF).await;
+                self.back_off(&cause, CallFailure::Unreachable).await;
             }
-            Err(SourceError::Refused(cause)) => self.back_off(&cause, MAX_REFUSED_BACKOFF).await,
+            Err(SourceError::Refused(cause)) => self.back_off(&cause, CallFailure::Refused).await,
         }
     }
 
@@ -139,7 +117,10 @@
 
     async fn watch(&mut self) -> Result<(), SourceError> {
         let position = self.state.feed.borrow().position();
-        let wait = self.watch_wait();
+        let is_alone = self.state.is_alone();
+        let wait = self
+            .calls
+            .watch_wait(is_alone, &mut self.state.rng.borrow_mut());
         let answer = self.source.changes(position, wait);
         let answer = tokio::time::timeout(wait + ANSWER_TIMEOUT, answer);
         let changes = tokio::select! {
@@ -164,7 +145,7 @@
         let mut behind_since = None;
         loop {
             self.sleep_with_jitter(READER_CHECK_INTERVAL).await;
-            if self.is_feed_lost && self.is_fed() {
+            if self.calls.is_lost() && self.is_fed() {
                 self.mark_feed_regained();
             }
             if self.state.must_read_feed() {
@@ -204,30 +185,13 @@
         Ok(!is_empty)
     }
 
-    /// Returns how long the source should hold the next watch. The time is
-    /// jittered, so that hosts that started together do not all wait on dead
-    /// connections: the first one to watch again gets ahead, and the others
-    /// reconnect when they see its position.
-    fn watch_wait(&self) -> Duration {
-        if self.is_feed_lost {
-            return RECOVERY_WATCH_WAIT;
-        }
-        let longest = if self.state.is_alone() {
-            MAX_WATCH_WAIT
-        } else {
-            READER_WATCH_WAIT
-        };
-        longest.mul_f64(1.0 - 0.5 * self.state.rng.borrow_mut().f64())
-    }
-
     /// Reports whether readers pass the changes on.
     fn is_fed(&self) -> bool {
         self.state.feed.borrow().is_fed(self.state.now())
     }
 
     fn mark_feed_regained(&mut self) {
-        self.backoff = INITIAL_BACKOFF;
-        if std::mem::take(&mut self.is_feed_lost) {
+        if self.calls.record_answer() {
             self.state.journal.write(&Event::Dependency {
                 name: "feed",
                 state: "regained",
@@ -237,7 +201,7 @@
     }
 
     /// Marks the feed as lost and waits before the next call to the source.
-    async fn back_off(&mut self, cause: &str, max_backoff: Duration) {
+    async fn back_off(&mut self, cause: &str, failure: CallFailure) {
         self.source.reconnect();
         let state = &self.state;
         state
@@ -247,21 +211,22 @@
         if state.feed.borrow().is_behind_peers() {
             state.outbox.request_missed_changes();
         }
-        if !self.is_feed_lost {
-            self.is_feed_lost = true;
+        if !self.calls.is_lost() {
             self.state.journal.write(&Event::Dependency {
                 name: "feed",
                 state: "lost",
                 cause,
             });
         }
-        self.sleep_with_jitter(self.backoff.min(max_backoff)).await;
-        self.backoff = (self.backoff * 2).min(MAX_REFUSED_BACKOFF);
+        let delay = self
+            .calls
+            .record_failure(failure, &mut self.state.rng.borrow_mut());
+        tokio::time::sleep(delay).await;
     }
 
     async fn sleep_with_jitter(&self, length: Duration) {
-        let jitter = 0.5 + self.state.rng.borrow_mut().f64();
-        tokio::time::sleep(length.mul_f64(jitter)).await;
+        let delay = jittered(length, &mut self.state.rng.borrow_mut());
+        tokio::time::sleep(delay).await;
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod cold_instances;
 pub mod explain;
+pub mod feed_calls;
 pub mod feed_codec;
 pub mod feed_delta;
 pub mod feed_exchange;
