--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -402,7 +402,7 @@
         };
         let request_id = &self.request.request_id;
         permits::acquire(self.state, request_id, &entry.id, limit).await
-            && self.state.still_takes_requests(entry)
+            && self.state.roster.borrow().still_takes_requests(entry)
     }
 
     /// Chooses an instance for a second attempt, none that counts as cold: it has no room
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
 use waxwingusher_membership::seeded::readers::reader_rank;
 use waxwingusher_membership::seeded::{CrashReport, LeavingInstance, PeerTable, name_hash};
 use waxwingusher_upstreams::{
-    Evidence, LoadSharing, PathMonitor, RefusalMonitor, Roster, RosterEntry, ScarcityMonitor,
+    Evidence, LoadSharing, PathMonitor, RefusalMonitor, Roster, ScarcityMonitor,
 };
 
 use crate::answer::Answer;
@@ -371,18 +371,6 @@
         is_new
     }
 
-    /// Reports whether a chosen instance still takes requests: while a request waited, it
-    /// may have left or restarted, or its failure domain may have been evacuated.
-    pub(crate) fn still_takes_requests(&self, chosen: &RosterEntry) -> bool {
-        let roster = self.roster.borrow();
-        let mut ready = roster.ready(&chosen.service);
-        ready.any(|listed| {
-            listed.entry.id == chosen.id
-                && listed.entry.incarnation == chosen.incarnation
-                && listed.entry.addr == chosen.addr
-        })
-    }
-
     /// Records that no connection could be opened to an instance.
     pub(crate) fn record_unreachable(&self, id: &InstanceId) {
         if self.paths.borrow_mut().record_unreachable(id) {
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod changing_source;
 mod cold_instances;
 mod cold_schedules;
+mod departure_schedules;
 mod distribution_schedules;
 mod domain_returns;
 mod endless;
--- a/crates/upstreams/src/roster.rs
+++ b/crates/upstreams/src/roster.rs
@@ -327,14 +327,29 @@
         &'a self,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = &'a ListedInstance> + 'a {
-        self.instances.values().filter(move |listed| {
-            listed.entry.service == *service
-                && listed.entry.state == RosterState::Ready
-                && !listed.is_leaving
-                && !self.evacuations.contains(&listed.entry.failure_domain)
+        self.instances
+            .values()
+            .filter(move |listed| listed.entry.service == *service && self.is_ready(listed))
+    }
+
+    /// Reports whether an instance that was chosen earlier still takes new requests: it may
+    /// have left or restarted since, or its failure domain may have been evacuated.
+    #[must_use]
+    pub fn still_takes_requests(&self, chosen: &RosterEntry) -> bool {
+        self.instances.get(&chosen.id).is_some_and(|listed| {
+            listed.entry.service == chosen.service
+                && listed.entry.incarnation == chosen.incarnation
+                && listed.entry.addr == chosen.addr
+                && self.is_ready(listed)
         })
     }
 
+    fn is_ready(&self, listed: &ListedInstance) -> bool {
+        listed.entry.state == RosterState::Ready
+            && !listed.is_leaving
+            && !self.evacuations.contains(&listed.entry.failure_domain)
+    }
+
     /// Returns how many instances of a service get no requests since their failure
     /// domain is evacuated.
     #[must_use]
