--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 //! environment leaves out the disruption. Exits with 1 if the rule was broken, 0 if it held
 //! and 2 if the case could not run.
 
+mod crash_midway;
 mod fleet;
 mod instance;
 mod load;
@@ -38,6 +39,7 @@
     };
     let result = match case.as_str() {
         "silent-store" => silent_store::run(&record, has_trouble),
+        "crash-midway" => crash_midway::run(&record, has_trouble),
         "reader-kill" => reader_kill::run(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
